--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**", "*.cjs", "**/*.cjs"] },
+    { ignores: ["**/dist/**", "target/**", "**/node_modules/**", "*.cjs", "**/*.cjs"] },
     ...tseslint.configs.recommended,
     {
         files: ["**/*.ts"],
--- a/packages/basilpaddle/src/node/coordination/agreement/__tests__/group.ts
+++ b/packages/basilpaddle/src/node/coordination/agreement/__tests__/group.ts
@@ -3,7 +3,7 @@
 import { type Disk, MemoryDisk, StateMachine } from "../../../state/index.js";
 import { Link, type LinkFailure } from "../../../transport/index.js";
 import { createSilentLogger, SeededRandomness, SystemClock } from "../../../utils/index.js";
-import { AgreementReplica, type AgreementReplicaOptions, initialise } from "../index.js";
+import { AgreementReplica, type AgreementReplicaOptions, FixedPeers, initialise } from "../index.js";
 
 /** Short times, so that a test of an election takes a fraction of a second. */
 export const shortTiming = { heartbeatInterval: 10, electionTimeout: 60, viewLease: 120, clockDrift: 0.02 };
@@ -91,7 +91,9 @@
         const replica = await AgreementReplica.create({
             name,
             disk,
-            peers: new Map(this.names.filter(peer => peer !== name).map(peer => [peer, this.link(name, peer)])),
+            peers: FixedPeers.create(
+                new Map(this.names.filter(peer => peer !== name).map(peer => [peer, this.link(name, peer)])),
+            ),
             stateMachine,
             timing: shortTiming,
             clock: SystemClock.create(),
--- a/packages/basilpaddle/src/node/coordination/agreement/__tests__/startup.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/agreement/__tests__/startup.spec.ts
@@ -2,7 +2,7 @@
 import { MemoryDisk } from "../../../state/index.js";
 import { Link } from "../../../transport/index.js";
 import { createSilentLogger, SeededRandomness, SystemClock } from "../../../utils/index.js";
-import { AgreementReplica, initialise } from "../index.js";
+import { AgreementReplica, FixedPeers, initialise } from "../index.js";
 import type { Envelope } from "../message.js";
 import { openFolder } from "../startup.js";
 import { commandOf, Group, KeyList, shortTiming, until } from "./group.js";
@@ -69,7 +69,7 @@
         const replica = await AgreementReplica.create({
             name: "a",
             disk,
-            peers: new Map([["b", link]]),
+            peers: FixedPeers.create(new Map([["b", link]])),
             stateMachine: KeyList.create(),
             timing: shortTiming,
             clock: SystemClock.create(),
--- a/packages/basilpaddle/src/node/coordination/agreement/__tests__/steps.ts
+++ b/packages/basilpaddle/src/node/coordination/agreement/__tests__/steps.ts
@@ -102,7 +102,7 @@
     private startFrom(identity: string, recovered: Recovered): void {
         const options = {
             identity,
-            peers: this.voters.filter(other => other !== identity).map(other => other.split("#")[0]!),
+            peers: () => this.voters.filter(other => other !== identity).map(other => other.split("#")[0]!),
             timing: { heartbeatInterval: 100, electionTimeout, viewLease, clockDrift: 0 },
             randomness: SeededRandomness.create(1),
         };
--- a/packages/basilpaddle/src/node/coordination/agreement/index.ts
+++ b/packages/basilpaddle/src/node/coordination/agreement/index.ts
@@ -1,2 +1,3 @@
+export * from "./peers.js";
 export * from "./replica.js";
 export { initialise } from "./startup.js";
--- a/packages/basilpaddle/src/node/coordination/agreement/membership.ts
+++ b/packages/basilpaddle/src/node/coordination/agreement/membership.ts
@@ -5,6 +5,10 @@
 
 /** Election timeouts without a word of a leader after which a member asks whether it still is one. */
 const unheardTimeouts = 5;
+/** Voters below which none is taken out before another has come in: two could not bear the loss of one meanwhile. */
+const leastRepairable = 3;
+/** Times of silence that a learner is given over a voter: it stands in nobody's way. */
+const learnerSilences = 4;
 
 /**
  * Makes the next change of the membership that is due, one at a time. A lost disk is repaired in three steps: its new
@@ -31,9 +35,23 @@
 
 /** Notes that a replica without a place in the group wants one. */
 export function onJoin(state: AgreementState, from: string): void {
-    if (state.leadership !== undefined && state.options.peers.includes(nameOf(from))) {
+    const open = state.options.open !== undefined;
+    if (state.leadership !== undefined && (open || state.options.peers().includes(nameOf(from)))) {
         state.leadership.joining.add(from);
     }
+    else if (open && state.leader !== undefined && state.leader !== from) {
+        // The few members that a new machine knows may all be followers; without this it would never find the leader.
+        state.send(from, { kind: "joinAt", leader: state.leader });
+    }
+}
+
+/** Notes where the leader is. */
+export function onJoinAt(state: AgreementState, leader: string): void {
+    const name = nameOf(leader);
+    if (!state.contacts.has(name)) {
+        state.contacts.add(name);
+        state.joinAt = state.now;
+    }
 }
 
 /**
@@ -45,15 +63,17 @@
     state.joinAt = state.now + state.timeout;
     const unheard = state.now - Math.max(state.heardAt, state.silentUntil) > unheardTimeouts * state.timeout;
     if (unheard || (!voters.includes(state.self) && !learners.includes(state.self))) {
-        state.options.peers.forEach(name => state.send(name, { kind: "join" }));
+        const names = new Set([...state.options.peers(), ...state.contacts, ...voters.map(nameOf)]);
+        names.delete(nameOf(state.self));
+        names.forEach(name => state.send(name, { kind: "join" }));
     }
 }
 
 function nextMembership(state: AgreementState, leadership: Leadership): Membership | undefined {
     const voters = votersMayChange(state, leadership)
-        ? replaceDead(state, leadership) ?? promote(state, leadership)
+        ? replaceDead(state, leadership) ?? replaceSilent(state, leadership) ?? promote(state, leadership)
         : undefined;
-    return voters ?? admit(state, leadership);
+    return voters ?? admit(state, leadership) ?? dropSilentLearner(state, leadership);
 }
 
 /**
@@ -96,9 +116,43 @@
     return undefined;
 }
 
+/**
+ * Takes a voter out that has been silent for long while a caught up member stands by: a machine that is gone for good
+ * never comes back under its name. Without this a second loss would stop the group, though a whole copy is at hand.
+ */
+function replaceSilent(state: AgreementState, leadership: Leadership): Membership | undefined {
+    const { open } = state.options;
+    const { voters, learners } = state.log.membership;
+    const standby = learners.some(learner => hasCaughtUp(state, leadership, learner));
+    if (open === undefined || !standby || voters.length < Math.min(open.voters, leastRepairable)) {
+        return undefined;
+    }
+    const lost = voters.find(voter => isSilent(state, leadership, voter, open.replaceAfter));
+    return lost === undefined
+        ? undefined
+        : carried(state, leadership, { voters: voters.filter(voter => voter !== lost), learners });
+}
+
+/** Forgets a learner that is gone; a group whose machines are replaced again and again would gather them otherwise. */
+function dropSilentLearner(state: AgreementState, leadership: Leadership): Membership | undefined {
+    const { open } = state.options;
+    const { voters, learners } = state.log.membership;
+    const gone = open
+        && learners.find(learner => isSilent(state, leadership, learner, learnerSilences * open.replaceAfter));
+    return gone === undefined ? undefined : { voters, learners: learners.filter(learner => learner !== gone) };
+}
+
+function isSilent(state: AgreementState, leadership: Leadership, identity: string, limit: number): boolean {
+    const progress = leadership.progress.get(identity);
+    return identity !== state.self && progress !== undefined && state.now - progress.contactAt > limit;
+}
+
 /** Makes a learner a voter. Before it has caught up its vote could help a quorum that lacks committed entries. */
 function promote(state: AgreementState, leadership: Leadership): Membership | undefined {
     const { voters, learners } = state.log.membership;
+    if (voters.length >= (state.options.open?.voters ?? Number.POSITIVE_INFINITY)) {
+        return undefined;
+    }
     const ready = learners.find(learner => {
         return hasCaughtUp(state, leadership, learner) && !voters.some(voter => nameOf(voter) === nameOf(learner));
     });
--- a/packages/basilpaddle/src/node/coordination/agreement/message.ts
+++ b/packages/basilpaddle/src/node/coordination/agreement/message.ts
@@ -46,6 +46,8 @@
     z.object({ kind: z.literal("standNow"), term }),
     /** A replica without a place in the group asks to be taken in. */
     z.object({ kind: z.literal("join") }),
+    /** Answers `join` where this replica doesn't lead but knows who does. */
+    z.object({ kind: z.literal("joinAt"), leader: z.string() }),
 ]);
 
 /** What travels between replicas. */
--- a/packages/basilpaddle/src/node/coordination/agreement/replica.ts
+++ b/packages/basilpaddle/src/node/coordination/agreement/replica.ts
@@ -1,14 +1,14 @@
 import { type Command, isViewCommand } from "../../protocol/index.js";
 import { type Disk, type Identity, type LogFileOptions, type StateMachine, writeIdentity } from "../../state/index.js";
-import type { Link } from "../../transport/index.js";
 import type { Clock, Logger, Randomness } from "../../utils/index.js";
 import { type Proposal, Replica, type ReplicaStanding } from "../replica.js";
 import type { AgreementEvent, Effect, Proposed } from "./effect.js";
 import { decodeCommand, encodeContent, type Entry, nameOf } from "./entry.js";
 import { type Envelope, envelopeSchema } from "./message.js";
+import type { Peers } from "./peers.js";
 import { ProposalTable } from "./proposalTable.js";
 import { openFolder } from "./startup.js";
-import { AgreementState, type AgreementTiming } from "./state.js";
+import { AgreementState, type AgreementTiming, type OpenGroup } from "./state.js";
 import { deadline, step } from "./step.js";
 import type { Storage } from "./storage.js";
 
@@ -21,8 +21,12 @@
     readonly name: string;
     /** The data folder; one that was neither initialised nor used before gives a replica that asks to be taken in. */
     readonly disk: Disk;
-    /** Links to the other control daemons, by name. */
-    readonly peers: ReadonlyMap<string, Link>;
+    /** How the other control daemons are reached. */
+    readonly peers: Peers;
+    /** How daemons that no settings file names are taken in. @default they aren't */
+    readonly open?: OpenGroup;
+    /** Milliseconds after a start in which the replica takes no part. @default twice the election timeout */
+    readonly silence?: number;
     readonly stateMachine: StateMachine;
     readonly timing: AgreementTiming;
     readonly clock: Clock;
@@ -77,8 +81,9 @@
     static async create(options: AgreementReplicaOptions): Promise<AgreementReplica> {
         const { disk, name, randomness, logger, clock, timing } = options;
         const { identity, storage, recovered } = await openFolder(disk, name, options.log ?? {}, randomness, logger);
-        const peers = [...options.peers.keys()].filter(peer => peer !== name);
-        const core = { identity: identity.identity, peers, timing, randomness };
+        const peers = (): string[] => options.peers.names().filter(peer => peer !== name);
+        const { open, silence } = options;
+        const core = { identity: identity.identity, peers, timing, randomness, open, silence };
         const state = AgreementState.create(core, recovered, clock.monotonic());
         if (recovered.snapshot !== undefined) {
             options.stateMachine.restore(recovered.snapshot.data);
@@ -115,7 +120,8 @@
         }
         const { to, body, cluster } = envelope.data;
         const addressed = body.kind === "join" ? to === this.identity.name : to === this.identity.identity;
-        if (addressed && this.options.peers.has(nameOf(from)) && this.isOwnCluster(cluster, body.kind)) {
+        const known = this.options.peers.link(nameOf(from)) !== undefined;
+        if (addressed && known && this.isOwnCluster(cluster, body.kind)) {
             this.dispatch({ kind: "message", from, message: body });
         }
     }
@@ -265,7 +271,7 @@
 
     private send(to: string, body: Envelope["body"]): void {
         const message: Envelope = { cluster: this.identity.cluster, to, body };
-        this.options.peers.get(nameOf(to))?.send({ kind: "agreement", from: this.identity.identity, message });
+        this.options.peers.link(nameOf(to))?.send({ kind: "agreement", from: this.identity.identity, message });
     }
 
     private apply(entry: Entry): void {
--- a/packages/basilpaddle/src/node/coordination/agreement/state.ts
+++ b/packages/basilpaddle/src/node/coordination/agreement/state.ts
@@ -53,11 +53,23 @@
 /** The timing that the agreement goes by. */
 export type AgreementTiming = Pick<Timing, "heartbeatInterval" | "electionTimeout" | "viewLease" | "clockDrift">;
 
+/** How a group whose members aren't listed anywhere mends itself. */
+export type OpenGroup = {
+    /** Voters that the group grows to; members beyond stand by as learners. */
+    readonly voters: number;
+    /** Milliseconds of silence after which a member that stands by takes a voter's place, or a silent learner is dropped. */
+    readonly replaceAfter: number;
+};
+
 /** What a replica is made from. */
 export type AgreementOptions = {
     readonly identity: string;
-    /** Names of the other control daemons. */
-    readonly peers: readonly string[];
+    /** Names of the other control daemons that are known from the start; asked anew each time. */
+    readonly peers: () => readonly string[];
+    /** How a group takes in daemons that no settings file names; left out where the settings list the whole group. */
+    readonly open?: OpenGroup | undefined;
+    /** Milliseconds after a start in which the replica takes no part. @default twice the election timeout */
+    readonly silence?: number | undefined;
     readonly timing: AgreementTiming;
     readonly randomness: Randomness;
     /** Bytes of a snapshot in one message. @default 262144 */
@@ -91,6 +103,8 @@
     readonly silentUntil: number;
     electionAt = Number.POSITIVE_INFINITY;
     joinAt: number;
+    /** Names of members that this replica was told of while it looked for a place in the group. */
+    readonly contacts = new Set<string>();
     /** When a leader of this term was last heard of. */
     heardAt = Number.NEGATIVE_INFINITY;
     votes = new Set<string>();
@@ -118,7 +132,7 @@
         this.committed = Math.max(recovered.snapshot?.description.index ?? 0, recovered.log.base.index);
         this.syncedIndex = recovered.log.lastIndex;
         this.now = now;
-        this.silentUntil = now + 2 * options.timing.electionTimeout;
+        this.silentUntil = now + (options.silence ?? 2 * options.timing.electionTimeout);
         this.joinAt = this.silentUntil;
     }
 
--- a/packages/basilpaddle/src/node/coordination/agreement/step.ts
+++ b/packages/basilpaddle/src/node/coordination/agreement/step.ts
@@ -1,7 +1,7 @@
 import { Invariant } from "../../state/index.js";
 import type { AgreementEvent, Effect, Proposed } from "./effect.js";
 import { canvass, follow, giveUpWithoutQuorum, onRequestVote, onStandNow, onVoteAnswer } from "./election.js";
-import { askToJoin, isLive, manageMembership, onJoin } from "./membership.js";
+import { askToJoin, isLive, manageMembership, onJoin, onJoinAt } from "./membership.js";
 import type { Message, MessageOf } from "./message.js";
 import {
     advanceCommit,
@@ -132,6 +132,9 @@
         case "join":
             onJoin(state, from);
             return;
+        case "joinAt":
+            onJoinAt(state, message.leader);
+            return;
     }
 }
 
--- /dev/null
+++ b/packages/basilpaddle/src/node/coordination/gateway/announcements.ts
@@ -0,0 +1,97 @@
+import type { Announced } from "../../protocol/index.js";
+
+/** Heartbeats that may be missed before a backend server counts as silent. */
+const missedHeartbeats = 3;
+/** Milliseconds for which one that has left is remembered; no word of it is under way for longer. */
+const leftMemory = 60_000;
+
+type Heard = { announced: Announced; number: number; heardAt: number; };
+
+/**
+ * What one directory has heard from backend servers, numbered by change, so that a gateway can ask for what it lacks.
+ * A heartbeat that says nothing new changes nothing and goes nowhere: it only puts off the silence.
+ */
+export class Announcements {
+    private readonly heard = new Map<string, Heard>();
+    private last = 0;
+
+    private constructor(private readonly heartbeat: number) {}
+
+    /** `heartbeat`: milliseconds between two heartbeats of a backend server. */
+    static create(heartbeat: number): Announcements {
+        return new Announcements(heartbeat);
+    }
+
+    /** Takes a heartbeat; tells whether gateways have to hear of it. */
+    take(announced: Announced, now: number): boolean {
+        const known = this.heard.get(announced.id);
+        if (known !== undefined && known.announced.state === "left") {
+            return false;
+        }
+        if (known !== undefined && announced.sequence <= known.announced.sequence) {
+            // A heartbeat that was held up on its way says nothing of the present.
+            return false;
+        }
+        if (known === undefined || differs(known.announced, announced)) {
+            this.heard.set(announced.id, { announced, number: this.next(), heardAt: now });
+            return true;
+        }
+        known.announced = announced;
+        known.heardAt = now;
+        return false;
+    }
+
+    /** Notes that a backend server leaves for good. One that was never heard here is noted too: others may know it. */
+    leave(id: string, now: number): boolean {
+        const known = this.heard.get(id);
+        if (known?.announced.state === "left") {
+            return false;
+        }
+        const announced: Announced = known === undefined
+            ? { id, service: "unknown", address: "", failureDomain: "", slots: 0, state: "left", sequence: 0 }
+            : { ...known.announced, state: "left" };
+        this.heard.set(id, { announced, number: this.next(), heardAt: now });
+        return true;
+    }
+
+    /** Marks those that have been silent for too long; tells whether there are any. */
+    markSilent(now: number): boolean {
+        let marked = false;
+        for (const [id, known] of this.heard) {
+            const { state } = known.announced;
+            if (state === "left" && now - known.heardAt > leftMemory) {
+                this.heard.delete(id);
+            }
+            const silent = now - known.heardAt > missedHeartbeats * this.heartbeat;
+            if (silent && (state === "ready" || state === "draining")) {
+                known.announced = { ...known.announced, state: "silent" };
+                known.number = this.next();
+                marked = true;
+            }
+        }
+        return marked;
+    }
+
+    /** What has changed after the number. */
+    since(number: number): readonly Announced[] {
+        return [...this.heard.values()].filter(known => known.number > number).map(known => known.announced);
+    }
+
+    /** Number of the newest change. */
+    newest(): number {
+        return this.last;
+    }
+
+    private next(): number {
+        this.last += 1;
+        return this.last;
+    }
+}
+
+function differs(one: Announced, other: Announced): boolean {
+    return one.state !== other.state
+        || one.stage !== other.stage
+        || one.address !== other.address
+        || one.service !== other.service
+        || one.slots !== other.slots;
+}
--- /dev/null
+++ b/packages/basilpaddle/src/node/coordination/gateway/placedEngine.ts
@@ -0,0 +1,145 @@
+import type { Announced, PlaceDemand } from "../../protocol/index.js";
+
+/** Milliseconds to read one prompt token until prefills have shown their own. */
+const usualTokenTime = 0.035;
+/** How much longer a decode engine takes to read a prompt, between the tokens of its runs. */
+const selfReadFactor = 2.2;
+/** Milliseconds that a prefill takes beside its tokens. */
+const prefillOverhead = 10;
+/** Weight of one prefill in the running mean. */
+const step = 0.1;
+/** Prefills that took more than this many times the expected were held up by something else. */
+const strayFactor = 4;
+/** Milliseconds that a full engine counts worse than an empty one: fuller batches take longer for each token. */
+const crowdingWeight = 60;
+/** Milliseconds that an engine pair in two failure domains counts worse: moves between domains take twice as long and are priced more. */
+const otherDomainWeight = 80;
+/** Milliseconds without work after a failure, at first and at the most. */
+const firstPause = 400;
+const mostPause = 8_000;
+
+/** What may be promised of one engine. */
+export type EngineState = { readonly tokens: number; readonly slots: number; };
+
+/** What is believed of one engine: its announcement and what was handed out there. */
+export class PlacedEngine {
+    /** Tokens of KV cache promised here. */
+    tokens = 0;
+    private readonly held = new Map<string, number>();
+    private readonly prefills = new Map<string, { readonly tokens: number; readonly addedAt: number; }>();
+    private prefillTokens = 0;
+    private since = 0;
+    private tokenTime = usualTokenTime;
+    private failures = 0;
+    private pausedUntil = 0;
+
+    private constructor(public announced: Announced) {}
+
+    static create(announced: Announced): PlacedEngine {
+        return new PlacedEngine(announced);
+    }
+
+    get id(): string {
+        return this.announced.id;
+    }
+
+    /** Whether new work may be sent there. */
+    takesWork(now: number): boolean {
+        return this.announced.state === "ready" && now >= this.pausedUntil;
+    }
+
+    /** Whether a run fits. One that is larger than the share handed out here fits an engine without any. */
+    hasRoom(demand: PlaceDemand, state: EngineState): boolean {
+        if (this.held.size === 0) {
+            return true;
+        }
+        return this.held.size < state.slots && this.tokens + demand.cacheTokens <= state.tokens;
+    }
+
+    /** How full it is, in milliseconds of disadvantage. */
+    crowding(state: EngineState): number {
+        return crowdingWeight * this.tokens / Math.max(1, state.tokens);
+    }
+
+    /** How far the KV cache would have to go, in milliseconds of disadvantage. */
+    distance(decode: PlacedEngine): number {
+        return this.announced.failureDomain === decode.announced.failureDomain ? 0 : otherDomainWeight;
+    }
+
+    /** Promises room for a run. */
+    hold(attempt: string, tokens: number): void {
+        this.held.set(attempt, tokens);
+        this.tokens += tokens;
+    }
+
+    /** Frees a run's room. */
+    release(attempt: string): void {
+        const tokens = this.held.get(attempt);
+        if (tokens !== undefined) {
+            this.held.delete(attempt);
+            this.tokens = this.held.size === 0 ? 0 : this.tokens - tokens;
+        }
+    }
+
+    /** Notes a prompt handed out for reading. */
+    addPrefill(attempt: string, tokens: number, now: number): void {
+        if (this.prefills.size === 0) {
+            this.since = now;
+        }
+        this.prefills.set(attempt, { tokens, addedAt: now });
+        this.prefillTokens += tokens;
+    }
+
+    /** Notes that a prompt was read, and learns how long it took where nothing else was being read. */
+    prefilled(attempt: string, now: number): void {
+        const work = this.prefills.get(attempt);
+        if (work !== undefined && this.prefills.size === 1 && work.addedAt === this.since && work.tokens > 0) {
+            const seen = Math.max(0, now - work.addedAt - prefillOverhead) / work.tokens;
+            if (seen < strayFactor * this.tokenTime) {
+                this.tokenTime += step * (seen - this.tokenTime);
+            }
+        }
+        this.dropPrefill(attempt, now);
+        this.succeeded();
+    }
+
+    /** Notes that a prompt isn't being read here any more. */
+    dropPrefill(attempt: string, now: number): void {
+        const work = this.prefills.get(attempt);
+        if (work !== undefined) {
+            this.prefills.delete(attempt);
+            this.prefillTokens -= work.tokens;
+            this.since = now;
+        }
+    }
+
+    /** Milliseconds until the prompts handed out so far are likely read. */
+    readyIn(now: number): number {
+        const work = this.prefillTokens * this.tokenTime + this.prefills.size * prefillOverhead;
+        return Math.max(0, this.since + work - now, this.prefills.size > 0 ? work / 2 : 0);
+    }
+
+    /** Milliseconds to read a prompt here, once its turn has come. */
+    readingTime(tokens: number): number {
+        return tokens * this.tokenTime + prefillOverhead;
+    }
+
+    /** Milliseconds until a decode engine would have read a prompt itself: at half the speed, after those it reads already. */
+    readsItselfIn(tokens: number, now: number): number {
+        return selfReadFactor * (this.readyIn(now) + this.readingTime(tokens));
+    }
+
+    /** Notes a failure. An engine whose link is stalled looks idle; without a pause it would get one run after another. */
+    failed(now: number): void {
+        if (now >= this.pausedUntil) {
+            this.pausedUntil = now + Math.min(mostPause, firstPause * 2 ** this.failures);
+            this.failures += 1;
+        }
+    }
+
+    /** Notes that work got on here. */
+    succeeded(): void {
+        this.failures = 0;
+        this.pausedUntil = 0;
+    }
+}
--- /dev/null
+++ b/packages/basilpaddle/src/node/coordination/gateway/repeatBudget.ts
@@ -0,0 +1,70 @@
+/** Slices of the window; more would only make the edges finer. */
+const slices = 10;
+
+/** What one gateway may spend on sending requests again. */
+export type RepeatBudgetRules = {
+    /** Repeats allowed for each request of the service. */
+    readonly ratio: number;
+    /** Length of the window in milliseconds. */
+    readonly window: number;
+    /** Repeats allowed in a window beyond the ratio, over all gateways. */
+    readonly slack: number;
+};
+
+/** Part of the allowance that is used: what other gateways count differently must not break the limit. */
+const margin = 0.7;
+
+/**
+ * The part of a service's allowance for repeats that this gateway may spend alone, without asking anybody: the ratio
+ * of the requests that it saw itself, and its part of the slack. Repeats of all gateways together then stay within the
+ * allowance, without a round trip a request. Against failures that hit everyone at once: unlimited repeats multiply
+ * the load on the backend servers that are left.
+ */
+export class RepeatBudget {
+    private readonly requests = new Array<number>(slices).fill(0);
+    private readonly repeats = new Array<number>(slices).fill(0);
+    private slice = 0;
+
+    private constructor(private readonly rules: RepeatBudgetRules) {}
+
+    static create(rules: RepeatBudgetRules): RepeatBudget {
+        return new RepeatBudget(rules);
+    }
+
+    /** Notes a request of the service. */
+    request(now: number): void {
+        this.turn(now);
+        this.requests[this.slice % slices]! += 1;
+    }
+
+    /** Takes one repeat out of the allowance, or tells that none is left. */
+    take(now: number, gateways: number): boolean {
+        this.turn(now);
+        const own = sum(this.requests) * this.rules.ratio;
+        const allowed = margin * (own + this.rules.slack / Math.max(1, gateways));
+        if (sum(this.repeats) + 1 > allowed) {
+            return false;
+        }
+        this.repeats[this.slice % slices]! += 1;
+        return true;
+    }
+
+    private turn(now: number): void {
+        const current = Math.floor(now / (this.rules.window / slices));
+        if (this.slice === 0 || current - this.slice >= slices) {
+            this.requests.fill(0);
+            this.repeats.fill(0);
+            this.slice = current;
+            return;
+        }
+        while (this.slice < current) {
+            this.slice += 1;
+            this.requests[this.slice % slices] = 0;
+            this.repeats[this.slice % slices] = 0;
+        }
+    }
+}
+
+function sum(values: readonly number[]): number {
+    return values.reduce((total, value) => total + value, 0);
+}
--- /dev/null
+++ b/packages/basilpaddle/src/node/coordination/gateway/routeTable.ts
@@ -0,0 +1,55 @@
+import type { ServiceRule, Traffic, TrafficRoute } from "../../protocol/index.js";
+
+/** Finds the route of a request and the service that it goes to. */
+export class RouteTable {
+    private readonly byHost = new Map<string, TrafficRoute[]>();
+    private readonly services: ReadonlyMap<string, ServiceRule>;
+
+    private constructor(readonly traffic: Traffic) {
+        this.services = new Map(traffic.services.map(service => [service.name, service]));
+        for (const route of traffic.routes) {
+            const host = route.host.toLowerCase();
+            this.byHost.set(host, [...this.byHost.get(host) ?? [], route]);
+        }
+        // The longest prefix wins, so it is tried first.
+        this.byHost.forEach(routes => routes.sort((one, other) => other.pathPrefix.length - one.pathPrefix.length));
+    }
+
+    static create(traffic: Traffic): RouteTable {
+        return new RouteTable(traffic);
+    }
+
+    /** The route for a `Host` header and a request target; undefined where none takes it. */
+    match(hostHeader: string, target: string): TrafficRoute | undefined {
+        const host = hostHeader.toLowerCase().replace(/:\d*$/, "");
+        const path = target.split("?", 1)[0]!;
+        return this.byHost.get(host)?.find(route => path.startsWith(route.pathPrefix));
+    }
+
+    /** The service that a request of the route goes to. A split is drawn by the identifier, so that it repeats. */
+    serviceOf(route: TrafficRoute, identifier: string): ServiceRule | undefined {
+        const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
+        let place = drawn(identifier) * total;
+        for (const target of route.targets) {
+            place -= target.weight;
+            if (place < 0) {
+                return this.services.get(target.service);
+            }
+        }
+        return undefined;
+    }
+
+    /** The rule of a service. */
+    service(name: string): ServiceRule | undefined {
+        return this.services.get(name);
+    }
+}
+
+/** A number from 0 up to, but without, 1 that follows from the text (FNV-1a). */
+function drawn(text: string): number {
+    let hash = 0x811c9dc5;
+    for (let position = 0; position < text.length; position++) {
+        hash = Math.imul(hash ^ text.charCodeAt(position), 0x01000193) >>> 0;
+    }
+    return hash / 0x1_0000_0000;
+}
--- a/packages/basilpaddle/src/node/coordination/index.ts
+++ b/packages/basilpaddle/src/node/coordination/index.ts
@@ -1,6 +1,7 @@
 export * from "./agreement/index.js";
 export * from "./controlClient.js";
 export * from "./engine/index.js";
+export * from "./gateway/index.js";
 export * from "./orders/index.js";
 export * from "./placement.js";
 export * from "./replica.js";
--- a/packages/basilpaddle/src/node/daemon/control/groupReplica.ts
+++ b/packages/basilpaddle/src/node/daemon/control/groupReplica.ts
@@ -1,4 +1,4 @@
-import { AgreementReplica, initialise, type Replica } from "../../coordination/index.js";
+import { AgreementReplica, FixedPeers, initialise, type Replica } from "../../coordination/index.js";
 import type { ControlSettings } from "../../protocol/index.js";
 import { type Disk, FolderDisk, FolderLock, type Identity, type StateMachine } from "../../state/index.js";
 import type { Network } from "../../transport/index.js";
@@ -28,7 +28,12 @@
             return [control.name, link] as const;
         }),
     );
-    return AgreementReplica.create({ ...rest, name: settings.name, timing: settings.timing, peers });
+    return AgreementReplica.create({
+        ...rest,
+        name: settings.name,
+        timing: settings.timing,
+        peers: FixedPeers.create(peers),
+    });
 }
 
 /**
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -0,0 +1,346 @@
+import { Announcements, DirectoryWatcher, InstanceTable } from "../../coordination/index.js";
+import {
+    type Announced,
+    type DirectorySettings,
+    type DocumentAnswer,
+    documentAnswerSchema,
+    type DocumentCall,
+    documentCallSchema,
+    documentRequestSchema,
+    placingSchema,
+    seedNames,
+    type Traffic,
+    watchSchema,
+} from "../../protocol/index.js";
+import { type Link, type Network, parseAddress, TcpNetwork, TcpServer } from "../../transport/index.js";
+import { type Clock, DisposableStore, type Logger, type Randomness } from "../../utils/index.js";
+import { type CallAnswer, CallHandler, CallServer } from "./callServer.js";
+import type { DirectoryCall, DirectoryWire } from "./directoryWire.js";
+import { DocumentGroup } from "./documentGroup.js";
+import { PlacingService } from "./placingService.js";
+import { StageOrders } from "./stageOrders.js";
+import { WatchBook } from "./watchBook.js";
+
+/** Milliseconds for the leader to answer a call that was passed on to it. */
+const leaderPatience = 950;
+/** Milliseconds between two looks at what has fallen silent. */
+const silenceInterval = 300;
+/** Least voters of a group that must bear a loss. */
+const leastVoters = 3;
+
+/** What a directory needs. */
+export type DirectoryDaemonOptions = {
+    readonly settings: DirectorySettings;
+    /** Names of the directories to begin with; looked at anew since settings may change. */
+    readonly seeds?: () => readonly string[];
+    readonly wire: DirectoryWire;
+    readonly clock: Clock;
+    readonly randomness: Randomness;
+    readonly logger: Logger;
+    readonly network?: Network;
+};
+
+/**
+ * A directory: one member of the group that keeps the configuration, a place where backend servers announce themselves,
+ * and, while it leads, the one that places runs at engines and orders their stages.
+ */
+export class DirectoryDaemon extends CallHandler {
+    private readonly store = DisposableStore.create();
+    private readonly instances = InstanceTable.create();
+    private readonly announcements: Announcements;
+    private readonly watches: WatchBook;
+    private readonly name: string;
+    private traffic: Traffic | undefined;
+    private placing: PlacingService | undefined;
+    private orders: StageOrders | undefined;
+    private leaderLink: { readonly name: string; readonly link: Link; } | undefined;
+
+    private constructor(
+        private readonly options: DirectoryDaemonOptions,
+        private readonly network: Network,
+        private readonly group: DocumentGroup,
+    ) {
+        super();
+        const { settings, clock, randomness } = options;
+        this.name = `${settings.host}:${settings.peerPort}`;
+        this.announcements = Announcements.create(settings.heartbeat);
+        this.watches = WatchBook.create({
+            incarnation: randomness.identifier(),
+            failureDomain: settings.failureDomain,
+            announcements: this.announcements,
+            document: () => group.current(),
+            members: () => this.members(),
+            clock,
+        });
+    }
+
+    /** Opens the group's replica and listens. */
+    static async create(options: DirectoryDaemonOptions): Promise<DirectoryDaemon> {
+        const { settings, clock, randomness, logger } = options;
+        const network = options.network ?? TcpNetwork.create(logger);
+        const group = await DocumentGroup.create({
+            name: `${settings.host}:${settings.peerPort}`,
+            seeds: options.seeds ?? (() => seedNames(settings)),
+            firstStart: settings.firstStart,
+            dataFolder: settings.dataFolder,
+            voters: Math.max(leastVoters, 2 * settings.tolerated + 1),
+            network,
+            clock,
+            randomness,
+            logger,
+        });
+        const daemon = new DirectoryDaemon(options, network, group);
+        daemon.store.add(() => group.close());
+        try {
+            await daemon.open();
+        }
+        catch (error) {
+            await daemon.store.dispose();
+            throw error;
+        }
+        return daemon;
+    }
+
+    /** Hands leadership over and stops. */
+    async close(): Promise<void> {
+        this.stopLeading();
+        await this.store.dispose();
+    }
+
+    override async answer(call: DirectoryCall, body: string): Promise<CallAnswer> {
+        switch (call.kind) {
+            case "announce":
+                return this.announce(call.id, body);
+            case "leave":
+                return this.leave(call.id);
+            case "storeConfiguration":
+                return this.storeConfiguration(body);
+            case "readConfiguration":
+                return this.readConfiguration();
+            case "unknown":
+                return { kind: "unknownCall" };
+        }
+    }
+
+    private async open(): Promise<void> {
+        const { settings, logger, wire, clock } = this.options;
+        const peers = await TcpServer.create({
+            host: settings.host,
+            port: settings.peerPort,
+            handler: body => this.onPeer(body),
+            logger,
+        });
+        this.store.add(() => peers.close());
+        this.group.onChange(document => {
+            this.traffic = wire.traffic(document.content).toMaybe().extract();
+            logger.info("a configuration is committed", { version: document.version });
+            this.placing?.refresh();
+            this.watches.changed();
+        });
+        this.group.onLeadership(leading => leading ? this.lead() : this.stopLeading());
+        this.traffic = wire.traffic(this.group.current().content).toMaybe().extract();
+        if (this.group.standing()?.leading === true) {
+            this.lead();
+        }
+        const watcher = DirectoryWatcher.create({
+            name: this.name,
+            observer: true,
+            failureDomain: settings.failureDomain,
+            seeds: this.options.seeds ?? (() => seedNames(settings)),
+            network: this.network,
+            clock,
+            logger,
+            onAnnounced: announced => this.learn(announced),
+        });
+        this.store.add(() => watcher.close());
+        const calls = await CallServer.create({ address: settings.calls, handler: this, wire, logger });
+        this.store.add(() => calls.close());
+        this.watchSilence();
+        logger.info("serving", { calls: settings.calls, peers: this.name });
+    }
+
+    private watchSilence(): void {
+        const { clock } = this.options;
+        let cancel = clock.after(silenceInterval, () => look());
+        const look = (): void => {
+            const now = clock.monotonic();
+            if (this.announcements.markSilent(now)) {
+                this.learnOwn();
+                this.watches.changed();
+            }
+            this.placing?.keepGateways(this.watches.gatewayNames());
+            cancel = clock.after(silenceInterval, look);
+        };
+        this.store.add(() => cancel());
+    }
+
+    private announce(id: string, body: string): CallAnswer {
+        const { wire, clock, logger } = this.options;
+        if (!this.isHeard()) {
+            return { kind: "unavailable", reason: "no gateway watches this directory" };
+        }
+        return wire.announcement(id, body).caseOf<CallAnswer>({
+            Left: findings => ({ kind: "invalid", findings }),
+            Right: announced => {
+                if (this.announcements.take(announced, clock.monotonic())) {
+                    const { service, address, state, stage, sequence } = announced;
+                    logger.info("a backend server announced itself", { id, service, address, state, stage, sequence });
+                    this.learn(announced);
+                    this.watches.changed();
+                }
+                return { kind: "done" };
+            },
+        });
+    }
+
+    private leave(id: string): CallAnswer {
+        if (!this.isHeard()) {
+            return { kind: "unavailable", reason: "no gateway watches this directory" };
+        }
+        if (this.announcements.leave(id, this.options.clock.monotonic())) {
+            this.options.logger.info("a backend server leaves", { id });
+            this.learnOwn();
+            this.watches.changed();
+        }
+        return { kind: "done" };
+    }
+
+    /**
+     * Whether gateways hear what this directory hears. An acknowledged word that reached nobody would let a leaving
+     * server believe that no more work comes.
+     */
+    private isHeard(): boolean {
+        return this.watches.gatewayCount() > 0;
+    }
+
+    private async storeConfiguration(body: string): Promise<CallAnswer> {
+        const { wire, logger } = this.options;
+        const traffic = wire.traffic(body);
+        if (traffic.isLeft()) {
+            const findings = traffic.swap().orDefault([]);
+            logger.warn("an invalid configuration was refused", { findings: findings.slice(0, 3) });
+            return { kind: "invalid", findings };
+        }
+        const { version } = traffic.unsafeCoerce();
+        const answer = await this.document({ kind: "storeDocument", version, content: body });
+        logger.info("a configuration was sent", {
+            version,
+            outcome: answer.kind,
+            inForce: this.group.current().version,
+        });
+        return answer.kind === "stored" ? { kind: "done" } : unavailable(answer);
+    }
+
+    private async readConfiguration(): Promise<CallAnswer> {
+        const answer = await this.document({ kind: "readDocument" });
+        if (answer.kind !== "read") {
+            return unavailable(answer);
+        }
+        return answer.version < 0
+            ? { kind: "unavailable", reason: "there is no configuration yet" }
+            : { kind: "document", content: answer.content };
+    }
+
+    /** Carries a call out here where this directory leads, else at the leader. */
+    private async document(call: DocumentCall): Promise<DocumentAnswer> {
+        const standing = this.group.standing();
+        if (standing?.leading === true) {
+            return this.ownDocument(call);
+        }
+        const leader = standing?.leader;
+        if (leader === undefined || leader === this.name) {
+            return { kind: "unavailable", reason: "no leader is known" };
+        }
+        const answer = await this.linkTo(leader)?.request(call, leaderPatience);
+        const parsed = documentAnswerSchema.safeParse(answer?.toMaybe().extract());
+        return parsed.success ? parsed.data : { kind: "unavailable", reason: "the leader gave no answer" };
+    }
+
+    private async ownDocument(call: DocumentCall): Promise<DocumentAnswer> {
+        if (call.kind === "readDocument") {
+            return this.group.readDocument();
+        }
+        return this.group.storeDocument(call.version, call.content);
+    }
+
+    private async onPeer(body: unknown): Promise<unknown> {
+        const agreement = body as { readonly kind?: unknown; readonly from?: unknown; readonly message?: unknown; };
+        if (agreement?.kind === "agreement" && typeof agreement.from === "string") {
+            this.group.receive(agreement.from, agreement.message);
+            return undefined;
+        }
+        const watch = watchSchema.safeParse(body);
+        if (watch.success) {
+            return this.watches.watch(watch.data);
+        }
+        const placing = placingSchema.safeParse(body);
+        if (placing.success) {
+            const leader = this.group.standing()?.leader;
+            return await (this.placing?.handle(placing.data) ?? { kind: "elsewhere", leader });
+        }
+        if (documentRequestSchema.safeParse(body).success) {
+            return this.group.current();
+        }
+        const call = documentCallSchema.safeParse(body);
+        if (call.success) {
+            return this.ownDocument(call.data);
+        }
+        this.options.logger.warn("a peer sent something that isn't a message");
+        return undefined;
+    }
+
+    private lead(): void {
+        const { clock, logger, wire, settings } = this.options;
+        const term = this.group.standing()?.term ?? 0;
+        this.stopLeading();
+        const sources = { instances: this.instances, traffic: () => this.traffic, clock, logger };
+        this.placing = PlacingService.create(sources, term);
+        this.orders = StageOrders.create({
+            ...sources,
+            holder: settings.name,
+            wire,
+            lease: settings.orderLease,
+            firstHolder: settings.firstStart && term === 1,
+        }, term);
+        this.watches.changed();
+        logger.info("leading: placing runs and ordering stages", { term });
+    }
+
+    private stopLeading(): void {
+        this.placing?.close();
+        this.orders?.close();
+        this.placing = undefined;
+        this.orders = undefined;
+    }
+
+    private learnOwn(): void {
+        this.announcements.since(0).forEach(announced => this.instances.take(announced));
+        this.placing?.refresh();
+    }
+
+    private learn(announced: Announced): void {
+        if (this.instances.take(announced)) {
+            this.placing?.refresh();
+        }
+    }
+
+    private members(): { readonly members: readonly string[]; readonly leader: string | undefined; } {
+        const standing = this.group.standing();
+        const identities = [...standing?.voters ?? [], ...standing?.learners ?? []];
+        const names = identities.map(identity => identity.split("#", 1)[0]!);
+        return { members: [...new Set([...names, this.name])], leader: standing?.leader };
+    }
+
+    private linkTo(name: string): Link | undefined {
+        if (this.leaderLink?.name !== name) {
+            this.leaderLink?.link.close();
+            const address = parseAddress(name);
+            this.leaderLink = address === undefined ? undefined : { name, link: this.network.link(address) };
+        }
+        return this.leaderLink?.link;
+    }
+}
+
+function unavailable(answer: DocumentAnswer): CallAnswer {
+    return { kind: "unavailable", reason: answer.kind === "unavailable" ? answer.reason : "an unexpected answer" };
+}
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/directory/index.ts
@@ -0,0 +1,2 @@
+export * from "./directoryDaemon.js";
+export * from "./directoryWire.js";
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/directory/placingService.ts
@@ -0,0 +1,165 @@
+import { EnginePlaces, type InstanceTable } from "../../coordination/index.js";
+import type { PlaceDecision, Placing, PlacingAnswer, Traffic } from "../../protocol/index.js";
+import type { Clock, Logger } from "../../utils/index.js";
+
+/** Milliseconds for which a question waits for its decision before its asker is told to ask again. */
+const answerWithin = 250;
+/** Milliseconds between two looks at what waits. */
+const tickInterval = 25;
+/** Milliseconds that a place must be old before a gateway's list that lacks it takes it back: the list may be older. */
+const listGrace = 1_500;
+/** Part of an engine's KV cache that may be promised. */
+const fill = 1;
+
+type Waiter = (decision: PlaceDecision) => void;
+
+/** What places are decided from. */
+export type PlacingSources = {
+    readonly instances: InstanceTable;
+    readonly traffic: () => Traffic | undefined;
+    readonly clock: Clock;
+    readonly logger: Logger;
+};
+
+/** Places runs at engines for all gateways, while this directory leads; one `EnginePlaces` a service. */
+export class PlacingService {
+    private readonly pools = new Map<string, EnginePlaces>();
+    private readonly serviceOfAttempt = new Map<string, string>();
+    private readonly waiters = new Map<string, Waiter>();
+    private cancelTick: (() => void) | undefined;
+    private closed = false;
+
+    private constructor(private readonly sources: PlacingSources, private readonly term: number) {
+        this.refresh();
+        this.schedule();
+    }
+
+    /** `term`: of the leadership under which it places; gateways tell by it whom they hold places from. */
+    static create(sources: PlacingSources, term: number): PlacingService {
+        return new PlacingService(sources, term);
+    }
+
+    /** Takes engines and rules over again after one of them changed. */
+    refresh(): void {
+        const { instances, traffic } = this.sources;
+        for (const service of traffic()?.services ?? []) {
+            if (service.engine !== undefined) {
+                const pool = this.pools.get(service.name) ?? EnginePlaces.create({ fill, share: 1 });
+                this.pools.set(service.name, pool);
+                const engines = instances.all().filter(instance => instance.service === service.name);
+                pool.setEngines(engines, service.engine);
+            }
+        }
+    }
+
+    /** Answers what a gateway says. */
+    async handle(message: Placing): Promise<PlacingAnswer | undefined> {
+        const now = this.sources.clock.monotonic();
+        switch (message.kind) {
+            case "place":
+                return this.place(message.demand, now);
+            case "withdraw":
+                this.deliver(this.poolOf(message.attempt)?.withdraw(message.attempt, now));
+                this.serviceOfAttempt.delete(message.attempt);
+                return undefined;
+            case "prefilled":
+                this.poolOf(message.attempt)?.prefilled(message.attempt, now);
+                return undefined;
+            case "release":
+                this.deliver(this.poolOf(message.attempt)?.release(message.attempt, message.failed, now));
+                this.serviceOfAttempt.delete(message.attempt);
+                return undefined;
+            case "holdings":
+                this.reconcile(message, now);
+                return undefined;
+        }
+    }
+
+    /** Drops what gateways held that are gone. */
+    keepGateways(names: readonly string[]): void {
+        const now = this.sources.clock.monotonic();
+        for (const pool of this.pools.values()) {
+            pool.gateways().filter(name => !names.includes(name)).forEach(name => {
+                this.deliver(pool.dropGateway(name, now));
+            });
+        }
+    }
+
+    /** What waits and what is held, over all pools. */
+    standing(): { readonly waiting: number; readonly held: number; } {
+        const standings = [...this.pools.values()].map(pool => pool.standing());
+        return {
+            waiting: standings.reduce((sum, standing) => sum + standing.waiting, 0),
+            held: standings.reduce((sum, standing) => sum + standing.held, 0),
+        };
+    }
+
+    /** Stops placing. */
+    close(): void {
+        this.closed = true;
+        this.cancelTick?.();
+        this.waiters.clear();
+    }
+
+    private async place(
+        demand: Extract<Placing, { kind: "place"; }>["demand"],
+        now: number,
+    ): Promise<PlacingAnswer> {
+        const pool = this.pools.get(demand.service);
+        if (pool === undefined) {
+            const reason = `no engines are known of ${demand.service}`;
+            return this.decided({ kind: "refused", attempt: demand.attempt, reason, comeBackIn: answerWithin });
+        }
+        this.serviceOfAttempt.set(demand.attempt, demand.service);
+        const answer = new Promise<PlacingAnswer>(resolve => {
+            const cancel = this.sources.clock.after(answerWithin, () => {
+                this.waiters.delete(demand.attempt);
+                resolve({ kind: "waiting", term: this.term });
+            });
+            this.waiters.set(demand.attempt, decision => {
+                cancel();
+                resolve(this.decided(decision));
+            });
+        });
+        this.deliver(pool.ask(demand, now));
+        return answer;
+    }
+
+    private reconcile(message: Extract<Placing, { kind: "holdings"; }>, now: number): void {
+        for (const [service, pool] of this.pools) {
+            const held = message.held.filter(({ demand }) => demand.service === service);
+            held.forEach(({ demand }) => this.serviceOfAttempt.set(demand.attempt, service));
+            this.deliver(pool.reconcile(message.gateway, held, listGrace, now));
+        }
+    }
+
+    private deliver(decisions: readonly PlaceDecision[] = []): void {
+        for (const decision of decisions) {
+            // A decision that nobody waits for now is given when its gateway asks again: the place is held for it.
+            const waiter = this.waiters.get(decision.attempt);
+            this.waiters.delete(decision.attempt);
+            waiter?.(decision);
+            if (decision.kind === "refused") {
+                this.serviceOfAttempt.delete(decision.attempt);
+            }
+        }
+    }
+
+    private poolOf(attempt: string): EnginePlaces | undefined {
+        return this.pools.get(this.serviceOfAttempt.get(attempt) ?? "");
+    }
+
+    private decided(decision: PlaceDecision): PlacingAnswer {
+        return { kind: "decided", term: this.term, decision };
+    }
+
+    private schedule(): void {
+        this.cancelTick = this.sources.clock.after(tickInterval, () => {
+            if (!this.closed) {
+                const now = this.sources.clock.monotonic();
+                this.pools.forEach(pool => this.deliver(pool.review(now)));
+                this.schedule();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/directory/watchBook.ts
@@ -0,0 +1,103 @@
+import type { Announcements } from "../../coordination/index.js";
+import type { Watch, Watched } from "../../protocol/index.js";
+import type { StoredDocument } from "../../state/index.js";
+import type { Clock } from "../../utils/index.js";
+
+/** Milliseconds for which a watch is held open when nothing changes. */
+const holdTime = 1_000;
+/** Milliseconds after its last watch in which a gateway counts as there. */
+const gatewayMemory = 3_000;
+
+/** What a watch is answered from. */
+export type WatchSources = {
+    /** Another one after each start: numbers of an earlier start mean nothing. */
+    readonly incarnation: string;
+    readonly failureDomain: string;
+    readonly announcements: Announcements;
+    readonly document: () => StoredDocument;
+    readonly members: () => { readonly members: readonly string[]; readonly leader: string | undefined; };
+    readonly clock: Clock;
+};
+
+/** Answers watches: at once where the watcher lacks something, else when something changes. */
+export class WatchBook {
+    private readonly waiting = new Set<() => void>();
+    private readonly gateways = new Map<string, number>();
+
+    private constructor(private readonly sources: WatchSources) {}
+
+    static create(sources: WatchSources): WatchBook {
+        return new WatchBook(sources);
+    }
+
+    /** Answers one watch. */
+    async watch(watch: Watch): Promise<Watched> {
+        const { clock } = this.sources;
+        if (!watch.observer) {
+            this.gateways.set(watch.gateway, clock.monotonic());
+        }
+        if (!this.hasNews(watch)) {
+            await this.nextChange();
+        }
+        return this.answer(watch);
+    }
+
+    /** Wakes every watch that waits. */
+    changed(): void {
+        [...this.waiting].forEach(wake => wake());
+    }
+
+    /** Gateways that watch. */
+    gatewayCount(): number {
+        return this.gatewayNames().length;
+    }
+
+    /** Their names. */
+    gatewayNames(): readonly string[] {
+        const since = this.sources.clock.monotonic() - gatewayMemory;
+        this.gateways.forEach((at, name) => {
+            if (at < since) {
+                this.gateways.delete(name);
+            }
+        });
+        return [...this.gateways.keys()];
+    }
+
+    private hasNews(watch: Watch): boolean {
+        const { incarnation, announcements, document } = this.sources;
+        return watch.incarnation !== incarnation
+            || announcements.newest() > watch.cursor
+            || document().version > watch.version;
+    }
+
+    private nextChange(): Promise<void> {
+        return new Promise(resolve => {
+            const wake = (): void => {
+                cancel();
+                this.waiting.delete(wake);
+                resolve();
+            };
+            const cancel = this.sources.clock.after(holdTime, wake);
+            this.waiting.add(wake);
+        });
+    }
+
+    private answer(watch: Watch): Watched {
+        const { incarnation, announcements, document, members } = this.sources;
+        const current = document();
+        const newer = watch.wantsDocument && current.version > watch.version;
+        const since = watch.incarnation === incarnation ? watch.cursor : 0;
+        const group = members();
+        return {
+            incarnation,
+            cursor: announcements.newest(),
+            version: current.version,
+            ...newer ? { document: { version: current.version, content: current.content } } : {},
+            announced: [...announcements.since(since)],
+            members: [...group.members],
+            failureDomain: this.sources.failureDomain,
+            ...group.leader === undefined ? {} : { leader: group.leader },
+            gateways: this.gatewayCount(),
+        };
+    }
+}
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendConnections.ts
@@ -0,0 +1,149 @@
+import type { Readable } from "node:stream";
+import { Pool } from "undici";
+import type { Announced } from "../../protocol/index.js";
+import type { Logger } from "../../utils/index.js";
+
+/** Milliseconds for a connection to come about; a host that is gone answers nothing at all. */
+const connectTimeout = 400;
+/** Milliseconds that an idle connection is kept where the backend server names no time of its own. */
+const keepAliveTimeout = 8_000;
+/** Milliseconds before the named end of an idle connection after which it isn't used any more: a request may cross the end. */
+const keepAliveMargin = 1_000;
+/** Milliseconds without a call after which a backend server's connections are closed. */
+const idleLimit = 60_000;
+/** Part of a backend server's connections that gateways use together; the rest is for their uneven shares. */
+const connectionPart = 0.9;
+/** Codes of failures to connect: nothing was sent. */
+const connectFailures: ReadonlySet<string> = new Set([
+    "ECONNREFUSED",
+    "EHOSTUNREACH",
+    "ENETUNREACH",
+    "EADDRNOTAVAIL",
+    "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+/** The head of an answer, and its body as it comes. */
+export type BackendAnswer = {
+    readonly status: number;
+    /** Names and values by turns, as they came. */
+    readonly rawHeaders: readonly string[];
+    readonly headers: Readonly<Record<string, string | undefined>>;
+    readonly body: Readable;
+};
+
+/** How a call ended before its answer began. */
+export type CallFailure =
+    /** No connection came about: the backend server has seen nothing of the request. */
+    | { readonly kind: "notSent"; readonly cause: string; }
+    /** The connection broke, or was given up, after the request may have been read. */
+    | { readonly kind: "broken"; readonly cause: string; };
+
+/** One call. */
+export type BackendCall = {
+    readonly server: Announced;
+    readonly method: string;
+    readonly path: string;
+    /** Names and values by turns. */
+    readonly headers: readonly string[];
+    readonly body: Buffer | undefined;
+    readonly signal: AbortSignal;
+};
+
+/** Kept connections to backend servers, by incarnation: a new one at the same address gets none of the old one's. */
+export class BackendConnections {
+    private readonly pools = new Map<string, { readonly pool: Pool; usedAt: number; }>();
+    private readonly sweep: NodeJS.Timeout;
+
+    private constructor(private readonly logger: Logger) {
+        this.sweep = setInterval(() => this.closeIdle(), idleLimit / 4);
+        this.sweep.unref();
+    }
+
+    static create(logger: Logger): BackendConnections {
+        return new BackendConnections(logger);
+    }
+
+    /** Sends a request; gives the head of the answer. `limit`: connections that all gateways may open to the server. */
+    async call(call: BackendCall, limit: number, gateways: number): Promise<BackendAnswer | CallFailure> {
+        const pool = this.pool(call.server, Math.max(2, Math.floor(limit * connectionPart / Math.max(1, gateways))));
+        try {
+            const answer = await pool.request({
+                method: call.method as "GET",
+                path: call.path,
+                headers: [...call.headers],
+                body: call.body,
+                signal: call.signal,
+                responseHeaders: "raw",
+                // Every time limit is this system's own: those of the library would end a stream between two events.
+                headersTimeout: 0,
+                bodyTimeout: 0,
+            });
+            const rawHeaders = (answer.headers as unknown as readonly string[]).map(String);
+            return { status: answer.statusCode, rawHeaders, headers: named(rawHeaders), body: answer.body };
+        }
+        catch (error) {
+            const { code, message } = error as NodeJS.ErrnoException;
+            const kind = code !== undefined && connectFailures.has(code) ? "notSent" : "broken";
+            return { kind, cause: code ?? message };
+        }
+    }
+
+    /** Closes the connections to an incarnation that has ended. */
+    forget(id: string): void {
+        const known = this.pools.get(id);
+        if (known !== undefined) {
+            this.pools.delete(id);
+            void known.pool.close().catch((error: unknown) => {
+                this.logger.debug("closing connections failed", { id, error });
+            });
+        }
+    }
+
+    /** Closes everything. */
+    async close(): Promise<void> {
+        clearInterval(this.sweep);
+        const pools = [...this.pools.values()];
+        this.pools.clear();
+        await Promise.all(pools.map(({ pool }) => pool.destroy()));
+    }
+
+    private pool(server: Announced, connections: number): Pool {
+        const known = this.pools.get(server.id);
+        if (known !== undefined) {
+            known.usedAt = performance.now();
+            return known.pool;
+        }
+        const pool = new Pool(`http://${server.address}`, {
+            connections,
+            pipelining: 1,
+            keepAliveTimeout,
+            keepAliveTimeoutThreshold: keepAliveMargin,
+            connect: { timeout: connectTimeout, noDelay: true, autoSelectFamily: false },
+        });
+        this.pools.set(server.id, { pool, usedAt: performance.now() });
+        return pool;
+    }
+
+    private closeIdle(): void {
+        const since = performance.now() - idleLimit;
+        this.pools.forEach(({ usedAt }, id) => {
+            if (usedAt < since) {
+                this.forget(id);
+            }
+        });
+    }
+}
+
+/** Whether the call has an answer. */
+export function isAnswer(result: BackendAnswer | CallFailure): result is BackendAnswer {
+    return "status" in result;
+}
+
+/** Headers by their names in lower case; of one that came twice, the first counts. */
+function named(rawHeaders: readonly string[]): Record<string, string | undefined> {
+    const headers: Record<string, string | undefined> = Object.create(Object.prototype) as Record<string, string>;
+    for (let position = 0; position + 1 < rawHeaders.length; position += 2) {
+        headers[rawHeaders[position]!.toLowerCase()] ??= rawHeaders[position + 1]!;
+    }
+    return headers;
+}
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/gateway/exchange.ts
@@ -0,0 +1,138 @@
+import type { InstanceTable, RepeatBudget, ServerChoice } from "../../coordination/index.js";
+import type { Announced, ServiceRule } from "../../protocol/index.js";
+import type { Clock, Logger, Metrics } from "../../utils/index.js";
+import { type BackendAnswer, type BackendConnections, type CallFailure, isAnswer } from "./backendConnections.js";
+import type { CallerRequest } from "./callerRequest.js";
+import type { AnswerFacts, GatewayWire, RunFacts } from "./gatewayWire.js";
+
+const misdirected = 421;
+
+/** What exchanges share. */
+export type ExchangeParts = {
+    readonly wire: GatewayWire;
+    readonly connections: BackendConnections;
+    readonly instances: InstanceTable;
+    readonly choice: ServerChoice;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+    /** The allowance for repeats of a service. */
+    readonly budget: (service: string) => RepeatBudget;
+    /** Gateways of the deployment. */
+    readonly gateways: () => number;
+};
+
+/** What came of sending a request to one backend server. */
+export type Sent =
+    /** The head of an answer that belongs to this request. */
+    | { readonly kind: "answer"; readonly answer: BackendAnswer; readonly facts: AnswerFacts; }
+    /** It has not run there: turned away, or nothing was sent. */
+    | { readonly kind: "notRun"; readonly cause: string; readonly unreachable: boolean; readonly status?: number; }
+    /** It may have run. */
+    | { readonly kind: "unknown"; readonly cause: string; };
+
+/** Sends requests to backend servers and judges what comes back: whose answer it is, and whether the request ran. */
+export class Sender {
+    private constructor(private readonly parts: ExchangeParts) {}
+
+    static create(parts: ExchangeParts): Sender {
+        return new Sender(parts);
+    }
+
+    /** Sends the caller's request with this system's own headers. */
+    async send(
+        request: CallerRequest,
+        server: Announced,
+        service: ServiceRule,
+        facts: Omit<RunFacts, "attempt" | "deadlineWithin" | "instance">,
+        signal: AbortSignal,
+    ): Promise<Sent> {
+        const { wire, connections, gateways } = this.parts;
+        const own = wire.run({
+            ...facts,
+            attempt: request.facts.attempt,
+            deadlineWithin: Math.max(1, Math.floor(request.left())),
+            instance: server.id,
+        });
+        const replaced = new Set([...wire.reserved, ...Object.keys(own).map(name => name.toLowerCase())]);
+        const result = await connections.call(
+            {
+                server,
+                method: request.method,
+                path: request.target,
+                headers: [...request.headers(replaced), ...Object.entries(own).flat()],
+                body: request.body,
+                signal,
+            },
+            service.connectionLimit,
+            gateways(),
+        );
+        return isAnswer(result) ? this.judge(request, server, result) : lost(result);
+    }
+
+    private judge(request: CallerRequest, server: Announced, answer: BackendAnswer): Sent {
+        const facts = this.parts.wire.answer(answer.status, answer.headers);
+        if (facts.attempt !== undefined && facts.attempt !== request.facts.attempt) {
+            // A second answer to an earlier request on the connection: everything after it would be off by one.
+            discard(answer);
+            return { kind: "unknown", cause: `an answer to ${facts.attempt} came in the place of this one's` };
+        }
+        if (answer.status === misdirected && facts.instance !== undefined && facts.instance !== server.id) {
+            this.parts.logger.warn("another incarnation answers at the address", {
+                expected: server.id,
+                found: facts.instance,
+                address: server.address,
+            });
+            this.parts.instances.end(server.id);
+            this.parts.connections.forget(server.id);
+        }
+        if (facts.notRun) {
+            drain(answer);
+            return {
+                kind: "notRun",
+                cause: `turned away with ${answer.status}`,
+                unreachable: false,
+                status: answer.status,
+            };
+        }
+        return { kind: "answer", answer, facts };
+    }
+}
+
+/** Reads the whole body of an answer; undefined where it broke off or grew over the limit. */
+export async function wholeBody(answer: BackendAnswer, limit: number): Promise<Buffer | undefined> {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    try {
+        for await (const chunk of answer.body as AsyncIterable<Buffer>) {
+            size += chunk.length;
+            if (size > limit) {
+                return undefined;
+            }
+            chunks.push(chunk);
+        }
+    }
+    catch {
+        // The caller of this function treats an incomplete body like a connection that broke.
+        return undefined;
+    }
+    return Buffer.concat(chunks);
+}
+
+/** Gives an answer up together with its connection: what would come next on it can't be trusted. */
+export function discard(answer: BackendAnswer): void {
+    answer.body.on("error", () => undefined);
+    answer.body.destroy();
+}
+
+/** Reads a short body away so that its connection can be used again. */
+export function drain(answer: BackendAnswer): void {
+    answer.body.on("error", () => undefined);
+    answer.body.resume();
+}
+
+function lost(failure: CallFailure): Sent {
+    return failure.kind === "notSent"
+        ? { kind: "notRun", cause: failure.cause, unreachable: true }
+        : { kind: "unknown", cause: failure.cause };
+}
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/gateway/index.ts
@@ -0,0 +1,2 @@
+export * from "./gatewayDaemon.js";
+export * from "./gatewayWire.js";
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/gateway/placesClient.ts
@@ -0,0 +1,231 @@
+import { type DirectoryWatcher, EnginePlaces, type InstanceTable } from "../../coordination/index.js";
+import {
+    type EngineRule,
+    type PlaceDecision,
+    type PlaceDemand,
+    type Placing,
+    placingAnswerSchema,
+} from "../../protocol/index.js";
+import type { Clock, Logger } from "../../utils/index.js";
+
+/** Milliseconds for the leader to answer: it holds a question for a quarter of a second at the most. */
+const answerPatience = 600;
+/** Milliseconds before another directory is asked who leads. */
+const leaderRetry = 60;
+/** Milliseconds without a decision from a leader after which this gateway places alone. */
+const leaderPatience = 500;
+/** Milliseconds between two lists of what is held. */
+const listInterval = 1_000;
+/** Milliseconds between two looks at what waits for a place that is decided alone. */
+const tickInterval = 25;
+/** Part of an engine's KV cache that gateways which place alone may promise together: their shares are uneven. */
+const aloneFill = 0.9;
+
+/** A place at engines, and how it came about. */
+export type Place = Extract<PlaceDecision, { kind: "placed"; }> & { readonly by: "leader" | "alone"; };
+/** A place, its refusal, or undefined where the caller went meanwhile. */
+export type Reservation = Place | Extract<PlaceDecision, { kind: "refused"; }> | undefined;
+
+type Held = { readonly demand: PlaceDemand; readonly decode: string; };
+type Settle = (decision: PlaceDecision) => void;
+
+/** What places are asked with. */
+export type PlacesClientOptions = {
+    readonly name: string;
+    readonly watcher: DirectoryWatcher;
+    readonly instances: InstanceTable;
+    readonly engineRule: (service: string) => EngineRule | undefined;
+    readonly clock: Clock;
+    readonly logger: Logger;
+};
+
+/**
+ * Asks the leading directory for places at engines. While no leader answers, this gateway places alone within its part
+ * of every engine: callers who would wait for an election are served, and the parts of all gateways together still fit.
+ */
+export class PlacesClient {
+    private readonly held = new Map<string, Held>();
+    private readonly alone = new Map<string, EnginePlaces>();
+    private readonly aloneWaiting = new Map<string, Settle>();
+    private readonly cancels: (() => void)[] = [];
+    private leaderLostAt: number | undefined;
+    private listed = false;
+
+    private constructor(private readonly options: PlacesClientOptions) {
+        this.every(listInterval, () => this.list());
+        this.every(tickInterval, () => this.reviewAlone());
+    }
+
+    static create(options: PlacesClientOptions): PlacesClient {
+        return new PlacesClient(options);
+    }
+
+    /** Asks until there is a decision. When the signal aborts, the demand is withdrawn. */
+    async reserve(demand: PlaceDemand, signal: AbortSignal): Promise<Reservation> {
+        const { clock } = this.options;
+        const askedAt = clock.monotonic();
+        while (!signal.aborted) {
+            const passed = clock.monotonic() - askedAt;
+            const current = {
+                ...demand,
+                targetWithin: demand.targetWithin - passed,
+                patienceWithin: demand.patienceWithin - passed,
+            };
+            const answer = this.mayAskLeader() ? await this.askLeader(current) : undefined;
+            if (signal.aborted) {
+                break;
+            }
+            if (answer?.kind === "decided") {
+                return this.take(demand, answer.decision, "leader");
+            }
+            if (answer === undefined && !this.mayAskLeader()) {
+                return this.reserveAlone(current, signal);
+            }
+            if (answer === undefined) {
+                await new Promise<void>(resolve => clock.after(leaderRetry, resolve));
+            }
+        }
+        this.tell({ kind: "withdraw", attempt: demand.attempt });
+        return undefined;
+    }
+
+    /** Notes that the prompt of an attempt was read. */
+    prefilled(attempt: string): void {
+        this.tell({ kind: "prefilled", attempt });
+        this.alone.forEach(pool => pool.prefilled(attempt, this.options.clock.monotonic()));
+    }
+
+    /** Gives a place back; `failed` names the engine that failed the run. */
+    release(attempt: string, failed?: string): void {
+        this.held.delete(attempt);
+        this.tell({ kind: "release", attempt, ...failed === undefined ? {} : { failed } });
+        const now = this.options.clock.monotonic();
+        this.alone.forEach(pool => this.settleAlone(pool.release(attempt, failed, now)));
+    }
+
+    /** Stops. */
+    close(): void {
+        this.cancels.forEach(cancel => cancel());
+    }
+
+    private take(demand: PlaceDemand, decision: PlaceDecision, by: Place["by"]): Reservation {
+        if (decision.kind === "refused") {
+            return decision;
+        }
+        this.held.set(demand.attempt, { demand, decode: decision.decode });
+        return { ...decision, by };
+    }
+
+    private mayAskLeader(): boolean {
+        const { clock, watcher } = this.options;
+        if (this.leaderLostAt === undefined || clock.monotonic() - this.leaderLostAt < leaderPatience) {
+            return true;
+        }
+        // Asked again now and then, by whichever request comes next.
+        const leader = watcher.leader();
+        if (leader !== undefined && clock.monotonic() - this.probedAt > leaderPatience) {
+            this.probedAt = clock.monotonic();
+            return true;
+        }
+        return false;
+    }
+
+    private probedAt = 0;
+
+    private async askLeader(demand: PlaceDemand): Promise<ReturnType<typeof placingAnswerSchema.parse> | undefined> {
+        const { watcher, clock, logger } = this.options;
+        const name = watcher.leader();
+        const link = name === undefined ? undefined : watcher.link(name);
+        const answer = await link?.request({ kind: "place", demand }, answerPatience);
+        const parsed = placingAnswerSchema.safeParse(answer?.toMaybe().extract());
+        if (!parsed.success || parsed.data.kind === "elsewhere") {
+            if (this.leaderLostAt === undefined) {
+                this.leaderLostAt = clock.monotonic();
+                logger.warn("no leader places runs", { asked: name, answer: parsed.data?.kind ?? "none" });
+            }
+            return undefined;
+        }
+        if (this.leaderLostAt !== undefined) {
+            logger.info("a leader places runs again", { leader: name, term: parsed.data.term });
+            this.leaderLostAt = undefined;
+            this.list();
+        }
+        return parsed.data;
+    }
+
+    private reserveAlone(demand: PlaceDemand, signal: AbortSignal): Promise<Reservation> {
+        const pool = this.alonePool(demand.service);
+        if (pool === undefined) {
+            const reason = "no rule of its engines is known";
+            return Promise.resolve({ kind: "refused", attempt: demand.attempt, reason, comeBackIn: leaderPatience });
+        }
+        return new Promise(resolve => {
+            const gone = (): void => {
+                this.aloneWaiting.delete(demand.attempt);
+                this.settleAlone(pool.withdraw(demand.attempt, this.options.clock.monotonic()));
+                resolve(undefined);
+            };
+            signal.addEventListener("abort", gone);
+            this.aloneWaiting.set(demand.attempt, decision => {
+                signal.removeEventListener("abort", gone);
+                resolve(this.take(demand, decision, "alone"));
+            });
+            this.settleAlone(pool.ask(demand, this.options.clock.monotonic()));
+        });
+    }
+
+    private alonePool(service: string): EnginePlaces | undefined {
+        const rule = this.options.engineRule(service);
+        if (rule === undefined) {
+            return undefined;
+        }
+        let pool = this.alone.get(service);
+        if (pool === undefined) {
+            pool = EnginePlaces.create({ fill: aloneFill, share: 1 });
+            this.alone.set(service, pool);
+        }
+        const now = this.options.clock.monotonic();
+        pool.setShare(1 / this.options.watcher.gateways());
+        pool.setEngines(this.options.instances.all().filter(instance => instance.service === service), rule);
+        const held = [...this.held.values()].filter(({ demand }) => demand.service === service);
+        this.settleAlone(pool.reconcile(this.options.name, held, 0, now));
+        return pool;
+    }
+
+    private reviewAlone(): void {
+        const now = this.options.clock.monotonic();
+        this.alone.forEach(pool => this.settleAlone(pool.review(now)));
+    }
+
+    private settleAlone(decisions: readonly PlaceDecision[]): void {
+        for (const decision of decisions) {
+            const settle = this.aloneWaiting.get(decision.attempt);
+            this.aloneWaiting.delete(decision.attempt);
+            settle?.(decision);
+        }
+    }
+
+    private list(): void {
+        if (this.held.size > 0 || this.listed) {
+            this.tell({ kind: "holdings", gateway: this.options.name, held: [...this.held.values()] });
+        }
+        this.listed = this.held.size > 0;
+    }
+
+    private tell(message: Placing): void {
+        const leader = this.options.watcher.leader();
+        if (leader !== undefined) {
+            this.options.watcher.link(leader)?.send(message);
+        }
+    }
+
+    private every(interval: number, act: () => void): void {
+        let cancel = (): void => undefined;
+        const turn = (): void => {
+            act();
+            cancel = this.options.clock.after(interval, turn);
+        };
+        cancel = this.options.clock.after(interval, turn);
+        this.cancels.push(() => cancel());
+    }
+}
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -0,0 +1,187 @@
+import type { CallOutcome } from "../../coordination/index.js";
+import type { Announced, ServiceRule } from "../../protocol/index.js";
+import type { CallerRequest } from "./callerRequest.js";
+import { discard, type ExchangeParts, Sender, type Sent, wholeBody } from "./exchange.js";
+import { TimeLimit } from "./timeLimit.js";
+
+/** Largest answer in bytes that is taken in whole before it is passed on. */
+const answerLimit = 16 * 1024 * 1024;
+/** Most backend servers that are asked in turn, those that turn the request away included. */
+const mostTurns = 4;
+/** Times the target that a backend server has for a request which may run again, before another one is asked. */
+const patienceFactor = 1.5;
+/** Milliseconds after which a caller who found no server, or only full ones, should come back. */
+const noServerComeBack = 400;
+const fullComeBack = 120;
+/** Least milliseconds in which an answer can come. */
+const leastTime = 2;
+const firstServerError = 500;
+
+type Verdict =
+    | { readonly kind: "done"; }
+    /** Another backend server may be asked; `ran` tells whether this one may have run it. */
+    | { readonly kind: "next"; readonly ran: boolean; readonly cause: string; readonly give?: () => void; };
+
+/** Has one request answered by a plain service. */
+export class ServiceExchange {
+    private readonly sender: Sender;
+    private readonly tried = new Set<string>();
+    private readonly ranAt = new Set<string>();
+    private readonly rejectedBy = new Set<string>();
+    private readonly path: string[] = [];
+    private runs = 0;
+
+    private constructor(
+        private readonly parts: ExchangeParts,
+        private readonly request: CallerRequest,
+        private readonly service: ServiceRule,
+    ) {
+        this.sender = Sender.create(parts);
+    }
+
+    static create(parts: ExchangeParts, request: CallerRequest, service: ServiceRule): ServiceExchange {
+        return new ServiceExchange(parts, request, service);
+    }
+
+    /** Backend servers asked and what they did, for the log. */
+    trace(): readonly string[] {
+        return this.path;
+    }
+
+    /** Drives the request to its end. */
+    async run(): Promise<void> {
+        const { parts, request, service } = this;
+        const { clock } = parts;
+        const budget = parts.budget(service.name);
+        budget.request(clock.monotonic());
+        let last: Extract<Verdict, { kind: "next"; }> | undefined;
+        for (let turn = 0; turn < mostTurns; turn++) {
+            if (request.isGone()) {
+                return;
+            }
+            if (request.left() < leastTime) {
+                break;
+            }
+            const server = this.nextServer();
+            if (server === undefined || (turn > 0 && !budget.take(clock.monotonic(), parts.gateways()))) {
+                break;
+            }
+            const verdict = await this.ask(server);
+            if (verdict.kind === "done") {
+                return;
+            }
+            last = verdict;
+            if (verdict.ran && request.route.kind !== "safe") {
+                break;
+            }
+        }
+        this.giveUp(last);
+    }
+
+    /**
+     * The next backend server to ask. A route's `attempts` bound on how many servers a request may run, not how often:
+     * once that many have failed it, one of them may still be asked again. With servers that fail 14 of 100 requests
+     * by chance this halves what callers see of it.
+     */
+    private nextServer(): Announced | undefined {
+        const { instances, choice, clock } = this.parts;
+        const servers = instances.usable(this.service.name);
+        const mayWiden = this.ranAt.size < this.request.route.attempts;
+        const allowed = mayWiden ? servers : servers.filter(server => this.ranAt.has(server.id));
+        const fresh = choice.choose(allowed, this.tried, clock.monotonic());
+        return fresh ?? (this.ranAt.size > 0 ? choice.choose(allowed, this.rejectedBy, clock.monotonic()) : undefined);
+    }
+
+    private giveUp(last: Extract<Verdict, { kind: "next"; }> | undefined): void {
+        const { request } = this;
+        if (request.isGone()) {
+            return;
+        }
+        if (last?.give !== undefined) {
+            last.give();
+        }
+        else if (this.runs > 0) {
+            request.fail(request.left() < leastTime ? 504 : 502, last?.cause ?? "no answer");
+        }
+        else if (last === undefined) {
+            request.refuse(noServerComeBack, "no backend server is known");
+        }
+        else {
+            request.refuse(fullComeBack, last.cause);
+        }
+    }
+
+    private async ask(server: Announced): Promise<Verdict> {
+        const { request, parts } = this;
+        const { clock, choice } = parts;
+        const startedAt = clock.monotonic();
+        choice.began(server.id);
+        const limit = TimeLimit.create(clock, this.patience(), request.gone.signal);
+        try {
+            const sent = await this.sender.send(request, server, this.service, {}, limit.signal);
+            const [verdict, outcome] = await this.judge(server, sent);
+            const milliseconds = clock.monotonic() - startedAt;
+            choice.ended(server, request.isGone() ? "answered" : outcome, milliseconds, clock.monotonic());
+            this.path.push(`${server.id} ${outcome} ${Math.round(milliseconds)}`);
+            return verdict;
+        }
+        finally {
+            limit.end();
+        }
+    }
+
+    /**
+     * How long a backend server has. One that hangs would otherwise hold a request that another could still answer in
+     * time; where the request may run only once there is nothing to do but wait.
+     */
+    private patience(): number {
+        const { request } = this;
+        const { route } = request;
+        const mayAskAnother = route.kind === "safe" && this.runs + 1 < route.attempts;
+        return mayAskAnother ? Math.min(request.left(), patienceFactor * route.target) : request.left();
+    }
+
+    private async judge(server: Announced, sent: Sent): Promise<[Verdict, CallOutcome]> {
+        if (sent.kind === "notRun") {
+            this.tried.add(server.id);
+            this.rejectedBy.add(server.id);
+            return [{ kind: "next", ran: false, cause: sent.cause }, sent.unreachable ? "unreachable" : "rejected"];
+        }
+        this.runs += 1;
+        this.ranAt.add(server.id);
+        this.tried.add(server.id);
+        if (sent.kind === "unknown") {
+            return [{ kind: "next", ran: true, cause: sent.cause }, "failed"];
+        }
+        const { answer, facts } = sent;
+        const { status, rawHeaders } = answer;
+        if (status < 400 && !facts.sealed) {
+            discard(answer);
+            return [{ kind: "next", ran: true, cause: "an answer without its seal" }, "failed"];
+        }
+        const body = await wholeBody(answer, answerLimit);
+        if (body === undefined) {
+            return [{ kind: "next", ran: true, cause: "an answer that broke off" }, "failed"];
+        }
+        const give = (): void => this.give(status, rawHeaders, body);
+        if (status >= firstServerError) {
+            return [{ kind: "next", ran: true, cause: `status ${status}`, give }, "failed"];
+        }
+        give();
+        return [{ kind: "done" }, "answered"];
+    }
+
+    /**
+     * Passes an answer on. 429 and 503 promise a caller that its request has not run; from a backend server that did
+     * run it they would have it sent again.
+     */
+    private give(status: number, rawHeaders: readonly string[], body: Buffer): void {
+        const promises = status === 503 || status === 429 || status === 408 || status === 421;
+        if (promises) {
+            this.request.fail(502, `a backend server that may have run it answered ${status}`);
+        }
+        else {
+            this.request.give(status, rawHeaders, body);
+        }
+    }
+}
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -0,0 +1,383 @@
+import type { Announced, PlaceDemand, ServiceRule } from "../../protocol/index.js";
+import type { BackendAnswer } from "./backendConnections.js";
+import type { CallerRequest } from "./callerRequest.js";
+import { EventCutter } from "./eventCutter.js";
+import { discard, type ExchangeParts, Sender, wholeBody } from "./exchange.js";
+import type { Place, PlacesClient } from "./placesClient.js";
+import { TimeLimit } from "./timeLimit.js";
+
+/** Largest answer in bytes of a call that only has the prompt read, or of a failure. */
+const shortAnswerLimit = 1024 * 1024;
+/** Turns of placing, reading and running that one request may take. */
+const mostTurns = 4;
+/** Part of a prompt cache's life within which it is offered to another engine; after that it may lapse on the way. */
+const handleLifePart = 0.7;
+/** Milliseconds after which a caller whom every engine turned away should come back. */
+const turnedAwayComeBack = 300;
+/** Times its target that a caller waits for the first event before it leaves, and the least such time in milliseconds. */
+const patienceFactor = 4;
+const leastPatience = 2_000;
+/** Milliseconds of silence of a stream after which its run is given up for lost, where it may go on elsewhere. */
+const silenceLimit = 1_200;
+/** Tokens of an answer that are expected where its caller gives no guess: the part of its most. */
+const usualAnswerPart = 0.6;
+const leastTime = 5;
+const firstFailure = 400;
+
+/** The KV cache of a read prompt that waits for its decode engine. */
+type ReadPrompt = { readonly engine: Announced; readonly handle: string; readonly readAt: number; };
+
+/** What came of a run at a decode engine. */
+type RunEnd =
+    | { readonly kind: "done"; }
+    /** It didn't run there; the prompt's KV cache may still be there. */
+    | { readonly kind: "turnedAway"; readonly cause: string; }
+    /** It ran, or may have, and broke off. */
+    | { readonly kind: "lost"; readonly cause: string; }
+    /** Its engine answered with a failure of its own, which was passed on. */
+    | { readonly kind: "failureGiven"; };
+
+/** Has one request answered by the engines of a pool: a place, the prompt read, then the run. */
+export class StreamExchange {
+    private readonly sender: Sender;
+    private readonly path: string[] = [];
+    private readonly avoid: string[] = [];
+    private runs = 0;
+    private reads = 0;
+    private turns = 0;
+    private events = 0;
+    private lastEvent: number | undefined;
+    private read: ReadPrompt | undefined;
+
+    private constructor(
+        private readonly parts: ExchangeParts,
+        private readonly places: PlacesClient,
+        private readonly gateway: { readonly name: string; readonly failureDomain: string; },
+        private readonly request: CallerRequest,
+        private readonly service: ServiceRule,
+    ) {
+        this.sender = Sender.create(parts);
+    }
+
+    static create(
+        parts: ExchangeParts,
+        places: PlacesClient,
+        gateway: { readonly name: string; readonly failureDomain: string; },
+        request: CallerRequest,
+        service: ServiceRule,
+    ): StreamExchange {
+        return new StreamExchange(parts, places, gateway, request, service);
+    }
+
+    /** Engines asked and what they did, for the log. */
+    trace(): readonly string[] {
+        return this.path;
+    }
+
+    /** Drives the request to its end. */
+    async run(): Promise<void> {
+        const { parts, request } = this;
+        parts.budget(this.service.name).request(parts.clock.monotonic());
+        try {
+            while (!request.isGone() && request.outcome() === undefined) {
+                await this.turn();
+            }
+        }
+        finally {
+            this.dropRead();
+        }
+    }
+
+    private async turn(): Promise<void> {
+        const { request, places } = this;
+        this.turns += 1;
+        const placedAt = this.now();
+        const place = await places.reserve(this.demand(), request.gone.signal);
+        if (place === undefined) {
+            return;
+        }
+        if (place.kind === "refused") {
+            this.path.push(`refused ${Math.round(this.now() - placedAt)}`);
+            this.refuse(place.comeBackIn, place.reason);
+            return;
+        }
+        this.path.push(`placed ${place.by} ${Math.round(this.now() - placedAt)}`);
+        const failed = await this.use(place);
+        places.release(place.attempt, failed);
+    }
+
+    /** Uses a place up. Gives the engine that failed, if one did. */
+    private async use(place: Place): Promise<string | undefined> {
+        const { instances } = this.parts;
+        const decode = instances.get(place.decode);
+        const prefill = place.prefill === undefined ? undefined : instances.get(place.prefill);
+        if (decode === undefined || (place.prefill !== undefined && prefill === undefined)) {
+            const missing = decode === undefined ? place.decode : place.prefill!;
+            this.again(missing, "an engine that has gone was placed");
+            return missing;
+        }
+        if (!this.hasFreshRead()) {
+            this.dropRead();
+            if (prefill !== undefined && !await this.readPrompt(prefill)) {
+                return prefill.id;
+            }
+        }
+        if (this.request.isGone()) {
+            return undefined;
+        }
+        return this.runAt(decode);
+    }
+
+    private async readPrompt(prefill: Announced): Promise<boolean> {
+        const { request, parts, places } = this;
+        if (this.reads > 0 && !this.takeRepeat()) {
+            this.refuse(turnedAwayComeBack, "no repeat is left in the allowance");
+            return false;
+        }
+        this.reads += 1;
+        const startedAt = this.now();
+        const limit = TimeLimit.create(this.parts.clock, request.left(), request.gone.signal);
+        try {
+            const sent = await this.sender.send(request, prefill, this.service, { prefillOnly: true }, limit.signal);
+            const handle = sent.kind === "answer" && sent.answer.status === 200
+                ? parts.wire.prefilled((await wholeBody(sent.answer, shortAnswerLimit))?.toString("utf8") ?? "")
+                : undefined;
+            this.path.push(`read ${prefill.id} ${handle === undefined ? "failed" : "done"} ${this.since(startedAt)}`);
+            if (handle !== undefined) {
+                this.read = { engine: prefill, handle, readAt: this.now() };
+                places.prefilled(request.attempt);
+                return true;
+            }
+            if (!request.isGone()) {
+                const cause = sent.kind === "answer" ? `status ${sent.answer.status}` : sent.cause;
+                this.again(prefill.id, `the prompt wasn't read: ${cause}`);
+            }
+            return false;
+        }
+        finally {
+            limit.end();
+        }
+    }
+
+    private async runAt(decode: Announced): Promise<string | undefined> {
+        const startedAt = this.now();
+        const end = await this.runOnce(decode);
+        this.path.push(`run ${decode.id} ${end.kind} ${this.since(startedAt)}`);
+        if (this.request.isGone()) {
+            return undefined;
+        }
+        switch (end.kind) {
+            case "done":
+            case "failureGiven":
+                return undefined;
+            case "turnedAway":
+                this.again(decode.id, end.cause);
+                return decode.id;
+            case "lost":
+                this.runs += 1;
+                this.read = undefined;
+                this.resume(decode.id, end.cause);
+                return decode.id;
+        }
+    }
+
+    private async runOnce(decode: Announced): Promise<RunEnd> {
+        const { request, read } = this;
+        if (this.turns > 1 && !this.takeRepeat()) {
+            return { kind: "turnedAway", cause: "no repeat is left in the allowance" };
+        }
+        const limit = TimeLimit.create(this.parts.clock, request.left(), request.gone.signal);
+        try {
+            const sent = await this.sender.send(request, decode, this.service, {
+                ...read === undefined ? {} : { source: { address: read.engine.address, handle: read.handle } },
+                ...this.lastEvent === undefined ? {} : { resumeAfter: String(this.lastEvent) },
+            }, limit.signal);
+            if (sent.kind === "notRun") {
+                return { kind: "turnedAway", cause: sent.cause };
+            }
+            this.read = undefined;
+            if (sent.kind === "unknown") {
+                return { kind: "lost", cause: sent.cause };
+            }
+            const { answer, facts } = sent;
+            if (answer.status >= firstFailure) {
+                return await this.passFailure(answer);
+            }
+            if (!facts.sealed) {
+                discard(answer);
+                return { kind: "lost", cause: "an answer without its seal" };
+            }
+            return await this.stream(answer, limit.signal);
+        }
+        finally {
+            limit.end();
+        }
+    }
+
+    /** Passes the engine's own failure on, unless a part of an answer was given already or it could be taken for a promise. */
+    private async passFailure(answer: BackendAnswer): Promise<RunEnd> {
+        const body = await wholeBody(answer, shortAnswerLimit);
+        const { status } = answer;
+        const promises = status === 503 || status === 429 || status === 408 || status === 421;
+        if (body === undefined || promises || this.request.hasBegun()) {
+            return { kind: "lost", cause: `the engine answered ${status}` };
+        }
+        this.request.give(status, answer.rawHeaders, body);
+        return { kind: "failureGiven" };
+    }
+
+    private async stream(answer: BackendAnswer, signal: AbortSignal): Promise<RunEnd> {
+        const { request, parts } = this;
+        const cutter = EventCutter.create();
+        if (!request.hasBegun()) {
+            request.begin(answer.status, answer.rawHeaders);
+        }
+        let quietSince = this.now();
+        const mayMove = request.route.resumable && this.runs + 1 < request.route.attempts;
+        const watch = setInterval(() => {
+            if (mayMove && this.now() - quietSince > silenceLimit) {
+                parts.logger.warn("a stream fell silent; its run is given up", { attempt: request.attempt });
+                discard(answer);
+            }
+        }, silenceLimit / 4);
+        try {
+            for await (const chunk of answer.body as AsyncIterable<Buffer>) {
+                quietSince = this.now();
+                for (const event of cutter.push(chunk)) {
+                    await this.passEvent(event);
+                }
+                if (request.isGone()) {
+                    break;
+                }
+            }
+        }
+        catch (error) {
+            return { kind: "lost", cause: signal.aborted ? "its time ran out" : String((error as Error).message) };
+        }
+        finally {
+            clearInterval(watch);
+        }
+        if (request.isGone()) {
+            discard(answer);
+            return { kind: "lost", cause: "the caller has gone" };
+        }
+        if (cutter.pending() > 0) {
+            return { kind: "lost", cause: "the stream ended within an event" };
+        }
+        request.finish();
+        return { kind: "done" };
+    }
+
+    /** Milliseconds from the start of the run to its first event, and events passed on. */
+    private noteEvent(): void {
+        this.events += 1;
+        if (this.events === 1) {
+            this.places.prefilled(this.request.attempt);
+            this.path.push(`first ${Math.round(this.request.age())}`);
+        }
+    }
+
+    private async passEvent(event: { readonly bytes: Buffer; readonly id: number | undefined; }): Promise<void> {
+        // A resumed run may begin with what the caller has already.
+        if (event.id !== undefined && this.lastEvent !== undefined && event.id <= this.lastEvent) {
+            return;
+        }
+        this.lastEvent = event.id ?? this.lastEvent;
+        this.noteEvent();
+        await this.request.write(event.bytes);
+    }
+
+    /** Another engine is asked: nothing has run at this one. */
+    private again(engine: string, cause: string): void {
+        const { request } = this;
+        this.avoid.push(engine);
+        if (this.turns >= mostTurns || request.left() < leastTime) {
+            this.refuse(turnedAwayComeBack, cause);
+        }
+    }
+
+    /** A run broke off: it goes on elsewhere where its route allows it, else its caller is told. */
+    private resume(engine: string, cause: string): void {
+        const { request } = this;
+        const { route } = request;
+        this.avoid.push(engine);
+        const mayRun = route.resumable && this.runs < route.attempts && this.turns < mostTurns;
+        if (!mayRun || request.left() < leastTime) {
+            request.fail(request.left() < leastTime ? 504 : 502, cause);
+        }
+    }
+
+    private refuse(comeBackIn: number, cause: string): void {
+        const { request } = this;
+        if (this.runs > 0 || request.hasBegun()) {
+            request.fail(502, cause);
+        }
+        else {
+            request.refuse(comeBackIn, cause);
+        }
+    }
+
+    private demand(): PlaceDemand {
+        const { request, gateway } = this;
+        const { facts, route } = request;
+        const answer = Math.min(facts.maxTokens, facts.expectedTokens ?? Math.ceil(facts.maxTokens * usualAnswerPart));
+        const patience = Math.max(leastPatience, patienceFactor * route.target);
+        return {
+            attempt: request.attempt,
+            gateway: gateway.name,
+            service: this.service.name,
+            failureDomain: gateway.failureDomain,
+            promptTokens: facts.promptTokens,
+            cacheTokens: facts.promptTokens + answer,
+            priority: route.priority,
+            targetWithin: route.target - request.age(),
+            patienceWithin: Math.min(request.left(), patience - request.age()),
+            avoid: [...this.avoid],
+            resumed: request.hasBegun(),
+        };
+    }
+
+    private hasFreshRead(): boolean {
+        const life = (this.service.engine?.handleLife ?? 0) * handleLifePart;
+        return this.read !== undefined && this.now() - this.read.readAt < life;
+    }
+
+    /** Frees the KV cache of a prompt that nobody will take: it keeps room from others until it lapses. */
+    private dropRead(): void {
+        const { read, parts } = this;
+        this.read = undefined;
+        if (read === undefined || !parts.instances.get(read.engine.id)) {
+            return;
+        }
+        const call = parts.wire.dropHandle(read.handle);
+        const signal = AbortSignal.timeout(silenceLimit);
+        const headers = Object.entries(call.headers).flat();
+        const { method, path } = call;
+        void parts.connections.call(
+            { server: read.engine, method, path, headers, body: undefined, signal },
+            this.service.connectionLimit,
+            parts.gateways(),
+        ).then(result => {
+            if ("status" in result) {
+                result.body.on("error", () => undefined);
+                result.body.resume();
+            }
+            else {
+                parts.logger.warn("a prompt's KV cache wasn't freed; it lapses", { engine: read.engine.id, ...result });
+            }
+        });
+    }
+
+    private takeRepeat(): boolean {
+        const { parts } = this;
+        return parts.budget(this.service.name).take(this.now(), parts.gateways());
+    }
+
+    private since(startedAt: number): number {
+        return Math.round(this.now() - startedAt);
+    }
+
+    private now(): number {
+        return this.parts.clock.monotonic();
+    }
+}
--- a/packages/basilpaddle/src/node/daemon/start/index.ts
+++ b/packages/basilpaddle/src/node/daemon/start/index.ts
@@ -1,5 +1,6 @@
 export * from "./controlStart.js";
 export * from "./entryStart.js";
 export * from "./lifetime.js";
+export * from "./routingStart.js";
 export * from "./runningDaemon.js";
 export * from "./settings.js";
--- a/packages/basilpaddle/src/node/protocol/command.ts
+++ b/packages/basilpaddle/src/node/protocol/command.ts
@@ -112,6 +112,8 @@
     z.object({ kind: z.literal("releaseRun"), key: runKey, token: identifier, at: wallTime }),
     /** Forgets the runs that were started or released at or below a log index; no wall clock has a say in it. */
     z.object({ kind: z.literal("expireRuns"), upTo: index, at: wallTime }),
+    /** Stores a whole document under the number its author gave it; the highest number wins. */
+    z.object({ kind: z.literal("storeDocument"), version: index, content: z.string(), at: wallTime }),
     /** An order to an engine, or its outcome, for the audit trail. */
     z.object({
         kind: z.literal("recordOrder"),
--- /dev/null
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -0,0 +1,154 @@
+import { z } from "zod";
+
+const identifier = z.string().min(1).max(200);
+
+/** What a backend server says of itself, as a directory passes it on. */
+export const announcedSchema = z.object({
+    /** Identifier of this incarnation; a restart has another one. */
+    id: identifier,
+    service: identifier,
+    /** "IP:PORT". An address may be used again by another incarnation, of another service even. */
+    address: z.string(),
+    failureDomain: z.string(),
+    /** Requests that it works on at once. */
+    slots: z.int().min(0),
+    /** `silent`: the directory that heard it last has heard nothing for several heartbeats. */
+    state: z.enum(["ready", "draining", "left", "silent"]),
+    /** Only engines have one. */
+    stage: z.enum(["prefill", "decode"]).optional(),
+    /** Rises with each heartbeat; the newest word counts, whichever way it came. */
+    sequence: z.int().min(0),
+});
+
+/** What a gateway asks a directory for: whatever it doesn't have yet. Held open until there is something. */
+export const watchSchema = z.object({
+    kind: z.literal("watch"),
+    gateway: identifier,
+    /** Version of the configuration that the gateway has; -1 without one. */
+    version: z.int(),
+    /** The directory's incarnation that `cursor` belongs to. */
+    incarnation: z.string(),
+    /** Announcements up to this number are known. */
+    cursor: z.int().min(0),
+    /** Whether a newer configuration should come with the answer; each gateway gets it from one directory only. */
+    wantsDocument: z.boolean(),
+    /** Directories watch each other too, and aren't counted as gateways. */
+    observer: z.boolean(),
+});
+
+/** Asks a directory for the newest configuration that it knows, whether or not it is the newest of all. */
+export const documentRequestSchema = z.object({ kind: z.literal("document") });
+
+/** What has changed since. */
+export const watchedSchema = z.object({
+    incarnation: z.string(),
+    cursor: z.int().min(0),
+    /** Version of the newest configuration that this directory knows; -1 without one. */
+    version: z.int(),
+    document: z.object({ version: z.int(), content: z.string() }).optional(),
+    announced: z.array(announcedSchema),
+    /** Names of the directories that vote, and of their leader, as far as this one knows. */
+    members: z.array(z.string()),
+    /** Where this directory stands. */
+    failureDomain: z.string(),
+    leader: z.string().optional(),
+    /** Gateways that this directory heard of within the last seconds. */
+    gateways: z.int().min(0),
+});
+
+/** A configuration as its author sent it. */
+export const documentSchema = z.object({ version: z.int(), content: z.string() });
+
+/** A request for a place at the engines of a pool. */
+export const placeDemandSchema = z.object({
+    attempt: identifier,
+    gateway: identifier,
+    service: identifier,
+    failureDomain: z.string(),
+    /** Prompt tokens, and tokens of KV cache that the run will likely come to hold. */
+    promptTokens: z.int().min(0),
+    cacheTokens: z.int().min(0),
+    /** Rank, 0 first. */
+    priority: z.int().min(0),
+    /** Milliseconds left to the target of the first event, and until the caller stops waiting for it. */
+    targetWithin: z.number(),
+    patienceWithin: z.number(),
+    /** Engines to leave out because they failed this request before. */
+    avoid: z.array(identifier),
+    /** Where the run was interrupted and its caller already has a part: it goes before all that hasn't begun. */
+    resumed: z.boolean(),
+});
+
+/** A place, or why there is none. */
+export const placeDecisionSchema = z.discriminatedUnion("kind", [
+    z.object({
+        kind: z.literal("placed"),
+        attempt: identifier,
+        /** Left out where no engine of that stage is ready: the decode engine then reads the prompt itself. */
+        prefill: identifier.optional(),
+        decode: identifier,
+    }),
+    /** It can't be served in time: come back after so many milliseconds. */
+    z.object({ kind: z.literal("refused"), attempt: identifier, reason: z.string(), comeBackIn: z.number() }),
+]);
+
+/** What a gateway says to the directory that places: asks, tells that places are free again, or lists what it holds. */
+export const placingSchema = z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal("place"), demand: placeDemandSchema }),
+    z.object({ kind: z.literal("withdraw"), attempt: identifier }),
+    z.object({ kind: z.literal("prefilled"), attempt: identifier }),
+    z.object({
+        kind: z.literal("release"),
+        attempt: identifier,
+        /** The engine that failed it, if one did. */
+        failed: identifier.optional(),
+    }),
+    z.object({
+        kind: z.literal("holdings"),
+        gateway: identifier,
+        held: z.array(z.object({ demand: placeDemandSchema, decode: identifier })),
+    }),
+]);
+
+/** What the directory that places answers; the others name the leader they know. */
+export const placingAnswerSchema = z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal("decided"), term: z.int(), decision: placeDecisionSchema }),
+    /** Still in the queue: ask again. */
+    z.object({ kind: z.literal("waiting"), term: z.int() }),
+    z.object({ kind: z.literal("elsewhere"), leader: z.string().optional() }),
+]);
+
+/** What directories ask each other: to store or to read the document, where the asked one leads. */
+export const documentCallSchema = z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal("storeDocument"), version: z.int().min(0), content: z.string() }),
+    z.object({ kind: z.literal("readDocument") }),
+]);
+
+/** What became of such a call. */
+export const documentAnswerSchema = z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal("stored") }),
+    z.object({ kind: z.literal("read"), version: z.int(), content: z.string() }),
+    /** Nobody can be sure now. */
+    z.object({ kind: z.literal("unavailable"), reason: z.string() }),
+]);
+
+/** What a backend server says of itself. */
+export type Announced = z.infer<typeof announcedSchema>;
+/** What a gateway asks a directory for. */
+export type Watch = z.infer<typeof watchSchema>;
+/** Asks a directory for its newest configuration. */
+export type DocumentRequest = z.infer<typeof documentRequestSchema>;
+/** What has changed since. */
+export type Watched = z.infer<typeof watchedSchema>;
+/** A request for a place at the engines of a pool. */
+export type PlaceDemand = z.infer<typeof placeDemandSchema>;
+/** A place, or why there is none. */
+export type PlaceDecision = z.infer<typeof placeDecisionSchema>;
+/** What a gateway says to the directory that places. */
+export type Placing = z.infer<typeof placingSchema>;
+/** What the directory that places answers. */
+export type PlacingAnswer = z.infer<typeof placingAnswerSchema>;
+/** What directories ask each other about the document. */
+export type DocumentCall = z.infer<typeof documentCallSchema>;
+/** What became of such a call. */
+export type DocumentAnswer = z.infer<typeof documentAnswerSchema>;
--- a/packages/basilpaddle/src/node/state/index.ts
+++ b/packages/basilpaddle/src/node/state/index.ts
@@ -2,6 +2,7 @@
 export * from "./configuration/index.js";
 export * from "./damage.js";
 export * from "./disk.js";
+export * from "./documentState.js";
 export * from "./folderDisk.js";
 export * from "./folderLock.js";
 export * from "./history.js";
--- a/packages/basilpaddle/src/node/state/ledger.ts
+++ b/packages/basilpaddle/src/node/state/ledger.ts
@@ -136,6 +136,8 @@
                 return this.runs.expire(index, command);
             case "recordOrder":
                 return { kind: "done", index };
+            case "storeDocument":
+                return { kind: "stale", reason: "this group keeps no whole documents" };
             default:
                 throw new TypeError(`${command.kind} is a view command`);
         }
--- a/packages/basilpaddle/src/node/state/log/logFile.ts
+++ b/packages/basilpaddle/src/node/state/log/logFile.ts
@@ -17,6 +17,12 @@
 export type LogFileOptions = {
     /** Most records that share one sync; 1 syncs for each. @default no limit */
     readonly groupLimit?: number;
+    /**
+     * Whether a loss of power may leave any part of the last, unsynced write: its length without its bytes, say. Such a
+     * tail was never acknowledged and is cut; taken for damage, it would cost each host its vote at the same moment.
+     * Off, a damaged last record makes the whole file untrusted. @default false
+     */
+    readonly tornTail?: boolean;
 };
 
 /** An opened log file with what it held. */
@@ -59,7 +65,7 @@
         if (!buffer.subarray(0, header.length).equals(header)) {
             throw Damage.create(name, 0, "it doesn't begin with the header of a log file of version 1");
         }
-        const { records, end } = readRecords(name, buffer, header.length);
+        const { records, end } = readRecords(name, buffer, header.length, options.tornTail);
         const log = new LogFile(disk, name, options);
         // The tail has to go before the next append: a record after it would make it damage in the middle.
         log.file = await disk.open(name, end);
--- a/packages/basilpaddle/src/node/state/log/record.ts
+++ b/packages/basilpaddle/src/node/state/log/record.ts
@@ -31,8 +31,40 @@
     return framed;
 }
 
-/** Reads records from `start`. An incomplete last one ends the reading; anything else wrong throws `Damage`. */
-export function readRecords(file: string, bytes: Buffer, start: number): StoredRecords {
+/**
+ * Reads records from `start`. An incomplete last one ends the reading; anything else wrong throws `Damage`. With
+ * `tornTail`, a broken record that no whole one follows ends the reading too.
+ */
+export function readRecords(file: string, bytes: Buffer, start: number, tornTail = false): StoredRecords {
+    try {
+        return readStrictly(file, bytes, start);
+    }
+    catch (error) {
+        if (!tornTail || !(error instanceof Damage) || hasRecordAfter(bytes, error.offset)) {
+            throw error;
+        }
+        return readStrictly(file, bytes.subarray(0, error.offset), start);
+    }
+}
+
+/** Whether a whole record begins anywhere after the offset. */
+function hasRecordAfter(bytes: Buffer, offset: number): boolean {
+    for (let at = offset + 1; at + headBytes < bytes.length; at++) {
+        const length = bytes.readUInt32BE(at);
+        const end = at + headBytes + length;
+        const fits = length > 0 && end <= bytes.length;
+        if (
+            fits
+            && crc32(bytes.subarray(at, at + lengthBytes)) === bytes.readUInt32BE(at + lengthBytes)
+            && crc32(bytes.subarray(at + headBytes, end)) === bytes.readUInt32BE(at + lengthBytes + checksumBytes)
+        ) {
+            return true;
+        }
+    }
+    return false;
+}
+
+function readStrictly(file: string, bytes: Buffer, start: number): StoredRecords {
     const records: StoredRecord[] = [];
     let offset = start;
     while (bytes.length - offset >= headBytes) {
--- a/packages/basilpaddle/src/node/transport/index.ts
+++ b/packages/basilpaddle/src/node/transport/index.ts
@@ -1,3 +1,4 @@
+export * from "./address.js";
 export * from "./frame.js";
 export * from "./link.js";
 export * from "./tcpLink.js";
--- a/packages/basilpaddle/src/node/transport/tcpLink.ts
+++ b/packages/basilpaddle/src/node/transport/tcpLink.ts
@@ -13,7 +13,19 @@
     readonly settle: (answer: Either<LinkFailure, unknown>) => void;
     readonly timer: NodeJS.Timeout;
 };
-type Frame = { readonly id?: number; readonly answerTo?: number; readonly body: unknown; };
+type Frame = {
+    readonly id?: number;
+    readonly answerTo?: number;
+    readonly body?: unknown;
+    /** Asks for a sign of life, or is one. */
+    readonly life?: "ask" | "sign";
+};
+/** Milliseconds without a byte from the other side after which a sign of life is asked for. */
+const quietTime = 500;
+/** Milliseconds without a byte after which a connection counts as broken: three signs of life were missed. */
+const silenceLimit = 2_000;
+/** Milliseconds without a byte after which the accepting side gives a connection up; its maker has done so long before. */
+const acceptedSilenceLimit = 15_000;
 
 /** Links over TCP. */
 export class TcpNetwork extends Network {
@@ -131,8 +143,33 @@
         });
     }
 
+    /**
+     * An open connection can fall silent for good without a reset, while new ones work: a state table on the way lost
+     * it, or the other host was replaced. Messages without an answer would go nowhere for as long as it lasts, seen as
+     * a member that never catches up. So a quiet connection is asked for a sign of life, and is made anew without one.
+     */
+    private watchSilence(socket: net.Socket): void {
+        let heardAt = performance.now();
+        socket.on("data", () => {
+            heardAt = performance.now();
+        });
+        const timer = setInterval(() => {
+            const quiet = performance.now() - heardAt;
+            if (quiet >= silenceLimit) {
+                this.logger.warn("a connection fell silent; making a new one", { peer: this.name(), quiet });
+                socket.destroy();
+            }
+            else if (quiet >= quietTime) {
+                socket.write(encodeFrame({ life: "ask" }));
+            }
+        }, quietTime);
+        timer.unref();
+        socket.on("close", () => clearInterval(timer));
+    }
+
     private listen(socket: net.Socket): void {
         const reader = FrameReader.create();
+        this.watchSilence(socket);
         socket.on("data", chunk => {
             for (const frame of readFrames(reader, chunk, socket, this.logger)) {
                 if (frame.answerTo !== undefined) {
@@ -211,9 +248,15 @@
             this.sockets.delete(socket);
             gone.abort();
         });
+        socket.setTimeout(acceptedSilenceLimit, () => socket.destroy());
         socket.on("data", chunk => {
             for (const frame of readFrames(reader, chunk, socket, this.logger)) {
-                void this.answer(socket, frame, context);
+                if (frame.life === undefined) {
+                    void this.answer(socket, frame, context);
+                }
+                else if (frame.life === "ask") {
+                    socket.write(encodeFrame({ life: "sign" }));
+                }
             }
         });
     }
--- a/simulation/agreement/host.ts
+++ b/simulation/agreement/host.ts
@@ -76,7 +76,7 @@
         const records = this.durable.records.map((record, offset) => ({ offset, record }));
         const recovered = recover(records, this.durable.snapshot, this.identity);
         const { randomness, identity, names } = this;
-        const peers = names.filter(other => other !== this.name);
+        const peers = (): string[] => names.filter(other => other !== this.name);
         const options = { identity, peers, timing, randomness, chunkBytes, batchEntries };
         const state = AgreementState.create(options, recovered, this.clock());
         const restored = recovered.snapshot === undefined ? "" : digestOf(recovered.snapshot.data);
