--- a/packages/basilpaddle/src/node/coordination/agreement/replica.ts
+++ b/packages/basilpaddle/src/node/coordination/agreement/replica.ts
@@ -27,6 +27,8 @@
     readonly open?: OpenGroup;
     /** Milliseconds after a start in which the replica takes no part. @default twice the election timeout */
     readonly silence?: number;
+    /** Most milliseconds after that time until it first stands for election. @default one to two election timeouts */
+    readonly firstElection?: number;
     readonly stateMachine: StateMachine;
     readonly timing: AgreementTiming;
     readonly clock: Clock;
@@ -82,8 +84,8 @@
         const { disk, name, randomness, logger, clock, timing } = options;
         const { identity, storage, recovered } = await openFolder(disk, name, options.log ?? {}, randomness, logger);
         const peers = (): string[] => options.peers.names().filter(peer => peer !== name);
-        const { open, silence } = options;
-        const core = { identity: identity.identity, peers, timing, randomness, open, silence };
+        const { open, silence, firstElection } = options;
+        const core = { identity: identity.identity, peers, timing, randomness, open, silence, firstElection };
         const state = AgreementState.create(core, recovered, clock.monotonic());
         if (recovered.snapshot !== undefined) {
             options.stateMachine.restore(recovered.snapshot.data);
@@ -203,6 +205,20 @@
         });
     }
 
+    private noteRole(role: AgreementState["role"], leader: string | undefined): void {
+        const { state, options } = this;
+        if (state.role !== role || state.leader !== leader) {
+            options.logger.info("the role in the group changed", {
+                from: role,
+                role: state.role,
+                term: state.term,
+                leader: state.leader,
+                lastIndex: state.log.lastIndex,
+                committed: state.committed,
+            });
+        }
+    }
+
     private proposeGathered(): void {
         const proposals = this.gathered;
         this.gathered = [];
@@ -222,7 +238,9 @@
         this.stepping = true;
         try {
             for (let next = this.events.shift(); next !== undefined; next = this.events.shift()) {
+                const { role, leader } = this.state;
                 step(this.state, next, this.options.clock.monotonic()).forEach(effect => this.carryOut(effect));
+                this.noteRole(role, leader);
                 this.compactIfDue();
             }
         }
--- a/packages/basilpaddle/src/node/coordination/agreement/state.ts
+++ b/packages/basilpaddle/src/node/coordination/agreement/state.ts
@@ -70,6 +70,11 @@
     readonly open?: OpenGroup | undefined;
     /** Milliseconds after a start in which the replica takes no part. @default twice the election timeout */
     readonly silence?: number | undefined;
+    /**
+     * Most milliseconds after that time until it first stands for election, where it hears of no leader. A trial vote
+     * comes first, so a leader that others follow isn't disturbed. @default one to two election timeouts
+     */
+    readonly firstElection?: number | undefined;
     readonly timing: AgreementTiming;
     readonly randomness: Randomness;
     /** Bytes of a snapshot in one message. @default 262144 */
--- a/packages/basilpaddle/src/node/coordination/agreement/step.ts
+++ b/packages/basilpaddle/src/node/coordination/agreement/step.ts
@@ -76,7 +76,10 @@
 function endSilence(state: AgreementState): void {
     if (state.now >= state.silentUntil) {
         state.changeRole("speak");
-        state.electionAt = state.now + state.timeout * (1 + state.options.randomness.fraction());
+        const { firstElection, randomness } = state.options;
+        state.electionAt = state.now + (firstElection === undefined
+            ? state.timeout * (1 + randomness.fraction())
+            : firstElection * randomness.fraction());
     }
 }
 
--- /dev/null
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/fakes.ts
@@ -0,0 +1,73 @@
+import type { Announced, EngineRule, PlaceDecision, PlaceDemand, TrafficRoute } from "../../../protocol/index.js";
+
+/** A backend server's announcement with what the test doesn't care about filled in. */
+export function announced(given: Partial<Announced> & { readonly id: string; }): Announced {
+    return {
+        service: "pool",
+        address: "10.0.0.1:80",
+        failureDomain: "a",
+        slots: 96,
+        state: "ready",
+        sequence: 1,
+        ...given,
+    };
+}
+
+/** Engines of one pool: so many for each stage. */
+export function engines(prefill: number, decode: number): Announced[] {
+    const of = (stage: "prefill" | "decode", count: number): Announced[] => {
+        return Array.from({ length: count }, (_, number) => {
+            return announced({ id: `${stage}-${number}`, stage, failureDomain: ["a", "b", "c"][number % 3]! });
+        });
+    };
+    return [...of("prefill", prefill), ...of("decode", decode)];
+}
+
+/** What the engines of the test's pool have in common. */
+export const rule: EngineRule = { slots: 96, cacheTokens: 34_000, handleLife: 500, stageSwitch: 6_000 };
+
+/** A usual demand: 3,200 tokens in, 900 out, its first event due in 900 ms. */
+export function demand(attempt: string, given: Partial<PlaceDemand> = {}): PlaceDemand {
+    return {
+        attempt,
+        gateway: "gateway",
+        service: "pool",
+        failureDomain: "a",
+        promptTokens: 3_200,
+        cacheTokens: 4_100,
+        priority: 1,
+        targetWithin: 900,
+        patienceWithin: 3_600,
+        avoid: [],
+        resumed: false,
+        ...given,
+    };
+}
+
+/** Attempts that were placed by the decisions. */
+export function placed(decisions: readonly PlaceDecision[]): string[] {
+    return decisions.filter(decision => decision.kind === "placed").map(decision => decision.attempt);
+}
+
+/** Attempts that were refused by the decisions. */
+export function refused(decisions: readonly PlaceDecision[]): string[] {
+    return decisions.filter(decision => decision.kind === "refused").map(decision => decision.attempt);
+}
+
+/** A route with what the test doesn't care about filled in. */
+export function route(given: Partial<TrafficRoute>): TrafficRoute {
+    return {
+        name: "r",
+        host: "h.example",
+        pathPrefix: "/",
+        kind: "safe",
+        timeout: 1_000,
+        target: 100,
+        priority: 1,
+        targets: [{ service: "s", weight: 1 }],
+        attempts: 1,
+        prompts: false,
+        resumable: false,
+        ...given,
+    };
+}
--- /dev/null
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/membershipOfServers.spec.ts
@@ -0,0 +1,77 @@
+import { expect } from "chai";
+import { Announcements } from "../announcements.js";
+import { InstanceTable } from "../instanceTable.js";
+import { announced } from "./fakes.js";
+
+describe("announcements", () => {
+    it("are passed on only where they say something new", () => {
+        const heard = Announcements.create(1_000);
+        expect(heard.take(announced({ id: "i", sequence: 1 }), 0)).to.equal(true);
+        expect(heard.take(announced({ id: "i", sequence: 2 }), 1_000)).to.equal(false);
+        expect(heard.take(announced({ id: "i", sequence: 3, state: "draining" }), 2_000)).to.equal(true);
+        expect(heard.since(1).map(one => one.state)).to.deep.equal(["draining"]);
+    });
+
+    // Symptom: a server that said it drains gets work again.
+    // Sequence: its heartbeat of before is held up by a cut and comes after the one that says so.
+    it("that are late change nothing", () => {
+        const heard = Announcements.create(1_000);
+        heard.take(announced({ id: "i", sequence: 5, state: "draining" }), 0);
+        expect(heard.take(announced({ id: "i", sequence: 4, state: "ready" }), 10)).to.equal(false);
+        expect(heard.since(0)[0]).to.include({ state: "draining" });
+    });
+
+    it("end with leaving, also of a server that was never heard here", () => {
+        const heard = Announcements.create(1_000);
+        expect(heard.leave("i", 0)).to.equal(true);
+        expect(heard.take(announced({ id: "i", sequence: 9 }), 10)).to.equal(false);
+        expect(heard.since(0).map(one => [one.id, one.state])).to.deep.equal([["i", "left"]]);
+    });
+
+    it("turn silent after some missed heartbeats, once, and come back", () => {
+        const heard = Announcements.create(1_000);
+        heard.take(announced({ id: "i", sequence: 1 }), 0);
+        expect(heard.markSilent(2_500)).to.equal(false);
+        expect(heard.markSilent(3_500)).to.equal(true);
+        expect(heard.markSilent(3_600)).to.equal(false);
+        expect(heard.take(announced({ id: "i", sequence: 2 }), 4_000)).to.equal(true);
+    });
+});
+
+describe("the table of instances", () => {
+    it("goes by the highest sequence number, whichever directory it came from", () => {
+        const table = InstanceTable.create();
+        table.take(announced({ id: "i", sequence: 4, state: "draining" }));
+        table.take(announced({ id: "i", sequence: 3, state: "ready" }));
+        expect(table.usable("pool")).to.deep.equal([]);
+    });
+
+    // Symptom: a sound server gets no work.
+    // Sequence: it changes the directory that it reports to; the first one hears no more and calls it silent.
+    it("doesn't take the silence at one directory for more than what another heard since", () => {
+        const table = InstanceTable.create();
+        table.take(announced({ id: "i", sequence: 4 }));
+        table.take(announced({ id: "i", sequence: 5 }));
+        table.take(announced({ id: "i", sequence: 4, state: "silent" }));
+        expect(table.usable("pool").map(one => one.id)).to.deep.equal(["i"]);
+    });
+
+    it("uses silent ones only where no other is left", () => {
+        const table = InstanceTable.create();
+        table.take(announced({ id: "i", sequence: 1, state: "silent" }));
+        expect(table.usable("pool").map(one => one.id)).to.deep.equal(["i"]);
+        table.take(announced({ id: "j", sequence: 1 }));
+        expect(table.usable("pool").map(one => one.id)).to.deep.equal(["j"]);
+    });
+
+    it("never brings one back that left or whose address another one has", () => {
+        const table = InstanceTable.create();
+        table.take(announced({ id: "i", sequence: 1 }));
+        table.take(announced({ id: "i", sequence: 0, state: "left" }));
+        table.take(announced({ id: "i", sequence: 9 }));
+        table.take(announced({ id: "j", sequence: 1 }));
+        table.end("j");
+        table.take(announced({ id: "j", sequence: 9 }));
+        expect(table.all()).to.deep.equal([]);
+    });
+});
--- a/packages/basilpaddle/src/node/coordination/gateway/enginePlaces.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePlaces.ts
@@ -22,6 +22,11 @@
 const patienceMargin = 250;
 /** Milliseconds over which the times to come back of refused callers are spread, so that they make no second burst. */
 const comeBackSpread = 700;
+/**
+ * Milliseconds that a demand waits where no engine is known: after a restart of every directory the engines' heartbeats
+ * come in again within a second or so, and a caller sent away at once would spend its one retry before that.
+ */
+const unknownPoolPatience = 1_800;
 /** Milliseconds after which a caller who found no engine at all should come back. */
 const noEngineComeBack = 1_000;
 /** Milliseconds after which a place is taken back whose gateway never told its end. */
@@ -251,8 +256,9 @@
             ahead += demand.cacheTokens;
             const wait = this.forecast.wait(ahead - free, capacity);
             const firstEventIn = wait + this.forecast.beforeFirstEvent(demand);
-            const stays = demand.resumed || now + firstEventIn + patienceMargin <= waiting.patienceBy;
-            if (capacity === 0 || !stays) {
+            const hopes = capacity === 0 && now - waiting.arrivedAt < unknownPoolPatience;
+            const stays = demand.resumed || hopes || now + firstEventIn + patienceMargin <= waiting.patienceBy;
+            if (!stays) {
                 this.queue.splice(this.queue.indexOf(waiting), 1);
                 ahead -= demand.cacheTokens;
                 refused.push(this.refusal(waiting, firstEventIn, capacity, now));
--- a/packages/basilpaddle/src/node/daemon/directory/documentGroup.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/documentGroup.ts
@@ -17,6 +17,11 @@
  * changes of the membership; an election then takes 0.5 to 1 s, well within the time that a caller waits for a change.
  */
 const timing = { heartbeatInterval: 100, electionTimeout: 500, viewLease: 50, clockDrift: 0.02 };
+/**
+ * Most milliseconds from the start to the first try at an election. After a loss of power everywhere nothing is served
+ * until there is a leader; spread over this time, voters seldom stand together.
+ */
+const firstElection = 400;
 /** Silence of a voter after which a member that stands by takes its place: longer than a restart. */
 const replaceAfter = 2_500;
 /** Documents in the log before it is cut, and documents kept then: each may be hundreds of kilobytes on a small disk. */
@@ -186,6 +191,7 @@
             log: { tornTail: true },
             open: { voters, replaceAfter },
             silence: 0,
+            firstElection,
             onFailure: error => this.failed(error),
         });
         this.state = state;
--- a/packages/basilpaddle/src/node/daemon/directory/placingService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/placingService.ts
@@ -8,8 +8,12 @@
 const tickInterval = 25;
 /** Milliseconds that a place must be old before a gateway's list that lacks it takes it back: the list may be older. */
 const listGrace = 1_500;
-/** Part of an engine's KV cache that may be promised. */
-const fill = 1;
+/**
+ * Part of an engine's KV cache that may be promised. A run is promised what it will hold at its end, and holds half of
+ * its answer on the mean: of three bursts of up to 2.2 times the load, 8 of 544 streams were late at 1.0, none at 1.1,
+ * and at 1.2 five runs were preempted.
+ */
+const fill = 1.1;
 
 type Waiter = (decision: PlaceDecision) => void;
 
@@ -107,8 +111,9 @@
     ): Promise<PlacingAnswer> {
         const pool = this.pools.get(demand.service);
         if (pool === undefined) {
-            const reason = `no engines are known of ${demand.service}`;
-            return this.decided({ kind: "refused", attempt: demand.attempt, reason, comeBackIn: answerWithin });
+            // A leader that has just begun may not have read its configuration yet.
+            await new Promise<void>(resolve => this.sources.clock.after(answerWithin, resolve));
+            return { kind: "waiting", term: this.term };
         }
         this.serviceOfAttempt.set(demand.attempt, demand.service);
         const answer = new Promise<PlacingAnswer>(resolve => {
--- a/packages/basilpaddle/src/node/daemon/gateway/backendConnections.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendConnections.ts
@@ -111,7 +111,7 @@
         catch (error) {
             const { code, message } = error as NodeJS.ErrnoException;
             const kind = code !== undefined && connectFailures.has(code) ? "notSent" : "broken";
-            return { kind, cause: code ?? message };
+            return { kind, cause: typeof code === "string" ? code : message };
         }
     }
 
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -15,12 +15,15 @@
 
 /** Seconds after which a caller should come back to a gateway that has no configuration yet. */
 const unreadySeconds = 0.3;
+/** Most milliseconds that a request waits for the first configuration, and the part of its caller's time that it may take. */
+const mostStartWait = 2_000;
+const startWaitPart = 0.4;
 /** Milliseconds that a gateway waits for most directories before it counts as ready with what it has. */
 const majorityPatience = 1_500;
 /** Milliseconds in which the balancer notices that a gateway is leaving, two questions a second apart and some. */
 const balancerNotice = 2_800;
 /** Milliseconds kept back at the end of a shutdown for closing. */
-const shutdownMargin = 900;
+const shutdownMargin = 600;
 const shutdownPoll = 50;
 
 /** What a gateway needs. */
@@ -48,6 +51,7 @@
     private table: RouteTable | undefined;
     private configuredAt: number | undefined;
     private leaving = false;
+    private readonly tableWaiters = new Set<() => void>();
 
     private constructor(private readonly options: GatewayDaemonOptions) {
         const { settings, wire, clock, logger, metrics } = options;
@@ -112,6 +116,8 @@
         this.callers.endConnections();
         let listening = true;
         while (clock.monotonic() < until) {
+            // A caller that kept its connection would send its next request here until the end, and lose it then.
+            this.callers.closeIdle();
             if (listening && clock.monotonic() - startedAt > balancerNotice) {
                 listening = false;
                 this.callers.stopListening();
@@ -171,6 +177,7 @@
                 this.table = RouteTable.create(traffic);
                 this.callers?.setLimits(traffic.limits);
                 this.configuredAt ??= clock.monotonic();
+                [...this.tableWaiters].forEach(settle => settle());
                 logger.info("a configuration is in force here", { version, routes: traffic.routes.length });
             },
         });
@@ -198,12 +205,11 @@
         response: http.ServerResponse,
         arrivedAt: number,
     ): Promise<void> {
-        const { table } = this;
         const { wire, clock } = this.options;
+        const table = this.table ?? await this.firstTable(wire.caller(incoming.headers).deadlineWithin);
         if (table === undefined) {
-            this.turnAway(incoming, response, 503, "no configuration has come yet", {
-                "Retry-After": String(unreadySeconds),
-            });
+            const retry = { "Retry-After": String(unreadySeconds) };
+            this.turnAway(incoming, response, 503, "no configuration has come yet", retry);
             return;
         }
         const limits = this.callers.currentLimits();
@@ -238,6 +244,23 @@
         await this.answer(request, table, route);
     }
 
+    /**
+     * Waits for the first configuration. After a restart of the whole deployment it comes within a second or so, and a
+     * caller that was sent away at once would spend its one retry before that.
+     */
+    private firstTable(deadlineWithin: number | undefined): Promise<RouteTable | undefined> {
+        const limit = Math.min(mostStartWait, (deadlineWithin ?? 0) * startWaitPart);
+        return new Promise(resolve => {
+            const settle = (): void => {
+                cancel();
+                this.tableWaiters.delete(settle);
+                resolve(this.table);
+            };
+            const cancel = this.options.clock.after(limit, settle);
+            this.tableWaiters.add(settle);
+        });
+    }
+
     private async answer(request: CallerRequest, table: RouteTable, route: TrafficRoute): Promise<void> {
         const service = table.serviceOf(route, request.attempt);
         if (service === undefined) {
--- a/packages/basilpaddle/src/node/daemon/gateway/placesClient.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placesClient.ts
@@ -66,6 +66,11 @@
         const askedAt = clock.monotonic();
         while (!signal.aborted) {
             const passed = clock.monotonic() - askedAt;
+            if (passed > demand.patienceWithin) {
+                const reason = "no decision came within the caller's patience";
+                this.tell({ kind: "withdraw", attempt: demand.attempt });
+                return { kind: "refused", attempt: demand.attempt, reason, comeBackIn: leaderPatience };
+            }
             const current = {
                 ...demand,
                 targetWithin: demand.targetWithin - passed,
--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -11,6 +11,9 @@
 const mostTurns = 4;
 /** Times the target that a backend server has for a request which may run again, before another one is asked. */
 const patienceFactor = 1.5;
+/** Part of a request's time that it waits where no backend server is known, and milliseconds between two looks. */
+const firstServerPart = 0.5;
+const firstServerPoll = 20;
 /** Milliseconds after which a caller who found no server, or only full ones, should come back. */
 const noServerComeBack = 400;
 const fullComeBack = 120;
@@ -27,8 +30,6 @@
 export class ServiceExchange {
     private readonly sender: Sender;
     private readonly tried = new Set<string>();
-    private readonly ranAt = new Set<string>();
-    private readonly rejectedBy = new Set<string>();
     private readonly path: string[] = [];
     private runs = 0;
 
@@ -63,7 +64,7 @@
             if (request.left() < leastTime) {
                 break;
             }
-            const server = this.nextServer();
+            const server = this.nextServer() ?? (turn === 0 ? await this.firstServer() : undefined);
             if (server === undefined || (turn > 0 && !budget.take(clock.monotonic(), parts.gateways()))) {
                 break;
             }
@@ -72,25 +73,34 @@
                 return;
             }
             last = verdict;
-            if (verdict.ran && request.route.kind !== "safe") {
+            const { route } = request;
+            if (verdict.ran && (route.kind !== "safe" || this.runs >= route.attempts)) {
                 break;
             }
         }
         this.giveUp(last);
     }
 
-    /**
-     * The next backend server to ask. A route's `attempts` bound on how many servers a request may run, not how often:
-     * once that many have failed it, one of them may still be asked again. With servers that fail 14 of 100 requests
-     * by chance this halves what callers see of it.
-     */
     private nextServer(): Announced | undefined {
         const { instances, choice, clock } = this.parts;
-        const servers = instances.usable(this.service.name);
-        const mayWiden = this.ranAt.size < this.request.route.attempts;
-        const allowed = mayWiden ? servers : servers.filter(server => this.ranAt.has(server.id));
-        const fresh = choice.choose(allowed, this.tried, clock.monotonic());
-        return fresh ?? (this.ranAt.size > 0 ? choice.choose(allowed, this.rejectedBy, clock.monotonic()) : undefined);
+        return choice.choose(instances.usable(this.service.name), this.tried, clock.monotonic());
+    }
+
+    /**
+     * Waits for a first backend server to be known: after a restart of every directory their heartbeats come in again
+     * within a second or so. The caller's one retry would be spent before that.
+     */
+    private async firstServer(): Promise<Announced | undefined> {
+        const { clock } = this.parts;
+        const until = clock.monotonic() + this.request.left() * firstServerPart;
+        while (clock.monotonic() < until && !this.request.isGone()) {
+            await new Promise<void>(resolve => clock.after(firstServerPoll, resolve));
+            const server = this.nextServer();
+            if (server !== undefined) {
+                return server;
+            }
+        }
+        return undefined;
     }
 
     private giveUp(last: Extract<Verdict, { kind: "next"; }> | undefined): void {
@@ -145,11 +155,9 @@
     private async judge(server: Announced, sent: Sent): Promise<[Verdict, CallOutcome]> {
         if (sent.kind === "notRun") {
             this.tried.add(server.id);
-            this.rejectedBy.add(server.id);
             return [{ kind: "next", ran: false, cause: sent.cause }, sent.unreachable ? "unreachable" : "rejected"];
         }
         this.runs += 1;
-        this.ranAt.add(server.id);
         this.tried.add(server.id);
         if (sent.kind === "unknown") {
             return [{ kind: "next", ran: true, cause: sent.cause }, "failed"];
--- a/packages/basilpaddle/src/node/daemon/start/routingStart.ts
+++ b/packages/basilpaddle/src/node/daemon/start/routingStart.ts
@@ -10,7 +10,7 @@
     routingSettingsSchema,
     seedNames,
 } from "../../protocol/index.js";
-import type { Logger } from "../../utils/index.js";
+import { HostRandomness, type Logger } from "../../utils/index.js";
 import { DirectoryDaemon, type DirectoryWire } from "../directory/index.js";
 import { GatewayDaemon, type GatewayWire } from "../gateway/index.js";
 import { AssembledDaemon } from "./assembledDaemon.js";
@@ -162,7 +162,7 @@
     }
 
     protected override async openParts(): Promise<void> {
-        const { settings, wire, clock, randomness, logger } = this;
+        const { settings, wire, clock, logger } = this;
         const reload = SeedReload.create(settings, this.file, logger);
         this.store.add(() => reload.close());
         this.daemon = await DirectoryDaemon.create({
@@ -170,7 +170,7 @@
             seeds: () => reload.seeds(),
             wire,
             clock,
-            randomness,
+            randomness: HostRandomness.create(settings.name),
             logger,
         });
     }
--- a/packages/basilpaddle/src/node/transport/__tests__/tcpLink.spec.ts
+++ b/packages/basilpaddle/src/node/transport/__tests__/tcpLink.spec.ts
@@ -56,6 +56,49 @@
         link.close();
     });
 
+    // Symptom: a member never catches up though it is well; messages to it go nowhere.
+    // Sequence: an open connection falls silent without a reset, while new ones work.
+    // Cause: nothing on it is answered, so nothing shows that it is dead.
+    it("makes a new connection where the old one falls silent", async () => {
+        const heard: unknown[] = [];
+        const server = await TcpServer.create({
+            host: "127.0.0.1",
+            port: 0,
+            logger,
+            handler: body => {
+                heard.push(body);
+                return Promise.resolve(body);
+            },
+        });
+        let connections = 0;
+        const relay = net.createServer(socket => {
+            connections += 1;
+            socket.on("error", () => undefined);
+            if (connections === 1) {
+                socket.resume();
+                return;
+            }
+            const onward = net.connect(server.port(), "127.0.0.1");
+            onward.on("error", () => undefined);
+            socket.pipe(onward).pipe(socket);
+            socket.on("close", () => onward.destroy());
+        });
+        await new Promise<void>(resolve => relay.listen(0, "127.0.0.1", resolve));
+        const link = TcpNetwork.create(logger).link({
+            host: "127.0.0.1",
+            port: (relay.address() as net.AddressInfo).port,
+        });
+        const sending = setInterval(() => link.send("word"), 50);
+        while (heard.length === 0) {
+            await new Promise(resolve => setTimeout(resolve, 20));
+        }
+        clearInterval(sending);
+        expect(connections).to.equal(2);
+        link.close();
+        relay.close();
+        await server.close();
+    });
+
     it("lets go of a sender that doesn't speak in frames", async () => {
         const server = await TcpServer.create({
             host: "127.0.0.1",
--- a/packages/basilpaddle/src/node/utils/randomness.ts
+++ b/packages/basilpaddle/src/node/utils/randomness.ts
@@ -1,4 +1,4 @@
-import { randomUUID } from "node:crypto";
+import { createHash, randomUUID } from "node:crypto";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
@@ -34,6 +34,40 @@
     }
 }
 
+/**
+ * Random numbers of one host among many that may have started from the same image at the same moment. Their own sources
+ * can then give all of them the same numbers: voters stand for election together, again and again, and none wins. The
+ * host's name and its clocks are mixed in.
+ */
+export class HostRandomness extends Randomness {
+    private readonly generator;
+    private readonly mark: string;
+
+    private constructor(name: string) {
+        super();
+        const moment = `${Date.now()} ${process.hrtime.bigint()} ${process.pid}`;
+        const digest = createHash("sha256").update(`${name} ${moment} ${randomUUID()}`).digest();
+        this.generator = xoroshiro128plus(digest.readInt32BE(0));
+        this.mark = digest.toString("hex", 4, 12);
+    }
+
+    static create(name: string): HostRandomness {
+        return new HostRandomness(name);
+    }
+
+    override fraction(): number {
+        return uniformFloat64(this.generator);
+    }
+
+    override integer(least: number, most: number): number {
+        return uniformInt(this.generator, least, most);
+    }
+
+    override identifier(): string {
+        return `${this.mark}-${randomUUID()}`;
+    }
+}
+
 /** Random numbers that follow from a seed. */
 export class SeededRandomness extends Randomness {
     private readonly generator;
