--- a/packages/basilpaddle/src/node/coordination/gateway/instanceTable.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/instanceTable.ts
@@ -48,6 +48,11 @@
         return this.instances.get(id);
     }
 
+    /** Whether the incarnation is known to have ended. */
+    hasEnded(id: string): boolean {
+        return this.ended.has(id);
+    }
+
     /** All incarnations that haven't ended. */
     all(): readonly Announced[] {
         return [...this.instances.values()];
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/backendConnections.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/__tests__/backendConnections.spec.ts
@@ -2,8 +2,7 @@
 import * as net from "node:net";
 import type { Announced } from "../../../protocol/index.js";
 import { createSilentLogger } from "../../../utils/index.js";
-import { BackendConnections, isAnswer } from "../backendConnections.js";
-import { wholeBody } from "../exchange.js";
+import { BackendConnections, isAnswer, wholeBody } from "../index.js";
 
 /** A server that reads a request and then does what it is told with the connection. */
 async function serverThat(act: (socket: net.Socket) => void): Promise<{ server: net.Server; announced: Announced; }> {
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/backends/index.ts
@@ -0,0 +1,2 @@
+export * from "./answers.js";
+export * from "./backendConnections.js";
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -13,7 +13,8 @@
     watchSchema,
 } from "../../protocol/index.js";
 import { type Link, type Network, parseAddress, TcpNetwork, TcpServer } from "../../transport/index.js";
-import { type Clock, DisposableStore, type Logger, type Randomness } from "../../utils/index.js";
+import { type Clock, DisposableStore, type Logger, type Metrics, type Randomness } from "../../utils/index.js";
+import { BackendConnections } from "../backends/index.js";
 import { type CallAnswer, CallHandler, CallServer } from "./callServer.js";
 import type { DirectoryCall, DirectoryWire } from "./directoryWire.js";
 import { DocumentGroup } from "./documentGroup.js";
@@ -48,9 +49,11 @@
     private readonly store = DisposableStore.create();
     private readonly instances = InstanceTable.create();
     private readonly announcements: Announcements;
+    private readonly connections: BackendConnections;
     private readonly watches: WatchBook;
     private readonly name: string;
     private traffic: Traffic | undefined;
+    private documentNoted = false;
     private placing: PlacingService | undefined;
     private orders: StageOrders | undefined;
     private leaderLink: { readonly name: string; readonly link: Link; } | undefined;
@@ -64,6 +67,8 @@
         const { settings, clock, randomness } = options;
         this.name = `${settings.host}:${settings.peerPort}`;
         this.announcements = Announcements.create(settings.heartbeat);
+        this.connections = BackendConnections.create(options.logger);
+        this.store.add(() => this.connections.close());
         this.watches = WatchBook.create({
             incarnation: randomness.identifier(),
             failureDomain: settings.failureDomain,
@@ -107,6 +112,24 @@
         await this.store.dispose();
     }
 
+    /** Sets the gauges of a directory. */
+    measure(metrics: Metrics): void {
+        const standing = this.group.standing();
+        const placed = this.placing?.standing();
+        metrics.gauge("basilpaddle_group_leading", standing?.leading === true ? 1 : 0);
+        metrics.gauge("basilpaddle_group_voting", standing?.voting === true ? 1 : 0);
+        metrics.gauge("basilpaddle_group_term", standing?.term ?? 0);
+        metrics.gauge("basilpaddle_group_committed_index", standing?.committedIndex ?? 0);
+        metrics.gauge("basilpaddle_configuration_version", this.group.current().version);
+        metrics.gauge("basilpaddle_gateways", this.watches.gatewayCount());
+        metrics.gauge("basilpaddle_places_held", placed?.held ?? 0);
+        metrics.gauge("basilpaddle_places_waiting", placed?.waiting ?? 0);
+        for (const state of ["ready", "draining", "silent"] as const) {
+            const count = this.instances.all().filter(instance => instance.state === state).length;
+            metrics.gauge("basilpaddle_instances", count, { state });
+        }
+    }
+
     override async answer(call: DirectoryCall, body: string): Promise<CallAnswer> {
         switch (call.kind) {
             case "announce":
@@ -131,12 +154,7 @@
             logger,
         });
         this.store.add(() => peers.close());
-        this.group.onChange(document => {
-            this.traffic = wire.traffic(document.content).toMaybe().extract();
-            logger.info("a configuration is committed", { version: document.version });
-            this.placing?.refresh();
-            this.watches.changed();
-        });
+        this.group.onChange(() => this.noteDocument());
         this.group.onLeadership(leading => leading ? this.lead() : this.stopLeading());
         this.traffic = wire.traffic(this.group.current().content).toMaybe().extract();
         if (this.group.standing()?.leading === true) {
@@ -159,6 +177,25 @@
         logger.info("serving", { calls: settings.calls, peers: this.name });
     }
 
+    /**
+     * Takes the newest configuration over, once for all that were committed in one go: after a restart the log brings
+     * dozens, and reading each of them kept the first one from the gateways for 0.4 s on a small core.
+     */
+    private noteDocument(): void {
+        if (this.documentNoted) {
+            return;
+        }
+        this.documentNoted = true;
+        setImmediate(() => {
+            this.documentNoted = false;
+            const { version, content } = this.group.current();
+            this.watches.changed();
+            this.traffic = this.options.wire.traffic(content).toMaybe().extract();
+            this.options.logger.info("a configuration is committed", { version });
+            this.placing?.refresh();
+        });
+    }
+
     private watchSilence(): void {
         const { clock } = this.options;
         let cancel = clock.after(silenceInterval, () => look());
@@ -299,6 +336,7 @@
             ...sources,
             holder: settings.name,
             wire,
+            connections: this.connections,
             lease: settings.orderLease,
             firstHolder: settings.firstStart && term === 1,
         }, term);
--- a/packages/basilpaddle/src/node/daemon/directory/stageOrders.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/stageOrders.ts
@@ -1,13 +1,15 @@
-import { request } from "undici";
 import { type InstanceTable, planStages, type StageChange } from "../../coordination/index.js";
-import type { Traffic } from "../../protocol/index.js";
+import type { Announced, Traffic } from "../../protocol/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
+import { type BackendConnections, drain, isAnswer } from "../backends/index.js";
 import type { DirectoryWire, StageOrderOutcome } from "./directoryWire.js";
 
 /** Milliseconds between two looks at the stages. */
 const lookInterval = 500;
 /** Milliseconds without an engine that comes or goes, two heartbeats, after which a pool counts as known. */
 const settleTime = 2_500;
+/** Connections to one engine for orders. */
+const orderConnections = 2;
 /** Milliseconds for an engine to answer an order. */
 const answerTime = 1_000;
 /** Milliseconds after an order without a clear answer in which it may still be carried out. */
@@ -23,6 +25,7 @@
     readonly instances: InstanceTable;
     readonly traffic: () => Traffic | undefined;
     readonly wire: DirectoryWire;
+    readonly connections: BackendConnections;
     readonly clock: Clock;
     readonly logger: Logger;
     /** Milliseconds that a former holder may still believe to hold the right to give orders. */
@@ -109,25 +112,29 @@
         const { engine, stage } = change;
         this.pending.set(engine.id, clock.monotonic() + unknownTime);
         const call = wire.order({ engine, stage, holder, fence: this.fence });
-        const outcome = await this.send(engine.address, call);
+        const outcome = await this.send(engine, call);
         logger.info("ordered an engine to change its stage", { engine: engine.id, stage, fence: this.fence, outcome });
     }
 
-    private async send(address: string, call: ReturnType<DirectoryWire["order"]>): Promise<StageOrderOutcome> {
-        try {
-            const { statusCode, body } = await request(`http://${address}${call.path}`, {
+    private async send(engine: Announced, call: ReturnType<DirectoryWire["order"]>): Promise<StageOrderOutcome> {
+        const { connections, wire, logger } = this.sources;
+        const result = await connections.call(
+            {
+                server: engine,
                 method: call.method,
-                headers: call.headers,
-                body: call.body,
-                headersTimeout: answerTime,
-                bodyTimeout: answerTime,
-            });
-            await body.dump();
-            return this.sources.wire.orderOutcome(statusCode);
-        }
-        catch (error) {
-            this.sources.logger.warn("an order got no answer; it may still be carried out", { address, error });
-            return "unknown";
+                path: call.path,
+                headers: Object.entries(call.headers).flat(),
+                body: call.body === undefined ? undefined : Buffer.from(call.body),
+                signal: AbortSignal.timeout(answerTime),
+            },
+            orderConnections,
+            1,
+        );
+        if (isAnswer(result)) {
+            drain(result);
+            return wire.orderOutcome(result.status);
         }
+        logger.warn("an order got no answer; it may still be carried out", { engine: engine.id, ...result });
+        return "unknown";
     }
 }
--- a/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
@@ -1,6 +1,6 @@
 import type * as http from "node:http";
 import type { CallerLimits, TrafficRoute } from "../../protocol/index.js";
-import type { BackendAnswer } from "./backendConnections.js";
+import type { BackendAnswer } from "../backends/index.js";
 import type { CallerFacts } from "./gatewayWire.js";
 import { passedOn } from "./headers.js";
 
--- a/packages/basilpaddle/src/node/daemon/gateway/exchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/exchange.ts
@@ -1,7 +1,14 @@
 import type { InstanceTable, RepeatBudget, ServerChoice } from "../../coordination/index.js";
 import type { Announced, ServiceRule } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
-import { type BackendAnswer, type BackendConnections, type CallFailure, isAnswer } from "./backendConnections.js";
+import {
+    type BackendAnswer,
+    type BackendConnections,
+    type CallFailure,
+    discard,
+    drain,
+    isAnswer,
+} from "../backends/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 import type { AnswerFacts, GatewayWire, RunFacts } from "./gatewayWire.js";
 
@@ -99,38 +106,6 @@
     }
 }
 
-/** Reads the whole body of an answer; undefined where it broke off or grew over the limit. */
-export async function wholeBody(answer: BackendAnswer, limit: number): Promise<Buffer | undefined> {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    try {
-        for await (const chunk of answer.body as AsyncIterable<Buffer>) {
-            size += chunk.length;
-            if (size > limit) {
-                return undefined;
-            }
-            chunks.push(chunk);
-        }
-    }
-    catch {
-        // The caller of this function treats an incomplete body like a connection that broke.
-        return undefined;
-    }
-    return Buffer.concat(chunks);
-}
-
-/** Gives an answer up together with its connection: what would come next on it can't be trusted. */
-export function discard(answer: BackendAnswer): void {
-    answer.body.on("error", () => undefined);
-    answer.body.destroy();
-}
-
-/** Reads a short body away so that its connection can be used again. */
-export function drain(answer: BackendAnswer): void {
-    answer.body.on("error", () => undefined);
-    answer.body.resume();
-}
-
 function lost(failure: CallFailure): Sent {
     return failure.kind === "notSent"
         ? { kind: "notRun", cause: failure.cause, unreachable: true }
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -3,7 +3,7 @@
 import { type GatewaySettings, seedNames, type TrafficRoute } from "../../protocol/index.js";
 import { type Network, TcpNetwork } from "../../transport/index.js";
 import { type Clock, DisposableStore, type Logger, type Metrics } from "../../utils/index.js";
-import { BackendConnections } from "./backendConnections.js";
+import { BackendConnections } from "../backends/index.js";
 import { CallerRequest, readBody, writeOwn } from "./callerRequest.js";
 import { CallerServer } from "./callerServer.js";
 import type { ExchangeParts } from "./exchange.js";
--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -1,8 +1,8 @@
 import type { CallOutcome } from "../../coordination/index.js";
 import type { Announced, ServiceRule } from "../../protocol/index.js";
-import type { BackendAnswer } from "./backendConnections.js";
+import { type BackendAnswer, discard, wholeBody } from "../backends/index.js";
 import type { CallerRequest } from "./callerRequest.js";
-import { discard, type ExchangeParts, Sender, type Sent, wholeBody } from "./exchange.js";
+import { type ExchangeParts, Sender, type Sent } from "./exchange.js";
 import { TimeLimit } from "./timeLimit.js";
 
 /** Largest answer in bytes that is taken in whole before it is passed on. */
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -1,9 +1,9 @@
 import type { Announced, PlaceDemand, ServiceRule } from "../../protocol/index.js";
-import type { BackendAnswer } from "./backendConnections.js";
+import { type BackendAnswer, discard, wholeBody } from "../backends/index.js";
 import type { CallerRequest } from "./callerRequest.js";
-import { EventCutter } from "./eventCutter.js";
-import { discard, type ExchangeParts, Sender, wholeBody } from "./exchange.js";
+import { type ExchangeParts, Sender } from "./exchange.js";
 import type { Place, PlacesClient } from "./placesClient.js";
+import { StreamPass } from "./streamPass.js";
 import { TimeLimit } from "./timeLimit.js";
 
 /** Largest answer in bytes of a call that only has the prompt read, or of a failure. */
@@ -22,6 +22,12 @@
 /** Tokens of an answer that are expected where its caller gives no guess: the part of its most. */
 const usualAnswerPart = 0.6;
 const leastTime = 5;
+/** Engines that a prompt's KV cache is offered to before it counts as lapsed. */
+const mostOffers = 2;
+/** Milliseconds for word of a placed engine to come, and between two looks. */
+const unknownEnginePatience = 500;
+const unknownEnginePoll = 20;
+const noRepeatLeft = "no repeat is left in the allowance";
 const firstFailure = 400;
 
 /** The KV cache of a read prompt that waits for its decode engine. */
@@ -31,7 +37,7 @@
 type RunEnd =
     | { readonly kind: "done"; }
     /** It didn't run there; the prompt's KV cache may still be there. */
-    | { readonly kind: "turnedAway"; readonly cause: string; }
+    | { readonly kind: "turnedAway"; readonly cause: string; readonly unreachable: boolean; }
     /** It ran, or may have, and broke off. */
     | { readonly kind: "lost"; readonly cause: string; }
     /** Its engine answered with a failure of its own, which was passed on. */
@@ -45,8 +51,11 @@
     private runs = 0;
     private reads = 0;
     private turns = 0;
-    private events = 0;
-    private lastEvent: number | undefined;
+    /** Times that the run was sent to a decode engine, and that the KV cache at hand was offered. */
+    private sends = 0;
+    private offers = 0;
+    private readsAtDecode = false;
+    private readonly pass: StreamPass;
     private read: ReadPrompt | undefined;
 
     private constructor(
@@ -57,6 +66,10 @@
         private readonly service: ServiceRule,
     ) {
         this.sender = Sender.create(parts);
+        this.pass = StreamPass.create(request, () => {
+            places.prefilled(request.attempt);
+            this.path.push(`first ${Math.round(request.age())}`);
+        });
     }
 
     static create(
@@ -109,6 +122,7 @@
     /** Uses a place up. Gives the engine that failed, if one did. */
     private async use(place: Place): Promise<string | undefined> {
         const { instances } = this.parts;
+        await this.untilKnown(place);
         const decode = instances.get(place.decode);
         const prefill = place.prefill === undefined ? undefined : instances.get(place.prefill);
         if (decode === undefined || (place.prefill !== undefined && prefill === undefined)) {
@@ -118,7 +132,7 @@
         }
         if (!this.hasFreshRead()) {
             this.dropRead();
-            if (prefill !== undefined && !await this.readPrompt(prefill)) {
+            if (prefill !== undefined && !this.readsAtDecode && !await this.readPrompt(prefill)) {
                 return prefill.id;
             }
         }
@@ -128,10 +142,24 @@
         return this.runAt(decode);
     }
 
+    /** The leader may have heard of an engine a moment earlier, from a directory that this gateway has yet to reach. */
+    private async untilKnown(place: Place): Promise<void> {
+        const { instances, clock } = this.parts;
+        const until = this.now() + unknownEnginePatience;
+        const missing = (): boolean => {
+            return [place.decode, place.prefill].some(id => {
+                return id !== undefined && instances.get(id) === undefined && !instances.hasEnded(id);
+            });
+        };
+        while (missing() && this.now() < until && !this.request.isGone()) {
+            await new Promise<void>(resolve => clock.after(unknownEnginePoll, resolve));
+        }
+    }
+
     private async readPrompt(prefill: Announced): Promise<boolean> {
         const { request, parts, places } = this;
         if (this.reads > 0 && !this.takeRepeat()) {
-            this.refuse(turnedAwayComeBack, "no repeat is left in the allowance");
+            this.refuse(turnedAwayComeBack, noRepeatLeft);
             return false;
         }
         this.reads += 1;
@@ -145,6 +173,7 @@
             this.path.push(`read ${prefill.id} ${handle === undefined ? "failed" : "done"} ${this.since(startedAt)}`);
             if (handle !== undefined) {
                 this.read = { engine: prefill, handle, readAt: this.now() };
+                this.offers = 0;
                 places.prefilled(request.attempt);
                 return true;
             }
@@ -160,6 +189,11 @@
     }
 
     private async runAt(decode: Announced): Promise<string | undefined> {
+        if (this.sends > 0 && !this.takeRepeat()) {
+            this.refuse(turnedAwayComeBack, noRepeatLeft);
+            return undefined;
+        }
+        this.sends += 1;
         const startedAt = this.now();
         const end = await this.runOnce(decode);
         this.path.push(`run ${decode.id} ${end.kind} ${this.since(startedAt)}`);
@@ -171,29 +205,46 @@
             case "failureGiven":
                 return undefined;
             case "turnedAway":
-                this.again(decode.id, end.cause);
-                return decode.id;
+                return this.turnedAway(decode, end);
             case "lost":
                 this.runs += 1;
                 this.read = undefined;
                 this.resume(decode.id, end.cause);
-                return decode.id;
+                // One broken stream says little of its engine; one that is gone refuses the next connection.
+                return undefined;
         }
     }
 
-    private async runOnce(decode: Announced): Promise<RunEnd> {
-        const { request, read } = this;
-        if (this.turns > 1 && !this.takeRepeat()) {
-            return { kind: "turnedAway", cause: "no repeat is left in the allowance" };
+    /**
+     * Judges why an engine turned a run away: it is full, or it couldn't have the prompt's KV cache, and its answer
+     * doesn't say which. Turned away by a second engine too, the cache must be at fault: its engine gets a pause, and
+     * the next engine reads the prompt itself. Reading it elsewhere first would waste as much again where caches lapse.
+     */
+    private turnedAway(decode: Announced, end: Extract<RunEnd, { kind: "turnedAway"; }>): string | undefined {
+        const { read } = this;
+        this.again(decode.id, end.cause);
+        if (end.unreachable || read === undefined) {
+            return end.unreachable ? decode.id : undefined;
+        }
+        this.offers += 1;
+        if (this.offers < mostOffers) {
+            return undefined;
         }
+        this.dropRead();
+        this.readsAtDecode = true;
+        return read.engine.id;
+    }
+
+    private async runOnce(decode: Announced): Promise<RunEnd> {
+        const { request, read, pass } = this;
         const limit = TimeLimit.create(this.parts.clock, request.left(), request.gone.signal);
         try {
             const sent = await this.sender.send(request, decode, this.service, {
                 ...read === undefined ? {} : { source: { address: read.engine.address, handle: read.handle } },
-                ...this.lastEvent === undefined ? {} : { resumeAfter: String(this.lastEvent) },
+                ...pass.lastEvent() === undefined ? {} : { resumeAfter: String(pass.lastEvent()) },
             }, limit.signal);
             if (sent.kind === "notRun") {
-                return { kind: "turnedAway", cause: sent.cause };
+                return { kind: "turnedAway", cause: sent.cause, unreachable: sent.unreachable };
             }
             this.read = undefined;
             if (sent.kind === "unknown") {
@@ -227,66 +278,16 @@
     }
 
     private async stream(answer: BackendAnswer, signal: AbortSignal): Promise<RunEnd> {
-        const { request, parts } = this;
-        const cutter = EventCutter.create();
-        if (!request.hasBegun()) {
-            request.begin(answer);
-        }
-        let quietSince = this.now();
+        const { request, pass } = this;
         const mayMove = request.route.resumable && this.runs + 1 < request.route.attempts;
-        const watch = setInterval(() => {
-            if (mayMove && this.now() - quietSince > silenceLimit) {
-                parts.logger.warn("a stream fell silent; its run is given up", { attempt: request.attempt });
-                discard(answer);
-            }
-        }, silenceLimit / 4);
-        try {
-            for await (const chunk of answer.body as AsyncIterable<Buffer>) {
-                quietSince = this.now();
-                for (const event of cutter.push(chunk)) {
-                    await this.passEvent(event);
-                }
-                if (request.isGone()) {
-                    break;
-                }
-            }
-        }
-        catch (error) {
-            return { kind: "lost", cause: signal.aborted ? "its time ran out" : String((error as Error).message) };
-        }
-        finally {
-            clearInterval(watch);
-        }
-        if (request.isGone()) {
-            discard(answer);
-            return { kind: "lost", cause: "the caller has gone" };
-        }
-        if (cutter.pending() > 0) {
-            return { kind: "lost", cause: "the stream ended within an event" };
+        const end = await pass.pass(answer, mayMove ? silenceLimit : undefined, signal);
+        if (end.kind === "broken") {
+            return { kind: "lost", cause: end.cause };
         }
         request.finish();
         return { kind: "done" };
     }
 
-    /** Milliseconds from the start of the run to its first event, and events passed on. */
-    private noteEvent(): void {
-        this.events += 1;
-        if (this.events === 1) {
-            this.places.prefilled(this.request.attempt);
-            this.path.push(`first ${Math.round(this.request.age())}`);
-        }
-    }
-
-    private async passEvent(event: { readonly bytes: Buffer; readonly id: number | undefined; }): Promise<void> {
-        // A resumed run may begin with what the caller has already.
-        if (event.id !== undefined && this.lastEvent !== undefined && event.id <= this.lastEvent) {
-            return;
-        }
-        this.lastEvent = event.id ?? this.lastEvent;
-        this.noteEvent();
-        await this.request.write(event.bytes);
-    }
-
     /** Another engine is asked: nothing has run at this one. */
     private again(engine: string, cause: string): void {
         const { request } = this;
--- a/packages/basilpaddle/src/node/daemon/start/routingStart.ts
+++ b/packages/basilpaddle/src/node/daemon/start/routingStart.ts
@@ -10,10 +10,11 @@
     routingSettingsSchema,
     seedNames,
 } from "../../protocol/index.js";
-import { HostRandomness, type Logger } from "../../utils/index.js";
+import { type DisposableStore, HostRandomness, type Logger, type RecordedMetrics } from "../../utils/index.js";
 import { DirectoryDaemon, type DirectoryWire } from "../directory/index.js";
 import { GatewayDaemon, type GatewayWire } from "../gateway/index.js";
 import { AssembledDaemon } from "./assembledDaemon.js";
+import { MetricsServer } from "./metricsServer.js";
 import type { RunningDaemon, ShutdownReport } from "./runningDaemon.js";
 
 /** Milliseconds between two looks whether the settings file has changed: it may without any signal. */
@@ -56,6 +57,23 @@
     return running;
 }
 
+/** Serves metrics; a daemon whose port for them is taken serves its callers all the same. */
+async function serveMetrics(
+    store: DisposableStore,
+    settings: RoutingSettings,
+    metrics: RecordedMetrics,
+    logger: Logger,
+): Promise<void> {
+    try {
+        const server = await MetricsServer.create({ host: settings.host, port: settings.metricsPort }, metrics);
+        store.add(() => server.close());
+        logger.info("metrics are served", { port: server.port() });
+    }
+    catch (error) {
+        logger.error("metrics can't be served", { port: settings.metricsPort, error });
+    }
+}
+
 /** Keeps the seeds up to date with the settings file; whatever else changes takes a restart. */
 class SeedReload {
     private names: readonly string[];
@@ -134,6 +152,7 @@
             logger,
             metrics,
         });
+        await serveMetrics(this.store, settings, metrics, logger);
     }
 
     private async shutDown(): Promise<ShutdownReport> {
@@ -173,6 +192,9 @@
             randomness: HostRandomness.create(settings.name),
             logger,
         });
+        const { daemon, metrics } = this;
+        this.store.add(metrics.onCollect(() => daemon.measure(metrics)));
+        await serveMetrics(this.store, settings, metrics, logger);
     }
 
     private async shutDown(): Promise<ShutdownReport> {
