--- a/packages/basilpaddle/src/node/coordination/gateway/enginePlaces.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePlaces.ts
@@ -292,7 +292,8 @@
         if (decodes.length === 0) {
             return undefined;
         }
-        const prefills = this.usable("prefill", demand.avoid, now);
+        // Without a sound one a decode engine reads the prompt; a prefill engine that just failed would fail it again.
+        const prefills = this.sound("prefill", demand.avoid, now);
         for (const decode of decodes) {
             for (const prefill of prefills) {
                 const reading = prefill.readyIn(now) + prefill.readingTime(demand.promptTokens);
@@ -313,9 +314,18 @@
     }
 
     private usable(stage: Announced["stage"], avoid: readonly string[], now: number): PlacedEngine[] {
-        const all = [...this.engines.values()].filter(engine => engine.announced.stage === stage);
-        const sound = all.filter(engine => engine.takesWork(now) && !avoid.includes(engine.id));
-        return sound.length > 0 ? sound : all.filter(engine => engine.announced.state === "ready");
+        const sound = this.sound(stage, avoid, now);
+        return sound.length > 0
+            ? sound
+            : [...this.engines.values()].filter(({ announced }) => {
+                return announced.stage === stage && announced.state === "ready";
+            });
+    }
+
+    private sound(stage: Announced["stage"], avoid: readonly string[], now: number): PlacedEngine[] {
+        return [...this.engines.values()].filter(engine => {
+            return engine.announced.stage === stage && engine.takesWork(now) && !avoid.includes(engine.id);
+        });
     }
 
     private hold(placement: Placement, now: number): void {
--- a/packages/basilpaddle/src/node/coordination/gateway/placedEngine.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placedEngine.ts
@@ -15,7 +15,7 @@
 /** Milliseconds that an engine pair in two failure domains counts worse: moves between domains take twice as long and are priced more. */
 const otherDomainWeight = 80;
 /** Milliseconds without work after a failure, at first and at the most. */
-const firstPause = 400;
+const firstPause = 800;
 const mostPause = 8_000;
 
 /** What may be promised of one engine. */
--- a/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
@@ -1,10 +1,11 @@
+import * as net from "node:net";
 import type { Readable } from "node:stream";
-import { buildConnector, Pool } from "undici";
+import { type buildConnector, Pool } from "undici";
 import type { Announced } from "../../protocol/index.js";
 import type { Logger } from "../../utils/index.js";
 
 /** Milliseconds for a connection to come about; a host that is gone answers nothing at all. */
-const connectTimeout = 400;
+const connectTimeout = 300;
 /** Milliseconds that an idle connection is kept where the backend server names no time of its own. */
 const keepAliveTimeout = 8_000;
 /** Milliseconds before the named end of an idle connection after which it isn't used any more: a request may cross the end. */
@@ -13,28 +14,43 @@
 const idleLimit = 60_000;
 /** Part of a backend server's connections that gateways use together; the rest is for their uneven shares. */
 const connectionPart = 0.9;
+const noConnectionInTime = "NO_CONNECTION_IN_TIME";
 /** Codes of failures to connect: nothing was sent. */
 const connectFailures: ReadonlySet<string> = new Set([
     "ECONNREFUSED",
     "EHOSTUNREACH",
     "ENETUNREACH",
     "EADDRNOTAVAIL",
-    "UND_ERR_CONNECT_TIMEOUT",
+    noConnectionInTime,
 ]);
-
-const plainConnector = buildConnector({ timeout: connectTimeout, noDelay: true, autoSelectFamily: false });
+/** The library's callback wants the value that this project leaves out; anything that isn't true does. */
+const noSocket = [undefined] as unknown as [never];
+const noError = [undefined] as unknown as [never];
 
 /**
- * Opens a connection whose resets the library can't take for the end of an answer. It does so for answers that end with
- * their connection: a backend server that crashes in the middle of one would give its caller half an answer as a whole
- * one. A reset under another code is an error to it like any other.
+ * Opens a connection. The library's own connector waits for up to a second longer than it is told, and it takes a reset
+ * for the end of an answer whose connection would be closed anyway: a backend server that crashes in the middle of one
+ * would give its caller half an answer as a whole one. A reset under another code is an error to it like any other.
  */
-const connector: typeof plainConnector = (options, callback) => {
-    plainConnector(options, (...outcome) => {
-        outcome[1]?.prependListener("error", (failure: NodeJS.ErrnoException) => {
-            failure.code = failure.code === "ECONNRESET" ? "RESET_BY_SERVER" : failure.code;
-        });
-        callback(...outcome);
+const connector: buildConnector.connector = (options, callback) => {
+    const socket = net.connect({ host: options.hostname, port: Number(options.port), noDelay: true });
+    const timer = setTimeout(() => {
+        const error: NodeJS.ErrnoException = new Error(`no connection in ${connectTimeout} ms`);
+        error.code = noConnectionInTime;
+        socket.destroy(error);
+    }, connectTimeout);
+    const fail = (error: Error): void => {
+        clearTimeout(timer);
+        callback(error, ...noSocket);
+    };
+    socket.prependListener("error", (failure: NodeJS.ErrnoException) => {
+        failure.code = failure.code === "ECONNRESET" ? "RESET_BY_SERVER" : failure.code;
+    });
+    socket.once("error", fail);
+    socket.once("connect", () => {
+        clearTimeout(timer);
+        socket.off("error", fail);
+        callback(...noError, socket);
     });
 };
 
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -27,6 +27,12 @@
 /** Milliseconds for word of a placed engine to come, and between two looks. */
 const unknownEnginePatience = 500;
 const unknownEnginePoll = 20;
+/**
+ * Milliseconds that the reading of a prompt may take, and for each of its tokens: three times what it took at the
+ * worst load that was measured.
+ */
+const readingPatience = 700;
+const readingPatienceToken = 0.1;
 const noRepeatLeft = "no repeat is left in the allowance";
 const firstFailure = 400;
 
@@ -164,7 +170,7 @@
         }
         this.reads += 1;
         const startedAt = this.now();
-        const limit = TimeLimit.create(this.parts.clock, request.left(), request.gone.signal);
+        const limit = TimeLimit.create(parts.clock, this.readingLimit(), request.gone.signal);
         try {
             const sent = await this.sender.send(request, prefill, this.service, { prefillOnly: true }, limit.signal);
             const handle = sent.kind === "answer" && sent.answer.status === 200
@@ -188,6 +194,12 @@
         }
     }
 
+    /** Milliseconds that a prefill engine has: one that is gone closes no connection, and its caller leaves meanwhile. */
+    private readingLimit(): number {
+        const { request } = this;
+        return Math.min(request.left(), readingPatience + request.facts.promptTokens * readingPatienceToken);
+    }
+
     private async runAt(decode: Announced): Promise<string | undefined> {
         if (this.sends > 0 && !this.takeRepeat()) {
             this.refuse(turnedAwayComeBack, noRepeatLeft);
