--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -127,7 +127,7 @@
         const { clock, choice } = parts;
         const startedAt = clock.monotonic();
         choice.began(server.id);
-        const limit = TimeLimit.create(clock, this.patience(), request.gone.signal);
+        const limit = TimeLimit.create(clock, this.patience(server), request.gone.signal);
         try {
             const sent = await this.sender.send(request, server, this.service, {}, limit.signal);
             const [verdict, outcome] = await this.judge(server, sent);
@@ -145,10 +145,12 @@
      * How long a backend server has. One that hangs would otherwise hold a request that another could still answer in
      * time; where the request may run only once there is nothing to do but wait.
      */
-    private patience(): number {
-        const { request } = this;
+    private patience(server: Announced): number {
+        const { request, parts } = this;
         const { route } = request;
-        const mayAskAnother = route.kind === "safe" && this.runs + 1 < route.attempts;
+        const others = new Set([...this.tried, server.id]);
+        const another = parts.choice.choose(parts.instances.usable(this.service.name), others, parts.clock.monotonic());
+        const mayAskAnother = route.kind === "safe" && this.runs + 1 < route.attempts && another !== undefined;
         return mayAskAnother ? Math.min(request.left(), patienceFactor * route.target) : request.left();
     }
 
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -3,6 +3,7 @@
 import type { CallerRequest } from "./callerRequest.js";
 import { type ExchangeParts, Sender } from "./exchange.js";
 import type { Place, PlacesClient } from "./placesClient.js";
+import { freePrompt, type ReadPrompt } from "./readPrompt.js";
 import { StreamPass } from "./streamPass.js";
 import { TimeLimit } from "./timeLimit.js";
 
@@ -19,6 +20,8 @@
 const leastPatience = 2_000;
 /** Milliseconds of silence of a stream after which its run is given up for lost, where it may go on elsewhere. */
 const silenceLimit = 1_200;
+/** Milliseconds for the head of a run's answer, where the run may be made elsewhere: an engine that is gone stays silent. */
+const headPatience = 1_500;
 /** Tokens of an answer that are expected where its caller gives no guess: the part of its most. */
 const usualAnswerPart = 0.6;
 const leastTime = 5;
@@ -36,9 +39,6 @@
 const noRepeatLeft = "no repeat is left in the allowance";
 const firstFailure = 400;
 
-/** The KV cache of a read prompt that waits for its decode engine. */
-type ReadPrompt = { readonly engine: Announced; readonly handle: string; readonly readAt: number; };
-
 /** What came of a run at a decode engine. */
 type RunEnd =
     | { readonly kind: "done"; }
@@ -248,13 +248,15 @@
     }
 
     private async runOnce(decode: Announced): Promise<RunEnd> {
-        const { request, read, pass } = this;
-        const limit = TimeLimit.create(this.parts.clock, request.left(), request.gone.signal);
+        const { request, read, pass, parts } = this;
+        const limit = TimeLimit.create(parts.clock, request.left(), request.gone.signal);
+        const cancelHead = this.mayMove() ? parts.clock.after(headPatience, () => limit.cut()) : undefined;
         try {
             const sent = await this.sender.send(request, decode, this.service, {
                 ...read === undefined ? {} : { source: { address: read.engine.address, handle: read.handle } },
                 ...pass.lastEvent() === undefined ? {} : { resumeAfter: String(pass.lastEvent()) },
             }, limit.signal);
+            cancelHead?.();
             if (sent.kind === "notRun") {
                 return { kind: "turnedAway", cause: sent.cause, unreachable: sent.unreachable };
             }
@@ -273,10 +275,17 @@
             return await this.stream(answer, limit.signal);
         }
         finally {
+            cancelHead?.();
             limit.end();
         }
     }
 
+    /** Whether the run may be made again at another engine if this one is lost. */
+    private mayMove(): boolean {
+        const { route } = this.request;
+        return route.resumable && this.runs + 1 < route.attempts;
+    }
+
     /** Passes the engine's own failure on, unless a part of an answer was given already or it could be taken for a promise. */
     private async passFailure(answer: BackendAnswer): Promise<RunEnd> {
         const body = await wholeBody(answer, shortAnswerLimit);
@@ -291,8 +300,7 @@
 
     private async stream(answer: BackendAnswer, signal: AbortSignal): Promise<RunEnd> {
         const { request, pass } = this;
-        const mayMove = request.route.resumable && this.runs + 1 < request.route.attempts;
-        const end = await pass.pass(answer, mayMove ? silenceLimit : undefined, signal);
+        const end = await pass.pass(answer, this.mayMove() ? silenceLimit : undefined, signal);
         if (end.kind === "broken") {
             return { kind: "lost", cause: end.cause };
         }
@@ -355,30 +363,12 @@
         return this.read !== undefined && this.now() - this.read.readAt < life;
     }
 
-    /** Frees the KV cache of a prompt that nobody will take: it keeps room from others until it lapses. */
     private dropRead(): void {
         const { read, parts } = this;
         this.read = undefined;
-        if (read === undefined || !parts.instances.get(read.engine.id)) {
-            return;
+        if (read !== undefined) {
+            freePrompt(parts, this.service, read);
         }
-        const call = parts.wire.dropHandle(read.handle);
-        const signal = AbortSignal.timeout(silenceLimit);
-        const headers = Object.entries(call.headers).flat();
-        const { method, path } = call;
-        void parts.connections.call(
-            { server: read.engine, method, path, headers, body: undefined, signal },
-            this.service.connectionLimit,
-            parts.gateways(),
-        ).then(result => {
-            if ("status" in result) {
-                result.body.on("error", () => undefined);
-                result.body.resume();
-            }
-            else {
-                parts.logger.warn("a prompt's KV cache wasn't freed; it lapses", { engine: read.engine.id, ...result });
-            }
-        });
     }
 
     private takeRepeat(): boolean {
--- a/packages/basilpaddle/src/node/daemon/gateway/timeLimit.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/timeLimit.ts
@@ -22,6 +22,11 @@
         return this.controller.signal;
     }
 
+    /** Ends the time now. */
+    cut(): void {
+        this.abort();
+    }
+
     /** Takes the limit off; to be called however its work ends. */
     end(): void {
         this.cancel();
