--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -17,6 +17,12 @@
             from: { path: root, pathNot: "__tests__" },
             to: { path: "__tests__" },
         },
+        {
+            name: "no-platform-in-product",
+            severity: "error",
+            from: { path: "^(packages|playground|simulation|scripts)/" },
+            to: { path: "^platform/" },
+        },
         {
             name: "no-simulation-in-code",
             severity: "error",
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -44,6 +44,20 @@
             }],
         },
     },
+    {
+        // The users' platform's names stand in one folder: nothing else may come to depend on its manner of speaking.
+        files: ["packages/**/*.ts", "playground/**/*.ts", "simulation/**/*.ts", "scripts/**/*.ts"],
+        rules: {
+            "no-restricted-syntax": ["error", {
+                selector: "Literal[raw='null']",
+                message: "Use undefined; null is kept out of the code.",
+            }, {
+                selector:
+                    "Literal[value=/attempt-id|deadline-milliseconds|server-seal|expected-instance|not-executed|kv-handle|cache-source|token-counts|transfer_handle|path_prefix|timeout_ms|heartbeat_address/i]",
+                message: "Names of the users' platform belong in platform/.",
+            }],
+        },
+    },
     {
         files: ["**/__tests__/**/*.ts"],
         rules: { "@typescript-eslint/no-unused-expressions": "off" },
