--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/decisions.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/decisions.spec.ts
@@ -91,6 +91,13 @@
         expect(taken.length).to.be.above(100);
     });
 
+    it("takes back a repeat that reached no server", () => {
+        const budget = RepeatBudget.create({ ratio: 0, window: 1_000, slack: 2 });
+        expect([budget.take(5_000, 1), budget.take(5_001, 1)]).to.deep.equal([true, false]);
+        budget.giveBack(5_002);
+        expect(budget.take(5_003, 1)).to.equal(true);
+    });
+
     it("forgets what is older than the window", () => {
         const budget = RepeatBudget.create({ ratio: 0, window: 1_000, slack: 2 });
         expect([budget.take(5_000, 1), budget.take(5_001, 1)]).to.deep.equal([true, false]);
--- a/packages/basilpaddle/src/node/coordination/gateway/repeatBudget.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/repeatBudget.ts
@@ -49,6 +49,13 @@
         return true;
     }
 
+    /** Gives a repeat back that reached no server after all. */
+    giveBack(now: number): void {
+        this.turn(now);
+        const position = this.slice % slices;
+        this.repeats[position] = Math.max(0, this.repeats[position]! - 1);
+    }
+
     private turn(now: number): void {
         const current = Math.floor(now / (this.rules.window / slices));
         if (this.slice === 0 || current - this.slice >= slices) {
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -1,7 +1,8 @@
-import type { Announced, PlaceDemand, ServiceRule } from "../../protocol/index.js";
+import type { Announced, ServiceRule } from "../../protocol/index.js";
 import { type BackendAnswer, discard, wholeBody } from "../backends/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 import { type ExchangeParts, Sender } from "./exchange.js";
+import { placeDemand } from "./placeDemand.js";
 import type { Place, PlacesClient } from "./placesClient.js";
 import { freePrompt, type ReadPrompt } from "./readPrompt.js";
 import { StreamPass } from "./streamPass.js";
@@ -15,18 +16,15 @@
 const handleLifePart = 0.7;
 /** Milliseconds after which a caller whom every engine turned away should come back. */
 const turnedAwayComeBack = 300;
-/** Times its target that a caller waits for the first event before it leaves, and the least such time in milliseconds. */
-const patienceFactor = 4;
-const leastPatience = 2_000;
 /** Milliseconds of silence of a stream after which its run is given up for lost, where it may go on elsewhere. */
 const silenceLimit = 1_200;
 /** Milliseconds for the head of a run's answer, where the run may be made elsewhere: an engine that is gone stays silent. */
 const headPatience = 1_500;
-/** Tokens of an answer that are expected where its caller gives no guess: the part of its most. */
-const usualAnswerPart = 0.6;
 const leastTime = 5;
 /** Engines that a prompt's KV cache is offered to before it counts as lapsed. */
 const mostOffers = 2;
+/** Engines that couldn't be connected to which don't count as turns. */
+const mostUnreached = 6;
 /** Milliseconds for word of a placed engine to come, and between two looks. */
 const unknownEnginePatience = 500;
 const unknownEnginePoll = 20;
@@ -60,6 +58,7 @@
     /** Times that the run was sent to a decode engine, and that the KV cache at hand was offered. */
     private sends = 0;
     private offers = 0;
+    private unreached = 0;
     private readsAtDecode = false;
     private readonly pass: StreamPass;
     private read: ReadPrompt | undefined;
@@ -111,7 +110,10 @@
         const { request, places } = this;
         this.turns += 1;
         const placedAt = this.now();
-        const place = await places.reserve(this.demand(), request.gone.signal);
+        const place = await places.reserve(
+            placeDemand(request, this.service.name, this.gateway, this.avoid),
+            request.gone.signal,
+        );
         if (place === undefined) {
             return;
         }
@@ -164,7 +166,8 @@
 
     private async readPrompt(prefill: Announced): Promise<boolean> {
         const { request, parts, places } = this;
-        if (this.reads > 0 && !this.takeRepeat()) {
+        const repeats = this.reads > 0;
+        if (repeats && !this.takeRepeat()) {
             this.refuse(turnedAwayComeBack, noRepeatLeft);
             return false;
         }
@@ -183,6 +186,10 @@
                 places.prefilled(request.attempt);
                 return true;
             }
+            if (sent.kind === "notRun" && sent.unreachable) {
+                this.reads -= 1;
+                this.noteUnreached(repeats);
+            }
             if (!request.isGone()) {
                 const cause = sent.kind === "answer" ? `status ${sent.answer.status}` : sent.cause;
                 this.again(prefill.id, `the prompt wasn't read: ${cause}`);
@@ -201,7 +208,8 @@
     }
 
     private async runAt(decode: Announced): Promise<string | undefined> {
-        if (this.sends > 0 && !this.takeRepeat()) {
+        const repeats = this.sends > 0;
+        if (repeats && !this.takeRepeat()) {
             this.refuse(turnedAwayComeBack, noRepeatLeft);
             return undefined;
         }
@@ -217,6 +225,10 @@
             case "failureGiven":
                 return undefined;
             case "turnedAway":
+                if (end.unreachable) {
+                    this.sends -= 1;
+                    this.noteUnreached(repeats);
+                }
                 return this.turnedAway(decode, end);
             case "lost":
                 this.runs += 1;
@@ -338,26 +350,6 @@
         }
     }
 
-    private demand(): PlaceDemand {
-        const { request, gateway } = this;
-        const { facts, route } = request;
-        const answer = Math.min(facts.maxTokens, facts.expectedTokens ?? Math.ceil(facts.maxTokens * usualAnswerPart));
-        const patience = Math.max(leastPatience, patienceFactor * route.target);
-        return {
-            attempt: request.attempt,
-            gateway: gateway.name,
-            service: this.service.name,
-            failureDomain: gateway.failureDomain,
-            promptTokens: facts.promptTokens,
-            cacheTokens: facts.promptTokens + answer,
-            priority: route.priority,
-            targetWithin: route.target - request.age(),
-            patienceWithin: Math.min(request.left(), patience - request.age()),
-            avoid: [...this.avoid],
-            resumed: request.hasBegun(),
-        };
-    }
-
     private hasFreshRead(): boolean {
         const life = (this.service.engine?.handleLife ?? 0) * handleLifePart;
         return this.read !== undefined && this.now() - this.read.readAt < life;
@@ -371,6 +363,18 @@
         }
     }
 
+    /**
+     * An engine that can't be connected to has seen nothing: it costs neither a repeat nor a turn. When a quarter of the
+     * engines crash at once, a request may meet several of them before word of it has come.
+     */
+    private noteUnreached(repeats: boolean): void {
+        this.unreached += 1;
+        this.turns -= this.unreached <= mostUnreached ? 1 : 0;
+        if (repeats) {
+            this.parts.budget(this.service.name).giveBack(this.now());
+        }
+    }
+
     private takeRepeat(): boolean {
         const { parts } = this;
         return parts.budget(this.service.name).take(this.now(), parts.gateways());
