--- /dev/null
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/directoryWatcher.spec.ts
@@ -0,0 +1,75 @@
+import { expect } from "chai";
+import { createSilentLogger, SystemClock } from "../../../utils/index.js";
+import { DirectoryWatcher } from "../directoryWatcher.js";
+import { FakeDirectories, until } from "./fakeDirectories.js";
+
+const names = ["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"];
+
+describe("the watcher of directories", () => {
+    let directories: FakeDirectories;
+    let watcher: DirectoryWatcher | undefined;
+    let documents: number[];
+
+    beforeEach(() => {
+        directories = FakeDirectories.create(names);
+        documents = [];
+    });
+
+    afterEach(() => watcher?.close());
+
+    function watch(seeds: readonly string[]): DirectoryWatcher {
+        watcher = DirectoryWatcher.create({
+            name: "gateway",
+            observer: false,
+            failureDomain: "b",
+            seeds: () => seeds,
+            network: directories,
+            clock: SystemClock.create(),
+            logger: createSilentLogger(),
+            onAnnounced: () => undefined,
+            onDocument: version => documents.push(version),
+        });
+        return watcher;
+    }
+
+    it("learns all directories from one, and reaches most of them only once it does", async () => {
+        directories.all[1]!.reachable = false;
+        directories.all[2]!.reachable = false;
+        const made = watch(names.slice(0, 1));
+        await until(() => made.gateways() === 2);
+        expect(made.reachesMajority()).to.equal(false);
+        directories.all[2]!.reachable = true;
+        await until(() => made.reachesMajority());
+    });
+
+    it("never takes an older configuration, whichever directory sends it", async () => {
+        directories.all[0]!.version = 5;
+        directories.all[1]!.version = 3;
+        directories.all[2]!.version = 4;
+        watch(names);
+        await until(() => documents.includes(5));
+        directories.all[1]!.version = 4;
+        await new Promise(resolve => setTimeout(resolve, 60));
+        expect(documents).to.deep.equal([...documents].sort((one, other) => one - other));
+        expect(documents.at(-1)).to.equal(5);
+    });
+
+    // Symptom: a gateway stays on an old configuration though others tell of a newer one.
+    // Sequence: the directory nearby, which brings configurations, is cut off from the group.
+    it("fetches from another directory what the one nearby doesn't have", async () => {
+        directories.all[1]!.failureDomain = "b";
+        const made = watch(names);
+        await until(() => made.reachesMajority());
+        directories.all[0]!.version = 9;
+        await until(() => documents.includes(9));
+        expect(directories.all[1]!.documentsSent).to.equal(0);
+    });
+
+    it("believes the leader that most of the directories name", async () => {
+        directories.all[0]!.leader = names[0]!;
+        directories.all[1]!.leader = names[2]!;
+        directories.all[2]!.leader = names[2]!;
+        const made = watch(names);
+        await until(() => made.reachesMajority() && made.leader() === names[2]);
+    });
+});
--- /dev/null
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/fakeDirectories.ts
@@ -0,0 +1,117 @@
+import { type Either, Left, Right } from "purify-ts";
+import { packText, type Placing, type Watch, type Watched } from "../../../protocol/index.js";
+import { Link, type LinkFailure, Network } from "../../../transport/index.js";
+
+/** Milliseconds for which a fake directory holds a watch without news. */
+const holdTime = 20;
+
+/** A directory as its watchers see it; the test changes what it says. */
+export class FakeDirectory {
+    version = -1;
+    failureDomain = "a";
+    leader: string | undefined;
+    reachable = true;
+    /** Whether it answers nothing about places, as a frozen one does. */
+    frozen = false;
+    readonly placings: Placing[] = [];
+    documentsSent = 0;
+
+    constructor(readonly name: string, private readonly members: () => readonly string[]) {}
+
+    async answer(body: unknown, timeout: number): Promise<Either<LinkFailure, unknown>> {
+        const message = body as { readonly kind: string; };
+        if (!this.reachable) {
+            await pause(Math.min(timeout, holdTime));
+            return Left({ kind: "unreachable", message: "cut" });
+        }
+        if (message.kind === "watch") {
+            return Right(await this.watch(body as Watch));
+        }
+        if (message.kind === "document") {
+            this.documentsSent += 1;
+            return Right({ version: this.version, packed: packText(`v${this.version}`) });
+        }
+        return this.place(body as Placing, timeout);
+    }
+
+    private async watch(watch: Watch): Promise<Watched> {
+        if (watch.version >= this.version) {
+            await pause(holdTime);
+        }
+        const newer = watch.wantsDocument && this.version > watch.version;
+        this.documentsSent += newer ? 1 : 0;
+        return {
+            incarnation: "one",
+            cursor: 0,
+            version: this.version,
+            ...newer ? { document: { version: this.version, packed: packText(`v${this.version}`) } } : {},
+            announced: [],
+            members: [...this.members()],
+            failureDomain: this.failureDomain,
+            ...this.leader === undefined ? {} : { leader: this.leader },
+            gateways: 2,
+        };
+    }
+
+    private async place(message: Placing, timeout: number): Promise<Either<LinkFailure, unknown>> {
+        this.placings.push(message);
+        if (this.frozen) {
+            await pause(timeout);
+            return Left({ kind: "timeout", message: "frozen" });
+        }
+        if (message.kind !== "place" || this.leader !== this.name) {
+            return Right({ kind: "elsewhere", leader: this.leader });
+        }
+        const { attempt } = message.demand;
+        return Right({ kind: "decided", term: 1, decision: { kind: "placed", attempt, decode: "by-leader" } });
+    }
+}
+
+/** Links to fake directories. */
+export class FakeDirectories extends Network {
+    readonly all: FakeDirectory[];
+
+    private constructor(names: readonly string[]) {
+        super();
+        this.all = names.map(name => new FakeDirectory(name, () => names));
+    }
+
+    static create(names: readonly string[]): FakeDirectories {
+        return new FakeDirectories(names);
+    }
+
+    override link(address: { readonly host: string; readonly port: number; }): Link {
+        return new FakeLink(this.all.find(one => one.name === `${address.host}:${address.port}`)!);
+    }
+}
+
+class FakeLink extends Link {
+    constructor(private readonly directory: FakeDirectory) {
+        super();
+    }
+
+    override request(body: unknown, timeout: number): Promise<Either<LinkFailure, unknown>> {
+        return this.directory.answer(body, timeout);
+    }
+
+    override send(body: unknown): void {
+        this.directory.placings.push(body as Placing);
+    }
+
+    override close(): void {}
+}
+
+/** Looks again and again; fails after a generous time. */
+export async function until(look: () => boolean): Promise<void> {
+    const end = performance.now() + 20_000;
+    while (!look()) {
+        if (performance.now() > end) {
+            throw new Error("it didn't come to be within 20 seconds");
+        }
+        await pause(5);
+    }
+}
+
+function pause(milliseconds: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
--- a/packages/basilpaddle/src/node/daemon/backends/index.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/index.ts
@@ -1,2 +1,3 @@
 export * from "./answers.js";
 export * from "./backendConnections.js";
+export * from "./engineCall.js";
--- a/packages/basilpaddle/src/node/daemon/directory/directoryWire.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryWire.ts
@@ -1,5 +1,6 @@
 import type { Either } from "purify-ts";
 import type { Announced, Finding, Traffic } from "../../protocol/index.js";
+import type { EngineCall } from "../backends/index.js";
 
 /** What a call to a directory asks for. */
 export type DirectoryCall =
@@ -11,14 +12,6 @@
     | { readonly kind: "readConfiguration"; }
     | { readonly kind: "unknown"; };
 
-/** An HTTP call to an engine. */
-export type EngineCall = {
-    readonly method: "POST" | "DELETE" | "GET";
-    readonly path: string;
-    readonly headers: Readonly<Record<string, string>>;
-    readonly body?: string;
-};
-
 /** An order to an engine to change its stage. */
 export type StageOrder = {
     readonly engine: Announced;
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/placesClient.spec.ts
@@ -0,0 +1,85 @@
+import { expect } from "chai";
+import { FakeDirectories, until } from "../../../coordination/gateway/__tests__/fakeDirectories.js";
+import { demand, engines, rule } from "../../../coordination/gateway/__tests__/fakes.js";
+import { DirectoryWatcher, InstanceTable } from "../../../coordination/index.js";
+import { createSilentLogger, SystemClock } from "../../../utils/index.js";
+import { PlacesClient } from "../placesClient.js";
+
+const name = "127.0.0.1:1";
+const open = new AbortController().signal;
+
+describe("a gateway that asks for places", () => {
+    let directories: FakeDirectories;
+    let watcher: DirectoryWatcher;
+    let places: PlacesClient;
+
+    beforeEach(async () => {
+        directories = FakeDirectories.create([name]);
+        directories.all[0]!.leader = name;
+        const clock = SystemClock.create();
+        const logger = createSilentLogger();
+        const instances = InstanceTable.create();
+        engines(1, 2).forEach(engine => instances.take(engine));
+        watcher = DirectoryWatcher.create({
+            name: "gateway",
+            observer: false,
+            failureDomain: "a",
+            seeds: () => [name],
+            network: directories,
+            clock,
+            logger,
+            onAnnounced: () => undefined,
+        });
+        places = PlacesClient.create({ name: "gateway", watcher, instances, engineRule: () => rule, clock, logger });
+        await until(() => watcher.leader() === name);
+    });
+
+    afterEach(() => {
+        places.close();
+        watcher.close();
+    });
+
+    const asked = (): number => directories.all[0]!.placings.filter(placing => placing.kind === "place").length;
+
+    it("gets them from the leader", async () => {
+        expect(await places.reserve(demand("one"), open)).to.include({ decode: "by-leader", by: "leader" });
+    });
+
+    // Symptom: while the leader is frozen every first event comes a second late.
+    // Sequence: the leader's host stops; each request asks it and waits for its whole patience, some of them twice.
+    it("places alone when the leader is silent, and doesn't have each request find that out", async () => {
+        directories.all[0]!.frozen = true;
+        expect(await places.reserve(demand("one"), open)).to.include({ by: "alone" });
+        const before = asked();
+        const next = await Promise.all(["two", "three", "four"].map(attempt => places.reserve(demand(attempt), open)));
+        expect(next.map(place => place?.kind === "placed" && place.by)).to.deep.equal(["alone", "alone", "alone"]);
+        expect(asked() - before).to.be.at.most(1);
+    });
+
+    it("asks the leader again after a while, and tells it what was placed meanwhile", async () => {
+        directories.all[0]!.frozen = true;
+        await places.reserve(demand("one"), open);
+        directories.all[0]!.frozen = false;
+        let number = 0;
+        let by: string | undefined;
+        while (by !== "leader") {
+            number += 1;
+            const place = await places.reserve(demand(`next-${number}`), open);
+            by = place?.kind === "placed" ? place.by : undefined;
+            places.release(`next-${number}`);
+            await new Promise(resolve => setTimeout(resolve, 20));
+        }
+        const lists = directories.all[0]!.placings.filter(placing => placing.kind === "holdings");
+        expect(lists.some(list => list.kind === "holdings" && list.held.some(held => held.demand.attempt === "one"))).to
+            .equal(true);
+    });
+
+    it("takes the demand of a caller back who has gone", async () => {
+        const caller = new AbortController();
+        directories.all[0]!.frozen = true;
+        const reserved = places.reserve(demand("one"), caller.signal);
+        caller.abort();
+        expect(await reserved).to.equal(undefined);
+        expect(directories.all[0]!.placings.at(-1)).to.deep.equal({ kind: "withdraw", attempt: "one" });
+    });
+});
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayWire.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayWire.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Either } from "purify-ts";
 import type { Finding, Traffic } from "../../protocol/index.js";
-import type { EngineCall } from "../directory/directoryWire.js";
+import type { EngineCall } from "../backends/index.js";
 
 /** What a caller says of its request beside method, path and body. */
 export type CallerFacts = {
--- a/packages/basilpaddle/src/node/daemon/start/routingStart.ts
+++ b/packages/basilpaddle/src/node/daemon/start/routingStart.ts
@@ -122,16 +122,11 @@
     }
 }
 
-class RunningGateway extends AssembledDaemon {
-    private daemon: GatewayDaemon | undefined;
+/** What gateways and directories have in common as running daemons: seeds that are read again, and metrics. */
+abstract class RunningRouting extends AssembledDaemon {
     private stopping: Promise<ShutdownReport> | undefined;
 
-    constructor(
-        private readonly settings: GatewaySettings,
-        private readonly file: string,
-        private readonly wire: GatewayWire,
-        logger: Logger,
-    ) {
+    constructor(private readonly common: RoutingSettings, private readonly file: string, logger: Logger) {
         super(logger);
     }
 
@@ -141,65 +136,70 @@
     }
 
     protected override async openParts(): Promise<void> {
-        const { settings, wire, clock, logger, metrics } = this;
-        const reload = SeedReload.create(settings, this.file, logger);
-        this.store.add(() => reload.close());
-        this.daemon = await GatewayDaemon.create({
-            settings,
-            seeds: () => reload.seeds(),
-            wire,
-            clock,
-            logger,
-            metrics,
-        });
-        await serveMetrics(this.store, settings, metrics, logger);
+        const { common, logger, metrics, store } = this;
+        const reload = SeedReload.create(common, this.file, logger);
+        store.add(() => reload.close());
+        await this.openDaemon(() => reload.seeds());
+        await serveMetrics(store, common, metrics, logger);
     }
 
+    /** Opens the daemon itself. */
+    protected abstract openDaemon(seeds: () => readonly string[]): Promise<void>;
+
+    /** Shuts the daemon down in order. Gives the number of requests that were cut off. */
+    protected abstract closeDaemon(): Promise<number>;
+
     private async shutDown(): Promise<ShutdownReport> {
-        const cut = await this.daemon?.close() ?? 0;
+        const cut = await this.closeDaemon();
         await this.store.dispose();
         return { cut: new Array<string>(cut).fill("request") };
     }
 }
 
-class RunningDirectory extends AssembledDaemon {
+class RunningGateway extends RunningRouting {
+    private daemon: GatewayDaemon | undefined;
+
+    constructor(
+        private readonly settings: GatewaySettings,
+        file: string,
+        private readonly wire: GatewayWire,
+        logger: Logger,
+    ) {
+        super(settings, file, logger);
+    }
+
+    protected override async openDaemon(seeds: () => readonly string[]): Promise<void> {
+        const { settings, wire, clock, logger, metrics } = this;
+        this.daemon = await GatewayDaemon.create({ settings, seeds, wire, clock, logger, metrics });
+    }
+
+    protected override async closeDaemon(): Promise<number> {
+        return await this.daemon?.close() ?? 0;
+    }
+}
+
+class RunningDirectory extends RunningRouting {
     private daemon: DirectoryDaemon | undefined;
-    private stopping: Promise<ShutdownReport> | undefined;
 
     constructor(
         private readonly settings: DirectorySettings,
-        private readonly file: string,
+        file: string,
         private readonly wire: DirectoryWire,
         logger: Logger,
     ) {
-        super(logger);
-    }
-
-    override stop(): Promise<ShutdownReport> {
-        this.stopping ??= this.shutDown();
-        return this.stopping;
+        super(settings, file, logger);
     }
 
-    protected override async openParts(): Promise<void> {
-        const { settings, wire, clock, logger } = this;
-        const reload = SeedReload.create(settings, this.file, logger);
-        this.store.add(() => reload.close());
-        this.daemon = await DirectoryDaemon.create({
-            settings,
-            seeds: () => reload.seeds(),
-            wire,
-            clock,
-            randomness: HostRandomness.create(settings.name),
-            logger,
-        });
-        const { daemon, metrics } = this;
+    protected override async openDaemon(seeds: () => readonly string[]): Promise<void> {
+        const { settings, wire, clock, logger, metrics } = this;
+        const randomness = HostRandomness.create(settings.name);
+        const daemon = await DirectoryDaemon.create({ settings, seeds, wire, clock, randomness, logger });
+        this.daemon = daemon;
         this.store.add(metrics.onCollect(() => daemon.measure(metrics)));
-        await serveMetrics(this.store, settings, metrics, logger);
     }
 
-    private async shutDown(): Promise<ShutdownReport> {
+    protected override async closeDaemon(): Promise<number> {
         await this.daemon?.close();
-        await this.store.dispose();
-        return { cut: [] };
+        return 0;
     }
 }
--- a/packages/basilpaddle/src/node/index.ts
+++ b/packages/basilpaddle/src/node/index.ts
@@ -1,4 +1,5 @@
 export * from "./coordination/index.js";
+export type { EngineCall } from "./daemon/backends/index.js";
 export * from "./daemon/control/index.js";
 export * from "./daemon/directory/index.js";
 export * from "./daemon/entry/index.js";
