fix(gateway): count a reading that broke off, and share the allowance by the most gateways seen

A reading that breaks off or is refused is an arrival, so the run after it is a repeat; it was taken for the first. And a directory that has just started counts few gateways, so each took too large a share of the slack. Ruled out: the window (its property test holds for any 10 s).

--- a/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
@@ -11,6 +11,11 @@
 const documentGrace = 150;
 /** Milliseconds for a configuration to come. */
 const documentPatience = 1_000;
+/** Milliseconds for which the largest count of gateways is kept: two windows of the allowance that they share. */
+const countMemory = 20_000;
+/** Milliseconds after the start in which counts aren't trusted, and the gateways that are assumed meanwhile. */
+const usualSettleTime = 4_000;
+const unsettledGateways = 100;
 /** Milliseconds after which a directory that nobody names any more is forgotten. */
 const forgetAfter = 20_000;
 
@@ -25,6 +30,8 @@
     readonly network: Network;
     readonly clock: Clock;
     readonly logger: Logger;
+    /** Milliseconds after the start in which the count of gateways isn't trusted. @default 4000 */
+    readonly settleTime?: number | undefined;
     readonly onAnnounced: (announced: Announced) => void;
     /** Gets each configuration that is newer than all before; without it none is fetched. */
     readonly onDocument?: (version: number, content: string) => void;
@@ -53,9 +60,14 @@
 export class DirectoryWatcher {
     private readonly known = new Map<string, Known>();
     private version = -1;
+    private most = 1;
+    private mostAt = 0;
+    private readonly startedAt: number;
     private closed = false;
 
-    private constructor(private readonly options: DirectoryWatcherOptions) {}
+    private constructor(private readonly options: DirectoryWatcherOptions) {
+        this.startedAt = options.clock.monotonic();
+    }
 
     static create(options: DirectoryWatcherOptions): DirectoryWatcher {
         const watcher = new DirectoryWatcher(options);
@@ -84,6 +96,21 @@
         return Math.max(1, ...this.reached().map(directory => directory.gateways));
     }
 
+    /**
+     * Most gateways that were told of lately. A directory that has just started counts those that have come back so far;
+     * by its count each gateway would take a share of what all have that is many times too large.
+     */
+    mostGateways(): number {
+        const now = this.options.clock.monotonic();
+        const current = this.gateways();
+        if (current >= this.most || now - this.mostAt > countMemory) {
+            this.most = current;
+            this.mostAt = now;
+        }
+        const unsettled = now - this.startedAt < (this.options.settleTime ?? usualSettleTime);
+        return unsettled ? Math.max(this.most, unsettledGateways) : this.most;
+    }
+
     /** Whether more than half of the directories that are named have answered their last watch. */
     reachesMajority(): boolean {
         const reached = this.reached();
--- a/packages/basilpaddle/src/node/daemon/gateway/exchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/exchange.ts
@@ -27,6 +27,8 @@
     readonly budget: (service: string) => RepeatBudget;
     /** Gateways of the deployment. */
     readonly gateways: () => number;
+    /** Gateways that share the allowance for repeats: never fewer than there may be. */
+    readonly repeatSharers: () => number;
 };
 
 /** What came of sending a request to one backend server. */
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -36,6 +36,8 @@
     readonly logger: Logger;
     readonly metrics: Metrics;
     readonly network?: Network;
+    /** Milliseconds after the start in which the count of gateways isn't trusted. @default 4000 */
+    readonly settleTime?: number;
 };
 
 /** Takes callers' requests and has them answered by backend servers. It has no state that must survive. */
@@ -65,6 +67,7 @@
             network: options.network ?? TcpNetwork.create(logger),
             clock,
             logger,
+            settleTime: options.settleTime,
             onAnnounced: announced => this.instances.take(announced),
             onDocument: (version, content) => this.configure(version, content),
         });
@@ -88,6 +91,7 @@
             metrics,
             budget: service => this.budget(service),
             gateways: () => this.watcher.gateways(),
+            repeatSharers: () => this.watcher.mostGateways(),
         };
     }
 
--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -65,7 +65,7 @@
                 break;
             }
             const server = this.nextServer() ?? (turn === 0 ? await this.firstServer() : undefined);
-            if (server === undefined || (turn > 0 && !budget.take(clock.monotonic(), parts.gateways()))) {
+            if (server === undefined || (turn > 0 && !budget.take(clock.monotonic(), parts.repeatSharers()))) {
                 break;
             }
             const verdict = await this.ask(server);
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -1,5 +1,6 @@
 import type { Announced, ServiceRule } from "../../protocol/index.js";
 import { type BackendAnswer, discard, wholeBody } from "../backends/index.js";
+import { Arrivals } from "./arrivals.js";
 import type { CallerRequest } from "./callerRequest.js";
 import { type ExchangeParts, Sender } from "./exchange.js";
 import { placeDemand } from "./placeDemand.js";
@@ -53,14 +54,13 @@
     private readonly path: string[] = [];
     private readonly avoid: string[] = [];
     private runs = 0;
-    private reads = 0;
     private turns = 0;
-    /** Times that the run was sent to a decode engine, and that the KV cache at hand was offered. */
-    private sends = 0;
+    /** Times that the KV cache at hand was offered. */
     private offers = 0;
     private unreached = 0;
     private readsAtDecode = false;
     private readonly pass: StreamPass;
+    private readonly arrivals: Arrivals;
     private read: ReadPrompt | undefined;
 
     private constructor(
@@ -71,6 +71,7 @@
         private readonly service: ServiceRule,
     ) {
         this.sender = Sender.create(parts);
+        this.arrivals = Arrivals.create(parts.budget(service.name), () => this.now(), parts.repeatSharers);
         this.pass = StreamPass.create(request, () => {
             places.prefilled(request.attempt);
             this.path.push(`first ${Math.round(request.age())}`);
@@ -166,12 +167,11 @@
 
     private async readPrompt(prefill: Announced): Promise<boolean> {
         const { request, parts, places } = this;
-        const repeats = this.reads > 0;
-        if (repeats && !this.takeRepeat()) {
+        const arrive = this.arrivals.begin();
+        if (arrive === undefined) {
             this.refuse(turnedAwayComeBack, noRepeatLeft);
             return false;
         }
-        this.reads += 1;
         const startedAt = this.now();
         const limit = TimeLimit.create(parts.clock, this.readingLimit(), request.gone.signal);
         try {
@@ -186,10 +186,9 @@
                 places.prefilled(request.attempt);
                 return true;
             }
-            if (sent.kind === "notRun" && sent.unreachable) {
-                this.reads -= 1;
-                this.noteUnreached(repeats);
-            }
+            const unreached = sent.kind === "notRun" && sent.unreachable;
+            arrive(unreached ? "unreached" : handle === undefined ? "counted" : "read");
+            this.noteUnreached(unreached);
             if (!request.isGone()) {
                 const cause = sent.kind === "answer" ? `status ${sent.answer.status}` : sent.cause;
                 this.again(prefill.id, `the prompt wasn't read: ${cause}`);
@@ -208,14 +207,16 @@
     }
 
     private async runAt(decode: Announced): Promise<string | undefined> {
-        const repeats = this.sends > 0;
-        if (repeats && !this.takeRepeat()) {
+        const arrive = this.arrivals.begin();
+        if (arrive === undefined) {
             this.refuse(turnedAwayComeBack, noRepeatLeft);
             return undefined;
         }
-        this.sends += 1;
         const startedAt = this.now();
         const end = await this.runOnce(decode);
+        const unreached = end.kind === "turnedAway" && end.unreachable;
+        arrive(unreached ? "unreached" : "counted");
+        this.noteUnreached(unreached);
         this.path.push(`run ${decode.id} ${end.kind} ${this.since(startedAt)}`);
         if (this.request.isGone()) {
             return undefined;
@@ -225,10 +226,6 @@
             case "failureGiven":
                 return undefined;
             case "turnedAway":
-                if (end.unreachable) {
-                    this.sends -= 1;
-                    this.noteUnreached(repeats);
-                }
                 return this.turnedAway(decode, end);
             case "lost":
                 this.runs += 1;
@@ -364,22 +361,16 @@
     }
 
     /**
-     * An engine that can't be connected to has seen nothing: it costs neither a repeat nor a turn. When a quarter of the
+     * An engine that can't be connected to has seen nothing, and costs no turn. When a quarter of the
      * engines crash at once, a request may meet several of them before word of it has come.
      */
-    private noteUnreached(repeats: boolean): void {
-        this.unreached += 1;
-        this.turns -= this.unreached <= mostUnreached ? 1 : 0;
-        if (repeats) {
-            this.parts.budget(this.service.name).giveBack(this.now());
+    private noteUnreached(unreached: boolean): void {
+        if (unreached) {
+            this.unreached += 1;
+            this.turns -= this.unreached <= mostUnreached ? 1 : 0;
         }
     }
 
-    private takeRepeat(): boolean {
-        const { parts } = this;
-        return parts.budget(this.service.name).take(this.now(), parts.gateways());
-    }
-
     private since(startedAt: number): number {
         return Math.round(this.now() - startedAt);
     }
