feat(soak): a fault soak over the real programs

The users ask for a randomised soak that runs the programs as separate processes and injects faults from outside. A plan follows from its seed: kills, pauses, stops, lost disks, torn logs, replaced directories, cuts in both ways and one way, halves, slow and reset links, changed seeds, backend servers that crash, go dark, turn slow or leave, and configurations that change, race or are invalid; they overlap and come in series. Callers, backend servers and operators note what they see, and promises are held against it.

Daemons may now listen on and connect from another host than the one that they are known by (bindHost): behind a relay or an address translation, and so that the soak can cut one pair of daemons from each other.

platform/src/standins holds the other side of the platform's wire, so that its names stay in one folder.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -46,7 +46,7 @@
     },
     {
         // The users' platform's names stand in one folder: nothing else may come to depend on its manner of speaking.
-        files: ["packages/**/*.ts", "playground/**/*.ts", "simulation/**/*.ts", "scripts/**/*.ts"],
+        files: ["packages/**/*.ts", "playground/**/*.ts", "simulation/**/*.ts", "scripts/**/*.ts", "soak/**/*.ts"],
         rules: {
             "no-restricted-syntax": ["error", {
                 selector: "Literal[raw='null']",
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -82,7 +82,7 @@
     /** Opens the group's replica and listens. */
     static async create(options: DirectoryDaemonOptions): Promise<DirectoryDaemon> {
         const { settings, clock, randomness, logger } = options;
-        const network = options.network ?? TcpNetwork.create(logger);
+        const network = options.network ?? TcpNetwork.create(logger, settings.bindHost);
         const group = await DocumentGroup.create({
             name: `${settings.host}:${settings.peerPort}`,
             seeds: options.seeds ?? (() => seedNames(settings)),
@@ -148,7 +148,7 @@
     private async open(): Promise<void> {
         const { settings, logger, wire, clock } = this.options;
         const peers = await TcpServer.create({
-            host: settings.host,
+            host: settings.bindHost ?? settings.host,
             port: settings.peerPort,
             handler: body => this.onPeer(body),
             logger,
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -64,7 +64,7 @@
             observer: false,
             failureDomain: settings.failureDomain,
             seeds: options.seeds ?? (() => seedNames(settings)),
-            network: options.network ?? TcpNetwork.create(logger),
+            network: options.network ?? TcpNetwork.create(logger, settings.bindHost),
             clock,
             logger,
             settleTime: options.settleTime,
--- a/packages/basilpaddle/src/node/daemon/start/routingStart.ts
+++ b/packages/basilpaddle/src/node/daemon/start/routingStart.ts
@@ -65,7 +65,10 @@
     logger: Logger,
 ): Promise<void> {
     try {
-        const server = await MetricsServer.create({ host: settings.host, port: settings.metricsPort }, metrics);
+        const server = await MetricsServer.create({
+            host: settings.bindHost ?? settings.host,
+            port: settings.metricsPort,
+        }, metrics);
         store.add(() => server.close());
         logger.info("metrics are served", { port: server.port() });
     }
--- a/packages/basilpaddle/src/node/protocol/gatewaySettings.ts
+++ b/packages/basilpaddle/src/node/protocol/gatewaySettings.ts
@@ -17,6 +17,11 @@
     failureDomain: z.string().min(1),
     /** The host's address, by which other daemons reach it. */
     host: z.ipv4(),
+    /**
+     * Host that this daemon listens on and connects from, where others know it by another one: behind a relay or an
+     * address translation. @default host
+     */
+    bindHost: z.ipv4().optional(),
     /** Port for framed TCP between daemons; the same on all hosts. */
     peerPort: z.int().min(1).max(65_535),
     /** A few directories to begin with. Only their hosts matter: other daemons reach them on `peerPort`. */
--- a/packages/basilpaddle/src/node/transport/tcpLink.ts
+++ b/packages/basilpaddle/src/node/transport/tcpLink.ts
@@ -28,16 +28,17 @@
 
 /** Links over TCP. */
 export class TcpNetwork extends Network {
-    private constructor(private readonly logger: Logger) {
+    private constructor(private readonly logger: Logger, private readonly source: string | undefined) {
         super();
     }
 
-    static create(logger: Logger): TcpNetwork {
-        return new TcpNetwork(logger);
+    /** `source`: the host's own address that connections leave from; the system chooses where none is given. */
+    static create(logger: Logger, source?: string): TcpNetwork {
+        return new TcpNetwork(logger, source);
     }
 
     override link(address: { readonly host: string; readonly port: number; }): Link {
-        return TcpLink.create(address, this.logger);
+        return TcpLink.create(address, this.logger, this.source);
     }
 }
 
@@ -51,12 +52,17 @@
     private constructor(
         private readonly address: { readonly host: string; readonly port: number; },
         private readonly logger: Logger,
+        private readonly source: string | undefined,
     ) {
         super();
     }
 
-    static create(address: { readonly host: string; readonly port: number; }, logger: Logger): TcpLink {
-        return new TcpLink(address, logger);
+    static create(
+        address: { readonly host: string; readonly port: number; },
+        logger: Logger,
+        source: string | undefined,
+    ): TcpLink {
+        return new TcpLink(address, logger, source);
     }
 
     override async request(body: unknown, timeout: number): Promise<Either<LinkFailure, unknown>> {
@@ -115,7 +121,12 @@
 
     private open(): Promise<Either<LinkFailure, net.Socket>> {
         return new Promise(resolve => {
-            const socket = net.connect({ host: this.address.host, port: this.address.port, noDelay: true });
+            const socket = net.connect({
+                host: this.address.host,
+                port: this.address.port,
+                noDelay: true,
+                localAddress: this.source,
+            });
             const cancel = afterPoll(connectTimeout, () => {
                 socket.destroy(new Error(`no connection to ${this.name()} in ${connectTimeout} ms`));
             });
--- a/playground/harness/program.ts
+++ b/playground/harness/program.ts
@@ -31,9 +31,10 @@
         });
     }
 
-    /** Starts Node with the arguments. */
-    static create(name: string, args: readonly string[]): Program {
-        return new Program(name, spawn(process.execPath, args, { stdio: ["ignore", "pipe", "pipe"] }));
+    /** Starts Node with the arguments, and with variables beside those of this process. */
+    static create(name: string, args: readonly string[], variables: Readonly<Record<string, string>> = {}): Program {
+        const env = { ...process.env, ...variables };
+        return new Program(name, spawn(process.execPath, args, { env, stdio: ["ignore", "pipe", "pipe"] }));
     }
 
     /** All that it has written. */
--- a/playground/harness/relay.ts
+++ b/playground/harness/relay.ts
@@ -3,10 +3,14 @@
 type Address = { readonly host: string; readonly port: number; };
 /** The way of bytes through a relay: from whoever connected, or to it. */
 export type Direction = "there" | "back";
+const bothWays: readonly Direction[] = ["there", "back"];
 
 /** One connection that came to a relay, and the one that it made for it. */
 class Passage {
     private readonly silent = new Set<Direction>();
+    private delay = 0;
+    /** When the last delayed bytes of a direction are due: bytes never overtake each other. */
+    private readonly dueAt: Record<Direction, number> = { there: 0, back: 0 };
 
     constructor(
         private readonly from: net.Socket,
@@ -17,13 +21,24 @@
         this.carry("back", to, from);
     }
 
+    /** Host that the connection came from. */
+    get source(): string {
+        return this.from.remoteAddress ?? "";
+    }
+
     /** Bytes stay where they are, and so does the word that a side has closed: nobody hears that anything is wrong. */
     silence(direction: Direction): void {
         this.silent.add(direction);
-        this.source(direction).pause();
+        this.sender(direction).pause();
+    }
+
+    /** Lets bytes wait for so many milliseconds. */
+    slow(delay: number): void {
+        this.delay = delay;
     }
 
     heal(): void {
+        this.delay = 0;
         this.silent.clear();
         if (this.from.destroyed || this.to.destroyed) {
             this.destroy();
@@ -33,53 +48,83 @@
         this.to.resume();
     }
 
+    /** Ends both sides with a reset: a plain end would pass for an end in good order. */
+    reset(): void {
+        this.from.resetAndDestroy();
+        this.to.resetAndDestroy();
+        this.onEnd();
+    }
+
     destroy(): void {
         this.from.destroy();
         this.to.destroy();
         this.onEnd();
     }
 
-    private source(direction: Direction): net.Socket {
+    private sender(direction: Direction): net.Socket {
         return direction === "there" ? this.from : this.to;
     }
 
     private carry(direction: Direction, source: net.Socket, sink: net.Socket): void {
         source.on("data", chunk => {
-            if (!sink.write(chunk)) {
-                source.pause();
-            }
+            this.later(direction, () => {
+                if (!sink.destroyed && !sink.write(chunk)) {
+                    source.pause();
+                }
+            });
         });
         sink.on("drain", () => {
             if (!this.silent.has(direction)) {
                 source.resume();
             }
         });
-        source.on("error", () => undefined);
-        source.on("end", () => sink.end());
+        source.on("error", (error: NodeJS.ErrnoException) => {
+            if (error.code === "ECONNRESET") {
+                this.reset();
+            }
+        });
+        source.on("end", () => this.later(direction, () => sink.end()));
         source.on("close", () => {
             if (this.silent.size === 0) {
-                this.destroy();
+                this.later(direction, () => this.destroy());
             }
         });
     }
+
+    private later(direction: Direction, act: () => void): void {
+        const now = performance.now();
+        const due = Math.max(this.dueAt[direction], now + this.delay);
+        this.dueAt[direction] = due;
+        if (due <= now) {
+            act();
+        }
+        else {
+            setTimeout(act, due - now);
+        }
+    }
 }
 
-/** A TCP relay that can go silent, in one direction or both, without closing a connection, as a cut network does. */
+/**
+ * A TCP relay that does what a bad network does: goes silent in one direction or both without closing a connection, for
+ * everybody or for one source only, delays, and resets.
+ */
 export class Relay {
     private readonly passages = new Set<Passage>();
-    private readonly silent = new Set<Direction>();
+    /** Directions that are silent, by source; the empty source stands for everybody. */
+    private readonly silent = new Map<string, Set<Direction>>();
+    private delay = 0;
     private target: Address | undefined;
 
     private constructor(private readonly server: net.Server) {
         server.on("connection", socket => this.pass(socket));
     }
 
-    /** Listens on a port that the system chooses. */
-    static async create(host: string): Promise<Relay> {
-        const server = net.createServer({ noDelay: true });
+    /** Listens; with port 0 the system chooses one. */
+    static async create(host: string, port = 0): Promise<Relay> {
+        const server = net.createServer({ noDelay: true, allowHalfOpen: true });
         await new Promise<void>((resolve, reject) => {
             server.once("error", reject);
-            server.listen(0, host, resolve);
+            server.listen(port, host, resolve);
         });
         return new Relay(server);
     }
@@ -97,31 +142,68 @@
 
     /** Lets nothing through any more, over old connections and new ones; over all directions when none is named. */
     silence(...directions: readonly Direction[]): void {
-        for (const direction of directions.length === 0 ? ["there", "back"] as const : directions) {
-            this.silent.add(direction);
-            this.passages.forEach(passage => passage.silence(direction));
+        this.silenceFrom("", ...directions);
+    }
+
+    /** The same for connections that come from one host. */
+    silenceFrom(source: string, ...directions: readonly Direction[]): void {
+        const silent = this.silent.get(source) ?? new Set<Direction>();
+        this.silent.set(source, silent);
+        for (const direction of directions.length === 0 ? bothWays : directions) {
+            silent.add(direction);
         }
+        this.passages.forEach(passage => this.impair(passage));
+    }
+
+    /** Lets bytes wait for so many milliseconds, on old connections and new ones. */
+    slow(delay: number): void {
+        this.delay = delay;
+        this.passages.forEach(passage => passage.slow(delay));
+    }
+
+    /** Resets every open connection. */
+    reset(): void {
+        [...this.passages].forEach(passage => passage.reset());
     }
 
     /** Lets everything through again, what waited first. */
     heal(): void {
         this.silent.clear();
+        this.delay = 0;
         this.passages.forEach(passage => passage.heal());
     }
 
+    /** The same for connections that come from one host. */
+    healFrom(source: string): void {
+        this.silent.delete(source);
+        this.passages.forEach(passage => {
+            if (passage.source === source) {
+                passage.heal();
+                this.impair(passage);
+            }
+        });
+    }
+
     close(): void {
         this.server.close();
         this.passages.forEach(passage => passage.destroy());
     }
 
+    private impair(passage: Passage): void {
+        passage.slow(this.delay);
+        for (const source of ["", passage.source]) {
+            this.silent.get(source)?.forEach(direction => passage.silence(direction));
+        }
+    }
+
     private pass(from: net.Socket): void {
         if (this.target === undefined) {
             from.destroy();
             return;
         }
-        const to = net.connect({ ...this.target, noDelay: true });
+        const to = net.connect({ ...this.target, noDelay: true, allowHalfOpen: true });
         const passage: Passage = new Passage(from, to, () => this.passages.delete(passage));
         this.passages.add(passage);
-        this.silent.forEach(direction => passage.silence(direction));
+        this.impair(passage);
     }
 }
--- /dev/null
+++ b/soak/__tests__/plan.spec.ts
@@ -0,0 +1,19 @@
+import { expect } from "chai";
+import { createPlan, faultKinds } from "../plan.js";
+
+describe("plans of the soak", () => {
+    it("follow from their seed alone", () => {
+        expect(createPlan(7)).to.deep.equal(createPlan(7));
+        expect(createPlan(7).faults).not.to.deep.equal(createPlan(8).faults);
+    });
+
+    it("bring every kind of fault, some of them overlapping and some in series", () => {
+        const plans = Array.from({ length: 50 }, (_, seed) => createPlan(seed));
+        const faults = plans.flatMap(plan => plan.faults);
+        expect(new Set(faults.map(({ kind }) => kind)).size).to.equal(faultKinds.length);
+        const pairs = plans.flatMap(plan => plan.faults.slice(1).map((fault, index) => [plan.faults[index]!, fault]));
+        expect(pairs.some(([one, next]) => one!.at + one!.lasts > next!.at)).to.equal(true);
+        expect(pairs.some(([one, next]) => one!.at + one!.lasts < next!.at)).to.equal(true);
+        expect(pairs.some(([one, next]) => one!.kind === next!.kind)).to.equal(true);
+    });
+});
--- /dev/null
+++ b/soak/__tests__/soak.spec.ts
@@ -0,0 +1,26 @@
+import { expect } from "chai";
+import { createPlan } from "../plan.js";
+import { regressions } from "../regressions.js";
+import { runSoak } from "../run.js";
+
+const shortSeeds = [1, 2];
+const shortSeconds = 6;
+
+describe("the fault soak", function() {
+    this.timeout(180_000);
+
+    for (const seed of shortSeeds) {
+        it(`keeps every promise in a short run of seed ${seed}`, async () => {
+            const report = await runSoak(createPlan(seed, { seconds: shortSeconds }));
+            expect(report.breaches, report.faults.join("\n")).to.deep.equal([]);
+            expect(report.ends["200"]).to.be.above(50);
+        });
+    }
+
+    for (const { seed, cause } of regressions) {
+        it(`keeps every promise with seed ${seed}: ${cause}`, async () => {
+            const report = await runSoak(createPlan(seed));
+            expect(report.breaches, report.faults.join("\n")).to.deep.equal([]);
+        });
+    }
+});
--- /dev/null
+++ b/soak/backend.ts
@@ -0,0 +1,293 @@
+import * as http from "node:http";
+import type { AddressInfo } from "node:net";
+import {
+    announcementCall,
+    answerHeaders,
+    freedHandle,
+    leavePath,
+    notRunHeaders,
+    readAnswer,
+    receivedOrder,
+    type ReceivedRequest,
+    receivedRequest,
+} from "../platform/src/standins/wire.js";
+import { Relay } from "../playground/harness/relay.js";
+import type { Promises } from "./promises.js";
+import { eventCount, eventText, plainText } from "./texts.js";
+
+/** Milliseconds to read a prompt, to answer a plain request, and between two events. */
+const readTime = 30;
+const plainTime = 15;
+const eventTime = 40;
+/** Milliseconds that a prompt's KV cache is kept. */
+export const handleLife = 500;
+/** Milliseconds between two heartbeats. */
+const heartbeatInterval = 600;
+/** Milliseconds for a directory to acknowledge one, before the next is asked. */
+const heartbeatPatience = 1_000;
+/** Milliseconds that a backend server goes on after its leaving was acknowledged. */
+const drainTime = 4_500;
+/** Milliseconds that a change of stage takes. */
+const stageTime = 1_000;
+const plainSlots = 12;
+
+/** What a stand-in is made of. */
+export type BackendOptions = {
+    readonly id: string;
+    readonly service: "plain" | "pool";
+    readonly stage: "prefill" | "decode" | undefined;
+    readonly failureDomain: string;
+    readonly host: string;
+    /** Addresses where directories take heartbeats, in the order of asking. */
+    readonly directories: () => readonly string[];
+    readonly promises: Promises;
+};
+
+/** A backend server behind a relay: an engine of the pool or a plain server. It notes what runs on it. */
+export class Backend {
+    /** How many times longer it takes for its work. */
+    slowness = 1;
+    /** Whether prompts' KV caches lapse as soon as they are made. */
+    lapses = false;
+    private readonly handles = new Map<string, string>();
+    private readonly resting = new Set<NodeJS.Timeout>();
+    private stage: "prefill" | "decode" | undefined;
+    private state: "ready" | "draining" = "ready";
+    private sequence = 0;
+    private running = 0;
+    private gone = false;
+    private lastFence = 0;
+    private made = 0;
+
+    private constructor(
+        private readonly options: BackendOptions,
+        private readonly server: http.Server,
+        readonly relay: Relay,
+    ) {
+        this.stage = options.stage;
+        server.on("request", (request, response) => void this.receive(request, response));
+    }
+
+    /** Starts one, which announces itself from now on. */
+    static async create(options: BackendOptions): Promise<Backend> {
+        const server = http.createServer({ keepAliveTimeout: 20_000 });
+        await new Promise<void>(resolve => server.listen(0, options.host, resolve));
+        const relay = await Relay.create(options.host);
+        const { port } = server.address() as AddressInfo;
+        const backend = new Backend(options, server, relay);
+        relay.to({ host: options.host, port });
+        void backend.announce();
+        return backend;
+    }
+
+    get id(): string {
+        return this.options.id;
+    }
+
+    get service(): "plain" | "pool" {
+        return this.options.service;
+    }
+
+    /** The stage that it began with. */
+    get firstStage(): "prefill" | "decode" | undefined {
+        return this.options.stage;
+    }
+
+    isLeaving(): boolean {
+        return this.state === "draining";
+    }
+
+    /** Says that it leaves, goes on for a while, and ends. */
+    async drain(): Promise<void> {
+        this.state = "draining";
+        while (!this.gone && !await this.beat()) {
+            await this.rest(heartbeatInterval / 4);
+        }
+        this.options.promises.leaves(this.id, performance.now());
+        await this.rest(drainTime);
+        await this.tell(leavePath(this.id), "");
+    }
+
+    /** Ends at once: connections break, and nothing listens any more. */
+    crash(): void {
+        if (this.gone) {
+            return;
+        }
+        this.gone = true;
+        this.resting.forEach(timer => clearTimeout(timer));
+        this.relay.reset();
+        this.relay.close();
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    private async announce(): Promise<void> {
+        while (!this.gone && this.state === "ready") {
+            await this.beat();
+            await this.rest(heartbeatInterval);
+        }
+    }
+
+    /** Sends one heartbeat; gives whether a directory acknowledged it. */
+    private beat(): Promise<boolean> {
+        this.sequence += 1;
+        const { service, failureDomain } = this.options;
+        const { host, port } = this.relay.address;
+        const { path, body } = announcementCall(this.id, {
+            service,
+            address: `${host}:${port}`,
+            failureDomain,
+            state: this.state,
+            stage: this.stage,
+            sequence: this.sequence,
+        });
+        return this.tell(path, body);
+    }
+
+    private async tell(path: string, body: string): Promise<boolean> {
+        for (const directory of this.options.directories()) {
+            try {
+                const signal = AbortSignal.timeout(heartbeatPatience);
+                const answer = await fetch(`http://${directory}${path}`, { method: "POST", body, signal });
+                await answer.text();
+                if (answer.ok) {
+                    return true;
+                }
+            }
+            catch {
+                // This directory is down or cut off; the next one is asked.
+            }
+        }
+        return false;
+    }
+
+    private async receive(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        const chunks: Buffer[] = [];
+        request.on("data", (chunk: Buffer) => chunks.push(chunk));
+        const whole = await new Promise<boolean>(resolve => {
+            request.once("end", () => resolve(true));
+            request.once("close", () => resolve(false));
+        });
+        if (!whole) {
+            return;
+        }
+        const { method = "GET", url = "/" } = request;
+        const order = receivedOrder(method, url, Buffer.concat(chunks).toString());
+        const freed = freedHandle(method, url);
+        if (order !== undefined) {
+            this.obey(order, response);
+        }
+        else if (freed !== undefined) {
+            this.handles.delete(freed);
+            response.end();
+        }
+        else {
+            await this.serve(receivedRequest(request.headers), response);
+        }
+    }
+
+    private obey(order: NonNullable<ReturnType<typeof receivedOrder>>, response: http.ServerResponse): void {
+        if (order.fence < this.lastFence) {
+            response.writeHead(412).end();
+            return;
+        }
+        this.lastFence = order.fence;
+        this.options.promises.ordered(order.holder, order.fence);
+        this.stage = undefined;
+        void this.rest(stageTime).then(() => {
+            this.stage = order.stage;
+        });
+        response.writeHead(202).end();
+    }
+
+    private async serve(received: ReceivedRequest, response: http.ServerResponse): Promise<void> {
+        const { attempt, instance } = received;
+        if (instance !== undefined && instance !== this.id) {
+            response.writeHead(421, notRunHeaders(attempt)).end();
+        }
+        else if (this.service === "plain") {
+            await this.answerPlain(received, response);
+        }
+        else if (received.prefillOnly) {
+            await this.read(received, response);
+        }
+        else {
+            await this.stream(received, response);
+        }
+    }
+
+    private async read({ attempt }: ReceivedRequest, response: http.ServerResponse): Promise<void> {
+        if (this.stage !== "prefill") {
+            response.writeHead(421, notRunHeaders(attempt)).end();
+            return;
+        }
+        await this.rest(readTime * this.slowness);
+        this.made += 1;
+        const handle = `${this.id}-${this.made}`;
+        if (!this.lapses) {
+            Backend.caches.set(handle, attempt);
+            void this.rest(handleLife).then(() => Backend.caches.delete(handle));
+        }
+        response.end(readAnswer(handle));
+    }
+
+    /** Prompts' KV caches of all engines, by handle: an engine fetches them from each other. */
+    private static readonly caches = new Map<string, string>();
+
+    private async answerPlain({ attempt }: ReceivedRequest, response: http.ServerResponse): Promise<void> {
+        if (this.running >= plainSlots) {
+            response.writeHead(503, notRunHeaders(attempt)).end();
+            return;
+        }
+        await this.work(attempt, response, async () => {
+            await this.rest(plainTime * this.slowness);
+            response.writeHead(200, answerHeaders(attempt, this.id, this.id));
+            response.end(plainText(attempt));
+        });
+    }
+
+    private async stream(received: ReceivedRequest, response: http.ServerResponse): Promise<void> {
+        const { attempt, handle, resumeAfter = 0 } = received;
+        const known = handle === undefined || Backend.caches.get(handle) !== undefined;
+        if (this.stage !== "decode" || !known) {
+            response.writeHead(this.stage === "decode" ? 503 : 421, notRunHeaders(attempt)).end();
+            return;
+        }
+        if (handle !== undefined && Backend.caches.get(handle) !== attempt) {
+            this.options.promises.breach("its own whole answer", `${attempt} goes on from the KV cache of another`);
+        }
+        Backend.caches.delete(handle ?? "");
+        await this.work(attempt, response, async () => {
+            const headers = answerHeaders(attempt, this.id, this.id);
+            response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
+            for (let number = resumeAfter + 1; number <= eventCount(attempt) && !response.destroyed; number++) {
+                response.write(eventText(attempt, number));
+                await this.rest(eventTime * this.slowness);
+            }
+            response.end();
+        });
+    }
+
+    /** Works on a request as long as its caller is there. */
+    private async work(attempt: string, response: http.ServerResponse, act: () => Promise<void>): Promise<void> {
+        this.running += 1;
+        const ended = this.options.promises.ran(attempt, this.id, performance.now());
+        response.once("close", () => ended(performance.now()));
+        try {
+            await act();
+        }
+        finally {
+            this.running -= 1;
+        }
+    }
+
+    private rest(milliseconds: number): Promise<void> {
+        return new Promise(resolve => {
+            const timer = setTimeout(() => {
+                this.resting.delete(timer);
+                resolve();
+            }, milliseconds);
+            this.resting.add(timer);
+        });
+    }
+}
--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,70 @@
+// Plays seeds of the fault soak, several at once, and writes the logs of those that broke a promise.
+import { mkdir, writeFile } from "node:fs/promises";
+import * as path from "node:path";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { createPlan } from "./plan.js";
+import { runSoak, type SoakReport } from "./run.js";
+
+const options = await yargs(hideBin(process.argv))
+    .usage("npm run soak -- --seeds 50 --first 1 --jobs 3")
+    .option("seeds", { type: "number", default: 5, describe: "how many seeds to play" })
+    .option("first", { type: "number", describe: "the first seed; drawn from the time of day by default" })
+    .option("jobs", { type: "number", default: 3, describe: "how many runs at once" })
+    .option("seconds", { type: "number", describe: "for how long faults come" })
+    .option("gateways", { type: "number", describe: "gateways of each run; drawn from the seed by default" })
+    .option("directories", { type: "number", describe: "directories of each run; drawn from the seed by default" })
+    .option("logs", { type: "string", default: "target/soak", describe: "folder for the logs of failed runs" })
+    .strict()
+    .parse();
+
+const first = options.first ?? Math.floor(Date.now() / 1_000) % 1_000_000;
+const { seconds, gateways, directories } = options;
+const size = {
+    ...seconds === undefined ? {} : { seconds },
+    ...gateways === undefined ? {} : { gateways },
+    ...directories === undefined ? {} : { directories },
+};
+
+async function keepLogs(report: SoakReport): Promise<string> {
+    const folder = path.join(options.logs, String(report.seed));
+    await mkdir(folder, { recursive: true });
+    await writeFile(path.join(folder, "faults.txt"), report.faults.join("\n"));
+    await writeFile(path.join(folder, "breaches.json"), JSON.stringify(report.breaches, undefined, 4));
+    for (const [name, log] of report.logs) {
+        await writeFile(path.join(folder, `${name}.log`), log);
+    }
+    return folder;
+}
+
+async function playSeed(seed: number): Promise<boolean> {
+    const report = await runSoak(createPlan(seed, size));
+    const { breaches, requests, ends, faults } = report;
+    const summary = `${requests} requests ${JSON.stringify(ends)}, ${faults.length} faults`;
+    if (breaches.length === 0) {
+        console.log(`seed ${seed}: kept; ${summary}`);
+        return true;
+    }
+    console.log(`seed ${seed}: BROKEN; ${summary}; logs in ${await keepLogs(report)}`);
+    breaches.slice(0, 8).forEach(({ promise, what }) => console.log(`    ${promise}: ${what}`));
+    return false;
+}
+
+let next = first;
+let broken = 0;
+async function work(): Promise<void> {
+    while (next < first + options.seeds) {
+        const seed = next++;
+        try {
+            broken += await playSeed(seed) ? 0 : 1;
+        }
+        catch (error) {
+            broken += 1;
+            console.log(`seed ${seed}: FAILED`, error);
+        }
+    }
+}
+
+await Promise.all(Array.from({ length: options.jobs }, () => work()));
+console.log(`${options.seeds} seeds from ${first}: ${options.seeds - broken} kept every promise, ${broken} didn't`);
+process.exitCode = broken === 0 ? 0 : 1;
--- /dev/null
+++ b/soak/run.ts
@@ -0,0 +1,154 @@
+import { type Randomness, SeededRandomness } from "../packages/basilpaddle/src/node/utils/index.js";
+import { until } from "../playground/harness/index.js";
+import { Callers } from "./callers.js";
+import { SoakDeployment } from "./deployment.js";
+import { FaultRunner } from "./faults.js";
+import { Operator } from "./operator.js";
+import type { SoakPlan } from "./plan.js";
+import { type Breach, Promises } from "./promises.js";
+
+/** Milliseconds after the last fault within which every gateway serves every kind of request again. */
+const recoveryLimit = 20_000;
+/** Requests of each kind that each gateway is asked at the end. */
+const lastQuestions = 2;
+const readInterval = 400;
+/** Log lines that never come in a sound run, as parts of their texts. */
+const faultLines = ["a fault of this daemon", "\"level\":\"FATAL\"", "a link handler failed"];
+
+/** What came of a run. */
+export type SoakReport = {
+    readonly seed: number;
+    readonly breaches: readonly Breach[];
+    readonly requests: number;
+    /** Requests by how they ended. */
+    readonly ends: Readonly<Record<string, number>>;
+    /** What was done, in order. */
+    readonly faults: readonly string[];
+    /** What the processes wrote, by name. */
+    readonly logs: ReadonlyMap<string, string>;
+};
+
+/** Plays one plan on real processes, and holds what was seen against what is promised. */
+export async function runSoak(plan: SoakPlan): Promise<SoakReport> {
+    const random = SeededRandomness.create(plan.seed + 1);
+    const promises = Promises.create();
+    const faults: string[] = [];
+    const deployment = await SoakDeployment.create(plan, promises);
+    try {
+        const run = new Run(plan, deployment, promises, random);
+        await run.play(line => faults.push(line));
+        return run.report(faults);
+    }
+    finally {
+        await deployment.close();
+    }
+}
+
+class Run {
+    private readonly callers: Callers;
+    private readonly operator: Operator;
+
+    constructor(
+        private readonly plan: SoakPlan,
+        private readonly deployment: SoakDeployment,
+        private readonly promises: Promises,
+        random: Randomness,
+    ) {
+        this.callers = Callers.create(deployment, promises, random);
+        this.operator = Operator.create(deployment, promises, random);
+    }
+
+    async play(note: (line: string) => void): Promise<void> {
+        const { deployment, operator, callers, promises, plan } = this;
+        await deployment.start();
+        await operator.change();
+        await deployment.ready();
+        await this.serves();
+        callers.start(plan.requestsPerSecond);
+        const reading = setInterval(() => void operator.read(), readInterval);
+        const watching = setInterval(() => this.checkProcesses(), readInterval);
+        await FaultRunner.create(deployment, operator, promises, note).play(plan.faults);
+        await callers.stop();
+        clearInterval(reading);
+        clearInterval(watching);
+        await this.recovers();
+        operator.close();
+        promises.judge();
+        this.checkLogs();
+    }
+
+    report(faults: readonly string[]): SoakReport {
+        const { deployment, promises, plan } = this;
+        const ends: Record<string, number> = {};
+        for (const { end } of promises.requests.values()) {
+            const name = end === undefined ? "open" : end.kind === "answered" ? String(end.status) : end.kind;
+            ends[name] = (ends[name] ?? 0) + 1;
+        }
+        const logs = new Map(deployment.members().map(member => [member.name, member.output()]));
+        const { breaches, requests } = promises;
+        return { seed: plan.seed, breaches, requests: requests.size, ends, faults, logs };
+    }
+
+    /** Waits until every gateway serves every kind of request. */
+    private async serves(): Promise<void> {
+        for (const gateway of this.deployment.gateways) {
+            for (const kind of ["safe", "unsafe", "resumable", "once"] as const) {
+                await until(`${gateway.name} serves ${kind}`, async () => {
+                    const { end } = await this.callers.ask(gateway, kind);
+                    return end?.kind === "answered" && end.status === 200;
+                }, recoveryLimit);
+            }
+        }
+    }
+
+    /** Everything is right again: it must be served as before, under the newest configuration. */
+    private async recovers(): Promise<void> {
+        try {
+            await this.deployment.ready();
+            await this.serves();
+            await until("the newest configuration is read back", async () => {
+                return await this.operator.read() !== undefined;
+            }, recoveryLimit);
+            for (const gateway of this.deployment.gateways) {
+                await until(`${gateway.name} obeys the newest configuration`, async () => {
+                    const path = Operator.probePath(this.promises.newest());
+                    const { end } = await this.callers.ask(gateway, "safe", path);
+                    return end?.kind === "answered" && end.status === 200;
+                }, recoveryLimit);
+            }
+            await this.askAll();
+        }
+        catch (error) {
+            this.promises.breach("recovery", (error as Error).message);
+        }
+    }
+
+    private async askAll(): Promise<void> {
+        for (const gateway of this.deployment.gateways) {
+            for (let question = 0; question < lastQuestions; question++) {
+                const { end, attempt } = await this.callers.ask(gateway, "once");
+                if (end?.kind !== "answered" || end.status !== 200) {
+                    this.promises.breach("recovery", `${gateway.name} gave ${attempt} ${JSON.stringify(end)}`);
+                }
+            }
+        }
+    }
+
+    private checkProcesses(): void {
+        for (const member of this.deployment.members()) {
+            if (!member.isRunning() && !member.expectedDown) {
+                member.expectedDown = true;
+                this.promises.breach("processes run", `${member.name} ended by itself`);
+            }
+        }
+    }
+
+    private checkLogs(): void {
+        for (const member of this.deployment.members()) {
+            const found = member.output().split("\n").find(line => faultLines.some(part => line.includes(part)));
+            if (found !== undefined) {
+                this.promises.breach("logs", `${member.name}: ${found.slice(0, 300)}`);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/soak/texts.ts
@@ -0,0 +1,30 @@
+// Answers that follow from the attempt alone, so that every byte of an answer can be held against its request.
+
+/** Most events of a streamed answer. */
+const mostEvents = 24;
+const leastEvents = 3;
+const plainLength = 800;
+
+/** Body of a plain answer. */
+export function plainText(attempt: string): string {
+    return `${attempt} `.repeat(Math.ceil(plainLength / (attempt.length + 1))).slice(0, plainLength);
+}
+
+/** Number of events of a streamed answer. */
+export function eventCount(attempt: string): number {
+    let sum = 0;
+    for (const character of attempt) {
+        sum = (sum * 31 + character.charCodeAt(0)) % 9_973;
+    }
+    return leastEvents + sum % (mostEvents - leastEvents);
+}
+
+/** One event of a streamed answer, numbered from 1. */
+export function eventText(attempt: string, number: number): string {
+    return `id: ${number}\ndata: ${attempt} ${number}\n\n`;
+}
+
+/** The whole of a streamed answer. */
+export function streamText(attempt: string): string {
+    return Array.from({ length: eventCount(attempt) }, (_, index) => eventText(attempt, index + 1)).join("");
+}
