fix(gateway): tell all at once that an incarnation has ended

Change: of several incarnations at one address only the one that was heard of last gets work. It isn't taken for proof: a heartbeat that was held up may announce one that has crashed, and once that falls silent or is found ended the one that is there counts again. A gateway that finds another incarnation tells the leader, which tells all. Log lines of a run that was turned away now say why.

Ruled out: the cache's life of 0.5 s (most such runs were turned away 4 to 17 ms after the reading had ended).

--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/fakes.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/fakes.ts
@@ -17,7 +17,8 @@
 export function engines(prefill: number, decode: number): Announced[] {
     const of = (stage: "prefill" | "decode", count: number): Announced[] => {
         return Array.from({ length: count }, (_, number) => {
-            return announced({ id: `${stage}-${number}`, stage, failureDomain: ["a", "b", "c"][number % 3]! });
+            const address = `10.0.0.${number}:${stage === "prefill" ? 80 : 81}`;
+            return announced({ id: `${stage}-${number}`, address, stage, failureDomain: ["a", "b", "c"][number % 3]! });
         });
     };
     return [...of("prefill", prefill), ...of("decode", decode)];
--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/membershipOfServers.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/membershipOfServers.spec.ts
@@ -64,6 +64,31 @@
         expect(table.usable("pool").map(one => one.id)).to.deep.equal(["j"]);
     });
 
+    // Symptom: half of the requests to a server that was restarted are turned away for seconds.
+    // Sequence: it crashes, and is back at its address as another incarnation; the one before still seems ready.
+    // Cause: only missed heartbeats told that an incarnation had ended.
+    it("doesn't use one at whose address another one was heard of later", () => {
+        const table = InstanceTable.create();
+        table.take(announced({ id: "old", sequence: 7 }));
+        expect(table.take(announced({ id: "new", sequence: 1 }))).to.equal(true);
+        expect(table.usable("pool").map(one => one.id)).to.deep.equal(["new"]);
+        expect(table.all().map(one => one.state)).to.deep.equal(["silent", "ready"]);
+    });
+
+    // Symptom: a sound server gets no work any more.
+    // Sequence: the heartbeat of its predecessor at the address is held up by a cut and comes after its own first one.
+    it("uses the one that is really there again once the other one falls silent or is found ended", () => {
+        const table = InstanceTable.create();
+        table.take(announced({ id: "live", sequence: 1 }));
+        table.take(announced({ id: "ghost", sequence: 40 }));
+        expect(table.usable("pool").map(one => one.id)).to.deep.equal(["ghost"]);
+        table.take(announced({ id: "ghost", sequence: 40, state: "silent" }));
+        expect(table.usable("pool").map(one => one.id)).to.deep.equal(["live"]);
+        table.take(announced({ id: "other ghost", sequence: 3 }));
+        table.end("other ghost");
+        expect(table.usable("pool").map(one => one.id)).to.deep.equal(["live"]);
+    });
+
     it("never brings one back that left or whose address another one has", () => {
         const table = InstanceTable.create();
         table.take(announced({ id: "i", sequence: 1 }));
--- a/packages/basilpaddle/src/node/coordination/gateway/instanceTable.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/instanceTable.ts
@@ -14,6 +14,8 @@
     private readonly instances = new Map<string, Announced>();
     private readonly ended = new LRUCache<string, true>({ max: endedLimit });
     private readonly byService = new Map<string, readonly Announced[]>();
+    /** The incarnation that was heard of last at each address. */
+    private readonly newestAt = new Map<string, string>();
 
     static create(): InstanceTable {
         return new InstanceTable();
@@ -32,12 +34,19 @@
             return this.end(announced.id) || known === undefined;
         }
         this.instances.set(announced.id, announced);
+        if (known?.address !== announced.address) {
+            this.newestAt.set(announced.address, announced.id);
+        }
         this.byService.clear();
         return known === undefined || known.state !== announced.state || known.stage !== announced.stage;
     }
 
     /** Notes that an incarnation has ended: it left, or another one answers at its address. */
     end(id: string): boolean {
+        const { address } = this.instances.get(id) ?? {};
+        if (address !== undefined && this.newestAt.get(address) === id) {
+            this.newestAt.delete(address);
+        }
         this.ended.set(id, true);
         this.byService.clear();
         return this.instances.delete(id);
@@ -53,9 +62,11 @@
         return this.ended.has(id);
     }
 
-    /** All incarnations that haven't ended. */
+    /** All incarnations that haven't ended; one whose address another one has taken counts as silent. */
     all(): readonly Announced[] {
-        return [...this.instances.values()];
+        return [...this.instances.values()].map(instance => {
+            return this.isSuperseded(instance) ? { ...instance, state: "silent" } : instance;
+        });
     }
 
     /**
@@ -67,12 +78,24 @@
         if (known !== undefined) {
             return known;
         }
-        const ofService = [...this.instances.values()].filter(instance => instance.service === service);
+        const ofService = this.all().filter(instance => instance.service === service);
         const ready = ofService.filter(instance => instance.state === "ready");
         const usable = ready.length > 0 ? ready : ofService.filter(instance => instance.state === "silent");
         this.byService.set(service, usable);
         return usable;
     }
+
+    /**
+     * Whether another incarnation was heard of later at the same address. A backend server that crashed and is back
+     * says so at once, and the one before seems ready until it has missed its heartbeats: meanwhile what is sent there
+     * is turned away, and each time costs a repeat. It isn't taken for ended: a heartbeat that was held up on its way
+     * may announce one that has crashed before, and then the one that is really there must get work again once that
+     * one falls silent.
+     */
+    private isSuperseded({ id, address, state }: Announced): boolean {
+        const newest = this.instances.get(this.newestAt.get(address) ?? id);
+        return newest !== undefined && newest.id !== id && newest.state !== "silent" && state !== "silent";
+    }
 }
 
 function supersedes(announced: Announced, known: Announced): boolean {
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -234,12 +234,23 @@
         if (!this.isHeard()) {
             return { kind: "unavailable", reason: "no gateway watches this directory" };
         }
+        this.noteLeft(id, "a backend server leaves");
+        return { kind: "done" };
+    }
+
+    private noteEnded(id: string): void {
+        if (!this.instances.hasEnded(id)) {
+            this.noteLeft(id, "a gateway found another incarnation in the place of a backend server");
+        }
+    }
+
+    /** Notes that an incarnation is gone for good, and passes that on. */
+    private noteLeft(id: string, what: string): void {
         if (this.announcements.leave(id, this.options.clock.monotonic())) {
-            this.options.logger.info("a backend server leaves", { id });
+            this.options.logger.info(what, { id });
             this.learnOwn();
             this.watches.changed();
         }
-        return { kind: "done" };
     }
 
     /**
@@ -331,7 +342,7 @@
         const term = this.group.standing()?.term ?? 0;
         this.stopLeading();
         const sources = { instances: this.instances, traffic: () => this.traffic, clock, logger };
-        this.placing = PlacingService.create(sources, term);
+        this.placing = PlacingService.create({ ...sources, onEnded: instance => this.noteEnded(instance) }, term);
         this.orders = StageOrders.create({
             ...sources,
             holder: settings.name,
--- a/packages/basilpaddle/src/node/daemon/directory/placingService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/placingService.ts
@@ -21,6 +21,8 @@
 export type PlacingSources = {
     readonly instances: InstanceTable;
     readonly traffic: () => Traffic | undefined;
+    /** Called with an incarnation that a gateway found ended. */
+    readonly onEnded: (instance: string) => void;
     readonly clock: Clock;
     readonly logger: Logger;
 };
@@ -76,6 +78,9 @@
             case "holdings":
                 this.reconcile(message, now);
                 return undefined;
+            case "ended":
+                this.sources.onEnded(message.instance);
+                return undefined;
         }
     }
 
--- a/packages/basilpaddle/src/node/daemon/gateway/exchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/exchange.ts
@@ -23,6 +23,8 @@
     readonly clock: Clock;
     readonly logger: Logger;
     readonly metrics: Metrics;
+    /** Tells the directories that an incarnation has ended. */
+    readonly reportEnded: (instance: string) => void;
     /** The allowance for repeats of a service. */
     readonly budget: (service: string) => RepeatBudget;
     /** Gateways of the deployment. */
@@ -94,6 +96,8 @@
             });
             this.parts.instances.end(server.id);
             this.parts.connections.forget(server.id);
+            // Otherwise each gateway finds it out by a request of its own, and each costs a repeat.
+            this.parts.reportEnded(server.id);
         }
         if (facts.notRun) {
             drain(answer);
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -89,6 +89,7 @@
             clock,
             logger,
             metrics,
+            reportEnded: instance => this.places.reportEnded(instance),
             budget: service => this.budget(service),
             gateways: () => this.watcher.gateways(),
             repeatSharers: () => this.watcher.mostGateways(),
--- a/packages/basilpaddle/src/node/daemon/gateway/placesClient.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placesClient.ts
@@ -109,6 +109,11 @@
         this.alone.forEach(pool => this.settleAlone(pool.release(attempt, failed, now)));
     }
 
+    /** Tells the leader that an incarnation has ended, so that it places nothing there and tells all others. */
+    reportEnded(instance: string): void {
+        this.tell({ kind: "ended", instance });
+    }
+
     /** Stops. */
     close(): void {
         this.cancels.forEach(cancel => cancel());
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -217,7 +217,8 @@
         const unreached = end.kind === "turnedAway" && end.unreachable;
         arrive(unreached ? "unreached" : "counted");
         this.noteUnreached(unreached);
-        this.path.push(`run ${decode.id} ${end.kind} ${this.since(startedAt)}`);
+        const cause = "cause" in end ? ` (${end.cause})` : "";
+        this.path.push(`run ${decode.id} ${end.kind} ${this.since(startedAt)}${cause}`);
         if (this.request.isGone()) {
             return undefined;
         }
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -105,6 +105,8 @@
         /** The engine that failed it, if one did. */
         failed: identifier.optional(),
     }),
+    /** Another incarnation answered at the address of this one: it has ended, and nobody said so. */
+    z.object({ kind: z.literal("ended"), instance: identifier }),
     z.object({
         kind: z.literal("holdings"),
         gateway: identifier,
