fix(gateway): blame the likelier engine for a run that is turned away

Cause: a decode engine that is full and a prefill engine whose KV cache has lapsed give the same answer. The second time a prompt was turned away its prefill engine was given a pause.

Ruled out: caches that lapsed on the way (the runs came 4 to 17 ms after the reading), and incarnations that had ended (mended before).

Change: the leader hears who turned a run away and who had read it, and blames the one that several others point to; it gets no work for 0.4 s, about the time in which a run of a full engine ends.

--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/enginePlaces.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/enginePlaces.spec.ts
@@ -41,7 +41,7 @@
     };
     for (let now = 0; now < length; now += 5) {
         while (ends.length > 0 && ends[0]!.at <= now) {
-            take(places.release(ends.shift()!.attempt, undefined, now), now);
+            take(places.release(ends.shift()!.attempt, {}, now), now);
         }
         for (; next <= now; next += gapAt(next)) {
             const attempt = `at-${Math.round(next)}`;
@@ -102,7 +102,7 @@
         places.ask(demand("late", { targetWithin: -100 }), 1);
         places.review(30);
         places.ask(demand("early", { targetWithin: 900 }), 31);
-        expect(placed(places.release("held-0", undefined, 60))[0]).to.equal("early");
+        expect(placed(places.release("held-0", {}, 60))[0]).to.equal("early");
     });
 
     it("let a small demand past one that doesn't fit, but not for ever", () => {
@@ -146,7 +146,7 @@
     it("avoid an engine that failed, for the request and for a while for all", () => {
         const places = pool(1, 2);
         const first = places.ask(demand("one"), 0)[0] as Extract<PlaceDecision, { kind: "placed"; }>;
-        places.release("one", first.decode, 10);
+        places.release("one", { failed: first.decode }, 10);
         const again = places.ask(demand("two", { avoid: [] }), 20)[0] as typeof first;
         expect(again.decode).not.to.equal(first.decode);
         const avoiding = places.ask(demand("three", { avoid: [again.decode] }), 2_000)[0] as typeof first;
@@ -160,7 +160,7 @@
         }
         places.ask(demand("new"), 1);
         places.ask(demand("broken", { resumed: true, targetWithin: -500 }), 2);
-        expect(placed(places.release("held-0", undefined, 30))[0]).to.equal("broken");
+        expect(placed(places.release("held-0", {}, 30))[0]).to.equal("broken");
     });
 
     it("hand out only their share where every gateway places alone", () => {
@@ -210,7 +210,7 @@
                         places.review(now);
                     }
                     else if (kind === "release") {
-                        places.release(attempt, undefined, now);
+                        places.release(attempt, {}, now);
                     }
                     else {
                         places.withdraw(attempt, now);
--- a/packages/basilpaddle/src/node/coordination/gateway/enginePlaces.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePlaces.ts
@@ -1,6 +1,7 @@
-import type { Announced, EngineRule, PlaceDecision, PlaceDemand } from "../../protocol/index.js";
+import type { Announced, EngineRule, PlaceDecision, PlaceDemand, PlaceEnd } from "../../protocol/index.js";
 import { type EnginePair, EnginePool, type PlaceTuning } from "./enginePool.js";
 import { PlaceForecast } from "./placeForecast.js";
+import { TurnAways } from "./turnAways.js";
 
 /** Milliseconds between two looks at what waits. */
 const reviewInterval = 25;
@@ -56,6 +57,7 @@
 export class EnginePlaces {
     private readonly placements = new Map<string, Placement>();
     private readonly forecast = PlaceForecast.create();
+    private readonly turnAways = TurnAways.create();
     private queue: Waiting[] = [];
     private reviewedAt = 0;
 
@@ -113,7 +115,7 @@
     /** The caller has gone: the demand leaves the queue, or its place is free. */
     withdraw(attempt: string, now: number): PlaceDecision[] {
         this.queue = this.queue.filter(waiting => waiting.demand.attempt !== attempt);
-        return this.release(attempt, undefined, now);
+        return this.release(attempt, {}, now);
     }
 
     /** The prompt has been read. */
@@ -126,11 +128,15 @@
         }
     }
 
-    /** A run has ended; `failed` names the engine that failed it. */
-    release(attempt: string, failed: string | undefined, now: number): PlaceDecision[] {
+    /** A run has ended, in one way or another. */
+    release(attempt: string, end: PlaceEnd, now: number): PlaceDecision[] {
         const placement = this.free(attempt, now);
-        if (failed !== undefined) {
-            this.pool.engine(failed)?.failed(now);
+        if (end.failed !== undefined) {
+            this.pool.engine(end.failed)?.failed(now);
+        }
+        else if (end.turnedAwayBy !== undefined) {
+            const blamed = this.turnAways.blame(end.readBy, end.turnedAwayBy, now);
+            this.pool.engine(blamed)?.turnedAway(now);
         }
         else if (placement !== undefined) {
             this.forecast.ended(now - placement.placedAt);
--- a/packages/basilpaddle/src/node/coordination/gateway/placedEngine.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placedEngine.ts
@@ -17,6 +17,8 @@
 /** Milliseconds without work after a failure, at first and at the most. */
 const firstPause = 800;
 const mostPause = 8_000;
+/** Milliseconds without work after a run was turned away: about the time in which a run of a full engine ends. */
+const fullPause = 400;
 
 /** What may be promised of one engine. */
 export type EngineState = { readonly tokens: number; readonly slots: number; };
@@ -137,6 +139,11 @@
         }
     }
 
+    /** Notes that a run was turned away by this engine's fault: it is full, or its KV caches lapse. */
+    turnedAway(now: number): void {
+        this.pausedUntil = Math.max(this.pausedUntil, now + fullPause);
+    }
+
     /** Notes that work got on here. */
     succeeded(): void {
         this.failures = 0;
--- a/packages/basilpaddle/src/node/daemon/directory/placingService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/placingService.ts
@@ -72,7 +72,7 @@
                 this.poolOf(message.attempt)?.prefilled(message.attempt, now);
                 return undefined;
             case "release":
-                this.deliver(this.poolOf(message.attempt)?.release(message.attempt, message.failed, now));
+                this.deliver(this.poolOf(message.attempt)?.release(message.attempt, message.end, now));
                 this.serviceOfAttempt.delete(message.attempt);
                 return undefined;
             case "holdings":
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/placesClient.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/placesClient.spec.ts
@@ -66,7 +66,7 @@
             number += 1;
             const place = await places.reserve(demand(`next-${number}`), open);
             by = place?.kind === "placed" ? place.by : undefined;
-            places.release(`next-${number}`);
+            places.release(`next-${number}`, {});
             await new Promise(resolve => setTimeout(resolve, 20));
         }
         const lists = directories.all[0]!.placings.filter(placing => placing.kind === "holdings");
--- a/packages/basilpaddle/src/node/daemon/gateway/placesClient.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placesClient.ts
@@ -3,6 +3,7 @@
     type EngineRule,
     type PlaceDecision,
     type PlaceDemand,
+    type PlaceEnd,
     type Placing,
     placingAnswerSchema,
 } from "../../protocol/index.js";
@@ -101,12 +102,12 @@
         this.alone.forEach(pool => pool.prefilled(attempt, this.options.clock.monotonic()));
     }
 
-    /** Gives a place back; `failed` names the engine that failed the run. */
-    release(attempt: string, failed?: string): void {
+    /** Gives a place back. */
+    release(attempt: string, end: PlaceEnd): void {
         this.held.delete(attempt);
-        this.tell({ kind: "release", attempt, ...failed === undefined ? {} : { failed } });
+        this.tell({ kind: "release", attempt, end });
         const now = this.options.clock.monotonic();
-        this.alone.forEach(pool => this.settleAlone(pool.release(attempt, failed, now)));
+        this.alone.forEach(pool => this.settleAlone(pool.release(attempt, end, now)));
     }
 
     /** Tells the leader that an incarnation has ended, so that it places nothing there and tells all others. */
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -1,4 +1,4 @@
-import type { Announced, ServiceRule } from "../../protocol/index.js";
+import type { Announced, PlaceEnd, ServiceRule } from "../../protocol/index.js";
 import { type BackendAnswer, discard, wholeBody } from "../backends/index.js";
 import { Arrivals } from "./arrivals.js";
 import type { CallerRequest } from "./callerRequest.js";
@@ -124,12 +124,11 @@
             return;
         }
         this.path.push(`placed ${place.by} ${Math.round(this.now() - placedAt)}`);
-        const failed = await this.use(place);
-        places.release(place.attempt, failed);
+        places.release(place.attempt, await this.use(place));
     }
 
-    /** Uses a place up. Gives the engine that failed, if one did. */
-    private async use(place: Place): Promise<string | undefined> {
+    /** Uses a place up. */
+    private async use(place: Place): Promise<PlaceEnd> {
         const { instances } = this.parts;
         await this.untilKnown(place);
         const decode = instances.get(place.decode);
@@ -137,16 +136,16 @@
         if (decode === undefined || (place.prefill !== undefined && prefill === undefined)) {
             const missing = decode === undefined ? place.decode : place.prefill!;
             this.again(missing, "an engine that has gone was placed");
-            return missing;
+            return { failed: missing };
         }
         if (!this.hasFreshRead()) {
             this.dropRead();
             if (prefill !== undefined && !this.readsAtDecode && !await this.readPrompt(prefill)) {
-                return prefill.id;
+                return { failed: prefill.id };
             }
         }
         if (this.request.isGone()) {
-            return undefined;
+            return {};
         }
         return this.runAt(decode);
     }
@@ -206,11 +205,11 @@
         return Math.min(request.left(), readingPatience + request.facts.promptTokens * readingPatienceToken);
     }
 
-    private async runAt(decode: Announced): Promise<string | undefined> {
+    private async runAt(decode: Announced): Promise<PlaceEnd> {
         const arrive = this.arrivals.begin();
         if (arrive === undefined) {
             this.refuse(turnedAwayComeBack, noRepeatLeft);
-            return undefined;
+            return {};
         }
         const startedAt = this.now();
         const end = await this.runOnce(decode);
@@ -220,12 +219,12 @@
         const cause = "cause" in end ? ` (${end.cause})` : "";
         this.path.push(`run ${decode.id} ${end.kind} ${this.since(startedAt)}${cause}`);
         if (this.request.isGone()) {
-            return undefined;
+            return {};
         }
         switch (end.kind) {
             case "done":
             case "failureGiven":
-                return undefined;
+                return {};
             case "turnedAway":
                 return this.turnedAway(decode, end);
             case "lost":
@@ -233,28 +232,30 @@
                 this.read = undefined;
                 this.resume(decode.id, end.cause);
                 // One broken stream says little of its engine; one that is gone refuses the next connection.
-                return undefined;
+                return {};
         }
     }
 
     /**
-     * Judges why an engine turned a run away: it is full, or it couldn't have the prompt's KV cache, and its answer
-     * doesn't say which. Turned away by a second engine too, the cache must be at fault: its engine gets a pause, and
-     * the next engine reads the prompt itself. Reading it elsewhere first would waste as much again where caches lapse.
+     * Goes on after an engine turned the run away. The prompt's KV cache is offered to one more engine; turned away there
+     * too, the next engine reads the prompt itself: reading it elsewhere first would waste as much again where caches
+     * lapse.
      */
-    private turnedAway(decode: Announced, end: Extract<RunEnd, { kind: "turnedAway"; }>): string | undefined {
+    private turnedAway(decode: Announced, end: Extract<RunEnd, { kind: "turnedAway"; }>): PlaceEnd {
         const { read } = this;
         this.again(decode.id, end.cause);
-        if (end.unreachable || read === undefined) {
-            return end.unreachable ? decode.id : undefined;
+        if (end.unreachable) {
+            return { failed: decode.id };
+        }
+        if (read === undefined) {
+            return { turnedAwayBy: decode.id };
         }
         this.offers += 1;
-        if (this.offers < mostOffers) {
-            return undefined;
+        if (this.offers >= mostOffers) {
+            this.dropRead();
+            this.readsAtDecode = true;
         }
-        this.dropRead();
-        this.readsAtDecode = true;
-        return read.engine.id;
+        return { turnedAwayBy: decode.id, readBy: read.engine.id };
     }
 
     private async runOnce(decode: Announced): Promise<RunEnd> {
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -94,17 +94,25 @@
     z.object({ kind: z.literal("refused"), attempt: identifier, reason: z.string(), comeBackIn: z.number() }),
 ]);
 
+/** How the use of a place ended, as far as engines are to blame. */
+export const placeEndSchema = z.object({
+    /** The engine that failed it, if one did. */
+    failed: identifier.optional(),
+    /** The engine that turned the run away, if one did. */
+    turnedAwayBy: identifier.optional(),
+    /** The engine that had read the prompt of a run that was turned away. */
+    readBy: identifier.optional(),
+});
+
+/** How the use of a place ended, as far as engines are to blame. */
+export type PlaceEnd = z.infer<typeof placeEndSchema>;
+
 /** What a gateway says to the directory that places: asks, tells that places are free again, or lists what it holds. */
 export const placingSchema = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("place"), demand: placeDemandSchema }),
     z.object({ kind: z.literal("withdraw"), attempt: identifier }),
     z.object({ kind: z.literal("prefilled"), attempt: identifier }),
-    z.object({
-        kind: z.literal("release"),
-        attempt: identifier,
-        /** The engine that failed it, if one did. */
-        failed: identifier.optional(),
-    }),
+    z.object({ kind: z.literal("release"), attempt: identifier, end: placeEndSchema }),
     /** Another incarnation answered at the address of this one: it has ended, and nobody said so. */
     z.object({ kind: z.literal("ended"), instance: identifier }),
     z.object({
--- a/simulation/places/engines.ts
+++ b/simulation/places/engines.ts
@@ -55,11 +55,18 @@
 
     constructor(private readonly figures: EngineFigures, public slowness: number) {}
 
-    /** Begins a run; `unread`: tokens of its prompt that this engine reads itself. */
-    begin(name: string, promptTokens: number, answerTokens: number, unread: number): void {
+    /**
+     * Begins a run; `unread`: tokens of its prompt that this engine reads itself. Gives whether it takes the run: a prompt
+     * that was read elsewhere is turned away where there is no memory for it.
+     */
+    begin(name: string, promptTokens: number, answerTokens: number, unread: number): boolean {
+        if (unread === 0 && this.held() + promptTokens > this.figures.cacheTokens) {
+            return false;
+        }
         const left = answerTokens + this.readingSteps(unread);
         const firstAt = Math.max(0, answerTokens - this.figures.eventTokens);
         this.runs.push({ name, tokens: promptTokens, left, firstAt, hasBegun: false });
+        return true;
     }
 
     /** Lets time pass. Gives what came about. */
@@ -89,8 +96,12 @@
         this.waiting = this.waiting.filter(run => run.name !== name);
     }
 
+    private held(): number {
+        return this.runs.reduce((sum, run) => sum + run.tokens, 0);
+    }
+
     private makeRoom(): void {
-        let held = this.runs.reduce((sum, run) => sum + run.tokens, 0);
+        let held = this.held();
         while (held > this.figures.cacheTokens && this.runs.length > 1) {
             const last = this.runs.pop()!;
             held -= last.tokens;
--- a/simulation/places/main.ts
+++ b/simulation/places/main.ts
@@ -16,7 +16,7 @@
     return value.toFixed(3).padStart(9);
 }
 
-console.log("deployment      in time     late unserved    worth    again    short   middle     long");
+console.log("deployment      in time     late unserved    worth    again     away    short   middle     long");
 for (const [name, { pool, workload }] of Object.entries(deployments)) {
     const outcomes = Array.from({ length: options.seeds }, (_, number) => {
         return playPool(pool, workload, options.first + number);
@@ -27,6 +27,7 @@
         mean(outcomes, outcome => outcome.unserved),
         mean(outcomes, outcome => outcome.worth),
         mean(outcomes, outcome => outcome.readAgain),
+        mean(outcomes, outcome => outcome.turnedAway),
         ...[0, 1, 2].map(size => mean(outcomes, outcome => outcome.bySize[size]!)),
     ];
     console.log(name.padEnd(14) + columns.join(""));
--- a/simulation/places/play.ts
+++ b/simulation/places/play.ts
@@ -23,8 +23,10 @@
     readonly unserved: number;
     /** Worth earned of what was owed; late answers count a fifth. */
     readonly worth: number;
-    /** Tokens read again of all prompt tokens. */
+    /** Tokens read again or in vain, of all prompt tokens. */
     readonly readAgain: number;
+    /** Runs that engines turned away, for each request. */
+    readonly turnedAway: number;
     /** Parts in time by the third of the requests with the shortest answers, the middle and the longest. */
     readonly bySize: readonly [number, number, number];
 };
@@ -37,15 +39,23 @@
 /** Part of the time left that a time to come back may take. */
 const comeBackPart = 1 / 3;
 const deadline = 14_000;
+/** What a gateway does with a run that is turned away: as in the gateway's exchange. */
+const freshPart = 0.7;
+const mostOffers = 2;
+const mostTurns = 4;
+const turnedAwayComeBack = 300;
 const lateWorth = 0.2;
 const failureDomains = ["a", "b", "c"];
 
 type Call = {
     readonly request: EmulatedRequest;
     retries: number;
-    askedAt: number;
     firstAt: number | undefined;
     ended: boolean;
+    /** When its prompt was read, while the result is kept. */
+    readAt: number | undefined;
+    /** Engines that turned it away. */
+    avoid: string[];
 };
 
 /** Plays a workload on a pool whose places are decided by the product's own code. */
@@ -61,6 +71,8 @@
     /** What happens at which time, in order of times. */
     private readonly events: { readonly at: number; readonly act: (now: number) => void; }[] = [];
     private readonly requests: readonly EmulatedRequest[];
+    private turnedAway = 0;
+    private wasted = 0;
 
     constructor(private readonly pool: EmulatedPool, private readonly workload: Workload, seed: number) {
         this.requests = drawRequests(workload, seed);
@@ -113,13 +125,12 @@
 
     private ask(request: EmulatedRequest, now: number): void {
         const call = this.calls.get(request.name)
-            ?? { request, retries: 0, askedAt: now, firstAt: undefined, ended: false };
+            ?? { request, retries: 0, firstAt: undefined, ended: false, readAt: undefined, avoid: [] };
         this.calls.set(request.name, call);
-        call.askedAt = now;
         this.take(this.places.ask(this.demand(call, now), now), now);
     }
 
-    private demand({ request, retries }: Call, now: number): PlaceDemand {
+    private demand({ request, retries, avoid }: Call, now: number): PlaceDemand {
         const { target } = this.workload;
         return {
             attempt: `${request.name}#${retries}`,
@@ -132,7 +143,7 @@
             // A gateway doesn't know of an attempt before: its target counts from this one.
             targetWithin: target - travel,
             patienceWithin: Math.min(request.at + deadline - now, patienceFactor * target),
-            avoid: [],
+            avoid: [...avoid],
             resumed: false,
         };
     }
@@ -155,24 +166,61 @@
             return;
         }
         call.retries += 1;
+        call.avoid = [];
         const wait = Math.min(comeBackIn, (call.request.at + deadline - now) * comeBackPart);
         this.at(now + wait + travel, then => this.ask(call.request, then));
     }
 
     private placed(call: Call, decision: Extract<PlaceDecision, { kind: "placed"; }>, now: number): void {
-        const { name, promptTokens, answerTokens } = call.request;
-        const decode = this.decodes.get(decision.decode)!;
-        if (decision.prefill === undefined) {
-            this.at(now + travel, () => decode.begin(name, promptTokens, answerTokens, promptTokens));
+        const { promptTokens } = call.request;
+        const isFresh = call.readAt !== undefined && now - call.readAt < this.pool.figures.handleLife * freshPart;
+        const readsItself = decision.prefill === undefined || call.avoid.length >= mostOffers;
+        if (isFresh || readsItself) {
+            this.at(now + travel / 2, then => this.run(call, decision, isFresh ? 0 : promptTokens, then));
             return;
         }
-        const readAt = this.prefills.get(decision.prefill)!.read(promptTokens, now + travel / 2);
+        this.noteWaste(call);
+        const readAt = this.prefills.get(decision.prefill!)!.read(promptTokens, now + travel / 2);
         this.at(readAt + travel / 2, then => {
+            call.readAt = then;
             this.places.prefilled(decision.attempt, then);
-            decode.begin(name, promptTokens, answerTokens, 0);
+            this.run(call, decision, 0, then);
         });
     }
 
+    private run(
+        call: Call,
+        decision: Extract<PlaceDecision, { kind: "placed"; }>,
+        unread: number,
+        now: number,
+    ): void {
+        const { name, promptTokens, answerTokens } = call.request;
+        if (this.decodes.get(decision.decode)!.begin(name, promptTokens, answerTokens, unread)) {
+            this.noteWaste(unread > 0 ? call : undefined);
+            return;
+        }
+        this.turnedAway += 1;
+        call.avoid.push(decision.decode);
+        this.take(
+            this.places.release(decision.attempt, { turnedAwayBy: decision.decode, readBy: decision.prefill }, now),
+            now,
+        );
+        if (call.avoid.length >= mostTurns) {
+            this.noteWaste(call);
+            this.refused(call, turnedAwayComeBack, now);
+            return;
+        }
+        this.take(this.places.ask(this.demand(call, now), now), now);
+    }
+
+    /** The result of a reading that wasn't used is lost. */
+    private noteWaste(call: Call | undefined): void {
+        if (call?.readAt !== undefined) {
+            this.wasted += call.request.promptTokens;
+            call.readAt = undefined;
+        }
+    }
+
     private progress(name: string, kind: "first" | "done", now: number): void {
         const call = this.calls.get(name)!;
         const attempt = `${name}#${call.retries}`;
@@ -182,7 +230,7 @@
             return;
         }
         call.ended = true;
-        this.take(this.places.release(attempt, undefined, now), now);
+        this.take(this.places.release(attempt, {}, now), now);
     }
 
     private at(at: number, act: (now: number) => void): void {
@@ -216,7 +264,8 @@
             unserved: 1 - part(served, calls),
             worth: calls.reduce((sum, call) => sum + value(call), 0)
                 / calls.reduce((sum, call) => sum + worth(call.request, workload), 0),
-            readAgain: readAgain / requests.reduce((sum, request) => sum + request.promptTokens, 0),
+            readAgain: (readAgain + this.wasted) / requests.reduce((sum, request) => sum + request.promptTokens, 0),
+            turnedAway: this.turnedAway / requests.length,
             bySize: [short, middle, long],
         };
     }
