perf(gateway): keep the leader's placing linear in engines and in what waits

Each event looked at every waiting demand, each of these at every engine, and each placing compared every prefill engine with every decode engine.

Change: the best engine of each failure domain first, then the pairs of these, which can't miss the best pair; one forecast of the pool for all that waits; the whole queue only at reviews, 40 times a second.

--- a/packages/basilpaddle/src/node/coordination/gateway/enginePlaces.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePlaces.ts
@@ -37,6 +37,14 @@
     key: number;
 };
 
+/** What can be foreseen of a pool at one moment. */
+type Outlook = {
+    /** Tokens of KV cache that may be handed out in all. */
+    readonly capacity: number;
+    /** Milliseconds until a demand's first event, behind so many tokens that wait before it. */
+    readonly firstEventIn: (demand: PlaceDemand, ahead: number) => number;
+};
+
 type Placement = EnginePair & {
     readonly demand: PlaceDemand;
     readonly placedAt: number;
@@ -95,7 +103,7 @@
             key: now + demand.targetWithin + demand.priority * rankStep - (demand.resumed ? lateOffset : 0),
         };
         this.enqueue(waiting);
-        return this.dispatch(now, waiting);
+        return [...this.dispatch(now), ...this.refuseArrived(waiting, now)];
     }
 
     /** Looks at all that waits; to be called every `reviewInterval` while something does. */
@@ -109,7 +117,7 @@
                 this.free(attempt, now);
             }
         }
-        return this.dispatch(now, undefined);
+        return [...this.dispatch(now), ...this.sort(now)];
     }
 
     /** The caller has gone: the demand leaves the queue, or its place is free. */
@@ -142,7 +150,7 @@
             this.forecast.ended(now - placement.placedAt);
             this.pool.engine(placement.decode)?.succeeded();
         }
-        return this.dispatch(now, undefined);
+        return this.dispatch(now);
     }
 
     /** Takes over places that were handed out before this instance began, and drops those that their gateway denies. */
@@ -164,7 +172,7 @@
                 this.hold({ demand, prefill: undefined, decode, placedAt: now, readingTime: 0, isRead: true }, now);
             }
         }
-        return this.dispatch(now, undefined);
+        return this.dispatch(now);
     }
 
     /** Drops what a gateway held that is gone. */
@@ -193,7 +201,7 @@
         this.queue.splice(at < 0 ? this.queue.length : at, 0, waiting);
     }
 
-    private dispatch(now: number, arrived: Waiting | undefined): PlaceDecision[] {
+    private dispatch(now: number): PlaceDecision[] {
         const decisions: PlaceDecision[] = [];
         let passed = 0;
         for (let position = 0; position < this.queue.length && passed < lookahead;) {
@@ -217,7 +225,6 @@
             this.hold(placement, now);
             decisions.push(decided(placement));
         }
-        decisions.push(...this.sort(now, arrived));
         return decisions;
     }
 
@@ -239,34 +246,65 @@
         this.enqueue(waiting);
     }
 
+    /** Refuses a demand that has just come and can't be served at all. */
+    private refuseArrived(arrived: Waiting, now: number): PlaceDecision[] {
+        const position = this.queue.indexOf(arrived);
+        if (position < 0) {
+            return [];
+        }
+        const ahead = this.queue.slice(0, position).reduce((sum, { demand }) => sum + demand.cacheTokens, 0);
+        const outlook = this.outlook(now);
+        const firstEventIn = outlook.firstEventIn(arrived.demand, ahead);
+        if (this.stays(arrived, firstEventIn, outlook.capacity, now)) {
+            return [];
+        }
+        this.queue.splice(position, 1);
+        return [this.refusal(arrived, firstEventIn, outlook.capacity, now)];
+    }
+
     /** Puts what can't make its target any more behind the rest, and refuses what can't be served at all. */
-    private sort(now: number, arrived: Waiting | undefined): PlaceDecision[] {
+    private sort(now: number): PlaceDecision[] {
         const refused: PlaceDecision[] = [];
+        const kept: Waiting[] = [];
+        const behind: Waiting[] = [];
+        const outlook = this.outlook(now);
         let ahead = 0;
-        const free = this.pool.freeTokens(now);
-        const capacity = this.pool.capacity(now);
-        for (const waiting of [...this.queue]) {
+        for (const waiting of this.queue) {
             const { demand } = waiting;
-            ahead += demand.cacheTokens;
-            const wait = this.forecast.wait(ahead - free, capacity);
-            const firstEventIn = wait
-                + this.forecast.firstEventAfter(this.pool.leastReadingTime(demand.promptTokens, now));
-            const hopes = capacity === 0 && now - waiting.arrivedAt < unknownPoolPatience;
-            const stays = demand.resumed || hopes || now + firstEventIn + patienceMargin <= waiting.patienceBy;
-            if (!stays) {
-                this.queue.splice(this.queue.indexOf(waiting), 1);
-                ahead -= demand.cacheTokens;
-                refused.push(this.refusal(waiting, firstEventIn, capacity, now));
+            const firstEventIn = outlook.firstEventIn(demand, ahead);
+            if (!this.stays(waiting, firstEventIn, outlook.capacity, now)) {
+                refused.push(this.refusal(waiting, firstEventIn, outlook.capacity, now));
             }
-            else if (!waiting.late && !demand.resumed && now + firstEventIn > waiting.targetBy && waiting !== arrived) {
-                this.queue.splice(this.queue.indexOf(waiting), 1);
-                ahead -= demand.cacheTokens;
-                this.putBehind(waiting);
+            else if (!waiting.late && !demand.resumed && now + firstEventIn > waiting.targetBy) {
+                behind.push(waiting);
+            }
+            else {
+                kept.push(waiting);
+                ahead += demand.cacheTokens;
             }
         }
+        this.queue = kept;
+        behind.forEach(waiting => this.putBehind(waiting));
         return refused;
     }
 
+    /** What can be foreseen of the pool: computed once for all that waits, since a burst's queue has hundreds. */
+    private outlook(now: number): Outlook {
+        const free = this.pool.freeTokens(now);
+        const capacity = this.pool.capacity(now);
+        const reading = this.pool.readingForecast(now);
+        const firstEventIn = (demand: PlaceDemand, ahead: number): number => {
+            return this.forecast.wait(ahead + demand.cacheTokens - free, capacity)
+                + this.forecast.firstEventAfter(reading(demand.promptTokens));
+        };
+        return { capacity, firstEventIn };
+    }
+
+    private stays(waiting: Waiting, firstEventIn: number, capacity: number, now: number): boolean {
+        const hopes = capacity === 0 && now - waiting.arrivedAt < unknownPoolPatience;
+        return waiting.demand.resumed || hopes || now + firstEventIn + patienceMargin <= waiting.patienceBy;
+    }
+
     private refusal(waiting: Waiting, firstEventIn: number, capacity: number, now: number): PlaceDecision {
         const { demand } = waiting;
         const reason = capacity === 0
--- a/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
@@ -87,36 +87,27 @@
 
     /** The best engines for a request; undefined where no decode engine has room for it. */
     best(demand: PlaceDemand, now: number): EnginePair | undefined {
-        let best: EnginePair | undefined;
-        let bestScore = Number.POSITIVE_INFINITY;
         const state = this.state();
         const decodes = this.usable("decode", demand.avoid, now).filter(engine => engine.hasRoom(demand, state));
         if (decodes.length === 0) {
             return undefined;
         }
         // Without a sound one a decode engine reads the prompt; a prefill engine that just failed would fail it again.
-        const prefills = this.sound("prefill", demand.avoid, now);
-        const readers = prefills.map(engine => {
+        const readers = this.sound("prefill", demand.avoid, now).map(engine => {
             const time = engine.readyIn(now) + engine.readingTime(demand.promptTokens);
             return { engine, time, score: time + this.scatter(demand, engine) };
         });
-        for (const decode of decodes) {
-            const own = decode.crowding(state) + this.scatter(demand, decode);
-            for (const { engine, time, score } of readers) {
-                const total = own + score + engine.distance(decode);
-                if (total < bestScore) {
-                    bestScore = total;
-                    best = { prefill: engine.id, decode: decode.id, readingTime: time };
-                }
-            }
-            const time = decode.readsItselfIn(demand.promptTokens, now);
-            const total = own + time + (readers.length === 0 ? 0 : selfReadReluctance);
-            if (total < bestScore) {
-                bestScore = total;
-                best = { prefill: undefined, decode: decode.id, readingTime: time };
-            }
-        }
-        return best;
+        const runners = decodes.map(engine => {
+            return { engine, time: 0, score: engine.crowding(state) + this.scatter(demand, engine) };
+        });
+        const apart = bestApart(bestOfDomains(readers), bestOfDomains(runners));
+        const alone = leastScore(runners.map(({ engine, score }) => {
+            const time = engine.readsItselfIn(demand.promptTokens, now);
+            return { engine, time, score: score + time + (readers.length === 0 ? 0 : selfReadReluctance) };
+        }))!;
+        return apart === undefined || alone.score < apart.score
+            ? { prefill: undefined, decode: alone.engine.id, readingTime: alone.time }
+            : apart.pair;
     }
 
     /** Notes what a request takes of its engines. */
@@ -131,11 +122,13 @@
         this.engines.get(pair.prefill ?? pair.decode)?.dropPrefill(attempt, now);
     }
 
-    /** Milliseconds to have a prompt read at the engine that is soonest ready for it. */
-    leastReadingTime(promptTokens: number, now: number): number {
+    /** Forecasts for prompts of any length how soon they would be read, at the engine that is soonest ready. */
+    readingForecast(now: number): (promptTokens: number) => number {
         const engines = [...this.engines.values()].filter(({ announced }) => announced.stage === "prefill");
-        const times = engines.map(engine => engine.readyIn(now) + engine.readingTime(promptTokens));
-        return times.length === 0 ? promptTokens * usualTokenTime : Math.min(...times);
+        const soonest = leastScore(engines.map(engine => ({ engine, score: engine.readyIn(now) })));
+        return soonest === undefined
+            ? promptTokens => promptTokens * usualTokenTime
+            : promptTokens => soonest.score + soonest.engine.readingTime(promptTokens);
     }
 
     /** Tokens of KV cache that may be handed out in all. */
@@ -186,6 +179,53 @@
     }
 }
 
+type Scored = { readonly engine: PlacedEngine; readonly score: number; };
+type Candidate = Scored & { readonly time: number; };
+
+function leastScore<T extends Scored>(candidates: readonly T[]): T | undefined {
+    let least: T | undefined;
+    for (const candidate of candidates) {
+        if (least === undefined || candidate.score < least.score) {
+            least = candidate;
+        }
+    }
+    return least;
+}
+
+/**
+ * The best candidate of each failure domain. Only these can be part of the best pair, since engines of one domain are
+ * equally far from any other. Comparing each engine with each took the leader of 78 engines its whole processor in a
+ * burst, and with it the leadership.
+ */
+function bestOfDomains(candidates: readonly Candidate[]): readonly Candidate[] {
+    const best = new Map<string, Candidate>();
+    for (const candidate of candidates) {
+        const { failureDomain } = candidate.engine.announced;
+        const known = best.get(failureDomain);
+        if (known === undefined || candidate.score < known.score) {
+            best.set(failureDomain, candidate);
+        }
+    }
+    return [...best.values()];
+}
+
+function bestApart(
+    readers: readonly Candidate[],
+    runners: readonly Candidate[],
+): { readonly pair: EnginePair; readonly score: number; } | undefined {
+    let best: { readonly pair: EnginePair; readonly score: number; } | undefined;
+    for (const runner of runners) {
+        for (const reader of readers) {
+            const score = runner.score + reader.score + reader.engine.distance(runner.engine);
+            if (best === undefined || score < best.score) {
+                const pair = { prefill: reader.engine.id, decode: runner.engine.id, readingTime: reader.time };
+                best = { pair, score };
+            }
+        }
+    }
+    return best;
+}
+
 function inBlocks(tokens: number): number {
     return Math.ceil(tokens / blockTokens) * blockTokens;
 }
