feat(cli): explain a request from the logs of all daemons

An engineer on call has logs only, spread over many daemons. explain REQUEST FILES tells how the request ended, what was decided on the way, and what its gateway and the hearers of its engines came to believe around that time. Lines behind a collector's prefix are read; what isn't a line is counted.

fix(soak): wake what rests in a backend server that ends; a drain that was crashed kept a run from ending. A soak that is ended from outside takes its processes with it.

--- /dev/null
+++ b/packages/basilpaddle/src/node/cli/__tests__/explanation.spec.ts
@@ -0,0 +1,54 @@
+import { expect } from "chai";
+import { explain, readLogLines } from "../explanation.js";
+
+const at = (milliseconds: number): string => new Date(1_700_000_000_000 + milliseconds).toISOString();
+const line = (milliseconds: number, daemon: string, message: string, facts: object = {}): string => {
+    return JSON.stringify({ at: at(milliseconds), level: "INFO", daemon, message, ...facts });
+};
+const ended = line(5_400, "gateway-1", "request", {
+    request: "r",
+    end: "failed",
+    cause: "RESET_BY_SERVER",
+    milliseconds: 400,
+    path: ["placed leader 3", "read p-1 done 110", "run d-2 lost 280 (RESET_BY_SERVER)"],
+});
+
+describe("the explanation of a request from logs", () => {
+    it("tells its end, its way, and what bears on it, in order of time", () => {
+        const { lines } = readLogLines([
+            `${ended}\n${line(5_000, "gateway-1", "a directory isn't reached any more")}`,
+            line(4_000, "directory-1", "a backend server leaves", { id: "d-2" }),
+        ]);
+        const [attempt] = explain(lines, "r");
+        expect(attempt).to.include({
+            gateway: "gateway-1",
+            end: "failed",
+            cause: "RESET_BY_SERVER",
+            arrivedAt: at(5_000),
+        });
+        expect(attempt!.beliefs.map(({ after, daemon }) => [after, daemon])).to.deep.equal([
+            [-1_000, "directory-1"],
+            [0, "gateway-1"],
+        ]);
+    });
+
+    it("leaves out other requests, other daemons' matters and what was long before", () => {
+        const { lines } = readLogLines([
+            ended,
+            line(5_300, "gateway-1", "request", { request: "other", milliseconds: 3 }),
+            line(5_300, "gateway-2", "a directory isn't reached any more"),
+            line(5_300, "directory-1", "a backend server leaves", { id: "d-9" }),
+            line(-60_000, "gateway-1", "starting"),
+        ]);
+        expect(explain(lines, "r")[0]!.beliefs).to.deep.equal([]);
+    });
+
+    it("reads lines behind a collector's own prefix, and counts what isn't a line", () => {
+        const { lines, unread } = readLogLines([`host-7 12.5 ${ended}\nError: torn\n{"at":"20`]);
+        expect([lines.length, unread]).to.deep.equal([1, 2]);
+    });
+
+    it("tells nothing of a request that no line names", () => {
+        expect(explain(readLogLines([ended]).lines, "unknown")).to.deep.equal([]);
+    });
+});
--- a/packages/basilpaddle/src/node/cli/main.ts
+++ b/packages/basilpaddle/src/node/cli/main.ts
@@ -2,6 +2,7 @@
 import { addConfigCommands } from "./configCommands.js";
 import { addDaemonCommands } from "./daemonCommands.js";
 import { type Ending, type ExitCode, exitCodeHelp, exitCodes } from "./exitCode.js";
+import { addLogCommands } from "./logCommands.js";
 import { addOperatorCommands } from "./operatorCommands.js";
 
 class UsageError extends Error {}
@@ -59,4 +60,5 @@
     addDaemonCommands(parser, end);
     addConfigCommands(parser, end);
     addOperatorCommands(parser, end);
+    addLogCommands(parser, end);
 }
--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -50,7 +50,8 @@
     /** Whether prompts' KV caches lapse as soon as they are made. */
     lapses = false;
     private readonly handles = new Map<string, string>();
-    private readonly resting = new Set<NodeJS.Timeout>();
+    /** What waits for its time here; woken when this backend server ends. */
+    private readonly resting = new Map<NodeJS.Timeout, () => void>();
     private stage: "prefill" | "decode" | undefined;
     private state: "ready" | "draining" = "ready";
     private sequence = 0;
@@ -103,6 +104,9 @@
         while (!this.gone && !await this.beat()) {
             await this.rest(heartbeatInterval / 4);
         }
+        if (this.gone) {
+            return;
+        }
         this.options.promises.leaves(this.id, performance.now());
         await this.rest(drainTime);
         await this.tell(leavePath(this.id), "");
@@ -114,7 +118,11 @@
             return;
         }
         this.gone = true;
-        this.resting.forEach(timer => clearTimeout(timer));
+        this.resting.forEach((wake, timer) => {
+            clearTimeout(timer);
+            wake();
+        });
+        this.resting.clear();
         this.relay.reset();
         this.relay.close();
         this.server.close();
@@ -282,12 +290,15 @@
     }
 
     private rest(milliseconds: number): Promise<void> {
+        if (this.gone) {
+            return Promise.resolve();
+        }
         return new Promise(resolve => {
             const timer = setTimeout(() => {
                 this.resting.delete(timer);
                 resolve();
             }, milliseconds);
-            this.resting.add(timer);
+            this.resting.set(timer, resolve);
         });
     }
 }
--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -123,7 +123,10 @@
 
     /** Ends a backend server for good. */
     removeBackend(backend: Backend): void {
-        this.backends.splice(this.backends.indexOf(backend), 1);
+        const position = this.backends.indexOf(backend);
+        if (position >= 0) {
+            this.backends.splice(position, 1);
+        }
         backend.crash();
     }
 
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -18,6 +18,11 @@
     .strict()
     .parse();
 
+// Ended from outside, a run must take the processes that it started with it: they are ended as this one exits.
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+    process.once(signal, () => process.exit(1));
+}
+
 const first = options.first ?? Math.floor(Date.now() / 1_000) % 1_000_000;
 const { seconds, gateways, directories } = options;
 const size = {
