fix(directory): contradict the silence of a backend server that is heard here

Sequence: the engines' heartbeats went to a second directory meanwhile and came back to the first one; the second one missed them and said so. The first one heard them all the time, but a heartbeat without news goes nowhere, so gateways and the leader believed the silence. Ruled out: lost announcements (the first directory had them all).

Change: a directory that hears of a silence and has heard the backend server since says so. Places are also given at silent engines where no other is left, as plain services do. What a directory hears is a class of its own.

--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/enginePlaces.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/enginePlaces.spec.ts
@@ -137,6 +137,16 @@
         expect(placed(places.review(500))).to.deep.equal(["one"]);
     });
 
+    it("use silent engines where no other is left", () => {
+        const places = pool(0, 0);
+        places.setEngines(engines(1, 2).map(engine => ({ ...engine, state: "silent" as const })), rule);
+        expect(placed(places.ask(demand("one"), 0))).to.deep.equal(["one"]);
+        const [silent, ready] = engines(0, 2);
+        places.setEngines([{ ...silent!, state: "silent" }, ready!], rule);
+        const [decision] = places.ask(demand("two"), 10);
+        expect(decision).to.include({ kind: "placed", decode: ready!.id });
+    });
+
     it("refuse where no engine has come after a while", () => {
         const places = pool(0, 0);
         places.ask(demand("one"), 0);
--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/membershipOfServers.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/membershipOfServers.spec.ts
@@ -38,6 +38,43 @@
     });
 });
 
+// Symptom: after a directory was paused for two seconds no engine was ready for the rest of the day.
+// Sequence: the engines' heartbeats go to a second directory meanwhile, and then to the first one again. The second one
+// misses them and says so; the first one hears them all the time, and has nothing new to say.
+// Cause: a heartbeat without news goes nowhere, so nobody contradicts the silence.
+describe("the silence of a backend server at one directory", () => {
+    const moved = (): { readonly first: Announcements; readonly second: Announcements; } => {
+        const first = Announcements.create(1_000);
+        const second = Announcements.create(1_000);
+        first.take(announced({ id: "i", sequence: 1 }), 0);
+        second.take(announced({ id: "i", sequence: 2 }), 1_000);
+        for (let sequence = 3; sequence < 9; sequence++) {
+            first.take(announced({ id: "i", sequence }), sequence * 1_000);
+        }
+        second.markSilent(5_000);
+        return { first, second };
+    };
+
+    it("is contradicted by another directory that hears it", () => {
+        const { first, second } = moved();
+        const [word] = second.since(0);
+        const before = first.newest();
+        expect([word!.state, first.refutes(word!)]).to.deep.equal(["silent", true]);
+        const table = InstanceTable.create();
+        [...second.since(0), ...first.since(before)].forEach(one => table.take(one));
+        expect(table.all().map(one => one.state)).to.deep.equal(["ready"]);
+    });
+
+    it("stands where nobody has heard it since, or all miss it", () => {
+        const { first, second } = moved();
+        const [word] = second.since(0);
+        expect(first.refutes({ ...word!, sequence: 8 })).to.equal(false);
+        first.markSilent(20_000);
+        expect(first.refutes(word!)).to.equal(false);
+        expect(second.refutes(word!)).to.equal(false);
+    });
+});
+
 describe("the table of instances", () => {
     it("goes by the highest sequence number, whichever directory it came from", () => {
         const table = InstanceTable.create();
--- a/packages/basilpaddle/src/node/coordination/gateway/announcements.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/announcements.ts
@@ -72,6 +72,22 @@
         return marked;
     }
 
+    /**
+     * Takes what another directory says; tells whether it is refuted here and has to be said anew. A backend server that
+     * moved on to this directory is silent at the one before. Its heartbeats say nothing new here and go nowhere, so that
+     * everybody would believe the silence for as long as nothing else changes, and a pool would seem to have no engine.
+     */
+    refutes(other: Announced): boolean {
+        const known = this.heard.get(other.id);
+        const isHeard = known !== undefined
+            && (known.announced.state === "ready" || known.announced.state === "draining");
+        if (other.state !== "silent" || !isHeard || known.announced.sequence <= other.sequence) {
+            return false;
+        }
+        known.number = this.next();
+        return true;
+    }
+
     /** What has changed after the number. */
     since(number: number): readonly Announced[] {
         return [...this.heard.values()].filter(known => known.number > number).map(known => known.announced);
--- a/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
@@ -150,13 +150,20 @@
         return new Map([...this.engines].map(([id, engine]) => [id, engine.tokens]));
     }
 
+    /**
+     * Engines of a stage that may get work: sound ones, else those that failed of late or are to be avoided, else silent
+     * ones. These are likely gone, but a directory that was cut off from them would say the same.
+     */
     private usable(stage: Announced["stage"], avoid: readonly string[], now: number): PlacedEngine[] {
         const sound = this.sound(stage, avoid, now);
-        return sound.length > 0
-            ? sound
-            : [...this.engines.values()].filter(({ announced }) => {
-                return announced.stage === stage && announced.state === "ready";
-            });
+        return sound.length > 0 ? sound : this.inState(stage, "ready") ?? this.inState(stage, "silent") ?? [];
+    }
+
+    private inState(stage: Announced["stage"], state: Announced["state"]): PlacedEngine[] | undefined {
+        const engines = [...this.engines.values()].filter(({ announced }) => {
+            return announced.stage === stage && announced.state === state;
+        });
+        return engines.length > 0 ? engines : undefined;
     }
 
     private sound(stage: Announced["stage"], avoid: readonly string[], now: number): PlacedEngine[] {
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -1,6 +1,5 @@
-import { Announcements, DirectoryWatcher, InstanceTable } from "../../coordination/index.js";
+import { DirectoryWatcher } from "../../coordination/index.js";
 import {
-    type Announced,
     type DirectorySettings,
     type DocumentAnswer,
     documentAnswerSchema,
@@ -19,6 +18,7 @@
 import type { DirectoryCall, DirectoryWire } from "./directoryWire.js";
 import { DocumentGroup } from "./documentGroup.js";
 import { PlacingService } from "./placingService.js";
+import { ServerHearing } from "./serverHearing.js";
 import { StageOrders } from "./stageOrders.js";
 import { WatchBook } from "./watchBook.js";
 
@@ -47,8 +47,7 @@
  */
 export class DirectoryDaemon extends CallHandler {
     private readonly store = DisposableStore.create();
-    private readonly instances = InstanceTable.create();
-    private readonly announcements: Announcements;
+    private readonly hearing: ServerHearing;
     private readonly connections: BackendConnections;
     private readonly watches: WatchBook;
     private readonly name: string;
@@ -66,13 +65,19 @@
         super();
         const { settings, clock, randomness } = options;
         this.name = `${settings.host}:${settings.peerPort}`;
-        this.announcements = Announcements.create(settings.heartbeat);
+        this.hearing = ServerHearing.create({
+            heartbeat: settings.heartbeat,
+            clock,
+            logger: options.logger,
+            onNews: () => this.watches.changed(),
+            onBelief: () => this.placing?.refresh(),
+        });
         this.connections = BackendConnections.create(options.logger);
         this.store.add(() => this.connections.close());
         this.watches = WatchBook.create({
             incarnation: randomness.identifier(),
             failureDomain: settings.failureDomain,
-            announcements: this.announcements,
+            announcements: this.hearing.announcements,
             document: () => group.current(),
             members: () => this.members(),
             clock,
@@ -125,7 +130,7 @@
         metrics.gauge("basilpaddle_places_held", placed?.held ?? 0);
         metrics.gauge("basilpaddle_places_waiting", placed?.waiting ?? 0);
         for (const state of ["ready", "draining", "silent"] as const) {
-            const count = this.instances.all().filter(instance => instance.state === state).length;
+            const count = this.hearing.instances.all().filter(instance => instance.state === state).length;
             metrics.gauge("basilpaddle_instances", count, { state });
         }
     }
@@ -168,7 +173,7 @@
             network: this.network,
             clock,
             logger,
-            onAnnounced: announced => this.learn(announced),
+            onAnnounced: announced => this.hearing.hearOther(announced),
         });
         this.store.add(() => watcher.close());
         const calls = await CallServer.create({ address: settings.calls, handler: this, wire, logger });
@@ -200,11 +205,7 @@
         const { clock } = this.options;
         let cancel = clock.after(silenceInterval, () => look());
         const look = (): void => {
-            const now = clock.monotonic();
-            if (this.announcements.markSilent(now)) {
-                this.learnOwn();
-                this.watches.changed();
-            }
+            this.hearing.lookForSilence();
             this.placing?.keepGateways(this.watches.gatewayNames());
             cancel = clock.after(silenceInterval, look);
         };
@@ -212,19 +213,14 @@
     }
 
     private announce(id: string, body: string): CallAnswer {
-        const { wire, clock, logger } = this.options;
+        const { wire } = this.options;
         if (!this.isHeard()) {
             return { kind: "unavailable", reason: "no gateway watches this directory" };
         }
         return wire.announcement(id, body).caseOf<CallAnswer>({
             Left: findings => ({ kind: "invalid", findings }),
             Right: announced => {
-                if (this.announcements.take(announced, clock.monotonic())) {
-                    const { service, address, state, stage, sequence } = announced;
-                    logger.info("a backend server announced itself", { id, service, address, state, stage, sequence });
-                    this.learn(announced);
-                    this.watches.changed();
-                }
+                this.hearing.announce(announced);
                 return { kind: "done" };
             },
         });
@@ -234,25 +230,10 @@
         if (!this.isHeard()) {
             return { kind: "unavailable", reason: "no gateway watches this directory" };
         }
-        this.noteLeft(id, "a backend server leaves");
+        this.hearing.leave(id);
         return { kind: "done" };
     }
 
-    private noteEnded(id: string): void {
-        if (!this.instances.hasEnded(id)) {
-            this.noteLeft(id, "a gateway found another incarnation in the place of a backend server");
-        }
-    }
-
-    /** Notes that an incarnation is gone for good, and passes that on. */
-    private noteLeft(id: string, what: string): void {
-        if (this.announcements.leave(id, this.options.clock.monotonic())) {
-            this.options.logger.info(what, { id });
-            this.learnOwn();
-            this.watches.changed();
-        }
-    }
-
     /**
      * Whether gateways hear what this directory hears. An acknowledged word that reached nobody would let a leaving
      * server believe that no more work comes.
@@ -341,8 +322,11 @@
         const { clock, logger, wire, settings } = this.options;
         const term = this.group.standing()?.term ?? 0;
         this.stopLeading();
-        const sources = { instances: this.instances, traffic: () => this.traffic, clock, logger };
-        this.placing = PlacingService.create({ ...sources, onEnded: instance => this.noteEnded(instance) }, term);
+        const sources = { instances: this.hearing.instances, traffic: () => this.traffic, clock, logger };
+        this.placing = PlacingService.create(
+            { ...sources, onEnded: instance => this.hearing.noteEnded(instance) },
+            term,
+        );
         this.orders = StageOrders.create({
             ...sources,
             holder: settings.name,
@@ -362,17 +346,6 @@
         this.orders = undefined;
     }
 
-    private learnOwn(): void {
-        this.announcements.since(0).forEach(announced => this.instances.take(announced));
-        this.placing?.refresh();
-    }
-
-    private learn(announced: Announced): void {
-        if (this.instances.take(announced)) {
-            this.placing?.refresh();
-        }
-    }
-
     private members(): { readonly members: readonly string[]; readonly leader: string | undefined; } {
         const standing = this.group.standing();
         const identities = [...standing?.voters ?? [], ...standing?.learners ?? []];
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/directory/serverHearing.ts
@@ -0,0 +1,91 @@
+import { Announcements, InstanceTable } from "../../coordination/index.js";
+import type { Announced } from "../../protocol/index.js";
+import type { Clock, Logger } from "../../utils/index.js";
+
+/** What the hearing needs, and whom it tells. */
+export type ServerHearingOptions = {
+    /** Milliseconds between two heartbeats of a backend server. */
+    readonly heartbeat: number;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    /** Called when what this directory says of backend servers has changed. */
+    readonly onNews: () => void;
+    /** Called when what is believed of backend servers here has changed, whoever said so. */
+    readonly onBelief: () => void;
+};
+
+/** What one directory hears of backend servers: from themselves, from gateways, and from other directories. */
+export class ServerHearing {
+    /** What is believed of all of them. */
+    readonly instances = InstanceTable.create();
+    /** What was heard here. */
+    readonly announcements: Announcements;
+
+    private constructor(private readonly options: ServerHearingOptions) {
+        this.announcements = Announcements.create(options.heartbeat);
+    }
+
+    static create(options: ServerHearingOptions): ServerHearing {
+        return new ServerHearing(options);
+    }
+
+    /** A backend server sent a heartbeat. */
+    announce(announced: Announced): void {
+        const { clock, logger, onNews } = this.options;
+        if (this.announcements.take(announced, clock.monotonic())) {
+            const { id, service, address, state, stage, sequence } = announced;
+            logger.info("a backend server announced itself", { id, service, address, state, stage, sequence });
+            this.believe(announced);
+            onNews();
+        }
+    }
+
+    /** A backend server said that it leaves. */
+    leave(id: string): void {
+        this.end(id, "a backend server leaves");
+    }
+
+    /** A gateway found another incarnation at its address. */
+    noteEnded(id: string): void {
+        if (!this.instances.hasEnded(id)) {
+            this.end(id, "a gateway found another incarnation in the place of a backend server");
+        }
+    }
+
+    /** Another directory says something of a backend server. */
+    hearOther(announced: Announced): void {
+        this.believe(announced);
+        if (this.announcements.refutes(announced)) {
+            const { id, sequence } = announced;
+            this.options.logger.info("a backend server that another directory misses is heard here", { id, sequence });
+            this.sayAnew();
+        }
+    }
+
+    /** Looks for backend servers that have fallen silent. */
+    lookForSilence(): void {
+        if (this.announcements.markSilent(this.options.clock.monotonic())) {
+            this.sayAnew();
+        }
+    }
+
+    /** Notes that an incarnation is gone for good, and passes that on. */
+    private end(id: string, what: string): void {
+        if (this.announcements.leave(id, this.options.clock.monotonic())) {
+            this.options.logger.info(what, { id });
+            this.sayAnew();
+        }
+    }
+
+    private sayAnew(): void {
+        this.announcements.since(0).forEach(announced => this.instances.take(announced));
+        this.options.onBelief();
+        this.options.onNews();
+    }
+
+    private believe(announced: Announced): void {
+        if (this.instances.take(announced)) {
+            this.options.onBelief();
+        }
+    }
+}
