--- a/soak/__tests__/soak.spec.ts
+++ b/soak/__tests__/soak.spec.ts
@@ -17,9 +17,9 @@
         });
     }
 
-    for (const { seed, cause } of regressions) {
-        it(`keeps every promise with seed ${seed}: ${cause}`, async () => {
-            const report = await runSoak(createPlan(seed));
+    for (const { plan, cause } of regressions) {
+        it(`keeps every promise in the run of seed ${plan.seed}: ${cause}`, async () => {
+            const report = await runSoak(plan);
             expect(report.breaches, report.faults.join("\n")).to.deep.equal([]);
         });
     }
--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -49,6 +49,8 @@
     slowness = 1;
     /** Whether prompts' KV caches lapse as soon as they are made. */
     lapses = false;
+    /** Whether it breaks connections off after it has run what came on them. */
+    losesAnswers = false;
     private readonly handles = new Map<string, string>();
     /** What waits for its time here; woken when this backend server ends. */
     private readonly resting = new Map<NodeJS.Timeout, () => void>();
@@ -249,6 +251,10 @@
         }
         await this.work(attempt, response, async () => {
             await this.rest(plainTime * this.slowness);
+            if (this.losesAnswers) {
+                response.socket?.resetAndDestroy();
+                return;
+            }
             response.writeHead(200, answerHeaders(attempt, this.id, this.id));
             response.end(plainText(attempt));
         });
@@ -272,6 +278,10 @@
                 response.write(eventText(attempt, number));
                 await this.rest(eventTime * this.slowness);
             }
+            if (this.losesAnswers) {
+                response.socket?.resetAndDestroy();
+                return;
+            }
             response.end();
         });
     }
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -97,6 +97,7 @@
             slowBackend: () => this.impairBackend(fault, backend => (backend.slowness = slowness), unslowed),
             drainBackend: () => this.drainBackend(fault),
             lapseHandles: () => this.impairBackend(fault, backend => (backend.lapses = true), unlapsed),
+            loseAnswers: () => this.impairBackend(fault, backend => (backend.losesAnswers = true), unlost),
             changeConfiguration: () => operator.change(),
             raceConfigurations: () => operator.race(),
             invalidConfiguration: () => operator.sendInvalid(),
@@ -291,6 +292,10 @@
     backend.lapses = false;
 }
 
+function unlost(backend: Backend): void {
+    backend.losesAnswers = false;
+}
+
 function pickOf<T>(all: readonly T[], fraction: number): T {
     return all[Math.min(all.length - 1, Math.floor(fraction * all.length))]!;
 }
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -44,8 +44,8 @@
 
 async function playSeed(seed: number): Promise<boolean> {
     const report = await runSoak(createPlan(seed, size));
-    const { breaches, requests, ends, faults } = report;
-    const summary = `${requests} requests ${JSON.stringify(ends)}, ${faults.length} faults`;
+    const { breaches, requests, ends, cuts, faults } = report;
+    const summary = `${requests} requests ${JSON.stringify(ends)} ${JSON.stringify(cuts)}, ${faults.length} faults`;
     if (breaches.length === 0) {
         console.log(`seed ${seed}: kept; ${summary}`);
         return true;
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -27,6 +27,7 @@
     "slowBackend",
     "drainBackend",
     "lapseHandles",
+    "loseAnswers",
     "changeConfiguration",
     "raceConfigurations",
     "invalidConfiguration",
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -22,6 +22,8 @@
     readonly requests: number;
     /** Requests by how they ended. */
     readonly ends: Readonly<Record<string, number>>;
+    /** Requests that broke off, by what their callers saw. */
+    readonly cuts: Readonly<Record<string, number>>;
     /** What was done, in order. */
     readonly faults: readonly string[];
     /** What the processes wrote, by name. */
@@ -80,13 +82,19 @@
     report(faults: readonly string[]): SoakReport {
         const { deployment, promises, plan } = this;
         const ends: Record<string, number> = {};
+        const cuts: Record<string, number> = {};
         for (const { end } of promises.requests.values()) {
             const name = end === undefined ? "open" : end.kind === "answered" ? String(end.status) : end.kind;
             ends[name] = (ends[name] ?? 0) + 1;
+            if (end?.kind === "cut") {
+                // Without addresses and byte counts, which differ each time.
+                const cause = end.cause.replace(/[\d.:]+/g, "N");
+                cuts[cause] = (cuts[cause] ?? 0) + 1;
+            }
         }
         const logs = new Map(deployment.members().map(member => [member.name, member.output()]));
         const { breaches, requests } = promises;
-        return { seed: plan.seed, breaches, requests: requests.size, ends, faults, logs };
+        return { seed: plan.seed, breaches, requests: requests.size, ends, cuts, faults, logs };
     }
 
     /** Waits until every gateway serves every kind of request. */
