--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -41,6 +41,8 @@
     /** Addresses where directories take heartbeats, in the order of asking. */
     readonly directories: () => readonly string[];
     readonly promises: Promises;
+    /** Prompts' KV caches of all engines of the run, by handle: engines fetch them from each other. */
+    readonly caches: Map<string, string>;
 };
 
 /** A backend server behind a relay: an engine of the pool or a plain server. It notes what runs on it. */
@@ -51,7 +53,6 @@
     lapses = false;
     /** Whether it breaks connections off after it has run what came on them. */
     losesAnswers = false;
-    private readonly handles = new Map<string, string>();
     /** What waits for its time here; woken when this backend server ends. */
     private readonly resting = new Map<NodeJS.Timeout, () => void>();
     private stage: "prefill" | "decode" | undefined;
@@ -188,7 +189,7 @@
             this.obey(order, response);
         }
         else if (freed !== undefined) {
-            this.handles.delete(freed);
+            this.options.caches.delete(freed);
             response.end();
         }
         else {
@@ -235,15 +236,12 @@
         this.made += 1;
         const handle = `${this.id}-${this.made}`;
         if (!this.lapses) {
-            Backend.caches.set(handle, attempt);
-            void this.rest(handleLife).then(() => Backend.caches.delete(handle));
+            this.options.caches.set(handle, attempt);
+            void this.rest(handleLife).then(() => this.options.caches.delete(handle));
         }
         response.end(readAnswer(handle));
     }
 
-    /** Prompts' KV caches of all engines, by handle: an engine fetches them from each other. */
-    private static readonly caches = new Map<string, string>();
-
     private async answerPlain({ attempt }: ReceivedRequest, response: http.ServerResponse): Promise<void> {
         if (this.running >= plainSlots) {
             response.writeHead(503, notRunHeaders(attempt)).end();
@@ -262,15 +260,15 @@
 
     private async stream(received: ReceivedRequest, response: http.ServerResponse): Promise<void> {
         const { attempt, handle, resumeAfter = 0 } = received;
-        const known = handle === undefined || Backend.caches.get(handle) !== undefined;
+        const known = handle === undefined || this.options.caches.get(handle) !== undefined;
         if (this.stage !== "decode" || !known) {
             response.writeHead(this.stage === "decode" ? 503 : 421, notRunHeaders(attempt)).end();
             return;
         }
-        if (handle !== undefined && Backend.caches.get(handle) !== attempt) {
+        if (handle !== undefined && this.options.caches.get(handle) !== attempt) {
             this.options.promises.breach("its own whole answer", `${attempt} goes on from the KV cache of another`);
         }
-        Backend.caches.delete(handle ?? "");
+        this.options.caches.delete(handle ?? "");
         await this.work(attempt, response, async () => {
             const headers = answerHeaders(attempt, this.id, this.id);
             response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -27,6 +27,7 @@
     readonly directories: Member[] = [];
     readonly gateways: Member[] = [];
     readonly backends: Backend[] = [];
+    private readonly caches = new Map<string, string>();
     private madeBackends = 0;
     private madeDirectories = 0;
 
@@ -116,6 +117,7 @@
             host: this.addresses.host(backendHost),
             directories: () => this.callAddresses(),
             promises: this.promises,
+            caches: this.caches,
         });
         this.backends.push(backend);
         return backend;
