--- a/packages/basilpaddle/src/node/daemon/directory/callServer.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/callServer.ts
@@ -63,8 +63,9 @@
     private async receive(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         request.on("error", error => this.logger.debug("a call broke", { error: error.message }));
         response.on("error", error => this.logger.debug("an answer broke", { error: error.message }));
-        const call = this.wire.call(request.method ?? "", (request.url ?? "").split("?", 1)[0]!);
+        const path = (request.url ?? "").split("?", 1)[0]!;
         try {
+            const call = this.wire.call(request.method ?? "", path);
             const body = await readBody(request);
             const answer = body === undefined
                 ? { kind: "invalid" as const, findings: [tooLarge] }
@@ -72,7 +73,7 @@
             this.reply(response, answer);
         }
         catch (error) {
-            this.logger.error("a call failed", { call: call.kind, error });
+            this.logger.error("a call failed", { method: request.method, path, error });
             this.reply(response, { kind: "unavailable", reason: "the call failed" });
         }
     }
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -1,11 +1,16 @@
+import { type Either, Left, Right } from "purify-ts";
 import { DirectoryWatcher } from "../../coordination/index.js";
 import {
+    type Announced,
+    announcedSchema,
     type DirectorySettings,
     type DocumentAnswer,
     documentAnswerSchema,
     type DocumentCall,
     documentCallSchema,
     documentRequestSchema,
+    type Finding,
+    findingsOf,
     placingSchema,
     seedNames,
     type Traffic,
@@ -213,12 +218,15 @@
     }
 
     private announce(id: string, body: string): CallAnswer {
-        const { wire } = this.options;
+        const { wire, logger } = this.options;
         if (!this.isHeard()) {
             return { kind: "unavailable", reason: "no gateway watches this directory" };
         }
-        return wire.announcement(id, body).caseOf<CallAnswer>({
-            Left: findings => ({ kind: "invalid", findings }),
+        return wire.announcement(id, body).chain(sound).caseOf<CallAnswer>({
+            Left: findings => {
+                logger.warn("an announcement was refused", { id, findings: findings.slice(0, 3) });
+                return { kind: "invalid", findings };
+            },
             Right: announced => {
                 this.hearing.announce(announced);
                 return { kind: "done" };
@@ -363,6 +371,15 @@
     }
 }
 
+/**
+ * Checks what a backend server says against the form in which it is passed on. One value that this form doesn't allow, a
+ * sequence of 1.5 say, would make every watcher throw away the whole answer, and with it all that this directory hears.
+ */
+function sound(announced: Announced): Either<readonly Finding[], Announced> {
+    const parsed = announcedSchema.safeParse(announced);
+    return parsed.success ? Right(parsed.data) : Left(findingsOf("announcement", parsed.error));
+}
+
 function unavailable(answer: DocumentAnswer): CallAnswer {
     return { kind: "unavailable", reason: answer.kind === "unavailable" ? answer.reason : "an unexpected answer" };
 }
--- a/soak/member.ts
+++ b/soak/member.ts
@@ -121,9 +121,11 @@
         this.program?.signal("SIGCONT");
     }
 
-    /** SIGHUP. */
+    /** SIGHUP, unless the process has yet to load its program: before that, nothing in it can listen for a signal. */
     reload(): void {
-        this.program?.signal("SIGHUP");
+        if (this.program?.output().includes("\"starting\"") === true) {
+            this.program.signal("SIGHUP");
+        }
     }
 
     /** Takes its disk away; it must be down. */
