--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -17,8 +17,9 @@
     watchSchema,
 } from "../../protocol/index.js";
 import { type Link, type Network, parseAddress, TcpNetwork, TcpServer } from "../../transport/index.js";
-import { type Clock, DisposableStore, type Logger, type Metrics, type Randomness } from "../../utils/index.js";
+import { DisposableStore, type Metrics, type Randomness } from "../../utils/index.js";
 import { BackendConnections } from "../backends/index.js";
+import type { RoutingOptions } from "../routingOptions.js";
 import { type CallAnswer, CallHandler, CallServer } from "./callServer.js";
 import type { DirectoryCall, DirectoryWire } from "./directoryWire.js";
 import { DocumentGroup } from "./documentGroup.js";
@@ -35,15 +36,8 @@
 const leastVoters = 3;
 
 /** What a directory needs. */
-export type DirectoryDaemonOptions = {
-    readonly settings: DirectorySettings;
-    /** Names of the directories to begin with; looked at anew since settings may change. */
-    readonly seeds?: () => readonly string[];
-    readonly wire: DirectoryWire;
-    readonly clock: Clock;
+export type DirectoryDaemonOptions = RoutingOptions<DirectorySettings, DirectoryWire> & {
     readonly randomness: Randomness;
-    readonly logger: Logger;
-    readonly network?: Network;
 };
 
 /**
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -1,9 +1,10 @@
 import * as http from "node:http";
 import { DirectoryWatcher, InstanceTable, RepeatBudget, RouteTable, ServerChoice } from "../../coordination/index.js";
 import { type GatewaySettings, seedNames, type TrafficRoute } from "../../protocol/index.js";
-import { type Network, TcpNetwork } from "../../transport/index.js";
-import { type Clock, DisposableStore, type Logger, type Metrics } from "../../utils/index.js";
+import { TcpNetwork } from "../../transport/index.js";
+import { DisposableStore, type Metrics } from "../../utils/index.js";
 import { BackendConnections } from "../backends/index.js";
+import type { RoutingOptions } from "../routingOptions.js";
 import { CallerRequest, readBody, writeOwn } from "./callerRequest.js";
 import { CallerServer } from "./callerServer.js";
 import type { ExchangeParts } from "./exchange.js";
@@ -27,15 +28,8 @@
 const shutdownPoll = 50;
 
 /** What a gateway needs. */
-export type GatewayDaemonOptions = {
-    readonly settings: GatewaySettings;
-    /** Names of the directories to begin with; looked at anew since settings may change. */
-    readonly seeds?: () => readonly string[];
-    readonly wire: GatewayWire;
-    readonly clock: Clock;
-    readonly logger: Logger;
+export type GatewayDaemonOptions = RoutingOptions<GatewaySettings, GatewayWire> & {
     readonly metrics: Metrics;
-    readonly network?: Network;
     /** Milliseconds after the start in which the count of gateways isn't trusted. @default 4000 */
     readonly settleTime?: number;
 };
