fix(soak): a process that is told to stop before its program is loaded ends by the signal; servers that leave stay longer

Servers that leave went on for 4.5 s where new work counts after 4: a mutant that sends them work was not noticed.

--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -25,8 +25,11 @@
 const heartbeatInterval = 600;
 /** Milliseconds for a directory to acknowledge one, before the next is asked. */
 const heartbeatPatience = 1_000;
-/** Milliseconds that a backend server goes on after its leaving was acknowledged. */
-const drainTime = 4_500;
+/**
+ * Milliseconds that a backend server goes on after its leaving was acknowledged: well beyond the time after which new
+ * work counts as a breach, or a gateway that sends it some would go unnoticed.
+ */
+const drainTime = 7_000;
 /** Milliseconds that a change of stage takes. */
 const stageTime = 1_000;
 const plainSlots = 12;
--- a/soak/member.ts
+++ b/soak/member.ts
@@ -99,6 +99,7 @@
     /** SIGTERM; gives whether it ended in time and well. */
     async stop(): Promise<boolean> {
         this.expectedDown = true;
+        const hasBegun = this.hasBegun();
         this.program?.signal("SIGTERM");
         try {
             await until(`${this.name} to end`, () => Promise.resolve(!this.isRunning()), stopPatience);
@@ -108,7 +109,8 @@
             await this.program?.kill();
             return false;
         }
-        return (await this.program?.end())?.code === 0;
+        // Before the program is loaded, the signal itself ends the process; there is nothing to be shut down in order.
+        return !hasBegun || (await this.program?.end())?.code === 0;
     }
 
     pause(): void {
@@ -123,8 +125,8 @@
 
     /** SIGHUP, unless the process has yet to load its program: before that, nothing in it can listen for a signal. */
     reload(): void {
-        if (this.program?.output().includes("\"starting\"") === true) {
-            this.program.signal("SIGHUP");
+        if (this.hasBegun()) {
+            this.program?.signal("SIGHUP");
         }
     }
 
@@ -152,6 +154,11 @@
         this.relays.forEach(relay => relay.close());
     }
 
+    /** Whether the process has loaded its program in this life: its first line is out. */
+    private hasBegun(): boolean {
+        return this.program?.output().includes("\"starting\"") === true;
+    }
+
     private file(): string {
         return path.join(this.folder, `${this.name}.json`);
     }
