fix(gateway): don't blame an engine for a reading whose caller left, or that was never sent

Cause, found by reading: whatever kept a prompt from being read was reported as the prefill engine's failure, a caller that left and a spent allowance for repeats included.

Change: the reading says how its place ended; an engine is blamed only for what it did. Test: a deployment with one prefill engine whose first caller leaves; before, the second prompt wasn't read there (1 call seen, 2 expected).

--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -140,8 +140,9 @@
         }
         if (!this.hasFreshRead()) {
             this.dropRead();
-            if (prefill !== undefined && !this.readsAtDecode && !await this.readPrompt(prefill)) {
-                return { failed: prefill.id };
+            const unread = prefill === undefined || this.readsAtDecode ? undefined : await this.readPrompt(prefill);
+            if (unread !== undefined) {
+                return unread;
             }
         }
         if (this.request.isGone()) {
@@ -164,12 +165,16 @@
         }
     }
 
-    private async readPrompt(prefill: Announced): Promise<boolean> {
+    /**
+     * Has the prompt read. Gives how the place ended where it wasn't: the engine is to blame unless the caller left or
+     * nothing was sent. An engine that is blamed gets no work for a while, and many callers leave just in a burst.
+     */
+    private async readPrompt(prefill: Announced): Promise<PlaceEnd | undefined> {
         const { request, parts, places } = this;
         const arrive = this.arrivals.begin();
         if (arrive === undefined) {
             this.refuse(turnedAwayComeBack, noRepeatLeft);
-            return false;
+            return {};
         }
         const startedAt = this.now();
         const limit = TimeLimit.create(parts.clock, this.readingLimit(), request.gone.signal);
@@ -183,16 +188,17 @@
                 this.read = { engine: prefill, handle, readAt: this.now() };
                 this.offers = 0;
                 places.prefilled(request.attempt);
-                return true;
+                return undefined;
             }
             const unreached = sent.kind === "notRun" && sent.unreachable;
             arrive(unreached ? "unreached" : handle === undefined ? "counted" : "read");
             this.noteUnreached(unreached);
-            if (!request.isGone()) {
-                const cause = sent.kind === "answer" ? `status ${sent.answer.status}` : sent.cause;
-                this.again(prefill.id, `the prompt wasn't read: ${cause}`);
+            if (request.isGone()) {
+                return {};
             }
-            return false;
+            const cause = sent.kind === "answer" ? `status ${sent.answer.status}` : sent.cause;
+            this.again(prefill.id, `the prompt wasn't read: ${cause}`);
+            return { failed: prefill.id };
         }
         finally {
             limit.end();
