refactor(utils): one hash for what is spread by a text; the soak keeps the logs of replaced directories

Two hashes of one kind stood in one folder, and four more sums of characters beside them.

The soak looked for faults in the logs of running members only: a directory that had been replaced took its own away.

--- a/packages/basilpaddle/src/node/coordination/gateway/enginePlaces.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePlaces.ts
@@ -1,4 +1,5 @@
 import type { Announced, EngineRule, PlaceDecision, PlaceDemand, PlaceEnd } from "../../protocol/index.js";
+import { fractionOf } from "../../utils/index.js";
 import { type EnginePair, EnginePool, type PlaceTuning } from "./enginePool.js";
 import { PlaceForecast } from "./placeForecast.js";
 import { TurnAways } from "./turnAways.js";
@@ -311,7 +312,7 @@
             ? "no engine is ready"
             : `the first event would come in ${Math.round(firstEventIn)} ms, after its caller's patience`;
         const over = Math.max(0, now + firstEventIn + patienceMargin - waiting.patienceBy);
-        const comeBackIn = capacity === 0 ? noEngineComeBack : over + spread(demand.attempt);
+        const comeBackIn = capacity === 0 ? noEngineComeBack : over + fractionOf(demand.attempt) * comeBackSpread;
         return { kind: "refused", attempt: demand.attempt, reason, comeBackIn };
     }
 
@@ -335,12 +336,3 @@
     const { demand, prefill, decode } = placement;
     return { kind: "placed", attempt: demand.attempt, prefill, decode };
 }
-
-/** Spreads times to come back; the same attempt always gets the same. */
-function spread(attempt: string): number {
-    let sum = 0;
-    for (let position = 0; position < attempt.length; position++) {
-        sum = (sum * 31 + attempt.charCodeAt(position)) % comeBackSpread;
-    }
-    return sum;
-}
--- a/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
@@ -1,4 +1,5 @@
 import type { Announced, EngineRule, PlaceDemand } from "../../protocol/index.js";
+import { fractionOf } from "../../utils/index.js";
 import { type EngineState, PlacedEngine, usualTokenTime } from "./placedEngine.js";
 
 /** Tokens of one block of KV cache: memory goes by whole blocks. */
@@ -236,13 +237,3 @@
 function inBlocks(tokens: number): number {
     return Math.ceil(tokens / blockTokens) * blockTokens;
 }
-
-/** A number from 0 up to 1 that follows from the text. */
-function fractionOf(text: string): number {
-    let hash = 2_166_136_261;
-    for (let position = 0; position < text.length; position++) {
-        hash = Math.imul(hash ^ text.charCodeAt(position), 16_777_619);
-    }
-    hash = Math.imul(hash ^ (hash >>> 15), 2_246_822_519);
-    return ((hash ^ (hash >>> 13)) >>> 0) / 4_294_967_296;
-}
--- a/packages/basilpaddle/src/node/coordination/gateway/routeTable.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/routeTable.ts
@@ -1,4 +1,5 @@
 import type { ServiceRule, Traffic, TrafficRoute } from "../../protocol/index.js";
+import { fractionOf } from "../../utils/index.js";
 
 /** Finds the route of a request and the service that it goes to. */
 export class RouteTable {
@@ -29,7 +30,7 @@
     /** The service that a request of the route goes to. A split is drawn by the identifier, so that it repeats. */
     serviceOf(route: TrafficRoute, identifier: string): ServiceRule | undefined {
         const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
-        let place = drawn(identifier) * total;
+        let place = fractionOf(identifier) * total;
         for (const target of route.targets) {
             place -= target.weight;
             if (place < 0) {
@@ -44,12 +45,3 @@
         return this.services.get(name);
     }
 }
-
-/** A number from 0 up to, but without, 1 that follows from the text (FNV-1a). */
-function drawn(text: string): number {
-    let hash = 0x811c9dc5;
-    for (let position = 0; position < text.length; position++) {
-        hash = Math.imul(hash ^ text.charCodeAt(position), 0x01000193) >>> 0;
-    }
-    return hash / 0x1_0000_0000;
-}
--- a/packages/basilpaddle/src/node/coordination/scheduling/admission.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/admission.ts
@@ -1,4 +1,5 @@
 import type { Decision, Demand } from "../../protocol/index.js";
+import { fractionOf } from "../../utils/index.js";
 import type { AdmissionForecast, Ahead, CrewStanding, PartTimes } from "./admissionForecast.js";
 import type { DemandQueue, WaitingDemand } from "./demandQueue.js";
 import type { EngineChooser } from "./engineChoice.js";
@@ -225,9 +226,5 @@
 
 /** Spreads times to come back; the same attempt always gets the same. */
 function spread(attempt: string): number {
-    let sum = 0;
-    for (let position = 0; position < attempt.length; position++) {
-        sum = (sum * 31 + attempt.charCodeAt(position)) % retrySpread;
-    }
-    return sum;
+    return Math.floor(fractionOf(attempt) * retrySpread);
 }
--- a/packages/basilpaddle/src/node/utils/index.ts
+++ b/packages/basilpaddle/src/node/utils/index.ts
@@ -1,5 +1,6 @@
 export * from "./clock.js";
 export * from "./disposables.js";
+export * from "./fraction.js";
 export * from "./jsonText.js";
 export * from "./lineLogger.js";
 export * from "./logger.js";
--- a/simulation/places/play.ts
+++ b/simulation/places/play.ts
@@ -1,5 +1,6 @@
 import { EnginePlaces, placingAlone, placingForAll } from "../../packages/basilpaddle/src/node/coordination/index.js";
 import type { Announced, PlaceDecision, PlaceDemand } from "../../packages/basilpaddle/src/node/protocol/index.js";
+import { fractionOf } from "../../packages/basilpaddle/src/node/utils/index.js";
 import { EmulatedDecode, EmulatedPrefill, type EngineFigures } from "./engines.js";
 import { drawRequests, type EmulatedRequest, type Workload, worth } from "./workload.js";
 
@@ -104,11 +105,7 @@
 
     /** What places an attempt: each attempt comes to a gateway of its own. */
     private placesOf(attempt: string): EnginePlaces {
-        let sum = 0;
-        for (const character of attempt) {
-            sum = (sum * 31 + character.charCodeAt(0)) % 65_521;
-        }
-        return this.places[sum % this.places.length]!;
+        return this.places[Math.floor(fractionOf(attempt) * this.places.length)]!;
     }
 
     private announce(): Announced[] {
--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -26,6 +26,8 @@
 export class SoakDeployment {
     readonly directories: Member[] = [];
     readonly gateways: Member[] = [];
+    /** Directories that were replaced by others: they stay down, and their logs count all the same. */
+    readonly replaced: Member[] = [];
     readonly backends: Backend[] = [];
     private readonly caches = new Map<string, string>();
     private madeBackends = 0;
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -171,6 +171,7 @@
         this.note(fault, directory.name);
         this.diskLostAt = performance.now();
         directories.splice(directories.indexOf(directory), 1);
+        this.deployment.replaced.push(directory);
         await directory.close();
         await pause(fault.lasts);
         const successor = await this.deployment.addDirectory(false);
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -3,6 +3,7 @@
 import { Callers } from "./callers.js";
 import { SoakDeployment } from "./deployment.js";
 import { FaultRunner } from "./faults.js";
+import type { Member } from "./member.js";
 import { Operator } from "./operator.js";
 import type { SoakPlan } from "./plan.js";
 import { type Breach, Promises } from "./promises.js";
@@ -80,7 +81,7 @@
     }
 
     report(faults: readonly string[]): SoakReport {
-        const { deployment, promises, plan } = this;
+        const { promises, plan } = this;
         const ends: Record<string, number> = {};
         const cuts: Record<string, number> = {};
         for (const { end } of promises.requests.values()) {
@@ -92,7 +93,7 @@
                 cuts[cause] = (cuts[cause] ?? 0) + 1;
             }
         }
-        const logs = new Map(deployment.members().map(member => [member.name, member.output()]));
+        const logs = new Map(this.everyMember().map(member => [member.name, member.output()]));
         const { breaches, requests } = promises;
         return { seed: plan.seed, breaches, requests: requests.size, ends, cuts, faults, logs };
     }
@@ -151,8 +152,13 @@
         }
     }
 
+    /** Also those that were replaced and don't run any more. */
+    private everyMember(): readonly Member[] {
+        return [...this.deployment.members(), ...this.deployment.replaced];
+    }
+
     private checkLogs(): void {
-        for (const member of this.deployment.members()) {
+        for (const member of this.everyMember()) {
             const found = member.output().split("\n").find(line => faultLines.some(part => line.includes(part)));
             if (found !== undefined) {
                 this.promises.breach("logs", `${member.name}: ${found.slice(0, 300)}`);
--- a/soak/texts.ts
+++ b/soak/texts.ts
@@ -1,5 +1,7 @@
 // Answers that follow from the attempt alone, so that every byte of an answer can be held against its request.
 
+import { fractionOf } from "../packages/basilpaddle/src/node/utils/index.js";
+
 /** Most events of a streamed answer. */
 const mostEvents = 24;
 const leastEvents = 3;
@@ -12,11 +14,7 @@
 
 /** Number of events of a streamed answer. */
 export function eventCount(attempt: string): number {
-    let sum = 0;
-    for (const character of attempt) {
-        sum = (sum * 31 + character.charCodeAt(0)) % 9_973;
-    }
-    return leastEvents + sum % (mostEvents - leastEvents);
+    return leastEvents + Math.floor(fractionOf(attempt) * (mostEvents - leastEvents));
 }
 
 /** One event of a streamed answer, numbered from 1. */
