--- a/soak/__tests__/soak.spec.ts
+++ b/soak/__tests__/soak.spec.ts
@@ -10,17 +10,17 @@
     this.timeout(180_000);
 
     for (const seed of shortSeeds) {
-        it(`keeps every promise in a short run of seed ${seed}`, async () => {
+        it(`keeps every invariant in a short run of seed ${seed}`, async () => {
             const report = await runSoak(createPlan(seed, { seconds: shortSeconds }));
-            expect(report.breaches, report.faults.join("\n")).to.deep.equal([]);
+            expect(report.violations, report.faults.join("\n")).to.deep.equal([]);
             expect(report.ends["200"]).to.be.above(50);
         });
     }
 
     for (const { plan, cause } of regressions) {
-        it(`keeps every promise in the run of seed ${plan.seed}: ${cause}`, async () => {
+        it(`keeps every invariant in the run of seed ${plan.seed}: ${cause}`, async () => {
             const report = await runSoak(plan);
-            expect(report.breaches, report.faults.join("\n")).to.deep.equal([]);
+            expect(report.violations, report.faults.join("\n")).to.deep.equal([]);
         });
     }
 });
--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -12,7 +12,7 @@
     receivedRequest,
 } from "../platform/src/standins/wire.js";
 import { Relay } from "../playground/harness/relay.js";
-import type { Promises } from "./promises.js";
+import type { Invariants } from "./invariants.js";
 import { eventCount, eventText, plainText } from "./texts.js";
 
 /** Milliseconds to read a prompt, to answer a plain request, and between two events. */
@@ -27,7 +27,7 @@
 const heartbeatPatience = 1_000;
 /**
  * Milliseconds that a backend server goes on after its leaving was acknowledged: well beyond the time after which new
- * work counts as a breach, or a gateway that sends it some would go unnoticed.
+ * work counts as a violation, or a gateway that sends it some would go unnoticed.
  */
 const drainTime = 7_000;
 /** Milliseconds that a change of stage takes. */
@@ -43,7 +43,7 @@
     readonly host: string;
     /** Addresses where directories take heartbeats, in the order of asking. */
     readonly directories: () => readonly string[];
-    readonly promises: Promises;
+    readonly invariants: Invariants;
     /** Prompts' KV caches of all engines of the run, by handle: engines fetch them from each other. */
     readonly caches: Map<string, string>;
 };
@@ -113,7 +113,7 @@
         if (this.gone) {
             return;
         }
-        this.options.promises.leaves(this.id, performance.now());
+        this.options.invariants.leaves(this.id, performance.now());
         await this.rest(drainTime);
         await this.tell(leavePath(this.id), "");
     }
@@ -206,7 +206,7 @@
             return;
         }
         this.lastFence = order.fence;
-        this.options.promises.ordered(order.holder, order.fence);
+        this.options.invariants.ordered(order.holder, order.fence);
         this.stage = undefined;
         void this.rest(stageTime).then(() => {
             this.stage = order.stage;
@@ -269,7 +269,7 @@
             return;
         }
         if (handle !== undefined && this.options.caches.get(handle) !== attempt) {
-            this.options.promises.breach("its own whole answer", `${attempt} goes on from the KV cache of another`);
+            this.options.invariants.violate("its own whole answer", `${attempt} goes on from the KV cache of another`);
         }
         this.options.caches.delete(handle ?? "");
         await this.work(attempt, response, async () => {
@@ -290,7 +290,7 @@
     /** Works on a request as long as its caller is there. */
     private async work(attempt: string, response: http.ServerResponse, act: () => Promise<void>): Promise<void> {
         this.running += 1;
-        const ended = this.options.promises.ran(attempt, this.id, performance.now());
+        const ended = this.options.invariants.ran(attempt, this.id, performance.now());
         response.once("close", () => ended(performance.now()));
         try {
             await act();
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -2,8 +2,8 @@
 import type { Randomness } from "../packages/basilpaddle/src/node/utils/index.js";
 import { callerHeaders, type RouteKind, sealOf } from "../platform/src/standins/wire.js";
 import type { SoakDeployment } from "./deployment.js";
+import type { CallerEnd, Invariants, SoakRequest } from "./invariants.js";
 import type { Member } from "./member.js";
-import type { CallerEnd, Promises, SoakRequest } from "./promises.js";
 import { plainText, streamText } from "./texts.js";
 
 /** Host that the routes name. */
@@ -40,12 +40,12 @@
 
     private constructor(
         private readonly deployment: SoakDeployment,
-        private readonly promises: Promises,
+        private readonly invariants: Invariants,
         private readonly random: Randomness,
     ) {}
 
-    static create(deployment: SoakDeployment, promises: Promises, random: Randomness): Callers {
-        return new Callers(deployment, promises, random);
+    static create(deployment: SoakDeployment, invariants: Invariants, random: Randomness): Callers {
+        return new Callers(deployment, invariants, random);
     }
 
     /** Sends so many requests a second from now on. */
@@ -67,9 +67,9 @@
     async ask(gateway: Member, kind: RouteKind, path = `${routePrefixes[kind]}x`): Promise<SoakRequest> {
         this.made += 1;
         const attempt = `a${this.made}`;
-        const request = this.promises.sent(attempt, kind, gateway.name, performance.now());
+        const request = this.invariants.sent(attempt, kind, gateway.name, performance.now());
         const end = await this.exchange(gateway, request, path, undefined);
-        this.promises.ended(request, end, performance.now());
+        this.invariants.ended(request, end, performance.now());
         return request;
     }
 
@@ -86,9 +86,9 @@
         const kind = kinds[this.random.integer(0, kinds.length - 1)]!;
         const leaves = this.random.fraction() < leavingPart ? this.random.integer(1, leavesWithin) : undefined;
         this.made += 1;
-        const request = this.promises.sent(`a${this.made}`, kind, gateway.name, performance.now());
+        const request = this.invariants.sent(`a${this.made}`, kind, gateway.name, performance.now());
         const done = this.exchange(gateway, request, `${routePrefixes[kind]}x`, leaves).then(end => {
-            this.promises.ended(request, end, performance.now());
+            this.invariants.ended(request, end, performance.now());
             this.open.delete(done);
         });
         this.open.add(done);
--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -5,9 +5,9 @@
 import { Addresses } from "../playground/harness/addresses.js";
 import { until } from "../playground/harness/index.js";
 import { Backend } from "./backend.js";
+import type { Invariants } from "./invariants.js";
 import { Member } from "./member.js";
 import type { SoakPlan } from "./plan.js";
-import type { Promises } from "./promises.js";
 
 const failureDomains = ["a", "b", "c"];
 /** Last numbers of hosts: what others know a daemon by, and, so many further, where it really listens. */
@@ -35,14 +35,14 @@
 
     private constructor(
         private readonly plan: SoakPlan,
-        private readonly promises: Promises,
+        private readonly invariants: Invariants,
         private readonly addresses: Addresses,
         private readonly folder: string,
         private readonly ports: Ports,
     ) {}
 
     /** Starts every process and waits until each gateway is ready; `configure` sends the first configuration. */
-    static async create(plan: SoakPlan, promises: Promises): Promise<SoakDeployment> {
+    static async create(plan: SoakPlan, invariants: Invariants): Promise<SoakDeployment> {
         const folder = await mkdtemp(path.join(tmpdir(), "soak-"));
         const addresses = Addresses.create();
         const host = addresses.host(backendHost);
@@ -54,7 +54,7 @@
             }
         }
         const [peer, calls, callers, readiness] = ports as [number, number, number, number];
-        const deployment = new SoakDeployment(plan, promises, addresses, folder, { peer, calls, callers, readiness });
+        const deployment = new SoakDeployment(plan, invariants, addresses, folder, { peer, calls, callers, readiness });
         await deployment.write();
         return deployment;
     }
@@ -118,7 +118,7 @@
             failureDomain: failureDomains[this.madeBackends % failureDomains.length]!,
             host: this.addresses.host(backendHost),
             directories: () => this.callAddresses(),
-            promises: this.promises,
+            invariants: this.invariants,
             caches: this.caches,
         });
         this.backends.push(backend);
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,10 +1,10 @@
 import { pause } from "../playground/harness/index.js";
 import type { Backend } from "./backend.js";
 import type { SoakDeployment } from "./deployment.js";
+import type { Invariants } from "./invariants.js";
 import type { Member } from "./member.js";
 import type { Operator } from "./operator.js";
 import { type Fault, type FaultKind, plannedKinds } from "./plan.js";
-import type { Promises } from "./promises.js";
 
 /** Longest time in milliseconds that all directories are down at once. */
 const longestOutage = 2_000;
@@ -27,17 +27,17 @@
     private constructor(
         private readonly deployment: SoakDeployment,
         private readonly operator: Operator,
-        private readonly promises: Promises,
+        private readonly invariants: Invariants,
         private readonly report: (line: string) => void,
     ) {}
 
     static create(
         deployment: SoakDeployment,
         operator: Operator,
-        promises: Promises,
+        invariants: Invariants,
         report: (line: string) => void,
     ): FaultRunner {
-        return new FaultRunner(deployment, operator, promises, report);
+        return new FaultRunner(deployment, operator, invariants, report);
     }
 
     /** Begins each fault at its time; settles when all of them are over. */
@@ -53,7 +53,7 @@
 
     private async one(fault: Fault): Promise<void> {
         const { kind } = fault;
-        const end = plannedKinds.has(kind) ? undefined : this.promises.disturb(kind, performance.now());
+        const end = plannedKinds.has(kind) ? undefined : this.invariants.disturb(kind, performance.now());
         try {
             await this.act(fault);
         }
@@ -138,8 +138,8 @@
         }
         this.note(fault, member.name);
         const { life } = member;
-        if (!await member.stop() && member.life === life && !this.promises.isDisturbed(performance.now(), Infinity)) {
-            this.promises.breach("shutdown", `${member.name} didn't end in time, or not well`);
+        if (!await member.stop() && member.life === life && !this.invariants.isDisturbed(performance.now(), Infinity)) {
+            this.invariants.violate("shutdown", `${member.name} didn't end in time, or not well`);
         }
         await pause(restartAfter);
         member.start();
--- a/soak/promises.ts
+++ b/soak/invariants.ts
@@ -1,7 +1,7 @@
 import type { RouteKind } from "../platform/src/standins/wire.js";
 
 /** Statuses that promise that a request has not run and never will. */
-const promisesNotRun: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Milliseconds after its caller has gone in which a backend server may still work on a request. */
 const goneLimit = 2_500;
 /** Milliseconds after the acknowledgement that a backend server leaves in which new work may still come. */
@@ -32,15 +32,15 @@
 /** A span in which something unplanned was wrong. */
 export type Disturbance = { readonly what: string; readonly from: number; to: number; };
 
-/** A promise that was broken. */
-export type Breach = { readonly promise: string; readonly what: string; };
+/** An invariant that was broken. */
+export type Violation = { readonly invariant: string; readonly what: string; };
 
 /**
- * Holds what callers, backend servers and operators saw against what is promised. Promises about correctness hold
+ * Holds what callers, backend servers and operators saw against what is promised. Invariants about correctness hold
  * whatever goes wrong; those with a time in them only where nothing unplanned did.
  */
-export class Promises {
-    readonly breaches: Breach[] = [];
+export class Invariants {
+    readonly violations: Violation[] = [];
     readonly disturbances: Disturbance[] = [];
     readonly requests = new Map<string, SoakRequest>();
     /** Content of each version that was ever sent; two operators may race with one version. */
@@ -51,12 +51,12 @@
 
     private constructor() {}
 
-    static create(): Promises {
-        return new Promises();
+    static create(): Invariants {
+        return new Invariants();
     }
 
-    breach(promise: string, what: string): void {
-        this.breaches.push({ promise, what });
+    violate(invariant: string, what: string): void {
+        this.violations.push({ invariant, what });
     }
 
     /** Notes that something unplanned is wrong from now on. Gives what ends it. */
@@ -83,14 +83,14 @@
     ran(attempt: string, server: string, now: number): (endedAt: number) => void {
         const request = this.requests.get(attempt);
         if (request === undefined) {
-            this.breach("unasked", `${server} ran ${attempt}, which no caller sent`);
+            this.violate("unasked", `${server} ran ${attempt}, which no caller sent`);
             return () => undefined;
         }
         const run = { server, begunAt: now, endedAt: undefined as number | undefined };
         request.runs.push(run);
         const drainedAt = this.draining.get(server);
         if (drainedAt !== undefined && now > drainedAt + drainLimit && !this.isDisturbed(drainedAt, now)) {
-            this.breach("drain", `${server} got ${attempt} ${Math.round(now - drainedAt)} ms after it said it leaves`);
+            this.violate("drain", `${server} got ${attempt} ${Math.round(now - drainedAt)} ms after it said it leaves`);
         }
         return endedAt => {
             run.endedAt = endedAt;
@@ -111,7 +111,7 @@
     ordered(holder: string, fence: number): void {
         const known = this.holders.get(String(fence));
         if (known !== undefined && known !== holder) {
-            this.breach("one holder", `${known} and ${holder} both gave orders under the fencing token ${fence}`);
+            this.violate("one holder", `${known} and ${holder} both gave orders under the fencing token ${fence}`);
         }
         this.holders.set(String(fence), holder);
     }
@@ -134,40 +134,40 @@
     /** A configuration was read; `asOf`: the highest version acknowledged before the question was sent. */
     read(version: number, content: string, asOf: number): void {
         if (version < asOf) {
-            this.breach("configuration", `version ${version} was read after ${asOf} was acknowledged`);
+            this.violate("configuration", `version ${version} was read after ${asOf} was acknowledged`);
         }
         if (this.sentVersions.get(version)?.has(content) !== true) {
-            this.breach("configuration", `what was read as version ${version} was never sent under it`);
+            this.violate("configuration", `what was read as version ${version} was never sent under it`);
         }
     }
 
     /** Looks at all requests once everything has come to rest. */
-    judge(): readonly Breach[] {
+    judge(): readonly Violation[] {
         this.requests.forEach(request => this.judgeRequest(request));
-        return this.breaches;
+        return this.violations;
     }
 
     private judgeRequest(request: SoakRequest): void {
         const { attempt, kind, runs, end } = request;
         const name = `${kind} ${attempt} by ${request.gateway}`;
         if ((kind === "unsafe" || kind === "once") && runs.length > 1) {
-            this.breach("at most once", `${name} ran at ${runs.map(run => run.server).join(" and ")}`);
+            this.violate("at most once", `${name} ran at ${runs.map(run => run.server).join(" and ")}`);
         }
         if (end === undefined) {
-            this.breach("answered", `${name} never ended`);
+            this.violate("answered", `${name} never ended`);
             return;
         }
         if (end.kind === "answered" && end.sealed && !end.right) {
-            this.breach("its own whole answer", `${name} got another body than its own`);
+            this.violate("its own whole answer", `${name} got another body than its own`);
         }
-        if (end.kind === "answered" && !end.sealed && promisesNotRun.has(end.status) && runs.length > 0) {
-            this.breach("not run is true", `${name} got ${end.status} and ran at ${runs[0]!.server}`);
+        if (end.kind === "answered" && !end.sealed && notRunStatuses.has(end.status) && runs.length > 0) {
+            this.violate("not run is true", `${name} got ${end.status} and ran at ${runs[0]!.server}`);
         }
         if (end.kind === "left") {
             this.judgeGone(request, name);
         }
         if (end.kind === "cut" && !this.isDisturbed(request.sentAt, request.endedAt)) {
-            this.breach("no request is cut off", `${name}: ${end.cause}`);
+            this.violate("no request is cut off", `${name}: ${end.cause}`);
         }
     }
 
@@ -178,7 +178,7 @@
         }
         for (const run of request.runs) {
             if (run.endedAt === undefined || run.endedAt > limit) {
-                this.breach("nothing is held for who has gone", `${name}: ${run.server} went on with it`);
+                this.violate("nothing is held for who has gone", `${name}: ${run.server} went on with it`);
             }
         }
     }
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,4 +1,4 @@
-// Plays seeds of the fault soak, several at once, and writes the logs of those that broke a promise.
+// Plays seeds of the fault soak, several at once, and writes the logs of those that broke an invariant.
 import { mkdir, writeFile } from "node:fs/promises";
 import * as path from "node:path";
 import yargs from "yargs";
@@ -35,7 +35,7 @@
     const folder = path.join(options.logs, String(report.seed));
     await mkdir(folder, { recursive: true });
     await writeFile(path.join(folder, "faults.txt"), report.faults.join("\n"));
-    await writeFile(path.join(folder, "breaches.json"), JSON.stringify(report.breaches, undefined, 4));
+    await writeFile(path.join(folder, "violations.json"), JSON.stringify(report.violations, undefined, 4));
     for (const [name, log] of report.logs) {
         await writeFile(path.join(folder, `${name}.log`), log);
     }
@@ -44,14 +44,14 @@
 
 async function playSeed(seed: number): Promise<boolean> {
     const report = await runSoak(createPlan(seed, size));
-    const { breaches, requests, ends, cuts, faults } = report;
+    const { violations, requests, ends, cuts, faults } = report;
     const summary = `${requests} requests ${JSON.stringify(ends)} ${JSON.stringify(cuts)}, ${faults.length} faults`;
-    if (breaches.length === 0) {
+    if (violations.length === 0) {
         console.log(`seed ${seed}: kept; ${summary}`);
         return true;
     }
     console.log(`seed ${seed}: BROKEN; ${summary}; logs in ${await keepLogs(report)}`);
-    breaches.slice(0, 8).forEach(({ promise, what }) => console.log(`    ${promise}: ${what}`));
+    violations.slice(0, 8).forEach(({ invariant, what }) => console.log(`    ${invariant}: ${what}`));
     return false;
 }
 
@@ -71,5 +71,5 @@
 }
 
 await Promise.all(Array.from({ length: options.jobs }, () => work()));
-console.log(`${options.seeds} seeds from ${first}: ${options.seeds - broken} kept every promise, ${broken} didn't`);
+console.log(`${options.seeds} seeds from ${first}: ${options.seeds - broken} kept every invariant, ${broken} didn't`);
 process.exitCode = broken === 0 ? 0 : 1;
--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -9,7 +9,7 @@
 import { handleLife } from "./backend.js";
 import { routeHost, routePrefixes, routeTimeout } from "./callers.js";
 import type { SoakDeployment } from "./deployment.js";
-import type { Promises } from "./promises.js";
+import type { Invariants } from "./invariants.js";
 
 /** Milliseconds that an operator waits for an answer before it asks the next directory. */
 const answerPatience = 1_000;
@@ -23,12 +23,12 @@
 
     private constructor(
         private readonly deployment: SoakDeployment,
-        private readonly promises: Promises,
+        private readonly invariants: Invariants,
         private readonly random: Randomness,
     ) {}
 
-    static create(deployment: SoakDeployment, promises: Promises, random: Randomness): Operator {
-        return new Operator(deployment, promises, random);
+    static create(deployment: SoakDeployment, invariants: Invariants, random: Randomness): Operator {
+        return new Operator(deployment, invariants, random);
     }
 
     /** Path of the route that only one version has. */
@@ -59,33 +59,33 @@
         this.version += 1;
         const answer = await this.call("POST", operatorPaths.store, document(this.version, "").slice(0, -30));
         if (answer?.status === 200) {
-            this.promises.breach("configuration", `version ${this.version}, which isn't whole, was acknowledged`);
+            this.invariants.violate("configuration", `version ${this.version}, which isn't whole, was acknowledged`);
         }
     }
 
     /** Reads the configuration at some directory; undefined where that can't be sure or is down. */
     async read(): Promise<number | undefined> {
-        const asOf = this.promises.newest();
+        const asOf = this.invariants.newest();
         const answer = await this.call("GET", operatorPaths.read, undefined);
         if (answer?.status !== 200) {
             return undefined;
         }
         const version = documentVersion(answer.text);
-        this.promises.read(version, answer.text, asOf);
+        this.invariants.read(version, answer.text, asOf);
         return version;
     }
 
     private async store(version: number, mark: string): Promise<void> {
         const content = document(version, mark);
-        this.promises.offered(version, content);
+        this.invariants.offered(version, content);
         while (!this.closed) {
             const answer = await this.call("POST", operatorPaths.store, content);
             if (answer?.status === 200) {
-                this.promises.accepted(version);
+                this.invariants.accepted(version);
                 return;
             }
             if (answer !== undefined && answer.status < 500) {
-                this.promises.breach("configuration", `version ${version} was refused with ${answer.status}`);
+                this.invariants.violate("configuration", `version ${version} was refused with ${answer.status}`);
                 return;
             }
             await new Promise(resolve => setTimeout(resolve, pauseBetween));
--- a/soak/regressions.ts
+++ b/soak/regressions.ts
@@ -1,9 +1,9 @@
 import type { SoakPlan } from "./plan.js";
 
-/** A plan that once broke a promise. */
+/** A plan that once broke an invariant. */
 export type Regression = { readonly cause: string; readonly plan: SoakPlan; };
 
-/** Plans that once broke a promise, whole, since what a seed draws changes with the kinds of faults. */
+/** Plans that once broke an invariant, whole, since what a seed draws changes with the kinds of faults. */
 export const regressions: readonly Regression[] = [
     {
         cause: "engines that had moved on from a directory counted as silent everywhere, since nobody contradicted it",
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -3,10 +3,10 @@
 import { Callers } from "./callers.js";
 import { SoakDeployment } from "./deployment.js";
 import { FaultRunner } from "./faults.js";
+import { Invariants, type Violation } from "./invariants.js";
 import type { Member } from "./member.js";
 import { Operator } from "./operator.js";
 import type { SoakPlan } from "./plan.js";
-import { type Breach, Promises } from "./promises.js";
 
 /** Milliseconds after the last fault within which every gateway serves every kind of request again. */
 const recoveryLimit = 20_000;
@@ -19,7 +19,7 @@
 /** What came of a run. */
 export type SoakReport = {
     readonly seed: number;
-    readonly breaches: readonly Breach[];
+    readonly violations: readonly Violation[];
     readonly requests: number;
     /** Requests by how they ended. */
     readonly ends: Readonly<Record<string, number>>;
@@ -34,11 +34,11 @@
 /** Plays one plan on real processes, and holds what was seen against what is promised. */
 export async function runSoak(plan: SoakPlan): Promise<SoakReport> {
     const random = SeededRandomness.create(plan.seed + 1);
-    const promises = Promises.create();
+    const invariants = Invariants.create();
     const faults: string[] = [];
-    const deployment = await SoakDeployment.create(plan, promises);
+    const deployment = await SoakDeployment.create(plan, invariants);
     try {
-        const run = new Run(plan, deployment, promises, random);
+        const run = new Run(plan, deployment, invariants, random);
         await run.play(line => faults.push(line));
         return run.report(faults);
     }
@@ -54,15 +54,15 @@
     constructor(
         private readonly plan: SoakPlan,
         private readonly deployment: SoakDeployment,
-        private readonly promises: Promises,
+        private readonly invariants: Invariants,
         random: Randomness,
     ) {
-        this.callers = Callers.create(deployment, promises, random);
-        this.operator = Operator.create(deployment, promises, random);
+        this.callers = Callers.create(deployment, invariants, random);
+        this.operator = Operator.create(deployment, invariants, random);
     }
 
     async play(note: (line: string) => void): Promise<void> {
-        const { deployment, operator, callers, promises, plan } = this;
+        const { deployment, operator, callers, invariants, plan } = this;
         await deployment.start();
         await operator.change();
         await deployment.ready();
@@ -70,21 +70,21 @@
         callers.start(plan.requestsPerSecond);
         const reading = setInterval(() => void operator.read(), readInterval);
         const watching = setInterval(() => this.checkProcesses(), readInterval);
-        await FaultRunner.create(deployment, operator, promises, note).play(plan.faults);
+        await FaultRunner.create(deployment, operator, invariants, note).play(plan.faults);
         await callers.stop();
         clearInterval(reading);
         clearInterval(watching);
         await this.recovers();
         operator.close();
-        promises.judge();
+        invariants.judge();
         this.checkLogs();
     }
 
     report(faults: readonly string[]): SoakReport {
-        const { promises, plan } = this;
+        const { invariants, plan } = this;
         const ends: Record<string, number> = {};
         const cuts: Record<string, number> = {};
-        for (const { end } of promises.requests.values()) {
+        for (const { end } of invariants.requests.values()) {
             const name = end === undefined ? "open" : end.kind === "answered" ? String(end.status) : end.kind;
             ends[name] = (ends[name] ?? 0) + 1;
             if (end?.kind === "cut") {
@@ -94,8 +94,8 @@
             }
         }
         const logs = new Map(this.everyMember().map(member => [member.name, member.output()]));
-        const { breaches, requests } = promises;
-        return { seed: plan.seed, breaches, requests: requests.size, ends, cuts, faults, logs };
+        const { violations, requests } = invariants;
+        return { seed: plan.seed, violations, requests: requests.size, ends, cuts, faults, logs };
     }
 
     /** Waits until every gateway serves every kind of request. */
@@ -120,7 +120,7 @@
             }, recoveryLimit);
             for (const gateway of this.deployment.gateways) {
                 await until(`${gateway.name} obeys the newest configuration`, async () => {
-                    const path = Operator.probePath(this.promises.newest());
+                    const path = Operator.probePath(this.invariants.newest());
                     const { end } = await this.callers.ask(gateway, "safe", path);
                     return end?.kind === "answered" && end.status === 200;
                 }, recoveryLimit);
@@ -128,7 +128,7 @@
             await this.askAll();
         }
         catch (error) {
-            this.promises.breach("recovery", (error as Error).message);
+            this.invariants.violate("recovery", (error as Error).message);
         }
     }
 
@@ -137,7 +137,7 @@
             for (let question = 0; question < lastQuestions; question++) {
                 const { end, attempt } = await this.callers.ask(gateway, "once");
                 if (end?.kind !== "answered" || end.status !== 200) {
-                    this.promises.breach("recovery", `${gateway.name} gave ${attempt} ${JSON.stringify(end)}`);
+                    this.invariants.violate("recovery", `${gateway.name} gave ${attempt} ${JSON.stringify(end)}`);
                 }
             }
         }
@@ -147,7 +147,7 @@
         for (const member of this.deployment.members()) {
             if (!member.isRunning() && !member.expectedDown) {
                 member.expectedDown = true;
-                this.promises.breach("processes run", `${member.name} ended by itself`);
+                this.invariants.violate("processes run", `${member.name} ended by itself`);
             }
         }
     }
@@ -161,7 +161,7 @@
         for (const member of this.everyMember()) {
             const found = member.output().split("\n").find(line => faultLines.some(part => line.includes(part)));
             if (found !== undefined) {
-                this.promises.breach("logs", `${member.name}: ${found.slice(0, 300)}`);
+                this.invariants.violate("logs", `${member.name}: ${found.slice(0, 300)}`);
             }
         }
     }
