feat(directory): tell incarnations that share a name by their start

Cause: a backend server may start again under the identifier that it had, with its heartbeats counted anew. By the identifier alone its heartbeats were late ones of the life before, so that it got no work, and what was believed of that life (places, pauses, ended) was its own. Change: an incarnation's identifier holds the start where the backend server tells one; the newest start of a name counts, and ends the one before. Word of leaving without a start only drains. Not built: expecting the count of orders with an order, since a new life begins with the same count.

--- a/packages/basilpaddle/src/node/coordination/gateway/announcements.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/announcements.ts
@@ -1,4 +1,5 @@
 import type { Announced } from "../../protocol/index.js";
+import { Lifetimes } from "./lifetimes.js";
 
 /** Heartbeats that may be missed before a backend server counts as silent. */
 const missedHeartbeats = 3;
@@ -13,6 +14,7 @@
  */
 export class Announcements {
     private readonly heard = new Map<string, Heard>();
+    private readonly lifetimes = Lifetimes.create();
     private last = 0;
 
     private constructor(private readonly heartbeat: number) {}
@@ -24,6 +26,13 @@
 
     /** Takes a heartbeat; tells whether gateways have to hear of it. */
     take(announced: Announced, now: number): boolean {
+        if (this.lifetimes.isOutdated(announced)) {
+            return false;
+        }
+        const before = this.lifetimes.succeed(announced);
+        if (before !== undefined) {
+            this.leave(before, now);
+        }
         const known = this.heard.get(announced.id);
         if (known !== undefined && known.announced.state === "left") {
             return false;
@@ -54,6 +63,14 @@
         return true;
     }
 
+    /**
+     * Lets a backend server get no new work until its next heartbeat says otherwise: word came that it leaves which
+     * doesn't tell of which incarnation, and may be one of the incarnation before that was held up.
+     */
+    drain(server: Announced, now: number): void {
+        this.heard.set(server.id, { announced: { ...server, state: "draining" }, number: this.next(), heardAt: now });
+    }
+
     /** Marks those that have been silent for too long; tells whether there are any. */
     markSilent(now: number): boolean {
         let marked = false;
--- a/packages/basilpaddle/src/node/coordination/gateway/instanceTable.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/instanceTable.ts
@@ -1,5 +1,6 @@
 import { LRUCache } from "lru-cache";
 import type { Announced } from "../../protocol/index.js";
+import { Lifetimes } from "./lifetimes.js";
 
 /** Incarnations that are known to have ended; a late heartbeat of one must not bring it back. */
 const endedLimit = 8_192;
@@ -13,6 +14,7 @@
 export class InstanceTable {
     private readonly instances = new Map<string, Announced>();
     private readonly ended = new LRUCache<string, true>({ max: endedLimit });
+    private readonly lifetimes = Lifetimes.create();
     private readonly byService = new Map<string, readonly Announced[]>();
     /** The incarnation that was heard of last at each address. */
     private readonly newestAt = new Map<string, string>();
@@ -23,9 +25,13 @@
 
     /** Takes an announcement in; tells whether it changed anything. */
     take(announced: Announced): boolean {
-        if (this.ended.has(announced.id)) {
+        if (this.ended.has(announced.id) || this.lifetimes.isOutdated(announced)) {
             return false;
         }
+        const before = this.lifetimes.succeed(announced);
+        if (before !== undefined) {
+            this.end(before);
+        }
         const known = this.instances.get(announced.id);
         if (known !== undefined && !supersedes(announced, known)) {
             return false;
@@ -57,6 +63,11 @@
         return this.instances.get(id);
     }
 
+    /** The newest incarnation of a backend server's name, and whether it tells its start. */
+    newestOf(name: string): ReturnType<Lifetimes["newestOf"]> {
+        return this.lifetimes.newestOf(name);
+    }
+
     /** Whether the incarnation is known to have ended. */
     hasEnded(id: string): boolean {
         return this.ended.has(id);
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -137,9 +137,9 @@
     override async answer(call: DirectoryCall, body: string): Promise<CallAnswer> {
         switch (call.kind) {
             case "announce":
-                return this.announce(call.id, body);
+                return this.announce(call.name, body);
             case "leave":
-                return this.leave(call.id);
+                return this.leave(call.name, body);
             case "storeConfiguration":
                 return this.storeConfiguration(body);
             case "readConfiguration":
@@ -211,16 +211,13 @@
         this.store.add(() => cancel());
     }
 
-    private announce(id: string, body: string): CallAnswer {
-        const { wire, logger } = this.options;
+    private announce(name: string, body: string): CallAnswer {
+        const { wire } = this.options;
         if (!this.isHeard()) {
             return { kind: "unavailable", reason: "no gateway watches this directory" };
         }
-        return wire.announcement(id, body).chain(sound).caseOf<CallAnswer>({
-            Left: findings => {
-                logger.warn("an announcement was refused", { id, findings: findings.slice(0, 3) });
-                return { kind: "invalid", findings };
-            },
+        return wire.announcement(name, body).chain(sound).caseOf<CallAnswer>({
+            Left: findings => this.refuse(name, findings),
             Right: announced => {
                 this.hearing.announce(announced);
                 return { kind: "done" };
@@ -228,12 +225,23 @@
         });
     }
 
-    private leave(id: string): CallAnswer {
+    private leave(name: string, body: string): CallAnswer {
         if (!this.isHeard()) {
             return { kind: "unavailable", reason: "no gateway watches this directory" };
         }
-        this.hearing.leave(id);
-        return { kind: "done" };
+        return this.options.wire.departure(name, body).caseOf<CallAnswer>({
+            Left: findings => this.refuse(name, findings),
+            Right: departure => {
+                this.hearing.leave(departure);
+                return { kind: "done" };
+            },
+        });
+    }
+
+    /** Refuses word of a backend server that isn't in form: it may come from another program, and names no server to use. */
+    private refuse(name: string, findings: readonly Finding[]): CallAnswer {
+        this.options.logger.warn("an announcement was refused", { name, findings: findings.slice(0, 3) });
+        return { kind: "invalid", findings };
     }
 
     /**
--- a/packages/basilpaddle/src/node/daemon/directory/directoryWire.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryWire.ts
@@ -5,13 +5,16 @@
 /** What a call to a directory asks for. */
 export type DirectoryCall =
     /** A backend server's heartbeat. */
-    | { readonly kind: "announce"; readonly id: string; }
+    | { readonly kind: "announce"; readonly name: string; }
     /** A backend server leaves. */
-    | { readonly kind: "leave"; readonly id: string; }
+    | { readonly kind: "leave"; readonly name: string; }
     | { readonly kind: "storeConfiguration"; }
     | { readonly kind: "readConfiguration"; }
     | { readonly kind: "unknown"; };
 
+/** Which incarnation of a backend server leaves: its name, and its start in Unix milliseconds where it tells that. */
+export type Departure = { readonly name: string; readonly startedAt?: number; };
+
 /** An order to an engine to change its stage. */
 export type StageOrder = {
     readonly engine: Announced;
@@ -30,7 +33,10 @@
     abstract call(method: string, path: string): DirectoryCall;
 
     /** Reads a heartbeat's body. */
-    abstract announcement(id: string, body: string): Either<readonly Finding[], Announced>;
+    abstract announcement(name: string, body: string): Either<readonly Finding[], Announced>;
+
+    /** Reads the body of the word that a backend server leaves. */
+    abstract departure(name: string, body: string): Either<readonly Finding[], Departure>;
 
     /** Reads a configuration. */
     abstract traffic(content: string): Either<readonly Finding[], Traffic>;
--- a/packages/basilpaddle/src/node/daemon/directory/serverHearing.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/serverHearing.ts
@@ -1,6 +1,7 @@
 import { Announcements, InstanceTable } from "../../coordination/index.js";
-import type { Announced } from "../../protocol/index.js";
+import { type Announced, incarnationOf } from "../../protocol/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
+import type { Departure } from "./directoryWire.js";
 
 /** What the hearing needs, and whom it tells. */
 export type ServerHearingOptions = {
@@ -41,8 +42,16 @@
     }
 
     /** A backend server said that it leaves. */
-    leave(id: string): void {
-        this.end(id, "a backend server leaves");
+    leave({ name, startedAt }: Departure): void {
+        const newest = this.instances.newestOf(name);
+        const believed = newest === undefined ? undefined : this.instances.get(newest.id);
+        if (startedAt === undefined && newest?.tellsStart === true && believed !== undefined) {
+            this.options.logger.warn("a backend server leaves that doesn't say when it started", { id: believed.id });
+            this.announcements.drain(believed, this.options.clock.monotonic());
+            this.sayAnew();
+            return;
+        }
+        this.end(incarnationOf(name, startedAt), "a backend server leaves");
     }
 
     /** A gateway found another incarnation at its address. */
--- a/packages/basilpaddle/src/node/daemon/gateway/exchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/exchange.ts
@@ -1,5 +1,5 @@
 import type { InstanceTable, RepeatBudget, ServerChoice } from "../../coordination/index.js";
-import type { Announced, ServiceRule } from "../../protocol/index.js";
+import { type Announced, serverName, type ServiceRule } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
 import {
     type BackendAnswer,
@@ -63,7 +63,7 @@
             ...facts,
             attempt: request.facts.attempt,
             deadlineWithin: Math.max(1, Math.floor(request.left())),
-            instance: server.id,
+            instance: serverName(server),
         });
         const replaced = new Set([...wire.reserved, ...Object.keys(own).map(name => name.toLowerCase())]);
         const result = await connections.call(
@@ -88,7 +88,7 @@
             discard(answer);
             return { kind: "unknown", cause: `an answer to ${facts.attempt} came in the place of this one's` };
         }
-        if (answer.status === misdirected && facts.instance !== undefined && facts.instance !== server.id) {
+        if (answer.status === misdirected && facts.instance !== undefined && facts.instance !== serverName(server)) {
             this.parts.logger.warn("another incarnation answers at the address", {
                 expected: server.id,
                 found: facts.instance,
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -6,8 +6,12 @@
 
 /** What a backend server says of itself, as a directory passes it on. */
 export const announcedSchema = z.object({
-    /** Identifier of this incarnation; a restart has another one. */
+    /** Identifier of this incarnation; a restart has another one, as `incarnationOf` gives it. */
     id: identifier,
+    /** What the backend server calls itself on its wire, where several incarnations share that. @default id */
+    name: identifier.optional(),
+    /** Unix milliseconds of its start, where it tells them. */
+    startedAt: z.int().min(0).optional(),
     service: identifier,
     /** "IP:PORT". An address may be used again by another incarnation, of another service even. */
     address: z.string(),
@@ -152,6 +156,20 @@
 export type DocumentRequest = z.infer<typeof documentRequestSchema>;
 /** A configuration on its way between daemons. */
 export type PackedDocument = z.infer<typeof documentSchema>;
+/**
+ * Identifier of one incarnation of a backend server. One that starts again under the name that it had holds and knows
+ * nothing of before: with the start in the identifier, whatever is kept by incarnation (places, pauses, connections,
+ * sequence numbers) begins anew with it, and word of the incarnation before can't be taken for its own.
+ */
+export function incarnationOf(name: string, startedAt: number | undefined): string {
+    return startedAt === undefined ? name : `${name}@${startedAt}`;
+}
+
+/** What a backend server calls itself on its wire. */
+export function serverName(server: Pick<Announced, "id" | "name">): string {
+    return server.name ?? server.id;
+}
+
 /** What has changed since. */
 export type Watched = z.infer<typeof watchedSchema>;
 /** A request for a place at the engines of a pool. */
