feat(gateway): prefer engines beside the gateway as far as links to others stall

Change: each gateway learns, from the pauses in its streams, how many events stall on the way from each domain beyond the best one, and says so with its demands; the placing weighs it as the risk that an answer is late. Plain services are chosen with it too. What is left are streams that were under way when the loss began.

--- a/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
@@ -1,5 +1,6 @@
 import type { Announced, EngineRule, PlaceDemand } from "../../protocol/index.js";
 import { fractionOf } from "../../utils/index.js";
+import { stallRateOf } from "./linkQuality.js";
 import { type EngineState, PlacedEngine, usualTokenTime } from "./placedEngine.js";
 
 /** Tokens of one block of KV cache: memory goes by whole blocks. */
@@ -11,6 +12,17 @@
  */
 const selfReadReluctance = 200;
 
+/**
+ * Milliseconds that an engine counts worse whose streams are all late for the link they come over: an answer that is
+ * late is worth a fifth of one in time, about what waiting past the target would cost.
+ */
+const lateWeight = 600;
+/** Events of an answer, each of which may stall; answers of 900 tokens in events of 11 or 13 have about as many. */
+const answerEvents = 70;
+/** Packets of a call that has a prompt read, and the milliseconds that a lost one costs. */
+const callPackets = 4;
+const stallTime = 250;
+
 /** What steers the placing. */
 export type PlaceTuning = {
     /** Part of an engine's KV cache that may be promised; what a run will need at its end is promised at its start. */
@@ -96,10 +108,12 @@
         // Without a sound one a decode engine reads the prompt; a prefill engine that just failed would fail it again.
         const readers = this.sound("prefill", demand.avoid, now).map(engine => {
             const time = engine.readyIn(now) + engine.readingTime(demand.promptTokens);
-            return { engine, time, score: time + this.scatter(demand, engine) };
+            const stall = stallRateOf(demand.linkStalls, engine.announced.failureDomain) * callPackets * stallTime;
+            return { engine, time, score: time + stall + this.scatter(demand, engine) };
         });
         const runners = decodes.map(engine => {
-            return { engine, time: 0, score: engine.crowding(state) + this.scatter(demand, engine) };
+            const late = lateWeight * lateRisk(stallRateOf(demand.linkStalls, engine.announced.failureDomain));
+            return { engine, time: 0, score: engine.crowding(state) + late + this.scatter(demand, engine) };
         });
         const apart = bestApart(bestOfDomains(readers), bestOfDomains(runners));
         const alone = leastScore(runners.map(({ engine, score }) => {
@@ -187,6 +201,11 @@
     }
 }
 
+/** How likely an answer is late, where each of its events stalls at the rate. */
+function lateRisk(stallRate: number): number {
+    return 1 - (1 - stallRate) ** answerEvents;
+}
+
 type Scored = { readonly engine: PlacedEngine; readonly score: number; };
 type Candidate = Scored & { readonly time: number; };
 
--- a/packages/basilpaddle/src/node/coordination/gateway/serverChoice.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/serverChoice.ts
@@ -1,5 +1,6 @@
 import { LRUCache } from "lru-cache";
-import type { Announced } from "../../protocol/index.js";
+import type { Announced, LinkStalls } from "../../protocol/index.js";
+import { LinkQuality, stallRateOf } from "./linkQuality.js";
 
 /** Weight of one call in the running means. */
 const step = 0.15;
@@ -14,6 +15,9 @@
 const mostPaused = 0.5;
 /** Factor by which a server in another failure domain looks worse: a hop between domains is priced and takes longer. */
 const otherDomainFactor = 1.15;
+/** Packets of a call there and back, and the milliseconds that a lost one costs. */
+const callPackets = 4;
+const stallTime = 250;
 /** Servers remembered. */
 const serverLimit = 4_096;
 
@@ -52,10 +56,11 @@
     private readonly records = new LRUCache<string, ServerRecord>({ max: serverLimit });
     private readonly failuresOfService = new Map<string, number>();
 
-    private constructor(private readonly failureDomain: string) {}
+    private constructor(private readonly failureDomain: string, private readonly links: LinkQuality) {}
 
-    static create(failureDomain: string): ServerChoice {
-        return new ServerChoice(failureDomain);
+    /** `links`: how well the links to other failure domains are. */
+    static create(failureDomain: string, links: LinkQuality = LinkQuality.create()): ServerChoice {
+        return new ServerChoice(failureDomain, links);
     }
 
     /** The server that will likely answer first, none of those to avoid; undefined where none is left. */
@@ -64,10 +69,11 @@
         const sound = candidates.filter(server => now >= this.record(server.id).pausedUntil);
         const paused = servers.length - servers.filter(server => now >= this.record(server.id).pausedUntil).length;
         const usable = sound.length > 0 && paused <= servers.length * mostPaused ? sound : candidates;
+        const stalls = this.links.stalls(now);
         let best: Announced | undefined;
         let bestScore = Number.POSITIVE_INFINITY;
         for (const server of usable) {
-            const score = this.score(server, now);
+            const score = this.score(server, stalls, now);
             if (score < bestScore) {
                 best = server;
                 bestScore = score;
@@ -111,10 +117,11 @@
         return this.record(id).outstanding;
     }
 
-    private score(server: Announced, now: number): number {
+    private score(server: Announced, stalls: LinkStalls, now: number): number {
         const record = this.record(server.id);
         const memory = record.outstanding > 0 ? 1 : 0.5 ** ((now - record.endedAt) / memoryHalfLife);
-        const time = usualTime + (record.time - usualTime) * memory;
+        const stall = stallRateOf(stalls, server.failureDomain) * callPackets * stallTime;
+        const time = usualTime + (record.time - usualTime) * memory + stall;
         const excess = Math.max(0, record.failures * memory - (this.failuresOfService.get(server.service) ?? 0));
         const distance = server.failureDomain === this.failureDomain ? 1 : otherDomainFactor;
         const full = now < record.rejectedUntil ? 2 : 1;
--- a/packages/basilpaddle/src/node/daemon/gateway/exchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/exchange.ts
@@ -1,4 +1,4 @@
-import type { InstanceTable, RepeatBudget, ServerChoice } from "../../coordination/index.js";
+import type { InstanceTable, LinkQuality, RepeatBudget, ServerChoice } from "../../coordination/index.js";
 import { type Announced, serverName, type ServiceRule } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
 import {
@@ -20,6 +20,8 @@
     readonly connections: BackendConnections;
     readonly instances: InstanceTable;
     readonly choice: ServerChoice;
+    /** How well links pass streams on. */
+    readonly links: LinkQuality;
     readonly clock: Clock;
     readonly logger: Logger;
     readonly metrics: Metrics;
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -1,5 +1,12 @@
 import * as http from "node:http";
-import { DirectoryWatcher, InstanceTable, RepeatBudget, RouteTable, ServerChoice } from "../../coordination/index.js";
+import {
+    DirectoryWatcher,
+    InstanceTable,
+    LinkQuality,
+    RepeatBudget,
+    RouteTable,
+    ServerChoice,
+} from "../../coordination/index.js";
 import { type GatewaySettings, seedNames, type TrafficRoute } from "../../protocol/index.js";
 import { TcpNetwork } from "../../transport/index.js";
 import { DisposableStore, type Metrics } from "../../utils/index.js";
@@ -38,6 +45,7 @@
 export class GatewayDaemon {
     private readonly store = DisposableStore.create();
     private readonly instances = InstanceTable.create();
+    private readonly links = LinkQuality.create();
     private readonly budgets = new Map<string, RepeatBudget>();
     private readonly connections: BackendConnections;
     private readonly watcher: DirectoryWatcher;
@@ -79,7 +87,8 @@
             wire,
             connections: this.connections,
             instances: this.instances,
-            choice: ServerChoice.create(settings.failureDomain),
+            choice: ServerChoice.create(settings.failureDomain, this.links),
+            links: this.links,
             clock,
             logger,
             metrics,
--- a/packages/basilpaddle/src/node/daemon/gateway/placeDemand.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placeDemand.ts
@@ -1,4 +1,4 @@
-import type { PlaceDemand } from "../../protocol/index.js";
+import type { LinkStalls, PlaceDemand } from "../../protocol/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 
 /** Times its target that a caller waits for the first event before it leaves, and the least such time in milliseconds. */
@@ -18,6 +18,7 @@
     service: string,
     gateway: { readonly name: string; readonly failureDomain: string; },
     avoid: readonly string[],
+    linkStalls: LinkStalls = [],
 ): PlaceDemand {
     const { facts, route } = request;
     const answer = Math.min(facts.maxTokens, facts.expectedTokens ?? Math.ceil(facts.maxTokens * usualAnswerPart));
@@ -36,5 +37,6 @@
         patienceWithin: Math.min(request.left(), patience),
         avoid: [...avoid],
         resumed: request.hasBegun(),
+        ...linkStalls.length === 0 ? {} : { linkStalls },
     };
 }
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -1,3 +1,4 @@
+import { PauseWatch } from "../../coordination/index.js";
 import type { Announced, PlaceEnd, ServiceRule } from "../../protocol/index.js";
 import { type BackendAnswer, discard, wholeBody } from "../backends/index.js";
 import { Arrivals } from "./arrivals.js";
@@ -112,7 +113,7 @@
         this.turns += 1;
         const placedAt = this.now();
         const place = await places.reserve(
-            placeDemand(request, this.service.name, this.gateway, this.avoid),
+            placeDemand(request, this.service.name, this.gateway, this.avoid, this.parts.links.stalls(placedAt)),
             request.gone.signal,
         );
         if (place === undefined) {
@@ -289,7 +290,7 @@
                 discard(answer);
                 return { kind: "lost", cause: "an answer without its seal" };
             }
-            return await this.stream(answer, limit.signal);
+            return await this.stream(decode, answer, limit.signal);
         }
         finally {
             cancelHead?.();
@@ -315,9 +316,14 @@
         return { kind: "failureGiven" };
     }
 
-    private async stream(answer: BackendAnswer, signal: AbortSignal): Promise<RunEnd> {
-        const { request, pass } = this;
-        const end = await pass.pass(answer, this.mayMove() ? silenceLimit : undefined, signal);
+    private async stream(decode: Announced, answer: BackendAnswer, signal: AbortSignal): Promise<RunEnd> {
+        const { request, pass, parts } = this;
+        const pauses = PauseWatch.create();
+        const onBytes = (): void => parts.links.event(decode, pauses.event(this.now()), this.now());
+        const end = await pass.pass(answer, this.mayMove() ? silenceLimit : undefined, signal, onBytes);
+        if (pauses.longest() > (request.route.gap ?? Number.POSITIVE_INFINITY)) {
+            this.path.push(`pause ${Math.round(pauses.longest())}`);
+        }
         if (end.kind === "broken") {
             return { kind: "lost", cause: end.cause };
         }
--- a/packages/basilpaddle/src/node/daemon/gateway/streamPass.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamPass.ts
@@ -27,9 +27,14 @@
 
     /**
      * Passes a run's events on as they come. `silenceLimit`: milliseconds without a byte after which the run is given
-     * up; undefined where nothing else could be done than to wait.
+     * up; undefined where nothing else could be done than to wait. `onBytes`: called as bytes come.
      */
-    async pass(answer: BackendAnswer, silenceLimit: number | undefined, signal: AbortSignal): Promise<PassEnd> {
+    async pass(
+        answer: BackendAnswer,
+        silenceLimit: number | undefined,
+        signal: AbortSignal,
+        onBytes: () => void,
+    ): Promise<PassEnd> {
         const { request } = this;
         if (!request.hasBegun()) {
             request.begin(answer);
@@ -39,6 +44,7 @@
         try {
             for await (const chunk of answer.body as AsyncIterable<Buffer>) {
                 silence.heard();
+                onBytes();
                 for (const event of cutter.push(chunk)) {
                     await this.passEvent(event);
                 }
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -65,6 +65,9 @@
 /** A configuration as its author sent it. */
 export const documentSchema = z.object({ version: z.int(), packed: packedSchema });
 
+/** Parts of the events that stall on the links from other failure domains to one gateway, as it saw them of late. */
+export const linkStallsSchema = z.array(z.object({ failureDomain: z.string(), rate: z.number().min(0).max(1) }));
+
 /** A request for a place at the engines of a pool. */
 export const placeDemandSchema = z.object({
     attempt: identifier,
@@ -83,6 +86,8 @@
     avoid: z.array(identifier),
     /** Where the run was interrupted and its caller already has a part: it goes before all that hasn't begun. */
     resumed: z.boolean(),
+    /** What the gateway saw of its links. @default no stalls */
+    linkStalls: linkStallsSchema.optional(),
 });
 
 /** A place, or why there is none. */
@@ -172,6 +177,8 @@
 
 /** What has changed since. */
 export type Watched = z.infer<typeof watchedSchema>;
+/** Parts of the events that stall on the links from other failure domains. */
+export type LinkStalls = z.infer<typeof linkStallsSchema>;
 /** A request for a place at the engines of a pool. */
 export type PlaceDemand = z.infer<typeof placeDemandSchema>;
 /** A place, or why there is none. */
