--- a/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
@@ -12,6 +12,12 @@
  */
 const selfReadReluctance = 200;
 
+/**
+ * Milliseconds that an engine in another failure domain than the gateway counts worse: half of what a full one does, so
+ * that near engines fill up only a little more. Fewer streams cross a link when it begins to lose packets, and fewer bytes
+ * that are priced. Four days, one play each, without and with: 0.927 0.677 0.758 0.828 and 0.933 0.697 0.761 0.835.
+ */
+const farWeight = 30;
 /**
  * Milliseconds that an engine counts worse whose streams are all late for the link they come over: an answer that is
  * late is worth a fifth of one in time, about what waiting past the target would cost.
@@ -112,8 +118,11 @@
             return { engine, time, score: time + stall + this.scatter(demand, engine) };
         });
         const runners = decodes.map(engine => {
-            const late = lateWeight * lateRisk(stallRateOf(demand.linkStalls, engine.announced.failureDomain));
-            return { engine, time: 0, score: engine.crowding(state) + late + this.scatter(demand, engine) };
+            const { failureDomain } = engine.announced;
+            const far = failureDomain === demand.failureDomain ? 0 : farWeight;
+            const late = lateWeight * lateRisk(stallRateOf(demand.linkStalls, failureDomain));
+            const score = engine.crowding(state) + far + late + this.scatter(demand, engine);
+            return { engine, time: 0, score };
         });
         const apart = bestApart(bestOfDomains(readers), bestOfDomains(runners));
         const alone = leastScore(runners.map(({ engine, score }) => {
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/recollection.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/recollection.spec.ts
@@ -41,6 +41,7 @@
     let disk: MemoryDisk;
     let clock: SteppedClock;
     const logger = createSilentLogger();
+    const openDisk = async (): Promise<MemoryDisk> => disk;
 
     beforeEach(() => {
         disk = MemoryDisk.create();
@@ -48,7 +49,7 @@
     });
 
     async function write(): Promise<void> {
-        const recollection = await Recollection.create({ disk, clock, logger });
+        const recollection = await Recollection.create({ openDisk, clock, logger });
         recollection.keep(() => memorable);
         recollection.changed();
         recollection.changed();
@@ -57,7 +58,7 @@
 
     it("comes back, the committed entry for its identity only", async () => {
         await write();
-        const after = await Recollection.create({ disk, clock, logger });
+        const after = await Recollection.create({ openDisk, clock, logger });
         expect(after.committed(memorable.identity)).to.deep.equal(memorable.committed);
         expect(after.committed("10.0.0.1:80#other")).to.equal(undefined);
         expect([after.servers(), after.gateways()]).to.deep.equal([memorable.servers, memorable.gateways]);
@@ -66,23 +67,43 @@
     it("leaves out backend servers after a long time, and counts as nothing where it is damaged", async () => {
         await write();
         clock.now += 120_000;
-        const old = await Recollection.create({ disk, clock, logger });
+        const old = await Recollection.create({ openDisk, clock, logger });
         expect([old.servers(), old.committed(memorable.identity)]).to.deep.equal([[], memorable.committed]);
         await disk.replace("recollection", Buffer.from("no such thing"));
-        const damaged = await Recollection.create({ disk, clock, logger });
+        const damaged = await Recollection.create({ openDisk, clock, logger });
         expect([damaged.servers(), damaged.committed(memorable.identity)]).to.deep.equal([[], undefined]);
     });
 
     // Symptom: a member that founds its group asks others for a place instead.
     // Sequence: its first replica can't be opened; something is written beside it; the folder isn't empty any more.
     it("isn't written while there is nothing to be sure of", async () => {
-        const recollection = await Recollection.create({ disk, clock, logger });
+        const recollection = await Recollection.create({ openDisk, clock, logger });
         recollection.keep(() => undefined);
         recollection.changed();
         await clock.runTimers();
         expect(await disk.list()).to.deep.equal([]);
     });
 
+    // Symptom: a directory whose disk fails when it starts ends, in place of hearing backend servers without it.
+    it("counts as nothing where the folder can't be opened, and is written once it can", async () => {
+        let fails = true;
+        const opening = async (): Promise<MemoryDisk> => {
+            if (fails) {
+                throw new Error("no space is left");
+            }
+            return disk;
+        };
+        const recollection = await Recollection.create({ openDisk: opening, clock, logger });
+        expect(recollection.servers()).to.deep.equal([]);
+        recollection.keep(() => memorable);
+        recollection.changed();
+        await clock.runTimers();
+        fails = false;
+        recollection.changed();
+        await clock.runTimers();
+        expect(await disk.list()).to.deep.equal(["recollection"]);
+    });
+
     it("is written once for many changes, and again after a writing that failed", async () => {
         let tries = 0;
         const replace = disk.replace.bind(disk);
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -99,8 +99,8 @@
     static async create(options: DirectoryDaemonOptions): Promise<DirectoryDaemon> {
         const { settings, clock, randomness, logger } = options;
         const network = options.network ?? TcpNetwork.create(logger, settings.bindHost);
-        const disk = await FolderDisk.create(settings.dataFolder);
-        const recollection = await Recollection.create({ disk, clock, logger });
+        const openDisk = (): Promise<FolderDisk> => FolderDisk.create(settings.dataFolder);
+        const recollection = await Recollection.create({ openDisk, clock, logger });
         const group = await DocumentGroup.create({
             committed: identity => recollection.committed(identity),
             name: `${settings.host}:${settings.peerPort}`,
--- a/packages/basilpaddle/src/node/daemon/directory/recollection.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/recollection.ts
@@ -2,7 +2,7 @@
 import { z } from "zod";
 import type { CommittedMark } from "../../coordination/index.js";
 import { type Announced, announcedSchema } from "../../protocol/index.js";
-import { Damage, type Disk, readSnapshot, writeSnapshot } from "../../state/index.js";
+import { type Disk, readSnapshot, writeSnapshot } from "../../state/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
 
 /** Name of the file, beside those of the replica. */
@@ -35,7 +35,12 @@
 };
 
 /** What a recollection needs. */
-export type RecollectionOptions = { readonly disk: Disk; readonly clock: Clock; readonly logger: Logger; };
+export type RecollectionOptions = {
+    /** Opens the folder; asked again where it failed. */
+    readonly openDisk: () => Promise<Disk>;
+    readonly clock: Clock;
+    readonly logger: Logger;
+};
 
 /**
  * What a directory remembers across a restart beside its log: which entry it knew to be committed, and which backend
@@ -48,13 +53,17 @@
     private writing = false;
     private pending = false;
     private closed = false;
+    private disk: Disk | undefined;
 
     private constructor(
         private readonly options: RecollectionOptions,
         private readonly before: Memorable | undefined,
     ) {}
 
-    /** Reads what was remembered; a file that can't be read counts as none. */
+    /**
+     * Reads what was remembered. A file, or a folder, that can't be read counts as none: a directory with a failing disk
+     * goes on with all that needs no disk.
+     */
     static async create(options: RecollectionOptions): Promise<Recollection> {
         return new Recollection(options, await remembered(options));
     }
@@ -115,18 +124,19 @@
         }
     }
 
-    private replace({ identity, committed, servers, gateways }: Memorable): Promise<void> {
-        const { disk, clock } = this.options;
-        return writeSnapshot(disk, recollectionFile, {
+    private async replace({ identity, committed, servers, gateways }: Memorable): Promise<void> {
+        const { openDisk, clock } = this.options;
+        this.disk ??= await openDisk();
+        await writeSnapshot(this.disk, recollectionFile, {
             description: encode({ identity, committed, gateways, writtenAt: clock.wall() }),
             data: encode(servers),
         });
     }
 }
 
-async function remembered({ disk, clock, logger }: RecollectionOptions): Promise<Memorable | undefined> {
+async function remembered({ openDisk, clock, logger }: RecollectionOptions): Promise<Memorable | undefined> {
     try {
-        const stored = await readSnapshot(disk, recollectionFile);
+        const stored = await readSnapshot(await openDisk(), recollectionFile);
         if (stored === undefined) {
             return undefined;
         }
@@ -136,8 +146,7 @@
         return { identity, committed, servers, gateways: isRecent ? gateways : 0 };
     }
     catch (error) {
-        const cause = error instanceof Damage || error instanceof Error ? error.message : String(error);
-        logger.warn("what was remembered can't be read; going on without it", { cause });
+        logger.warn("what was remembered can't be read; going on without it", { cause: String(error) });
         return undefined;
     }
 }
