--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -4,7 +4,7 @@
     announcementCall,
     answerHeaders,
     freedHandle,
-    leavePath,
+    leaveCall,
     notRunHeaders,
     readAnswer,
     receivedOrder,
@@ -61,6 +61,7 @@
     private stage: "prefill" | "decode" | undefined;
     private state: "ready" | "draining" = "ready";
     private sequence = 0;
+    private readonly startedAt = Date.now();
     private running = 0;
     private gone = false;
     private lastFence = 0;
@@ -115,7 +116,8 @@
         }
         this.options.invariants.leaves(this.id, performance.now());
         await this.rest(drainTime);
-        await this.tell(leavePath(this.id), "");
+        const { path, body } = leaveCall(this.id, this.startedAt);
+        await this.tell(path, body);
     }
 
     /** Ends at once: connections break, and nothing listens any more. */
@@ -154,6 +156,7 @@
             state: this.state,
             stage: this.stage,
             sequence: this.sequence,
+            startedAt: this.startedAt,
         });
         return this.tell(path, body);
     }
--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -109,10 +109,15 @@
         return this.directories.map(({ host }) => `${host}:${this.ports.calls}`);
     }
 
-    async addBackend(service: "plain" | "pool", stage: "prefill" | "decode" | undefined): Promise<Backend> {
+    /** Starts a backend server, under a name of its own unless it comes back under one. */
+    async addBackend(
+        service: "plain" | "pool",
+        stage: "prefill" | "decode" | undefined,
+        name?: string,
+    ): Promise<Backend> {
         this.madeBackends += 1;
         const backend = await Backend.create({
-            id: `${service}-${this.madeBackends}`,
+            id: name ?? `${service}-${this.madeBackends}`,
             service,
             stage,
             failureDomain: failureDomains[this.madeBackends % failureDomains.length]!,
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -242,13 +242,14 @@
         }
     }
 
-    /** A backend server ends at once, and another incarnation comes elsewhere. */
+    /** A backend server ends at once, and another incarnation comes elsewhere: each second one under the same name. */
     private async crashBackend(fault: Fault): Promise<void> {
         const backend = pickOf(this.deployment.backends, fault.pick);
+        const keepsName = !backend.isLeaving() && Math.floor(fault.lasts) % 2 === 0;
         this.note(fault, backend.id);
         this.deployment.removeBackend(backend);
         await pause(fault.lasts);
-        await this.deployment.addBackend(backend.service, backend.firstStage);
+        await this.deployment.addBackend(backend.service, backend.firstStage, keepsName ? backend.id : undefined);
     }
 
     private async impairBackend(
