--- a/packages/basilpaddle/src/node/cli/commands/explain.ts
+++ b/packages/basilpaddle/src/node/cli/commands/explain.ts
@@ -1,6 +1,6 @@
-import { readFile } from "node:fs/promises";
 import { type ExitCode, exitCodes } from "../exitCode.js";
-import { explain, type Explanation, readLogLines } from "../explanation.js";
+import { explain, type Explanation } from "../explanation.js";
+import { readLogFiles } from "../logFiles.js";
 import { Output } from "../output.js";
 
 /** Tells from log files how a request ended and what was believed around it. */
@@ -8,15 +8,11 @@
     given: { readonly request: string; readonly files: readonly string[]; readonly json: boolean; },
 ): Promise<ExitCode> {
     const output = Output.create(given.json);
-    let texts: readonly string[];
-    try {
-        texts = await Promise.all(given.files.map(file => readFile(file, "utf8")));
-    }
-    catch (error) {
-        output.problem({ kind: "unreadable", message: (error as Error).message });
+    const read = await readLogFiles(given.files, output);
+    if (read === undefined) {
         return exitCodes.failed;
     }
-    const { lines, unread } = readLogLines(texts);
+    const { lines, unread } = read;
     const attempts = explain(lines, given.request);
     if (attempts.length === 0) {
         const message = `none of ${lines.length} lines tells of ${given.request}; ${unread} weren't log lines`;
--- a/packages/basilpaddle/src/node/cli/commands/losses.ts
+++ b/packages/basilpaddle/src/node/cli/commands/losses.ts
@@ -1,6 +1,5 @@
-import { readFile } from "node:fs/promises";
 import { type ExitCode, exitCodes } from "../exitCode.js";
-import { readLogLines } from "../explanation.js";
+import { readLogFiles } from "../logFiles.js";
 import { accountOf, type LossAccount, type LossOptions } from "../lossAccount.js";
 import { Output, table } from "../output.js";
 
@@ -9,15 +8,11 @@
     given: LossOptions & { readonly files: readonly string[]; readonly json: boolean; },
 ): Promise<ExitCode> {
     const output = Output.create(given.json);
-    let texts: readonly string[];
-    try {
-        texts = await Promise.all(given.files.map(file => readFile(file, "utf8")));
-    }
-    catch (error) {
-        output.problem({ kind: "unreadable", message: (error as Error).message });
+    const read = await readLogFiles(given.files, output);
+    if (read === undefined) {
         return exitCodes.failed;
     }
-    const { lines, unread } = readLogLines(texts);
+    const { lines, unread } = read;
     const account = accountOf(lines, given);
     output.result({ kind: "losses", ...account, unread }, () => written(account));
     return exitCodes.done;
