--- a/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
@@ -45,8 +45,7 @@
 
 /**
  * How the leader places for all gateways. Far engines count half as much worse as full ones do, so that near ones fill up
- * only a little more: fewer streams cross a link when it begins to lose packets, and fewer bytes that are priced. Four
- * days, one play each, without and with: 0.927 0.677 0.758 0.828 and 0.933 0.697 0.761 0.835. A run is promised what it will hold at its end, and holds half of its answer on
+ * only a little more: fewer streams cross a link when it begins to lose packets. No gain in worth was seen by it alone. A run is promised what it will hold at its end, and holds half of its answer on
  * the mean: of three bursts of up to 2.2 times the load, 8 of 544 streams were late with 1.0 of the cache promised, none
  * with 1.1, and with 1.2 five runs were preempted.
  */
--- a/packages/basilpaddle/src/node/coordination/gateway/linkQuality.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/linkQuality.ts
@@ -137,9 +137,8 @@
 }
 
 /**
- * Leaves the worst engine out: one that falls silent, turns slow or puts its runs off says nothing of the link. Of a
- * domain with a single engine nothing is known then. With that engine's stalls taken for the link's, bursts on six
- * engines in three domains were worth 0.29 and 0.31; without, 0.46 and 0.44 (one play each).
+ * Leaves the worst engine out: one that falls silent, turns slow or puts its runs off says nothing of the link, and its
+ * whole failure domain would lose work for it. Of a domain with a single engine nothing is known then.
  */
 function stallRate(records: readonly EngineRecord[], now: number): number {
     const stalls = records.map(record => record.stalls.current(now));
--- a/packages/basilpaddle/src/node/daemon/gateway/placesClient.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placesClient.ts
@@ -18,8 +18,9 @@
 const aloneTime = 300;
 /**
  * Milliseconds that a demand waits for the first leader after this gateway's start, and between two looks. After a loss
- * of power everywhere gateways know all engines before a leader is elected, and have a backlog; placed by each alone,
- * prompts queued at the prefill engines for 0.8 s, and two in three first events of that second were late.
+ * of power everywhere gateways know all engines before a leader is elected, and have a backlog; each would place it alone,
+ * at the same prefill engines. Of 45 streams served then on one day, 23 had late first events without the wait, and of 52
+ * on another play 30 with it: no gain seen in that figure, and none in worth.
  */
 const firstLeaderPatience = 600;
 const firstLeaderPoll = 20;
