feat(directory): a new leader goes on lending repeats; perf(gateway): a silent leader is given up after 250 ms

Cause: a new leader can't know what the one before lent, and lent nothing for ten seconds, just after crashes. 18 of the 21 late first events that were read one by one had waited 400 ms for a leader without power, some of them twice. Change: gateways say with each watch what they borrowed; once as many have said it as there were, the leader lends the rest. It holds a question for 100 ms (150) and gateways wait 250 ms (400) for it.

--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/decisions.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/decisions.spec.ts
@@ -122,7 +122,7 @@
             const now = 20_000 + number * 20;
             const own = gateways[number * 7 % 40]!.take(now, sharers);
             alone += own ? 1 : 0;
-            lent += !own && pot.lend(now) ? 1 : 0;
+            lent += !own && pot.lend(now, undefined) ? 1 : 0;
         }
         expect(alone).to.equal(40);
         expect(alone + lent).to.equal(100);
@@ -134,7 +134,7 @@
         const taken: number[] = [];
         for (let now = 11_000; now < 40_000; now += 7) {
             const gateway = gateways[now % 191]!;
-            if (gateway.take(now, 191) || pot.lend(now)) {
+            if (gateway.take(now, 191) || pot.lend(now, undefined)) {
                 taken.push(now);
             }
         }
@@ -147,8 +147,17 @@
     // Sequence: a leader lends all, and dies; the next one would lend the same again within the window.
     it("is nothing in a leader's first window", () => {
         const pot = RepeatPot.create(rules, 50_000);
-        expect(pot.lend(59_900)).to.equal(false);
-        expect(pot.lend(60_100)).to.equal(true);
+        expect(pot.lend(59_900, undefined)).to.equal(false);
+        expect(pot.lend(60_100, undefined)).to.equal(true);
+    });
+
+    // Symptom: after all directories lost power, repeats are refused for ten seconds, just when engines crash.
+    // Cause: the new leader didn't ask the gateways, which had lived on, what they had borrowed.
+    it("is what gateways haven't borrowed from the leader before, once all have told", () => {
+        const pot = RepeatPot.create(rules, 50_000);
+        expect(pot.lend(50_500, undefined)).to.equal(false);
+        const lent = Array.from({ length: 100 }, (_, number) => pot.lend(51_000, 60 + number));
+        expect(lent.filter(granted => granted).length).to.equal(24);
     });
 });
 
--- a/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
@@ -1,4 +1,11 @@
-import { type Announced, documentSchema, unpackText, type Watched, watchedSchema } from "../../protocol/index.js";
+import {
+    type Announced,
+    documentSchema,
+    unpackText,
+    type Watch,
+    type Watched,
+    watchedSchema,
+} from "../../protocol/index.js";
 import { type Link, type Network, parseAddress } from "../../transport/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
 
@@ -37,6 +44,8 @@
     /** Milliseconds after the start in which the count of gateways isn't trusted. @default 4000 */
     readonly settleTime?: number | undefined;
     readonly onAnnounced: (announced: Announced) => void;
+    /** Repeats that this gateway borrowed within the last window, for a new leader to know. @default none */
+    readonly borrowed?: () => Watch["borrowed"];
     /** Gets each configuration that is newer than all before; without it none is fetched. */
     readonly onDocument?: (version: number, content: string) => void;
 };
@@ -186,6 +195,7 @@
     private async watch(directory: Known): Promise<Watched | undefined> {
         const { name, observer } = this.options;
         const wantsDocument = this.wantsDocument(directory);
+        const borrowed = this.options.borrowed?.() ?? [];
         const answer = await directory.link.request({
             kind: "watch",
             gateway: name,
@@ -195,6 +205,7 @@
             cursor: directory.cursor,
             wantsDocument,
             observer,
+            ...borrowed.length === 0 ? {} : { borrowed },
         }, watchPatience);
         const parsed = watchedSchema.safeParse(answer.toMaybe().extract());
         return parsed.success ? parsed.data : undefined;
--- a/packages/basilpaddle/src/node/coordination/gateway/repeatBudget.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/repeatBudget.ts
@@ -60,6 +60,12 @@
         return true;
     }
 
+    /** Repeats taken within the last window. */
+    taken(now: number): number {
+        this.turn(now);
+        return sum(this.repeats);
+    }
+
     /** Gives a repeat back that reached no server after all. */
     giveBack(now: number): void {
         this.turn(now);
@@ -84,8 +90,8 @@
 }
 
 /**
- * The repeats that the leader lends to gateways whose own part is spent. A new leader can't know what the one before has
- * lent in the last window, and lends nothing for so long.
+ * The repeats that the leader lends to gateways whose own part is spent. What the leader before lent within the last
+ * window counts too: gateways tell what they borrowed, and until all have, nothing is lent in the first window.
  */
 export class RepeatPot {
     private readonly lent: RepeatBudget;
@@ -99,9 +105,15 @@
         return new RepeatPot(rules, now);
     }
 
-    /** Lends one repeat, or tells that none is left. */
-    lend(now: number): boolean {
-        return now - this.startedAt > this.rules.window && this.lent.take(now, 1);
+    /**
+     * Lends one repeat, or tells that none is left. `borrowed`: what gateways say that they borrowed within the last window,
+     * whoever lent it; undefined while some haven't said it.
+     */
+    lend(now: number, borrowed: number | undefined): boolean {
+        if (now - this.startedAt > this.rules.window) {
+            return this.lent.take(now, 1);
+        }
+        return borrowed !== undefined && borrowed + 1 <= this.rules.slack * lentPart && this.lent.take(now, 1);
     }
 }
 
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -317,7 +317,12 @@
         this.stopLeading();
         const sources = { instances: this.hearing.instances, traffic: () => this.traffic, clock, logger };
         this.placing = PlacingService.create(
-            { ...sources, repeats: settings.repeats, onEnded: instance => this.hearing.noteEnded(instance) },
+            {
+                ...sources,
+                repeats: settings.repeats,
+                borrowed: service => this.watches.borrowed(service),
+                onEnded: instance => this.hearing.noteEnded(instance),
+            },
             term,
         );
         this.orders = StageOrders.create({
--- a/packages/basilpaddle/src/node/daemon/directory/placingService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/placingService.ts
@@ -8,8 +8,11 @@
 import type { PlaceDecision, Placing, PlacingAnswer, Traffic } from "../../protocol/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
 
-/** Milliseconds for which a question waits for its decision before its asker is told to ask again. */
-const answerWithin = 150;
+/**
+ * Milliseconds for which a question waits for its decision before its asker is told to ask again. By that answer gateways
+ * tell a leader whose queue is long from one that is gone, and wait for it with each request until they know.
+ */
+const answerWithin = 100;
 /** Milliseconds between two looks at what waits. */
 const tickInterval = 25;
 /** Milliseconds that a place must be old before a gateway's list that lacks it takes it back: the list may be older. */
@@ -24,6 +27,8 @@
     readonly onEnded: (instance: string) => void;
     /** The allowance for repeats that all gateways share; undefined where nothing of it is lent. */
     readonly repeats?: RepeatBudgetRules | undefined;
+    /** Repeats of a service that gateways borrowed within the last window, as `WatchBook` tells it. */
+    readonly borrowed?: (service: string) => number | undefined;
     readonly clock: Clock;
     readonly logger: Logger;
 };
@@ -150,7 +155,7 @@
         }
         const pot = this.pots.get(service) ?? RepeatPot.create(repeats, this.startedAt);
         this.pots.set(service, pot);
-        const granted = pot.lend(now);
+        const granted = pot.lend(now, this.sources.borrowed?.(service));
         logger.info("a gateway asked for a repeat", { gateway, service, granted });
         return granted;
     }
--- a/packages/basilpaddle/src/node/daemon/directory/watchBook.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/watchBook.ts
@@ -31,7 +31,7 @@
 /** Answers watches: at once where the watcher lacks something, else when something changes. */
 export class WatchBook {
     private readonly waiting = new Set<() => void>();
-    private readonly gateways = new Map<string, number>();
+    private readonly gateways = new Map<string, { readonly at: number; readonly borrowed: Watch["borrowed"]; }>();
     private newest: PackedDocument | undefined;
     private readonly startedAt: number;
 
@@ -47,7 +47,7 @@
     async watch(watch: Watch): Promise<Watched> {
         const { clock } = this.sources;
         if (!watch.observer) {
-            this.gateways.set(watch.gateway, clock.monotonic());
+            this.gateways.set(watch.gateway, { at: clock.monotonic(), borrowed: watch.borrowed });
         }
         if (!this.hasNews(watch)) {
             await this.nextChange();
@@ -77,7 +77,7 @@
     /** Their names. */
     gatewayNames(): readonly string[] {
         const since = this.sources.clock.monotonic() - gatewayMemory;
-        this.gateways.forEach((at, name) => {
+        this.gateways.forEach(({ at }, name) => {
             if (at < since) {
                 this.gateways.delete(name);
             }
@@ -85,10 +85,24 @@
         return [...this.gateways.keys()];
     }
 
+    /** Repeats of a service that gateways borrowed within the last window; undefined while some of them haven't said. */
+    borrowed(service: string): number | undefined {
+        const names = this.gatewayNames();
+        if (!this.haveAllCome() && names.length < Math.max(1, this.sources.gatewaysBefore)) {
+            return undefined;
+        }
+        const loans = [...this.gateways.values()].flatMap(({ borrowed = [] }) => borrowed);
+        return loans.filter(loan => loan.service === service).reduce((sum, { count }) => sum + count, 0);
+    }
+
+    private haveAllCome(): boolean {
+        return this.sources.clock.monotonic() - this.startedAt > gatewaysComeWithin;
+    }
+
     /** Gateways that share what all have together. */
     private shares(): Pick<Watched, "gateways" | "gatewaysSettled"> {
-        const { clock, gatewaysBefore } = this.sources;
-        const allCame = clock.monotonic() - this.startedAt > gatewaysComeWithin;
+        const { gatewaysBefore } = this.sources;
+        const allCame = this.haveAllCome();
         return {
             gateways: Math.max(this.gatewayCount(), allCame ? 0 : gatewaysBefore),
             gatewaysSettled: allCame || gatewaysBefore > 0,
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -40,6 +40,7 @@
     private readonly store = DisposableStore.create();
     private readonly instances = InstanceTable.create();
     private readonly links = LinkQuality.create();
+    private readonly repeats: RepeatAllowance;
     private readonly connections: BackendConnections;
     private readonly watcher: DirectoryWatcher;
     private readonly places: PlacesClient;
@@ -52,6 +53,12 @@
 
     private constructor(private readonly options: GatewayDaemonOptions) {
         const { settings, wire, clock, logger, metrics } = options;
+        this.repeats = RepeatAllowance.create({
+            rules: settings.repeats,
+            clock,
+            sharers: () => this.watcher.mostGateways(),
+            borrow: service => this.places.borrowRepeat(service),
+        });
         this.connections = BackendConnections.create(logger);
         this.store.add(() => this.connections.close());
         this.watcher = DirectoryWatcher.create({
@@ -64,6 +71,7 @@
             logger,
             settleTime: options.settleTime,
             onAnnounced: announced => this.instances.take(announced),
+            borrowed: () => this.repeats.borrowed(),
             onDocument: (version, content) => this.configure(version, content),
         });
         this.store.add(() => this.watcher.close());
@@ -86,12 +94,7 @@
             logger,
             metrics,
             reportEnded: instance => this.places.reportEnded(instance),
-            repeats: RepeatAllowance.create({
-                rules: settings.repeats,
-                clock,
-                sharers: () => this.watcher.mostGateways(),
-                borrow: service => this.places.borrowRepeat(service),
-            }),
+            repeats: this.repeats,
             gateways: () => this.watcher.gateways(),
         };
     }
--- a/packages/basilpaddle/src/node/daemon/gateway/placesClient.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placesClient.ts
@@ -10,8 +10,12 @@
 } from "../../protocol/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
 
-/** Milliseconds for the leader to answer: it holds a question for 150 ms at the most. */
-const answerPatience = 400;
+/**
+ * Milliseconds for the leader to answer: it holds a question for 100 ms at the most. Each gateway finds out by a request of
+ * its own that the leader's host is gone; among hundreds that is every request of the first seconds. With 400 ms 18 of
+ * the 21 first events that were late on one such day had waited so long, several of them twice.
+ */
+const answerPatience = 250;
 /**
  * Milliseconds for which a demand waits alone before a leader may have it, and between two questions whether the leader
  * that gave no answer is there again. No request asks that: each would wait for its whole patience, and by hundreds of
--- a/packages/basilpaddle/src/node/daemon/gateway/repeatAllowance.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/repeatAllowance.ts
@@ -14,6 +14,8 @@
 /** The allowance for repeats of each service: this gateway's own part first, then what the leader lends. */
 export class RepeatAllowance {
     private readonly budgets = new Map<string, RepeatBudget>();
+    /** What the leader lent, for the next leader to know. */
+    private readonly loans = new Map<string, RepeatBudget>();
 
     private constructor(private readonly options: RepeatAllowanceOptions) {}
 
@@ -28,8 +30,23 @@
 
     /** Takes one repeat, or tells that none is to be had. */
     async take(service: string): Promise<boolean> {
-        const { sharers, borrow } = this.options;
-        return this.budget(service).take(this.now(), sharers()) || await borrow(service);
+        const { sharers, borrow, rules } = this.options;
+        if (this.budget(service).take(this.now(), sharers())) {
+            return true;
+        }
+        const granted = await borrow(service);
+        if (granted) {
+            const loans = this.loans.get(service) ?? RepeatBudget.create({ ...rules, slack: Number.POSITIVE_INFINITY });
+            this.loans.set(service, loans);
+            loans.take(this.now(), 1);
+        }
+        return granted;
+    }
+
+    /** Repeats that were borrowed within the last window, by service. */
+    borrowed(): { readonly service: string; readonly count: number; }[] {
+        const loans = [...this.loans].map(([service, taken]) => ({ service, count: taken.taken(this.now()) }));
+        return loans.filter(({ count }) => count > 0);
     }
 
     /** Gives a repeat back that reached no server after all; one that was lent stays here as the gateway's own. */
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -40,6 +40,8 @@
     wantsDocument: z.boolean(),
     /** Directories watch each other too, and aren't counted as gateways. */
     observer: z.boolean(),
+    /** Repeats that the gateway borrowed within the last window, by service. @default none */
+    borrowed: z.array(z.object({ service: identifier, count: z.int().min(0) })).optional(),
 });
 
 /** Asks a directory for the newest configuration that it knows, whether or not it is the newest of all. */
