feat(directory): stages planned by what requests are seen to take of the pool

Cause: the plan went by constants (0.1 s, 3.2 s, 3,670 tokens), and a pool never got a prefill engine back; another workload would have had one stage full and the other idle for good. Change: the leader's pools tell a usual request by the runs that ended under it (100 at least); the plan takes it, and orders engines either way, with tolerances against drift.

--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/decisions.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/decisions.spec.ts
@@ -228,4 +228,32 @@
         expect(planStages(engines(0, 4), rule).map(change => change.stage)).to.deep.equal(["prefill"]);
         expect(planStages(engines(0, 1), rule)).to.deep.equal([]);
     });
+
+    // Load pattern: long prompts with short answers, and the other way round, on a pool whose stages were planned for usual
+    // requests. Symptom: one stage is full while the other stands idle, for as long as the pool lives.
+    // Cause: the plan went by constants, and a pool never got a prefill engine back.
+    it("follows what requests were seen to take of the pool", () => {
+        const long = { readingTime: 400, holdTime: 2_000, cacheTokens: 12_000 };
+        expect(planStages(engines(3, 10), rule, long).map(change => change.stage)).to.deep.equal([
+            "prefill",
+            "prefill",
+        ]);
+        const short = { readingTime: 30, holdTime: 4_000, cacheTokens: 3_000 };
+        expect(planStages(engines(4, 9), rule, short).map(change => change.stage)).to.deep.equal([
+            "decode",
+            "decode",
+            "decode",
+        ]);
+    });
+
+    it("leaves stages alone that are off by an engine, as means of a burst may say", () => {
+        const slightly = { readingTime: 130, holdTime: 3_200, cacheTokens: 3_670 };
+        expect(planStages(engines(3, 10), rule, slightly)).to.deep.equal([]);
+        expect(planStages(engines(4, 9), rule, slightly)).to.deep.equal([]);
+    });
+
+    it("never takes the last decode engine", () => {
+        const long = { readingTime: 10_000, holdTime: 100, cacheTokens: 1_000 };
+        expect(planStages(engines(1, 2), rule, long).length).to.equal(1);
+    });
 });
--- a/packages/basilpaddle/src/node/coordination/gateway/enginePlaces.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePlaces.ts
@@ -2,6 +2,7 @@
 import { fractionOf } from "../../utils/index.js";
 import { type EnginePair, EnginePool, type PlaceTuning } from "./enginePool.js";
 import { PlaceForecast } from "./placeForecast.js";
+import type { UsualRequest } from "./stagePlan.js";
 import { TurnAways } from "./turnAways.js";
 
 /** Milliseconds between two looks at what waits. */
@@ -155,7 +156,11 @@
             this.pool.engine(blamed)?.turnedAway(now);
         }
         else if (placement !== undefined) {
-            this.forecast.ended(now - placement.placedAt);
+            this.forecast.ended({
+                readingTime: this.pool.readingWork(placement.demand.promptTokens),
+                holdTime: now - placement.placedAt,
+                cacheTokens: placement.demand.cacheTokens,
+            });
             this.pool.engine(placement.decode)?.succeeded();
         }
         return this.dispatch(now);
@@ -195,6 +200,11 @@
         return [...new Set(demands)];
     }
 
+    /** What a request takes of the pool on the mean, by the runs that ended here; undefined until there are enough. */
+    usualRequest(): UsualRequest | undefined {
+        return this.forecast.usualRequest();
+    }
+
     /** What waits and what is held, for metrics and tests. */
     standing(): { readonly waiting: number; readonly held: number; readonly heldTokens: ReadonlyMap<string, number>; } {
         return {
--- a/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
@@ -164,6 +164,13 @@
             : promptTokens => soonest.score + soonest.engine.readingTime(promptTokens);
     }
 
+    /** Milliseconds of work that the reading of a prompt is for a prefill engine of the pool, on the mean of them. */
+    readingWork(promptTokens: number): number {
+        const readers = [...this.engines.values()].filter(({ announced }) => announced.stage === "prefill");
+        const work = readers.reduce((sum, engine) => sum + engine.readingTime(promptTokens), 0);
+        return readers.length === 0 ? promptTokens * usualTokenTime : work / readers.length;
+    }
+
     /** Tokens of KV cache that may be handed out in all. */
     capacity(now: number): number {
         return this.usable("decode", [], now).length * this.state().tokens;
--- a/packages/basilpaddle/src/node/coordination/gateway/placeForecast.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placeForecast.ts
@@ -1,7 +1,12 @@
+import type { UsualRequest } from "./stagePlan.js";
+
 /** Milliseconds that a run is expected to hold its place until runs have ended. */
 const usualHold = 3_000;
 /** Weight of one run in the running means. */
 const step = 0.05;
+/** Weight of one run in what is told of a usual request, and the runs after which it says something. */
+const usualStep = 0.01;
+const runsObserved = 100;
 /**
  * Milliseconds from a prompt that has been read to the first event at the caller's gateway: measured 17 at the median
  * and 30 for three in four, and the rest for the way to the caller.
@@ -16,14 +21,30 @@
     private hold = usualHold;
     /** How many times longer readings took of late than the engines' own times say. */
     private delay = 1;
+    private usual: UsualRequest | undefined;
+    private runs = 0;
 
     static create(): PlaceForecast {
         return new PlaceForecast();
     }
 
-    /** Notes how long a run held its place. */
-    ended(milliseconds: number): void {
-        this.hold += step * (milliseconds - this.hold);
+    /** Notes a run that ended well: how long it held its place, and what it took of the pool. */
+    ended(run: UsualRequest): void {
+        this.hold += step * (run.holdTime - this.hold);
+        this.runs += 1;
+        const { usual } = this;
+        const mean = (before: number, now: number): number =>
+            before + Math.max(usualStep, 1 / this.runs) * (now - before);
+        this.usual = usual === undefined ? run : {
+            readingTime: mean(usual.readingTime, run.readingTime),
+            holdTime: mean(usual.holdTime, run.holdTime),
+            cacheTokens: mean(usual.cacheTokens, run.cacheTokens),
+        };
+    }
+
+    /** What a request takes of the pool on the mean; undefined until enough of them have been seen. */
+    usualRequest(): UsualRequest | undefined {
+        return this.runs < runsObserved ? undefined : this.usual;
     }
 
     /** Notes how long the reading of a prompt should have taken, and how long it took. */
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -327,6 +327,7 @@
         );
         this.orders = StageOrders.create({
             ...sources,
+            usualRequest: service => this.placing?.usualRequest(service),
             holder: settings.name,
             wire,
             connections: this.connections,
--- a/packages/basilpaddle/src/node/daemon/directory/placingService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/placingService.ts
@@ -4,6 +4,7 @@
     placingForAll,
     type RepeatBudgetRules,
     RepeatPot,
+    type UsualRequest,
 } from "../../coordination/index.js";
 import type { PlaceDecision, Placing, PlacingAnswer, Traffic } from "../../protocol/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
@@ -107,6 +108,11 @@
         }
     }
 
+    /** What a request of the service takes of its pool; undefined until enough have been served under this leader. */
+    usualRequest(service: string): UsualRequest | undefined {
+        return this.pools.get(service)?.usualRequest();
+    }
+
     /** What waits and what is held, over all pools. */
     standing(): { readonly waiting: number; readonly held: number; } {
         const standings = [...this.pools.values()].map(pool => pool.standing());
--- a/packages/basilpaddle/src/node/daemon/directory/stageOrders.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/stageOrders.ts
@@ -1,4 +1,4 @@
-import { type InstanceTable, planStages, type StageChange } from "../../coordination/index.js";
+import { type InstanceTable, planStages, type StageChange, type UsualRequest } from "../../coordination/index.js";
 import type { Announced, Traffic } from "../../protocol/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
 import { type BackendConnections, drain, isAnswer } from "../backends/index.js";
@@ -24,6 +24,8 @@
     readonly holder: string;
     readonly instances: InstanceTable;
     readonly traffic: () => Traffic | undefined;
+    /** What a request of a service takes of its pool, where that has been observed. */
+    readonly usualRequest: (service: string) => UsualRequest | undefined;
     readonly wire: DirectoryWire;
     readonly connections: BackendConnections;
     readonly clock: Clock;
@@ -74,7 +76,7 @@
     }
 
     private look(): void {
-        const { clock, instances, traffic } = this.sources;
+        const { clock, instances, traffic, usualRequest } = this.sources;
         const now = clock.monotonic();
         if (now < this.mayOrderAt || now < this.restUntil) {
             return;
@@ -87,7 +89,7 @@
             if (!this.hasSettled(service.name, engines.length, now)) {
                 continue;
             }
-            const changes = planStages(engines, service.engine).filter(change =>
+            const changes = planStages(engines, service.engine, usualRequest(service.name)).filter(change =>
                 now >= (this.pending.get(change.engine.id) ?? 0)
             );
             if (changes.length > 0) {
