feat(gateway): servers of plain services are judged by the calls of all gateways

Change: gateways tell the leader twice a second how calls went, open ones far beyond the usual time as failed; the leader names those that fail far more than the service's others, half of them at most; they rest for three seconds.

--- /dev/null
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/serverConditions.spec.ts
@@ -0,0 +1,115 @@
+import { expect } from "chai";
+import type { Announced, ServerCalls } from "../../../protocol/index.js";
+import { CallTally, type OpenCall } from "../callTally.js";
+import { ServerChoice } from "../serverChoice.js";
+import { ServerConditions } from "../serverConditions.js";
+import { announced } from "./fakes.js";
+
+const domains = ["a", "b", "c", "d", "e"];
+const servers = domains.map(domain => announced({ id: `server-${domain}`, service: "s", failureDomain: domain }));
+const none = new Set<string>();
+/** Milliseconds that a sound call takes, after which callers give a hanging one up, and between two accounts. */
+const callTime = 86;
+const patience = 2_000;
+const interval = 500;
+
+type Gateway = { readonly choice: ServerChoice; readonly tally: CallTally; };
+type Ending = { readonly at: number; readonly end: () => void; };
+
+/**
+ * Plays requests at 191 gateways before five servers, 135 a second, of which one hangs from 2 s on. Gives the part of
+ * the later requests that were sent to it.
+ */
+function partAtHanging(isShared: boolean): number {
+    const conditions = ServerConditions.create();
+    let troubled: readonly string[] = [];
+    const gateways = Array.from({ length: 191 }, (_, number): Gateway => ({
+        choice: ServerChoice.create(domains[number % 5]!, undefined, () => isShared ? troubled : []),
+        tally: CallTally.create(),
+    }));
+    let endings: Ending[] = [];
+    let asked = 0;
+    let lost = 0;
+    const end = (gateway: Gateway, server: Announced, open: OpenCall, hung: boolean, now: number): void => {
+        const outcome = hung ? "failed" : "answered";
+        gateway.choice.ended(server, outcome, now - open.startedAt, now);
+        gateway.tally.ended(open, outcome, now);
+    };
+    const call = (gateway: Gateway, now: number): void => {
+        const server = gateway.choice.choose(servers, none, now)!;
+        const hangs = now > 2_000 && server.id === "server-b";
+        asked += now > 2_000 ? 1 : 0;
+        lost += hangs ? 1 : 0;
+        gateway.choice.began(server.id);
+        const open = gateway.tally.began(server, now);
+        const at = now + (hangs ? patience : callTime);
+        endings.push({ at, end: () => end(gateway, server, open, hangs, at) });
+    };
+    for (let now = 0; now < 10_000; now += 10) {
+        endings.filter(({ at }) => at <= now).forEach(ending => ending.end());
+        endings = endings.filter(({ at }) => at > now);
+        if (now % 30 !== 0) {
+            Array.from({ length: 2 }, (_, number) => call(gateways[(now * 7 + number * 89) % 191]!, now));
+        }
+        if (now % interval === 0) {
+            gateways.forEach(({ tally }) => conditions.note(tally.take(now), now));
+            conditions.review(now);
+            troubled = conditions.troubled();
+        }
+    }
+    return lost / asked;
+}
+
+function calls(id: string, answered: number, failed: number): ServerCalls {
+    return { id, service: "s", answered, failed };
+}
+
+describe("what all gateways tell of plain services' servers", () => {
+    // Symptom: for as long as one of five servers hangs, a good part of the requests is lost there, though each gateway
+    // shuns it once it has met it.
+    // Sequence: 191 gateways, each with a request in 1.4 s; each meets the server by itself, and forgets it after seconds.
+    // Cause: what one gateway learned of a server stayed there.
+    it("keeps requests off a server that hangs at other gateways", () => {
+        const alone = partAtHanging(false);
+        const shared = partAtHanging(true);
+        expect(alone).to.be.above(0.1);
+
+        expect(shared).to.be.below(alone / 2);
+    });
+
+    it("calls a server troubled that fails far more than the others do, and not all that fail alike", () => {
+        const conditions = ServerConditions.create();
+        conditions.note([calls("x", 20, 20), calls("y", 38, 3), calls("z", 40, 2)], 1_000);
+        expect(conditions.review(1_000)).to.equal(true);
+        expect(conditions.troubled()).to.deep.equal(["x"]);
+        const alike = ServerConditions.create();
+        alike.note([calls("x", 20, 20), calls("y", 22, 18), calls("z", 21, 20)], 1_000);
+        expect(alike.review(1_000)).to.equal(false);
+    });
+
+    it("never calls more than half of a service's servers troubled", () => {
+        const conditions = ServerConditions.create();
+        conditions.note([calls("v", 0, 9), calls("w", 0, 9), calls("x", 90, 0), calls("y", 0, 9)], 0);
+        conditions.review(0);
+        expect(conditions.troubled().length).to.equal(2);
+    });
+
+    it("lets a server be tried again after some seconds without calls", () => {
+        const conditions = ServerConditions.create();
+        conditions.note([calls("x", 0, 12), calls("y", 40, 0)], 0);
+        conditions.review(0);
+        expect(conditions.troubled()).to.deep.equal(["x"]);
+        expect(conditions.review(7_000)).to.equal(true);
+        expect(conditions.troubled()).to.deep.equal([]);
+    });
+
+    it("counts a call that stays open once, and none whose caller went away", () => {
+        const tally = CallTally.create();
+        const hung = tally.began(servers[0]!, 0);
+        tally.dropped(tally.began(servers[1]!, 0));
+        expect(tally.take(100)).to.deep.equal([]);
+        expect(tally.take(1_000)).to.deep.equal([{ id: "server-a", service: "s", answered: 0, failed: 1 }]);
+        tally.ended(hung, "failed", 2_000);
+        expect(tally.take(2_500)).to.deep.equal([]);
+    });
+});
--- a/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
@@ -64,6 +64,7 @@
     version: number;
     members: readonly string[];
     leader: string | undefined;
+    troubled: readonly string[];
     namedAt: number;
 };
 
@@ -100,6 +101,12 @@
         return [...votes].sort(([, one], [, other]) => other - one)[0]?.[0];
     }
 
+    /** Backend servers of plain services that fail, as far as the leader knows and is reached. */
+    troubled(): readonly string[] {
+        const directory = this.known.get(this.leader() ?? "");
+        return directory?.reached === true ? directory.troubled : [];
+    }
+
     /** The link to a directory. */
     link(name: string): Link | undefined {
         return this.known.get(name)?.link;
@@ -167,6 +174,7 @@
                 version: -1,
                 members: [],
                 leader: undefined,
+                troubled: [],
                 namedAt: now,
             };
             this.known.set(name, directory);
@@ -224,6 +232,7 @@
         directory.version = watched.version;
         directory.members = watched.members;
         directory.leader = watched.leader;
+        directory.troubled = watched.troubled ?? [];
         this.meet(watched.members);
         watched.announced.forEach(announced => this.options.onAnnounced(announced));
         if (watched.document !== undefined) {
--- a/packages/basilpaddle/src/node/coordination/gateway/index.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/index.ts
@@ -1,4 +1,5 @@
 export * from "./announcements.js";
+export * from "./callTally.js";
 export * from "./directoryWatcher.js";
 export * from "./enginePlaces.js";
 export { type PlaceTuning, placingAlone, placingForAll } from "./enginePool.js";
@@ -7,4 +8,5 @@
 export * from "./repeatBudget.js";
 export * from "./routeTable.js";
 export * from "./serverChoice.js";
+export * from "./serverConditions.js";
 export * from "./stagePlan.js";
--- a/packages/basilpaddle/src/node/coordination/gateway/serverChoice.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/serverChoice.ts
@@ -56,18 +56,30 @@
     private readonly records = new LRUCache<string, ServerRecord>({ max: serverLimit });
     private readonly failuresOfService = new Map<string, number>();
 
-    private constructor(private readonly failureDomain: string, private readonly links: LinkQuality) {}
+    private constructor(
+        private readonly failureDomain: string,
+        private readonly links: LinkQuality,
+        private readonly troubled: () => readonly string[],
+    ) {}
 
-    /** `links`: how well the links to other failure domains are. */
-    static create(failureDomain: string, links: LinkQuality = LinkQuality.create()): ServerChoice {
-        return new ServerChoice(failureDomain, links);
+    /** `links`: how well the links to other failure domains are. `troubled`: servers that fail at other gateways. */
+    static create(
+        failureDomain: string,
+        links: LinkQuality = LinkQuality.create(),
+        troubled: () => readonly string[] = () => [],
+    ): ServerChoice {
+        return new ServerChoice(failureDomain, links, troubled);
     }
 
     /** The server that will likely answer first, none of those to avoid; undefined where none is left. */
     choose(servers: readonly Announced[], avoid: ReadonlySet<string>, now: number): Announced | undefined {
         const candidates = servers.filter(server => !avoid.has(server.id));
-        const sound = candidates.filter(server => now >= this.record(server.id).pausedUntil);
-        const paused = servers.length - servers.filter(server => now >= this.record(server.id).pausedUntil).length;
+        const troubled = this.troubled();
+        const isSound = (server: Announced): boolean => {
+            return now >= this.record(server.id).pausedUntil && !troubled.includes(server.id);
+        };
+        const sound = candidates.filter(isSound);
+        const paused = servers.length - servers.filter(isSound).length;
         const usable = sound.length > 0 && paused <= servers.length * mostPaused ? sound : candidates;
         const stalls = this.links.stalls(now);
         let best: Announced | undefined;
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/watchBook.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/watchBook.spec.ts
@@ -10,6 +10,7 @@
         announcements: Announcements.create(1_000),
         document: () => ({ version: 1, content: "{}" }),
         members: () => ({ members: [], leader: undefined }),
+        troubled: () => [],
         gatewaysBefore,
         clock,
     });
@@ -47,3 +48,39 @@
         expect(await counted(book)).to.deep.equal({ gateways: 1, settled: true });
     });
 });
+
+// Symptom: for ten seconds after all directories were lost repeats are refused, just when engines crash.
+// Sequence: a new leader doesn't know what the one before has lent; the gateways that borrowed it have lived on.
+describe("what gateways have borrowed", () => {
+    const watch = {
+        kind: "watch",
+        version: -1,
+        incarnation: "",
+        cursor: 0,
+        wantsDocument: false,
+        observer: false,
+    } as const;
+
+    it("is known once as many gateways have told as there were before", async () => {
+        const book = watched(2, new ManualClock());
+        await book.watch({ ...watch, gateway: "g", borrowed: [{ service: "s", count: 3 }] });
+        expect(book.borrowed("s")).to.equal(undefined);
+        await book.watch({
+            ...watch,
+            gateway: "h",
+            borrowed: [{ service: "s", count: 4 }, { service: "t", count: 1 }],
+        });
+        expect(book.borrowed("s")).to.equal(7);
+        expect(book.borrowed("u")).to.equal(0);
+    });
+
+    it("isn't known where nobody remembers how many gateways there are, until all have had the time to come", async () => {
+        const clock = new ManualClock();
+        const book = watched(0, clock);
+        await book.watch({ ...watch, gateway: "g" });
+        expect(book.borrowed("s")).to.equal(undefined);
+        clock.freeze(10_000);
+        await book.watch({ ...watch, gateway: "g" });
+        expect(book.borrowed("s")).to.equal(0);
+    });
+});
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -1,4 +1,4 @@
-import { DirectoryWatcher } from "../../coordination/index.js";
+import { DirectoryWatcher, ServerConditions } from "../../coordination/index.js";
 import {
     type DirectorySettings,
     type DocumentAnswer,
@@ -49,6 +49,7 @@
     private readonly connections: BackendConnections;
     private readonly watches: WatchBook;
     private readonly name: string;
+    private conditions = ServerConditions.create();
     private traffic: Traffic | undefined;
     private documentNoted = false;
     private placing: PlacingService | undefined;
@@ -84,6 +85,7 @@
             announcements: this.hearing.announcements,
             document: () => group.current(),
             members: () => this.members(),
+            troubled: () => this.placing === undefined ? [] : this.conditions.troubled(),
             gatewaysBefore: recollection.gateways(),
             clock,
         });
@@ -230,11 +232,22 @@
         const look = (): void => {
             this.hearing.lookForSilence();
             this.placing?.keepGateways(this.watches.gatewayNames());
+            this.reviewConditions();
             cancel = clock.after(silenceInterval, look);
         };
         this.store.add(() => cancel());
     }
 
+    /** Tells gateways at once when other servers fail than before. */
+    private reviewConditions(): void {
+        if (this.placing !== undefined && this.conditions.review(this.options.clock.monotonic())) {
+            this.options.logger.info("other servers of plain services fail than before", {
+                troubled: this.conditions.troubled(),
+            });
+            this.watches.changed();
+        }
+    }
+
     private async storeConfiguration(body: string): Promise<CallAnswer> {
         const { wire, logger } = this.options;
         const traffic = wire.traffic(body);
@@ -315,12 +328,14 @@
         const { clock, logger, wire, settings } = this.options;
         const term = this.group.standing()?.term ?? 0;
         this.stopLeading();
+        this.conditions = ServerConditions.create();
         const sources = { instances: this.hearing.instances, traffic: () => this.traffic, clock, logger };
         this.placing = PlacingService.create(
             {
                 ...sources,
                 repeats: settings.repeats,
                 borrowed: service => this.watches.borrowed(service),
+                onCalls: calls => this.conditions.note(calls, clock.monotonic()),
                 onEnded: instance => this.hearing.noteEnded(instance),
             },
             term,
--- a/packages/basilpaddle/src/node/daemon/directory/placingService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/placingService.ts
@@ -6,7 +6,7 @@
     RepeatPot,
     type UsualRequest,
 } from "../../coordination/index.js";
-import type { PlaceDecision, Placing, PlacingAnswer, Traffic } from "../../protocol/index.js";
+import type { PlaceDecision, Placing, PlacingAnswer, ServerCalls, Traffic } from "../../protocol/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
 
 /**
@@ -24,6 +24,8 @@
 export type PlacingSources = {
     readonly instances: InstanceTable;
     readonly traffic: () => Traffic | undefined;
+    /** Called with what a gateway tells of its calls to plain services. */
+    readonly onCalls: (calls: readonly ServerCalls[]) => void;
     /** Called with an incarnation that a gateway found ended. */
     readonly onEnded: (instance: string) => void;
     /** The allowance for repeats that all gateways share; undefined where nothing of it is lent. */
@@ -92,6 +94,9 @@
                 return { kind: "lent", granted: this.lend(message.service, message.gateway, now) };
             case "probe":
                 return { kind: "leading", term: this.term };
+            case "calls":
+                this.sources.onCalls(message.calls);
+                return undefined;
             case "ended":
                 this.sources.onEnded(message.instance);
                 return undefined;
--- a/packages/basilpaddle/src/node/daemon/directory/watchBook.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/watchBook.ts
@@ -23,6 +23,8 @@
     readonly announcements: Announcements;
     readonly document: () => StoredDocument;
     readonly members: () => { readonly members: readonly string[]; readonly leader: string | undefined; };
+    /** Backend servers of plain services that fail, where this directory leads. */
+    readonly troubled: () => readonly string[];
     /** Gateways that were known before a restart of this directory; 0 where nobody remembers. */
     readonly gatewaysBefore: number;
     readonly clock: Clock;
@@ -88,7 +90,8 @@
     /** Repeats of a service that gateways borrowed within the last window; undefined while some of them haven't said. */
     borrowed(service: string): number | undefined {
         const names = this.gatewayNames();
-        if (!this.haveAllCome() && names.length < Math.max(1, this.sources.gatewaysBefore)) {
+        const { gatewaysBefore } = this.sources;
+        if (!this.haveAllCome() && (gatewaysBefore === 0 || names.length < gatewaysBefore)) {
             return undefined;
         }
         const loans = [...this.gateways.values()].flatMap(({ borrowed = [] }) => borrowed);
@@ -134,6 +137,7 @@
         const newer = watch.wantsDocument && current.version > watch.version;
         const since = watch.incarnation === incarnation ? watch.cursor : 0;
         const group = members();
+        const troubled = this.sources.troubled();
         return {
             incarnation,
             cursor: announcements.newest(),
@@ -144,6 +148,7 @@
             failureDomain: this.sources.failureDomain,
             ...group.leader === undefined ? {} : { leader: group.leader },
             ...this.shares(),
+            ...troubled.length === 0 ? {} : { troubled: [...troubled] },
         };
     }
 }
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/placesClient.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/placesClient.spec.ts
@@ -31,7 +31,7 @@
             logger,
             onAnnounced: () => undefined,
         });
-        common = { name: "gateway", instances, engineRule: () => rule, clock, logger };
+        common = { name: "gateway", instances, engineRule: () => rule, calls: () => [], clock, logger };
         places = PlacesClient.create({ ...common, watcher });
         await until(() => watcher.leader() === name);
     });
--- a/packages/basilpaddle/src/node/daemon/gateway/exchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/exchange.ts
@@ -1,4 +1,4 @@
-import type { InstanceTable, LinkQuality, ServerChoice } from "../../coordination/index.js";
+import type { CallTally, InstanceTable, LinkQuality, ServerChoice } from "../../coordination/index.js";
 import { type Announced, serverName, type ServiceRule } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
 import {
@@ -21,6 +21,8 @@
     readonly connections: BackendConnections;
     readonly instances: InstanceTable;
     readonly choice: ServerChoice;
+    /** What the leader is told of calls to plain services. */
+    readonly tally: CallTally;
     /** How well links pass streams on. */
     readonly links: LinkQuality;
     readonly clock: Clock;
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -1,5 +1,12 @@
 import * as http from "node:http";
-import { DirectoryWatcher, InstanceTable, LinkQuality, RouteTable, ServerChoice } from "../../coordination/index.js";
+import {
+    CallTally,
+    DirectoryWatcher,
+    InstanceTable,
+    LinkQuality,
+    RouteTable,
+    ServerChoice,
+} from "../../coordination/index.js";
 import { type GatewaySettings, seedNames, type TrafficRoute } from "../../protocol/index.js";
 import { TcpNetwork } from "../../transport/index.js";
 import { DisposableStore, type Metrics } from "../../utils/index.js";
@@ -40,6 +47,7 @@
     private readonly store = DisposableStore.create();
     private readonly instances = InstanceTable.create();
     private readonly links = LinkQuality.create();
+    private readonly tally = CallTally.create();
     private readonly repeats: RepeatAllowance;
     private readonly connections: BackendConnections;
     private readonly watcher: DirectoryWatcher;
@@ -80,6 +88,7 @@
             watcher: this.watcher,
             instances: this.instances,
             engineRule: service => this.table?.service(service)?.engine,
+            calls: () => this.tally.take(clock.monotonic()),
             clock,
             logger,
         });
@@ -88,7 +97,8 @@
             wire,
             connections: this.connections,
             instances: this.instances,
-            choice: ServerChoice.create(settings.failureDomain, this.links),
+            choice: ServerChoice.create(settings.failureDomain, this.links, () => this.watcher.troubled()),
+            tally: this.tally,
             links: this.links,
             clock,
             logger,
--- a/packages/basilpaddle/src/node/daemon/gateway/placesClient.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placesClient.ts
@@ -7,6 +7,7 @@
     type Placing,
     type PlacingAnswer,
     placingAnswerSchema,
+    type ServerCalls,
 } from "../../protocol/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
 
@@ -38,6 +39,8 @@
 const comeBackIn = 500;
 /** Milliseconds between two lists of what is held. */
 const listInterval = 1_000;
+/** Milliseconds between two accounts of calls to plain services: a server that hangs is known to all within a second. */
+const callsInterval = 500;
 /** Milliseconds between two looks at what waits for a place that is decided alone. */
 const tickInterval = 25;
 
@@ -56,6 +59,8 @@
     readonly watcher: DirectoryWatcher;
     readonly instances: InstanceTable;
     readonly engineRule: (service: string) => EngineRule | undefined;
+    /** How calls to plain services went since it was last asked. */
+    readonly calls: () => readonly ServerCalls[];
     readonly clock: Clock;
     readonly logger: Logger;
 };
@@ -80,6 +85,7 @@
     private constructor(private readonly options: PlacesClientOptions) {
         this.startedAt = options.clock.monotonic();
         this.every(listInterval, () => this.list());
+        this.every(callsInterval, () => this.tellCalls());
         this.every(tickInterval, () => this.reviewAlone());
         this.every(aloneTime, () => void this.probe());
     }
@@ -296,6 +302,13 @@
         this.listed = this.held.size > 0;
     }
 
+    private tellCalls(): void {
+        const calls = this.options.calls();
+        if (calls.length > 0) {
+            this.tell({ kind: "calls", calls: [...calls] });
+        }
+    }
+
     private tell(message: Placing): void {
         const leader = this.options.watcher.leader();
         if (leader !== undefined) {
--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -122,20 +122,28 @@
 
     private async ask(server: Announced): Promise<Verdict> {
         const { request, parts } = this;
-        const { clock, choice } = parts;
+        const { clock, choice, tally } = parts;
         const startedAt = clock.monotonic();
         choice.began(server.id);
+        const call = tally.began(server, startedAt);
         const limit = TimeLimit.create(clock, this.patience(server), request.gone.signal);
         try {
             const sent = await this.sender.send(request, server, this.service, {}, limit.signal);
             const [verdict, outcome] = await this.judge(server, sent);
             const milliseconds = clock.monotonic() - startedAt;
             choice.ended(server, request.isGone() ? "answered" : outcome, milliseconds, clock.monotonic());
+            if (request.isGone()) {
+                tally.dropped(call);
+            }
+            else {
+                tally.ended(call, outcome, clock.monotonic());
+            }
             this.path.push(`${server.id} ${outcome} ${Math.round(milliseconds)}`);
             return verdict;
         }
         finally {
             limit.end();
+            tally.dropped(call);
         }
     }
 
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -62,6 +62,8 @@
     leader: z.string().optional(),
     /** Gateways that this directory heard of within the last seconds, or knew of before a restart. */
     gateways: z.int().min(0),
+    /** Backend servers of plain services that fail by what all gateways tell the leader; only it says so. @default none */
+    troubled: z.array(identifier).optional(),
     /** Whether that count can be trusted: all that there are have had the time to come. @default false */
     gatewaysSettled: z.boolean().optional(),
 });
@@ -122,6 +124,15 @@
 /** How the use of a place ended, as far as engines are to blame. */
 export type PlaceEnd = z.infer<typeof placeEndSchema>;
 
+/** How calls to one backend server of a plain service went at one gateway since it last told. */
+export const serverCallsSchema = z.object({
+    id: identifier,
+    service: identifier,
+    answered: z.int().min(0),
+    /** Failed, broke off, were turned away, or have been open for far longer than usual. */
+    failed: z.int().min(0),
+});
+
 /** What a gateway says to the directory that places: asks, tells that places are free again, or lists what it holds. */
 export const placingSchema = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("place"), demand: placeDemandSchema }),
@@ -132,6 +143,8 @@
     z.object({ kind: z.literal("borrow"), gateway: identifier, service: identifier }),
     /** Asks whether the asked directory leads and answers: a gateway that got no answer does so until it gets one. */
     z.object({ kind: z.literal("probe"), gateway: identifier }),
+    /** How calls to plain services went. */
+    z.object({ kind: z.literal("calls"), calls: z.array(serverCallsSchema) }),
     /** Another incarnation answered at the address of this one: it has ended, and nobody said so. */
     z.object({ kind: z.literal("ended"), instance: identifier }),
     z.object({
@@ -195,6 +208,8 @@
 export type LinkStalls = z.infer<typeof linkStallsSchema>;
 /** A request for a place at the engines of a pool. */
 export type PlaceDemand = z.infer<typeof placeDemandSchema>;
+/** How calls to one backend server of a plain service went at one gateway. */
+export type ServerCalls = z.infer<typeof serverCallsSchema>;
 /** A place, or why there is none. */
 export type PlaceDecision = z.infer<typeof placeDecisionSchema>;
 /** What a gateway says to the directory that places. */
