fix(gateway): the patience with the leader follows its answers

Change: twice the slowest answer of late, 250 to 700 ms; a probe waits 700 ms, so that a slow leader is found. The fake directory answers what it was asked while frozen once it thaws, as a real one does: with a probe under way a test ended before the thaw was seen.

--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/fakeDirectories.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/fakeDirectories.ts
@@ -11,7 +11,7 @@
     failureDomain = "a";
     leader: string | undefined;
     reachable = true;
-    /** Whether it answers nothing about places, as a frozen one does. */
+    /** Whether it answers nothing about places, as a frozen one does; what it was asked meanwhile it answers afterwards. */
     frozen = false;
     readonly placings: Placing[] = [];
     documentsSent = 0;
@@ -55,9 +55,12 @@
 
     private async place(message: Placing, timeout: number): Promise<Either<LinkFailure, unknown>> {
         this.placings.push(message);
-        if (this.frozen) {
-            await pause(timeout);
-            return Left({ kind: "timeout", message: "frozen" });
+        const until = performance.now() + timeout;
+        while (this.frozen) {
+            if (performance.now() >= until) {
+                return Left({ kind: "timeout", message: "frozen" });
+            }
+            await pause(Math.min(holdTime, timeout));
         }
         if (message.kind === "probe" && this.leader === this.name) {
             return Right({ kind: "leading", term: 1 });
--- a/packages/basilpaddle/src/node/daemon/gateway/placesClient.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placesClient.ts
@@ -10,13 +10,8 @@
     type ServerCalls,
 } from "../../protocol/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
+import { LeaderPatience } from "./leaderPatience.js";
 
-/**
- * Milliseconds for the leader to answer: it holds a question for 100 ms at the most. Each gateway finds out by a request of
- * its own that the leader's host is gone; among hundreds that is every request of the first seconds. With 400 ms 18 of
- * the 21 first events that were late on one such day had waited so long, several of them twice.
- */
-const answerPatience = 250;
 /**
  * Milliseconds for which a demand waits alone before a leader may have it, and between two questions whether the leader
  * that gave no answer is there again. No request asks that: each would wait for its whole patience, and by hundreds of
@@ -77,6 +72,7 @@
     private leaderLostAt: number | undefined;
     private lostLeader: string | undefined;
     private probing = false;
+    private readonly patience = LeaderPatience.create();
     private hadLeader = false;
     private listed = false;
 
@@ -186,16 +182,19 @@
 
     /** Asks the leader that gave no answer whether it is there again. */
     private async probe(): Promise<void> {
-        const { watcher, name } = this.options;
+        const { watcher, name, clock } = this.options;
         const leader = watcher.leader();
         if (this.leaderLostAt === undefined || leader === undefined || this.probing) {
             return;
         }
         this.probing = true;
-        const answer = await watcher.link(leader)?.request({ kind: "probe", gateway: name }, answerPatience);
+        const askedAt = clock.monotonic();
+        const probe = { kind: "probe", gateway: name };
+        const answer = await watcher.link(leader)?.request(probe, this.patience.probePatience());
         this.probing = false;
         const parsed = placingAnswerSchema.safeParse(answer?.toMaybe().extract());
         if (parsed.success && parsed.data.kind === "leading") {
+            this.patience.answered(clock.monotonic() - askedAt, clock.monotonic());
             this.noteLeader(leader, parsed.data.term);
         }
     }
@@ -218,7 +217,8 @@
         const { watcher, clock, logger } = this.options;
         const name = watcher.leader();
         const link = name === undefined ? undefined : watcher.link(name);
-        const answer = await link?.request({ kind: "place", demand }, answerPatience);
+        const askedAt = clock.monotonic();
+        const answer = await link?.request({ kind: "place", demand }, this.patience.patience(askedAt));
         const parsed = placingAnswerSchema.safeParse(answer?.toMaybe().extract());
         const placing = parsed.data?.kind === "decided" || parsed.data?.kind === "waiting" ? parsed.data : undefined;
         if (placing === undefined) {
@@ -229,6 +229,7 @@
             }
             return undefined;
         }
+        this.patience.answered(clock.monotonic() - askedAt, clock.monotonic());
         this.noteLeader(name, placing.term);
         return placing;
     }
