--- a/packages/basilpaddle/src/node/daemon/gateway/placesClient.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placesClient.ts
@@ -4,20 +4,15 @@
     type PlaceDecision,
     type PlaceDemand,
     type PlaceEnd,
-    type Placing,
-    type PlacingAnswer,
-    placingAnswerSchema,
     type ServerCalls,
 } from "../../protocol/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
-import { LeaderPatience } from "./leaderPatience.js";
+import { PlacingLeader } from "./placingLeader.js";
 
-/**
- * Milliseconds for which a demand waits alone before a leader may have it, and between two questions whether the leader
- * that gave no answer is there again. No request asks that: each would wait for its whole patience, and by hundreds of
- * gateways every third request did while a leader was away for two seconds.
- */
+/** Milliseconds for which a demand waits alone before a leader may have it. */
 const aloneTime = 300;
+/** Milliseconds between two questions whether the leader that gave no answer is there again. */
+const probeInterval = 300;
 /**
  * Milliseconds that a demand waits for the first leader after this gateway's start, and between two looks. After a loss
  * of power everywhere gateways know all engines before a leader is elected, and have a backlog; each would place it alone,
@@ -28,8 +23,6 @@
 const firstLeaderPoll = 20;
 /** Milliseconds after the start in which that may happen: by then directories have loaded and voted, or can't. */
 const firstLeaderWithin = 3_000;
-/** Milliseconds for the leader to lend a repeat. It answers at once, or the caller is better told to come back. */
-const borrowPatience = 150;
 /** Milliseconds after which a caller should come back who can't be placed. */
 const comeBackIn = 500;
 /** Milliseconds between two lists of what is held. */
@@ -46,7 +39,6 @@
 
 type Held = { readonly demand: PlaceDemand; readonly decode: string; };
 type Settle = (decision: PlaceDecision) => void;
-type LeaderAnswer = Extract<PlacingAnswer, { kind: "decided" | "waiting"; }>;
 
 /** What places are asked with. */
 export type PlacesClientOptions = {
@@ -69,21 +61,20 @@
     private readonly alone = new Map<string, EnginePlaces>();
     private readonly aloneWaiting = new Map<string, Settle>();
     private readonly cancels: (() => void)[] = [];
-    private leaderLostAt: number | undefined;
-    private lostLeader: string | undefined;
-    private probing = false;
-    private readonly patience = LeaderPatience.create();
+    private readonly leader: PlacingLeader;
     private hadLeader = false;
     private listed = false;
 
     private readonly startedAt: number;
 
     private constructor(private readonly options: PlacesClientOptions) {
-        this.startedAt = options.clock.monotonic();
+        const { name, watcher, clock, logger } = options;
+        this.startedAt = clock.monotonic();
+        this.leader = PlacingLeader.create({ name, watcher, clock, logger, onRegained: () => this.list() });
         this.every(listInterval, () => this.list());
         this.every(callsInterval, () => this.tellCalls());
         this.every(tickInterval, () => this.reviewAlone());
-        this.every(aloneTime, () => void this.probe());
+        this.every(probeInterval, () => void this.leader.probe());
     }
 
     static create(options: PlacesClientOptions): PlacesClient {
@@ -98,7 +89,7 @@
             const passed = clock.monotonic() - askedAt;
             if (passed > demand.patienceWithin) {
                 const reason = "no decision came within the caller's patience";
-                this.tell({ kind: "withdraw", attempt: demand.attempt });
+                this.leader.tell({ kind: "withdraw", attempt: demand.attempt });
                 return { kind: "refused", attempt: demand.attempt, reason, comeBackIn };
             }
             const current = {
@@ -110,7 +101,7 @@
                 await new Promise<void>(resolve => clock.after(firstLeaderPoll, resolve));
                 continue;
             }
-            const answer = this.mayAskLeader() ? await this.askLeader(current) : undefined;
+            const answer = this.leader.mayAnswer() ? await this.leader.ask(current) : undefined;
             if (signal.aborted) {
                 break;
             }
@@ -122,39 +113,32 @@
                 return alone;
             }
         }
-        this.tell({ kind: "withdraw", attempt: demand.attempt });
+        this.leader.tell({ kind: "withdraw", attempt: demand.attempt });
         return undefined;
     }
 
     /** Notes that the prompt of an attempt was read. */
     prefilled(attempt: string): void {
-        this.tell({ kind: "prefilled", attempt });
+        this.leader.tell({ kind: "prefilled", attempt });
         this.alone.forEach(pool => pool.prefilled(attempt, this.options.clock.monotonic()));
     }
 
     /** Gives a place back. */
     release(attempt: string, end: PlaceEnd): void {
         this.held.delete(attempt);
-        this.tell({ kind: "release", attempt, end });
+        this.leader.tell({ kind: "release", attempt, end });
         const now = this.options.clock.monotonic();
         this.alone.forEach(pool => this.settleAlone(pool.release(attempt, end, now)));
     }
 
     /** Tells the leader that an incarnation has ended, so that it places nothing there and tells all others. */
     reportEnded(instance: string): void {
-        this.tell({ kind: "ended", instance });
+        this.leader.tell({ kind: "ended", instance });
     }
 
     /** Asks the leader for a repeat beyond this gateway's part of a service's allowance. */
-    async borrowRepeat(service: string): Promise<boolean> {
-        const { watcher, name } = this.options;
-        const leader = watcher.leader();
-        if (leader === undefined || !this.mayAskLeader()) {
-            return false;
-        }
-        const answer = await watcher.link(leader)?.request({ kind: "borrow", gateway: name, service }, borrowPatience);
-        const parsed = placingAnswerSchema.safeParse(answer?.toMaybe().extract());
-        return parsed.success && parsed.data.kind === "lent" && parsed.data.granted;
+    borrowRepeat(service: string): Promise<boolean> {
+        return this.leader.borrowRepeat(service);
     }
 
     /** Stops. */
@@ -176,64 +160,6 @@
         return !this.hadLeader && clock.monotonic() - this.startedAt < firstLeaderWithin;
     }
 
-    private mayAskLeader(): boolean {
-        return this.leaderLostAt === undefined || this.hasOtherLeader();
-    }
-
-    /** Asks the leader that gave no answer whether it is there again. */
-    private async probe(): Promise<void> {
-        const { watcher, name, clock } = this.options;
-        const leader = watcher.leader();
-        if (this.leaderLostAt === undefined || leader === undefined || this.probing) {
-            return;
-        }
-        this.probing = true;
-        const askedAt = clock.monotonic();
-        const probe = { kind: "probe", gateway: name };
-        const answer = await watcher.link(leader)?.request(probe, this.patience.probePatience());
-        this.probing = false;
-        const parsed = placingAnswerSchema.safeParse(answer?.toMaybe().extract());
-        if (parsed.success && parsed.data.kind === "leading") {
-            this.patience.answered(clock.monotonic() - askedAt, clock.monotonic());
-            this.noteLeader(leader, parsed.data.term);
-        }
-    }
-
-    private noteLeader(leader: string | undefined, term: number): void {
-        if (this.leaderLostAt !== undefined) {
-            this.options.logger.info("a leader places runs again", { leader, term });
-            this.leaderLostAt = undefined;
-            this.list();
-        }
-    }
-
-    /** Whether another leader is known than the one that gave no answer. */
-    private hasOtherLeader(): boolean {
-        const leader = this.options.watcher.leader();
-        return leader !== undefined && leader !== this.lostLeader;
-    }
-
-    private async askLeader(demand: PlaceDemand): Promise<LeaderAnswer | undefined> {
-        const { watcher, clock, logger } = this.options;
-        const name = watcher.leader();
-        const link = name === undefined ? undefined : watcher.link(name);
-        const askedAt = clock.monotonic();
-        const answer = await link?.request({ kind: "place", demand }, this.patience.patience(askedAt));
-        const parsed = placingAnswerSchema.safeParse(answer?.toMaybe().extract());
-        const placing = parsed.data?.kind === "decided" || parsed.data?.kind === "waiting" ? parsed.data : undefined;
-        if (placing === undefined) {
-            this.lostLeader = name;
-            if (this.leaderLostAt === undefined) {
-                this.leaderLostAt = clock.monotonic();
-                logger.warn("no leader places runs", { asked: name, answer: parsed.data?.kind ?? "none" });
-            }
-            return undefined;
-        }
-        this.patience.answered(clock.monotonic() - askedAt, clock.monotonic());
-        this.noteLeader(name, placing.term);
-        return placing;
-    }
-
     /**
      * Places a demand alone; gives it back as waiting after a while, since by then a leader may place again. Without that
      * whatever waited when a leader was elected waited on for a place within this gateway's part alone: after a loss of
@@ -298,7 +224,7 @@
 
     private list(): void {
         if (this.held.size > 0 || this.listed) {
-            this.tell({ kind: "holdings", gateway: this.options.name, held: [...this.held.values()] });
+            this.leader.tell({ kind: "holdings", gateway: this.options.name, held: [...this.held.values()] });
         }
         this.listed = this.held.size > 0;
     }
@@ -306,14 +232,7 @@
     private tellCalls(): void {
         const calls = this.options.calls();
         if (calls.length > 0) {
-            this.tell({ kind: "calls", calls: [...calls] });
-        }
-    }
-
-    private tell(message: Placing): void {
-        const leader = this.options.watcher.leader();
-        if (leader !== undefined) {
-            this.options.watcher.link(leader)?.send(message);
+            this.leader.tell({ kind: "calls", calls: [...calls] });
         }
     }
 
