fix(places): an engine's readings that take far longer than foreseen count against it

Change: each engine learns how much longer its readings take than 1.5 times the foreseen, forgets it in seconds, and the choice between engines and of reading at a decode engine goes by it.

--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/enginePlaces.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/enginePlaces.spec.ts
@@ -125,6 +125,29 @@
         expect(unaided.length).to.be.within(3, 12);
     });
 
+    // Symptom: in the seconds after an election first events come late, each behind a reading of 0.6 to 1.2 s, though decode
+    // engines have room to read as well.
+    // Sequence: gateways placed alone while there was no leader, and have the prefill engines read; the new leader counts
+    // only what it hands out itself, and sees short queues.
+    it("go by how long readings take where others have an engine read too", () => {
+        const sent = (readingTakes: number): number => {
+            const places = pool(2, 10);
+            let atPrefill = 0;
+            for (let number = 0; number < 60; number++) {
+                const now = number * 100;
+                const attempt = `p-${number}`;
+                const [decision] = places.ask(demand(attempt), now);
+                const { prefill } = decision as Extract<PlaceDecision, { kind: "placed"; }>;
+                atPrefill += prefill === undefined ? 0 : 1;
+                places.prefilled(attempt, now + (prefill === undefined ? 270 : readingTakes));
+                places.release(attempt, {}, now + 1_000);
+            }
+            return atPrefill;
+        };
+        expect(sent(130)).to.equal(60);
+        expect(sent(1_000)).to.be.below(45);
+    });
+
     it("name no prefill engine where none is ready", () => {
         const [decision] = pool(0, 2).ask(demand("one"), 0);
         expect(decision).to.deep.include({ kind: "placed", prefill: undefined });
--- a/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
@@ -116,7 +116,7 @@
         }
         // Without a sound one a decode engine reads the prompt; a prefill engine that just failed would fail it again.
         const readers = this.sound("prefill", demand.avoid, now).map(engine => {
-            const time = engine.readyIn(now) + engine.readingTime(demand.promptTokens);
+            const time = engine.readIn(demand.promptTokens, now);
             const stall = stallRateOf(demand.linkStalls, engine.announced.failureDomain) * callPackets * stallTime;
             return { engine, time, score: time + stall + this.scatter(demand, engine) };
         });
--- a/packages/basilpaddle/src/node/coordination/gateway/placedEngine.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placedEngine.ts
@@ -20,20 +20,41 @@
 /** Milliseconds without work after a run was turned away: about the time in which a run of a full engine ends. */
 const fullPause = 400;
 
+/**
+ * Weight of one reading in how much longer readings take here than was foreseen, bounds of that, and the milliseconds in
+ * which it counts half. Others may have an engine read as well: gateways that placed alone while there was no leader.
+ */
+const delayStep = 0.3;
+/** Times the foreseen that a reading takes without anybody else's: hosts differ, and so do the ways there. */
+const usualDelay = 1.5;
+const leastDelay = 1;
+const mostDelay = 4;
+const delayHalfLife = 2_000;
+
 /** What may be promised of one engine. */
 export type EngineState = { readonly tokens: number; readonly slots: number; };
 
+/** A prompt that is being read, or waits for it. */
+type Prefill = {
+    readonly tokens: number;
+    readonly addedAt: number;
+    /** Milliseconds that it should have taken, behind those handed out before. */
+    readonly foreseen: number;
+};
+
 /** What is believed of one engine: its announcement and what was handed out there. */
 export class PlacedEngine {
     /** Tokens of KV cache promised here. */
     tokens = 0;
     private readonly held = new Map<string, number>();
-    private readonly prefills = new Map<string, { readonly tokens: number; readonly addedAt: number; }>();
+    private readonly prefills = new Map<string, Prefill>();
     private prefillTokens = 0;
     private since = 0;
     private tokenTime = usualTokenTime;
     private failures = 0;
     private pausedUntil = 0;
+    private delay = leastDelay;
+    private delaySeenAt = 0;
 
     private constructor(public announced: Announced) {}
 
@@ -85,10 +106,11 @@
 
     /** Notes a prompt handed out for reading. */
     addPrefill(attempt: string, tokens: number, now: number): void {
+        const foreseen = this.readyIn(now) + this.readingTime(tokens);
         if (this.prefills.size === 0) {
             this.since = now;
         }
-        this.prefills.set(attempt, { tokens, addedAt: now });
+        this.prefills.set(attempt, { tokens, addedAt: now, foreseen });
         this.prefillTokens += tokens;
     }
 
@@ -101,6 +123,9 @@
                 this.tokenTime += step * (seen - this.tokenTime);
             }
         }
+        if (work !== undefined) {
+            this.noteDelay(work.foreseen, now - work.addedAt, now);
+        }
         this.dropPrefill(attempt, now);
         this.succeeded();
     }
@@ -121,6 +146,11 @@
         return Math.max(0, this.since + work - now, this.prefills.size > 0 ? work / 2 : 0);
     }
 
+    /** Milliseconds until a prompt would be read here, behind those handed out so far and what others have read here. */
+    readIn(tokens: number, now: number): number {
+        return (this.readyIn(now) + this.readingTime(tokens)) * this.currentDelay(now);
+    }
+
     /** Milliseconds to read a prompt here, once its turn has come. */
     readingTime(tokens: number): number {
         return tokens * this.tokenTime + prefillOverhead;
@@ -149,4 +179,16 @@
         this.failures = 0;
         this.pausedUntil = 0;
     }
+
+    /** Notes how long a reading was foreseen to take, and how long it took. */
+    private noteDelay(foreseen: number, taken: number, now: number): void {
+        const seen = Math.min(mostDelay, Math.max(leastDelay, taken / (usualDelay * Math.max(1, foreseen))));
+        const current = this.currentDelay(now);
+        this.delay = current + delayStep * (seen - current);
+        this.delaySeenAt = now;
+    }
+
+    private currentDelay(now: number): number {
+        return leastDelay + (this.delay - leastDelay) * 0.5 ** ((now - this.delaySeenAt) / delayHalfLife);
+    }
 }
