fix(directory): what is remembered is written without removing files under way

Cause: FolderDisk.create removes what interrupted replacements left, and took the one under way for such a one. Change: the recollection opens the folder beside others and removes nothing; the group's opening, which comes before all writing, still does. A test replays it: red with the opening as it was, green now.

--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -101,7 +101,9 @@
     static async create(options: DirectoryDaemonOptions): Promise<DirectoryDaemon> {
         const { settings, clock, randomness, logger } = options;
         const network = options.network ?? TcpNetwork.create(logger, settings.bindHost);
-        const openDisk = (): Promise<FolderDisk> => FolderDisk.create(settings.dataFolder);
+        // What is remembered is written beside the group's own files. Opened as a folder of its own, it removed the unfinished
+        // file of an identity that was just being written, and the directory ended by itself.
+        const openDisk = (): Promise<FolderDisk> => FolderDisk.createBeside(settings.dataFolder);
         const recollection = await Recollection.create({ openDisk, clock, logger });
         const group = await DocumentGroup.create({
             committed: identity => recollection.committed(identity),
--- a/packages/basilpaddle/src/node/state/__tests__/disk.spec.ts
+++ b/packages/basilpaddle/src/node/state/__tests__/disk.spec.ts
@@ -132,3 +132,43 @@
         expect((await damageOf(readSnapshot(disk, "snapshot"))).file).to.equal("snapshot");
     });
 });
+
+// Symptom: a directory ends by itself: "the replica stops", for a temporary file of its identity that isn't there.
+// Sequence: after a loss of everything its group writes the identity anew; meanwhile it writes down what it wants to
+// remember, for the first time in this life, and opens the same folder for that.
+// Cause: opening a folder removes what interrupted replacements left, and took the one under way for such a one.
+describe("a folder that is opened while the process writes to it", () => {
+    async function replacedDuring(open: (folder: string) => Promise<Disk>): Promise<readonly string[]> {
+        const folder = await fs.mkdtemp(path.join(os.tmpdir(), "disk-"));
+        const disk = await FolderDisk.create(folder);
+        const causes: string[] = [];
+        for (let turn = 0; turn < 30; turn++) {
+            let isReplacing = true;
+            const replacing = disk.replace("identity.json", Buffer.from(`${turn}`))
+                .catch((error: unknown) => causes.push(String(error)))
+                .finally(() => {
+                    isReplacing = false;
+                });
+            while (isReplacing) {
+                await open(folder);
+            }
+            await replacing;
+        }
+        await fs.rm(folder, { recursive: true });
+        return causes;
+    }
+
+    it("keeps the files that are being replaced", async () => {
+        expect(await replacedDuring(folder => FolderDisk.createBeside(folder))).to.deep.equal([]);
+    });
+
+    it("loses what a process before it left unfinished only where it is opened first", async () => {
+        const folder = await fs.mkdtemp(path.join(os.tmpdir(), "disk-"));
+        await fs.writeFile(path.join(folder, "identity.json.17"), "");
+        await FolderDisk.createBeside(folder);
+        expect(await fs.readdir(folder)).to.deep.equal(["identity.json.17"]);
+        await FolderDisk.create(folder);
+        expect(await fs.readdir(folder)).to.deep.equal([]);
+        await fs.rm(folder, { recursive: true });
+    });
+});
--- a/packages/basilpaddle/src/node/state/folderDisk.ts
+++ b/packages/basilpaddle/src/node/state/folderDisk.ts
@@ -39,10 +39,12 @@
         super();
     }
 
-    /** Makes the folder where it is missing, and removes what an interrupted replacement left. */
+    /**
+     * Makes the folder where it is missing, and removes what an interrupted replacement left. To be done before anything
+     * in the process writes there: a replacement under way looks the same as one that was interrupted.
+     */
     static async create(folder: string): Promise<FolderDisk> {
-        await fs.mkdir(folder, { recursive: true });
-        const disk = new FolderDisk(folder);
+        const disk = await FolderDisk.createBeside(folder);
         for (const name of await fs.readdir(folder)) {
             if (unfinished.test(name)) {
                 await fs.rm(disk.path(name), { force: true });
@@ -51,6 +53,12 @@
         return disk;
     }
 
+    /** The same for a folder that others in the process may be writing to: it removes nothing. */
+    static async createBeside(folder: string): Promise<FolderDisk> {
+        await fs.mkdir(folder, { recursive: true });
+        return new FolderDisk(folder);
+    }
+
     override list(): Promise<readonly string[]> {
         return fs.readdir(this.folder);
     }
