fix(gateway): two leaders in a row lend no more than the allowance together

Found by reading, shown by a test that failed first: 463 repeats in a window of 422. The old leader lends all it may in its last second, gateways tell of it a second later, and the new one lent a whole part again meanwhile. Ruled out: a fixed wait of the new leader (repeats are needed just then). Change: in its first window a leader lends half of its part, what gateways tell counted in: 0.7 + 0.2 + 0.1 of the slack.

--- a/packages/basilpaddle/src/node/coordination/gateway/repeatBudget.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/repeatBudget.ts
@@ -24,6 +24,11 @@
  * requests were turned away in 13 s with their gateway's part spent, and 17 with it lent out.
  */
 const lentPart = 0.2;
+/**
+ * The same for a leader's first window: what the one before it lent in its last second isn't told yet, and may be all that
+ * it had. With gateways' own parts, both leaders' together must not be more than the slack.
+ */
+const firstLentPart = 0.1;
 
 /**
  * The part of a service's allowance for repeats that this gateway may spend alone, without asking anybody: the ratio
@@ -113,7 +118,7 @@
         if (now - this.startedAt > this.rules.window) {
             return this.lent.take(now, 1);
         }
-        return borrowed !== undefined && borrowed + 1 <= this.rules.slack * lentPart && this.lent.take(now, 1);
+        return borrowed !== undefined && borrowed + 1 <= this.rules.slack * firstLentPart && this.lent.take(now, 1);
     }
 }
 
