--- a/packages/basilpaddle/src/node/coordination/gateway/repeatBudget.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/repeatBudget.ts
@@ -118,7 +118,12 @@
         if (now - this.startedAt > this.rules.window) {
             return this.lent.take(now, 1);
         }
-        return borrowed !== undefined && borrowed + 1 <= this.rules.slack * firstLentPart && this.lent.take(now, 1);
+        if (borrowed === undefined) {
+            return false;
+        }
+        // What this leader lent itself may not be told yet either.
+        const known = Math.max(borrowed, this.lent.taken(now));
+        return known + 1 <= this.rules.slack * firstLentPart && this.lent.take(now, 1);
     }
 }
 
