refactor(gateway): the field's words, and nothing twice

Read as a newcomer: outlier detection and ejection in place of troubled servers, a shared repeat budget in place of a pot, a timeout of questions to the leader in place of a patience, engines reserved in place of kept.

--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/decisions.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/decisions.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { checkTraffic, trafficSchema } from "../../../protocol/index.js";
-import { RepeatBudget, RepeatPot } from "../repeatBudget.js";
+import { RepeatBudget, SharedRepeatBudget } from "../repeatBudget.js";
 import { RouteTable } from "../routeTable.js";
 import { ServerChoice } from "../serverChoice.js";
 import { planStages } from "../stagePlan.js";
@@ -115,14 +115,14 @@
     it("serves the gateways that faults hit, where equal parts are a repeat each", () => {
         const sharers = 191;
         const gateways = Array.from({ length: sharers }, () => RepeatBudget.create(rules));
-        const pot = RepeatPot.create(rules, 0);
+        const shared = SharedRepeatBudget.create(rules, 0);
         let alone = 0;
         let lent = 0;
         for (let number = 0; number < 100; number++) {
             const now = 20_000 + number * 20;
             const own = gateways[number * 7 % 40]!.take(now, sharers);
             alone += own ? 1 : 0;
-            lent += !own && pot.lend(now, undefined) ? 1 : 0;
+            lent += !own && shared.lend(now, undefined) ? 1 : 0;
         }
         expect(alone).to.equal(40);
         expect(alone + lent).to.equal(100);
@@ -130,11 +130,11 @@
 
     it("stays with all gateways' own parts within the allowance of every window", () => {
         const gateways = Array.from({ length: 191 }, () => RepeatBudget.create({ ...rules, ratio: 0 }));
-        const pot = RepeatPot.create(rules, 0);
+        const shared = SharedRepeatBudget.create(rules, 0);
         const taken: number[] = [];
         for (let now = 11_000; now < 40_000; now += 7) {
             const gateway = gateways[now % 191]!;
-            if (gateway.take(now, 191) || pot.lend(now, undefined)) {
+            if (gateway.take(now, 191) || shared.lend(now, undefined)) {
                 taken.push(now);
             }
         }
@@ -146,9 +146,9 @@
 
     // Sequence: a leader lends all, and dies; the next one would lend the same again within the window.
     it("is nothing in a leader's first window", () => {
-        const pot = RepeatPot.create(rules, 50_000);
-        expect(pot.lend(59_900, undefined)).to.equal(false);
-        expect(pot.lend(60_100, undefined)).to.equal(true);
+        const shared = SharedRepeatBudget.create(rules, 50_000);
+        expect(shared.lend(59_900, undefined)).to.equal(false);
+        expect(shared.lend(60_100, undefined)).to.equal(true);
     });
 
     // Symptom: more repeats in one window than the allowance holds, around a change of leader.
@@ -156,8 +156,8 @@
     // borrowed with their next watch, a second later; the new leader lends as much again meanwhile.
     it("stays within the allowance with two leaders, one of which nobody has told of yet", () => {
         const sharers = Array.from({ length: 5 }, () => RepeatBudget.create({ ...rules, ratio: 0 }));
-        const before = RepeatPot.create(rules, 0);
-        const after = RepeatPot.create(rules, 50_000);
+        const before = SharedRepeatBudget.create(rules, 0);
+        const after = SharedRepeatBudget.create(rules, 50_000);
         let taken = 0;
         for (let now = 49_000; now < 51_000; now += 2) {
             const own = sharers[now / 2 % 5]!.take(now, 5);
@@ -170,9 +170,9 @@
     // Symptom: after all directories lost power, repeats are refused for ten seconds, just when engines crash.
     // Cause: the new leader didn't ask the gateways, which had lived on, what they had borrowed.
     it("is what gateways haven't borrowed from the leader before, once all have told", () => {
-        const pot = RepeatPot.create(rules, 50_000);
-        expect(pot.lend(50_500, undefined)).to.equal(false);
-        const lent = Array.from({ length: 100 }, (_, number) => pot.lend(51_000, 20 + number));
+        const shared = SharedRepeatBudget.create(rules, 50_000);
+        expect(shared.lend(50_500, undefined)).to.equal(false);
+        const lent = Array.from({ length: 100 }, (_, number) => shared.lend(51_000, 20 + number));
         expect(lent.filter(granted => granted).length).to.equal(22);
     });
 });
--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/serverConditions.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/outlierDetector.spec.ts
@@ -1,8 +1,8 @@
 import { expect } from "chai";
 import type { Announced, ServerCalls } from "../../../protocol/index.js";
 import { CallTally, type OpenCall } from "../callTally.js";
+import { OutlierDetector } from "../outlierDetector.js";
 import { ServerChoice } from "../serverChoice.js";
-import { ServerConditions } from "../serverConditions.js";
 import { announced } from "./fakes.js";
 
 const domains = ["a", "b", "c", "d", "e"];
@@ -21,10 +21,10 @@
  * the later requests that were sent to it.
  */
 function partAtHanging(isShared: boolean): number {
-    const conditions = ServerConditions.create();
-    let troubled: readonly string[] = [];
+    const detector = OutlierDetector.create();
+    let ejected: readonly string[] = [];
     const gateways = Array.from({ length: 191 }, (_, number): Gateway => ({
-        choice: ServerChoice.create(domains[number % 5]!, undefined, () => isShared ? troubled : []),
+        choice: ServerChoice.create(domains[number % 5]!, undefined, () => isShared ? ejected : []),
         tally: CallTally.create(),
     }));
     let endings: Ending[] = [];
@@ -52,9 +52,9 @@
             Array.from({ length: 2 }, (_, number) => call(gateways[(now * 7 + number * 89) % 191]!, now));
         }
         if (now % interval === 0) {
-            gateways.forEach(({ tally }) => conditions.note(tally.take(now), now));
-            conditions.review(now);
-            troubled = conditions.troubled();
+            gateways.forEach(({ tally }) => detector.note(tally.take(now), now));
+            detector.review(now);
+            ejected = detector.ejected();
         }
     }
     return lost / asked;
@@ -77,30 +77,30 @@
         expect(shared).to.be.below(alone / 2);
     });
 
-    it("calls a server troubled that fails far more than the others do, and not all that fail alike", () => {
-        const conditions = ServerConditions.create();
-        conditions.note([calls("x", 20, 20), calls("y", 38, 3), calls("z", 40, 2)], 1_000);
-        expect(conditions.review(1_000)).to.equal(true);
-        expect(conditions.troubled()).to.deep.equal(["x"]);
-        const alike = ServerConditions.create();
+    it("ejects a server that fails far more than the others do, and not all that fail alike", () => {
+        const detector = OutlierDetector.create();
+        detector.note([calls("x", 20, 20), calls("y", 38, 3), calls("z", 40, 2)], 1_000);
+        expect(detector.review(1_000)).to.equal(true);
+        expect(detector.ejected()).to.deep.equal(["x"]);
+        const alike = OutlierDetector.create();
         alike.note([calls("x", 20, 20), calls("y", 22, 18), calls("z", 21, 20)], 1_000);
         expect(alike.review(1_000)).to.equal(false);
     });
 
-    it("never calls more than half of a service's servers troubled", () => {
-        const conditions = ServerConditions.create();
-        conditions.note([calls("v", 0, 9), calls("w", 0, 9), calls("x", 90, 0), calls("y", 0, 9)], 0);
-        conditions.review(0);
-        expect(conditions.troubled().length).to.equal(2);
+    it("never ejects more than half of a service's servers", () => {
+        const detector = OutlierDetector.create();
+        detector.note([calls("v", 0, 9), calls("w", 0, 9), calls("x", 90, 0), calls("y", 0, 9)], 0);
+        detector.review(0);
+        expect(detector.ejected().length).to.equal(2);
     });
 
     it("lets a server be tried again after some seconds without calls", () => {
-        const conditions = ServerConditions.create();
-        conditions.note([calls("x", 0, 12), calls("y", 40, 0)], 0);
-        conditions.review(0);
-        expect(conditions.troubled()).to.deep.equal(["x"]);
-        expect(conditions.review(7_000)).to.equal(true);
-        expect(conditions.troubled()).to.deep.equal([]);
+        const detector = OutlierDetector.create();
+        detector.note([calls("x", 0, 12), calls("y", 40, 0)], 0);
+        detector.review(0);
+        expect(detector.ejected()).to.deep.equal(["x"]);
+        expect(detector.review(7_000)).to.equal(true);
+        expect(detector.ejected()).to.deep.equal([]);
     });
 
     it("counts a call that stays open once, and none whose caller went away", () => {
--- a/packages/basilpaddle/src/node/coordination/gateway/callTally.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/callTally.ts
@@ -45,7 +45,7 @@
         }
     }
 
-    /** Forgets a call whose caller went away: it says nothing of its server. */
+    /** Forgets a call that hasn't ended but is given up, since its caller went away: it says nothing of its server. */
     dropped(call: OpenCall): void {
         this.open.delete(call);
     }
--- a/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
@@ -64,7 +64,7 @@
     version: number;
     members: readonly string[];
     leader: string | undefined;
-    troubled: readonly string[];
+    ejected: readonly string[];
     namedAt: number;
 };
 
@@ -101,10 +101,10 @@
         return [...votes].sort(([, one], [, other]) => other - one)[0]?.[0];
     }
 
-    /** Backend servers of plain services that fail, as far as the leader knows and is reached. */
-    troubled(): readonly string[] {
+    /** Backend servers of plain services that are ejected, as far as the leader knows and is reached. */
+    ejected(): readonly string[] {
         const directory = this.known.get(this.leader() ?? "");
-        return directory?.reached === true ? directory.troubled : [];
+        return directory?.reached === true ? directory.ejected : [];
     }
 
     /** The link to a directory. */
@@ -174,7 +174,7 @@
                 version: -1,
                 members: [],
                 leader: undefined,
-                troubled: [],
+                ejected: [],
                 namedAt: now,
             };
             this.known.set(name, directory);
@@ -232,7 +232,7 @@
         directory.version = watched.version;
         directory.members = watched.members;
         directory.leader = watched.leader;
-        directory.troubled = watched.troubled ?? [];
+        directory.ejected = watched.ejected ?? [];
         this.meet(watched.members);
         watched.announced.forEach(announced => this.options.onAnnounced(announced));
         if (watched.document !== undefined) {
--- a/packages/basilpaddle/src/node/coordination/gateway/enginePlaces.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePlaces.ts
@@ -8,7 +8,7 @@
 /** Milliseconds between two looks at what waits. */
 const reviewInterval = 25;
 /**
- * Milliseconds for which a demand that doesn't fit may be overtaken everywhere. After that the roomiest engine is kept for
+ * Milliseconds for which a demand that doesn't fit may be overtaken everywhere. After that the roomiest engine is reserved for
  * it: small ones would take every bit of room that comes free, and large prompts starve. Only that engine: holding all
  * demands back until it fits leaves the room of the other engines empty. First events in time, emulated, three seeds: with
  * 34 decode engines at up to 2.2 times their load 0.841 to 0.854, with 64 of 12 slots 0.897 to 0.908.
@@ -221,13 +221,13 @@
 
     private dispatch(now: number): PlaceDecision[] {
         const decisions: PlaceDecision[] = [];
-        const kept = new Set<string>();
+        const reserved = new Set<string>();
         let passed = 0;
         for (let position = 0; position < this.queue.length && passed < lookahead;) {
             const waiting = this.queue[position]!;
-            const pair = this.pool.best(waiting.demand, now, kept);
+            const pair = this.pool.best(waiting.demand, now, reserved);
             if (pair === undefined) {
-                this.keepEngine(waiting, kept, now);
+                this.reserveEngine(waiting, reserved, now);
                 passed += 1;
                 position += 1;
                 continue;
@@ -245,14 +245,14 @@
         return decisions;
     }
 
-    /** Keeps an engine for a demand that has waited for room, where it can still make its target. */
-    private keepEngine(waiting: Waiting, kept: Set<string>, now: number): void {
+    /** Reserves an engine for a demand that has waited for room, where it can still make its target. */
+    private reserveEngine(waiting: Waiting, reserved: Set<string>, now: number): void {
         if (waiting.late || now - waiting.arrivedAt < overtakenFor) {
             return;
         }
-        const engine = this.pool.roomiest(waiting.demand, now, kept);
+        const engine = this.pool.roomiest(waiting.demand, now, reserved);
         if (engine !== undefined) {
-            kept.add(engine);
+            reserved.add(engine);
         }
     }
 
--- a/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
@@ -105,11 +105,11 @@
         return this.engines.get(id);
     }
 
-    /** The best engines for a request; undefined where no decode engine has room for it, but for those kept for others. */
-    best(demand: PlaceDemand, now: number, kept: ReadonlySet<string> = new Set()): EnginePair | undefined {
+    /** The best engines for a request; undefined where no decode engine has room for it, but for those reserved for others. */
+    best(demand: PlaceDemand, now: number, reserved: ReadonlySet<string>): EnginePair | undefined {
         const state = this.state();
         const decodes = this.usable("decode", demand.avoid, now).filter(engine => {
-            return engine.hasRoom(demand, state) && !kept.has(engine.id);
+            return engine.hasRoom(demand, state) && !reserved.has(engine.id);
         });
         if (decodes.length === 0) {
             return undefined;
@@ -137,9 +137,9 @@
             : apart.pair;
     }
 
-    /** The decode engine that will likely have room for a request first, of those that aren't kept for others. */
-    roomiest(demand: PlaceDemand, now: number, kept: ReadonlySet<string>): string | undefined {
-        const engines = this.usable("decode", demand.avoid, now).filter(engine => !kept.has(engine.id));
+    /** The decode engine that will likely have room for a request first, of those that aren't reserved for others. */
+    roomiest(demand: PlaceDemand, now: number, reserved: ReadonlySet<string>): string | undefined {
+        const engines = this.usable("decode", demand.avoid, now).filter(engine => !reserved.has(engine.id));
         return leastScore(engines.map(engine => ({ engine, score: engine.tokens })))?.engine.id;
     }
 
--- a/packages/basilpaddle/src/node/coordination/gateway/repeatBudget.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/repeatBudget.ts
@@ -98,7 +98,7 @@
  * The repeats that the leader lends to gateways whose own part is spent. What the leader before lent within the last
  * window counts too: gateways tell what they borrowed, and until all have, nothing is lent in the first window.
  */
-export class RepeatPot {
+export class SharedRepeatBudget {
     private readonly lent: RepeatBudget;
 
     private constructor(private readonly rules: RepeatBudgetRules, private readonly startedAt: number) {
@@ -106,8 +106,8 @@
     }
 
     /** `now`: when this leader began. */
-    static create(rules: RepeatBudgetRules, now: number): RepeatPot {
-        return new RepeatPot(rules, now);
+    static create(rules: RepeatBudgetRules, now: number): SharedRepeatBudget {
+        return new SharedRepeatBudget(rules, now);
     }
 
     /**
--- a/packages/basilpaddle/src/node/coordination/gateway/serverChoice.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/serverChoice.ts
@@ -59,24 +59,24 @@
     private constructor(
         private readonly failureDomain: string,
         private readonly links: LinkQuality,
-        private readonly troubled: () => readonly string[],
+        private readonly ejected: () => readonly string[],
     ) {}
 
-    /** `links`: how well the links to other failure domains are. `troubled`: servers that fail at other gateways. */
+    /** `links`: how well the links to other failure domains are. `ejected`: servers that failed at other gateways too often. */
     static create(
         failureDomain: string,
         links: LinkQuality = LinkQuality.create(),
-        troubled: () => readonly string[] = () => [],
+        ejected: () => readonly string[] = () => [],
     ): ServerChoice {
-        return new ServerChoice(failureDomain, links, troubled);
+        return new ServerChoice(failureDomain, links, ejected);
     }
 
     /** The server that will likely answer first, none of those to avoid; undefined where none is left. */
     choose(servers: readonly Announced[], avoid: ReadonlySet<string>, now: number): Announced | undefined {
         const candidates = servers.filter(server => !avoid.has(server.id));
-        const troubled = this.troubled();
+        const ejected = this.ejected();
         const isSound = (server: Announced): boolean => {
-            return now >= this.record(server.id).pausedUntil && !troubled.includes(server.id);
+            return now >= this.record(server.id).pausedUntil && !ejected.includes(server.id);
         };
         const sound = candidates.filter(isSound);
         const paused = servers.length - servers.filter(isSound).length;
--- a/packages/basilpaddle/src/node/coordination/gateway/stagePlan.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/stagePlan.ts
@@ -46,9 +46,12 @@
         return fromCrowdedDomain(prefill, prefill.length - wanted).map(engine => ({ engine, stage: "decode" }));
     }
     const tooFew = observed !== undefined && exact - prefill.length > mostReadersTooFew;
-    const count = tooFew ? wanted - prefill.length : prefill.length === 0 ? 1 : 0;
-    const takeable = Math.min(count, decode.length - 1);
-    return takeable > 0 ? fromCrowdedDomain(decode, takeable).map(engine => ({ engine, stage: "prefill" })) : [];
+    if (tooFew || prefill.length === 0) {
+        const lacking = tooFew ? wanted - prefill.length : 1;
+        const most = Math.max(0, decode.length - 1);
+        return fromCrowdedDomain(decode, Math.min(lacking, most)).map(engine => ({ engine, stage: "prefill" }));
+    }
+    return [];
 }
 
 /**
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/watchBook.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/watchBook.spec.ts
@@ -10,7 +10,7 @@
         announcements: Announcements.create(1_000),
         document: () => ({ version: 1, content: "{}" }),
         members: () => ({ members: [], leader: undefined }),
-        troubled: () => [],
+        ejected: () => [],
         gatewaysBefore,
         clock,
     });
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -1,4 +1,4 @@
-import { DirectoryWatcher, ServerConditions } from "../../coordination/index.js";
+import { DirectoryWatcher, OutlierDetector } from "../../coordination/index.js";
 import {
     type DirectorySettings,
     type DocumentAnswer,
@@ -27,7 +27,7 @@
 import { WatchBook } from "./watchBook.js";
 
 /** Milliseconds for the leader to answer a call that was passed on to it. */
-const leaderPatience = 950;
+const leaderTimeout = 950;
 /** Milliseconds between two looks at what has fallen silent. */
 const silenceInterval = 300;
 /** Least voters of a group that must bear a loss. */
@@ -49,7 +49,7 @@
     private readonly connections: BackendConnections;
     private readonly watches: WatchBook;
     private readonly name: string;
-    private conditions = ServerConditions.create();
+    private outliers = OutlierDetector.create();
     private traffic: Traffic | undefined;
     private documentNoted = false;
     private placing: PlacingService | undefined;
@@ -85,7 +85,7 @@
             announcements: this.hearing.announcements,
             document: () => group.current(),
             members: () => this.members(),
-            troubled: () => this.placing === undefined ? [] : this.conditions.troubled(),
+            ejected: () => this.placing === undefined ? [] : this.outliers.ejected(),
             gatewaysBefore: recollection.gateways(),
             clock,
         });
@@ -101,8 +101,8 @@
     static async create(options: DirectoryDaemonOptions): Promise<DirectoryDaemon> {
         const { settings, clock, randomness, logger } = options;
         const network = options.network ?? TcpNetwork.create(logger, settings.bindHost);
-        // What is remembered is written beside the group's own files. Opened as a folder of its own, it removed the unfinished
-        // file of an identity that was just being written, and the directory ended by itself.
+        // The group may be writing its files meanwhile: removing what looks unfinished would take one of them away, and the
+        // group would stop for it.
         const openDisk = (): Promise<FolderDisk> => FolderDisk.createBeside(settings.dataFolder);
         const recollection = await Recollection.create({ openDisk, clock, logger });
         const group = await DocumentGroup.create({
@@ -234,17 +234,17 @@
         const look = (): void => {
             this.hearing.lookForSilence();
             this.placing?.keepGateways(this.watches.gatewayNames());
-            this.reviewConditions();
+            this.reviewOutliers();
             cancel = clock.after(silenceInterval, look);
         };
         this.store.add(() => cancel());
     }
 
-    /** Tells gateways at once when other servers fail than before. */
-    private reviewConditions(): void {
-        if (this.placing !== undefined && this.conditions.review(this.options.clock.monotonic())) {
-            this.options.logger.info("other servers of plain services fail than before", {
-                troubled: this.conditions.troubled(),
+    /** Tells gateways at once when other servers are ejected than before. */
+    private reviewOutliers(): void {
+        if (this.placing !== undefined && this.outliers.review(this.options.clock.monotonic())) {
+            this.options.logger.info("other backend servers of plain services are ejected than before", {
+                ejected: this.outliers.ejected(),
             });
             this.watches.changed();
         }
@@ -288,7 +288,7 @@
         if (leader === undefined || leader === this.name) {
             return { kind: "unavailable", reason: "no leader is known" };
         }
-        const answer = await this.linkTo(leader)?.request(call, leaderPatience);
+        const answer = await this.linkTo(leader)?.request(call, leaderTimeout);
         const parsed = documentAnswerSchema.safeParse(answer?.toMaybe().extract());
         return parsed.success ? parsed.data : { kind: "unavailable", reason: "the leader gave no answer" };
     }
@@ -330,14 +330,14 @@
         const { clock, logger, wire, settings } = this.options;
         const term = this.group.standing()?.term ?? 0;
         this.stopLeading();
-        this.conditions = ServerConditions.create();
+        this.outliers = OutlierDetector.create();
         const sources = { instances: this.hearing.instances, traffic: () => this.traffic, clock, logger };
         this.placing = PlacingService.create(
             {
                 ...sources,
                 repeats: settings.repeats,
                 borrowed: service => this.watches.borrowed(service),
-                onCalls: calls => this.conditions.note(calls, clock.monotonic()),
+                onCalls: calls => this.outliers.note(calls, clock.monotonic()),
                 onEnded: instance => this.hearing.noteEnded(instance),
             },
             term,
--- a/packages/basilpaddle/src/node/daemon/directory/placingService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/placingService.ts
@@ -3,7 +3,7 @@
     type InstanceTable,
     placingForAll,
     type RepeatBudgetRules,
-    RepeatPot,
+    SharedRepeatBudget,
     type UsualRequest,
 } from "../../coordination/index.js";
 import type { PlaceDecision, Placing, PlacingAnswer, ServerCalls, Traffic } from "../../protocol/index.js";
@@ -41,7 +41,7 @@
     private readonly pools = new Map<string, EnginePlaces>();
     private readonly serviceOfAttempt = new Map<string, string>();
     private readonly waiters = new Map<string, Waiter>();
-    private readonly pots = new Map<string, RepeatPot>();
+    private readonly sharedRepeats = new Map<string, SharedRepeatBudget>();
     private readonly startedAt: number;
     private cancelTick: (() => void) | undefined;
     private closed = false;
@@ -164,9 +164,9 @@
         if (repeats === undefined) {
             return false;
         }
-        const pot = this.pots.get(service) ?? RepeatPot.create(repeats, this.startedAt);
-        this.pots.set(service, pot);
-        const granted = pot.lend(now, this.sources.borrowed?.(service));
+        const budget = this.sharedRepeats.get(service) ?? SharedRepeatBudget.create(repeats, this.startedAt);
+        this.sharedRepeats.set(service, budget);
+        const granted = budget.lend(now, this.sources.borrowed?.(service));
         logger.info("a gateway asked for a repeat", { gateway, service, granted });
         return granted;
     }
--- a/packages/basilpaddle/src/node/daemon/directory/watchBook.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/watchBook.ts
@@ -23,8 +23,8 @@
     readonly announcements: Announcements;
     readonly document: () => StoredDocument;
     readonly members: () => { readonly members: readonly string[]; readonly leader: string | undefined; };
-    /** Backend servers of plain services that fail, where this directory leads. */
-    readonly troubled: () => readonly string[];
+    /** Backend servers of plain services that are ejected, where this directory leads. */
+    readonly ejected: () => readonly string[];
     /** Gateways that were known before a restart of this directory; 0 where nobody remembers. */
     readonly gatewaysBefore: number;
     readonly clock: Clock;
@@ -137,7 +137,7 @@
         const newer = watch.wantsDocument && current.version > watch.version;
         const since = watch.incarnation === incarnation ? watch.cursor : 0;
         const group = members();
-        const troubled = this.sources.troubled();
+        const ejected = this.sources.ejected();
         return {
             incarnation,
             cursor: announcements.newest(),
@@ -148,7 +148,7 @@
             failureDomain: this.sources.failureDomain,
             ...group.leader === undefined ? {} : { leader: group.leader },
             ...this.shares(),
-            ...troubled.length === 0 ? {} : { troubled: [...troubled] },
+            ...ejected.length === 0 ? {} : { ejected: [...ejected] },
         };
     }
 }
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -97,7 +97,7 @@
             wire,
             connections: this.connections,
             instances: this.instances,
-            choice: ServerChoice.create(settings.failureDomain, this.links, () => this.watcher.troubled()),
+            choice: ServerChoice.create(settings.failureDomain, this.links, () => this.watcher.ejected()),
             tally: this.tally,
             links: this.links,
             clock,
--- a/packages/basilpaddle/src/node/daemon/gateway/leaderPatience.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/leaderTimeout.ts
@@ -1,6 +1,6 @@
 /** Milliseconds for the leader to answer, at least and at the most: it holds a question for 100 ms at the most. */
-const leastPatience = 250;
-const mostPatience = 700;
+const leastTimeout = 250;
+const mostTimeout = 700;
 /** Times the slowest answer of late. */
 const slownessFactor = 2;
 /** Milliseconds in which the slowest answer counts half. */
@@ -13,14 +13,14 @@
  * request of the first seconds. With 400 ms for the leader 18 of the 21 first events that were late on one such day had
  * waited so long, several of them twice. A leader that has just been elected answers late as well, though, while all
  * gateways come to it at once: with 250 ms at all times, gateways gave it up again and again for two seconds, and waited
- * up to 0.9 s in turns. So the patience follows the slowest answers of late.
+ * up to 0.9 s in turns. So the timeout follows the slowest answers of late.
  */
-export class LeaderPatience {
+export class LeaderTimeout {
     private slowest = 0;
     private seenAt = 0;
 
-    static create(): LeaderPatience {
-        return new LeaderPatience();
+    static create(): LeaderTimeout {
+        return new LeaderTimeout();
     }
 
     /** Notes how long an answer took. */
@@ -33,13 +33,13 @@
     }
 
     /** Milliseconds that the next question should wait. */
-    patience(now: number): number {
-        return Math.min(mostPatience, Math.max(leastPatience, slownessFactor * this.current(now)));
+    timeout(now: number): number {
+        return Math.min(mostTimeout, Math.max(leastTimeout, slownessFactor * this.current(now)));
     }
 
     /** Milliseconds for a question that nobody waits for: a slow answer to it says that the leader is there. */
-    probePatience(): number {
-        return mostPatience;
+    probeTimeout(): number {
+        return mostTimeout;
     }
 
     private current(now: number): number {
--- a/packages/basilpaddle/src/node/daemon/gateway/placingLeader.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placingLeader.ts
@@ -1,10 +1,10 @@
 import type { DirectoryWatcher } from "../../coordination/index.js";
 import { type PlaceDemand, type Placing, type PlacingAnswer, placingAnswerSchema } from "../../protocol/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
-import { LeaderPatience } from "./leaderPatience.js";
+import { LeaderTimeout } from "./leaderTimeout.js";
 
 /** Milliseconds for the leader to lend a repeat. It answers at once, or the caller is better told to come back. */
-const borrowPatience = 150;
+const borrowTimeout = 150;
 
 /** What the leader says to a demand: its decision, or that it waits there. */
 export type LeaderAnswer = Extract<PlacingAnswer, { kind: "decided" | "waiting"; }>;
@@ -26,7 +26,7 @@
  * third request did while a leader was away for two seconds.
  */
 export class PlacingLeader {
-    private readonly patience = LeaderPatience.create();
+    private readonly timeout = LeaderTimeout.create();
     private lost = false;
     private lostName: string | undefined;
     private probing = false;
@@ -48,7 +48,7 @@
         const { watcher, clock } = this.options;
         const leader = watcher.leader();
         const askedAt = clock.monotonic();
-        const answer = await this.request(leader, { kind: "place", demand }, this.patience.patience(askedAt));
+        const answer = await this.request(leader, { kind: "place", demand }, this.timeout.timeout(askedAt));
         if (answer?.kind === "decided" || answer?.kind === "waiting") {
             this.noteAnswer(leader, answer.term, askedAt);
             return answer;
@@ -64,7 +64,7 @@
             return false;
         }
         const borrow = { kind: "borrow", gateway: name, service } as const;
-        const answer = await this.request(watcher.leader(), borrow, borrowPatience);
+        const answer = await this.request(watcher.leader(), borrow, borrowTimeout);
         return answer?.kind === "lent" && answer.granted;
     }
 
@@ -77,7 +77,7 @@
         this.probing = true;
         const leader = watcher.leader();
         const askedAt = clock.monotonic();
-        const answer = await this.request(leader, { kind: "probe", gateway: name }, this.patience.probePatience());
+        const answer = await this.request(leader, { kind: "probe", gateway: name }, this.timeout.probeTimeout());
         this.probing = false;
         if (answer?.kind === "leading") {
             this.noteAnswer(leader, answer.term, askedAt);
@@ -95,17 +95,17 @@
     private async request(
         leader: string | undefined,
         message: Placing,
-        patience: number,
+        timeout: number,
     ): Promise<PlacingAnswer | undefined> {
         const link = leader === undefined ? undefined : this.options.watcher.link(leader);
-        const answer = await link?.request(message, patience);
+        const answer = await link?.request(message, timeout);
         return placingAnswerSchema.safeParse(answer?.toMaybe().extract()).data;
     }
 
     private noteAnswer(leader: string | undefined, term: number, askedAt: number): void {
         const { clock, logger, onRegained } = this.options;
         const now = clock.monotonic();
-        this.patience.answered(now - askedAt, now);
+        this.timeout.answered(now - askedAt, now);
         if (this.lost) {
             this.lost = false;
             logger.info("a leader places runs again", { leader, term });
--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -132,10 +132,7 @@
             const [verdict, outcome] = await this.judge(server, sent);
             const milliseconds = clock.monotonic() - startedAt;
             choice.ended(server, request.isGone() ? "answered" : outcome, milliseconds, clock.monotonic());
-            if (request.isGone()) {
-                tally.dropped(call);
-            }
-            else {
+            if (!request.isGone()) {
                 tally.ended(call, outcome, clock.monotonic());
             }
             this.path.push(`${server.id} ${outcome} ${Math.round(milliseconds)}`);
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -62,8 +62,8 @@
     leader: z.string().optional(),
     /** Gateways that this directory heard of within the last seconds, or knew of before a restart. */
     gateways: z.int().min(0),
-    /** Backend servers of plain services that fail by what all gateways tell the leader; only it says so. @default none */
-    troubled: z.array(identifier).optional(),
+    /** Backend servers of plain services that get no work, by what all gateways tell the leader; only it says so. @default none */
+    ejected: z.array(identifier).optional(),
     /** Whether that count can be trusted: all that there are have had the time to come. @default false */
     gatewaysSettled: z.boolean().optional(),
 });
