perf(directory): configurations are read when first needed

Cause: each directory read the newest configuration before it answered its first watch, 0.1 s on a small core after a loss of power everywhere, though only the leader needs what it says.

--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -48,7 +48,8 @@
     private readonly watches: WatchBook;
     private readonly name: string;
     private outliers = OutlierDetector.create();
-    private traffic: Traffic | undefined;
+    /** The newest configuration as it was read last. */
+    private readTraffic: { readonly version: number; readonly traffic: Traffic | undefined; } | undefined;
     private documentNoted = false;
     private placing: PlacingService | undefined;
     private orders: StageOrders | undefined;
@@ -178,7 +179,6 @@
         this.store.add(() => peers.close());
         this.group.onChange(() => this.noteDocument());
         this.group.onLeadership(leading => leading ? this.lead() : this.stopLeading());
-        this.traffic = wire.traffic(this.group.current().content).toMaybe().extract();
         this.hearing.recall(this.recollection.servers());
         if (this.group.standing()?.leading === true) {
             this.lead();
@@ -201,9 +201,18 @@
     }
 
     /**
-     * Takes the newest configuration over, once for all that were committed in one go: after a restart the log brings
-     * dozens, and reading each of them kept the first one from the gateways for 0.4 s on a small core.
+     * The newest configuration, read when it is first needed: only the leader needs what it says. Read at the start it kept
+     * every directory from answering its first watch for 0.1 s on a small core, just when nobody is served.
      */
+    private currentTraffic(): Traffic | undefined {
+        const { version, content } = this.group.current();
+        if (this.readTraffic?.version !== version) {
+            this.readTraffic = { version, traffic: this.options.wire.traffic(content).toMaybe().extract() };
+        }
+        return this.readTraffic.traffic;
+    }
+
+    /** Passes the newest configuration on, once for all that were committed in one go: after a restart the log brings dozens. */
     private noteDocument(): void {
         if (this.documentNoted) {
             return;
@@ -211,9 +220,8 @@
         this.documentNoted = true;
         setImmediate(() => {
             this.documentNoted = false;
-            const { version, content } = this.group.current();
+            const { version } = this.group.current();
             this.watches.changed();
-            this.traffic = this.options.wire.traffic(content).toMaybe().extract();
             this.options.logger.info("a configuration is committed", { version });
             this.placing?.noteChange();
             this.recollection.changed();
@@ -337,7 +345,7 @@
         const term = this.group.standing()?.term ?? 0;
         this.stopLeading();
         this.outliers = OutlierDetector.create();
-        const sources = { instances: this.hearing.instances, traffic: () => this.traffic, clock, logger };
+        const sources = { instances: this.hearing.instances, traffic: () => this.currentTraffic(), clock, logger };
         this.placing = PlacingService.create(
             {
                 ...sources,
