--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -3,18 +3,16 @@
     type DirectoryMessage,
     directoryMessageSchema,
     type DirectorySettings,
-    type DocumentAnswer,
-    documentAnswerSchema,
-    type DocumentCall,
     seedNames,
     type Traffic,
 } from "../../protocol/index.js";
 import { FolderDisk } from "../../state/index.js";
-import { type Link, type Network, parseAddress, TcpNetwork, TcpServer } from "../../transport/index.js";
+import { type Network, TcpNetwork, TcpServer } from "../../transport/index.js";
 import { DisposableStore, type Metrics, type Randomness } from "../../utils/index.js";
 import { BackendConnections } from "../backends/index.js";
 import type { RoutingOptions } from "../routingOptions.js";
 import { type CallAnswer, CallHandler, CallServer } from "./callServer.js";
+import { ConfigurationCalls } from "./configurationCalls.js";
 import type { DirectoryCall, DirectoryWire } from "./directoryWire.js";
 import { DocumentGroup } from "./documentGroup.js";
 import { PlacingService } from "./placingService.js";
@@ -24,8 +22,6 @@
 import { StageOrders } from "./stageOrders.js";
 import { WatchBook } from "./watchBook.js";
 
-/** Milliseconds for the leader to answer a call that was passed on to it. */
-const leaderTimeout = 950;
 /** Milliseconds between two looks at what has fallen silent. */
 const silenceInterval = 300;
 /** Least voters of a group that must bear a loss. */
@@ -44,6 +40,7 @@
     private readonly store = DisposableStore.create();
     private readonly hearing: ServerHearing;
     private readonly serverCalls: ServerCalls;
+    private readonly configurationCalls: ConfigurationCalls;
     private readonly connections: BackendConnections;
     private readonly watches: WatchBook;
     private readonly name: string;
@@ -53,7 +50,6 @@
     private documentNoted = false;
     private placing: PlacingService | undefined;
     private orders: StageOrders | undefined;
-    private leaderLink: { readonly name: string; readonly link: Link; } | undefined;
 
     private constructor(
         private readonly options: DirectoryDaemonOptions,
@@ -98,6 +94,14 @@
             watched: () => this.watches.gatewayCount() > 0,
             logger: options.logger,
         });
+        this.configurationCalls = ConfigurationCalls.create({
+            name: this.name,
+            group,
+            wire: options.wire,
+            network,
+            logger: options.logger,
+        });
+        this.store.add(() => this.configurationCalls.close());
     }
 
     /** Opens the group's replica and listens. */
@@ -160,9 +164,9 @@
             case "leave":
                 return this.serverCalls.leave(call.name, body);
             case "storeConfiguration":
-                return this.storeConfiguration(body);
+                return this.configurationCalls.store(body);
             case "readConfiguration":
-                return this.readConfiguration();
+                return this.configurationCalls.read();
             case "unknown":
                 return { kind: "unknownCall" };
         }
@@ -257,56 +261,6 @@
         }
     }
 
-    private async storeConfiguration(body: string): Promise<CallAnswer> {
-        const { wire, logger } = this.options;
-        const traffic = wire.traffic(body);
-        if (traffic.isLeft()) {
-            const findings = traffic.swap().orDefault([]);
-            logger.warn("an invalid configuration was refused", { findings: findings.slice(0, 3) });
-            return { kind: "invalid", findings };
-        }
-        const { version } = traffic.unsafeCoerce();
-        const answer = await this.document({ kind: "storeDocument", version, content: body });
-        logger.info("a configuration was sent", {
-            version,
-            outcome: answer.kind,
-            inForce: this.group.current().version,
-        });
-        return answer.kind === "stored" ? { kind: "done" } : unavailable(answer);
-    }
-
-    private async readConfiguration(): Promise<CallAnswer> {
-        const answer = await this.document({ kind: "readDocument" });
-        if (answer.kind !== "read") {
-            return unavailable(answer);
-        }
-        return answer.version < 0
-            ? { kind: "unavailable", reason: "there is no configuration yet" }
-            : { kind: "document", content: answer.content };
-    }
-
-    /** Carries a call out here where this directory leads, else at the leader. */
-    private async document(call: DocumentCall): Promise<DocumentAnswer> {
-        const standing = this.group.standing();
-        if (standing?.leading === true) {
-            return this.ownDocument(call);
-        }
-        const leader = standing?.leader;
-        if (leader === undefined || leader === this.name) {
-            return { kind: "unavailable", reason: "no leader is known" };
-        }
-        const answer = await this.linkTo(leader)?.request(call, leaderTimeout);
-        const parsed = documentAnswerSchema.safeParse(answer?.toMaybe().extract());
-        return parsed.success ? parsed.data : { kind: "unavailable", reason: "the leader gave no answer" };
-    }
-
-    private async ownDocument(call: DocumentCall): Promise<DocumentAnswer> {
-        if (call.kind === "readDocument") {
-            return this.group.readDocument();
-        }
-        return this.group.storeDocument(call.version, call.content);
-    }
-
     private async onPeer(body: unknown): Promise<unknown> {
         const agreement = body as { readonly kind?: unknown; readonly from?: unknown; readonly message?: unknown; };
         if (agreement?.kind === "agreement" && typeof agreement.from === "string") {
@@ -332,7 +286,7 @@
                 return this.watches.packed();
             case "storeDocument":
             case "readDocument":
-                return this.ownDocument(message);
+                return this.configurationCalls.answer(message);
             default: {
                 const leader = this.group.standing()?.leader;
                 return await (this.placing?.handle(message) ?? { kind: "elsewhere", leader });
@@ -382,17 +336,4 @@
         const names = identities.map(identity => identity.split("#", 1)[0]!);
         return { members: [...new Set([...names, this.name])], leader: standing?.leader };
     }
-
-    private linkTo(name: string): Link | undefined {
-        if (this.leaderLink?.name !== name) {
-            this.leaderLink?.link.close();
-            const address = parseAddress(name);
-            this.leaderLink = address === undefined ? undefined : { name, link: this.network.link(address) };
-        }
-        return this.leaderLink?.link;
-    }
-}
-
-function unavailable(answer: DocumentAnswer): CallAnswer {
-    return { kind: "unavailable", reason: answer.kind === "unavailable" ? answer.reason : "an unexpected answer" };
 }
--- a/simulation/places/play.ts
+++ b/simulation/places/play.ts
@@ -76,7 +76,6 @@
     private readonly events: { readonly at: number; readonly act: (now: number) => void; }[] = [];
     private readonly requests: readonly EmulatedRequest[];
     private turnedAway = 0;
-    lapsed = 0;
     private wasted = 0;
 
     constructor(private readonly pool: EmulatedPool, private readonly workload: Workload, seed: number) {
@@ -193,18 +192,7 @@
 
     private placed(call: Call, decision: Extract<PlaceDecision, { kind: "placed"; }>, now: number): void {
         const { promptTokens } = call.request;
-        if (decision.decode === undefined) {
-            this.noteWaste(call);
-            const readAt = this.prefills.get(decision.prefill!)!.read(promptTokens, now + travel / 2);
-            this.at(readAt + travel / 2, then => {
-                call.readAt = then;
-                const demand = { ...this.demand(call, then), read: true };
-                this.take(this.placesOf(decision.attempt).ask(demand, then), then);
-            });
-            return;
-        }
         const isFresh = call.readAt !== undefined && now - call.readAt < this.pool.figures.handleLife * freshPart;
-        if (call.readAt !== undefined && !isFresh) { this.lapsed += 1; }
         const readsItself = decision.prefill === undefined || call.avoid.length >= mostOffers;
         if (isFresh || readsItself) {
             this.at(now + travel / 2, then => this.run(call, decision, isFresh ? 0 : promptTokens, then));
@@ -226,7 +214,7 @@
         now: number,
     ): void {
         const { name, promptTokens, answerTokens } = call.request;
-        if (this.decodes.get(decision.decode!)!.begin(name, promptTokens, answerTokens, unread)) {
+        if (this.decodes.get(decision.decode)!.begin(name, promptTokens, answerTokens, unread)) {
             this.noteWaste(unread > 0 ? call : undefined);
             return;
         }
