--- a/simulation/places/__tests__/play.spec.ts
+++ b/simulation/places/__tests__/play.spec.ts
@@ -1,12 +1,12 @@
 import { expect } from "chai";
-import { deployments } from "../deployments.js";
-import { playPool, type PoolOutcome } from "../play.js";
+import { ownDay } from "../day.js";
+import type { PoolOutcome } from "../outcome.js";
+import { playDay } from "../play.js";
 
 const seeds = [1, 2, 3];
 
-function played(name: keyof typeof deployments): PoolOutcome[] {
-    const { pool, workload } = deployments[name];
-    return seeds.map(seed => playPool(pool, workload, seed));
+function played(name: string): PoolOutcome[] {
+    return seeds.map(seed => playDay(ownDay(name), seed));
 }
 
 function mean(outcomes: readonly PoolOutcome[], of: (outcome: PoolOutcome) => number): number {
@@ -15,9 +15,9 @@
 
 describe("days with bursts on emulated pools", () => {
     it("repeat exactly from their seed", () => {
-        const { pool, workload } = deployments.hanbit;
-        expect(playPool(pool, workload, 5)).to.deep.equal(playPool(pool, workload, 5));
-        expect(playPool(pool, workload, 5)).not.to.deep.equal(playPool(pool, workload, 6));
+        const day = ownDay("large-crashes");
+        expect(playDay(day, 5)).to.deep.equal(playDay(day, 5));
+        expect(playDay(day, 5)).not.to.deep.equal(playDay(day, 6));
     });
 
     it("are served in time where the engines suffice", () => {
@@ -30,7 +30,7 @@
     // be read behind others.
     // Cause: the place was given by the order of targets without asking whether the target could still be made.
     it("give places to those who can still make their target, where the engines don't suffice", () => {
-        expect(mean(played("hanbitGrown"), outcome => outcome.inTime)).to.be.above(0.86);
+        expect(mean(played("hanbit-grown"), outcome => outcome.inTime)).to.be.above(0.86);
         expect(mean(played("strained"), outcome => outcome.inTime)).to.be.above(0.64);
     });
 
@@ -48,8 +48,8 @@
     // everybody waits until it does.
     // Cause: all engines were kept for it, in place of one.
     it("keep one engine for a demand that doesn't fit, and let others pass at the rest", () => {
-        expect(mean(played("largeStrained"), outcome => outcome.inTime)).to.be.above(0.847);
-        expect(mean(played("celesteGrown"), outcome => outcome.inTime)).to.be.above(0.901);
+        expect(mean(played("large-strained"), outcome => outcome.inTime)).to.be.above(0.847);
+        expect(mean(played("celeste-grown"), outcome => outcome.inTime)).to.be.above(0.901);
     });
 
     it("serve long answers nearly as often as short ones", () => {
--- /dev/null
+++ b/simulation/places/__tests__/randomDays.spec.ts
@@ -0,0 +1,88 @@
+import { expect } from "chai";
+import * as fc from "fast-check";
+import { type Day, daySchema, ownDay } from "../day.js";
+import { Play, playDay } from "../play.js";
+
+const { pool, workload } = ownDay("hanbit");
+/** Milliseconds of a random day, and in which all of its calls have ended after it. */
+const length = 6_000;
+const settled = 40_000;
+const tick = 5;
+
+const fault = fc.record({
+    at: fc.integer({ min: 0, max: length }),
+    lasts: fc.integer({ min: 200, max: 5_000 }),
+    part: fc.double({ min: 0.05, max: 1, noNaN: true }),
+});
+
+/** Days of small pools in which engines crash and turn slow, one after the other and at once. */
+const days: fc.Arbitrary<Day> = fc.record({
+    prefill: fc.integer({ min: 1, max: 3 }),
+    decode: fc.integer({ min: 1, max: 6 }),
+    slots: fc.constantFrom(4, 12, 96),
+    rate: fc.integer({ min: 1, max: 30 }),
+    gateways: fc.option(fc.integer({ min: 2, max: 9 }), { nil: undefined }),
+    times: fc.integer({ min: 1, max: 4 }),
+    crashes: fc.array(fault, { maxLength: 3 }),
+    slow: fc.array(fault, { maxLength: 2 }),
+}).map(drawn => {
+    return daySchema.parse({
+        about: "a random day",
+        pool: {
+            ...pool,
+            prefill: drawn.prefill,
+            decode: drawn.decode,
+            figures: { ...pool.figures, slots: drawn.slots },
+            gateways: drawn.gateways,
+        },
+        workload: {
+            ...workload,
+            rate: drawn.rate,
+            length,
+            bursts: [{ at: 2_000, lasts: 1_000, times: drawn.times }],
+        },
+        faults: [
+            ...drawn.crashes.map(crash => ({ kind: "crash", ...crash })),
+            ...drawn.slow.map(slow => ({ kind: "slow", ...slow, times: 3 })),
+        ],
+    });
+});
+
+describe("random days on emulated pools", function() {
+    this.timeout(120_000);
+
+    it("leave no place held and nobody waiting, and end every request in one way", () => {
+        fc.assert(
+            fc.property(days, fc.integer({ min: 1, max: 1_000 }), (day, seed) => {
+                const play = new Play(day, seed);
+                for (let now = 0; now < length + settled; now += tick) {
+                    play.pass(now);
+                }
+                expect(play.standing()).to.deep.equal({ waiting: 0, held: 0, mostHeldTokens: 0 });
+                const { requests, inTime, late, unserved, lost } = play.outcome();
+                expect(inTime + late + unserved + lost).to.be.closeTo(requests === 0 ? 0 : 1, 1e-9);
+            }),
+            { numRuns: 100, seed: 7 },
+        );
+    });
+
+    it("earn no more with engines that crash than without", () => {
+        fc.assert(
+            fc.property(fc.integer({ min: 1, max: 1_000 }), seed => {
+                const calm = ownDay("celeste");
+                const faults = [{ kind: "crash" as const, at: 3_000, lasts: 4_000, part: 0.6 }];
+                expect(playDay({ ...calm, faults }, seed).worth).to.be.below(playDay(calm, seed).worth);
+            }),
+            { numRuns: 5, seed: 7 },
+        );
+    });
+});
+
+describe("files of days", () => {
+    it("are refused with the place of what is wrong", () => {
+        const day = ownDay("large-crashes");
+        const wrong = { ...day, pool: { ...day.pool, decode: 0 }, faults: [{ kind: "flood", at: 1 }], extra: 1 };
+        const places = daySchema.safeParse(wrong).error!.issues.map(issue => issue.path.join("."));
+        expect(places).to.have.members(["pool.decode", "faults.0.kind", ""]);
+    });
+});
--- a/simulation/places/cost.ts
+++ b/simulation/places/cost.ts
@@ -1,7 +1,7 @@
 // Measures the processor time that placing takes, by load and by the size of the pool.
 import { EnginePlaces } from "../../packages/basilpaddle/src/node/coordination/index.js";
-import { deployments } from "./deployments.js";
-import { playPool } from "./play.js";
+import { ownDay } from "./day.js";
+import { playDay } from "./play.js";
 
 const seconds = 10;
 const millisecondsInSecond = 1_000;
@@ -26,11 +26,13 @@
 console.log("engines  times the load  requests/s  ms of processor a second  µs a request");
 for (const size of [1, 2, 4, 8]) {
     for (const times of [1, 2, 3]) {
-        const { pool, workload } = deployments.celesteGrown;
+        const day = ownDay("celeste-grown");
+        const { pool, workload } = day;
         const larger = { ...pool, prefill: pool.prefill * size, decode: pool.decode * size };
         const rate = workload.rate * size * times;
         spent = 0;
-        playPool(larger, { ...workload, rate, length: seconds * millisecondsInSecond, bursts: [] }, 1);
+        const length = seconds * millisecondsInSecond;
+        playDay({ ...day, pool: larger, workload: { ...workload, rate, length, bursts: [] } }, 1);
         const engines = larger.prefill + larger.decode;
         const row = [engines, times, rate, (spent / seconds).toFixed(1), (spent * 1_000 / (rate * seconds)).toFixed(0)];
         console.log(row.map(value => String(value).padStart(12)).join(""));
--- a/simulation/places/engines.ts
+++ b/simulation/places/engines.ts
@@ -1,18 +1,4 @@
-/** Times of an engine, as its makers publish them. */
-export type EngineFigures = {
-    /** Milliseconds of one step, and what each run in it adds. */
-    readonly step: number;
-    readonly stepPerRun: number;
-    /** Prompt tokens that are read in a millisecond by an engine that only reads. */
-    readonly promptTokensPerMillisecond: number;
-    /** Milliseconds that a reading takes beside its tokens. */
-    readonly readingOverhead: number;
-    /** Tokens that one event of an answer holds. */
-    readonly eventTokens: number;
-    readonly cacheTokens: number;
-    readonly slots: number;
-    readonly handleLife: number;
-};
+import type { EngineFigures } from "./day.js";
 
 /** Part of its speed at which a decode engine reads prompts itself. */
 const selfReadSpeed = 0.5;
@@ -90,6 +76,14 @@
         return progress;
     }
 
+    /** Ends at once with all that it holds; gives the names of its runs. */
+    crash(): string[] {
+        const lost = [...this.runs, ...this.waiting].map(({ name }) => name);
+        this.runs = [];
+        this.waiting = [];
+        return lost;
+    }
+
     /** Ends a run whose caller has gone. */
     drop(name: string): void {
         this.runs = this.runs.filter(run => run.name !== name);
--- a/simulation/places/main.ts
+++ b/simulation/places/main.ts
@@ -1,8 +1,9 @@
 // Plays days with bursts on emulated pools and prints what callers got: a round of the placing costs seconds.
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
-import { deployments } from "./deployments.js";
-import { playPool, type PoolOutcome } from "./play.js";
+import { dayNames, ownDay } from "./day.js";
+import type { PoolOutcome } from "./outcome.js";
+import { playDay } from "./play.js";
 
 const options = await yargs(hideBin(process.argv))
     .usage("npm run places -- --seeds 5")
@@ -16,15 +17,17 @@
     return value.toFixed(3).padStart(9);
 }
 
-console.log("deployment      in time     late unserved    worth    again     away    short   middle     long");
-for (const [name, { pool, workload }] of Object.entries(deployments)) {
-    const outcomes = Array.from({ length: options.seeds }, (_, number) => {
-        return playPool(pool, workload, options.first + number);
-    });
+console.log("day             in time     late unserved     lost    worth    again     away    short   middle     long");
+for (const name of dayNames()) {
+    const outcomes = Array.from(
+        { length: options.seeds },
+        (_, number) => playDay(ownDay(name), options.first + number),
+    );
     const columns = [
         mean(outcomes, outcome => outcome.inTime),
         mean(outcomes, outcome => outcome.late),
         mean(outcomes, outcome => outcome.unserved),
+        mean(outcomes, outcome => outcome.lost),
         mean(outcomes, outcome => outcome.worth),
         mean(outcomes, outcome => outcome.readAgain),
         mean(outcomes, outcome => outcome.turnedAway),
--- a/simulation/places/workload.ts
+++ b/simulation/places/workload.ts
@@ -1,30 +1,5 @@
 import { type Randomness, SeededRandomness } from "../../packages/basilpaddle/src/node/utils/index.js";
-
-/** A span in which requests come at so many times the usual rate. */
-export type Burst = { readonly at: number; readonly lasts: number; readonly times: number; };
-
-/** Requests of one pool, as its operators describe them. */
-export type Workload = {
-    /** Usual requests a second. */
-    readonly rate: number;
-    /** Milliseconds of the whole. */
-    readonly length: number;
-    readonly bursts: readonly Burst[];
-    /** Mean tokens of a prompt, and the spread of its logarithm. */
-    readonly promptTokens: number;
-    readonly promptSpread: number;
-    readonly mostPromptTokens: number;
-    /** Requests of another kind among them, whose prompts are longer. */
-    readonly longPrompts?: { readonly part: number; readonly tokens: number; };
-    /** Mean tokens of an answer, and the spread of its logarithm. */
-    readonly answerTokens: number;
-    readonly answerSpread: number;
-    readonly mostAnswerTokens: number;
-    /** Spread of the logarithm of the callers' guess of their answers' tokens. */
-    readonly guessSpread: number;
-    /** Milliseconds from the first attempt to the first event that are in time. */
-    readonly target: number;
-};
+import type { Workload } from "./day.js";
 
 /** One caller's request. */
 export type EmulatedRequest = {
