--- /dev/null
+++ b/simulation/checkedFile.ts
@@ -0,0 +1,17 @@
+import { readFileSync } from "node:fs";
+import { type Either, Left, Right } from "purify-ts";
+import type { z } from "zod";
+import { type Finding, findingsOf } from "../packages/basilpaddle/src/node/protocol/index.js";
+
+/** Reads a JSON file that a person wrote and checks it against a schema; gives all that is wrong with it. */
+export function readCheckedFile<T>(file: string, schema: z.ZodType<T>): Either<readonly Finding[], T> {
+    let content: unknown;
+    try {
+        content = JSON.parse(readFileSync(file, "utf8"));
+    }
+    catch (error) {
+        return Left([{ file, place: "", cause: `can't be read: ${(error as Error).message}` }]);
+    }
+    const parsed = schema.safeParse(content);
+    return parsed.success ? Right(parsed.data) : Left(findingsOf(file, parsed.error));
+}
--- a/simulation/experiment/variant.ts
+++ b/simulation/experiment/variant.ts
@@ -1,7 +1,7 @@
-import { readFileSync } from "node:fs";
-import { type Either, Left, Right } from "purify-ts";
+import type { Either } from "purify-ts";
 import { z } from "zod";
-import { type Finding, findingsOf } from "../../packages/basilpaddle/src/node/protocol/index.js";
+import type { Finding } from "../../packages/basilpaddle/src/node/protocol/index.js";
+import { readCheckedFile } from "../checkedFile.js";
 
 /** Changes of the placing's tuning; what is left out stays as the product has it. */
 export const tuningSchema = z.strictObject({
@@ -26,13 +26,5 @@
 
 /** Reads variants from a file; gives all that is wrong with it. */
 export function readVariants(file: string): Either<readonly Finding[], readonly Variant[]> {
-    let content: unknown;
-    try {
-        content = JSON.parse(readFileSync(file, "utf8"));
-    }
-    catch (error) {
-        return Left([{ file, place: "", cause: `can't be read: ${(error as Error).message}` }]);
-    }
-    const parsed = variantsSchema.safeParse(content);
-    return parsed.success ? Right(parsed.data.variants) : Left(findingsOf(file, parsed.error));
+    return readCheckedFile(file, variantsSchema).map(({ variants }) => variants);
 }
--- a/simulation/places/day.ts
+++ b/simulation/places/day.ts
@@ -1,9 +1,10 @@
-import { readdirSync, readFileSync } from "node:fs";
+import { readdirSync } from "node:fs";
 import * as path from "node:path";
 import { fileURLToPath } from "node:url";
-import { type Either, Left, Right } from "purify-ts";
+import type { Either } from "purify-ts";
 import { z } from "zod";
-import { type Finding, findingsOf } from "../../packages/basilpaddle/src/node/protocol/index.js";
+import type { Finding } from "../../packages/basilpaddle/src/node/protocol/index.js";
+import { readCheckedFile } from "../checkedFile.js";
 
 /** Days that come with the project. */
 const daysFolder = fileURLToPath(new URL("./days/", import.meta.url));
@@ -95,15 +96,7 @@
 
 /** Reads a day from a file; gives all that is wrong with it. */
 export function readDay(file: string): Either<readonly Finding[], Day> {
-    let content: unknown;
-    try {
-        content = JSON.parse(readFileSync(file, "utf8"));
-    }
-    catch (error) {
-        return Left([{ file, place: "", cause: `can't be read: ${(error as Error).message}` }]);
-    }
-    const parsed = daySchema.safeParse(content);
-    return parsed.success ? Right(parsed.data) : Left(findingsOf(file, parsed.error));
+    return readCheckedFile(file, daySchema);
 }
 
 /** Names of the days that come with the project. */
