--- a/simulation/experiment/__tests__/experiment.spec.ts
+++ b/simulation/experiment/__tests__/experiment.spec.ts
@@ -6,6 +6,7 @@
 import { differenceOf } from "../difference.js";
 import { type Experiment, playExperiment } from "../experiment.js";
 import { InlinePlayer, ThreadPlayer } from "../player.js";
+import { reportPage } from "../report.js";
 import { tableOf } from "../table.js";
 import { readVariants, unchanged } from "../variant.js";
 
@@ -55,6 +56,26 @@
     });
 });
 
+describe("the page of an experiment", () => {
+    const difference = differenceOf([0.1, 0.2, 0.3, 0.4], [0.2, 0.3, 0.4, 0.5]);
+    const common = { day: "a <day>", measure: "worth", mean: 0.35 } as const;
+
+    it("shows a plot and a table, holds all that it needs, and takes names as text", async () => {
+        const page = await reportPage([
+            { ...common, variant: "before", difference: undefined },
+            { ...common, variant: "after & more", difference },
+        ], [1, 2, 3, 4]);
+        expect(page).to.contain("<svg").and.to.contain("difference in worth");
+        expect(page).to.contain("a &lt;day&gt;").and.to.contain("after &amp; more").and.not.to.contain("<day>");
+        expect(page).to.contain("+0.100 (+0.100 to +0.100)");
+        expect(page).not.to.match(/(src|href)="http/);
+    });
+
+    it("has no plot where there is nothing to compare", async () => {
+        expect(await reportPage([{ ...common, variant: "before", difference: undefined }], [1])).not.to.contain("<svg");
+    });
+});
+
 describe("files of variants", () => {
     let folder: string;
     beforeEach(() => {
--- a/simulation/experiment/main.ts
+++ b/simulation/experiment/main.ts
@@ -7,6 +7,7 @@
 import { dayFile, dayNames, readDay } from "../places/day.js";
 import { type Experiment, type Measure, measures, playExperiment } from "./experiment.js";
 import { ThreadPlayer } from "./player.js";
+import { reportPage } from "./report.js";
 import { tableOf } from "./table.js";
 import { readVariants, unchanged, type Variant } from "./variant.js";
 
@@ -28,6 +29,7 @@
     .option("measure", { choices: measures, default: "worth" as Measure, describe: "the figure of the table" })
     .option("threads", { type: "number", default: usualThreads, describe: "threads that play" })
     .option("output", { type: "string", describe: "JSON file for all figures" })
+    .option("report", { type: "string", describe: "HTML file for a page with plots and tables" })
     .check(({ seeds, threads }) => {
         if (!Number.isInteger(seeds) || seeds < 1 || !Number.isInteger(threads) || threads < 1) {
             throw new Error("--seeds and --threads take whole numbers from 1");
@@ -68,6 +70,9 @@
     process.stderr.write("\n");
 }
 tableOf(comparisons, options.measure).forEach(line => console.log(line));
+if (options.report !== undefined) {
+    writeFileSync(options.report, await reportPage(comparisons, experiment.seeds));
+}
 if (options.output !== undefined) {
     writeFileSync(
         options.output,
--- a/simulation/experiment/table.ts
+++ b/simulation/experiment/table.ts
@@ -10,13 +10,19 @@
     const dayWidth = width(row => row.day);
     const variantWidth = width(row => row.variant);
     return rows.map(row => {
-        const mean = row.mean.toFixed(digits).padEnd(columnWidth);
+        const mean = meanText(row).padEnd(columnWidth);
         return `${row.day.padEnd(dayWidth)}${row.variant.padEnd(variantWidth)}${measure} ${mean}${differenceText(row)}`
             .trimEnd();
     });
 }
 
-function differenceText({ difference }: Comparison): string {
+/** The mean of a comparison, for a person. */
+export function meanText({ mean }: Comparison): string {
+    return mean.toFixed(digits);
+}
+
+/** The difference of a comparison with its interval, for a person; empty for the first variant. */
+export function differenceText({ difference }: Comparison): string {
     if (difference === undefined) {
         return "";
     }
