--- a/packages/basilpaddle/src/node/transport/__tests__/tcpLink.spec.ts
+++ b/packages/basilpaddle/src/node/transport/__tests__/tcpLink.spec.ts
@@ -1,8 +1,11 @@
 import { expect } from "chai";
+import { once } from "node:events";
 import * as net from "node:net";
+import { Worker } from "node:worker_threads";
 import { createSilentLogger } from "../../utils/index.js";
 import { encodeFrame, FrameReader } from "../frame.js";
-import { TcpNetwork, TcpServer } from "../tcpLink.js";
+import type { LinkFailure } from "../link.js";
+import { connectTimeout, TcpNetwork, TcpServer } from "../tcpLink.js";
 
 const logger = createSilentLogger();
 
@@ -24,7 +27,76 @@
     });
 });
 
+/** Milliseconds after which the system sends the first packet of a connection again that got no answer. */
+const systemRetry = 1_000;
+
+/** A listener that takes no connections until it is released: the system drops what comes once its queue is full. */
+class StalledListener {
+    private constructor(
+        private readonly worker: Worker,
+        private readonly released: Int32Array,
+        readonly port: number,
+    ) {}
+
+    static async create(): Promise<StalledListener> {
+        const released = new Int32Array(new SharedArrayBuffer(4));
+        const worker = new Worker(
+            `
+            const { parentPort, workerData } = require("node:worker_threads");
+            const server = require("node:net").createServer(socket => socket.resume());
+            server.listen({ host: "127.0.0.1", port: 0, backlog: 1 }, () => {
+                parentPort.postMessage(server.address().port);
+                setImmediate(() => Atomics.wait(workerData, 0, 0));
+            });
+            `,
+            { eval: true, workerData: released },
+        );
+        const [port] = await once(worker, "message") as [number];
+        return new StalledListener(worker, released, port);
+    }
+
+    /** Fills the queue of connections; gives those that wait. */
+    async fill(): Promise<net.Socket[]> {
+        const sockets = Array.from({ length: 8 }, () => net.connect({ host: "127.0.0.1", port: this.port }));
+        await once(sockets[0]!, "connect");
+        await new Promise(resolve => setTimeout(resolve, 50));
+        return sockets;
+    }
+
+    release(): void {
+        Atomics.store(this.released, 0, 1);
+        Atomics.notify(this.released, 0);
+    }
+
+    async close(): Promise<void> {
+        this.release();
+        await this.worker.terminate();
+    }
+}
+
 describe("a TCP link", () => {
+    // Symptom: after a loss of power everywhere some gateways have a configuration half a second later than others.
+    // Sequence: they are up before the directories' hosts have power; the first packet of their connection is lost.
+    // Cause: the link waited for a second, until about when the system would have sent that packet again.
+    it("gives a connection up well before the system tries again, and makes the next one at once", async () => {
+        expect(connectTimeout).to.be.at.most(systemRetry / 2);
+        const listener = await StalledListener.create();
+        const waiting = await listener.fill();
+        const link = TcpNetwork.create(logger).link({ host: "127.0.0.1", port: listener.port });
+        const failure = (await link.request("first", 100)).swap().extract() as LinkFailure;
+        expect(failure.kind).to.equal("unreachable");
+        listener.release();
+        waiting.forEach(socket => socket.destroy());
+        let next: LinkFailure;
+        do {
+            next = (await link.request("next", 100)).swap().extract() as LinkFailure;
+        } while (next.kind === "unreachable");
+        // Connected: nobody answers there.
+        expect(next.kind).to.equal("timeout");
+        link.close();
+        await listener.close();
+    });
+
     it("gives each request its own answer, whatever the order of the answers", async () => {
         const server = await TcpServer.create({
             host: "127.0.0.1",
