fix(directory): engines that change their stage get no work, and decode engines are taken for prefill only when long wanted

Sequence: prefill engines turn slow for some seconds; by what is then observed more engines should read; as a burst begins two of ten decode engines are ordered to. They finish what they have, turn the rest away, and are announced as decode engines until the change is done, 12 s later; the leader goes on placing runs there. Cause, two: stages by what is observed took decode engines as soon as the means said so; and the placing went by announcements.

--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/enginePlaces.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/enginePlaces.spec.ts
@@ -130,6 +130,22 @@
         expect(placed(places.ask(demand("small", { cacheTokens: 300 }), 400))).to.deep.equal(["small"]);
     });
 
+    // Symptom: two of ten decode engines turn 90 runs away within 12 s, whose prompts were read in vain.
+    // Sequence: they are ordered to become prefill engines; they finish the runs that they have and take no others, and are
+    // announced as decode engines until the change is done.
+    // Cause: the placing went by what is announced alone.
+    it("place nothing at an engine that was ordered to change its stage, until it has or the time is over", () => {
+        const places = pool(1, 2);
+        places.orderedTo("decode-0", "prefill", 1_000);
+        const decodes = (from: number, now: number): Set<string> => {
+            const decisions = Array.from({ length: 6 }, (_, number) => places.ask(demand(`p-${from + number}`), now))
+                .flat();
+            return new Set(decisions.map(decision => decision.kind === "placed" ? decision.decode : "none"));
+        };
+        expect([...decodes(0, 0)]).to.deep.equal(["decode-1"]);
+        expect([...decodes(6, 1_001)]).to.include("decode-0");
+    });
+
     // Symptom: with prompts queueing at the prefill engines, first events come a second late while decode engines idle.
     it("have a decode engine read the prompt itself when the prefill engines' queue is long", () => {
         const places = pool(1, 10);
--- a/packages/basilpaddle/src/node/coordination/gateway/enginePlaces.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePlaces.ts
@@ -95,6 +95,11 @@
         this.pool.setShare(share);
     }
 
+    /** Notes that an engine was ordered to change its stage; it gets no work until it has, or until the time. */
+    orderedTo(engine: string, stage: Announced["stage"], until: number): void {
+        this.pool.engine(engine)?.orderedTo(stage, until);
+    }
+
     /** Asks for a place. Decisions, for this demand or for others, come from here and from `review`. */
     ask(demand: PlaceDemand, now: number): PlaceDecision[] {
         const held = this.placements.get(demand.attempt);
--- a/packages/basilpaddle/src/node/coordination/gateway/placedEngine.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placedEngine.ts
@@ -56,6 +56,7 @@
     private pausedUntil = 0;
     private delay = leastDelay;
     private delaySeenAt = 0;
+    private ordered: { readonly stage: Announced["stage"]; readonly until: number; } | undefined;
 
     private constructor(public announced: Announced) {}
 
@@ -69,7 +70,21 @@
 
     /** Whether new work may be sent there. */
     takesWork(now: number): boolean {
-        return this.announced.state === "ready" && now >= this.pausedUntil;
+        return this.announced.state === "ready" && now >= this.pausedUntil && !this.changesStage(now);
+    }
+
+    /**
+     * Notes that it was ordered to change its stage. It finishes the runs that it has and turns all others away, yet says until
+     * the change is done that it is ready in its old stage: two of ten decode engines turned away 90 runs in 12 s, whose
+     * prompts had been read in vain. `until`: when the order counts as not carried out.
+     */
+    orderedTo(stage: Announced["stage"], until: number): void {
+        this.ordered = { stage, until };
+    }
+
+    private changesStage(now: number): boolean {
+        const { ordered } = this;
+        return ordered !== undefined && now < ordered.until && this.announced.stage !== ordered.stage;
     }
 
     /** Whether a run fits. One that is larger than the share handed out here fits an engine without any. */
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -313,6 +313,8 @@
         this.orders = StageOrders.create({
             ...sources,
             usualRequest: service => this.placing?.usualRequest(service),
+            waiting: service => this.placing?.waiting(service) ?? 0,
+            onOrdered: (engine, stage, within) => this.placing?.noteOrdered(engine, stage, within),
             holder: settings.name,
             wire,
             connections: this.connections,
--- a/packages/basilpaddle/src/node/daemon/directory/placingService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/placingService.ts
@@ -6,7 +6,7 @@
     SharedRepeatBudget,
     type UsualRequest,
 } from "../../coordination/index.js";
-import type { PlaceDecision, Placing, PlacingAnswer, ServerCalls, Traffic } from "../../protocol/index.js";
+import type { Announced, PlaceDecision, Placing, PlacingAnswer, ServerCalls, Traffic } from "../../protocol/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
 
 /**
@@ -111,6 +111,16 @@
         }
     }
 
+    /** Notes that an engine was ordered to change its stage, and how long that may take. */
+    noteOrdered({ id, service }: Announced, stage: Announced["stage"], within: number): void {
+        this.pools.get(service)?.orderedTo(id, stage, this.sources.clock.monotonic() + within);
+    }
+
+    /** Demands of a service that wait for a place. */
+    waiting(service: string): number {
+        return this.pools.get(service)?.standing().waiting ?? 0;
+    }
+
     /** What a request of the service takes of its pool; undefined until enough have been served under this leader. */
     usualRequest(service: string): UsualRequest | undefined {
         return this.pools.get(service)?.usualRequest();
--- a/packages/basilpaddle/src/node/daemon/directory/stageOrders.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/stageOrders.ts
@@ -19,6 +19,13 @@
 /** Milliseconds between two changes of stages: each costs the engine's work for a while. */
 const restBetween = 8_000;
 
+/**
+ * Milliseconds for which a decode engine must be wanted for prefill, with no demand waiting for a place, before it is taken: it
+ * is out for ten seconds and more, and bursts last less. Engines that turned slow for some seconds made readings look long;
+ * two of ten decode engines were taken just as a burst began, in two of six plays of one day.
+ */
+const steadyTime = 15_000;
+
 /** What orders are decided from. */
 export type StageOrderSources = {
     readonly holder: string;
@@ -26,6 +33,10 @@
     readonly traffic: () => Traffic | undefined;
     /** What a request of a service takes of its pool, where that has been observed. */
     readonly usualRequest: (service: string) => UsualRequest | undefined;
+    /** Demands of a service that wait for a place. */
+    readonly waiting: (service: string) => number;
+    /** Called when an engine may have taken an order: by then it takes no work of its old stage any more. */
+    readonly onOrdered: (engine: Announced, stage: StageChange["stage"], within: number) => void;
     readonly wire: DirectoryWire;
     readonly connections: BackendConnections;
     readonly clock: Clock;
@@ -44,6 +55,8 @@
 export class StageOrders {
     private readonly pending = new Map<string, number>();
     private readonly counts = new Map<string, { readonly count: number; readonly since: number; }>();
+    /** Since when decode engines of a service are wanted for prefill. */
+    private readonly wantedSince = new Map<string, number>();
     private readonly mayOrderAt: number;
     private restUntil = 0;
     private cancel: (() => void) | undefined;
@@ -92,13 +105,36 @@
             const changes = planStages(engines, service.engine, usualRequest(service.name)).filter(change =>
                 now >= (this.pending.get(change.engine.id) ?? 0)
             );
-            if (changes.length > 0) {
+            if (!changes.some(({ stage }) => stage === "prefill")) {
+                this.wantedSince.delete(service.name);
+            }
+            if (changes.length > 0 && this.isDue(service.name, engines, changes, now)) {
                 this.restUntil = now + restBetween;
                 changes.forEach(change => void this.order(change));
             }
         }
     }
 
+    /** Whether changes should be made now; one that takes decode engines has to be wanted for a while, unless none reads. */
+    private isDue(
+        service: string,
+        engines: readonly Announced[],
+        changes: readonly StageChange[],
+        now: number,
+    ): boolean {
+        const takesDecode = changes.some(({ stage }) => stage === "prefill");
+        const anyReads = engines.some(({ stage, state }) => stage === "prefill" && state === "ready");
+        if (!takesDecode || !anyReads) {
+            return true;
+        }
+        const since = this.wantedSince.get(service);
+        if (since === undefined || this.sources.waiting(service) > 0) {
+            this.wantedSince.set(service, now);
+            return false;
+        }
+        return now - since >= steadyTime;
+    }
+
     /** Whether no engine has come or gone for a while: a plan by half of a starting pool would turn too many. */
     private hasSettled(service: string, count: number, now: number): boolean {
         const known = this.counts.get(service);
@@ -110,11 +146,15 @@
     }
 
     private async order(change: StageChange): Promise<void> {
-        const { wire, holder, logger, clock } = this.sources;
+        const { wire, holder, logger, clock, onOrdered } = this.sources;
         const { engine, stage } = change;
         this.pending.set(engine.id, clock.monotonic() + unknownTime);
         const call = wire.order({ engine, stage, holder, fence: this.fence });
+        onOrdered(engine, stage, unknownTime);
         const outcome = await this.send(engine, call);
+        if (outcome !== "accepted" && outcome !== "unknown") {
+            onOrdered(engine, stage, 0);
+        }
         logger.info("ordered an engine to change its stage", { engine: engine.id, stage, fence: this.fence, outcome });
     }
 
