--- a/simulation/places/__tests__/randomDays.spec.ts
+++ b/simulation/places/__tests__/randomDays.spec.ts
@@ -54,7 +54,7 @@
     it("leave no place held and nobody waiting, and end every request in one way", () => {
         fc.assert(
             fc.property(days, fc.integer({ min: 1, max: 1_000 }), (day, seed) => {
-                const play = new Play(day, seed);
+                const play = Play.create(day, seed);
                 for (let now = 0; now < length + settled; now += tick) {
                     play.pass(now);
                 }
--- a/simulation/places/play.ts
+++ b/simulation/places/play.ts
@@ -42,7 +42,7 @@
 
 /** Plays a day whose places are decided by the product's own code, with its tuning or with some of it changed. */
 export function playDay(day: Day, seed: number, tuning: Partial<PlaceTuning> = {}): PoolOutcome {
-    return new Play(day, seed, tuning).play();
+    return Play.create(day, seed, tuning).play();
 }
 
 /** One day on its way. */
@@ -56,7 +56,7 @@
     private turnedAway = 0;
     private wasted = 0;
 
-    constructor(private readonly day: Day, seed: number, tuning: Partial<PlaceTuning> = {}) {
+    private constructor(private readonly day: Day, seed: number, tuning: Partial<PlaceTuning>) {
         const { pool, workload } = day;
         const { gateways } = pool;
         const usual = gateways === undefined ? placingForAll : { ...placingAlone, share: 1 / gateways };
@@ -74,6 +74,12 @@
         drawRequests(workload, seed).forEach(request => this.at(request.at, now => this.ask(request, now)));
     }
 
+    /** Begins a day; the same seed gives the same. */
+    static create(day: Day, seed: number, tuning: Partial<PlaceTuning> = {}): Play {
+        return new Play(day, seed, tuning);
+    }
+
+    /** Plays the whole day, and as long after it as a caller may wait. */
     play(): PoolOutcome {
         const end = this.day.workload.length + deadline;
         for (let now = 0; now < end; now += tick) {
@@ -103,6 +109,12 @@
         };
     }
 
+    /** What became of all requests so far. */
+    outcome(): PoolOutcome {
+        const waste = { turnedAway: this.turnedAway, readAgainTokens: this.fleet.readAgain() + this.wasted };
+        return outcomeOf([...this.calls.values()], this.day.workload, waste);
+    }
+
     /** What places an attempt: each attempt comes to a gateway of its own. */
     private placesOf(attempt: string): EnginePlaces {
         return this.places[Math.floor(fractionOf(attempt) * this.places.length)]!;
@@ -253,10 +265,4 @@
         }
         this.events.splice(position, 0, { at, act });
     }
-
-    /** What became of all requests so far. */
-    outcome(): PoolOutcome {
-        const waste = { turnedAway: this.turnedAway, readAgainTokens: this.fleet.readAgain() + this.wasted };
-        return outcomeOf([...this.calls.values()], this.day.workload, waste);
-    }
 }
