--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/fakes.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/fakes.ts
@@ -1,4 +1,11 @@
-import type { Announced, EngineRule, PlaceDecision, PlaceDemand, TrafficRoute } from "../../../protocol/index.js";
+import type {
+    Announced,
+    EngineRule,
+    PlaceDecision,
+    PlaceDemand,
+    Traffic,
+    TrafficRoute,
+} from "../../../protocol/index.js";
 
 /** A backend server's announcement with what the test doesn't care about filled in. */
 export function announced(given: Partial<Announced> & { readonly id: string; }): Announced {
@@ -27,6 +34,14 @@
 /** What the engines of the test's pool have in common. */
 export const rule: EngineRule = { slots: 96, cacheTokens: 34_000, handleLife: 500, stageSwitch: 6_000 };
 
+/** A configuration with that pool and nothing else. */
+export const poolTraffic: Traffic = {
+    version: 1,
+    routes: [],
+    services: [{ name: "pool", healthPath: "/health", connectionLimit: 50, engine: rule }],
+    limits: { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 },
+};
+
 /** A usual demand: 3,200 tokens in, 900 out, its first event due in 900 ms. */
 export function demand(attempt: string, given: Partial<PlaceDemand> = {}): PlaceDemand {
     return {
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/placingService.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/placingService.spec.ts
@@ -1,18 +1,11 @@
 import { expect } from "chai";
 import { ManualClock } from "../../../../../../../simulation/manualClock.js";
-import { demand, engines, rule } from "../../../coordination/gateway/__tests__/fakes.js";
+import { demand, engines, poolTraffic } from "../../../coordination/gateway/__tests__/fakes.js";
 import { InstanceTable } from "../../../coordination/index.js";
-import type { Announced, Traffic } from "../../../protocol/index.js";
+import type { Announced } from "../../../protocol/index.js";
 import { createSilentLogger } from "../../../utils/index.js";
 import { PlacingService } from "../placingService.js";
 
-const traffic = {
-    version: 1,
-    routes: [],
-    services: [{ name: "pool", healthPath: "/health", connections: 50, engine: rule }],
-    limits: { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 },
-} as unknown as Traffic;
-
 /** Counts how often all backend servers are looked at. */
 class CountedInstances extends InstanceTable {
     looks = 0;
@@ -26,7 +19,7 @@
 function serviceOf(instances: InstanceTable): PlacingService {
     return PlacingService.create({
         instances,
-        traffic: () => traffic,
+        traffic: () => poolTraffic,
         onCalls: () => undefined,
         onEnded: () => undefined,
         clock: new ManualClock(),
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/stageOrders.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/stageOrders.spec.ts
@@ -1,19 +1,12 @@
 import { expect } from "chai";
 import { ManualClock } from "../../../../../../../simulation/manualClock.js";
-import { engines, rule } from "../../../coordination/gateway/__tests__/fakes.js";
+import { engines, poolTraffic } from "../../../coordination/gateway/__tests__/fakes.js";
 import { InstanceTable } from "../../../coordination/index.js";
-import type { Traffic } from "../../../protocol/index.js";
 import { createSilentLogger } from "../../../utils/index.js";
 import type { BackendConnections } from "../../backends/index.js";
 import type { DirectoryWire } from "../directoryWire.js";
 import { StageOrders } from "../stageOrders.js";
 
-const traffic = {
-    version: 1,
-    routes: [],
-    services: [{ name: "pool", healthPath: "/health", connections: 50, engine: rule }],
-    limits: { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 },
-} as unknown as Traffic;
 /** Prompts long enough that two more engines should read. */
 const longPrompts = { readingTime: 400, holdTime: 2_000, cacheTokens: 12_000 };
 
@@ -28,7 +21,7 @@
     const orders = StageOrders.create({
         holder: "d-1",
         instances,
-        traffic: () => traffic,
+        traffic: () => poolTraffic,
         usualRequest: () => longPrompts,
         waiting: () => waiting(clock.monotonic()),
         onOrdered: ({ id }, stage, within) => ordered.push(`${id} ${stage} ${within > 0}`),
