--- a/packages/basilpaddle/src/node/coordination/index.ts
+++ b/packages/basilpaddle/src/node/coordination/index.ts
@@ -4,6 +4,7 @@
 export * from "./gateway/index.js";
 export * from "./orders/index.js";
 export * from "./placement.js";
+export * from "./quarantine/index.js";
 export * from "./replica.js";
 export * from "./scheduling/index.js";
 export * from "./supervisor/index.js";
--- /dev/null
+++ b/packages/basilpaddle/src/node/coordination/quarantine/index.ts
@@ -0,0 +1,1 @@
+export * from "./requestDigest.js";
--- a/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
@@ -1,4 +1,5 @@
 import type * as http from "node:http";
+import { digestOf } from "../../coordination/index.js";
 import type { CallerLimits, TrafficRoute } from "../../protocol/index.js";
 import type { BackendAnswer } from "../backends/index.js";
 import type { CallerFacts } from "./gatewayWire.js";
@@ -26,6 +27,7 @@
     readonly gone = new AbortController();
     private endedAs: RequestEnd | undefined;
     private cause = "";
+    private digested: string | undefined;
 
     private constructor(
         readonly incoming: http.IncomingMessage,
@@ -70,6 +72,13 @@
         return this.incoming.url ?? "/";
     }
 
+    /** Names what it holds: the same for each attempt that brings the same request, at any gateway. */
+    get digest(): string {
+        const { method, target, body } = this;
+        this.digested ??= digestOf({ caller: this.incoming.headers.host ?? "", method, target, body });
+        return this.digested;
+    }
+
     /** When its answer must be whole: the caller's own limit or the route's, whichever comes first. */
     get answerBy(): number {
         return this.arrivedAt + Math.min(this.facts.deadlineWithin ?? this.route.timeout, this.route.timeout);
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -308,6 +308,7 @@
         metrics.observe("basilpaddle_request_milliseconds", milliseconds, labels);
         logger.info("request", {
             request: request.attempt,
+            content: request.digest,
             route: route.name,
             configuration: version,
             ...outcome,
