feat: operators see and release requests that are held back; explain and losses name them

Any gateway or directory answers 'held' and 'release' on its metrics address; a release spreads like a crash.

--- a/packages/basilpaddle/src/node/cli/__tests__/explanation.spec.ts
+++ b/packages/basilpaddle/src/node/cli/__tests__/explanation.spec.ts
@@ -43,6 +43,16 @@
         expect(explain(lines, "r")[0]!.beliefs).to.deep.equal([]);
     });
 
+    it("shows what spoke against a request that was held back, however long before and under whichever attempt", () => {
+        const { lines } = readLogLines([
+            line(-3_600_000, "gateway-2", "a backend server ended under a request", { request: "other", content: "c" }),
+            line(-3_500_000, "gateway-1", "a request is held back", { content: "c" }),
+            line(-3_500_000, "gateway-1", "a request is held back", { content: "d" }),
+            line(5_000, "gateway-1", "request", { request: "r", content: "c", milliseconds: 1, end: "refused" }),
+        ]);
+        expect(explain(lines, "r")[0]!.beliefs.map(({ daemon }) => daemon)).to.deep.equal(["gateway-2", "gateway-1"]);
+    });
+
     it("reads lines behind a collector's own prefix, and counts what isn't a line", () => {
         const { lines, unread } = readLogLines([`host-7 12.5 ${ended}\nError: torn\n{"at":"20`]);
         expect([lines.length, unread]).to.deep.equal([1, 2]);
--- a/packages/basilpaddle/src/node/cli/__tests__/lossAccount.spec.ts
+++ b/packages/basilpaddle/src/node/cli/__tests__/lossAccount.spec.ts
@@ -57,6 +57,15 @@
         expect(losses.find(({ cause }) => cause.includes("RESET"))?.servers).to.deep.equal([{ id: "d", count: 1 }]);
     });
 
+    it("names requests that were held back as one cause", () => {
+        const cause = "backend servers ended under this request; it is held back";
+        const held = { end: "refused", cause, milliseconds: 1, path: ["heldBack (i-a 900 early, i-b 300 early)"] };
+        const { losses } = account(held, held);
+        expect(losses.map(({ count, cause: told, servers }) => [count, told, servers])).to.deep.equal([
+            [2, `refused: ${cause}`, [{ id: "none", count: 2 }]],
+        ]);
+    });
+
     it("counts prompts that were read in vain", () => {
         const { promptsRead, readInVain } = account(
             stream(
--- a/packages/basilpaddle/src/node/cli/explanation.ts
+++ b/packages/basilpaddle/src/node/cli/explanation.ts
@@ -81,7 +81,9 @@
         const at = Date.parse(other.at);
         const near = at >= arrivedAt - beliefsBefore && at <= endedAt + beliefsAfter;
         const isOwn = other.daemon === line.daemon;
-        return near && !requestMessages.has(other.message) && (isOwn || namesOne(other, servers));
+        // What speaks against a request may have come about hours before, under another of its attempts.
+        const isSame = line.content !== undefined && other.content === line.content;
+        return !requestMessages.has(other.message) && (isSame || near && (isOwn || namesOne(other, servers)));
     };
     const beliefs = lines.filter(bears).map(({ at, daemon, message, ...facts }) => {
         return { after: Date.parse(at) - arrivedAt, daemon, message, facts };
@@ -92,7 +94,7 @@
 
 /** Backend servers that a path names: `read ID ...` and `run ID ...` of streams, `ID outcome ...` of plain requests. */
 function serversOf(path: readonly string[]): ReadonlySet<string> {
-    const own = new Set(["placed", "first", "refused"]);
+    const own = new Set(["placed", "first", "refused", "heldBack", "pause"]);
     const names = path.map(step => step.split(" ")).filter(([first = ""]) => !own.has(first));
     return new Set(names.map(([first = "", second = ""]) => first === "read" || first === "run" ? second : first));
 }
--- a/packages/basilpaddle/src/node/cli/lossAccount.ts
+++ b/packages/basilpaddle/src/node/cli/lossAccount.ts
@@ -14,7 +14,7 @@
 
 /** One step of a request's way, as its gateway logs it. */
 type Step = {
-    readonly kind: "placed" | "refused" | "read" | "run" | "first" | "pause" | "other";
+    readonly kind: "placed" | "refused" | "read" | "run" | "first" | "pause" | "heldBack" | "other";
     /** Who placed it, or the backend server. */
     readonly by: string;
     readonly outcome: string;
@@ -162,7 +162,7 @@
     return last.kind === "read" ? "its prompt was read" : "it waited for its answer";
 }
 
-/** Reads a step: `placed BY MS`, `refused MS`, `first MS`, `pause MS`, `read ID OUTCOME MS`, `run ID OUTCOME MS (CAUSE)`, `ID OUTCOME MS`. */
+/** Reads a step: `placed BY MS`, `refused MS`, `first MS`, `pause MS`, `read ID OUTCOME MS`, `heldBack (SERVER AGE, ...)`, `run ID OUTCOME MS (CAUSE)`, `ID OUTCOME MS`. */
 function stepOf(text: string): Step {
     const [words = "", cause = ""] = text.split(/ \((.*)\)$/s);
     const [first = "", second = "", third = "", fourth = ""] = words.split(" ");
@@ -171,6 +171,8 @@
         case "first":
         case "pause":
             return { kind: first, by: "", outcome: "", milliseconds: Number(second) || 0, cause };
+        case "heldBack":
+            return { kind: "heldBack", by: "", outcome: "", milliseconds: 0, cause };
         case "placed":
             return { kind: "placed", by: second, outcome: "", milliseconds: Number(third) || 0, cause };
         case "read":
--- a/packages/basilpaddle/src/node/cli/operatorClient.ts
+++ b/packages/basilpaddle/src/node/cli/operatorClient.ts
@@ -40,6 +40,11 @@
         return this.answerOf("POST", "/operator/v1/drain", new URLSearchParams(), { backend, operator });
     }
 
+    /** Lets a request run again that is held back. */
+    release(digest: string, operator: string): ClientAnswer {
+        return this.answerOf("POST", "/operator/v1/release", new URLSearchParams(), { digest, operator });
+    }
+
     /** Reads the metrics as text. */
     metrics(): Promise<Either<ClientFailure, string>> {
         return this.send("GET", "/metrics", new URLSearchParams(), undefined);
--- a/packages/basilpaddle/src/node/cli/operatorCommands.ts
+++ b/packages/basilpaddle/src/node/cli/operatorCommands.ts
@@ -33,6 +33,23 @@
                     }),
             async given => end(await (await import("./commands/audit.js")).run(given)),
         )
+        .command(
+            "held",
+            "Show which requests are held back since backend servers ended under them",
+            withOperatorOptions,
+            async given => end(await (await import("./commands/held.js")).run(given)),
+        )
+        .command(
+            "release <request>",
+            "Let a request run again that is held back",
+            nested =>
+                withOperatorName(withOperatorOptions(nested)).positional("request", {
+                    type: "string",
+                    demandOption: true,
+                    describe: "the request, as `held` and the field `content` of logs name it",
+                }),
+            async given => end(await (await import("./commands/release.js")).run(given)),
+        )
         .command(
             "metrics",
             "Print the metrics of the daemon that is asked",
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/recollection.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/recollection.spec.ts
@@ -65,6 +65,16 @@
         expect([after.servers(), after.gateways()]).to.deep.equal([memorable.servers, memorable.gateways]);
     });
 
+    it("still tells after hours of requests under which servers ended, as old as they are by then", async () => {
+        await write();
+        clock.now += 7_200_000;
+        const after = await Recollection.create({ openDisk, clock, logger });
+        expect(after.crashes()).to.deep.equal([{
+            digest: "d",
+            crashes: [{ server: "i@5", early: true, age: 7_200_070 }],
+        }]);
+    });
+
     it("leaves out backend servers after a long time, and counts as nothing where it is damaged", async () => {
         await write();
         clock.now += 120_000;
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/watchBook.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/watchBook.spec.ts
@@ -1,19 +1,30 @@
 import { expect } from "chai";
 import { ManualClock } from "../../../../../../../simulation/manualClock.js";
 import { announced } from "../../../coordination/gateway/__tests__/fakes.js";
-import { Announcements, Quarantine } from "../../../coordination/index.js";
+import { Announcements } from "../../../coordination/index.js";
+import { createSilentLogger } from "../../../utils/index.js";
+import { HeldRequests } from "../../heldRequests.js";
 import { WatchBook } from "../watchBook.js";
 
 function watched(gatewaysBefore: number, clock: ManualClock): WatchBook {
     return bookOf(gatewaysBefore, clock, Announcements.create(1_000));
 }
 
-function bookOf(gatewaysBefore: number, clock: ManualClock, announcements: Announcements): WatchBook {
+function heldAt(clock: ManualClock): HeldRequests {
+    return HeldRequests.create({ tell: () => undefined, clock, logger: createSilentLogger() });
+}
+
+function bookOf(
+    gatewaysBefore: number,
+    clock: ManualClock,
+    announcements: Announcements,
+    held = heldAt(clock),
+): WatchBook {
     return WatchBook.create({
         incarnation: "one",
         failureDomain: "a",
         announcements,
-        quarantine: Quarantine.create(),
+        held,
         document: () => ({ version: 1, content: "{}" }),
         members: () => ({ members: [], leader: undefined }),
         ejected: () => [],
@@ -191,3 +202,30 @@
         await clock.pass(gap);
     }
 }
+
+describe("what watchers hear of requests under which backend servers ended", () => {
+    it("comes once two servers ended, only what they lack, and all of it to one that starts anew", async () => {
+        const clock = new ManualClock();
+        const held = heldAt(clock);
+        const book = bookOf(1, clock, Announcements.create(1_000), held);
+        const watch = {
+            kind: "watch",
+            gateway: "g",
+            version: 1,
+            cursor: 0,
+            wantsDocument: false,
+            observer: false,
+        } as const;
+        held.note("single", { server: "s1", early: true, age: 0 });
+        held.note("both", { server: "s1", early: true, age: 0 });
+        held.note("both", { server: "s2", early: true, age: 0 });
+        const first = await book.watch({ ...watch, incarnation: "" });
+        expect(first.crashes?.map(({ digest }) => digest)).to.deep.equal(["both"]);
+        held.note("both", { server: "s3", early: true, age: 0 });
+        const next = await book.watch({ ...watch, incarnation: "one", crashCursor: first.crashCursor });
+        expect(next.crashes?.[0]?.crashes).to.have.length(3);
+        const later = book.watch({ ...watch, incarnation: "one", crashCursor: next.crashCursor });
+        await clock.pass(1_200);
+        expect((await later).crashes).to.equal(undefined);
+    });
+});
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -1,4 +1,4 @@
-import { DirectoryWatcher, OutlierDetector, Quarantine } from "../../coordination/index.js";
+import { DirectoryWatcher, OutlierDetector } from "../../coordination/index.js";
 import {
     type CrashRecord,
     type DirectoryMessage,
@@ -11,7 +11,7 @@
 import { type Network, TcpNetwork, TcpServer } from "../../transport/index.js";
 import { DisposableStore, type Metrics, type Randomness } from "../../utils/index.js";
 import { BackendConnections } from "../backends/index.js";
-import { logHolds, measureHolds } from "../heldRequests.js";
+import { HeldRequests } from "../heldRequests.js";
 import type { RoutingOptions } from "../routingOptions.js";
 import { type CallAnswer, CallHandler, CallServer } from "./callServer.js";
 import { ConfigurationCalls } from "./configurationCalls.js";
@@ -45,7 +45,8 @@
     private readonly configurationCalls: ConfigurationCalls;
     private readonly connections: BackendConnections;
     private readonly watches: WatchBook;
-    private readonly quarantine = Quarantine.create();
+    /** Requests under which backend servers ended. */
+    readonly held: HeldRequests;
     private readonly name: string;
     private outliers = OutlierDetector.create();
     /** The newest configuration as it was read last. */
@@ -79,13 +80,14 @@
         });
         this.store.add(() => recollection.close());
         recollection.keep(() => this.memorable());
+        this.held = HeldRequests.create({ tell: () => this.passCrashesOn(), clock, logger: options.logger });
         this.connections = BackendConnections.create(options.logger);
         this.store.add(() => this.connections.close());
         this.watches = WatchBook.create({
             incarnation: randomness.identifier(),
             failureDomain: settings.failureDomain,
             announcements: this.hearing.announcements,
-            quarantine: this.quarantine,
+            held: this.held,
             document: () => group.current(),
             members: () => this.members(),
             ejected: () => this.placing === undefined ? [] : this.outliers.ejected(),
@@ -159,7 +161,7 @@
         metrics.gauge("basilpaddle_places_held", placed?.held ?? 0);
         metrics.gauge("basilpaddle_places_waiting", placed?.waiting ?? 0);
         this.hearing.instances.measure(metrics);
-        measureHolds(this.quarantine, this.options.clock.monotonic(), metrics);
+        this.held.measure(metrics);
     }
 
     override async answer(call: DirectoryCall, body: string): Promise<CallAnswer> {
@@ -203,7 +205,7 @@
             logger,
             onAnnounced: announced => this.hearing.hearOther(announced),
             onCrashes: records => this.noteCrashes(records),
-            knownCrashes: () => this.quarantine.since(0, clock.monotonic()),
+            knownCrashes: () => this.held.since(0),
         });
         this.store.add(() => watcher.close());
         const calls = await CallServer.create({ address: settings.calls, handler: this, wire, logger });
@@ -242,21 +244,21 @@
 
     /** Takes in what gateways or other directories know of requests under which servers ended, and passes it on. */
     private noteCrashes(records: readonly CrashRecord[]): void {
-        const { clock, logger } = this.options;
-        const before = this.quarantine.newest();
-        const news = this.quarantine.merge(records, clock.monotonic());
-        logHolds(this.quarantine, news, clock.monotonic(), logger);
-        if (this.quarantine.newest() > before) {
-            this.watches.changed();
-            this.recollection.changed();
+        if (this.held.merge(records).length > 0) {
+            this.passCrashesOn();
         }
     }
 
+    private passCrashesOn(): void {
+        this.watches.changed();
+        this.recollection.changed();
+    }
+
     private memorable(): Memorable | undefined {
         const committed = this.group.committedMark();
         const servers = this.hearing.memorable();
         const gateways = this.watches.gatewayCount();
-        const crashes = this.quarantine.since(0, this.options.clock.monotonic());
+        const crashes = this.held.since(0);
         return committed && { identity: committed.identity, committed: committed.mark, servers, gateways, crashes };
     }
 
@@ -265,7 +267,7 @@
         let cancel = clock.after(silenceInterval, () => look());
         const look = (): void => {
             this.hearing.lookForSilence();
-            this.quarantine.sweep(clock.monotonic());
+            this.held.sweep();
             this.placing?.keepGateways(this.watches.gatewayNames());
             this.reviewOutliers();
             cancel = clock.after(silenceInterval, look);
--- a/packages/basilpaddle/src/node/daemon/directory/watchBook.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/watchBook.ts
@@ -1,8 +1,9 @@
 import { LRUCache } from "lru-cache";
-import type { Announcements, Quarantine } from "../../coordination/index.js";
+import type { Announcements } from "../../coordination/index.js";
 import { type PackedDocument, packText, type Watch, type Watched } from "../../protocol/index.js";
 import type { StoredDocument } from "../../state/index.js";
 import type { Clock } from "../../utils/index.js";
+import type { HeldRequests } from "../heldRequests.js";
 
 /** Milliseconds for which a watch is held open when nothing changes. */
 const holdTime = 1_000;
@@ -33,7 +34,7 @@
     readonly incarnation: string;
     readonly failureDomain: string;
     readonly announcements: Announcements;
-    readonly quarantine: Quarantine;
+    readonly held: Pick<HeldRequests, "newest" | "since">;
     readonly document: () => StoredDocument;
     readonly members: () => { readonly members: readonly string[]; readonly leader: string | undefined; };
     /** Backend servers of plain services that are ejected, where this directory leads. */
@@ -130,10 +131,10 @@
     }
 
     private hasNews(watch: Watch): boolean {
-        const { incarnation, announcements, quarantine, document } = this.sources;
+        const { incarnation, announcements, held, document } = this.sources;
         return watch.incarnation !== incarnation
             || announcements.newest() > watch.cursor
-            || quarantine.newest() > (watch.crashCursor ?? 0)
+            || held.newest() > (watch.crashCursor ?? 0)
             || document().version > watch.version;
     }
 
@@ -166,12 +167,12 @@
     }
 
     private answer(watch: Watch): Watched {
-        const { incarnation, announcements, quarantine, document, members, clock } = this.sources;
+        const { incarnation, announcements, held, document, members } = this.sources;
         const current = document();
         const newer = watch.wantsDocument && current.version > watch.version;
         const isKnown = watch.incarnation === incarnation;
         const since = isKnown ? watch.cursor : 0;
-        const crashes = quarantine.since(isKnown ? watch.crashCursor ?? 0 : 0, clock.monotonic());
+        const crashes = held.since(isKnown ? watch.crashCursor ?? 0 : 0);
         const group = members();
         const ejected = this.sources.ejected();
         return {
@@ -185,7 +186,7 @@
             ...group.leader === undefined ? {} : { leader: group.leader },
             ...this.shares(),
             ...ejected.length === 0 ? {} : { ejected: [...ejected] },
-            crashCursor: quarantine.newest(),
+            crashCursor: held.newest(),
             ...crashes.length === 0 ? {} : { crashes: [...crashes] },
         };
     }
--- a/packages/basilpaddle/src/node/daemon/gateway/crashWatch.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/crashWatch.ts
@@ -1,9 +1,9 @@
 import { LRUCache } from "lru-cache";
-import type { Hold, InstanceTable, Quarantine } from "../../coordination/index.js";
+import type { Hold, InstanceTable } from "../../coordination/index.js";
 import type { Announced, CrashRecord } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
 import type { BackendConnections } from "../backends/index.js";
-import { logHolds } from "../heldRequests.js";
+import type { HeldRequests } from "../heldRequests.js";
 import type { CallerRequest } from "./callerRequest.js";
 
 /** Requests that were lately answered in full. */
@@ -27,11 +27,9 @@
 
 /** What the watch needs. */
 export type CrashWatchOptions = {
-    readonly quarantine: Quarantine;
+    readonly held: HeldRequests;
     readonly instances: InstanceTable;
     readonly connections: BackendConnections;
-    /** Tells every directory. */
-    readonly report: (records: readonly CrashRecord[]) => void;
     readonly clock: Clock;
     readonly logger: Logger;
     readonly metrics: Metrics;
@@ -51,7 +49,7 @@
 
     private constructor(private readonly options: CrashWatchOptions) {
         const sweep = (): void => {
-            options.quarantine.sweep(this.now());
+            options.held.sweep();
             this.cancelSweep = options.clock.after(sweepInterval, sweep);
         };
         this.cancelSweep = options.clock.after(sweepInterval, sweep);
@@ -63,7 +61,7 @@
 
     /** Why a request may not be sent now; undefined where it may. To be asked before each sending: others learn meanwhile. */
     hold(request: CallerRequest): Hold | undefined {
-        return this.options.quarantine.hold(request.digest, this.options.clock.monotonic());
+        return this.options.held.hold(request.digest);
     }
 
     /** A run broke off. `early`: of a kind that gives its answer in parts, and it had given none. */
@@ -86,21 +84,17 @@
     answered(request: CallerRequest): void {
         const { digest } = request;
         this.answeredLately.set(digest, true);
-        if (this.options.quarantine.isSuspected(digest)) {
-            this.clear(digest);
+        if (this.options.held.isSuspected(digest)) {
+            this.options.held.clear(digest);
         }
     }
 
-    /** Directories told of requests under which servers ended. */
+    /** Directories told of requests under which servers ended; one that was answered here lately isn't the cause. */
     hear(records: readonly CrashRecord[]): void {
-        const { quarantine, logger } = this.options;
-        const news = quarantine.merge(records, this.now());
-        news.filter(({ digest }) => this.answeredLately.has(digest)).forEach(({ digest }) => {
-            if (quarantine.isSuspected(digest)) {
-                this.clear(digest);
-            }
-        });
-        logHolds(quarantine, news, this.now(), logger);
+        const { held } = this.options;
+        held.merge(records)
+            .filter(({ digest }) => this.answeredLately.has(digest) && held.isSuspected(digest))
+            .forEach(({ digest }) => held.clear(digest));
     }
 
     /** Looks no more. */
@@ -132,10 +126,8 @@
     }
 
     private note({ server, digest, attempt, early, at }: LostRun, proof: string): void {
-        const { quarantine, logger, metrics, report } = this.options;
+        const { held, logger, metrics } = this.options;
         const age = this.now() - at;
-        const record: CrashRecord = { digest, crashes: [{ server: server.id, early, age }] };
-        const news = quarantine.merge([record], this.now());
         logger.warn("a backend server ended under a request", {
             request: attempt,
             content: digest,
@@ -145,17 +137,7 @@
             proof,
         });
         metrics.count("basilpaddle_crashes_under_requests_total", { early: String(early) });
-        if (news.length > 0) {
-            report([record]);
-            logHolds(quarantine, news, this.now(), logger);
-        }
-    }
-
-    private clear(digest: string): void {
-        const record: CrashRecord = { digest, crashes: [], clearedAge: 0 };
-        this.options.quarantine.merge([record], this.now());
-        this.options.report([record]);
-        this.options.logger.info("a request was answered under which servers had ended", { content: digest });
+        held.note(digest, { server: server.id, early, age });
     }
 
     private now(): number {
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -4,7 +4,6 @@
     DirectoryWatcher,
     InstanceTable,
     LinkQuality,
-    Quarantine,
     RouteTable,
     ServerChoice,
 } from "../../coordination/index.js";
@@ -12,7 +11,7 @@
 import { TcpNetwork } from "../../transport/index.js";
 import { DisposableStore, type Metrics } from "../../utils/index.js";
 import { BackendConnections } from "../backends/index.js";
-import { measureHolds } from "../heldRequests.js";
+import { HeldRequests } from "../heldRequests.js";
 import type { RoutingOptions } from "../routingOptions.js";
 import { CallerRequest, readBody, writeOwn } from "./callerRequest.js";
 import { CallerServer } from "./callerServer.js";
@@ -53,7 +52,8 @@
     private readonly tally = CallTally.create();
     private readonly repeats: RepeatAllowance;
     private readonly connections: BackendConnections;
-    private readonly quarantine = Quarantine.create();
+    /** Requests under which backend servers ended. */
+    readonly held: HeldRequests;
     private readonly crashes: CrashWatch;
     private readonly watcher: DirectoryWatcher;
     private readonly places: PlacesClient;
@@ -74,11 +74,11 @@
         });
         this.connections = BackendConnections.create(logger);
         this.store.add(() => this.connections.close());
+        this.held = HeldRequests.create({ tell: records => this.watcher.report(records), clock, logger });
         this.crashes = CrashWatch.create({
-            quarantine: this.quarantine,
+            held: this.held,
             instances: this.instances,
             connections: this.connections,
-            report: records => this.watcher.report(records),
             clock,
             logger,
             metrics,
@@ -96,7 +96,7 @@
             onAnnounced: announced => this.instances.take(announced),
             borrowed: () => this.repeats.borrowed(),
             onCrashes: records => this.crashes.hear(records),
-            knownCrashes: () => this.quarantine.all(clock.monotonic()),
+            knownCrashes: () => this.held.all(),
             onDocument: (version, content) => this.configure(version, content),
         });
         this.store.add(() => this.watcher.close());
@@ -182,7 +182,7 @@
     /** Sets the gauges of a gateway. */
     measure(metrics: Metrics): void {
         this.instances.measure(metrics);
-        measureHolds(this.quarantine, this.options.clock.monotonic(), metrics);
+        this.held.measure(metrics);
     }
 
     private async open(): Promise<void> {
--- a/packages/basilpaddle/src/node/daemon/heldRequests.ts
+++ b/packages/basilpaddle/src/node/daemon/heldRequests.ts
@@ -1,16 +1,101 @@
-import type { Hold, Quarantine } from "../coordination/index.js";
+import { type HeldRequest, type Hold, Quarantine } from "../coordination/index.js";
 import type { CrashRecord } from "../protocol/index.js";
-import type { Logger, Metrics } from "../utils/index.js";
-
-/** Logs which of the requests that there is news of are held back now, with what speaks against them. */
-export function logHolds(
-    quarantine: Quarantine,
-    news: readonly CrashRecord[],
-    now: number,
-    logger: Logger,
-): void {
-    for (const { digest } of news) {
-        const hold = quarantine.hold(digest, now);
+import type { Clock, Logger, Metrics } from "../utils/index.js";
+
+/** What a daemon's copy needs. */
+export type HeldRequestsOptions = {
+    /** Passes on what this daemon found out itself, or an operator told it. */
+    readonly tell: (records: readonly CrashRecord[]) => void;
+    readonly clock: Clock;
+    readonly logger: Logger;
+};
+
+/** One daemon's copy of what all know of requests under which backend servers ended; logs each change of a belief. */
+export class HeldRequests {
+    private readonly quarantine = Quarantine.create();
+
+    private constructor(private readonly options: HeldRequestsOptions) {}
+
+    static create(options: HeldRequestsOptions): HeldRequests {
+        return new HeldRequests(options);
+    }
+
+    /** Why a request may not be sent now; undefined where it may. */
+    hold(digest: string): Hold | undefined {
+        return this.quarantine.hold(digest, this.now());
+    }
+
+    /** Whether any crash counts against a request. */
+    isSuspected(digest: string): boolean {
+        return this.quarantine.isSuspected(digest);
+    }
+
+    /** Takes in what other daemons know; gives what is news. */
+    merge(records: readonly CrashRecord[]): readonly CrashRecord[] {
+        const news = this.quarantine.merge(records, this.now());
+        news.forEach(({ digest }) => this.log(digest));
+        return news;
+    }
+
+    /** Notes that a backend server ended under a request, and tells others. */
+    note(digest: string, crash: CrashRecord["crashes"][number]): void {
+        this.tell({ digest, crashes: [crash] });
+    }
+
+    /** Notes that a request was answered in full: whatever ended while it ran before, it isn't the cause. */
+    clear(digest: string): void {
+        this.tell({ digest, crashes: [], clearedAge: 0 });
+    }
+
+    /** Lets a request run again by an operator's word; tells whether anything spoke against it. */
+    release(digest: string, operator: string): boolean {
+        const wasSuspected = this.isSuspected(digest);
+        this.options.logger.info("an operator released a request", { content: digest, operator, wasSuspected });
+        if (wasSuspected) {
+            this.clear(digest);
+        }
+        return wasSuspected;
+    }
+
+    /** All that is held back now. */
+    held(): readonly HeldRequest[] {
+        return this.quarantine.held(this.now());
+    }
+
+    /** Number of the newest change that others have to know. */
+    newest(): number {
+        return this.quarantine.newest();
+    }
+
+    /** What changed after that number and others have to know. */
+    since(number: number): readonly CrashRecord[] {
+        return this.quarantine.since(number, this.now());
+    }
+
+    /** All that is known here, single crashes included. */
+    all(): readonly CrashRecord[] {
+        return this.quarantine.all(this.now());
+    }
+
+    /** Forgets what says nothing any more. */
+    sweep(): void {
+        this.quarantine.sweep(this.now());
+    }
+
+    /** Sets the gauge of requests that are held back. */
+    measure(metrics: Metrics): void {
+        metrics.gauge("basilpaddle_requests_held_back", this.held().length);
+    }
+
+    private tell(record: CrashRecord): void {
+        if (this.merge([record]).length > 0) {
+            this.options.tell([record]);
+        }
+    }
+
+    private log(digest: string): void {
+        const { logger } = this.options;
+        const hold = this.hold(digest);
         if (hold !== undefined) {
             const { left, crashes } = hold;
             logger.warn("a request is held back", {
@@ -19,15 +104,14 @@
                 crashes: crashTexts(crashes),
             });
         }
-        else if (!quarantine.isSuspected(digest)) {
+        else if (!this.isSuspected(digest)) {
             logger.info("nothing is held against a request any more", { content: digest });
         }
     }
-}
 
-/** Sets the gauge of requests that are held back. */
-export function measureHolds(quarantine: Quarantine, now: number, metrics: Metrics): void {
-    metrics.gauge("basilpaddle_requests_held_back", quarantine.held(now).length);
+    private now(): number {
+        return this.options.clock.monotonic();
+    }
 }
 
 /** The backend servers that ended, and how many milliseconds ago. */
--- a/packages/basilpaddle/src/node/daemon/operators/operatorWire.ts
+++ b/packages/basilpaddle/src/node/daemon/operators/operatorWire.ts
@@ -7,6 +7,7 @@
     viewSchema,
 } from "../../protocol/index.js";
 import { auditEntrySchema, auditTopics, historyEntrySchema } from "../../state/index.js";
+import { heldAnswerSchema, releasedAnswerSchema } from "./heldWire.js";
 
 const index = z.int().min(0);
 const limit = z.coerce.number().int().min(1).max(1_000).default(50);
@@ -101,6 +102,8 @@
         /** With `accepted`, which is answered once the change is in force: the entry daemons that confirmed it. */
         daemons: z.array(z.string()),
     }),
+    heldAnswerSchema,
+    releasedAnswerSchema,
     z.object({ kind: z.literal("drained"), backend: z.string(), incarnation: index }),
     z.object({
         kind: z.literal("failure"),
--- a/packages/basilpaddle/src/node/daemon/start/metricsServer.ts
+++ b/packages/basilpaddle/src/node/daemon/start/metricsServer.ts
@@ -1,26 +1,37 @@
 import * as http from "node:http";
 import type { AddressInfo } from "node:net";
 import type { RecordedMetrics } from "../../utils/index.js";
+import type { HeldRequests } from "../heldRequests.js";
+import { answerHeld } from "../operators/heldCalls.js";
 
 /** Path at which metrics are served. */
 const metricsPath = "/metrics";
+const jsonType = "application/json; charset=utf-8";
 const contentType = "text/plain; version=0.0.4; charset=utf-8";
 /** Milliseconds for a reader's request to arrive. */
 const receiveTimeout = 5_000;
 
-/** Serves metrics in the Prometheus text format. */
+/** Serves metrics in the Prometheus text format, and operators' calls about requests that are held back. */
 export class MetricsServer {
     private constructor(private readonly server: http.Server) {}
 
     static async create(
         address: { readonly host: string; readonly port: number; },
         metrics: RecordedMetrics,
+        held: HeldRequests,
     ): Promise<MetricsServer> {
         const server = http.createServer({ requestTimeout: receiveTimeout }, (request, response) => {
-            const known = request.method === "GET" && request.url === metricsPath;
-            const body = Buffer.from(known ? metrics.text() : "not found\n");
-            response.writeHead(known ? 200 : 404, { "Content-Type": contentType, "Content-Length": body.length });
-            response.end(body);
+            void answerHeld(held, request).then(reply => {
+                if (reply !== undefined) {
+                    write(response, reply.status, jsonType, `${JSON.stringify(reply.body)}\n`);
+                }
+                else if (request.method === "GET" && request.url === metricsPath) {
+                    write(response, 200, contentType, metrics.text());
+                }
+                else {
+                    write(response, 404, contentType, "not found\n");
+                }
+            });
         });
         await new Promise<void>((resolve, reject) => {
             server.once("error", reject);
@@ -40,3 +51,9 @@
         this.server.closeAllConnections();
     }
 }
+
+function write(response: http.ServerResponse, status: number, type: string, text: string): void {
+    const body = Buffer.from(text);
+    response.writeHead(status, { "Content-Type": type, "Content-Length": body.length });
+    response.end(body);
+}
--- a/packages/basilpaddle/src/node/daemon/start/routingStart.ts
+++ b/packages/basilpaddle/src/node/daemon/start/routingStart.ts
@@ -13,6 +13,7 @@
 import { type DisposableStore, HostRandomness, type Logger, type RecordedMetrics } from "../../utils/index.js";
 import { DirectoryDaemon, type DirectoryWire } from "../directory/index.js";
 import { GatewayDaemon, type GatewayWire } from "../gateway/index.js";
+import type { HeldRequests } from "../heldRequests.js";
 import { AssembledDaemon } from "./assembledDaemon.js";
 import { MetricsServer } from "./metricsServer.js";
 import type { RunningDaemon, ShutdownReport } from "./runningDaemon.js";
@@ -62,13 +63,18 @@
     store: DisposableStore,
     settings: RoutingSettings,
     metrics: RecordedMetrics,
+    held: HeldRequests,
     logger: Logger,
 ): Promise<void> {
     try {
-        const server = await MetricsServer.create({
-            host: settings.bindHost ?? settings.host,
-            port: settings.metricsPort,
-        }, metrics);
+        const server = await MetricsServer.create(
+            {
+                host: settings.bindHost ?? settings.host,
+                port: settings.metricsPort,
+            },
+            metrics,
+            held,
+        );
         store.add(() => server.close());
         logger.info("metrics are served", { port: server.port() });
     }
@@ -142,12 +148,12 @@
         const { common, logger, metrics, store } = this;
         const reload = SeedReload.create(common, this.file, logger);
         store.add(() => reload.close());
-        await this.openDaemon(() => reload.seeds());
-        await serveMetrics(store, common, metrics, logger);
+        const held = await this.openDaemon(() => reload.seeds());
+        await serveMetrics(store, common, metrics, held, logger);
     }
 
-    /** Opens the daemon itself. */
-    protected abstract openDaemon(seeds: () => readonly string[]): Promise<void>;
+    /** Opens the daemon itself; gives its copy of the requests that are held back. */
+    protected abstract openDaemon(seeds: () => readonly string[]): Promise<HeldRequests>;
 
     /** Shuts the daemon down in order. Gives the number of requests that were cut off. */
     protected abstract closeDaemon(): Promise<number>;
@@ -171,11 +177,12 @@
         super(settings, file, logger);
     }
 
-    protected override async openDaemon(seeds: () => readonly string[]): Promise<void> {
+    protected override async openDaemon(seeds: () => readonly string[]): Promise<HeldRequests> {
         const { settings, wire, clock, logger, metrics } = this;
         const daemon = await GatewayDaemon.create({ settings, seeds, wire, clock, logger, metrics });
         this.daemon = daemon;
         this.store.add(metrics.onCollect(() => daemon.measure(metrics)));
+        return daemon.held;
     }
 
     protected override async closeDaemon(): Promise<number> {
@@ -195,12 +202,13 @@
         super(settings, file, logger);
     }
 
-    protected override async openDaemon(seeds: () => readonly string[]): Promise<void> {
+    protected override async openDaemon(seeds: () => readonly string[]): Promise<HeldRequests> {
         const { settings, wire, clock, logger, metrics } = this;
         const randomness = HostRandomness.create(settings.name);
         const daemon = await DirectoryDaemon.create({ settings, seeds, wire, clock, randomness, logger });
         this.daemon = daemon;
         this.store.add(metrics.onCollect(() => daemon.measure(metrics)));
+        return daemon.held;
     }
 
     protected override async closeDaemon(): Promise<number> {
