--- a/packages/basilpaddle/src/node/daemon/gateway/crashWatch.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/crashWatch.ts
@@ -1,10 +1,9 @@
 import { LRUCache } from "lru-cache";
-import type { Hold, InstanceTable } from "../../coordination/index.js";
-import type { Announced, CrashRecord } from "../../protocol/index.js";
+import type { CrashRecord } from "../../protocol/index.js";
+import type { Listening } from "../../transport/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
-import type { BackendConnections } from "../backends/index.js";
-import type { HeldRequests } from "../heldRequests.js";
-import type { CallerRequest } from "./callerRequest.js";
+import type { HeldRequests } from "./heldRequests.js";
+import type { Hold } from "./quarantine.js";
 
 /** Requests that were lately answered in full. */
 const answeredLimit = 1_024;
@@ -16,32 +15,48 @@
 /** Runs that broke off and wait for such word; with each engine that falls silent go dozens. */
 const mostWaiting = 1_000;
 
-/** A run that broke off. */
-type LostRun = {
-    readonly server: Announced;
+/** One arrival of a request. */
+export type Arrived = {
+    /** Names what it holds. */
     readonly digest: string;
+    /** Identifier of the attempt, for logs. */
     readonly attempt: string;
+};
+
+/** One life of a backend server. */
+export type ServerLife = {
+    /** Identifier of the incarnation, for logs and other daemons. */
+    readonly id: string;
+    /** "HOST:PORT". */
+    readonly address: string;
+};
+
+/** A run that broke off. */
+type LostRun = Arrived & {
+    readonly server: ServerLife;
     readonly early: boolean;
     readonly at: number;
 };
 
-/** What the watch needs. */
+/** What a watch works with. */
 export type CrashWatchOptions = {
     readonly held: HeldRequests;
-    readonly instances: InstanceTable;
-    readonly connections: BackendConnections;
+    /** Whether word has come that the incarnation of this identifier is gone. */
+    readonly isGone: (id: string) => boolean;
+    /** Looks whether anything takes connections at an address. */
+    readonly listens: (address: string) => Promise<Listening>;
     readonly clock: Clock;
     readonly logger: Logger;
     readonly metrics: Metrics;
 };
 
 /**
- * Finds out which backend servers ended under the requests of this gateway, and which requests may not be sent for it.
+ * Finds out which backend servers ended under the requests of this daemon, and which requests may not be sent for it.
  * A connection that breaks says little: it may have been reset, or the answer lost. What counts is that nothing
  * listens at the server's address any more, or that heartbeats say so.
  */
 export class CrashWatch {
-    private readonly looking = new Map<string, Promise<"yes" | "no" | "unknown">>();
+    private readonly looking = new Map<string, Promise<Listening>>();
     private readonly answeredLately = new LRUCache<string, true>({ max: answeredLimit });
     private waiting: LostRun[] = [];
     private cancelPoll: (() => void) | undefined;
@@ -60,18 +75,20 @@
     }
 
     /** Why a request may not be sent now; undefined where it may. To be asked before each sending: others learn meanwhile. */
-    hold(request: CallerRequest): Hold | undefined {
+    hold(request: Arrived): Hold | undefined {
         return this.options.held.hold(request.digest);
     }
 
     /** A run broke off. `early`: of a kind that gives its answer in parts, and it had given none. */
-    async lost(request: CallerRequest, server: Announced, early: boolean): Promise<void> {
-        const run = { server, digest: request.digest, attempt: request.attempt, early, at: this.now() };
-        if (this.answeredLately.has(run.digest)) {
+    async lost({ digest, attempt }: Arrived, server: ServerLife, early: boolean): Promise<void> {
+        const run = { server, digest, attempt, early, at: this.now() };
+        if (this.answeredLately.has(digest)) {
             return;
         }
-        const listens = this.options.instances.hasEnded(server.id) ? "no" : await this.look(server);
-        if (listens === "no") {
+        if (this.options.isGone(server.id)) {
+            this.note(run, "word has come of its end");
+        }
+        else if (await this.look(server) === "no") {
             this.note(run, "nothing listens at its address");
         }
         else if (this.waiting.length < mostWaiting) {
@@ -81,15 +98,14 @@
     }
 
     /** A request was answered in full: whatever ended while it ran before, it isn't the cause. */
-    answered(request: CallerRequest): void {
-        const { digest } = request;
+    answered({ digest }: Arrived): void {
         this.answeredLately.set(digest, true);
         if (this.options.held.isSuspected(digest)) {
             this.options.held.clear(digest);
         }
     }
 
-    /** Directories told of requests under which servers ended; one that was answered here lately isn't the cause. */
+    /** Other daemons told of requests under which servers ended; one that was answered here lately isn't the cause. */
     hear(records: readonly CrashRecord[]): void {
         const { held } = this.options;
         held.merge(records)
@@ -105,23 +121,23 @@
     }
 
     /** One look serves all the runs that broke off with a server. */
-    private look(server: Announced): Promise<"yes" | "no" | "unknown"> {
+    private look(server: ServerLife): Promise<Listening> {
         const known = this.looking.get(server.id);
         if (known !== undefined) {
             return known;
         }
-        const look = this.options.connections.listens(server).finally(() => this.looking.delete(server.id));
+        const look = this.options.listens(server.address).finally(() => this.looking.delete(server.id));
         this.looking.set(server.id, look);
         return look;
     }
 
     private review(): void {
-        const { instances, clock } = this.options;
+        const { clock } = this.options;
         const since = this.now() - wordPatience;
-        const isGone = ({ server }: LostRun): boolean => instances.isGone(server.id);
+        const isGone = ({ server }: LostRun): boolean => this.options.isGone(server.id);
         const gone = this.waiting.filter(isGone);
         this.waiting = this.waiting.filter(run => !isGone(run) && run.at > since);
-        gone.forEach(run => this.note(run, "its heartbeats have ended"));
+        gone.forEach(run => this.note(run, "word has come of its end"));
         this.cancelPoll = this.waiting.length === 0 ? undefined : clock.after(wordPoll, () => this.review());
     }
 
--- a/packages/basilpaddle/src/node/daemon/heldRequests.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/heldRequests.ts
@@ -1,6 +1,6 @@
-import { type HeldRequest, type Hold, Quarantine } from "../coordination/index.js";
-import type { CrashRecord } from "../protocol/index.js";
-import type { Clock, Logger, Metrics } from "../utils/index.js";
+import type { CrashRecord } from "../../protocol/index.js";
+import type { Clock, Logger, Metrics } from "../../utils/index.js";
+import { type HeldRequest, type Hold, Quarantine } from "./quarantine.js";
 
 /** What a daemon's copy needs. */
 export type HeldRequestsOptions = {
--- a/packages/basilpaddle/src/node/coordination/quarantine/index.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/index.ts
@@ -1,2 +1,4 @@
-export * from "./quarantine.js";
+export * from "./crashWatch.js";
+export * from "./heldRequests.js";
+export type { HeldRequest, Hold } from "./quarantine.js";
 export * from "./requestDigest.js";
--- a/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
@@ -2,7 +2,6 @@
 import type { Readable } from "node:stream";
 import { type buildConnector, Pool } from "undici";
 import type { Announced } from "../../protocol/index.js";
-import { parseAddress } from "../../transport/index.js";
 import { afterPoll, type Logger } from "../../utils/index.js";
 
 /**
@@ -19,10 +18,9 @@
 /** Part of a backend server's connections that gateways use together; the rest is for their uneven shares. */
 const connectionPart = 0.9;
 const noConnectionInTime = "NO_CONNECTION_IN_TIME";
-const refused = "ECONNREFUSED";
 /** Codes of failures to connect: nothing was sent. */
 const connectFailures: ReadonlySet<string> = new Set([
-    refused,
+    "ECONNREFUSED",
     "EHOSTUNREACH",
     "ENETUNREACH",
     "EADDRNOTAVAIL",
@@ -136,25 +134,6 @@
         }
     }
 
-    /**
-     * Whether anything takes connections at the server's address: nothing does once it has ended, also where its host goes
-     * on. `unknown`: no answer came, which a cut link or a lost host has in common.
-     */
-    listens(server: Announced): Promise<"yes" | "no" | "unknown"> {
-        const { host = "", port = 0 } = parseAddress(server.address) ?? {};
-        return new Promise(resolve => {
-            const socket = net.connect({ host, port });
-            const settle = (found: "yes" | "no" | "unknown"): void => {
-                cancel();
-                socket.destroy();
-                resolve(found);
-            };
-            const cancel = afterPoll(connectTimeout, () => settle("unknown"));
-            socket.once("connect", () => settle("yes"));
-            socket.on("error", (failure: NodeJS.ErrnoException) => settle(failure.code === refused ? "no" : "unknown"));
-        });
-    }
-
     /** Closes the connections to an incarnation that has ended. */
     forget(id: string): void {
         const known = this.pools.get(id);
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/watchBook.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/watchBook.spec.ts
@@ -1,9 +1,8 @@
 import { expect } from "chai";
 import { ManualClock } from "../../../../../../../simulation/manualClock.js";
 import { announced } from "../../../coordination/gateway/__tests__/fakes.js";
-import { Announcements } from "../../../coordination/index.js";
+import { Announcements, HeldRequests } from "../../../coordination/index.js";
 import { createSilentLogger } from "../../../utils/index.js";
-import { HeldRequests } from "../../heldRequests.js";
 import { WatchBook } from "../watchBook.js";
 
 function watched(gatewaysBefore: number, clock: ManualClock): WatchBook {
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -1,4 +1,4 @@
-import { DirectoryWatcher, OutlierDetector } from "../../coordination/index.js";
+import { DirectoryWatcher, HeldRequests, OutlierDetector } from "../../coordination/index.js";
 import {
     type CrashRecord,
     type DirectoryMessage,
@@ -11,7 +11,6 @@
 import { type Network, TcpNetwork, TcpServer } from "../../transport/index.js";
 import { DisposableStore, type Metrics, type Randomness } from "../../utils/index.js";
 import { BackendConnections } from "../backends/index.js";
-import { HeldRequests } from "../heldRequests.js";
 import type { RoutingOptions } from "../routingOptions.js";
 import { type CallAnswer, CallHandler, CallServer } from "./callServer.js";
 import { ConfigurationCalls } from "./configurationCalls.js";
--- a/packages/basilpaddle/src/node/daemon/directory/watchBook.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/watchBook.ts
@@ -1,9 +1,8 @@
 import { LRUCache } from "lru-cache";
-import type { Announcements } from "../../coordination/index.js";
+import type { Announcements, HeldRequests } from "../../coordination/index.js";
 import { type PackedDocument, packText, type Watch, type Watched } from "../../protocol/index.js";
 import type { StoredDocument } from "../../state/index.js";
 import type { Clock } from "../../utils/index.js";
-import type { HeldRequests } from "../heldRequests.js";
 
 /** Milliseconds for which a watch is held open when nothing changes. */
 const holdTime = 1_000;
--- a/packages/basilpaddle/src/node/daemon/gateway/exchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/exchange.ts
@@ -1,4 +1,4 @@
-import type { CallTally, InstanceTable, LinkQuality, ServerChoice } from "../../coordination/index.js";
+import type { CallTally, CrashWatch, InstanceTable, LinkQuality, ServerChoice } from "../../coordination/index.js";
 import { type Announced, serverName, type ServiceRule } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
 import {
@@ -10,7 +10,6 @@
     isAnswer,
 } from "../backends/index.js";
 import type { CallerRequest } from "./callerRequest.js";
-import type { CrashWatch } from "./crashWatch.js";
 import type { AnswerFacts, GatewayWire, RunFacts } from "./gatewayWire.js";
 import type { RepeatAllowance } from "./repeatAllowance.js";
 
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -1,21 +1,21 @@
 import * as http from "node:http";
 import {
     CallTally,
+    CrashWatch,
     DirectoryWatcher,
+    HeldRequests,
     InstanceTable,
     LinkQuality,
     RouteTable,
     ServerChoice,
 } from "../../coordination/index.js";
 import { type GatewaySettings, seedNames, type TrafficRoute } from "../../protocol/index.js";
-import { TcpNetwork } from "../../transport/index.js";
+import { listens, TcpNetwork } from "../../transport/index.js";
 import { DisposableStore, type Metrics } from "../../utils/index.js";
 import { BackendConnections } from "../backends/index.js";
-import { HeldRequests } from "../heldRequests.js";
 import type { RoutingOptions } from "../routingOptions.js";
 import { CallerRequest, readBody, writeOwn } from "./callerRequest.js";
 import { CallerServer } from "./callerServer.js";
-import { CrashWatch } from "./crashWatch.js";
 import type { ExchangeParts } from "./exchange.js";
 import type { GatewayWire } from "./gatewayWire.js";
 import { headerBytes } from "./headers.js";
@@ -77,8 +77,8 @@
         this.held = HeldRequests.create({ tell: records => this.watcher.report(records), clock, logger });
         this.crashes = CrashWatch.create({
             held: this.held,
-            instances: this.instances,
-            connections: this.connections,
+            isGone: id => this.instances.isGone(id),
+            listens,
             clock,
             logger,
             metrics,
--- a/packages/basilpaddle/src/node/daemon/gateway/refusalOfHeld.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/refusalOfHeld.ts
@@ -1,6 +1,5 @@
-import { crashTexts } from "../heldRequests.js";
+import { crashTexts, type CrashWatch } from "../../coordination/index.js";
 import type { CallerRequest } from "./callerRequest.js";
-import type { CrashWatch } from "./crashWatch.js";
 
 /** The reason that callers are given, and that accounts of losses show. */
 const reason = "backend servers ended under this request; it is held back";
--- a/packages/basilpaddle/src/node/daemon/operators/heldCalls.ts
+++ b/packages/basilpaddle/src/node/daemon/operators/heldCalls.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from "node:http";
-import type { HeldRequests } from "../heldRequests.js";
+import type { HeldRequests } from "../../coordination/index.js";
 import { readBody } from "./body.js";
 import { releaseSchema } from "./heldWire.js";
 
--- a/packages/basilpaddle/src/node/daemon/start/metricsServer.ts
+++ b/packages/basilpaddle/src/node/daemon/start/metricsServer.ts
@@ -1,7 +1,7 @@
 import * as http from "node:http";
 import type { AddressInfo } from "node:net";
+import type { HeldRequests } from "../../coordination/index.js";
 import type { RecordedMetrics } from "../../utils/index.js";
-import type { HeldRequests } from "../heldRequests.js";
 import { answerHeld } from "../operators/heldCalls.js";
 
 /** Path at which metrics are served. */
--- a/packages/basilpaddle/src/node/daemon/start/routingStart.ts
+++ b/packages/basilpaddle/src/node/daemon/start/routingStart.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from "node:fs";
 import { stat } from "node:fs/promises";
 import { type Either, Left, Right } from "purify-ts";
+import type { HeldRequests } from "../../coordination/index.js";
 import {
     type DirectorySettings,
     type Finding,
@@ -13,7 +14,6 @@
 import { type DisposableStore, HostRandomness, type Logger, type RecordedMetrics } from "../../utils/index.js";
 import { DirectoryDaemon, type DirectoryWire } from "../directory/index.js";
 import { GatewayDaemon, type GatewayWire } from "../gateway/index.js";
-import type { HeldRequests } from "../heldRequests.js";
 import { AssembledDaemon } from "./assembledDaemon.js";
 import { MetricsServer } from "./metricsServer.js";
 import type { RunningDaemon, ShutdownReport } from "./runningDaemon.js";
--- a/simulation/quarantine/crashDay.ts
+++ b/simulation/quarantine/crashDay.ts
@@ -1,4 +1,4 @@
-import { type Hold, Quarantine } from "../../packages/basilpaddle/src/node/coordination/index.js";
+import { type Hold, Quarantine } from "../../packages/basilpaddle/src/node/coordination/quarantine/quarantine.js";
 import { SeededRandomness } from "../../packages/basilpaddle/src/node/utils/index.js";
 
 /** Engines of the pool, and milliseconds after which one that crashed is back under another name. */
