--- /dev/null
+++ b/playground/__tests__/repeatedCrashes.spec.ts
@@ -0,0 +1,45 @@
+import { expect } from "chai";
+import { pause } from "../harness/index.js";
+import { call, Rig } from "./rig.js";
+
+const deadly = "a prompt that no engine survives";
+const moreEngines = ["decode-3", "decode-4", "decode-5", "decode-6", "decode-7"];
+/** Milliseconds after the last crash in which each entry daemon must have learnt of it. */
+const contactTime = 3_000;
+
+// One request ended every engine that began to decode it, and came again at another entry daemon each time. A daemon forgot what
+// a crash had shown with the request that met it, and told nobody, so that each arrival cost up to three engines more: the log of
+// each entry daemon had `attempt failed; another is made` with a broken connection twice, and the next arrival's the same.
+describe("a prompt that ends each engine that decodes it", function() {
+    this.timeout(60_000);
+    let rig: Rig;
+    before(async () => {
+        rig = await Rig.create(false, { diesUnder: deadly });
+        await Promise.all(moreEngines.map(id => rig.addEngine(id, "decode", { diesUnder: deadly })));
+        await rig.deployment.backendsReady(moreEngines);
+    });
+    after(() => rig?.close());
+
+    async function ended(): Promise<number> {
+        const engines = ["decode-1", "decode-2", ...moreEngines].map(id => rig.deployment.backends.get(id)!);
+        const up = await Promise.all(engines.map(engine => engine.held().then(() => true, () => false)));
+        return up.filter(isUp => !isUp).length;
+    }
+
+    it("is refused by all entry daemons once three have ended under it", async () => {
+        for (let asked = 0; await ended() < 3; asked++) {
+            await rig.caller(asked % 3).ask(call(deadly));
+        }
+        await pause(contactTime);
+        const before = await ended();
+        const answers = await Promise.all([0, 1, 2].map(asked => rig.caller(asked).ask(call(deadly))));
+        expect(await ended()).to.equal(before);
+        expect(before).to.equal(3);
+        expect(answers.map(({ status, error }) => [status, error?.outcome])).to.deep.equal(
+            Array.from({ length: 3 }, () => [503, "not_run"]),
+        );
+        expect(answers.every(({ error }) => (error?.retry_after ?? 0) > 60)).to.equal(true);
+        const other = await rig.caller(1).askUntilRun(call("a prompt like any other"));
+        expect(other.whole).to.equal(true);
+    });
+});
--- a/playground/__tests__/rig.ts
+++ b/playground/__tests__/rig.ts
@@ -25,6 +25,7 @@
     readonly checksFence?: boolean;
     readonly linkRate?: number;
     readonly tokenTime?: number;
+    readonly diesUnder?: string;
 };
 
 const pictured =
--- a/playground/standins/fakeEngine.ts
+++ b/playground/standins/fakeEngine.ts
@@ -37,6 +37,8 @@
     private readonly decodes: DecodeWork;
     private readonly announcer: Announcer;
     private readonly incarnation: number;
+    /** Attempts under which it ends. */
+    private readonly deadly = new Set<string>();
     private readonly handlers: ReadonlyMap<string, Handler>;
     private readonly pictures: Picture[] = [];
     private readonly pictureTimer: NodeJS.Timeout;
@@ -166,6 +168,10 @@
     private async import(call: Call): Promise<void> {
         const { attempt, source, generation } = importRequestSchema.parse(JSON.parse(call.body));
         const refusal = this.refusal("decode", generation);
+        const { diesUnder } = this.settings;
+        if (diesUnder !== undefined && generation.prompt.includes(diesUnder)) {
+            this.deadly.add(attempt);
+        }
         answerWork(call, refusal ?? await this.decodes.import(attempt, source, generation));
     }
 
@@ -181,6 +187,10 @@
             answerJson(call.response, 400, { message: `can't decode from ${offset}` });
             return;
         }
+        if (this.deadly.has(attempt)) {
+            this.die();
+            return;
+        }
         this.decodes.start(decoding);
         await streamLines(call.response, this.decodes, decoding, offset, this.faults);
     }
--- a/playground/standins/settings.ts
+++ b/playground/standins/settings.ts
@@ -33,6 +33,8 @@
     /** Load reports tell what was the case this long ago. */
     loadLag: milliseconds.default(200),
     checksFence: z.boolean().default(true),
+    /** Text in a prompt under which it ends as soon as it begins to decode. */
+    diesUnder: z.string().min(1).optional(),
     resume: z.boolean().default(true),
     changesRole: z.boolean().default(true),
     orderLatency: milliseconds.default(20),
