--- a/packages/basilpaddle/src/node/coordination/quarantine/__tests__/crashNews.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/__tests__/crashNews.spec.ts
@@ -1,11 +1,13 @@
 import { expect } from "chai";
 import { ManualClock } from "../../../../../../../simulation/manualClock.js";
+import { holdRulesSchema } from "../../../protocol/index.js";
 import { createSilentLogger } from "../../../utils/index.js";
 import { answerCrashes, CrashExchange } from "../crashNews.js";
 import { HeldRequests } from "../heldRequests.js";
 
 function copy(tell: (digest: string) => void = () => undefined): HeldRequests {
     return HeldRequests.create({
+        rules: holdRulesSchema.parse({}),
         tell: records => records.forEach(({ digest }) => tell(digest)),
         clock: new ManualClock(),
         logger: createSilentLogger(),
--- a/packages/basilpaddle/src/node/coordination/quarantine/__tests__/crashWatch.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/__tests__/crashWatch.spec.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { ManualClock } from "../../../../../../../simulation/manualClock.js";
+import { holdRulesSchema } from "../../../protocol/index.js";
 import type { Listening } from "../../../transport/index.js";
 import { createSilentLogger, SilentMetrics } from "../../../utils/index.js";
 import { CrashWatch } from "../crashWatch.js";
@@ -22,7 +23,7 @@
         looks = 0;
         gone = new Set();
         const logger = createSilentLogger();
-        held = HeldRequests.create({ tell: () => undefined, clock, logger });
+        held = HeldRequests.create({ rules: holdRulesSchema.parse({}), tell: () => undefined, clock, logger });
         watch = CrashWatch.create({
             held,
             isGone: id => gone.has(id),
--- a/packages/basilpaddle/src/node/coordination/quarantine/__tests__/quarantine.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/__tests__/quarantine.spec.ts
@@ -1,17 +1,18 @@
 import { expect } from "chai";
-import { type Crash, type CrashRecord, mostCrashes } from "../../../protocol/index.js";
+import { type Crash, type CrashRecord, holdRulesSchema, mostCrashes } from "../../../protocol/index.js";
 import { Quarantine } from "../quarantine.js";
 
 const early = (server: string, age = 0): Crash => ({ server, early: true, age });
 const late = (server: string, age = 0): Crash => ({ server, early: false, age });
 const of = (digest: string, ...crashes: Crash[]): CrashRecord => ({ digest, crashes });
 const minute = 60_000;
+const rules = holdRulesSchema.parse({});
 
 describe("the quarantine", () => {
     let quarantine: Quarantine;
 
     beforeEach(() => {
-        quarantine = Quarantine.create();
+        quarantine = Quarantine.create(rules);
     });
 
     function isHeld(digest: string, now = 0): boolean {
@@ -62,7 +63,7 @@
     });
 
     it("tells others of a request once two servers ended under it, and comes to an end of telling", () => {
-        const other = Quarantine.create();
+        const other = Quarantine.create(rules);
         quarantine.merge([of("a", early("s1")), of("b", early("s1"))], 0);
         expect([quarantine.newest(), quarantine.since(0, 0)]).to.deep.equal([0, []]);
         quarantine.merge([of("a", early("s2"))], 10);
@@ -75,6 +76,12 @@
         expect(quarantine.merge(other.since(0, 6_300), 5_400)).to.deep.equal([]);
     });
 
+    it("goes by its rules, and tells of a single crash where one is enough", () => {
+        quarantine = Quarantine.create({ crashes: 1, earlyCrashes: 1, firstHold: 1_000 });
+        quarantine.merge([of("a", late("s1"))], 0);
+        expect([isHeld("a", 900), isHeld("a", 1_100), quarantine.newest()]).to.deep.equal([true, false, 1]);
+    });
+
     it("is bounded: in crashes of a request, and in requests", () => {
         const many = Array.from({ length: 40 }, (_, index) => early(`s${index}`));
         many.forEach(crash => quarantine.merge([of("a", crash)], 0));
--- a/packages/basilpaddle/src/node/coordination/quarantine/heldRequests.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/heldRequests.ts
@@ -1,10 +1,11 @@
 import { randomUUID } from "node:crypto";
-import type { CrashRecord } from "../../protocol/index.js";
+import type { CrashRecord, HoldRules } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
 import { type HeldRequest, type Hold, Quarantine } from "./quarantine.js";
 
 /** What a daemon's copy needs. */
 export type HeldRequestsOptions = {
+    readonly rules: HoldRules;
     /** Passes on what this daemon found out itself, or an operator told it. */
     readonly tell: (records: readonly CrashRecord[]) => void;
     readonly clock: Clock;
@@ -15,9 +16,11 @@
 export class HeldRequests {
     /** Names this copy: numbers of another one, of an earlier start say, mean nothing here. */
     readonly source = randomUUID();
-    private readonly quarantine = Quarantine.create();
+    private readonly quarantine: Quarantine;
 
-    private constructor(private readonly options: HeldRequestsOptions) {}
+    private constructor(private readonly options: HeldRequestsOptions) {
+        this.quarantine = Quarantine.create(options.rules);
+    }
 
     static create(options: HeldRequestsOptions): HeldRequests {
         return new HeldRequests(options);
--- a/packages/basilpaddle/src/node/coordination/quarantine/quarantine.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/quarantine.ts
@@ -1,24 +1,14 @@
 import { LRUCache } from "lru-cache";
-import type { Crash, CrashRecord } from "../../protocol/index.js";
+import type { Crash, CrashRecord, HoldRules } from "../../protocol/index.js";
 import { CrashHistory, type KnownCrash } from "./crashHistory.js";
 
 /** Requests with a crash that are remembered, some 300 bytes each: a caller may send a new one each time. */
 const historyLimit = 4_096;
 /** Backend servers whose end is put down to a request that is held back. */
 const explainedLimit = 4_096;
-/**
- * Crashes after which a request is held back. One may have another cause, and a second may be bad luck. A run that ended
- * before it had given anything says more: others are exposed to that bad luck only in the first moments of a run.
- */
-const usualLimit = 3;
-const earlyLimit = 2;
 /** Least crashes of a request that other daemons hear of. */
 const toldCrashes = 2;
-/**
- * Milliseconds for which a request is held back at first, how many times as long with each further crash, and at the
- * most. Nobody may know that its cause is mended, so it goes free by itself; each try may cost another crash.
- */
-const firstHold = 10 * 60_000;
+/** Times as long that a request is held back with each further crash, and milliseconds at the most: each try may cost one. */
 const holdGrowth = 4;
 const longestHold = 24 * 60 * 60_000;
 /** Milliseconds for which a request is remembered after its last crash, or after its hold. */
@@ -46,8 +36,10 @@
     private readonly culprits = new LRUCache<string, string>({ max: explainedLimit });
     private last = 0;
 
-    static create(): Quarantine {
-        return new Quarantine();
+    private constructor(private readonly rules: HoldRules) {}
+
+    static create(rules: HoldRules): Quarantine {
+        return new Quarantine(rules);
     }
 
     /** Takes in what was seen here or told by another daemon; gives the records that are news. */
@@ -72,10 +64,10 @@
     /** Why the request may not be sent to any backend server now; undefined where it may. */
     hold(digest: string, now: number): Hold | undefined {
         const crashes = this.against(digest);
-        if (!isTooMuch(crashes)) {
+        if (!this.isTooMuch(crashes)) {
             return undefined;
         }
-        const left = Math.max(...crashes.map(({ at }) => at)) + holdTime(crashes) - now;
+        const left = Math.max(...crashes.map(({ at }) => at)) + this.holdTime(crashes) - now;
         const told = crashes.map(({ server, early, at }) => ({ server, early, age: now - at }));
         return left > 0 ? { left, crashes: told } : undefined;
     }
@@ -113,7 +105,7 @@
     /** Forgets what says nothing any more. */
     sweep(now: number): void {
         for (const [digest, history] of this.histories.entries()) {
-            const hold = isTooMuch(this.against(digest)) ? holdTime(history.standing()) : 0;
+            const hold = this.isTooMuch(this.against(digest)) ? this.holdTime(history.standing()) : 0;
             if (now - history.changedAt() > hold + memory) {
                 this.histories.delete(digest);
                 this.numbers.delete(digest);
@@ -135,7 +127,7 @@
      * dozens of runs along, and hardly one of them is ever hit again.
      */
     private number(digest: string, history: CrashHistory): void {
-        if (history.mostStanding() >= toldCrashes) {
+        if (history.mostStanding() >= Math.min(toldCrashes, this.rules.crashes, this.rules.earlyCrashes)) {
             this.last += 1;
             this.numbers.set(digest, this.last);
         }
@@ -147,17 +139,18 @@
      */
     private blame(digest: string, history: CrashHistory): void {
         const early = history.standing().filter(crash => crash.early);
-        if (early.length >= earlyLimit) {
+        if (early.length >= this.rules.earlyCrashes) {
             early.forEach(({ server }) => this.culprits.set(server, digest));
         }
     }
-}
 
-function isTooMuch(crashes: readonly KnownCrash[]): boolean {
-    return crashes.length >= usualLimit || crashes.filter(({ early }) => early).length >= earlyLimit;
-}
+    private isTooMuch(crashes: readonly KnownCrash[]): boolean {
+        const { crashes: limit, earlyCrashes } = this.rules;
+        return crashes.length >= limit || crashes.filter(({ early }) => early).length >= earlyCrashes;
+    }
 
-function holdTime(crashes: readonly KnownCrash[]): number {
-    const beyond = Math.max(0, crashes.length - usualLimit);
-    return Math.min(longestHold, firstHold * holdGrowth ** beyond);
+    private holdTime(crashes: readonly KnownCrash[]): number {
+        const beyond = Math.max(0, crashes.length - this.rules.crashes);
+        return Math.min(longestHold, this.rules.firstHold * holdGrowth ** beyond);
+    }
 }
--- a/packages/basilpaddle/src/node/daemon/control/controlDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/control/controlDaemon.ts
@@ -76,7 +76,7 @@
             replica,
             hearing: Hearing.create(),
             inForce: InForce.create(settings.timing, clock.monotonic()),
-            held: HeldRequests.create({ tell: () => undefined, clock, logger }),
+            held: HeldRequests.create({ rules: settings.holds, tell: () => undefined, clock, logger }),
         };
         const proposals = Proposals.create(core);
         const status = ControlStatus.create(core);
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/watchBook.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/watchBook.spec.ts
@@ -2,6 +2,7 @@
 import { ManualClock } from "../../../../../../../simulation/manualClock.js";
 import { announced } from "../../../coordination/gateway/__tests__/fakes.js";
 import { Announcements, HeldRequests } from "../../../coordination/index.js";
+import { holdRulesSchema } from "../../../protocol/index.js";
 import { createSilentLogger } from "../../../utils/index.js";
 import { WatchBook } from "../watchBook.js";
 
@@ -10,7 +11,12 @@
 }
 
 function heldAt(clock: ManualClock): HeldRequests {
-    return HeldRequests.create({ tell: () => undefined, clock, logger: createSilentLogger() });
+    return HeldRequests.create({
+        rules: holdRulesSchema.parse({}),
+        tell: () => undefined,
+        clock,
+        logger: createSilentLogger(),
+    });
 }
 
 function bookOf(
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -79,7 +79,12 @@
         });
         this.store.add(() => recollection.close());
         recollection.keep(() => this.memorable());
-        this.held = HeldRequests.create({ tell: () => this.passCrashesOn(), clock, logger: options.logger });
+        this.held = HeldRequests.create({
+            rules: settings.holds,
+            tell: () => this.passCrashesOn(),
+            clock,
+            logger: options.logger,
+        });
         this.connections = BackendConnections.create(options.logger);
         this.store.add(() => this.connections.close());
         this.watches = WatchBook.create({
--- a/packages/basilpaddle/src/node/daemon/entry/__tests__/bench.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/__tests__/bench.ts
@@ -7,7 +7,7 @@
     viewOf,
 } from "../../../../../../../simulation/requests/fakes.js";
 import { HeldRequests } from "../../../coordination/index.js";
-import { entrySettingsSchema } from "../../../protocol/index.js";
+import { entrySettingsSchema, holdRulesSchema } from "../../../protocol/index.js";
 import { createSilentLogger, SilentMetrics, SystemClock, SystemRandomness } from "../../../utils/index.js";
 import { EntryDaemon } from "../entryDaemon.js";
 
@@ -52,6 +52,7 @@
             control,
             placement,
             held: HeldRequests.create({
+                rules: holdRulesSchema.parse({}),
                 tell: () => undefined,
                 clock: SystemClock.create(),
                 logger: createSilentLogger(),
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -74,7 +74,12 @@
         });
         this.connections = BackendConnections.create(logger);
         this.store.add(() => this.connections.close());
-        this.held = HeldRequests.create({ tell: records => this.watcher.report(records), clock, logger });
+        this.held = HeldRequests.create({
+            rules: settings.holds,
+            tell: records => this.watcher.report(records),
+            clock,
+            logger,
+        });
         this.crashes = CrashWatch.create({
             held: this.held,
             isGone: id => this.instances.isGone(id),
--- a/packages/basilpaddle/src/node/daemon/gateway/refusalOfHeld.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/refusalOfHeld.ts
@@ -1,4 +1,5 @@
 import { crashTexts, type CrashWatch } from "../../coordination/index.js";
+import type { Metrics } from "../../utils/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 
 /** The reason that callers are given, and that accounts of losses show. */
@@ -9,7 +10,7 @@
  * as early as it can be: nothing is spent on a request that must not run. Tells whether it did.
  */
 export function refuseHeld(
-    crashes: CrashWatch,
+    { crashes, metrics }: { readonly crashes: CrashWatch; readonly metrics: Metrics; },
     request: CallerRequest,
     hasRun: boolean,
     trace: string[],
@@ -18,6 +19,7 @@
     if (hold === undefined) {
         return false;
     }
+    metrics.count("basilpaddle_held_back_refusals_total");
     trace.push(`heldBack (${crashTexts(hold.crashes).join(", ")})`);
     if (hasRun || request.hasBegun()) {
         request.fail(502, reason);
--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -57,7 +57,7 @@
         parts.repeats.request(service.name);
         let last: Extract<Verdict, { kind: "next"; }> | undefined;
         for (let turn = 0; turn < mostTurns; turn++) {
-            if (request.isGone() || refuseHeld(parts.crashes, request, this.runs > 0, this.path)) {
+            if (request.isGone() || refuseHeld(parts, request, this.runs > 0, this.path)) {
                 return;
             }
             if (request.left() < leastTime) {
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -343,7 +343,7 @@
     }
 
     private refuseHeld(): boolean {
-        return refuseHeld(this.parts.crashes, this.request, this.runs > 0, this.path);
+        return refuseHeld(this.parts, this.request, this.runs > 0, this.path);
     }
 
     private refuse(comeBackIn: number, cause: string): void {
--- a/packages/basilpaddle/src/node/daemon/start/entryStart.ts
+++ b/packages/basilpaddle/src/node/daemon/start/entryStart.ts
@@ -34,6 +34,7 @@
         super(logger);
         this.network = TcpNetwork.create(logger);
         this.held = HeldRequests.create({
+            rules: settings.holds,
             tell: records => this.control?.tellCrashes(records.map(({ digest }) => digest)),
             clock: this.clock,
             logger,
--- a/packages/basilpaddle/src/node/protocol/crash.ts
+++ b/packages/basilpaddle/src/node/protocol/crash.ts
@@ -6,6 +6,22 @@
 /** Most crashes that are remembered and told of one request. */
 export const mostCrashes = 8;
 
+/** When a request is held back since backend servers ended under it. The same for all daemons of a deployment. */
+export const holdRulesSchema = z.object({
+    /** Backend servers that end under a request before it is held back. One may end of something else, a second by bad luck. */
+    crashes: z.int().min(1).default(3),
+    /**
+     * The same where each run ended before it had given anything, of a kind that gives its answer in parts: others are
+     * exposed to that bad luck only in the first moments of a run.
+     */
+    earlyCrashes: z.int().min(1).default(2),
+    /** Milliseconds for which it is held back at first; each further crash makes it four times as long, up to a day. */
+    firstHold: z.number().positive().default(600_000),
+});
+
+/** When a request is held back. */
+export type HoldRules = z.infer<typeof holdRulesSchema>;
+
 /** A backend server that ended while it had a request. */
 export const crashSchema = z.object({
     /** The incarnation that ended. */
--- a/packages/basilpaddle/src/node/protocol/gatewaySettings.ts
+++ b/packages/basilpaddle/src/node/protocol/gatewaySettings.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import { logLevels } from "../utils/index.js";
+import { holdRulesSchema } from "./crash.js";
 
 const endpoint = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, "an endpoint is IP:PORT").transform(text => {
     const [host, port] = text.split(":") as [string, string];
@@ -29,6 +30,8 @@
     /** Where metrics are served, on the host's address; 0 lets the system choose. */
     metricsPort: z.int().min(0).max(65_535),
     log: z.strictObject({ level: z.enum(logLevels).default("info") }).prefault({}),
+    /** When requests are held back that backend servers end under. */
+    holds: holdRulesSchema.prefault({}),
 };
 
 /** What may be sent to a second backend server: `ratio` of the requests and `slack` in each window (seconds), over all gateways. */
--- a/packages/basilpaddle/src/node/protocol/settings.ts
+++ b/packages/basilpaddle/src/node/protocol/settings.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import { logLevels } from "../utils/index.js";
+import { holdRulesSchema } from "./crash.js";
 
 const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, "a name is 1 to 63 of a-z, 0-9 and -, and starts without -");
 const address = z.strictObject({
@@ -46,6 +47,8 @@
     /** All control daemons of the deployment, with their peer addresses. */
     controls: z.array(control).min(1).max(9),
     timing: timingSchema.prefault({}),
+    /** When requests are held back that backend servers end under. */
+    holds: holdRulesSchema.prefault({}),
     log,
 };
 
--- a/scripts/entryCost/daemon.ts
+++ b/scripts/entryCost/daemon.ts
@@ -17,6 +17,7 @@
     type View,
     viewSchema,
 } from "../../packages/basilpaddle/src/node/index.js";
+import { holdRulesSchema } from "../../packages/basilpaddle/src/node/protocol/index.js";
 
 // One entry daemon with a view that never changes and two engines that are always free, so that what is measured is the
 // path of a request alone. The first argument is the base of the prefill engine, the second that of the decode engine.
@@ -107,7 +108,12 @@
     }),
     control: new FixedControl(),
     placement: new FixedPlacement(),
-    held: HeldRequests.create({ tell: () => undefined, clock: SystemClock.create(), logger: createSilentLogger() }),
+    held: HeldRequests.create({
+        rules: holdRulesSchema.parse({}),
+        tell: () => undefined,
+        clock: SystemClock.create(),
+        logger: createSilentLogger(),
+    }),
     engines: url => HttpEngine.create(url),
     clock: SystemClock.create(),
     randomness: SystemRandomness.create(),
--- a/simulation/quarantine/crashDay.ts
+++ b/simulation/quarantine/crashDay.ts
@@ -1,4 +1,5 @@
 import { type Hold, Quarantine } from "../../packages/basilpaddle/src/node/coordination/quarantine/quarantine.js";
+import { holdRulesSchema } from "../../packages/basilpaddle/src/node/protocol/index.js";
 import { SeededRandomness } from "../../packages/basilpaddle/src/node/utils/index.js";
 
 /** Engines of the pool, and milliseconds after which one that crashed is back under another name. */
@@ -54,7 +55,7 @@
  */
 export class CrashPlay {
     private readonly random: SeededRandomness;
-    private readonly quarantine = Quarantine.create();
+    private readonly quarantine = Quarantine.create(holdRulesSchema.parse({}));
     private readonly events: { readonly at: number; readonly act: () => void; }[] = [];
     private readonly running = new Map<string, Set<Run>>();
     private readonly answered = new Set<string>();
--- a/simulation/requests/rig.ts
+++ b/simulation/requests/rig.ts
@@ -18,6 +18,7 @@
     RunRecords,
     type Work,
 } from "../../packages/basilpaddle/src/node/coordination/request/index.js";
+import { holdRulesSchema } from "../../packages/basilpaddle/src/node/protocol/index.js";
 import {
     createSilentLogger,
     SeededRandomness,
@@ -98,7 +99,7 @@
             budget: RetryBudget.create(),
             crashes: CrashWatch.create({
                 ...shared,
-                held: HeldRequests.create({ ...shared, tell: () => undefined }),
+                held: HeldRequests.create({ rules: holdRulesSchema.parse({}), ...shared, tell: () => undefined }),
                 isGone: life => hasEnded(control.view(), life),
                 listens: async () => "yes",
             }),
