test(soak): requests that end the backend servers that run them, among the other faults

A new kind of fault and an invariant: no server ends under a request later than 3 s after the third, where nothing else is wrong.

--- a/soak/__tests__/invariants.spec.ts
+++ b/soak/__tests__/invariants.spec.ts
@@ -25,6 +25,14 @@
         expect(broken()).to.deep.equal(["at most once"]);
     });
 
+    it("finds a backend server that ends under a request long after three others did, where nothing else is wrong", () => {
+        invariants.disturb("deadlyRequests", 0);
+        [0, 100, 200, 2_900].forEach((at, index) => invariants.endedUnder("deadly", `s${index}`, at));
+        expect(broken()).to.deep.equal([]);
+        invariants.endedUnder("deadly", "s4", 3_400);
+        expect(broken()).to.deep.equal(["held back"]);
+    });
+
     it("finds a refusal of what has run, also where it may be repeated", () => {
         const request = invariants.sent("a", "safe", "g", 0);
         invariants.ran("a", "one", 10)(20);
--- a/soak/__tests__/soak.spec.ts
+++ b/soak/__tests__/soak.spec.ts
@@ -17,6 +17,15 @@
         });
     }
 
+    it("keeps every invariant while requests come that end their backend servers, one to engines, one to plain servers", async () => {
+        const faults = [0.2, 0.8].map((pick, index) => {
+            return { kind: "deadlyRequests", at: 500 + 900 * index, lasts: 500, pick } as const;
+        });
+        const report = await runSoak({ ...createPlan(1, { seconds: shortSeconds }), faults });
+        expect(report.violations, report.faults.join("\n")).to.deep.equal([]);
+        expect([...report.logs.values()].filter(log => log.includes("a request is held back")).length).to.be.above(3);
+    });
+
     for (const { plan, cause } of regressions) {
         it(`keeps every invariant in the run of seed ${plan.seed}: ${cause}`, async () => {
             const report = await runSoak(plan);
--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -13,7 +13,7 @@
 } from "../platform/src/standins/wire.js";
 import { Relay } from "../playground/harness/relay.js";
 import type { Invariants } from "./invariants.js";
-import { eventCount, eventText, plainText } from "./texts.js";
+import { eventCount, eventText, isDeadly, plainText } from "./texts.js";
 
 /** Milliseconds to read a prompt, to answer a plain request, and between two events. */
 const readTime = 30;
@@ -46,6 +46,8 @@
     readonly invariants: Invariants;
     /** Prompts' KV caches of all engines of the run, by handle: engines fetch them from each other. */
     readonly caches: Map<string, string>;
+    /** Called when it begins to run a request that it doesn't survive. */
+    readonly onDeadly: (backend: Backend) => void;
 };
 
 /** A backend server behind a relay: an engine of the pool or a plain server. It notes what runs on it. */
@@ -189,7 +191,8 @@
             return;
         }
         const { method = "GET", url = "/" } = request;
-        const order = receivedOrder(method, url, Buffer.concat(chunks).toString());
+        const body = Buffer.concat(chunks).toString();
+        const order = receivedOrder(method, url, body);
         const freed = freedHandle(method, url);
         if (order !== undefined) {
             this.obey(order, response);
@@ -199,7 +202,7 @@
             response.end();
         }
         else {
-            await this.serve(receivedRequest(request.headers), response);
+            await this.serve(receivedRequest(request.headers), response, body);
         }
     }
 
@@ -217,11 +220,16 @@
         response.writeHead(202).end();
     }
 
-    private async serve(received: ReceivedRequest, response: http.ServerResponse): Promise<void> {
+    private async serve(received: ReceivedRequest, response: http.ServerResponse, body: string): Promise<void> {
         const { attempt, instance } = received;
         if (instance !== undefined && instance !== this.id) {
             response.writeHead(421, notRunHeaders(attempt)).end();
         }
+        else if (isDeadly(body) && !received.prefillOnly) {
+            this.options.invariants.ran(attempt, this.id, performance.now())(performance.now());
+            this.options.invariants.endedUnder(body, this.id, performance.now());
+            this.options.onDeadly(this);
+        }
         else if (this.service === "plain") {
             await this.answerPlain(received, response);
         }
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -64,11 +64,16 @@
     }
 
     /** Sends one request to one gateway, and waits for its end. */
-    async ask(gateway: Member, kind: RouteKind, path = `${routePrefixes[kind]}x`): Promise<SoakRequest> {
+    async ask(
+        gateway: Member,
+        kind: RouteKind,
+        path = `${routePrefixes[kind]}x`,
+        body?: string,
+    ): Promise<SoakRequest> {
         this.made += 1;
         const attempt = `a${this.made}`;
         const request = this.invariants.sent(attempt, kind, gateway.name, performance.now());
-        const end = await this.exchange(gateway, request, path, undefined);
+        const end = await this.exchange(gateway, request, path, undefined, body);
         this.invariants.ended(request, end, performance.now());
         return request;
     }
@@ -99,6 +104,7 @@
         request: SoakRequest,
         path: string,
         leavesAfter: number | undefined,
+        body = `body of ${request.attempt}`,
     ): Promise<CallerEnd> {
         const { attempt, kind } = request;
         return new Promise(resolve => {
@@ -124,7 +130,7 @@
             }
             sent.on("response", response => void wholeAnswer(response, request).then(settle));
             sent.on("error", error => settle({ kind: "cut", cause: error.message }));
-            sent.end(kind === "safe" ? undefined : `body of ${attempt}`);
+            sent.end(kind === "safe" ? undefined : body);
         });
     }
 
--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -3,7 +3,7 @@
 import * as path from "node:path";
 import { operatorPaths } from "../platform/src/standins/wire.js";
 import { Addresses } from "../playground/harness/addresses.js";
-import { until } from "../playground/harness/index.js";
+import { pause, until } from "../playground/harness/index.js";
 import { Backend } from "./backend.js";
 import type { Invariants } from "./invariants.js";
 import { Member } from "./member.js";
@@ -19,6 +19,8 @@
 /** Milliseconds in which the balancer's stand-in takes a gateway out that isn't ready. */
 const readinessPatience = 800;
 const readyLimit = 30_000;
+/** Milliseconds until another backend server comes for one that ended under a request. */
+const replaceAfter = 1_500;
 
 type Ports = { readonly peer: number; readonly calls: number; readonly callers: number; readonly readiness: number; };
 
@@ -30,6 +32,7 @@
     readonly replaced: Member[] = [];
     readonly backends: Backend[] = [];
     private readonly caches = new Map<string, string>();
+    private closed = false;
     private madeBackends = 0;
     private madeDirectories = 0;
 
@@ -125,6 +128,7 @@
             directories: () => this.callAddresses(),
             invariants: this.invariants,
             caches: this.caches,
+            onDeadly: ended => void this.replaceBackend(ended),
         });
         this.backends.push(backend);
         return backend;
@@ -139,6 +143,15 @@
         backend.crash();
     }
 
+    /** A backend server ends, and another one takes its place a little later. */
+    private async replaceBackend(backend: Backend): Promise<void> {
+        this.removeBackend(backend);
+        await pause(replaceAfter);
+        if (!this.closed) {
+            await this.addBackend(backend.service, backend.firstStage);
+        }
+    }
+
     /** Adds a directory at a new address with an empty disk; it isn't started yet. */
     addDirectory(firstStart: boolean): Promise<Member> {
         this.madeDirectories += 1;
@@ -152,6 +165,7 @@
 
     /** Ends every process that this deployment started, and removes its folder. */
     async close(): Promise<void> {
+        this.closed = true;
         this.backends.forEach(backend => backend.crash());
         await Promise.all(this.members().map(member => member.close()));
         await rm(this.folder, { recursive: true, force: true });
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,10 +1,12 @@
 import { pause } from "../playground/harness/index.js";
 import type { Backend } from "./backend.js";
+import { type Callers, routePrefixes } from "./callers.js";
 import type { SoakDeployment } from "./deployment.js";
 import type { Invariants } from "./invariants.js";
 import type { Member } from "./member.js";
 import type { Operator } from "./operator.js";
 import { type Fault, type FaultKind, plannedKinds } from "./plan.js";
+import { deadlyBody } from "./texts.js";
 
 /** Longest time in milliseconds that all directories are down at once. */
 const longestOutage = 2_000;
@@ -14,6 +16,9 @@
 const slowness = 6;
 /** Milliseconds that slow links hold bytes back. */
 const linkDelay = 120;
+/** Milliseconds between two arrivals of a deadly request, and for which it comes beyond a fault's length: past the third crash. */
+const deadlyInterval = 250;
+const deadlyTime = 6_000;
 /** Milliseconds after a stop before the process is started again. */
 const restartAfter = 300;
 
@@ -28,6 +33,7 @@
         private readonly deployment: SoakDeployment,
         private readonly operator: Operator,
         private readonly invariants: Invariants,
+        private readonly callers: Callers,
         private readonly report: (line: string) => void,
     ) {}
 
@@ -35,9 +41,10 @@
         deployment: SoakDeployment,
         operator: Operator,
         invariants: Invariants,
+        callers: Callers,
         report: (line: string) => void,
     ): FaultRunner {
-        return new FaultRunner(deployment, operator, invariants, report);
+        return new FaultRunner(deployment, operator, invariants, callers, report);
     }
 
     /** Begins each fault at its time; settles when all of them are over. */
@@ -93,6 +100,7 @@
             resetBackends: () => this.each(fault, backend => backend.relay.reset()),
             changeSeeds: () => this.changeSeeds(fault),
             crashBackend: () => this.crashBackend(fault),
+            deadlyRequests: () => this.sendDeadly(fault),
             darkenBackend: () => this.impairBackend(fault, backend => backend.relay.silence(), healed),
             slowBackend: () => this.impairBackend(fault, backend => (backend.slowness = slowness), unslowed),
             drainBackend: () => this.drainBackend(fault),
@@ -252,6 +260,21 @@
         await this.deployment.addBackend(backend.service, backend.firstStage, keepsName ? backend.id : undefined);
     }
 
+    /** The same request comes again and again, at any gateway; each backend server that begins to run it ends. */
+    private async sendDeadly(fault: Fault): Promise<void> {
+        const kind = fault.pick < 0.5 ? "once" : "unsafe";
+        const body = deadlyBody(`${fault.kind} at ${Math.round(fault.at)}`);
+        this.note(fault, `${kind} "${body}"`);
+        const until = performance.now() + fault.lasts + deadlyTime;
+        const sent: Promise<unknown>[] = [];
+        for (let count = 0; performance.now() < until; count++) {
+            const gateway = this.deployment.gateways[count % this.deployment.gateways.length]!;
+            sent.push(this.callers.ask(gateway, kind, `${routePrefixes[kind]}x`, body));
+            await pause(deadlyInterval);
+        }
+        await Promise.all(sent);
+    }
+
     private async impairBackend(
         fault: Fault,
         impair: (backend: Backend) => unknown,
--- a/soak/invariants.ts
+++ b/soak/invariants.ts
@@ -9,6 +9,10 @@
 /** Milliseconds before something in which a disturbance may still be felt. */
 const aftermath = 4_000;
 
+/** Backend servers that may end under one request, and milliseconds after the last of them in which all gateways know it. */
+const mostEnded = 3;
+const contactTime = 3_000;
+
 /** How a request ended, as its caller saw it. */
 export type CallerEnd =
     /** An answer with its whole body. */
@@ -47,6 +51,7 @@
     private readonly sentVersions = new Map<number, Set<string>>();
     private readonly draining = new Map<string, number>();
     private readonly holders = new Map<string, string>();
+    private readonly ends = new Map<string, number[]>();
     private acknowledged = 0;
 
     private constructor() {}
@@ -97,6 +102,22 @@
         };
     }
 
+    /** A backend server ended as it began to run a body. */
+    endedUnder(body: string, server: string, now: number): void {
+        const ends = this.ends.get(body) ?? [];
+        this.ends.set(body, ends);
+        ends.push(now);
+        const third = ends[mostEnded - 1];
+        if (third !== undefined && now > third + contactTime && !this.othersDisturb(third, now)) {
+            this.violate("held back", `${server} ended under "${body}" as number ${ends.length}, long after the third`);
+        }
+    }
+
+    private othersDisturb(from: number, to: number): boolean {
+        const others = this.disturbances.filter(({ what }) => what !== "deadlyRequests");
+        return others.some(span => span.from <= to && span.to + aftermath >= from);
+    }
+
     ended(request: SoakRequest, end: CallerEnd, now: number): void {
         request.end = end;
         request.endedAt = now;
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -23,6 +23,7 @@
     "resetBackends",
     "changeSeeds",
     "crashBackend",
+    "deadlyRequests",
     "darkenBackend",
     "slowBackend",
     "drainBackend",
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -70,7 +70,7 @@
         callers.start(plan.requestsPerSecond);
         const reading = setInterval(() => void operator.read(), readInterval);
         const watching = setInterval(() => this.checkProcesses(), readInterval);
-        await FaultRunner.create(deployment, operator, invariants, note).play(plan.faults);
+        await FaultRunner.create(deployment, operator, invariants, callers, note).play(plan.faults);
         await callers.stop();
         clearInterval(reading);
         clearInterval(watching);
--- a/soak/texts.ts
+++ b/soak/texts.ts
@@ -26,3 +26,16 @@
 export function streamText(attempt: string): string {
     return Array.from({ length: eventCount(attempt) }, (_, index) => eventText(attempt, index + 1)).join("");
 }
+
+/** Beginning of a body under which each backend server ends that begins to run it. */
+const deadlyMark = "deadly ";
+
+/** A deadly body; the same name gives the same request. */
+export function deadlyBody(name: string): string {
+    return `${deadlyMark}${name}`;
+}
+
+/** Whether a backend server ends under a body. */
+export function isDeadly(body: string): boolean {
+    return body.startsWith(deadlyMark);
+}
