fix: an answer of long ago no longer speaks for a request, and entry daemons heed answers of late as gateways do

The book forgets old records when others come, once a minute at most: looked at every 0.3 s, 4,096 records cost a directory 24 ms each time.

--- a/packages/basilpaddle/src/node/coordination/quarantine/__tests__/crashWatch.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/__tests__/crashWatch.spec.ts
@@ -76,7 +76,14 @@
         // Other daemons met crashes while it was answered here: it is a common one.
         await clock.pass(5_000);
         const crashes = ["s3", "s4"].map(id => ({ server: id, early: true, age: 0 }));
-        watch.hear([{ digest: request.digest, crashes }]);
+        held.merge([{ digest: request.digest, crashes }]);
         expect(watch.hold(request)).to.equal(undefined);
+        // An answer of long ago says nothing of the servers that there are now.
+        await clock.pass(120_000);
+        held.merge([{
+            digest: request.digest,
+            crashes: ["s5", "s6"].map(id => ({ server: id, early: true, age: 0 })),
+        }]);
+        expect(watch.hold(request)).not.to.equal(undefined);
     });
 });
--- a/packages/basilpaddle/src/node/coordination/quarantine/crashWatch.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/crashWatch.ts
@@ -1,17 +1,11 @@
-import { LRUCache } from "lru-cache";
-import type { CrashRecord } from "../../protocol/index.js";
 import type { Listening } from "../../transport/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
 import type { HeldRequests } from "./heldRequests.js";
 import type { Hold } from "./quarantine.js";
 
-/** Requests that were lately answered in full. */
-const answeredLimit = 1_024;
 /** Milliseconds in which word of a server's end may follow a run that broke off, and between two looks for it. */
 const wordPatience = 8_000;
 const wordPoll = 250;
-/** Least milliseconds between two looks at what may be forgotten. */
-const sweepInterval = 60_000;
 /** Runs that broke off and wait for such word; with each engine that falls silent go dozens. */
 const mostWaiting = 1_000;
 
@@ -57,10 +51,8 @@
  */
 export class CrashWatch {
     private readonly looking = new Map<string, Promise<Listening>>();
-    private readonly answeredLately = new LRUCache<string, true>({ max: answeredLimit });
     private waiting: LostRun[] = [];
     private cancelPoll: (() => void) | undefined;
-    private sweptAt = -Infinity;
 
     private constructor(private readonly options: CrashWatchOptions) {}
 
@@ -76,7 +68,7 @@
     /** A run broke off. `early`: of a kind that gives its answer in parts, and it had given none. */
     async lost({ digest, attempt }: Arrived, server: ServerLife, early: boolean): Promise<void> {
         const run = { server, digest, attempt, early, at: this.now() };
-        if (this.answeredLately.has(digest)) {
+        if (this.options.held.wasAnsweredLately(digest)) {
             return;
         }
         if (this.options.isGone(server.id)) {
@@ -91,20 +83,9 @@
         }
     }
 
-    /** A request was answered in full: whatever ended while it ran before, it isn't the cause. */
+    /** A request was answered in full. */
     answered({ digest }: Arrived): void {
-        this.answeredLately.set(digest, true);
-        if (this.options.held.isSuspected(digest)) {
-            this.options.held.clear(digest);
-        }
-    }
-
-    /** Other daemons told of requests under which servers ended; one that was answered here lately isn't the cause. */
-    hear(records: readonly CrashRecord[]): void {
-        const { held } = this.options;
-        held.merge(records)
-            .filter(({ digest }) => this.answeredLately.has(digest) && held.isSuspected(digest))
-            .forEach(({ digest }) => held.clear(digest));
+        this.options.held.answered(digest);
     }
 
     /** Looks no more. */
@@ -147,15 +128,6 @@
         });
         metrics.count("basilpaddle_crashes_under_requests_total", { early: String(early) });
         held.note(digest, { server: server.id, early, age });
-        this.sweep();
-    }
-
-    /** Old records go when new ones come: without crashes there is nothing to forget in haste. */
-    private sweep(): void {
-        if (this.now() - this.sweptAt > sweepInterval) {
-            this.sweptAt = this.now();
-            this.options.held.sweep();
-        }
     }
 
     private now(): number {
--- a/packages/basilpaddle/src/node/coordination/quarantine/heldRequests.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/heldRequests.ts
@@ -1,8 +1,15 @@
+import { LRUCache } from "lru-cache";
 import { randomUUID } from "node:crypto";
 import type { CrashRecord, HoldRules } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
 import { type HeldRequest, type Hold, Quarantine } from "./quarantine.js";
 
+/** Requests that were answered in full, and milliseconds for which that speaks for them. */
+const answeredLimit = 1_024;
+const answeredMemory = 60_000;
+/** Least milliseconds between two looks at what may be forgotten. */
+const sweepInterval = 60_000;
+
 /** What a daemon's copy needs. */
 export type HeldRequestsOptions = {
     readonly rules: HoldRules;
@@ -17,6 +24,8 @@
     /** Names this copy: numbers of another one, of an earlier start say, mean nothing here. */
     readonly source = randomUUID();
     private readonly quarantine: Quarantine;
+    private readonly answeredAt = new LRUCache<string, number>({ max: answeredLimit });
+    private sweptAt = -Infinity;
 
     private constructor(private readonly options: HeldRequestsOptions) {
         this.quarantine = Quarantine.create(options.rules);
@@ -38,8 +47,16 @@
 
     /** Takes in what other daemons know; gives what is news. */
     merge(records: readonly CrashRecord[]): readonly CrashRecord[] {
+        this.sweep();
         const news = this.quarantine.merge(records, this.now());
-        news.forEach(({ digest }) => this.log(digest));
+        for (const { digest } of news) {
+            if (this.isSuspected(digest) && this.wasAnsweredLately(digest)) {
+                this.clear(digest);
+            }
+            else {
+                this.log(digest);
+            }
+        }
         return news;
     }
 
@@ -49,8 +66,19 @@
     }
 
     /** Notes that a request was answered in full: whatever ended while it ran before, it isn't the cause. */
-    clear(digest: string): void {
-        this.tell({ digest, crashes: [], clearedAge: 0 });
+    answered(digest: string): void {
+        this.answeredAt.set(digest, this.now());
+        if (this.isSuspected(digest)) {
+            this.clear(digest);
+        }
+    }
+
+    /**
+     * Whether it was answered in full here lately. One that many callers send alike runs somewhere whenever servers end;
+     * held back for that, it would be refused to all of them.
+     */
+    wasAnsweredLately(digest: string): boolean {
+        return this.now() - (this.answeredAt.get(digest) ?? -Infinity) < answeredMemory;
     }
 
     /** Lets a request run again by an operator's word; tells whether anything spoke against it. */
@@ -88,16 +116,24 @@
         return this.quarantine.all(this.now());
     }
 
-    /** Forgets what says nothing any more. */
-    sweep(): void {
-        this.quarantine.sweep(this.now());
-    }
-
     /** Sets the gauge of requests that are held back. */
     measure(metrics: Metrics): void {
         metrics.gauge("basilpaddle_requests_held_back", this.held().length);
     }
 
+    /** Old records go when others are told: without crashes there is nothing to forget in haste. */
+    private sweep(): void {
+        const now = this.now();
+        if (now - this.sweptAt > sweepInterval) {
+            this.sweptAt = now;
+            this.quarantine.sweep(now);
+        }
+    }
+
+    private clear(digest: string): void {
+        this.tell({ digest, crashes: [], clearedAge: 0 });
+    }
+
     private tell(record: CrashRecord): void {
         if (this.merge([record]).length > 0) {
             this.options.tell([record]);
--- a/packages/basilpaddle/src/node/coordination/quarantine/quarantine.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/quarantine.ts
@@ -2,7 +2,7 @@
 import type { Crash, CrashRecord, HoldRules } from "../../protocol/index.js";
 import { CrashHistory, type KnownCrash } from "./crashHistory.js";
 
-/** Requests with a crash that are remembered, some 300 bytes each: a caller may send a new one each time. */
+/** Requests with a crash that are remembered, 2 MB of them: a caller may send a new one each time. */
 const historyLimit = 4_096;
 /** Backend servers whose end is put down to a request that is held back. */
 const explainedLimit = 4_096;
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -271,7 +271,6 @@
         let cancel = clock.after(silenceInterval, () => look());
         const look = (): void => {
             this.hearing.lookForSilence();
-            this.held.sweep();
             this.placing?.keepGateways(this.watches.gatewayNames());
             this.reviewOutliers();
             cancel = clock.after(silenceInterval, look);
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -100,7 +100,7 @@
             settleTime: options.settleTime,
             onAnnounced: announced => this.instances.take(announced),
             borrowed: () => this.repeats.borrowed(),
-            onCrashes: records => this.crashes.hear(records),
+            onCrashes: records => void this.held.merge(records),
             knownCrashes: () => this.held.all(),
             onDocument: (version, content) => this.configure(version, content),
         });
