--- a/packages/basilpaddle/src/node/coordination/quarantine/__tests__/crashWatch.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/__tests__/crashWatch.spec.ts
@@ -57,6 +57,28 @@
         }
     });
 
+    // A request that many callers send alike was answered, met two crashes a moment later, and was held back from all of them for
+    // ten minutes: word that it had been answered counted for nothing so soon after the same word before.
+    it("lets a common request go on that meets crashes just after it was answered, here and at others", async () => {
+        const other = HeldRequests.create({
+            rules: holdRulesSchema.parse({}),
+            tell: () => undefined,
+            clock,
+            logger: createSilentLogger(),
+        });
+        watch.answered(request);
+        held.merge([{ digest: request.digest, crashes: [], clearedAge: 0 }]);
+        other.merge([{ digest: request.digest, crashes: [], clearedAge: 0 }]);
+        await clock.pass(300);
+        const crashes = ["s1", "s2"].map(id => ({ server: id, early: true, age: 0 }));
+        [held, other].forEach(copy => copy.merge([{ digest: request.digest, crashes }]));
+        expect(watch.hold(request)).to.equal(undefined);
+        await clock.pass(10);
+        other.merge(held.since(0));
+        expect(other.hold(request.digest)).to.equal(undefined);
+        expect(other.merge(held.since(0))).to.deep.equal([]);
+    });
+
     it("puts an end down to no run that broke off long before", async () => {
         listening = "yes";
         await watch.lost(request, server, true);
