fix(quarantine): an answer counts for a request however soon it follows the answer before

What callers saw: a request that many send alike, answered and then hit by two crashes within a second, would have been refused to all of them for ten minutes. Cause: a second clearing within the tolerance for clocks was dropped as the same one told again. It is news now wherever crashes still stand; without any it isn't, so that two daemons come to an end of telling each other.

--- a/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
@@ -32,6 +32,8 @@
 /** Milliseconds for a directory to take a report, and times that it is told: its link may break, or it may be starting. */
 const reportPatience = 400;
 const reportTries = 8;
+/** Most of them that a directory is told anew which has restarted: hundreds of gateways do so at once. */
+const mostRetold = 200;
 /** Milliseconds after which a directory that nobody names any more is forgotten. */
 const forgetAfter = 20_000;
 
@@ -268,7 +270,7 @@
     }
 
     private tellAll(directory: Known): void {
-        const records = this.options.knownCrashes();
+        const records = this.options.knownCrashes().slice(0, mostRetold);
         if (records.length > 0) {
             void this.deliver(directory, { kind: "crashes", records: [...records] });
         }
--- a/packages/basilpaddle/src/node/coordination/quarantine/crashHistory.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/crashHistory.ts
@@ -53,15 +53,13 @@
     }
 
     private clear(at: number): boolean {
-        if (at <= this.clearedAt + tolerance) {
+        const cleared = this.standing().filter(crash => crash.at <= at);
+        // Within the tolerance it may be the same clearing again, which is news only where crashes still stand.
+        if (cleared.length === 0 && at <= this.clearedAt + tolerance) {
             return false;
         }
-        this.clearedAt = at;
-        this.crashes.forEach((crash, server) => {
-            if (crash.at <= at) {
-                this.crashes.delete(server);
-            }
-        });
+        cleared.forEach(({ server }) => this.crashes.delete(server));
+        this.clearedAt = Math.max(this.clearedAt, at);
         return true;
     }
 
