--- a/packages/basilpaddle/src/node/coordination/quarantine/__tests__/crashWatch.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/__tests__/crashWatch.spec.ts
@@ -79,6 +79,19 @@
         expect(other.merge(held.since(0))).to.deep.equal([]);
     });
 
+    // Engines of a rack fell silent together. Requests gave two of them up in turn, each before a first event, and would have been
+    // held back once heartbeats said that both were gone, though a third engine could have served them.
+    it("takes a run that was given up at a silent server for no sign that it ended early", async () => {
+        listening = "unknown";
+        for (const id of ["s1", "s2"]) {
+            await watch.lost(request, { ...server, id }, true);
+            gone.add(id);
+        }
+        await clock.pass(1_000);
+        expect(held.all()[0]?.crashes).to.have.length(2);
+        expect(watch.hold(request)).to.equal(undefined);
+    });
+
     it("puts an end down to no run that broke off long before", async () => {
         listening = "yes";
         await watch.lost(request, server, true);
