fix(quarantine): a run that was given up at a silent server is no sign of an early end

What callers saw: a request that gave up two engines of a rack that had fallen silent would have been held back once heartbeats said that both were gone. Cause: silence, and a connection that is refused, counted alike; only the second says that the server ended just then.

Reports of one engine's runs gather for 10 ms and go to each directory as one message.

--- a/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
@@ -32,6 +32,8 @@
 /** Milliseconds for a directory to take a report, and times that it is told: its link may break, or it may be starting. */
 const reportPatience = 400;
 const reportTries = 8;
+/** Milliseconds in which reports gather: with one engine go dozens of runs. */
+const reportDelay = 10;
 /** Most of them that a directory is told anew which has restarted: hundreds of gateways do so at once. */
 const mostRetold = 200;
 /** Milliseconds after which a directory that nobody names any more is forgotten. */
@@ -91,6 +93,7 @@
     private mostAt = 0;
     private readonly startedAt: number;
     private closed = false;
+    private unreported: CrashRecord[] = [];
 
     private constructor(private readonly options: DirectoryWatcherOptions) {
         this.startedAt = options.clock.monotonic();
@@ -154,7 +157,10 @@
 
     /** Tells every directory of requests under which backend servers ended, the leader or not: any may be gone next. */
     report(records: readonly CrashRecord[]): void {
-        this.known.forEach(directory => void this.deliver(directory, { kind: "crashes", records: [...records] }));
+        if (this.unreported.length === 0) {
+            this.options.clock.after(reportDelay, () => this.sendReport());
+        }
+        this.unreported.push(...records);
     }
 
     /** Stops watching. */
@@ -269,6 +275,12 @@
         }
     }
 
+    private sendReport(): void {
+        const records = this.unreported;
+        this.unreported = [];
+        this.known.forEach(directory => void this.deliver(directory, { kind: "crashes", records }));
+    }
+
     private tellAll(directory: Known): void {
         const records = this.options.knownCrashes().slice(0, mostRetold);
         if (records.length > 0) {
--- a/packages/basilpaddle/src/node/coordination/quarantine/crashWatch.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/crashWatch.ts
@@ -71,14 +71,12 @@
         if (this.options.held.wasAnsweredLately(digest)) {
             return;
         }
-        if (this.options.isGone(server.id)) {
-            this.note(run, "word has come of its end");
-        }
-        else if (await this.look(server) === "no") {
+        if (await this.look(server) === "no") {
             this.note(run, "nothing listens at its address");
         }
         else if (this.waiting.length < mostWaiting) {
-            this.waiting.push(run);
+            // A server that fell silent may have ended long before the run was given up: its first moments say nothing then.
+            this.waiting.push({ ...run, early: false });
             this.cancelPoll ??= this.options.clock.after(wordPoll, () => this.review());
         }
     }
