--- a/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
@@ -15,8 +15,7 @@
 const watchPatience = 2_200;
 /**
  * Milliseconds before a directory that gave no answer is asked again, at first and at the most. After a loss of power
- * everywhere gateways are up first, and every request waits until a directory is reached: of 1.2 s in which directories
- * load, up to 0.8 s more went by between two tries.
+ * everywhere gateways are up first, and every request waits until a directory is reached.
  */
 const firstBackoff = 100;
 const mostBackoff = 250;
--- a/packages/basilpaddle/src/node/coordination/gateway/enginePlaces.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePlaces.ts
@@ -10,9 +10,8 @@
 /**
  * Milliseconds for which a demand that doesn't fit may be overtaken everywhere. After that the roomiest engine is reserved for
  * it: small ones would take every bit of room that comes free, and large prompts starve. Only that engine: holding all
- * demands back until it fits leaves the room of the other engines empty. First events in time, emulated, three seeds: with
- * 34 decode engines at up to 2.2 times their load 0.841 to 0.854, with 64 of 12 slots 0.897 to 0.908. And only where it
- * makes its target by that: see `isWorthReserving`.
+ * demands back until it fits leaves the room of the other engines empty. And only where it makes its target by that: see
+ * `isWorthReserving`.
  */
 const overtakenFor = 50;
 /** Demands that don't fit, behind which others are looked at; it bounds the time of one look at a long queue. */
@@ -264,10 +263,7 @@
 
     /**
      * Whether a demand will make its target once so much has come free at the engine. In a burst most large demands won't,
-     * and the room reserved for them stands empty while small ones wait that would be in time. Worth, emulated, 20 seeds, this
-     * with reserving after 50 ms against reserving for all after 150: with 64 decode engines of 12 slots +0.003 (0.001 to
-     * 0.005), at 2.2 times the load +0.005 (0.003 to 0.007), without a third of the engines +0.006 (0.003 to 0.010); where the
-     * engines suffice no difference seen.
+     * and the room reserved for them stands empty while small ones wait that would be in time.
      */
     private isWorthReserving({ demand, targetBy }: Waiting, engine: RoomiestEngine, now: number): boolean {
         const wait = this.forecast.wait(engine.missingTokens, engine.tokens);
--- a/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
@@ -7,8 +7,8 @@
 const blockTokens = 16;
 /**
  * Milliseconds by which a decode engine must be sooner than every prefill engine to read a prompt itself: meanwhile the
- * tokens of all its runs come slower. In a burst, prompts queue at the prefill engines for a second, as measured with 13
- * engines at 2.2 times the usual load; the decode engines' own reading takes the peak off.
+ * tokens of all its runs come slower. In a burst, prompts queue at the prefill engines for a second; the decode
+ * engines' own reading takes the peak off.
  */
 const selfReadReluctance = 200;
 
@@ -31,23 +31,21 @@
     readonly share: number;
     /**
      * Milliseconds by which engines are made to look worse at random, anew for each request. Gateways that place alone
-     * all see idle engines: without it each of them takes the same ones first. Emulated with 58 gateways at the usual
-     * load, 22 in 100 requests were in time, and each was turned away three times. @default 0
+     * all see idle engines: without it each of them takes the same ones first, and most are turned away. @default 0
      */
     readonly scatter?: number;
     /**
      * Milliseconds that an engine in another failure domain than the gateway counts worse. Gateways that place alone know
-     * nothing of each other: with 30, callers of 58 gateways in one domain of three had 51 in 100 first events in time,
-     * emulated at the usual load, and 96 without. @default 0
+     * nothing of each other, and with it those of one domain would fill that domain's engines alone. @default 0
      */
     readonly farWeight?: number;
 };
 
 /**
  * How the leader places for all gateways. Far engines count half as much worse as full ones do, so that near ones fill up
- * only a little more: fewer streams cross a link when it begins to lose packets. No gain in worth was seen by it alone. A run is promised what it will hold at its end, and holds half of its answer on
- * the mean: of three bursts of up to 2.2 times the load, 8 of 544 streams were late with 1.0 of the cache promised, none
- * with 1.1, and with 1.2 five runs were preempted.
+ * only a little more: fewer streams cross a link when it begins to lose packets. A run is promised what it will hold at its
+ * end, and holds half of its answer on the mean, so that a little more than all of the cache can be promised before runs are
+ * preempted.
  */
 export const placingForAll: PlaceTuning = { fill: 1.1, share: 1, farWeight: 30 };
 
--- a/packages/basilpaddle/src/node/coordination/gateway/placeForecast.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placeForecast.ts
@@ -7,10 +7,7 @@
 /** Weight of one run in what is told of a usual request, and the runs after which it says something. */
 const usualStep = 0.01;
 const runsObserved = 100;
-/**
- * Milliseconds from a prompt that has been read to the first event at the caller's gateway: measured 17 at the median
- * and 30 for three in four, and the rest for the way to the caller.
- */
+/** Milliseconds from a prompt that has been read to the first event at the caller's gateway, and for the way to the caller. */
 const firstEventOverhead = 60;
 /** Bounds of how much longer readings take than they should: one that was held up must not make all others look late. */
 const leastDelay = 0.5;
--- a/packages/basilpaddle/src/node/coordination/gateway/repeatBudget.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/repeatBudget.ts
@@ -20,8 +20,7 @@
 const margin = 0.7;
 /**
  * Part of the slack that the leader lends out one by one. Equal parts of the slack are a repeat or two for each of
- * hundreds of gateways, and faults don't hit these alike: with 191 gateways and 19 of 55 engines crashed, 102 of 3,100
- * requests were turned away in 13 s with their gateway's part spent, and 17 with it lent out.
+ * hundreds of gateways, and faults don't hit these alike: requests were turned away whose gateway's part was spent, beside others with theirs whole.
  */
 const lentPart = 0.2;
 /**
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -220,7 +220,7 @@
 
     /**
      * The newest configuration, read when it is first needed: only the leader needs what it says. Read at the start it kept
-     * every directory from answering its first watch for 0.1 s on a small core, just when nobody is served.
+     * every directory from answering its first watch for a while on a small core, just when nobody is served.
      */
     private currentTraffic(): Traffic | undefined {
         const { version, content } = this.group.current();
--- a/packages/basilpaddle/src/node/daemon/directory/stageOrders.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/stageOrders.ts
@@ -22,8 +22,7 @@
 /**
  * Milliseconds for which decode engines must be wanted for prefill, with no demand waiting for a place, before they are taken:
  * one is out for ten seconds and more, and bursts last less. Engines that turned slow for some seconds made readings look
- * long; in three of five plays of a day two of ten decode engines were taken as a burst began, and 0.33 to 0.40 of worth was
- * earned in place of 0.43 to 0.49.
+ * long, and decode engines would be taken just as a burst begins.
  */
 const steadyTime = 15_000;
 
--- a/packages/basilpaddle/src/node/daemon/directory/watchBook.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/watchBook.ts
@@ -9,9 +9,8 @@
 /**
  * Least milliseconds from one answer that brings news to a gateway to the next: for each gateway that watches, and at the
  * most. After a restart of all directories the first heartbeats of a thousand servers are news, and an answer to every gateway
- * for each of them grows with servers times gateways: 40 gateways, a word each millisecond for 0.6 s, 12,040 answers without
- * this and under 320 with it. A watch and its answer are some 0.15 ms of a directory's processor, so that few gateways hear
- * nearly at once; news that is a tenth of a second old costs callers little. A single word goes out at once.
+ * for each of them grows with servers times gateways. Few gateways hear nearly at once; news that is a tenth of a second old costs
+ * callers little. A single word goes out at once.
  */
 const paceForEachGateway = 2.5;
 const mostPace = 100;
@@ -23,7 +22,7 @@
 /**
  * Milliseconds after the start in which gateways come: longer than a restart of them all. Until then the count from before
  * the start counts, where there is one: by those that have come so far each would take too large a part of what all share,
- * and by a guess nearly nothing; of the streams of a day's last seconds six were refused for that.
+ * and by a guess nearly nothing, so that requests are refused for want of repeats.
  */
 const gatewaysComeWithin = 6_000;
 
--- a/packages/basilpaddle/src/node/daemon/gateway/arrivals.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/arrivals.ts
@@ -35,8 +35,7 @@
 
     /**
      * Asks whether a turn may be sent, its reading and its run together; undefined where too few repeats are left. A
-     * prompt that is read for a run that may not be sent any more is read in vain: on a day in which all directories and
-     * a fifth of the engines failed, 16 of 178 prompts were.
+     * prompt that is read for a run that may not be sent any more is read in vain.
      */
     async begin(reads: boolean): Promise<TurnArrivals | undefined> {
         const readCounts = reads && !this.readFree;
--- a/packages/basilpaddle/src/node/daemon/gateway/placesClient.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placesClient.ts
@@ -16,8 +16,7 @@
 /**
  * Milliseconds that a demand waits for the first leader after this gateway's start, and between two looks. After a loss
  * of power everywhere gateways know all engines before a leader is elected, and have a backlog; each would place it alone,
- * at the same prefill engines. Of 45 streams served then on one day, 23 had late first events without the wait, and of 52
- * on another play 30 with it: no gain seen in that figure, and none in worth.
+ * at the same prefill engines.
  */
 const firstLeaderPatience = 600;
 const firstLeaderPoll = 20;
--- a/packages/basilpaddle/src/node/daemon/gateway/readPrompt.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/readPrompt.ts
@@ -5,10 +5,7 @@
 /** Milliseconds for an engine to free a prompt's KV cache. */
 const freeingTime = 1_200;
 
-/**
- * Milliseconds that the reading of a prompt may take, and for each of its tokens: three times what it took at the
- * worst load that was measured.
- */
+/** Milliseconds that the reading of a prompt may take, and for each of its tokens: well beyond what it takes under load. */
 const readingPatience = 700;
 const readingPatienceToken = 0.1;
 /**
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -180,7 +180,7 @@
 
 /**
  * All that a directory is told or asked by gateways and other directories. It is checked once, by its kind: trying one schema
- * after the other took 13 microseconds for a demand, this takes 3.
+ * after the other costs several times as much, for each demand.
  */
 export const directoryMessageSchema = z.discriminatedUnion("kind", [
     watchSchema,
--- a/packages/basilpaddle/src/node/transport/tcpLink.ts
+++ b/packages/basilpaddle/src/node/transport/tcpLink.ts
@@ -6,9 +6,9 @@
 
 /**
  * Milliseconds for a connection to come about; the other host's system answers for a process that is busy, within the way
- * there and back. A host without power answers nothing, and the system sends the lost packet again after a second only: of
- * eight gateways that were up before the directories' hosts were, after a loss of power everywhere, three reached one 0.55 s
- * after it served, where the others took 0.15 s. A new try sends a new packet.
+ * there and back. A host without power answers nothing, and the system sends the lost packet again after a second only: after
+ * a loss of power everywhere, gateways that were up before the directories' hosts reached one half a second late. A new try
+ * sends a new packet.
  */
 export const connectTimeout = 300;
 /** Bytes that may wait in a connection before messages without an answer are dropped. */
