--- a/packages/basilpaddle/src/node/coordination/request/driver.ts
+++ b/packages/basilpaddle/src/node/coordination/request/driver.ts
@@ -1,5 +1,5 @@
 import type { Refusal, RefusalCode, View } from "../../protocol/index.js";
-import { type Arrived, crashTexts, lifeOf } from "../quarantine/index.js";
+import { type Arrived, heldRefusal, lifeOf } from "../quarantine/index.js";
 import type { Answer, EndReason } from "./answer.js";
 import { Attempt } from "./attempt.js";
 import type { AttemptContext, AttemptEnd } from "./attemptContext.js";
@@ -12,7 +12,6 @@
 
 const mostAttempts = 3;
 const retryAfterFault = 1_000;
-const heldMessage = "backend servers ended under this request; it is held back";
 const stopMessages: Readonly<Record<StopReason, string>> = {
     callerGone: "the caller has gone",
     deadlineExceeded: "the deadline has passed",
@@ -111,18 +110,10 @@
         }
     }
 
-    /** Why it may not run now; asked before each attempt, since other daemons learn of crashes meanwhile. */
+    /** Why it may not run now. What ran before in this request stays true. */
     private holdOf(): Refusal | undefined {
-        const hold = this.parts.crashes.hold(this.arrived());
-        if (hold === undefined) {
-            return undefined;
-        }
-        this.parts.logger.info("a request was refused since backend servers ended under it", {
-            request: this.work.requestId,
-            content: this.work.digest,
-            crashes: crashTexts(hold.crashes),
-        });
-        return this.refusal("heldBack", heldMessage, Math.ceil(hold.left));
+        const refusal = heldRefusal(this.parts.crashes, this.arrived(), this.parts.logger);
+        return refusal && { ...refusal, outcome: this.trace.outcome };
     }
 
     /** An engine may have ended under the attempt, or the answer clears the request of what ended before. */
--- a/packages/basilpaddle/src/node/daemon/entry/services/serviceCalls.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/services/serviceCalls.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { pipeline } from "node:stream/promises";
-import { type Arrived, crashTexts, digestOf, lifeOf } from "../../../coordination/quarantine/index.js";
+import { type Arrived, digestOf, heldRefusal, lifeOf } from "../../../coordination/quarantine/index.js";
 import { identifyRun, type RequestParts, type RequestScope, type Run } from "../../../coordination/request/index.js";
 import { type Announcement, callerHeaders, type EntrySettings, type Refusal } from "../../../protocol/index.js";
 import { DisposableStore } from "../../../utils/index.js";
@@ -156,9 +156,10 @@
     ): Promise<Sent> {
         const { control, marks } = this.parts.request;
         const { name } = call.route;
-        const held = this.holdOf(call);
+        const { crashes, logger } = this.parts.request;
+        const held = call.arrived && heldRefusal(crashes, call.arrived, logger);
         if (held !== undefined) {
-            return held;
+            return { kind: "failed", refusal: held };
         }
         const isAvoided = (copy: Announcement) => avoided.has(copy.id) || marks.isLeaving(copy.id, copy.incarnation);
         const copy = this.parts.connections.pick(control.view(), name, isAvoided);
@@ -180,25 +181,6 @@
         return sent;
     }
 
-    /** Why the call may not be sent: backend servers ended under it. */
-    private holdOf({ arrived, requestId }: ServiceCall): Sent | undefined {
-        const { crashes, logger } = this.parts.request;
-        const hold = arrived && crashes.hold(arrived);
-        if (hold === undefined || arrived === undefined) {
-            return undefined;
-        }
-        logger.info("a request was refused since backend servers ended under it", {
-            request: requestId,
-            content: arrived.digest,
-            crashes: crashTexts(hold.crashes),
-        });
-        const message = "backend servers ended under this request; it is held back";
-        return {
-            kind: "failed",
-            refusal: { code: "heldBack", outcome: "notRun", message, retryAfter: Math.ceil(hold.left) },
-        };
-    }
-
     private noteLoss({ arrived }: ServiceCall, copy: Announcement): void {
         if (arrived !== undefined) {
             void this.parts.request.crashes.lost(arrived, lifeOf(copy), false);
--- a/packages/basilpaddle/src/node/daemon/gateway/refusalOfHeld.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/refuseHeld.ts
@@ -1,10 +1,7 @@
-import { crashTexts, type CrashWatch } from "../../coordination/index.js";
+import { crashTexts, type CrashWatch, heldReason } from "../../coordination/index.js";
 import type { Metrics } from "../../utils/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 
-/** The reason that callers are given, and that accounts of losses show. */
-const reason = "backend servers ended under this request; it is held back";
-
 /**
  * Turns a request away, or ends it where it has run, if backend servers ended under it. To be asked before each sending,
  * as early as it can be: nothing is spent on a request that must not run. Tells whether it did.
@@ -22,10 +19,10 @@
     metrics.count("basilpaddle_held_back_refusals_total");
     trace.push(`heldBack (${crashTexts(hold.crashes).join(", ")})`);
     if (hasRun || request.hasBegun()) {
-        request.fail(502, reason);
+        request.fail(502, heldReason);
     }
     else {
-        request.refuse(hold.left, reason);
+        request.refuse(hold.left, heldReason);
     }
     return true;
 }
--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -3,7 +3,7 @@
 import { type BackendAnswer, discard, wholeBody } from "../backends/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 import { type ExchangeParts, Sender, type Sent } from "./exchange.js";
-import { refuseHeld } from "./refusalOfHeld.js";
+import { refuseHeld } from "./refuseHeld.js";
 import { TimeLimit } from "./timeLimit.js";
 
 /** Largest answer in bytes that is taken in whole before it is passed on. */
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -7,7 +7,7 @@
 import { placeDemand } from "./placeDemand.js";
 import type { Place, PlacesClient } from "./placesClient.js";
 import { freePrompt, readingLimit, type ReadPrompt } from "./readPrompt.js";
-import { refuseHeld } from "./refusalOfHeld.js";
+import { refuseHeld } from "./refuseHeld.js";
 import { StreamPass } from "./streamPass.js";
 import { TimeLimit } from "./timeLimit.js";
 import { untilKnown } from "./untilKnown.js";
