fix(quarantine): a crash after the first part of an answer counts for less

Cause: late crashes counted like others, though whatever runs on an engine is exposed to them all the time; only the first moments of a run tell a request that crashes engines from one that is hit. Each kind has a limit of its own now, and they add up in proportion: two early, three of answers in one piece, five late.

--- a/packages/basilpaddle/src/node/coordination/quarantine/crashHistory.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/crashHistory.ts
@@ -1,4 +1,4 @@
-import { type Crash, type CrashRecord, mostCrashes } from "../../protocol/index.js";
+import { type Crash, type CrashPhase, type CrashRecord, mostCrashes } from "../../protocol/index.js";
 
 /**
  * Milliseconds by which two daemons' moments of one event may differ. An age is older on arrival than it says, by the time
@@ -7,7 +7,7 @@
 const tolerance = 1_000;
 
 /** A crash as this daemon remembers it: by its own clock. */
-export type KnownCrash = { readonly server: string; readonly early: boolean; readonly at: number; };
+export type KnownCrash = { readonly server: string; readonly phase: CrashPhase; readonly at: number; };
 
 /**
  * The crashes under one request. What daemons tell of it can be merged in any order and any number of times: each backend
@@ -46,7 +46,7 @@
 
     /** What other daemons are told. */
     record(digest: string, now: number): CrashRecord {
-        const crashes = this.standing().map(({ server, early, at }): Crash => ({ server, early, age: now - at }));
+        const crashes = this.standing().map(({ server, phase, at }): Crash => ({ server, phase, age: now - at }));
         return Number.isFinite(this.clearedAt)
             ? { digest, crashes, clearedAge: Math.max(0, now - this.clearedAt) }
             : { digest, crashes };
@@ -63,12 +63,12 @@
         return true;
     }
 
-    private add({ server, early, age }: Crash, now: number): boolean {
+    private add({ server, phase, age }: Crash, now: number): boolean {
         const at = now - age;
         if (this.crashes.has(server) || this.crashes.size >= mostCrashes || at <= this.clearedAt) {
             return false;
         }
-        this.crashes.set(server, { server, early, at });
+        this.crashes.set(server, { server, phase, at });
         this.most = Math.max(this.most, this.crashes.size);
         return true;
     }
--- a/packages/basilpaddle/src/node/coordination/quarantine/crashWatch.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/crashWatch.ts
@@ -1,3 +1,4 @@
+import type { CrashPhase } from "../../protocol/index.js";
 import type { Listening } from "../../transport/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
 import type { HeldRequests } from "./heldRequests.js";
@@ -28,7 +29,7 @@
 /** A run that broke off. */
 type LostRun = Arrived & {
     readonly server: ServerLife;
-    readonly early: boolean;
+    readonly phase: CrashPhase;
     readonly at: number;
 };
 
@@ -65,9 +66,9 @@
         return this.options.held.hold(request.digest);
     }
 
-    /** A run broke off. `early`: of a kind that gives its answer in parts, and it had given none. */
-    async lost({ digest, attempt }: Arrived, server: ServerLife, early: boolean): Promise<void> {
-        const run = { server, digest, attempt, early, at: this.now() };
+    /** A run broke off. */
+    async lost({ digest, attempt }: Arrived, server: ServerLife, phase: CrashPhase): Promise<void> {
+        const run = { server, digest, attempt, phase, at: this.now() };
         if (this.options.held.wasAnsweredLately(digest)) {
             return;
         }
@@ -76,7 +77,7 @@
         }
         else if (this.waiting.length < mostWaiting) {
             // A server that fell silent may have ended long before the run was given up: its first moments say nothing then.
-            this.waiting.push({ ...run, early: false });
+            this.waiting.push({ ...run, phase: phase === "early" ? "late" : phase });
             this.cancelPoll ??= this.options.clock.after(wordPoll, () => this.review());
         }
     }
@@ -113,19 +114,19 @@
         this.cancelPoll = this.waiting.length === 0 ? undefined : clock.after(wordPoll, () => this.review());
     }
 
-    private note({ server, digest, attempt, early, at }: LostRun, proof: string): void {
+    private note({ server, digest, attempt, phase, at }: LostRun, proof: string): void {
         const { held, logger, metrics } = this.options;
         const age = this.now() - at;
         logger.warn("a backend server ended under a request", {
             request: attempt,
             content: digest,
             server: server.id,
-            early,
+            phase,
             age: Math.round(age),
             proof,
         });
-        metrics.count("basilpaddle_crashes_under_requests_total", { early: String(early) });
-        held.note(digest, { server: server.id, early, age });
+        metrics.count("basilpaddle_crashes_under_requests_total", { phase });
+        held.note(digest, { server: server.id, phase, age });
     }
 
     private now(): number {
--- a/packages/basilpaddle/src/node/coordination/quarantine/heldRequests.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/heldRequests.ts
@@ -163,5 +163,5 @@
 
 /** The backend servers that ended, and how many milliseconds ago. */
 export function crashTexts(crashes: Hold["crashes"]): string[] {
-    return crashes.map(({ server, age, early }) => `${server} ${Math.round(age)}${early ? " early" : ""}`);
+    return crashes.map(({ server, age, phase }) => `${server} ${Math.round(age)} ${phase}`);
 }
--- a/packages/basilpaddle/src/node/coordination/quarantine/quarantine.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/quarantine.ts
@@ -11,6 +11,8 @@
 /** Times as long that a request is held back with each further crash, and milliseconds at the most: each try may cost one. */
 const holdGrowth = 4;
 const longestHold = 24 * 60 * 60_000;
+/** What sums of fractions may lack of a whole. */
+const rounding = 1e-9;
 /** Milliseconds for which a request is remembered after its last crash, or after its hold. */
 const memory = 10 * 60_000;
 
@@ -68,7 +70,7 @@
             return undefined;
         }
         const left = Math.max(...crashes.map(({ at }) => at)) + this.holdTime(crashes) - now;
-        const told = crashes.map(({ server, early, at }) => ({ server, early, age: now - at }));
+        const told = crashes.map(({ server, phase, at }) => ({ server, phase, age: now - at }));
         return left > 0 ? { left, crashes: told } : undefined;
     }
 
@@ -116,9 +118,9 @@
     /** The crashes that count against a request: not those that another one explains better. */
     private against(digest: string): readonly KnownCrash[] {
         const standing = this.histories.peek(digest)?.standing() ?? [];
-        return standing.filter(({ server, early }) => {
+        return standing.filter(({ server, phase }) => {
             const culprit = this.culprits.peek(server);
-            return early || culprit === undefined || culprit === digest;
+            return phase === "early" || culprit === undefined || culprit === digest;
         });
     }
 
@@ -138,15 +140,17 @@
      * given something, was only hit; of an engine with twenty runs that is most of them.
      */
     private blame(digest: string, history: CrashHistory): void {
-        const early = history.standing().filter(crash => crash.early);
+        const early = history.standing().filter(({ phase }) => phase === "early");
         if (early.length >= this.rules.earlyCrashes) {
             early.forEach(({ server }) => this.culprits.set(server, digest));
         }
     }
 
+    /** Crashes of each kind count by their own limit: two early ones as much as five late ones. */
     private isTooMuch(crashes: readonly KnownCrash[]): boolean {
-        const { crashes: limit, earlyCrashes } = this.rules;
-        return crashes.length >= limit || crashes.filter(({ early }) => early).length >= earlyCrashes;
+        const { crashes: whole, earlyCrashes: early, lateCrashes: late } = this.rules;
+        const limits = { whole, early, late };
+        return crashes.reduce((sum, { phase }) => sum + 1 / limits[phase], rounding) >= 1;
     }
 
     private holdTime(crashes: readonly KnownCrash[]): number {
--- a/packages/basilpaddle/src/node/coordination/request/driver.ts
+++ b/packages/basilpaddle/src/node/coordination/request/driver.ts
@@ -124,7 +124,7 @@
         }
         const engine = end.kind === "failed" && end.code === "backendFailed" ? backends[end.engine ?? ""] : undefined;
         if (engine !== undefined) {
-            void this.parts.crashes.lost(this.arrived(), lifeOf(engine.announcement), isEarly);
+            void this.parts.crashes.lost(this.arrived(), lifeOf(engine.announcement), isEarly ? "early" : "late");
         }
     }
 
--- a/packages/basilpaddle/src/node/daemon/entry/services/serviceCalls.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/services/serviceCalls.ts
@@ -183,7 +183,7 @@
 
     private noteLoss({ arrived }: ServiceCall, copy: Announcement): void {
         if (arrived !== undefined) {
-            void this.parts.request.crashes.lost(arrived, lifeOf(copy), false);
+            void this.parts.request.crashes.lost(arrived, lifeOf(copy), "whole");
         }
     }
 
--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -192,7 +192,7 @@
     /** The server may have ended under the request. */
     private noteLoss(server: Announced): void {
         if (!this.request.isGone()) {
-            void this.parts.crashes.lost(this.request, server, false);
+            void this.parts.crashes.lost(this.request, server, "whole");
         }
     }
 
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -182,7 +182,7 @@
                 return undefined;
             }
             if (sent.kind === "unknown" && !request.isGone()) {
-                void parts.crashes.lost(request, prefill, true);
+                void parts.crashes.lost(request, prefill, "early");
             }
             const unreached = sent.kind === "notRun" && sent.unreachable;
             arrive(unreached ? "unreached" : handle === undefined ? "counted" : "read");
@@ -218,7 +218,11 @@
             case "turnedAway":
                 return this.turnedAway(decode, end);
             case "lost":
-                void this.parts.crashes.lost(this.request, decode, this.pass.events() === eventsBefore);
+                void this.parts.crashes.lost(
+                    this.request,
+                    decode,
+                    this.pass.events() === eventsBefore ? "early" : "late",
+                );
                 this.runs += 1;
                 this.read = undefined;
                 this.resume(decode.id, end.cause);
@@ -317,7 +321,7 @@
         }
         else {
             // It ended with its connection: nobody can tell whether its engine ended it, or ended itself.
-            void parts.crashes.lost(request, decode, false);
+            void parts.crashes.lost(request, decode, "late");
         }
         return { kind: "done" };
     }
--- a/packages/basilpaddle/src/node/protocol/crash.ts
+++ b/packages/basilpaddle/src/node/protocol/crash.ts
@@ -10,11 +10,10 @@
 export const holdRulesSchema = z.object({
     /** Backend servers that end under a request before it is held back. One may end of something else, a second by bad luck. */
     crashes: z.int().min(1).default(3),
-    /**
-     * The same where each run ended before it had given anything, of a kind that gives its answer in parts: others are
-     * exposed to that bad luck only in the first moments of a run.
-     */
+    /** The same for crashes before the first part of an answer: others are exposed to that bad luck only for a moment. */
     earlyCrashes: z.int().min(1).default(2),
+    /** The same for crashes after it: whatever runs on an engine is exposed to them, all the time. */
+    lateCrashes: z.int().min(1).default(5),
     /** Milliseconds for which it is held back at first; each further crash makes it four times as long, up to a day. */
     firstHold: z.number().positive().default(600_000),
 });
@@ -22,12 +21,16 @@
 /** When a request is held back. */
 export type HoldRules = z.infer<typeof holdRulesSchema>;
 
+/** How far a run had come: before or after the first part of its answer, or of a kind that is answered in one piece. */
+export const crashPhases = ["early", "late", "whole"] as const;
+/** How far a run had come when its server ended. */
+export type CrashPhase = typeof crashPhases[number];
+
 /** A backend server that ended while it had a request. */
 export const crashSchema = z.object({
     /** The incarnation that ended. */
     server: identifier,
-    /** Whether a run that gives its answer in parts ended before it had given any. */
-    early: z.boolean(),
+    phase: z.enum(crashPhases),
     /** Milliseconds since. Hosts' clocks differ, so that ages are told and not moments. */
     age: milliseconds,
 });
--- a/simulation/quarantine/crashDay.ts
+++ b/simulation/quarantine/crashDay.ts
@@ -208,7 +208,7 @@
         this.running.delete(engine);
         for (const { content, firstAt } of lost) {
             if (!this.answered.has(content)) {
-                const crash = { server: engine, early: firstAt > this.now, age: 0 };
+                const crash = { server: engine, phase: firstAt > this.now ? "early" : "late", age: 0 } as const;
                 this.quarantine.merge([{ digest: content, crashes: [crash] }], this.now);
             }
         }
