fix(quarantine): a request that ended servers late is held back for ten minutes at first too

It would have been held for 160: the time grew with each crash beyond three, and five late ones are needed. It grows with what goes beyond the limit now. The test fails on the code before.

--- a/packages/basilpaddle/src/node/coordination/quarantine/__tests__/quarantine.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/__tests__/quarantine.spec.ts
@@ -52,6 +52,11 @@
         expect([isHeld("a", 50 * minute), isHeld("a", 52 * minute)]).to.deep.equal([true, false]);
     });
 
+    it("lets it go after ten minutes as well that crashed servers late, where five were needed", () => {
+        quarantine.merge([of("a", late("s1"), late("s2"), late("s3"), late("s4"), late("s5"))], 0);
+        expect([isHeld("a", 9 * minute), isHeld("a", 11 * minute)]).to.deep.equal([true, false]);
+    });
+
     it("forgets crashes of before an answer, and counts those after it", () => {
         quarantine.merge([of("a", early("s1"), early("s2"))], 0);
         quarantine.merge([{ digest: "a", crashes: [], clearedAge: 0 }], 5_000);
--- a/packages/basilpaddle/src/node/coordination/quarantine/quarantine.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/quarantine.ts
@@ -28,8 +28,8 @@
 export type HeldRequest = Hold & { readonly digest: string; };
 
 /**
- * Requests under which backend servers ended, and which of these are held back for it. One copy is kept by every gateway and
- * every directory; they tell each other all that bears on a decision, so that none has to be asked when a request comes.
+ * Requests under which backend servers ended, and which of these are held back for it. Every daemon keeps a
+ * copy; they tell each other all that bears on a decision, so that none has to be asked when a request comes.
  */
 export class Quarantine {
     private readonly histories = new LRUCache<string, CrashHistory>({ max: historyLimit });
@@ -146,15 +146,19 @@
         }
     }
 
-    /** Crashes of each kind count by their own limit: two early ones as much as five late ones. */
     private isTooMuch(crashes: readonly KnownCrash[]): boolean {
+        return this.weight(crashes) + rounding >= 1;
+    }
+
+    /** Crashes of each kind count by their own limit, 1 being enough: two early ones as much as five late ones. */
+    private weight(crashes: readonly KnownCrash[]): number {
         const { crashes: whole, earlyCrashes: early, lateCrashes: late } = this.rules;
         const limits = { whole, early, late };
-        return crashes.reduce((sum, { phase }) => sum + 1 / limits[phase], rounding) >= 1;
+        return crashes.reduce((sum, { phase }) => sum + 1 / limits[phase], 0);
     }
 
     private holdTime(crashes: readonly KnownCrash[]): number {
-        const beyond = Math.max(0, crashes.length - this.rules.crashes);
+        const beyond = Math.round(Math.max(0, this.weight(crashes) - 1) * this.rules.crashes);
         return Math.min(longestHold, this.rules.firstHold * holdGrowth ** beyond);
     }
 }
