--- a/.ci/passKnownRed.mjs
+++ b/.ci/passKnownRed.mjs
@@ -3,7 +3,6 @@
 import { existsSync, readFileSync } from "node:fs";
 
 const [log, list] = process.argv.slice(2);
-// eslint-disable-next-line no-control-regex
 const text = readFileSync(log, "utf8").replace(/\u001b\[\d+m/g, "");
 const known = existsSync(list)
     ? [...readFileSync(list, "utf8").matchAll(/^\S+ "(.+)"$/gm)].map(([, title]) => title)
