sight: who assigned an attempt's engines, what a new scheduler learnt, and how a process of the soak ended

Neither known failure could be explained from what was kept. An entry daemon now logs each assignment (engines, fencing number, whether it was chosen alone, time waited) and each import that met a full decode engine; a scheduler that has taken over logs how many holdings and reports it heard and how long that took. The soak's violation of a process that ended by itself says code, signal and last lines; the check is as it was.

--- a/packages/basilpaddle/src/node/coordination/request/attempt.ts
+++ b/packages/basilpaddle/src/node/coordination/request/attempt.ts
@@ -143,6 +143,12 @@
             }
             // Ended here, the finished prefill would be thrown away, and a non-idempotent request fail for good.
             const wait = tries.next(parts.clock.monotonic());
+            parts.logger.info("a decode engine has no free slot", {
+                request: work.requestId,
+                attempt: this.id,
+                engine: backend.id,
+                nextTry: wait === undefined ? undefined : Math.round(wait),
+            });
             if (wait === undefined) {
                 return end;
             }
--- a/packages/basilpaddle/src/node/coordination/scheduling/scheduledPlacement.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/scheduledPlacement.ts
@@ -77,12 +77,12 @@
                 break;
             }
             if (decision !== "moved") {
-                return this.noted(current, decision, signal);
+                return this.noted(current, decision, since, signal);
             }
         }
         // Chosen for as if it had just come, a demand that has waited long would take engines from those that can be on time.
         const current = this.leftOf(demand, since);
-        return this.noted(current, await this.alone.reserve(current, signal), signal);
+        return this.noted(current, await this.alone.reserve(current, signal), since, signal);
     }
 
     override progress(pool: string, progress: Progress): void {
@@ -178,7 +178,7 @@
         return decision;
     }
 
-    private noted(demand: Demand, decision: Decision, signal: AbortSignal): Decision {
+    private noted(demand: Demand, decision: Decision, since: number, signal: AbortSignal): Decision {
         if (signal.aborted) {
             if (decision.kind === "assigned") {
                 this.progress(demand.pool, { attempt: demand.attempt, stage: "cancelled", tokens: 0 });
@@ -187,6 +187,16 @@
         }
         if (decision.kind === "assigned") {
             this.held.add(demand, decision.prefill, decision.decode);
+            const { attempt, prefill, decode, fence } = decision;
+            const waited = Math.round(this.parts.clock.monotonic() - since);
+            this.parts.logger.info("engines are assigned", {
+                attempt,
+                prefill,
+                decode,
+                fence,
+                alone: fence === 0,
+                waited,
+            });
         }
         return decision;
     }
@@ -271,10 +281,10 @@
             holdings: () => this.askHoldings(pool, holder.fence),
             reports: () => this.askEngines(view, pool),
         };
-        const { clock } = this.parts;
+        const { clock, logger } = this.parts;
         const { fence } = holder;
         const scheduler = PoolScheduler.create({ fence, warm: false });
-        this.hosts.set(pool, SchedulerHost.create({ pool, fence, view, clock, scheduler, survey }));
+        this.hosts.set(pool, SchedulerHost.create({ pool, fence, view, clock, scheduler, survey, logger }));
     }
 
     private askHoldings(pool: string, fence: number) {
--- a/packages/basilpaddle/src/node/coordination/scheduling/schedulerHost.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/schedulerHost.ts
@@ -1,5 +1,5 @@
 import type { Decision, Demand, Holding, LoadReport, Progress, View } from "../../protocol/index.js";
-import type { Clock } from "../../utils/index.js";
+import type { Clock, Logger } from "../../utils/index.js";
 import type { Scheduler, SchedulerEvent } from "./scheduler.js";
 import { enginesOf, rulesOf } from "./viewOfPool.js";
 
@@ -28,6 +28,7 @@
         readonly fence: number,
         private readonly clock: Clock,
         private readonly scheduler: Scheduler,
+        private readonly logger: Logger | undefined,
     ) {}
 
     static create(options: {
@@ -38,8 +39,10 @@
         readonly scheduler: Scheduler;
         /** Left out where nothing of the time before is to be learnt. */
         readonly survey?: Survey;
+        readonly logger?: Logger;
     }): SchedulerHost {
-        const host = new SchedulerHost(options.pool, options.fence, options.clock, options.scheduler);
+        const { pool, fence, clock, scheduler, logger } = options;
+        const host = new SchedulerHost(pool, fence, clock, scheduler, logger);
         host.follow(options.view);
         if (options.survey !== undefined) {
             void host.warmUp(options.survey);
@@ -114,18 +117,28 @@
         const limit = new Promise<void>(resolve => {
             cancelLimit = this.clock.after(warmLimit, resolve);
         });
+        const since = this.clock.monotonic();
+        const known = { holdings: 0, reports: 0 };
         const holdings = survey.holdings().map(async answer => {
             for (const holding of await answer) {
+                known.holdings++;
                 this.step({ kind: "holding", holding });
             }
         });
         const reports = survey.reports().map(async answer => {
             const report = await answer;
+            known.reports += report === undefined ? 0 : 1;
             this.load(report === undefined ? [] : [report]);
         });
         await Promise.race([Promise.allSettled([...holdings, ...reports]), limit]);
         cancelLimit();
         this.step({ kind: "warm" });
+        this.logger?.info("knows what a pool's attempts hold", {
+            pool: this.pool,
+            fence: this.fence,
+            ...known,
+            took: Math.round(this.clock.monotonic() - since),
+        });
     }
 
     private step(event: SchedulerEvent): void {
--- a/playground/harness/program.ts
+++ b/playground/harness/program.ts
@@ -5,6 +5,10 @@
 /** How a process ended. */
 export type ProgramEnd = { readonly code: number | undefined; readonly signal: string | undefined; };
 
+/** Lines, and characters of each, that tell how a process ended. */
+const lastLines = 3;
+const longestLine = 400;
+
 const alive = new Set<ChildProcess>();
 // A run that is broken off must leave nothing behind.
 process.once("exit", () => alive.forEach(child => child.kill("SIGKILL")));
@@ -12,6 +16,7 @@
 /** A real process with its output. It is signalled by its own id only. */
 export class Program {
     private text = "";
+    private how: ProgramEnd | undefined;
     private readonly ended: Promise<ProgramEnd>;
 
     private constructor(readonly name: string, private readonly child: ChildProcess) {
@@ -24,10 +29,11 @@
         });
         this.ended = once(child, "close").then(([code, signal]) => {
             alive.delete(child);
-            return {
+            this.how = {
                 code: (code ?? undefined) as number | undefined,
                 signal: (signal ?? undefined) as string | undefined,
             };
+            return this.how;
         });
     }
 
@@ -42,6 +48,15 @@
         return this.text;
     }
 
+    /** How it ended, with its last lines; for messages of tests. */
+    lastWords(): string {
+        const lines = this.text.trimEnd().split("\n").slice(-lastLines);
+        const { code, signal } = this.how ?? {};
+        return `code ${code ?? "none"}, signal ${signal ?? "none"}:\n${
+            lines.map(line => line.slice(0, longestLine)).join("\n")
+        }`;
+    }
+
     /** Waits for a line of its output that fits. */
     async line(pattern: RegExp): Promise<string> {
         return until(`${this.name}: a line like ${pattern}`, async () => {
--- a/soak/member.ts
+++ b/soak/member.ts
@@ -143,6 +143,11 @@
         }
     }
 
+    /** How its process ended, with its last lines. */
+    lastWords(): string {
+        return this.program?.lastWords() ?? "never started";
+    }
+
     /** All that it has written, over its restarts. */
     output(): string {
         return this.earlier + (this.program?.output() ?? "");
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -147,7 +147,7 @@
         for (const member of this.deployment.members()) {
             if (!member.isRunning() && !member.expectedDown) {
                 member.expectedDown = true;
-                this.invariants.violate("processes run", `${member.name} ended by itself`);
+                this.invariants.violate("processes run", `${member.name} ended by itself, ${member.lastWords()}`);
             }
         }
     }
