fix(request): a letter isn't lost because a decode engine proves to be full

Callers saw 502 backendRefused, failed_after_starting, "transfer on decode-1: no slot is free" for requests that may not be repeated: their prompt was read, no word was written, and they failed for good.

Evidence, by the new log lines, in the shutdown test played again and again while the entry daemon that schedules the pool stands still for 150 to 650 ms (load average 22 to 46 on 8 cores): each lost letter had met a daemon that chose alone (fencing number 0) within the second before. 350 ms without an answer of the scheduler, and daemons choose by reports of engines that are up to seconds old, since an engine reports to one daemon at a time; several take the same slot; then the scheduler goes on and hands the same slots out a third time.

- A full engine no longer ends the attempt while the request has use for the prefill: the placement is asked for another decode engine; a free slot goes to such an attempt before what is queued; the proof counts until three reports have come.
A letter is offered until its prefill's engine says that the result is evicted, in place of for half a second.
- The scheduler hears at once what was taken without it, and after a stall of its own takes in what has arrived before it hands anything out.
- Alone, a demand that can't be tried again is placed only by reports that were just asked for, and only while more slots are free than the other daemons may take.
What waits alone goes back to the scheduler once that answers.

The tests named in the diff fail on the code before: no placement could be asked for another engine.

--- a/packages/basilpaddle/src/node/coordination/request/__tests__/fullEngine.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/request/__tests__/fullEngine.spec.ts
@@ -123,4 +123,44 @@
             expect(prefills(rig)).to.have.length(count);
         }
     });
+
+    for (const run of [undefined, letter]) {
+        // Guards against a prompt that is read in vain, or a letter that fails for good, while another engine has room.
+        it(`hands ${run === undefined ? "an idempotent" : "a non-idempotent"} request over to an engine with room`, async () => {
+            const rig = Rig.create();
+            rig.engine("d1").faults.import.push(...always);
+            rig.placement.spare = "d2";
+            expect((await rig.drive({ run })).kind).to.equal("finished");
+            expect(rig.ran().map(ran => ran.split(" ")[0])).to.deep.equal(["prefill", "import", "decode"]);
+            expect(rig.engine("d2").ran.map(({ stage }) => stage)).to.deep.equal(["import", "decode"]);
+            expect(rig.placement.full).to.deep.equal(["d1"]);
+            await rig.settled();
+            expect(rig.held()).to.deep.equal([]);
+        });
+    }
+
+    // Guards against a letter that fails for good half a second after its prompt was read, however long its result is kept.
+    it("is asked for a letter until the prefill's result is evicted", async () => {
+        const rig = Rig.create();
+        rig.engine("d1").faults.import.push(...always);
+        expect((await rig.drive({ run: letter })).kind).to.equal("finished");
+        expect(rig.ran().map(ran => ran.split(" ")[0])).to.deep.equal(["prefill", "import", "decode"]);
+        const late = Rig.create();
+        late.engine("d1").faults.import.push(...always.slice(0, 9), "evicted");
+        const end = await late.drive({ run: letter });
+        expect(end).to.have.nested.property("refusal.outcome", "failedAfterStarting");
+        expect(late.placement.full).to.have.length(9);
+        await late.settled();
+        expect(late.held()).to.deep.equal([]);
+    });
+
+    // Guards against a slot taken at an engine that has begun to leave.
+    it("is left for no engine that takes no work any more", async () => {
+        const rig = Rig.create();
+        rig.engine("d1").faults.import.push("full");
+        rig.engine("d1").begun = () => rig.mark("d2", "leaving");
+        rig.placement.spare = "d2";
+        expect((await rig.drive({ run: letter })).kind).to.equal("finished");
+        expect(rig.engine("d2").ran).to.deep.equal([]);
+    });
 });
--- a/packages/basilpaddle/src/node/coordination/request/attempt.ts
+++ b/packages/basilpaddle/src/node/coordination/request/attempt.ts
@@ -20,6 +20,7 @@
     private readonly id: string;
     private readonly scope: AttemptScope;
     private readonly held: Held[] = [];
+    private readonly borrowed: string[] = [];
     private working: Announcement | undefined;
     private prefilled: { readonly answer: PrefillAnswer; readonly milliseconds: number; } | undefined;
 
@@ -72,28 +73,28 @@
             const missing = prefill === undefined ? prefillId : decodeId;
             return failed("noBackend", `${missing} takes no new work`, missing);
         }
-        const engines = this.context.parts.engines;
-        engines.borrow(prefill.url);
-        engines.borrow(decode.url);
+        this.borrow(prefill);
+        this.borrow(decode);
         try {
             return await this.compute(prefill, decode);
         }
         finally {
-            engines.giveBack(prefill.url);
-            engines.giveBack(decode.url);
+            this.borrowed.forEach(url => this.context.parts.engines.giveBack(url));
         }
     }
 
+    private borrow(backend: Announcement): void {
+        this.context.parts.engines.borrow(backend.url);
+        this.borrowed.push(backend.url);
+    }
+
     private async compute(prefill: Announcement, decode: Announcement): Promise<AttemptEnd> {
         const prompt = await this.prefill(prefill);
         if ("kind" in prompt) {
             return prompt;
         }
-        const transfer = await this.transfer(prefill, decode, prompt);
-        if (transfer !== undefined) {
-            return transfer;
-        }
-        return this.decode(decode);
+        const transferred = await this.transfer(prefill, decode, prompt);
+        return "kind" in transferred ? transferred : this.decode(transferred);
     }
 
     private async prefill(backend: Announcement): Promise<PrefillAnswer | AttemptEnd> {
@@ -124,35 +125,38 @@
         return scope.stopped === undefined ? result : { kind: "stopped" };
     }
 
+    /** Gives the decode engine that has the prefill's result. */
     private async transfer(
         source: Announcement,
-        backend: Announcement,
+        reserved: Announcement,
         prompt: PrefillAnswer,
-    ): Promise<AttemptEnd | undefined> {
+    ): Promise<Announcement | AttemptEnd> {
         const { parts, work, lifecycle, scope } = this.context;
         // A process that wakes from a freeze here would take a decode slot that its successor knows nothing of.
         if (!parts.control.mayStart()) {
             return viewExpired;
         }
         lifecycle.send("transfer");
-        const tries = ImportTries.create(parts.clock.monotonic(), this.latestImport(), parts.randomness);
+        const tries = this.importTries();
+        let backend = reserved;
         for (;;) {
             const end = await this.import(source, backend, prompt);
-            if (end?.kind !== "failed" || end.isFull !== true) {
+            if (end === undefined) {
+                return backend;
+            }
+            if (end.kind !== "failed" || end.isFull !== true) {
                 return end;
             }
             // Ended here, the finished prefill would be thrown away, and a non-idempotent request fail for good.
             const wait = tries.next(parts.clock.monotonic());
-            parts.logger.info("a decode engine has no free slot", {
-                request: work.requestId,
-                attempt: this.id,
-                engine: backend.id,
-                nextTry: wait === undefined ? undefined : Math.round(wait),
-            });
             if (wait === undefined) {
                 return end;
             }
-            await pause(parts.clock, wait, this.scope.signal);
+            const other = await this.move(source, backend);
+            if (other === undefined) {
+                await pause(parts.clock, wait, this.scope.signal);
+            }
+            backend = other ?? backend;
             if (scope.stopped !== undefined) {
                 return { kind: "stopped" };
             }
@@ -193,14 +197,41 @@
         return scope.stopped === undefined ? undefined : { kind: "stopped" };
     }
 
+    /** Another decode engine in place of one that is full, where one has room. */
+    private async move(source: Announcement, full: Announcement): Promise<Announcement | undefined> {
+        const { parts, written } = this.context;
+        const moved = parts.placement.move({
+            demand: this.demand(),
+            prefill: source.id,
+            decode: full.id,
+            stage: "prefilled",
+            tokens: written.tokens,
+        });
+        const id = await untilAborted(moved, this.scope.signal, undefined);
+        const other = id === undefined ? undefined : this.ready(id);
+        if (other !== undefined) {
+            this.borrow(other);
+        }
+        return other;
+    }
+
+    /** A prefill that may not be made again is offered for as long as its engine keeps the result. */
+    private importTries(): ImportTries {
+        const { parts, work } = this.context;
+        return work.run === undefined
+            ? ImportTries.create(parts.clock.monotonic(), this.latestImport(), parts.randomness)
+            : ImportTries.untilEvicted(work.deadlineAt, parts.randomness);
+    }
+
     /**
      * When a further import comes too late: the first token's target, past which another request has more use for the
-     * slot; the deadline where a second attempt is impossible, or the first token is out already.
+     * slot; the deadline where the first token is out already.
      */
     private latestImport(): number {
         const { work, written } = this.context;
-        const isLateAllowed = work.run !== undefined || written.firstAt !== undefined;
-        return isLateAllowed ? work.deadlineAt : Math.min(work.deadlineAt, work.receivedAt + work.targets.firstToken);
+        return written.firstAt !== undefined
+            ? work.deadlineAt
+            : Math.min(work.deadlineAt, work.receivedAt + work.targets.firstToken);
     }
 
     private async decode(backend: Announcement): Promise<AttemptEnd> {
@@ -334,6 +365,7 @@
             firstTokenWithin: work.targets.firstToken - (now - work.receivedAt),
             deadlineWithin: work.deadlineAt - now,
             alreadySent: written.tokens,
+            once: work.run !== undefined,
             avoid: [...this.avoid, ...parts.marks.inPool(parts.control.view(), work.pool)],
         };
     }
--- a/packages/basilpaddle/src/node/coordination/scheduling/__tests__/choosingAlone.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/__tests__/choosingAlone.spec.ts
@@ -89,4 +89,18 @@
         expect(refused.map(decision => [decision.kind, decision.attempt])).to.deep.equal([["refused", "e"]]);
         expect(alone.standing().waiting).to.equal(0);
     });
+
+    // Guards against a letter that fails for good since several daemons took the last slots that each saw free.
+    it("gives a demand that can't be tried again only slots that the other daemons can't take all, by fresh reports", () => {
+        const open = ["a", "b", "c"].map(daemon => ({ daemon, incarnation: "i1" }));
+        const outcomes = ([["x"], ["x", "y"], undefined] as const).map((active, index) => {
+            const alone = create([engine("p1", "prefill"), engine("d1", "decode", { slots: 4 })]);
+            alone.step({ kind: "sessions", open }, 0);
+            const report = { id: "d1", incarnation: 1, sequence: 1, active: [...active ?? []], queuedTokens: 0 };
+            // What an engine told a second ago tells nothing of the slots that are left.
+            alone.step({ kind: "load", report }, active === undefined ? -1_000 : 0);
+            return [ask(alone, demand(`a${index}`, { once: true })), ask(alone, demand(`b${index}`))];
+        });
+        expect(outcomes).to.deep.equal([["d1", "waits"], ["waits", "d1"], ["waits", "d1"]]);
+    });
 });
--- a/packages/basilpaddle/src/node/coordination/scheduling/__tests__/poolScheduler.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/__tests__/poolScheduler.spec.ts
@@ -3,6 +3,7 @@
 import { Bench } from "../../../../../../../simulation/scheduling/bench.js";
 import { schedulingRuns } from "../../../../../../../simulation/scheduling/runs.js";
 import { demand, engine } from "../../../../../../../simulation/scheduling/samples.js";
+import type { Holding } from "../../../protocol/index.js";
 
 describe("the scheduler of a pool", () => {
     // Symptom: prefills are evicted before a decode slot is free. Sequence: all slots run long answers, demands come.
@@ -168,4 +169,52 @@
     it("never holds more than the slots, and holds nothing after all ended", () => {
         fc.assert(schedulingRuns(), { seed: 20_261_202, numRuns: 200 });
     });
+
+    function holdingOf(attempt: string, decode: string): Holding {
+        return { demand: demand(attempt), prefill: "p1", decode, stage: "prefilled", tokens: 0 };
+    }
+
+    function report(bench: Bench, sequence: number, active: string[]): void {
+        bench.step({ kind: "load", report: { id: "d1", incarnation: 1, sequence, active, queuedTokens: 0 } });
+    }
+
+    // Guards against a finished prefill that is thrown away while another engine has room, or while slots come free.
+    it("gives the next free slot to an attempt whose engine proved to be full, before what is queued", () => {
+        const bench = new Bench([
+            engine("p1", "prefill", { slots: 9 }),
+            engine("d1", "decode", { slots: 1 }),
+            engine("d2", "decode", { slots: 1 }),
+        ]);
+        const asked = ["a", "b", "queued"].map(name => demand(name, { firstTokenWithin: 30_000 }));
+        asked.forEach(one => bench.ask(one));
+        bench.pass(400);
+        const [moving, other] = bench.outcome("a") === "p1>d1" ? ["a", "b"] as const : ["b", "a"] as const;
+        bench.stages(other, "prefilled", "transferred");
+        bench.stages(moving, "prefilled");
+        expect(bench.scheduler.move(holdingOf(moving, "d1"), bench.now)).to.equal(undefined);
+        bench.stages(other, "finished");
+        expect(bench.outcome("queued")).to.equal("waits");
+        expect(bench.scheduler.move(holdingOf(moving, "d1"), bench.now)).to.equal("d2");
+        expect([...bench.scheduler.standing().held]).to.deep.include.members([["d1", 0], ["d2", 1]]);
+        expect(bench.scheduler.move(holdingOf(moving, "d1"), bench.now), "asked again").to.equal("d2");
+        // The engine that proved to be full counts as full until its reports can tell otherwise.
+        bench.pass(100);
+        expect(bench.outcome("queued")).to.equal("waits");
+        [1, 2, 3].forEach(sequence => report(bench, sequence, []));
+        bench.pass(100);
+        expect(bench.outcome("queued")).to.equal("p1>d1");
+    });
+
+    // Guards against a queue that is held up for an attempt that has gone.
+    it("keeps no slot for an attempt that doesn't ask again", () => {
+        const bench = new Bench([engine("p1", "prefill", { slots: 9 }), engine("d1", "decode", { slots: 1 })]);
+        bench.ask(demand("a", { firstTokenWithin: 30_000 }));
+        bench.stages("a", "prefilled");
+        bench.ask(demand("queued", { firstTokenWithin: 30_000 }));
+        expect(bench.scheduler.move(holdingOf("a", "d1"), bench.now)).to.equal(undefined);
+        [1, 2, 3].forEach(sequence => report(bench, sequence, []));
+        bench.step({ kind: "withdraw", attempt: "a" });
+        bench.pass(1_000);
+        expect(bench.outcome("queued")).to.equal("p1>d1");
+    });
 });
--- a/packages/basilpaddle/src/node/coordination/scheduling/__tests__/scheduledPlacement.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/__tests__/scheduledPlacement.spec.ts
@@ -213,4 +213,82 @@
         await ask("b", "one");
         expect(outcome("one")).to.equal(0);
     });
+
+    for (const alone of [false, true]) {
+        // Guards against a slot that two attempts were given, one of them by a daemon that chose alone.
+        it(`moves what was chosen ${alone ? "alone" : "by the scheduler"} to an engine with room once its own is full`, async () => {
+            if (alone) {
+                daemons.cut.add("a");
+            }
+            await ask("b", "one");
+            await daemons.clock.pass(500);
+            expect(outcome("one")).to.equal(alone ? 0 : 11);
+            daemons.cut.clear();
+            await daemons.clock.pass(500);
+            daemons.change(view => ({ ...view, backends: { ...view.backends, d2: engine("d2", "decode") } }));
+            const holding = {
+                demand: demandOf("b", "one"),
+                prefill: "p1",
+                decode: "d1",
+                stage: "prefilled",
+                tokens: 0,
+            } as const;
+            const moved = daemons.placement("b").move(holding);
+            await daemons.clock.pass(300);
+            expect(await moved).to.equal("d2");
+            const { held } = daemons.placement("a").standing().get("drafts")!;
+            expect([...held]).to.deep.equal([["p1", 0], ["d1", 0], ["d2", 1]]);
+            end("b", "one");
+            await daemons.clock.pass(100);
+            expect(daemons.placement("a").standing().get("drafts")!.held.get("d2")).to.equal(0);
+        });
+    }
+
+    // Guards against a finished prefill that is given up since the scheduler is out of reach.
+    it("moves an attempt alone where the scheduler is out of reach", async () => {
+        await ask("b", "one");
+        daemons.change(view => ({ ...view, backends: { ...view.backends, d2: engine("d2", "decode") } }));
+        daemons.cut.add("a");
+        const holding = {
+            demand: demandOf("b", "one"),
+            prefill: "p1",
+            decode: "d1",
+            stage: "prefilled",
+            tokens: 0,
+        } as const;
+        const moved = daemons.placement("b").move(holding);
+        await daemons.clock.pass(500);
+        expect(await moved).to.equal("d2");
+    });
+
+    // Guards against a letter that is refused, or placed on a slot that is taken, though the scheduler is back.
+    it("goes back to the scheduler with what waits alone once that answers again", async () => {
+        daemons.cut.add("a");
+        await daemons.clock.pass(500);
+        reserve("b", "letter", never, { once: true });
+        await daemons.clock.pass(1_000);
+        expect(outcome("letter")).to.equal("waits");
+        daemons.cut.clear();
+        await daemons.clock.pass(500);
+        expect(outcome("letter")).to.equal(11);
+    });
+
+    // Guards against a scheduler that was frozen and hands out what others took meanwhile.
+    it("hands nothing out after a stall before it has taken in what others took", async () => {
+        const taken = ["one", "two"].map(name => {
+            const place = { prefill: "p1", decode: "d1", stage: "prefilling", tokens: 0 } as const;
+            return { kind: "taken", pool: "drafts", holding: { demand: demandOf("b", name), ...place } } as const;
+        });
+        daemons.clock.freeze(400);
+        reserve("a", "later");
+        await rest();
+        for (const word of taken) {
+            await daemons.placement("a").handlePeer(word, { gone: never });
+        }
+        await daemons.clock.pass(300);
+        expect(outcome("later")).to.equal("waits");
+        end("b", "one");
+        await daemons.clock.pass(300);
+        expect(outcome("later")).to.equal(11);
+    });
 });
--- a/packages/basilpaddle/src/node/coordination/scheduling/alonePlacement.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/alonePlacement.ts
@@ -1,4 +1,4 @@
-import type { Decision, Demand, LoadReport, Progress, View } from "../../protocol/index.js";
+import type { Decision, Demand, Holding, LoadReport, Progress, View } from "../../protocol/index.js";
 import type { Clock, Randomness } from "../../utils/index.js";
 import type { ControlClient } from "../controlClient.js";
 import { Placement } from "../placement.js";
@@ -38,6 +38,10 @@
         return decision ?? refuse(demand, "noBackend", `no pool ${demand.pool} is declared`, undefined);
     }
 
+    override async move(holding: Holding): Promise<string | undefined> {
+        return this.pools.get(holding.demand.pool)?.move(holding);
+    }
+
     override progress(pool: string, progress: Progress): void {
         this.pools.get(pool)?.progress([progress]);
     }
--- a/packages/basilpaddle/src/node/coordination/scheduling/choosingAlone.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/choosingAlone.ts
@@ -1,4 +1,4 @@
-import type { Decision, Demand } from "../../protocol/index.js";
+import type { Decision, Demand, Holding } from "../../protocol/index.js";
 import type { Randomness } from "../../utils/index.js";
 import type { EnginePicture } from "./enginePicture.js";
 import { PoolPicture } from "./poolPicture.js";
@@ -8,6 +8,8 @@
 /** Milliseconds after which a caller who found no engine should come back. */
 const noEngineRetry = 1_000;
 const fullRetry = 500;
+/** Milliseconds for which a report tells enough for a demand that can't be tried again once it proves to be wrong. */
+const freshFor = 500;
 /** Part of the time to the first token's target for which a demand may wait for a slot. */
 const waitingPart = 0.5;
 /** Part of the time to the first token's target that a daemon's part of the prefill engines may be busy with its prompts. */
@@ -43,6 +45,22 @@
         return decisions;
     }
 
+    override move(holding: Holding, now: number): string | undefined {
+        const { demand } = holding;
+        this.picture.restore(holding, now);
+        const assignment = this.picture.assignments.get(demand.attempt);
+        if (assignment === undefined) {
+            return undefined;
+        }
+        this.picture.engines.get(holding.decode)?.provedFull(demand.attempt);
+        const free = this.serving(demand, "decode", now).filter(engine => engine.taken < engine.slots);
+        const decode = this.lessLoaded(free, engine => engine.taken / engine.slots);
+        if (decode !== undefined) {
+            this.picture.move(assignment, decode);
+        }
+        return decode?.id;
+    }
+
     override wakeAt(): number | undefined {
         let first = Infinity;
         for (const assignment of this.picture.assignments.values()) {
@@ -86,6 +104,7 @@
                 return this.expire(now);
             case "rules":
             case "warm":
+            case "stalled":
                 return [];
         }
     }
@@ -116,7 +135,11 @@
             const message = `pool ${demand.pool} has no ready ${role} engine for ${demand.model}`;
             return refuse(demand, "noBackend", message, noEngineRetry);
         }
-        const free = decodes.filter(engine => engine.taken < engine.slots && engine.held.size < this.part(engine));
+        const known = demand.once ? decodes.filter(engine => now - engine.reportedAt <= freshFor) : decodes;
+        const free = known.filter(engine => engine.taken < engine.slots && engine.held.size < this.part(engine));
+        if (demand.once && this.mayBeTaken(known)) {
+            return "full";
+        }
         if (this.exceedsPrefillPart(demand, prefills, now)) {
             return "full";
         }
@@ -130,6 +153,12 @@
         return { kind: "assigned", attempt, prefill: prefill.id, decode: decode.id, fence: 0, expectedReuse: 0 };
     }
 
+    /** Whether the slots that look free are so few that the other daemons, each by its own choice, may take them all. */
+    private mayBeTaken(decodes: readonly EnginePicture[]): boolean {
+        const free = decodes.reduce((sum, engine) => sum + Math.max(0, engine.slots - engine.taken), 0);
+        return this.divided && free < this.sessions;
+    }
+
     /**
      * A pool's queue falls back to the daemons at once, and their slots together take dozens of prompts. Without this
      * they fill the prefill engines for longer than the target, seen as a time in which every first token is late.
--- a/packages/basilpaddle/src/node/coordination/scheduling/enginePicture.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/enginePicture.ts
@@ -12,6 +12,9 @@
 /** Milliseconds that a single attempt has to show that an engine works again. */
 const trialTime = 3_000;
 
+/** Reports after a proof that may still tell of the time before it. */
+const staleReports = 3;
+
 /** What is believed of one engine: what the view says, what it reported last, and what was handed out since. */
 export class EnginePicture {
     announcement: Announcement;
@@ -22,6 +25,9 @@
     readonly held = new Set<string>();
     /** Attempts in the last report that aren't ours. */
     foreign = 0;
+    /** Slots that others must have taken when it last proved that it is full, and reports that have come since. */
+    private foreignProved = 0;
+    private reportsSinceProof = 0;
     /** When its link will have carried what was handed out so far. */
     linkFreeAt = 0;
     /** Failures since the last attempt that got on there, and until when it gets no work for them. */
@@ -60,7 +66,14 @@
 
     /** Slots taken by anyone, as far as known. */
     get taken(): number {
-        return this.held.size + this.foreign;
+        return this.held.size + Math.max(this.foreign, this.foreignProved);
+    }
+
+    /** Notes its proof that no slot was free for an attempt, which by our own account holds one there. */
+    provedFull(attempt: string): void {
+        const ours = this.held.size - (this.held.has(attempt) ? 1 : 0);
+        this.foreignProved = Math.max(0, this.slots - ours);
+        this.reportsSinceProof = 0;
     }
 
     /** Whether it carries the model in the version, with the adapter. */
@@ -111,6 +124,10 @@
         }
         this.report = report;
         this.reportedAt = now;
+        this.reportsSinceProof++;
+        if (this.reportsSinceProof >= staleReports) {
+            this.foreignProved = 0;
+        }
         return true;
     }
 
--- a/packages/basilpaddle/src/node/coordination/scheduling/heldAttempts.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/heldAttempts.ts
@@ -13,6 +13,14 @@
         this.held.set(demand.attempt, { demand, prefill, decode, stage: "prefilling", tokens: 0 });
     }
 
+    /** Notes that an attempt holds another decode engine. */
+    move(attempt: string, decode: string): void {
+        const holding = this.held.get(attempt);
+        if (holding !== undefined) {
+            this.held.set(attempt, { ...holding, decode });
+        }
+    }
+
     /** Notes how an attempt gets on. */
     progress(progress: Progress): void {
         const holding = this.held.get(progress.attempt);
--- a/packages/basilpaddle/src/node/coordination/scheduling/peerLink.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/peerLink.ts
@@ -1,4 +1,4 @@
-import type { Decision, Demand, LoadReport, PeerAnswer, PeerRequest, Progress } from "../../protocol/index.js";
+import type { Decision, Demand, Holding, LoadReport, PeerAnswer, PeerRequest, Progress } from "../../protocol/index.js";
 import type { Link } from "../../transport/index.js";
 import type { Clock } from "../../utils/index.js";
 
@@ -16,6 +16,9 @@
 /** What a scheduler on another daemon made of a demand. */
 export type RemoteDecision = Decision | "unreachable" | "notScheduler";
 
+/** Another decode engine, if one has a free slot. */
+export type RemoteMove = { readonly decode: string | undefined; } | "unreachable";
+
 type PoolProgress = { readonly pool: string; readonly progress: Progress; };
 
 /** The way to one other daemon's schedulers. Tells soon when they are out of reach, though a demand may wait there for long. */
@@ -24,6 +27,7 @@
     private unsent: PoolProgress[] = [];
     /** Demands handed back whose return wasn't confirmed yet. */
     private readonly owed = new Set<string>();
+    private readonly waitingForAnswer = new Set<() => void>();
     private reachable = true;
     private probing = false;
     private closed = false;
@@ -69,6 +73,14 @@
         void this.sendWithdrawal(attempt);
     }
 
+    /** Asks for another decode engine for a holding whose engine is full. */
+    async move(holding: Holding): Promise<RemoteMove> {
+        const request: PeerRequest = { kind: "move", pool: holding.demand.pool, holding };
+        const answer = await this.link.request(request, probeTimeout);
+        const body = answer.extract() as PeerAnswer;
+        return answer.isRight() && body.kind === "moved" ? { decode: body.decode } : "unreachable";
+    }
+
     /** Passes progress on; tries again until it was answered. */
     progress(pool: string, progress: Progress): void {
         this.unsent.push({ pool, progress });
@@ -83,6 +95,18 @@
         this.link.send({ kind: "load", pool, reports: [report] } satisfies PeerRequest);
     }
 
+    /** Tells a scheduler what was taken without it; it may get lost, load reports make up for it. */
+    taken(holding: Holding): void {
+        this.link.send({ kind: "taken", pool: holding.demand.pool, holding } satisfies PeerRequest);
+    }
+
+    /** Calls back once, when the daemon has answered again; the returned function takes that back. */
+    onReachable(callback: () => void): () => void {
+        this.waitingForAnswer.add(callback);
+        this.schedule(probeInterval);
+        return () => this.waitingForAnswer.delete(callback);
+    }
+
     /** What the daemon holds in a pool; undefined without an answer. */
     async holdings(pool: string, fence: number, timeout: number) {
         const answer = await this.link.request({ kind: "holdings", pool, fence } satisfies PeerRequest, timeout);
@@ -135,6 +159,9 @@
         }
         this.reachable = answered;
         if (answered) {
+            const waiting = [...this.waitingForAnswer];
+            this.waitingForAnswer.clear();
+            waiting.forEach(callback => callback());
             [...this.owed].forEach(attempt => void this.sendWithdrawal(attempt));
         }
         else {
--- a/packages/basilpaddle/src/node/coordination/scheduling/poolPicture.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/poolPicture.ts
@@ -15,7 +15,7 @@
 export type Assignment = {
     readonly demand: Demand;
     readonly prefill: string;
-    readonly decode: string;
+    decode: string;
     readonly assignedAt: number;
     /** When its answer must be whole; nothing is held for it after that. */
     readonly endsBy: number;
@@ -103,6 +103,16 @@
         return assignment;
     }
 
+    /** Notes that an attempt holds a slot of another decode engine in place of its own. */
+    move(assignment: Assignment, decode: EnginePicture): void {
+        const { attempt } = assignment.demand;
+        this.engines.get(assignment.decode)?.held.delete(attempt);
+        decode.held.add(attempt);
+        assignment.decode = decode.id;
+        assignment.listed = false;
+        assignment.missing = 0;
+    }
+
     /** Frees what an attempt holds. */
     release(attempt: string, now: number): boolean {
         const known = this.forget(attempt, now);
--- a/packages/basilpaddle/src/node/coordination/scheduling/poolScheduler.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/poolScheduler.ts
@@ -1,8 +1,10 @@
-import type { Decision, Demand, Progress } from "../../protocol/index.js";
+import type { Decision, Demand, Holding, Progress } from "../../protocol/index.js";
 import { Admission } from "./admission.js";
 import { AdmissionForecast } from "./admissionForecast.js";
 import { DemandQueue, type WaitingDemand } from "./demandQueue.js";
+import { DisplacedAttempts } from "./displacedAttempts.js";
 import { type EngineChoice, EngineChooser } from "./engineChoice.js";
+import type { EnginePicture } from "./enginePicture.js";
 import { OrganisationShares } from "./organisationShares.js";
 import { type Assignment, PoolPicture } from "./poolPicture.js";
 import { PrefixIndex } from "./prefixIndex.js";
@@ -15,6 +17,8 @@
 const tickInterval = 20;
 /** Milliseconds between two ticks while attempts hold engines. */
 const idleTickInterval = 1_000;
+/** Milliseconds after a stall in which nothing is handed out: what others took meanwhile has arrived, and is taken in first. */
+const settlingTime = 30;
 /** Demands behind one that can't start that are looked at for engines that it can't use. */
 const lookahead = 32;
 
@@ -26,11 +30,13 @@
     private readonly transfers = TransferTimes.create();
     private readonly forecast = AdmissionForecast.create();
     private readonly roster = Roster.create(this.picture);
+    private readonly displaced = DisplacedAttempts.create();
     private readonly shares: OrganisationShares;
     private readonly chooser: EngineChooser;
     private readonly admission: Admission;
     private rules: PoolRules | undefined;
     private lastTick = 0;
+    private settledAt = -Infinity;
 
     private constructor(private readonly fence: number, private warm: boolean, private readonly tuning: Tuning) {
         super();
@@ -60,12 +66,38 @@
 
     override step(event: SchedulerEvent, now: number): readonly Decision[] {
         const decisions = this.takeIn(event, now);
-        if (mayFreeEngines(event)) {
+        if (mayFreeEngines(event) && now >= this.settledAt) {
             this.dispatch(decisions, now);
         }
         return decisions;
     }
 
+    override move(holding: Holding, now: number): string | undefined {
+        const { demand } = holding;
+        this.queue.remove(demand.attempt);
+        this.picture.restore(holding, now);
+        const assignment = this.picture.assignments.get(demand.attempt);
+        const prefill = this.picture.engines.get(holding.prefill);
+        if (assignment === undefined || prefill === undefined) {
+            return undefined;
+        }
+        if (assignment.decode !== holding.decode) {
+            // It was moved before, and the answer got lost.
+            return assignment.decode;
+        }
+        this.picture.engines.get(holding.decode)?.provedFull(demand.attempt);
+        const read = { prefill, work: 0, expectedReuse: 0, prefillAt: now };
+        const choice = this.chooser.decode(demand, read, this.roster.crew(demand).decode, !this.warm, now);
+        if (choice === undefined) {
+            this.displaced.add(demand.attempt, now);
+            return undefined;
+        }
+        this.displaced.remove(demand.attempt);
+        this.picture.move(assignment, choice.decode);
+        choice.decode.sent(now);
+        return choice.decode.id;
+    }
+
     override wakeAt(): number | undefined {
         if (this.queue.size > 0) {
             return this.lastTick + tickInterval;
@@ -108,6 +140,9 @@
             case "warm":
                 this.warm = true;
                 return [];
+            case "stalled":
+                this.settledAt = now + settlingTime;
+                return [];
             case "tick":
                 return this.tick(now);
         }
@@ -130,6 +165,7 @@
         if (before === undefined) {
             return;
         }
+        this.displaced.remove(progress.attempt);
         this.learn(before, progress, now);
         this.picture.progress(progress, now);
         if (progress.failedEngine !== undefined) {
@@ -231,9 +267,18 @@
         if (prefill === undefined || prefill.prefillAt - now > this.tuning.lead) {
             return "wait";
         }
+        if (this.areSlotsOwed(crew.decode, now)) {
+            return "full";
+        }
         return this.chooser.decode(demand, prefill, crew.decode, !this.warm, now) ?? "full";
     }
 
+    /** Whether all free slots are for attempts whose prompts were read and whose engines proved to be full. */
+    private areSlotsOwed(decodes: readonly EnginePicture[], now: number): boolean {
+        const owed = this.displaced.count(now);
+        return owed > 0 && owed >= decodes.reduce((sum, engine) => sum + Math.max(0, engine.slots - engine.taken), 0);
+    }
+
     private start(waiting: WaitingDemand, choice: EngineChoice, now: number): Decision {
         const { demand } = waiting;
         const { prefill, decode } = choice;
--- a/packages/basilpaddle/src/node/coordination/scheduling/scheduledPlacement.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/scheduledPlacement.ts
@@ -1,4 +1,13 @@
-import type { Decision, Demand, LoadReport, PeerAnswer, PeerRequest, Progress, View } from "../../protocol/index.js";
+import type {
+    Decision,
+    Demand,
+    Holding,
+    LoadReport,
+    PeerAnswer,
+    PeerRequest,
+    Progress,
+    View,
+} from "../../protocol/index.js";
 import { schedulerLease } from "../../protocol/index.js";
 import type { LinkContext, Network } from "../../transport/index.js";
 import { type Clock, DisposableStore, type Logger, type Randomness } from "../../utils/index.js";
@@ -6,6 +15,7 @@
 import type { Engine } from "../engine/engine.js";
 import { Placement } from "../placement.js";
 import { AlonePlacement } from "./alonePlacement.js";
+import { EngineSurvey } from "./engineSurvey.js";
 import { HeldAttempts } from "./heldAttempts.js";
 import { OrphanSweep } from "./orphanSweep.js";
 import { PeerLink, type RemoteDecision } from "./peerLink.js";
@@ -13,7 +23,7 @@
 import { refuse } from "./refusals.js";
 import { SchedulerHost } from "./schedulerHost.js";
 
-/** Milliseconds for a daemon to tell what it holds, and for an engine to tell its load, to a new scheduler. */
+/** Milliseconds for a daemon to tell what it holds to a new scheduler. */
 const surveyTimeout = 500;
 /** Times that a demand follows its pool's scheduler from daemon to daemon before this daemon chooses alone. */
 const moves = 3;
@@ -43,6 +53,7 @@
     /** Highest fencing number by which a scheduler of the pool has asked for holdings. */
     private readonly fences = new Map<string, number>();
     private readonly orphans: OrphanSweep;
+    private readonly engines: EngineSurvey;
 
     private constructor(private readonly parts: ScheduledPlacementParts) {
         super();
@@ -58,6 +69,12 @@
             isScheduler: pool => this.hosts.has(pool),
             drivenAt: (address, pool) => this.drivenAt(address, pool),
         });
+        this.engines = EngineSurvey.create({
+            view: () => control.view(),
+            engineAt,
+            randomness: parts.randomness,
+            heard: (pool, report) => this.orphans.load(pool, report),
+        });
         this.store.add(() => this.alone.close());
         this.store.add(() => this.orphans.close());
         this.store.add(control.onView(view => this.follow(view)));
@@ -71,20 +88,54 @@
     override async reserve(demand: Demand, signal: AbortSignal): Promise<Decision> {
         const since = this.parts.clock.monotonic();
         for (let move = 0; move < moves && !signal.aborted; move++) {
-            const current = this.leftOf(demand, since);
-            const decision = await this.ask(current, signal);
+            let current = this.leftOf(demand, since);
+            let decision = await this.ask(current, signal);
             if (decision === "alone") {
-                break;
+                current = this.leftOf(demand, since);
+                decision = await this.reserveAlone(current, signal);
             }
             if (decision !== "moved") {
                 return this.noted(current, decision, since, signal);
             }
         }
-        // Chosen for as if it had just come, a demand that has waited long would take engines from those that can be on time.
         const current = this.leftOf(demand, since);
         return this.noted(current, await this.alone.reserve(current, signal), since, signal);
     }
 
+    /**
+     * The demand has the times that are left of it: chosen for as if it had just come, one that has waited long would take
+     * engines from those that can be on time. It goes back to the scheduler as soon as that answers again.
+     */
+    private async reserveAlone(demand: Demand, signal: AbortSignal): Promise<Decision | "moved"> {
+        const back = new AbortController();
+        const link = this.remote(demand.pool);
+        const forget = link?.onReachable(() => back.abort());
+        if (demand.once) {
+            const reports = await this.engines.askDecodes(demand.pool);
+            reports.forEach(report => this.alone.load(demand.pool, report));
+        }
+        const decision = await this.alone.reserve(demand, AbortSignal.any([signal, back.signal]));
+        forget?.();
+        if (back.signal.aborted && !signal.aborted && decision.kind === "refused") {
+            return "moved";
+        }
+        if (decision.kind === "assigned") {
+            const { prefill, decode } = decision;
+            link?.taken({ demand, prefill, decode, stage: "prefilling", tokens: 0 });
+        }
+        return decision;
+    }
+
+    override async move(holding: Holding): Promise<string | undefined> {
+        const { demand: { attempt, pool }, prefill, decode: full } = holding;
+        const decode = await this.askMove(holding);
+        this.parts.logger.info("a decode engine proved to be full", { pool, attempt, prefill, full, movedTo: decode });
+        if (decode !== undefined) {
+            this.held.move(attempt, decode);
+        }
+        return decode;
+    }
+
     override progress(pool: string, progress: Progress): void {
         this.held.progress(progress);
         this.alone.progress(pool, progress);
@@ -112,6 +163,11 @@
         switch (request.kind) {
             case "reserve":
                 return this.serve(request.demand, context);
+            case "taken":
+                this.hosts.get(request.pool)?.taken(request.holding);
+                return { kind: "received" };
+            case "move":
+                return this.serveMove(request.pool, request.holding);
             case "withdraw":
                 this.hosts.forEach(host => host.withdraw(request.attempt));
                 return { kind: "received" };
@@ -212,6 +268,24 @@
             : { kind: "decision", decision };
     }
 
+    /** The pool's scheduler is asked also for what was chosen alone, of which it may not know yet. */
+    private async askMove(holding: Holding): Promise<string | undefined> {
+        const { pool } = holding.demand;
+        const host = this.hosts.get(pool);
+        if (host !== undefined) {
+            return host.move(holding);
+        }
+        const answer = await this.remote(pool)?.move(holding) ?? "unreachable";
+        return answer === "unreachable" ? this.alone.move(holding) : answer.decode;
+    }
+
+    private serveMove(pool: string, holding: Holding): PeerAnswer {
+        const host = this.hosts.get(pool);
+        return host === undefined || !this.parts.control.mayStart()
+            ? { kind: "notScheduler", holder: this.parts.control.view().leases[schedulerLease(pool)]?.holder }
+            : { kind: "moved", decode: host.move(holding) };
+    }
+
     private holder(pool: string): Holder | undefined {
         const { control } = this.parts;
         const view = control.view();
@@ -279,7 +353,7 @@
         this.parts.logger.info("schedules a pool", { pool, fence: holder.fence });
         const survey = {
             holdings: () => this.askHoldings(pool, holder.fence),
-            reports: () => this.askEngines(view, pool),
+            reports: () => this.engines.askAll(pool),
         };
         const { clock, logger } = this.parts;
         const { fence } = holder;
@@ -294,25 +368,6 @@
         return [Promise.resolve(this.held.ofPool(pool)), ...others];
     }
 
-    private askEngines(view: View, pool: string): Promise<LoadReport | undefined>[] {
-        const engines = Object.values(view.backends).filter(({ announcement, state }) =>
-            announcement.pool === pool && announcement.role !== "service" && state !== "gone"
-        );
-        return engines.map(async ({ announcement }) => {
-            const engine = this.parts.engineAt(announcement.url);
-            try {
-                const report = (await engine.load(surveyTimeout)).toMaybe().extract();
-                if (report !== undefined) {
-                    this.orphans.load(pool, report);
-                }
-                return report;
-            }
-            finally {
-                await engine.close();
-            }
-        });
-    }
-
     private async drivenAt(address: { readonly host: string; readonly port: number; }, pool: string) {
         const link = PeerLink.create(this.parts.network.link(address), this.parts.clock);
         try {
--- a/packages/basilpaddle/src/node/coordination/scheduling/scheduler.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/scheduler.ts
@@ -40,6 +40,8 @@
     | { readonly kind: "holding"; readonly holding: Holding; }
     /** Everything that could be learnt of the time before this scheduler is known. */
     | { readonly kind: "warm"; }
+    /** Nothing was taken in for so long that others may have chosen without this scheduler: their word is on its way. */
+    | { readonly kind: "stalled"; }
     | { readonly kind: "tick"; };
 
 /** Decides which engines an attempt gets, and when. A pure step: it knows no sockets and sets no timers. */
@@ -47,6 +49,12 @@
     /** Takes in one event and gives the decisions that follow from it, for this demand or for waiting ones. */
     abstract step(event: SchedulerEvent, now: number): readonly Decision[];
 
+    /**
+     * The decode engine of a holding has proved that it has no free slot. Gives another one that the attempt holds from
+     * now on, or nothing where none has a free slot.
+     */
+    abstract move(holding: Holding, now: number): string | undefined;
+
     /** When a tick is due, in monotonic milliseconds; undefined while nothing waits. */
     abstract wakeAt(): number | undefined;
 
--- a/packages/basilpaddle/src/node/coordination/scheduling/schedulerHost.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/schedulerHost.ts
@@ -6,6 +6,10 @@
 /** Milliseconds after which a new scheduler trusts its picture, whoever hasn't answered by then. */
 const warmLimit = 1_500;
 
+/** Milliseconds between two beats, and beyond them without one after which other daemons have begun to choose alone. */
+const beatInterval = 100;
+const stallLimit = 150;
+
 type Waiting = {
     readonly settle: (decision: Decision | undefined) => void;
 };
@@ -22,6 +26,8 @@
     private cancelTick: (() => void) | undefined;
     private tickAt = Infinity;
     private closed = false;
+    private beatAt: number;
+    private cancelBeat: (() => void) | undefined;
 
     private constructor(
         readonly pool: string,
@@ -29,7 +35,10 @@
         private readonly clock: Clock,
         private readonly scheduler: Scheduler,
         private readonly logger: Logger | undefined,
-    ) {}
+    ) {
+        this.beatAt = clock.monotonic();
+        this.beatLater();
+    }
 
     static create(options: {
         readonly pool: string;
@@ -76,6 +85,16 @@
         this.waiting.get(attempt)?.settle(undefined);
     }
 
+    /** Takes in what a daemon took without this scheduler. */
+    taken(holding: Holding): void {
+        this.step({ kind: "holding", holding });
+    }
+
+    /** Finds another decode engine for an attempt whose engine has proved that it is full. */
+    move(holding: Holding): string | undefined {
+        return this.closed ? undefined : this.scheduler.move(holding, this.clock.monotonic());
+    }
+
     progress(progress: readonly Progress[]): void {
         for (const one of progress) {
             this.step({ kind: "progress", progress: one });
@@ -107,6 +126,7 @@
     close(): void {
         this.closed = true;
         this.cancelTick?.();
+        this.cancelBeat?.();
         for (const waiting of [...this.waiting.values()]) {
             waiting.settle(undefined);
         }
@@ -141,10 +161,31 @@
         });
     }
 
+    private beatLater(): void {
+        this.cancelBeat = this.clock.after(beatInterval, () => {
+            this.noteStall();
+            this.beatLater();
+        });
+    }
+
+    /** A host that was frozen or overloaded goes on as if no time had passed, and would hand out what others took meanwhile. */
+    private noteStall(): void {
+        const now = this.clock.monotonic();
+        const silent = now - this.beatAt;
+        this.beatAt = now;
+        if (silent > beatInterval + stallLimit) {
+            this.logger?.warn("the scheduler stood still", { pool: this.pool, milliseconds: Math.round(silent) });
+            this.scheduler.step({ kind: "stalled" }, now);
+        }
+    }
+
     private step(event: SchedulerEvent): void {
         if (this.closed) {
             return;
         }
+        if (this.clock.monotonic() - this.beatAt > beatInterval + stallLimit) {
+            this.noteStall();
+        }
         for (const decision of this.scheduler.step(event, this.clock.monotonic())) {
             const waiting = this.waiting.get(decision.attempt);
             if (waiting === undefined && decision.kind === "assigned") {
--- a/packages/basilpaddle/src/node/daemon/entry/__tests__/bench.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/__tests__/bench.ts
@@ -1,11 +1,6 @@
 import * as http from "node:http";
-import {
-    announcement,
-    FakeControl,
-    FakeEngine,
-    FakePlacement,
-    viewOf,
-} from "../../../../../../../simulation/requests/fakes.js";
+import { FakePlacement } from "../../../../../../../simulation/requests/fakePlacement.js";
+import { announcement, FakeControl, FakeEngine, viewOf } from "../../../../../../../simulation/requests/fakes.js";
 import { HeldRequests } from "../../../coordination/index.js";
 import { entrySettingsSchema, holdRulesSchema } from "../../../protocol/index.js";
 import { createSilentLogger, SilentMetrics, SystemClock, SystemRandomness } from "../../../utils/index.js";
--- a/packages/basilpaddle/src/node/protocol/peer.ts
+++ b/packages/basilpaddle/src/node/protocol/peer.ts
@@ -31,6 +31,10 @@
     z.object({ kind: z.literal("propose"), command: commandSchema }),
     z.object({ kind: z.literal("reserve"), demand: demandSchema }),
     z.object({ kind: z.literal("withdraw"), attempt: z.string() }),
+    /** What a daemon has taken in the pool without its scheduler, which was out of reach. */
+    z.object({ kind: z.literal("taken"), pool: z.string(), holding: holdingSchema }),
+    /** The decode engine that an attempt holds has proved that it has no free slot: is there one elsewhere? */
+    z.object({ kind: z.literal("move"), pool: z.string(), holding: holdingSchema }),
     z.object({ kind: z.literal("progress"), pool: z.string(), progress: z.array(progressSchema) }),
     z.object({ kind: z.literal("load"), pool: z.string(), reports: loadRelaySchema }),
     /** A new scheduler asks what a daemon holds in its pool; asked again with a new fence it must not use older ones. */
@@ -62,6 +66,8 @@
     z.object({ kind: z.literal("undecided"), reason: z.string() }),
     z.object({ kind: z.literal("decision"), decision: decisionSchema }),
     z.object({ kind: z.literal("notScheduler"), holder: incarnationSchema.optional() }),
+    /** The decode engine that the attempt holds from now on; left out where none has a free slot. */
+    z.object({ kind: z.literal("moved"), decode: z.string().optional() }),
     z.object({ kind: z.literal("held"), holdings: z.array(holdingSchema) }),
     z.object({ kind: z.literal("failure"), message: z.string() }),
 ]);
--- a/packages/basilpaddle/src/node/protocol/scheduling.ts
+++ b/packages/basilpaddle/src/node/protocol/scheduling.ts
@@ -33,6 +33,8 @@
     deadlineWithin: z.number(),
     /** Tokens that the caller has already got from an earlier attempt. */
     alreadySent: z.int().min(0).default(0),
+    /** Whether a second attempt is impossible once an engine ran anything: it gets no place that may prove to be taken. */
+    once: z.boolean().default(false),
     /** Engines to avoid, because an earlier attempt failed on them. */
     avoid: z.array(identifier).default([]),
 });
--- a/scripts/entryCost/daemon.ts
+++ b/scripts/entryCost/daemon.ts
@@ -71,6 +71,10 @@
         return Promise.resolve({ kind: "assigned", attempt, prefill: "p", decode: "d", fence: 1, expectedReuse: 0 });
     }
 
+    override move(): Promise<undefined> {
+        return Promise.resolve(undefined);
+    }
+
     override progress(): void {}
 
     override load(): void {}
--- a/scripts/measureMessages.ts
+++ b/scripts/measureMessages.ts
@@ -35,6 +35,7 @@
                 firstTokenWithin: 1_482.25,
                 deadlineWithin: 599_982.25,
                 alreadySent: 0,
+                once: false,
                 avoid: [],
             },
         },
--- a/scripts/rig/cost.ts
+++ b/scripts/rig/cost.ts
@@ -47,6 +47,7 @@
         firstTokenWithin: 1e9,
         deadlineWithin: 2e9,
         alreadySent: 0,
+        once: false,
         avoid: [],
     };
 }
--- a/scripts/rig/requests.ts
+++ b/scripts/rig/requests.ts
@@ -144,6 +144,7 @@
             firstTokenWithin: Math.max(1, deployment.targets.firstToken - waited),
             deadlineWithin: deployment.deadline - waited,
             alreadySent: request.sent,
+            once: false,
             avoid: [...avoid],
         };
         const attempt: Attempt = {
--- /dev/null
+++ b/simulation/requests/fakePlacement.ts
@@ -0,0 +1,71 @@
+import { Placement } from "../../packages/basilpaddle/src/node/coordination/index.js";
+import type {
+    Decision,
+    Demand,
+    Holding,
+    LoadReport,
+    Progress,
+} from "../../packages/basilpaddle/src/node/protocol/index.js";
+import type { FakeEngine } from "./fakes.js";
+
+/** A fake placement: the first engines that aren't to be avoided. It counts what stays reserved. */
+export class FakePlacement extends Placement {
+    readonly reserved = new Map<string, Demand>();
+    readonly demands: Demand[] = [];
+    readonly told: Progress[] = [];
+    readonly loads: LoadReport[] = [];
+    /** Decode engines that had proved to be full. */
+    readonly full: string[] = [];
+    /** Decode engine that is given in place of a full one; none where there is no other. */
+    spare: string | undefined;
+    refusal: Decision | undefined;
+    /** Awaited before each decision. */
+    queue: (signal: AbortSignal) => Promise<void> = () => Promise.resolve();
+
+    constructor(private readonly engines: readonly FakeEngine[]) {
+        super();
+    }
+
+    override async reserve(demand: Demand, signal: AbortSignal): Promise<Decision> {
+        const { attempt } = demand;
+        this.demands.push(demand);
+        await this.queue(signal);
+        const refused = (code: "noBackend" | "callerGone"): Decision => ({
+            kind: "refused",
+            attempt,
+            refusal: { code, outcome: "notRun", message: code },
+        });
+        if (signal.aborted) {
+            return refused("callerGone");
+        }
+        const pick = (role: string) =>
+            this.engines.find(({ announcement: { id, role: own } }) => own === role && !demand.avoid.includes(id));
+        const prefill = pick("prefill")?.announcement.id;
+        const decode = pick("decode")?.announcement.id;
+        if (this.refusal !== undefined || prefill === undefined || decode === undefined) {
+            return this.refusal ?? refused("noBackend");
+        }
+        this.reserved.set(attempt, demand);
+        return { kind: "assigned", attempt, prefill, decode, fence: 1, expectedReuse: 0 };
+    }
+
+    override move(holding: Holding): Promise<string | undefined> {
+        this.full.push(holding.decode);
+        return Promise.resolve(this.spare);
+    }
+
+    override progress(_pool: string, progress: Progress): void {
+        this.told.push(progress);
+        if (["finished", "cancelled", "failed"].includes(progress.stage)) {
+            this.reserved.delete(progress.attempt);
+        }
+    }
+
+    override load(_pool: string, report: LoadReport): void {
+        this.loads.push(report);
+    }
+
+    override close(): Promise<void> {
+        return Promise.resolve();
+    }
+}
--- a/simulation/requests/fakes.ts
+++ b/simulation/requests/fakes.ts
@@ -3,7 +3,6 @@
     ControlClient,
     Engine,
     type EngineFailure,
-    Placement,
     type Undecided,
 } from "../../packages/basilpaddle/src/node/coordination/index.js";
 import {
@@ -11,16 +10,13 @@
     announcementSchema,
     type Command,
     type CommandResult,
-    type Decision,
     type DecodeLine,
-    type Demand,
     type EngineState,
     type Generation,
     type KeptAnswer,
     type LoadReport,
     type OrderAnswer,
     type PrefillAnswer,
-    type Progress,
     type View,
     viewSchema,
 } from "../../packages/basilpaddle/src/node/protocol/index.js";
@@ -31,6 +27,8 @@
     | "refuse"
     /** Proves that it ran nothing, as it has no free slot. */
     | "full"
+    /** Only import: proves that it ran nothing, as the prefill's result isn't kept any more. */
+    | "evicted"
     /** Runs it, and says that it failed. */
     | "fail"
     /** The connection breaks before the engine has the request. */
@@ -177,7 +175,7 @@
         signal: AbortSignal,
     ): Promise<Either<EngineFailure, Answer>> {
         const fault = this.faults[stage].shift();
-        if (fault === "full") {
+        if (fault === "full" || fault === "evicted") {
             this.begun(stage);
             return failure("notRun", fault, fault);
         }
@@ -336,56 +334,3 @@
         return { kind: "done", index: 1 };
     }
 }
-
-/** A fake placement: the first engines that aren't to be avoided. It counts what stays reserved. */
-export class FakePlacement extends Placement {
-    readonly reserved = new Map<string, Demand>();
-    readonly demands: Demand[] = [];
-    readonly told: Progress[] = [];
-    readonly loads: LoadReport[] = [];
-    refusal: Decision | undefined;
-    /** Awaited before each decision. */
-    queue: (signal: AbortSignal) => Promise<void> = () => Promise.resolve();
-
-    constructor(private readonly engines: readonly FakeEngine[]) {
-        super();
-    }
-
-    override async reserve(demand: Demand, signal: AbortSignal): Promise<Decision> {
-        const { attempt } = demand;
-        this.demands.push(demand);
-        await this.queue(signal);
-        const refused = (code: "noBackend" | "callerGone"): Decision => ({
-            kind: "refused",
-            attempt,
-            refusal: { code, outcome: "notRun", message: code },
-        });
-        if (signal.aborted) {
-            return refused("callerGone");
-        }
-        const pick = (role: string) =>
-            this.engines.find(({ announcement: { id, role: own } }) => own === role && !demand.avoid.includes(id));
-        const prefill = pick("prefill")?.announcement.id;
-        const decode = pick("decode")?.announcement.id;
-        if (this.refusal !== undefined || prefill === undefined || decode === undefined) {
-            return this.refusal ?? refused("noBackend");
-        }
-        this.reserved.set(attempt, demand);
-        return { kind: "assigned", attempt, prefill, decode, fence: 1, expectedReuse: 0 };
-    }
-
-    override progress(_pool: string, progress: Progress): void {
-        this.told.push(progress);
-        if (["finished", "cancelled", "failed"].includes(progress.stage)) {
-            this.reserved.delete(progress.attempt);
-        }
-    }
-
-    override load(_pool: string, report: LoadReport): void {
-        this.loads.push(report);
-    }
-
-    override close(): Promise<void> {
-        return Promise.resolve();
-    }
-}
--- a/simulation/requests/rig.ts
+++ b/simulation/requests/rig.ts
@@ -26,7 +26,8 @@
     SystemClock,
 } from "../../packages/basilpaddle/src/node/utils/index.js";
 import { until } from "../until.js";
-import { announcement, FakeControl, FakeEngine, FakePlacement, viewOf } from "./fakes.js";
+import { FakePlacement } from "./fakePlacement.js";
+import { announcement, FakeControl, FakeEngine, viewOf } from "./fakes.js";
 
 /** Gathers what a caller gets. */
 export class GatheredAnswer extends Answer {
--- a/simulation/scheduling/runs.ts
+++ b/simulation/scheduling/runs.ts
@@ -43,6 +43,14 @@
         }),
     },
     { weight: 1, arbitrary: fc.record({ kind: fc.constant("sessions" as const), open: fc.boolean() }) },
+    {
+        weight: 2,
+        arbitrary: fc.record({
+            kind: fc.constant("full" as const),
+            id: fc.nat(40),
+            engine: fc.constantFrom("d1", "d2"),
+        }),
+    },
 );
 
 /** Never holds more than the slots, and holds nothing after all ended. */
@@ -103,6 +111,17 @@
                             engines: engines(one.state as "ready", one.incarnation),
                         });
                         break;
+                    case "full":
+                        if (asked.has(`a${one.id}`)) {
+                            const holding = {
+                                prefill: "p1",
+                                decode: one.engine,
+                                stage: "prefilled",
+                                tokens: 0,
+                            } as const;
+                            bench.scheduler.move({ demand: demand(`a${one.id}`), ...holding }, bench.now);
+                        }
+                        break;
                     case "sessions":
                         bench.step({ kind: "sessions", open: one.open ? [owner] : [] });
                         break;
