fix(settings): a daemon that starts while its settings file is written waits for it

Operators saw a daemon end by itself with code 2 when its settings were written anew just as it started; after a loss of power everywhere that is a directory less.

Ruled out: a signal (there was a code), the bundle replaced, an address in use (no such line).

--- a/packages/basilpaddle/src/node/daemon/start/index.ts
+++ b/packages/basilpaddle/src/node/daemon/start/index.ts
@@ -1,6 +1,7 @@
 export * from "./controlStart.js";
 export * from "./entryStart.js";
 export * from "./lifetime.js";
+export * from "./routingSettings.js";
 export * from "./routingStart.js";
 export * from "./runningDaemon.js";
 export * from "./settings.js";
--- a/packages/basilpaddle/src/node/daemon/start/routingStart.ts
+++ b/packages/basilpaddle/src/node/daemon/start/routingStart.ts
@@ -1,38 +1,12 @@
-import { readFileSync } from "node:fs";
-import { stat } from "node:fs/promises";
-import { type Either, Left, Right } from "purify-ts";
 import type { HeldRequests } from "../../coordination/index.js";
-import {
-    type DirectorySettings,
-    type Finding,
-    findingsOf,
-    type GatewaySettings,
-    type RoutingSettings,
-    routingSettingsSchema,
-    seedNames,
-} from "../../protocol/index.js";
+import type { DirectorySettings, GatewaySettings, RoutingSettings } from "../../protocol/index.js";
 import { type DisposableStore, HostRandomness, type Logger, type RecordedMetrics } from "../../utils/index.js";
 import { DirectoryDaemon, type DirectoryWire } from "../directory/index.js";
 import { GatewayDaemon, type GatewayWire } from "../gateway/index.js";
 import { AssembledDaemon } from "./assembledDaemon.js";
 import { MetricsServer } from "./metricsServer.js";
 import type { RunningDaemon, ShutdownReport } from "./runningDaemon.js";
-
-/** Milliseconds between two looks whether the settings file has changed: it may without any signal. */
-const reloadInterval = 2_000;
-
-/** Reads the settings file of a gateway or a directory. */
-export function readRoutingSettings(file: string): Either<readonly Finding[], RoutingSettings> {
-    let content: unknown;
-    try {
-        content = JSON.parse(readFileSync(file, "utf8"));
-    }
-    catch (error) {
-        return Left([{ file, place: "", cause: `can't be read: ${(error as Error).message}` }]);
-    }
-    const parsed = routingSettingsSchema.safeParse(content);
-    return parsed.success ? Right(parsed.data) : Left(findingsOf(file, parsed.error));
-}
+import { SeedReload } from "./seedReload.js";
 
 /** Starts a gateway by its settings. */
 export async function startGateway(
@@ -83,54 +57,6 @@
     }
 }
 
-/** Keeps the seeds up to date with the settings file; whatever else changes takes a restart. */
-class SeedReload {
-    private names: readonly string[];
-    private changedAt = 0;
-    private readonly timer: NodeJS.Timeout;
-    private readonly onSignal = (): void => void this.look(true);
-
-    private constructor(settings: RoutingSettings, private readonly file: string, private readonly logger: Logger) {
-        this.names = seedNames(settings);
-        this.timer = setInterval(() => void this.look(false), reloadInterval);
-        this.timer.unref();
-        process.on("SIGHUP", this.onSignal);
-    }
-
-    static create(settings: RoutingSettings, file: string, logger: Logger): SeedReload {
-        return new SeedReload(settings, file, logger);
-    }
-
-    seeds(): readonly string[] {
-        return this.names;
-    }
-
-    close(): void {
-        clearInterval(this.timer);
-        process.off("SIGHUP", this.onSignal);
-    }
-
-    private async look(signalled: boolean): Promise<void> {
-        const changedAt = await stat(this.file).then(found => found.mtimeMs, () => this.changedAt);
-        if (!signalled && changedAt === this.changedAt) {
-            return;
-        }
-        this.changedAt = changedAt;
-        readRoutingSettings(this.file).caseOf<void>({
-            Left: findings => {
-                this.logger.error("changed settings can't be read; the old ones stay", { findings });
-            },
-            Right: settings => {
-                const names = seedNames(settings);
-                if (signalled || names.join() !== this.names.join()) {
-                    this.logger.info("settings were read again", { seeds: names, signalled });
-                }
-                this.names = names;
-            },
-        });
-    }
-}
-
 /** What gateways and directories have in common as running daemons: seeds that are read again, and metrics. */
 abstract class RunningRouting extends AssembledDaemon {
     private stopping: Promise<ShutdownReport> | undefined;
--- a/packages/basilpaddle/src/node/daemon/start/settings.ts
+++ b/packages/basilpaddle/src/node/daemon/start/settings.ts
@@ -1,25 +1,21 @@
-import { readFile } from "node:fs/promises";
 import * as path from "node:path";
 import { type Either, Left, Right } from "purify-ts";
 import { type Finding, type Settings, settingsSchema, type Timing } from "../../protocol/index.js";
 import { JsonText } from "../../utils/index.js";
+import { noticeOnStandardError, readWhenWhole, type WaitNotice } from "./settingsFile.js";
 
-/** Resolves a JSON settings file into a frozen object with all defaults, or tells all findings together. */
-export async function resolveSettings(file: string): Promise<Either<readonly Finding[], Settings>> {
-    let content: string;
-    try {
-        content = await readFile(file, "utf8");
-    }
-    catch (error) {
-        return Left([{
-            file,
-            place: "",
-            cause: `can't be read: ${(error as Error).message}`,
-            cure: "name a settings file that exists and that this user may read",
-        }]);
-    }
-    return JsonText.parse(content)
-        .mapLeft(faults => faults.map(fault => ({ file, ...fault })))
+/**
+ * Resolves a JSON settings file into a frozen object with all defaults, or tells all findings together. Waits for a file
+ * that is being written.
+ */
+export async function resolveSettings(
+    file: string,
+    notice: WaitNotice = noticeOnStandardError,
+): Promise<Either<readonly Finding[], Settings>> {
+    const content = await readWhenWhole(file, notice);
+    return content
+        .mapLeft((finding): readonly Finding[] => [finding])
+        .chain(text => JsonText.parse(text).mapLeft(faults => faults.map(fault => ({ file, ...fault }))))
         .chain(text => resolveText(file, text));
 }
 
