test(playground): a set-up of real processes waits for its conditions, up to four minutes

"before all" hook for "is refused by all entry daemons once three have ended under it" failed once in a run at a load average of up to 67: the hook's limit is mocha's 60 s, and daemons, command line and stand-ins start one after the other. Nothing of the service is judged by a set-up; limits of checks stay as they are.

--- a/playground/__tests__/failures.spec.ts
+++ b/playground/__tests__/failures.spec.ts
@@ -1,11 +1,12 @@
 import { expect } from "chai";
-import { Caller, type ModelCall, pause, until } from "../harness/index.js";
+import { Caller, type ModelCall, pause, setUpLimit, until } from "../harness/index.js";
 import { expectWhole, Load } from "./load.js";
 import { call, model, Rig, secondModel, timing } from "./rig.js";
 
 describe("a deployment of real processes under cuts and shutdowns", () => {
     let rig: Rig;
-    before(async () => {
+    before(async function() {
+        this.timeout(setUpLimit);
         rig = await Rig.create(true);
     });
     after(() => rig?.close());
--- a/playground/__tests__/orders.spec.ts
+++ b/playground/__tests__/orders.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { until } from "../harness/index.js";
+import { setUpLimit, until } from "../harness/index.js";
 import { FakeWeightStore } from "../standins/fakeWeightStore.js";
 import { expectWhole } from "./load.js";
 import { call, model, Rig } from "./rig.js";
@@ -10,7 +10,8 @@
 describe("a rollout over real processes", () => {
     let store: FakeWeightStore;
     let rig: Rig;
-    before(async () => {
+    before(async function() {
+        this.timeout(setUpLimit);
         store = await FakeWeightStore.create({ rate });
         // These engines carry out whatever they are told, so that an order under an old fence would show.
         rig = await Rig.create(false, { weightStore: store.url, checksFence: false });
--- a/playground/__tests__/processes.spec.ts
+++ b/playground/__tests__/processes.spec.ts
@@ -1,12 +1,13 @@
 import { expect } from "chai";
 import { rm } from "node:fs/promises";
-import { type Daemon, pause, until } from "../harness/index.js";
+import { type Daemon, pause, setUpLimit, until } from "../harness/index.js";
 import { expectWhole, Load } from "./load.js";
 import { call, model, Rig, secondModel, timing } from "./rig.js";
 
 describe("a deployment of real processes", () => {
     let rig: Rig;
-    before(async () => {
+    before(async function() {
+        this.timeout(setUpLimit);
         rig = await Rig.create();
     });
     after(() => rig?.close());
--- a/playground/__tests__/repeatedCrashes.spec.ts
+++ b/playground/__tests__/repeatedCrashes.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { pause } from "../harness/index.js";
+import { pause, setUpLimit } from "../harness/index.js";
 import { call, Rig } from "./rig.js";
 
 const deadly = "a prompt that no engine survives";
@@ -13,10 +13,11 @@
 describe("a prompt that ends each engine that decodes it", function() {
     this.timeout(60_000);
     let rig: Rig;
-    before(async () => {
+    before(async function() {
+        this.timeout(setUpLimit);
         rig = await Rig.create(false, { diesUnder: deadly });
         await Promise.all(moreEngines.map(id => rig.addEngine(id, "decode", { diesUnder: deadly })));
-        await rig.deployment.backendsReady(moreEngines);
+        await rig.deployment.backendsReady(moreEngines, undefined, setUpLimit);
     });
     after(() => rig?.close());
 
--- a/playground/__tests__/rig.ts
+++ b/playground/__tests__/rig.ts
@@ -1,6 +1,6 @@
 import { mkdir, writeFile } from "node:fs/promises";
 import * as path from "node:path";
-import { type Backend, Caller, Deployment, type ModelCall } from "../harness/index.js";
+import { type Backend, Caller, Deployment, type ModelCall, setUpLimit } from "../harness/index.js";
 
 /** The model that every configuration of these tests carries. */
 export const model = "draft";
@@ -47,8 +47,9 @@
                 ...[1, 2].map(index => rig.addEngine(`decode-${index}`, "decode", more)),
                 rig.deployment.addBackend("service", { id: "policy-1", ...{ service: "policy" } }),
             ]);
-            await rig.apply(0, [model, secondModel]);
-            await rig.deployment.backendsReady(["prefill-1", "prefill-2", "decode-1", "decode-2", "policy-1"]);
+            await rig.apply(0, [model, secondModel], "", setUpLimit);
+            const backends = ["prefill-1", "prefill-2", "decode-1", "decode-2", "policy-1"];
+            await rig.deployment.backendsReady(backends, undefined, setUpLimit);
             return rig;
         }
         catch (error) {
--- a/playground/harness/daemon.ts
+++ b/playground/harness/daemon.ts
@@ -61,13 +61,13 @@
     }
 
     /** Waits until its readiness probe answers with 200. */
-    async ready(): Promise<void> {
+    async ready(limit?: number): Promise<void> {
         await until(`${this.name} ready`, async () => {
             if (!this.isRunning()) {
                 throw new Error(`${this.name} has ended:\n${this.output()}`);
             }
             return this.isReady();
-        });
+        }, limit);
     }
 
     async isReady(): Promise<boolean> {
--- a/playground/harness/deployment.ts
+++ b/playground/harness/deployment.ts
@@ -11,7 +11,7 @@
 import { at, bin, Daemon } from "./daemon.js";
 import { Program } from "./program.js";
 import { Relay } from "./relay.js";
-import { until } from "./wait.js";
+import { setUpLimit, until } from "./wait.js";
 
 /** Timing as a settings file states it. */
 export type TimingInput = Partial<Settings["timing"]>;
@@ -109,11 +109,11 @@
     }
 
     /** Waits until the leader counts these backend servers as ready. */
-    async backendsReady(ids: readonly string[], asked: Daemon = this.entries[0]!): Promise<void> {
+    async backendsReady(ids: readonly string[], asked: Daemon = this.entries[0]!, limit?: number): Promise<void> {
         await until(`${ids.join(", ")} ready`, async () => {
             const { view } = await this.status(asked);
             return ids.every(id => view.backends[id]?.state === "ready");
-        });
+        }, limit);
     }
 
     /** The control daemon that leads. */
@@ -206,6 +206,6 @@
             }
         }
         this.daemons().forEach(daemon => daemon.start());
-        await Promise.all(this.daemons().map(daemon => daemon.ready()));
+        await Promise.all(this.daemons().map(daemon => daemon.ready(setUpLimit)));
     }
 }
--- a/playground/harness/wait.ts
+++ b/playground/harness/wait.ts
@@ -1,3 +1,6 @@
+/** Milliseconds for a set-up: processes start one after the other, and slowly beside load; nothing of the service is judged by it. */
+export const setUpLimit = 240_000;
+
 /** Waits for the given milliseconds. */
 export function pause(milliseconds: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, milliseconds));
