soak: a run that broke an invariant keeps its logs, and says more of ends and of recoveries

Looking for other places that throw away what would name a cause: a shutdown that wasn't well said no code, a recovery that never came gave the name of what was waited for and not the last error, and the test kept no logs of a run that may not break again. Checks are as they were.

--- a/soak/__tests__/soak.spec.ts
+++ b/soak/__tests__/soak.spec.ts
@@ -1,18 +1,33 @@
 import { expect } from "chai";
+import { mkdtemp, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import * as path from "node:path";
 import { createPlan } from "../plan.js";
 import { regressions } from "../regressions.js";
-import { runSoak } from "../run.js";
+import { runSoak, type SoakReport } from "../run.js";
 
 const shortSeeds = [1, 4];
 const shortSeconds = 6;
 
+/** Keeps all logs of a run that broke an invariant: it may not break again. */
+async function keepLogs({ seed, logs }: SoakReport): Promise<string> {
+    const folder = await mkdtemp(path.join(tmpdir(), `soak-failed-${seed}-`));
+    await Promise.all([...logs].map(([name, log]) => writeFile(path.join(folder, `${name}.log`), log)));
+    return folder;
+}
+
+async function expectNoViolation(report: SoakReport): Promise<void> {
+    const kept = report.violations.length === 0 ? [] : [`logs: ${await keepLogs(report)}`];
+    expect(report.violations, [...report.faults, ...kept].join("\n")).to.deep.equal([]);
+}
+
 describe("the fault soak", function() {
     this.timeout(180_000);
 
     for (const seed of shortSeeds) {
         it(`keeps every invariant in a short run of seed ${seed}`, async () => {
             const report = await runSoak(createPlan(seed, { seconds: shortSeconds }));
-            expect(report.violations, report.faults.join("\n")).to.deep.equal([]);
+            await expectNoViolation(report);
             expect(report.ends["200"]).to.be.above(50);
         });
     }
@@ -22,14 +37,14 @@
             return { kind: "deadlyRequests", at: 500 + 900 * index, lasts: 500, pick } as const;
         });
         const report = await runSoak({ ...createPlan(1, { seconds: shortSeconds }), faults });
-        expect(report.violations, report.faults.join("\n")).to.deep.equal([]);
+        await expectNoViolation(report);
         expect([...report.logs.values()].filter(log => log.includes("a request is held back")).length).to.be.above(3);
     });
 
     for (const { plan, cause } of regressions) {
         it(`keeps every invariant in the run of seed ${plan.seed}: ${cause}`, async () => {
             const report = await runSoak(plan);
-            expect(report.violations, report.faults.join("\n")).to.deep.equal([]);
+            await expectNoViolation(report);
         });
     }
 });
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -147,7 +147,10 @@
         this.note(fault, member.name);
         const { life } = member;
         if (!await member.stop() && member.life === life && !this.invariants.isDisturbed(performance.now(), Infinity)) {
-            this.invariants.violate("shutdown", `${member.name} didn't end in time, or not well`);
+            this.invariants.violate(
+                "shutdown",
+                `${member.name} didn't end in time, or not well, ${member.lastWords()}`,
+            );
         }
         await pause(restartAfter);
         member.start();
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -128,7 +128,8 @@
             await this.askAll();
         }
         catch (error) {
-            this.invariants.violate("recovery", (error as Error).message);
+            const { message, cause } = error as Error;
+            this.invariants.violate("recovery", cause === undefined ? message : `${message}; last: ${String(cause)}`);
         }
     }
 
