--- a/packages/basilpaddle/src/node/coordination/request/__tests__/fullEngine.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/request/__tests__/fullEngine.spec.ts
@@ -15,9 +15,7 @@
     for (const run of [undefined, letter]) {
         const name = run === undefined ? "an idempotent" : "a non-idempotent";
         it(`is asked again for ${name} request while the prefill's result is kept`, async () => {
-            // Symptom: a long prompt was computed twice, and a letter ended as failedAfterStarting with no word written.
-            // Events: the prefill ends; the decode engine proves that it is full, and has a slot some milliseconds later.
-            // Cause: a refusal of the import ended the attempt.
+            // Guards against this: a long prompt was computed twice, and a letter ended as failedAfterStarting with no word written.
             const rig = Rig.create();
             rig.engine("d1").faults.import.push("full", "full");
             expect((await rig.drive({ run })).kind).to.equal("finished");
@@ -29,8 +27,7 @@
     }
 
     it("isn't called failed when it stays full", async () => {
-        // Symptom: a healthy engine got no work from anybody for seconds. Events: it stays full for all tries; the
-        // scheduler is told that it failed. Cause: a proof that it had no slot was told as a failure.
+        // Guards against this: a healthy engine got no work from anybody for seconds.
         const rig = Rig.create();
         rig.engine("d1").faults.import.push(...always);
         expect((await rig.drive({})).kind).to.equal("finished");
@@ -43,8 +40,7 @@
     });
 
     it("is still called failed when it refuses for another reason", async () => {
-        // Symptom: an engine that refuses all work kept getting it. Events: it proves a refusal without the code `full`.
-        // Cause: every proved refusal was taken for a full engine.
+        // Guards against this: an engine that refuses all work kept getting it.
         const rig = Rig.create();
         rig.engine("d1").faults.import.push("full", "refuse");
         await rig.drive({});
@@ -54,9 +50,7 @@
 
     for (const run of [undefined, letter]) {
         it(`holds nothing once the caller has gone, ${run === undefined ? "idempotent" : "non-idempotent"}`, async () => {
-            // Symptom: a finished prefill stayed in the memory of its engine for a caller who had gone.
-            // Events: the decode engine is full; the caller goes in the pause before the next try.
-            // Cause: the pause didn't hear of it, and the import went out for nobody.
+            // Guards against this: a finished prefill stayed in the memory of its engine for a caller who had gone.
             const rig = Rig.create();
             rig.engine("d1").faults.import.push(...always);
             rig.engine("d1").begun = () => setImmediate(() => rig.scope.stop("callerGone"));
@@ -73,8 +67,7 @@
 
     for (const state of ["leaving", "gone"] as const) {
         it(`gets no import once the view says that it is ${state}`, async () => {
-            // Symptom: a leaving engine got new work. Events: it is full; it leaves in the pause before the next try.
-            // Cause: whether it may get work was looked at only before the prefill.
+            // Guards against this: a leaving engine got new work.
             const rig = Rig.create();
             rig.engine("d1").faults.import.push("full");
             rig.engine("d1").begun = () => rig.mark("d1", state);
@@ -84,8 +77,7 @@
     }
 
     it("gets no import once this daemon's view has expired", async () => {
-        // Symptom: a daemon that woke from a freeze took a slot that its successor knew nothing of.
-        // Events: the view expires in the pause before the next try. Cause: it was asked only before the first.
+        // Guards against this: a daemon that woke from a freeze took a slot that its successor knew nothing of.
         const rig = Rig.create();
         rig.engine("d1").faults.import.push("full");
         rig.engine("d1").begun = () => {
@@ -113,8 +105,7 @@
     });
 
     it("is asked again past the first token's target only where no second attempt is possible", async () => {
-        // Symptom: an answer that was late already took the slot of one that wasn't. Events: the target passes during the
-        // prefill; the engine is full. Cause: tries were bounded by time alone, whatever the answer was still worth.
+        // Guards against this: an answer that was late already took the slot of one that wasn't.
         const targets = { firstToken: 0, perToken: 37 };
         for (const [run, count] of [[undefined, 2], [letter, 1]] as const) {
             const rig = Rig.create();
--- a/packages/basilpaddle/src/node/coordination/scheduling/__tests__/choosingAlone.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/__tests__/choosingAlone.spec.ts
@@ -20,8 +20,7 @@
         return decision.kind === "assigned" ? decision.decode : decision.refusal.code;
     }
 
-    // Symptom: an engine that is leaving gets a request. Sequence: the engine is marked leaving, a demand comes.
-    // Cause: the choice looks at loads only; a leaving engine is the least loaded of all.
+    // Guards against this: an engine that is leaving gets a request.
     it("gives nothing to an engine that is leaving, gone, avoided or without the model", () => {
         const alone = create([
             engine("p1", "prefill"),
@@ -37,8 +36,7 @@
         expect(ask(alone, demand("b", { model: "other" }))).to.equal("noBackend");
     });
 
-    // Symptom: decode engines refuse a seventh of the imports while daemons choose alone. Sequence: seven daemons
-    // each fill the same free slots. Cause: no daemon hears of what the other six hand out until the next report.
+    // Guards against this: decode engines refuse a seventh of the imports while daemons choose alone.
     it("takes no more of the slots than its part among the open sessions", () => {
         const alone = create([engine("p1", "prefill"), engine("p2", "prefill"), engine("d1", "decode", { slots: 8 })]);
         alone.step({ kind: "sessions", open: [1, 2, 3, 4].map(n => ({ daemon: `e${n}`, incarnation: "i" })) }, 0);
@@ -55,8 +53,7 @@
         expect(alone.standing().held.get("d1")).to.equal(2);
     });
 
-    // Symptom: nearly every first token is late for seconds after the scheduler was cut off. Sequence: its queue falls
-    // back to the daemons, which have slots for dozens of long prompts. Cause: they filled the prefill engines.
+    // Guards against this: nearly every first token is late for seconds after the scheduler was cut off.
     it("takes no more of the prefill engines' time than its part, and one prompt at least", () => {
         const alone = create([engine("p1", "prefill"), engine("p2", "prefill"), engine("d1", "decode", { slots: 40 })]);
         alone.step({ kind: "sessions", open: [1, 2, 3, 4].map(n => ({ daemon: `e${n}`, incarnation: "i" })) }, 0);
--- a/packages/basilpaddle/src/node/coordination/scheduling/__tests__/poolScheduler.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/__tests__/poolScheduler.spec.ts
@@ -6,8 +6,7 @@
 import type { Holding } from "../../../protocol/index.js";
 
 describe("the scheduler of a pool", () => {
-    // Symptom: prefills are evicted before a decode slot is free. Sequence: all slots run long answers, demands come.
-    // Cause: a prefill was started because its own engine was free.
+    // Guards against this: prefills are evicted before a decode slot is free.
     it("starts no prefill whose result would find no slot, and starts it once one is free", () => {
         const bench = new Bench([engine("p1", "prefill"), engine("d1", "decode", { slots: 1 })]);
         bench.ask(demand("a", { expectedTokens: 100, firstTokenWithin: 30_000 }));
@@ -21,8 +20,7 @@
         expect(bench.outcome("b")).to.equal("p1>d1");
     });
 
-    // Symptom: queued demands never reach an engine that has just been announced. Sequence: all slots are taken, three
-    // demands wait, a decode engine is announced, nothing else happens. Cause: the queue isn't gone through again.
+    // Guards against this: queued demands never reach an engine that has just been announced.
     it("gives queued demands to an engine in the same step in which the view gains it", () => {
         const prefills = ["p1", "p2", "p3"].map(id => engine(id, "prefill"));
         const before = [...prefills, engine("d1", "decode", { slots: 1 })];
@@ -59,8 +57,7 @@
         expect(long.outcome("long")).to.equal("p1>d1");
     });
 
-    // Symptom: an organisation waits behind the whole burst of another. Sequence: one sends forty at once, another one.
-    // Cause: an order by arrival alone.
+    // Guards against this: an organisation waits behind the whole burst of another.
     it("lets an organisation within its share go before another's burst", () => {
         const bench = new Bench([engine("p1", "prefill"), engine("d1", "decode", { slots: 2 })], "prefill");
         for (let count = 0; count < 40; count++) {
@@ -75,8 +72,7 @@
         expect(bench.outcome("burst20")).to.equal("waits");
     });
 
-    // Symptom: an organisation that used an idle pool waits behind all others for minutes. Sequence: its demands are served
-    // one by one, then it and another ask. Cause: what was served long ago still counts as being ahead.
+    // Guards against this: an organisation that used an idle pool waits behind all others for minutes.
     it("doesn't hold against an organisation what was served already", () => {
         const bench = new Bench([engine("p1", "prefill"), engine("d1", "decode", { slots: 1 })]);
         const short = { expectedTokens: 10, firstTokenWithin: 30_000 };
@@ -96,8 +92,7 @@
         expect([bench.outcome("l6"), bench.outcome("quiet")]).to.deep.equal(["p1>d1", "waits"]);
     });
 
-    // Symptom: a caller is refused after it has waited for its whole target. Sequence: a demand is let in, the slot that it
-    // was to get doesn't become free. Cause: a forecast is made once, on arrival.
+    // Guards against this: a caller is refused after it has waited for its whole target.
     it("refuses what has got out of reach while it waited, long before its target", () => {
         const bench = new Bench([engine("p1", "prefill"), engine("d1", "decode", { slots: 1 })]);
         bench.ask(demand("a"));
@@ -165,7 +160,7 @@
         expect(bench.scheduler.standing().held.get("d1")).to.equal(0);
     });
 
-    // Symptom: a pool that gets slower by the day. Sequence: any. Cause: a slot that no event frees.
+    // Guards against this: a pool that gets slower by the day.
     it("never holds more than the slots, and holds nothing after all ended", () => {
         fc.assert(schedulingRuns(), { seed: 20_261_202, numRuns: 200 });
     });
--- a/packages/basilpaddle/src/node/coordination/scheduling/__tests__/scheduledPlacement.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/__tests__/scheduledPlacement.spec.ts
@@ -65,8 +65,7 @@
         expect(outcome("three")).to.equal(11);
     });
 
-    // Symptom: queued calls never reach an engine that has just been announced. Sequence: demands of this daemon and of
-    // another wait, the view gains a decode engine, no time passes. Cause: the view's change doesn't reach the queue.
+    // Guards against this: queued calls never reach an engine that has just been announced.
     it("gives what waits, here or from afar, to an engine that the view gains", async () => {
         await ask("b", "one");
         await ask("c", "two");
@@ -84,8 +83,7 @@
         expect(daemons.placement("a").standing().get("drafts")!.held.get("d2")).to.equal(2);
     });
 
-    // Symptom: a third request on two slots after the scheduler moved. Sequence: two slots are held, the lease goes to
-    // another daemon, a demand comes. Cause: the new scheduler knows nothing of what the old one gave out.
+    // Guards against this: a third request on two slots after the scheduler moved.
     it("learns from all open sessions what is held before a new scheduler gives out slots", async () => {
         await ask("b", "one");
         await ask("c", "two");
@@ -100,8 +98,7 @@
         expect(outcome("three")).to.equal(13);
     });
 
-    // Symptom: demands hang until their deadline. Sequence: demands wait at the scheduler, its host is cut off silently.
-    // Cause: no answer for seconds is normal for a queue, so the loss isn't seen from the demand itself.
+    // Guards against this: demands hang until their deadline.
     it("chooses alone, within its part, when the scheduler goes silent while demands wait", async () => {
         await ask("b", "one");
         await ask("b", "two");
@@ -115,8 +112,7 @@
         expect(daemons.placement("a").standing().get("drafts")!.waiting).to.equal(0);
     });
 
-    // Symptom: old demands go before new ones that could be on time. Sequence: demands have waited for half of their
-    // target when the scheduler is cut off. Cause: the daemon gave them their whole target once more.
+    // Guards against this: old demands go before new ones that could be on time.
     it("counts the time at the scheduler when it chooses alone", async () => {
         await ask("b", "one");
         await ask("c", "two");
@@ -131,8 +127,7 @@
         expect(outcome("four")).to.equal("poolFull");
     });
 
-    // Symptom: a slot is held for nobody. Sequence: a demand is sent, its caller goes before the answer is there.
-    // Cause: the reservation was made meanwhile, and nobody uses or returns it.
+    // Guards against this: a slot is held for nobody.
     it("frees what was reserved for a caller who went between the reservation and its use", async () => {
         const caller = new AbortController();
         reserve("b", "one", caller.signal);
@@ -142,8 +137,7 @@
         expect(daemons.placement("a").standing().get("drafts")!.held.get("d1")).to.equal(0);
     });
 
-    // Symptom: the queue fills with demands of a daemon that has died. Sequence: demands wait, the daemon is killed, its
-    // connection breaks. Cause: only the session's end, seconds later, would take them out.
+    // Guards against this: the queue fills with demands of a daemon that has died.
     it("takes the demands of a broken connection out of the queue, and frees slots with the session", async () => {
         await ask("b", "one");
         await ask("b", "two");
@@ -158,8 +152,7 @@
         expect(standing().held.get("d1")).to.equal(0);
     });
 
-    // Symptom: a killed daemon's answer is decoded to its last token. Sequence: the daemon dies while it decodes, its
-    // session closes. Cause: the engine goes on, and nobody else knows the attempt.
+    // Guards against this: a killed daemon's answer is decoded to its last token.
     it("cancels at the engines what a dead daemon left, and nothing of a live one", async () => {
         const report = { id: "d1", incarnation: 1, sequence: 5, active: ["b/i1/one", "c/i1/two"], queuedTokens: 0 };
         await ask("b", "one");
@@ -172,8 +165,7 @@
         expect([...new Set(daemons.cancelled)]).to.deep.equal(["b/i1/one"]);
     });
 
-    // Symptom: a stream is cut in the middle of a shutdown. Sequence: a daemon's session is closed as left, and its
-    // streams go on for minutes. Cause: the end of the session alone was taken for the end of its attempts.
+    // Guards against this: a stream is cut in the middle of a shutdown.
     it("cancels nothing of a daemon that drains after its session, for as long as it is reachable", async () => {
         const drive = async (seconds: number): Promise<void> => {
             for (const end = daemons.clock.monotonic() + 1_000 * seconds; daemons.clock.monotonic() < end;) {
@@ -197,8 +189,7 @@
         expect([...new Set(daemons.cancelled)]).to.deep.equal(["c/i1/one"]);
     });
 
-    // Symptom: live requests are cancelled after a daemon's start. Sequence: a daemon opens its session and starts work;
-    // the scheduler's view is a moment older. Cause: an owner that isn't in the view was taken for a dead one.
+    // Guards against this: live requests are cancelled after a daemon's start.
     it("waits for a confirmed view before it takes an unknown owner for dead", async () => {
         const report = { id: "d1", incarnation: 1, sequence: 5, active: ["new/i1/one"], queuedTokens: 0 };
         daemons.placement("a").load("drafts", report);
--- a/playground/__tests__/failures.spec.ts
+++ b/playground/__tests__/failures.spec.ts
@@ -46,10 +46,7 @@
     }
 
     it("starts nothing at an entry daemon that silence cuts off from all control daemons", async () => {
-        // Symptom: a landlord is served by a model that was withdrawn while a host was cut off.
-        // Sequence: all connections of an entry daemon to control daemons go silent, none closes; a change is accepted
-        // without it; a caller still reaches it; the network heals.
-        // Cause: it took silence for a quorum that is lost, or its old view for the newest after the healing.
+        // Guards against this: a landlord is served by a model that was withdrawn while a host was cut off.
         await rig.apply(0, [model, secondModel]);
         const cut = rig.entry(2);
         await expectServed(2, "before the cut");
@@ -76,9 +73,7 @@
     });
 
     it("goes on at an entry daemon that is cut off from the leader alone", async () => {
-        // Symptom: a whole host stops serving though only one route is broken.
-        // Sequence: the connection to the leading control daemon goes silent for longer than a view lease.
-        // Cause: only the leader's word counted for the view lease.
+        // Guards against this: a whole host stops serving though only one route is broken.
         const leader = await rig.deployment.leader();
         const cut = rig.entry(1);
         rig.deployment.relays.get(cut.name)!.get(leader.name)!.silence();
@@ -89,9 +84,7 @@
     });
 
     it("gives a final answer when a decode engine goes silent in the middle of a stream", async () => {
-        // Symptom: a caller waits for ever, or a decode slot stays held after the network is whole again.
-        // Sequence: the connections to a decode engine go silent after some tokens; the engine itself goes on; they heal.
-        // Cause: the silent stream had no limit, or the cancel was sent once, into the silence.
+        // Guards against this: a caller waits for ever, or a decode slot stays held after the network is whole again.
         const { backend, relay } = await rig.addRelayedEngine("decode-3", "decode");
         await rig.deployment.backendsReady(["decode-3"]);
         const before = await rig.decodes();
@@ -113,9 +106,7 @@
     });
 
     it("cuts nothing off when the entry daemon that schedules the pool shuts down under load", async () => {
-        // Symptom: streams break, or new requests fail, at a restart of one entry host.
-        // Sequence: the daemon that holds the scheduler's lease is told to stop while all daemons have streams.
-        // Cause: requests of other daemons were lost with their scheduler, or its own were cut.
+        // Guards against this: streams break, or new requests fail, at a restart of one entry host.
         const holder = await until("a scheduler", () => schedulerOf(0));
         const index = rig.deployment.entries.findIndex(entry => entry.name === holder);
         const calls = Array.from({ length: 6 }, (_, at) => call(`held ${at}`, { stream: true, maxTokens: 90 }));
@@ -134,9 +125,7 @@
     });
 
     it("cuts nothing off when the leading control daemon shuts down under load", async () => {
-        // Symptom: claim letters fail, or run twice, at a restart of a control host.
-        // Sequence: the leader is told to stop while streams and non-idempotent requests run, and more come.
-        // Cause: leadership ended without a successor, or a record of a run was lost on the way to the next leader.
+        // Guards against this: claim letters fail, or run twice, at a restart of a control host.
         const leader = await rig.deployment.leader();
         const calls = Array.from({ length: 6 }, (_, at) => {
             const key = at % 2 === 0 ? `kept-${at}` : undefined;
--- a/playground/__tests__/orders.spec.ts
+++ b/playground/__tests__/orders.spec.ts
@@ -39,10 +39,7 @@
     }
 
     it("goes to its end under one fence after the other when the holder of the orders is frozen", async () => {
-        // Symptom: an engine loses the version that it has just loaded.
-        // Sequence: the holder of the orders' lease is frozen in the middle of a rollout; the next one goes on; the first
-        // one wakes and sends what it meant to send before.
-        // Cause: it looked at its lease when it planned the order and not when it sent it.
+        // Guards against this: an engine loses the version that it has just loaded.
         const first = await until("a holder of the orders", () => ordersLease(0));
         const frozen = rig.deployment.entries.findIndex(entry => entry.name === first.holder.daemon);
         const [asked, other] = [0, 1, 2].filter(index => index !== frozen) as [number, number];
--- a/playground/__tests__/processes.spec.ts
+++ b/playground/__tests__/processes.spec.ts
@@ -39,9 +39,7 @@
     });
 
     it("gives a backend server that is leaving no new work, and lets it end what it runs", async () => {
-        // Symptom: a request fails on an engine that the platform takes away.
-        // Sequence: the engine is drained; some entry daemon still chooses it, or its running stream is cut.
-        // Cause: the word reached one daemon only, or leaving was taken for gone.
+        // Guards against this: a request fails on an engine that the platform takes away.
         const extra = await rig.addEngine("decode-3", "decode");
         await rig.deployment.backendsReady(["decode-3"]);
         const load = new Load(rig);
@@ -68,9 +66,7 @@
     });
 
     it("runs a non-idempotent request at most once when its entry daemon is killed", async () => {
-        // Symptom: a landlord gets two claim letters.
-        // Sequence: the entry daemon dies while it streams; the caller sends the request again to another one.
-        // Cause: the second daemon didn't know of the first run.
+        // Guards against this: a landlord gets two claim letters.
         const letter = call("claim letter", { key: "letter-1", stream: true, maxTokens: 60 });
         const before = await rig.decodes();
         const begun = new Promise<void>(resolve => {
@@ -90,9 +86,7 @@
     });
 
     it("starts nothing on an old view after a freeze", async () => {
-        // Symptom: a request runs on a model that was withdrawn minutes ago.
-        // Sequence: an entry daemon is frozen past its lease; a change is accepted; it wakes with a request waiting.
-        // Cause: it served the request before it looked at its clock.
+        // Guards against this: a request runs on a model that was withdrawn minutes ago.
         await rig.apply(0, [model, secondModel]);
         const frozen = rig.entry(2);
         // Their connections stay open, so that the requests below lie in them, ready to be read, when it wakes.
@@ -190,9 +184,7 @@
     }
 
     it("keeps what was accepted when a disk is lost and, after the repair, a second host", async () => {
-        // Symptom: an accepted configuration is gone.
-        // Sequence: a control daemon's disk is lost; it comes back empty; just then a second control host is lost.
-        // Cause: the empty voter voted under its old identity, so two of three voters knew nothing of the change.
+        // Guards against this: an accepted configuration is gone.
         const revision = await rig.apply(0, [model], "before the disk is lost");
         const [lost, second] = rig.deployment.controls as [Daemon, Daemon];
         const before = await rig.deployment.status(rig.entry(0));
--- a/playground/__tests__/repeatedCrashes.spec.ts
+++ b/playground/__tests__/repeatedCrashes.spec.ts
@@ -7,9 +7,7 @@
 /** Milliseconds after the last crash in which each entry daemon must have learnt of it. */
 const contactTime = 3_000;
 
-// One request ended every engine that began to decode it, and came again at another entry daemon each time. A daemon forgot what
-// a crash had shown with the request that met it, and told nobody, so that each arrival cost up to three engines more: the log of
-// each entry daemon had `attempt failed; another is made` with a broken connection twice, and the next arrival's the same.
+// Guards against this: a request that comes again ends up to three engines at each entry daemon.
 describe("a prompt that ends each engine that decodes it", function() {
     this.timeout(60_000);
     let rig: Rig;
