fix(request): a letter whose prompt was read waits out an election of control daemons

Looking for the class of the lost letters elsewhere: a passing state taken for the end where the end is final. Callers would see 503 viewExpired with outcome failed_after_starting, for good, where the view's confirmation lapsed between the end of a non-idempotent request's prefill and its import, as when the control daemons elect a leader for longer than the rest of a view lease. Not seen in a run of real processes; the new test, which fails on the code before, takes the confirmation away for 30 ms.

Now the import of such a request waits for the confirmation, at most 1 s, about as long as engines keep the result; nothing is sent before. A view that stays unconfirmed ends it as before, and idempotent requests go on to another attempt at once.

--- a/packages/basilpaddle/src/node/coordination/request/__tests__/fullEngine.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/request/__tests__/fullEngine.spec.ts
@@ -154,4 +154,25 @@
         expect((await rig.drive({ run: letter })).kind).to.equal("finished");
         expect(rig.engine("d2").ran).to.deep.equal([]);
     });
+
+    // Guards against a letter that fails for good since control daemons elect a leader just when its prompt has been read.
+    for (const [name, milliseconds] of [["comes back", 30], ["stays away", undefined]] as const) {
+        it(`is waited for while a letter's prompt has been read and the view's confirmation ${name}`, async () => {
+            const rig = Rig.create();
+            rig.engine("p1").begun = () => {
+                rig.control.confirmed = false;
+                if (milliseconds !== undefined) {
+                    setTimeout(() => (rig.control.confirmed = true), milliseconds);
+                }
+            };
+            const end = await rig.drive({ run: letter });
+            expect(end.kind === "refused" ? [end.refusal.code, end.refusal.outcome] : end.kind).to.deep.equal(
+                milliseconds === undefined ? ["viewExpired", "failedAfterStarting"] : "finished",
+            );
+            expect(prefills(rig)).to.have.length(1);
+            expect(rig.ran()).to.have.length(milliseconds === undefined ? 1 : 3);
+            await rig.settled();
+            expect(rig.held()).to.deep.equal([]);
+        });
+    }
 });
--- a/packages/basilpaddle/src/node/coordination/request/attempt.ts
+++ b/packages/basilpaddle/src/node/coordination/request/attempt.ts
@@ -8,6 +8,9 @@
 /** Milliseconds beyond the expected time of a transfer after which it counts as stalled. */
 const transferGrace = 3_000;
 const transferFactor = 4;
+/** Milliseconds for which a non-idempotent request with a finished prefill waits for a confirmed view, and between two looks. */
+const longestElection = 1_000;
+const confirmationPause = 25;
 /** Milliseconds for which engines are waited for that the scheduler's view has and this daemon's doesn't yet. */
 const viewLag = 1_000;
 
@@ -133,8 +136,8 @@
     ): Promise<Announcement | AttemptEnd> {
         const { parts, work, lifecycle, scope } = this.context;
         // A process that wakes from a freeze here would take a decode slot that its successor knows nothing of.
-        if (!parts.control.mayStart()) {
-            return viewExpired;
+        if (!await this.isViewConfirmed()) {
+            return scope.stopped === undefined ? viewExpired : { kind: "stopped" };
         }
         lifecycle.send("transfer");
         const tries = this.importTries();
@@ -157,10 +160,11 @@
                 await pause(parts.clock, wait, this.scope.signal);
             }
             backend = other ?? backend;
+            const isConfirmed = await this.isViewConfirmed();
             if (scope.stopped !== undefined) {
                 return { kind: "stopped" };
             }
-            if (!parts.control.mayStart()) {
+            if (!isConfirmed) {
                 return viewExpired;
             }
             // It may have begun to leave, or have restarted, while it was waited for.
@@ -197,6 +201,19 @@
         return scope.stopped === undefined ? undefined : { kind: "stopped" };
     }
 
+    /**
+     * Whether the view is confirmed now. What may not be tried again waits for it while its prefill's result is likely kept:
+     * an election of control daemons would end it for good otherwise.
+     */
+    private async isViewConfirmed(): Promise<boolean> {
+        const { parts, work, scope } = this.context;
+        const until = work.run === undefined ? 0 : parts.clock.monotonic() + longestElection;
+        while (!parts.control.mayStart() && parts.clock.monotonic() < until && scope.stopped === undefined) {
+            await pause(parts.clock, confirmationPause, this.scope.signal);
+        }
+        return parts.control.mayStart();
+    }
+
     /** Another decode engine in place of one that is full, where one has room. */
     private async move(source: Announcement, full: Announcement): Promise<Announcement | undefined> {
         const { parts, written } = this.context;
