fix(request): a decode engine isn't distrusted for a prefill that another engine has evicted

An import that a decode engine refuses since the prefill's engine has evicted the result was told to the scheduler as that decode engine's failure, which then gave it nothing for a second, doubled up to sixteen; since letters are offered until their result is evicted, that would be the end of each one that isn't placed. The proof is kept with the end of the attempt, full or evicted, and neither is blamed. Test: the last check of "is asked for a letter until the prefill's result is evicted", which fails on the code before.

--- a/packages/basilpaddle/src/node/coordination/request/__tests__/fullEngine.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/request/__tests__/fullEngine.spec.ts
@@ -141,6 +141,8 @@
         const end = await late.drive({ run: letter });
         expect(end).to.have.nested.property("refusal.outcome", "failedAfterStarting");
         expect(late.placement.full).to.have.length(9);
+        const failed = late.placement.told.filter(({ stage }) => stage === "failed");
+        expect(failed.map(({ failedEngine }) => failedEngine), "the engine isn't blamed").to.deep.equal([undefined]);
         await late.settled();
         expect(late.held()).to.deep.equal([]);
     });
--- a/packages/basilpaddle/src/node/coordination/request/attempt.ts
+++ b/packages/basilpaddle/src/node/coordination/request/attempt.ts
@@ -1,18 +1,15 @@
 import type { Announcement, PrefillAnswer, Progress, RefusalCode, View } from "../../protocol/index.js";
 import type { EngineFailure } from "../engine/engine.js";
 import type { AttemptContext, AttemptEnd } from "./attemptContext.js";
+import { demandOf } from "./attemptDemand.js";
 import { DecodeStream } from "./decodeStream.js";
 import { ImportTries } from "./importTries.js";
 import { AttemptScope, pause, untilAborted } from "./scope.js";
+import { untilEnginesKnown, untilViewConfirmed } from "./viewWaits.js";
 
 /** Milliseconds beyond the expected time of a transfer after which it counts as stalled. */
 const transferGrace = 3_000;
 const transferFactor = 4;
-/** Milliseconds for which a non-idempotent request with a finished prefill waits for a confirmed view, and between two looks. */
-const longestElection = 1_000;
-const confirmationPause = 25;
-/** Milliseconds for which engines are waited for that the scheduler's view has and this daemon's doesn't yet. */
-const viewLag = 1_000;
 
 type Held = { readonly backend: Announcement; inFlight: boolean; };
 
@@ -49,7 +46,10 @@
             return viewExpired;
         }
         lifecycle.send("reserve");
-        const decision = await parts.placement.reserve(this.demand(), this.context.scope.signal);
+        const decision = await parts.placement.reserve(
+            demandOf(this.context, this.id, this.avoid),
+            this.context.scope.signal,
+        );
         if (decision.kind === "refused") {
             return this.context.scope.stopped === undefined
                 ? { kind: "refused", refusal: decision.refusal }
@@ -69,7 +69,7 @@
     }
 
     private async carryOut(prefillId: string, decodeId: string): Promise<AttemptEnd> {
-        await this.catchUp([prefillId, decodeId]);
+        await untilEnginesKnown(this.context.parts, [prefillId, decodeId], this.scope.signal);
         const prefill = this.ready(prefillId);
         const decode = this.ready(decodeId);
         if (prefill === undefined || decode === undefined) {
@@ -136,7 +136,7 @@
     ): Promise<Announcement | AttemptEnd> {
         const { parts, work, lifecycle, scope } = this.context;
         // A process that wakes from a freeze here would take a decode slot that its successor knows nothing of.
-        if (!await this.isViewConfirmed()) {
+        if (!await this.mayTransfer()) {
             return scope.stopped === undefined ? viewExpired : { kind: "stopped" };
         }
         lifecycle.send("transfer");
@@ -147,7 +147,7 @@
             if (end === undefined) {
                 return backend;
             }
-            if (end.kind !== "failed" || end.isFull !== true) {
+            if (end.kind !== "failed" || end.proof !== "full") {
                 return end;
             }
             // Ended here, the finished prefill would be thrown away, and a non-idempotent request fail for good.
@@ -160,7 +160,7 @@
                 await pause(parts.clock, wait, this.scope.signal);
             }
             backend = other ?? backend;
-            const isConfirmed = await this.isViewConfirmed();
+            const isConfirmed = await this.mayTransfer();
             if (scope.stopped !== undefined) {
                 return { kind: "stopped" };
             }
@@ -190,8 +190,8 @@
         const result = await untilAborted(call.then(answer => answer.extract()), this.scope.signal, abandoned);
         if ("kind" in result) {
             const end = this.callFailed(held, result, "transfer");
-            const isFull = result.kind === "notRun" && result.code === "full";
-            return end.kind === "failed" && isFull ? { ...end, isFull } : end;
+            const proof = result.kind === "notRun" ? proofOf(result.code) : undefined;
+            return end.kind === "failed" && proof !== undefined ? { ...end, proof } : end;
         }
         trace.ran();
         held.inFlight = false;
@@ -202,23 +202,21 @@
     }
 
     /**
-     * Whether the view is confirmed now. What may not be tried again waits for it while its prefill's result is likely kept:
-     * an election of control daemons would end it for good otherwise.
+     * Whether this daemon's view is confirmed. What may not be tried again waits for that: an election of control daemons
+     * would end it for good otherwise.
      */
-    private async isViewConfirmed(): Promise<boolean> {
-        const { parts, work, scope } = this.context;
-        const until = work.run === undefined ? 0 : parts.clock.monotonic() + longestElection;
-        while (!parts.control.mayStart() && parts.clock.monotonic() < until && scope.stopped === undefined) {
-            await pause(parts.clock, confirmationPause, this.scope.signal);
-        }
-        return parts.control.mayStart();
+    private mayTransfer(): Promise<boolean> {
+        const { parts, work } = this.context;
+        return work.run === undefined
+            ? Promise.resolve(parts.control.mayStart())
+            : untilViewConfirmed(parts, this.scope.signal);
     }
 
     /** Another decode engine in place of one that is full, where one has room. */
     private async move(source: Announcement, full: Announcement): Promise<Announcement | undefined> {
         const { parts, written } = this.context;
         const moved = parts.placement.move({
-            demand: this.demand(),
+            demand: demandOf(this.context, this.id, this.avoid),
             prefill: source.id,
             decode: full.id,
             stage: "prefilled",
@@ -292,8 +290,9 @@
         const stage = end?.kind === "stopped" ? "cancelled" : "failed";
         // An engine that nothing was sent to has not failed. Blamed for a view that lags here, a new engine stays idle
         // for seconds, and longer the more daemons lag.
-        // Nor has one that was only full: distrusted for it, it would get nothing once its slots come free.
-        const isBlamed = end?.kind === "failed" && end.code !== "noBackend" && end.isFull !== true;
+        // Nor has one that was only full, or was offered what another one had evicted: distrusted for it, it would get nothing
+        // once its slots come free.
+        const isBlamed = end?.kind === "failed" && end.code !== "noBackend" && end.proof === undefined;
         const failedEngine = isBlamed ? end.engine : undefined;
         this.progress({ attempt: this.id, stage, tokens: written.tokens, failedEngine });
         if (this.prefilled !== undefined) {
@@ -326,23 +325,6 @@
         return held;
     }
 
-    /** Waits until the view names the engines, but not for long: they may be gone by a view that is ahead. */
-    private async catchUp(ids: readonly string[]): Promise<void> {
-        const { control, clock } = this.context.parts;
-        const isBehind = (): boolean => ids.some(id => (control.view().backends[id]?.state ?? "gone") === "gone");
-        if (!isBehind()) {
-            return;
-        }
-        const caughtUp = new AbortController();
-        const unfollow = control.onView(() => {
-            if (!isBehind()) {
-                caughtUp.abort();
-            }
-        });
-        await pause(clock, viewLag, AbortSignal.any([caughtUp.signal, this.scope.signal]));
-        unfollow();
-    }
-
     /** The backend server, if it may get new work. */
     private ready(id: string): Announcement | undefined {
         const backend = this.context.parts.control.view().backends[id];
@@ -360,32 +342,6 @@
     private progress(progress: Progress): void {
         this.context.parts.placement.progress(this.context.work.pool, progress);
     }
-
-    private demand() {
-        const { parts, work, written } = this.context;
-        const now = parts.clock.monotonic();
-        return {
-            attempt: this.id,
-            owner: parts.control.session(),
-            pool: work.pool,
-            model: work.generation.model,
-            version: work.generation.version,
-            adapter: work.generation.adapter,
-            organisation: work.organisation,
-            failureDomain: parts.failureDomain,
-            promptTokens: work.promptTokens,
-            maxTokens: work.generation.maxTokens,
-            expectedTokens: work.expectedTokens,
-            prefixes: [...work.prefixes],
-            blockTokens: work.blockTokens,
-            priority: work.generation.priority,
-            firstTokenWithin: work.targets.firstToken - (now - work.receivedAt),
-            deadlineWithin: work.deadlineAt - now,
-            alreadySent: written.tokens,
-            once: work.run !== undefined,
-            avoid: [...this.avoid, ...parts.marks.inPool(parts.control.view(), work.pool)],
-        };
-    }
 }
 
 const viewExpired: AttemptEnd = {
@@ -395,6 +351,10 @@
     engine: undefined,
 };
 
+function proofOf(code: string | undefined): "full" | "evicted" | undefined {
+    return code === "full" || code === "evicted" ? code : undefined;
+}
+
 function failed(code: RefusalCode, message: string, engine: string): AttemptEnd {
     return { kind: "failed", code, message, engine };
 }
--- a/packages/basilpaddle/src/node/coordination/request/attemptContext.ts
+++ b/packages/basilpaddle/src/node/coordination/request/attemptContext.ts
@@ -19,8 +19,8 @@
         readonly message: string;
         /** The engine to avoid next time; none where another attempt can't help. */
         readonly engine: string | undefined;
-        /** The engine proved that it only had no free slot for a finished prefill. */
-        readonly isFull?: boolean;
+        /** What a decode engine proved that is no fault of its own: it has no free slot, or the prefill's result is gone. */
+        readonly proof?: "full" | "evicted";
     };
 
 /** What the attempts of one request share. */
--- /dev/null
+++ b/packages/basilpaddle/src/node/coordination/request/attemptDemand.ts
@@ -0,0 +1,29 @@
+import type { Demand } from "../../protocol/index.js";
+import type { AttemptContext } from "./attemptContext.js";
+
+/** What an attempt asks the placement for, with the times that are left now. */
+export function demandOf(context: AttemptContext, attempt: string, avoid: readonly string[]): Demand {
+    const { parts, work, written } = context;
+    const now = parts.clock.monotonic();
+    return {
+        attempt,
+        owner: parts.control.session(),
+        pool: work.pool,
+        model: work.generation.model,
+        version: work.generation.version,
+        adapter: work.generation.adapter,
+        organisation: work.organisation,
+        failureDomain: parts.failureDomain,
+        promptTokens: work.promptTokens,
+        maxTokens: work.generation.maxTokens,
+        expectedTokens: work.expectedTokens,
+        prefixes: [...work.prefixes],
+        blockTokens: work.blockTokens,
+        priority: work.generation.priority,
+        firstTokenWithin: work.targets.firstToken - (now - work.receivedAt),
+        deadlineWithin: work.deadlineAt - now,
+        alreadySent: written.tokens,
+        once: work.run !== undefined,
+        avoid: [...avoid, ...parts.marks.inPool(parts.control.view(), work.pool)],
+    };
+}
