test(playground): the scenario in which letters were lost, with real processes

The scheduler's daemon stands still for 200 to 500 ms under load while the leading control daemon shuts down, three times over.

--- a/playground/__tests__/failures.spec.ts
+++ b/playground/__tests__/failures.spec.ts
@@ -146,4 +146,30 @@
         expect(again.replayed).to.equal(true);
         expect(again.text).to.equal(Caller.expected(later[0]!));
     });
+
+    // Guards against letters that fail for good since daemons chose alone and their scheduler, back, handed out the same slots.
+    it("loses no letter when the daemon that schedules the pool stands still while the control leader shuts down", async () => {
+        for (let round = 0; round < 3; round++) {
+            const leader = await rig.deployment.leader();
+            const holder = await until("a scheduler", () => schedulerOf(0));
+            const scheduling = rig.deployment.entries.find(entry => entry.name === holder)!;
+            const calls = Array.from(
+                { length: 6 },
+                (_, at) => call(`open ${round} ${at}`, { stream: true, maxTokens: 90 }),
+            );
+            const running = await openStreams(calls);
+            scheduling.signal("SIGSTOP");
+            setTimeout(() => scheduling.signal("SIGCONT"), 200 + 150 * round);
+            leader.signal("SIGTERM");
+            const letters = Array.from({ length: 6 }, (_, at) => {
+                const name = `letter ${round} ${at}`;
+                return call(name, { key: name.replaceAll(" ", "-") });
+            });
+            const answers = await Promise.all(letters.map((asking, at) => rig.caller(at % 3).askUntilRun(asking)));
+            answers.forEach((answer, at) => expectWhole(answer, letters[at]!));
+            (await Promise.all(running)).forEach((answer, at) => expectWhole(answer, calls[at]!));
+            await leader.end();
+            await rig.mend();
+        }
+    });
 });
