fix(placement): a letter is placed alone only by loads that show what the scheduler handed out last

More of the same fault at another moment: the daemon that schedules the pool is killed, beside the shutdown of the leading control daemon. By the log, daemons chose alone 15 to 66 ms after the kill, while engines' reports, which lag, didn't list runs of the last quarter of a second; the pool looked half free and was full.

A demand that can't be tried again waits 300 ms once the scheduler is missed, or until it answers, before engines are asked. The margin for other daemons counts for the engines that were asked, not for all: with hundreds of daemons and eight engines asked nothing would have been placed alone. The scenario is a test of real processes; the unit test fails without the wait.

--- a/packages/basilpaddle/src/node/coordination/scheduling/__tests__/scheduledPlacement.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/__tests__/scheduledPlacement.spec.ts
@@ -282,4 +282,27 @@
         await daemons.clock.pass(300);
         expect(outcome("later")).to.equal(11);
     });
+
+    // Guards against a letter that fails for good since engines don't list yet what the scheduler handed out last.
+    it("places a letter alone only by loads that show what the scheduler had handed out", async () => {
+        daemons.change(view => ({ ...view, backends: { ...view.backends, d2: engine("d2", "decode", { slots: 8 }) } }));
+        const list = (active: readonly string[]): void => {
+            for (const id of ["d1", "d2"]) {
+                const sequence = daemons.clock.monotonic();
+                const report = { id, incarnation: 1, sequence, active: [...active], queuedTokens: 0 };
+                daemons.active.set(`http://127.0.0.1:1/${id}`, report);
+            }
+        };
+        list([]);
+        daemons.cut.add("a");
+        reserve("b", "letter", never, { once: true });
+        await daemons.clock.pass(500);
+        list(["x1", "x2", "x3", "x4", "x5", "x6", "x7", "x8"]);
+        await daemons.clock.pass(500);
+        expect(outcome("letter")).to.equal("waits");
+        list([]);
+        reserve("c", "another letter", never, { once: true });
+        await daemons.clock.pass(1_000);
+        expect(outcome("another letter")).to.equal(0);
+    });
 });
--- a/packages/basilpaddle/src/node/coordination/scheduling/choosingAlone.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/choosingAlone.ts
@@ -137,7 +137,7 @@
         }
         const known = demand.once ? decodes.filter(engine => now - engine.reportedAt <= freshFor) : decodes;
         const free = known.filter(engine => engine.taken < engine.slots && engine.held.size < this.part(engine));
-        if (demand.once && this.mayBeTaken(known)) {
+        if (demand.once && this.mayBeTaken(known, decodes.length)) {
             return "full";
         }
         if (this.exceedsPrefillPart(demand, prefills, now)) {
@@ -153,10 +153,13 @@
         return { kind: "assigned", attempt, prefill: prefill.id, decode: decode.id, fence: 0, expectedReuse: 0 };
     }
 
-    /** Whether the slots that look free are so few that the other daemons, each by its own choice, may take them all. */
-    private mayBeTaken(decodes: readonly EnginePicture[]): boolean {
-        const free = decodes.reduce((sum, engine) => sum + Math.max(0, engine.slots - engine.taken), 0);
-        return this.divided && free < this.sessions;
+    /**
+     * Whether the slots that look free at some engines are so few that the other daemons, one request each over all engines, may
+     * take them.
+     */
+    private mayBeTaken(known: readonly EnginePicture[], engines: number): boolean {
+        const free = known.reduce((sum, engine) => sum + Math.max(0, engine.slots - engine.taken), 0);
+        return this.divided && free < this.sessions * known.length / engines;
     }
 
     /**
--- a/packages/basilpaddle/src/node/coordination/scheduling/scheduledPlacement.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/scheduledPlacement.ts
@@ -14,6 +14,7 @@
 import type { ControlClient } from "../controlClient.js";
 import type { Engine } from "../engine/engine.js";
 import { Placement } from "../placement.js";
+import { pause } from "../request/scope.js";
 import { AlonePlacement } from "./alonePlacement.js";
 import { EngineSurvey } from "./engineSurvey.js";
 import { HeldAttempts } from "./heldAttempts.js";
@@ -25,6 +26,8 @@
 
 /** Milliseconds for a daemon to tell what it holds to a new scheduler. */
 const surveyTimeout = 500;
+/** Milliseconds by which reports may lag: what a scheduler handed out until it fell silent isn't in them before. */
+const reportLag = 300;
 /** Times that a demand follows its pool's scheduler from daemon to daemon before this daemon chooses alone. */
 const moves = 3;
 
@@ -111,6 +114,7 @@
         const link = this.remote(demand.pool);
         const forget = link?.onReachable(() => back.abort());
         if (demand.once) {
+            await pause(this.parts.clock, reportLag, AbortSignal.any([signal, back.signal]));
             const reports = await this.engines.askDecodes(demand.pool);
             reports.forEach(report => this.alone.load(demand.pool, report));
         }
--- a/playground/__tests__/failures.spec.ts
+++ b/playground/__tests__/failures.spec.ts
@@ -172,4 +172,33 @@
             await rig.mend();
         }
     });
+
+    // Guards against letters that fail for good since daemons chose alone by loads older than the last slots handed out.
+    it("loses no letter when the daemon that schedules the pool is killed while the control leader shuts down", async () => {
+        for (let round = 0; round < 2; round++) {
+            const leader = await rig.deployment.leader();
+            const holder = await until("a scheduler", () => schedulerOf(0));
+            const killed = rig.deployment.entries.findIndex(entry => entry.name === holder);
+            const others = [0, 1, 2].filter(index => index !== killed);
+            const calls = Array.from(
+                { length: 6 },
+                (_, at) => call(`running ${round} ${at}`, { stream: true, maxTokens: 90 }),
+            );
+            const running = await openStreams(calls);
+            void rig.entry(killed).kill();
+            leader.signal("SIGTERM");
+            const letters = Array.from({ length: 6 }, (_, at) => {
+                const name = `urgent ${round} ${at}`;
+                return call(name, { key: name.replaceAll(" ", "-") });
+            });
+            const answers = await Promise.all(
+                letters.map((asking, at) => rig.caller(others[at % 2]!).askUntilRun(asking)),
+            );
+            answers.forEach((answer, at) => expectWhole(answer, letters[at]!));
+            const streams = (await Promise.all(running)).map((answer, at) => ({ answer, asking: calls[at]! }));
+            streams.filter((_, at) => at % 3 !== killed).forEach(({ answer, asking }) => expectWhole(answer, asking));
+            await leader.end();
+            await rig.mend();
+        }
+    });
 });
