--- a/scripts/ci/knownRed.ts
+++ b/scripts/ci/knownRed.ts
@@ -33,12 +33,12 @@
 export function readKnownRed(text: string): readonly KnownRed[] {
     const entries: KnownRed[] = [];
     for (const line of text.split("\n")) {
-        const entry = entryLine.exec(line);
-        const failure = failureLine.exec(line);
-        if (entry !== null) {
+        const entry = entryLine.exec(line) ?? undefined;
+        const failure = failureLine.exec(line) ?? undefined;
+        if (entry !== undefined) {
             entries.push({ file: entry[1]!, title: entry[2]!, failsWith: undefined });
         }
-        else if (failure !== null && entries.length > 0) {
+        else if (failure !== undefined && entries.length > 0) {
             entries.push({ ...entries.pop()!, failsWith: failure[1]!.trim() });
         }
     }
