--- a/scripts/ci/__tests__/knownRed.spec.ts
+++ b/scripts/ci/__tests__/knownRed.spec.ts
@@ -58,7 +58,8 @@
         async function play(known: string, message: string, exitCode = "1"): Promise<number | null> {
             const spec = path.join(folder, "made-up.spec.cjs");
             const report = path.join(folder, "report.json");
-            await writeFile(spec, `it("fails", () => { throw new Error(${JSON.stringify(message)}); });`);
+            const thrown = `Object.assign(new Error("not equal"), { actual: [{ what: ${JSON.stringify(message)} }] })`;
+            await writeFile(spec, `it("fails", () => { throw ${thrown}; });`);
             await writeFile(path.join(folder, "known.txt"), known);
             await rm(report, { force: true });
             const env = { ...process.env, BASILPADDLE_TEST_REPORT: report };
--- a/scripts/ci/reporter.cjs
+++ b/scripts/ci/reporter.cjs
@@ -1,6 +1,7 @@
 // Mocha's usual report, and what became of each test as JSON in the file that the variable names.
 const { writeFileSync } = require("node:fs");
 const path = require("node:path");
+const { inspect } = require("node:util");
 const { reporters, Runner } = require("mocha");
 
 const reportVariable = "BASILPADDLE_TEST_REPORT";
@@ -11,6 +12,12 @@
     return test.file ?? (test.parent === undefined ? undefined : fileOf(test.parent));
 }
 
+/** Message, what an assertion found, and stack. */
+function describe(error) {
+    const found = error.actual === undefined ? "" : inspect(error.actual, { depth: 6, breakLength: Infinity });
+    return [error.message ?? String(error), found, error.stack ?? ""].join("\n");
+}
+
 class Reporter extends reporters.Spec {
     constructor(runner, options) {
         super(runner, options);
@@ -20,7 +27,7 @@
             report.push({
                 file: file === undefined ? "" : path.relative(process.cwd(), file),
                 title: test.title,
-                failure: error === undefined ? undefined : `${error.message ?? error}\n${error.stack ?? ""}`,
+                failure: error === undefined ? undefined : describe(error),
             });
         };
         runner.on(EVENT_TEST_PASS, test => note(test, undefined));
