--- a/packages/basilpaddle/src/node/coordination/gateway/linkQuality.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/linkQuality.ts
@@ -3,8 +3,7 @@
 /** Milliseconds in which what was seen of a link counts half. */
 const memoryHalfLife = 8_000;
 /**
- * Events that every link is taken to have passed on without a stall: with them a single stall says little. A link that
- * loses 4 in 100 packets shows some three stalls a second to a gateway with five streams.
+ * Events that every link is taken to have passed on without a stall: with them a single stall says little.
  */
 const priorEvents = 100;
 /**
--- a/packages/basilpaddle/src/node/coordination/gateway/placedEngine.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placedEngine.ts
@@ -24,8 +24,8 @@
 const usualDelay = 1.5;
 /**
  * How much longer than that readings take at one engine: bounds, the weight of one reading, and the milliseconds in which
- * what was seen counts half. Others may have an engine read as well: gateways that placed alone while there was no leader.
- * Readings took 0.6 to 1.2 s for two seconds after an election, though the leader saw short queues.
+ * what was seen counts half. Others may have an engine read as well: gateways that placed alone while there was no
+ * leader. Just after an election readings take long though the leader sees short queues.
  */
 const leastDelay = 1;
 const mostDelay = 4;
@@ -75,8 +75,8 @@
 
     /**
      * Notes that it was ordered to change its stage. It finishes the runs that it has and turns all others away, yet says until
-     * the change is done that it is ready in its old stage: two of ten decode engines turned away 90 runs in 12 s, whose
-     * prompts had been read in vain. `until`: when the order counts as not carried out.
+     * the change is done that it is ready in its old stage; prompts of the runs that it turns away would be read
+     * in vain. `until`: when the order counts as not carried out.
      */
     orderedTo(stage: Announced["stage"], until: number): void {
         this.ordered = { stage, until };
--- a/packages/basilpaddle/src/node/coordination/scheduling/__tests__/scheduledPlacement.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/__tests__/scheduledPlacement.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { rest } from "../../../../../../../simulation/manualClock.js";
 import { demand, engine } from "../../../../../../../simulation/scheduling/samples.js";
-import type { Decision } from "../../../protocol/index.js";
+import type { Decision, Holding } from "../../../protocol/index.js";
 import { incarnation, sampleView, TestDaemons } from "./fakes.js";
 
 const never = new AbortController().signal;
@@ -10,6 +10,10 @@
     return demand(`${daemon}/i1/${name}`, { owner: incarnation(daemon), firstTokenWithin: 20_000, ...more });
 }
 
+function holdingOf(daemon: string, name: string, stage: Holding["stage"]): Holding {
+    return { demand: demandOf(daemon, name), prefill: "p1", decode: "d1", stage, tokens: 0 };
+}
+
 describe("the placement through a pool's scheduler", () => {
     let daemons: TestDaemons;
     let decisions: Map<string, Decision>;
@@ -217,14 +221,7 @@
             daemons.cut.clear();
             await daemons.clock.pass(500);
             daemons.change(view => ({ ...view, backends: { ...view.backends, d2: engine("d2", "decode") } }));
-            const holding = {
-                demand: demandOf("b", "one"),
-                prefill: "p1",
-                decode: "d1",
-                stage: "prefilled",
-                tokens: 0,
-            } as const;
-            const moved = daemons.placement("b").move(holding);
+            const moved = daemons.placement("b").move(holdingOf("b", "one", "prefilled"));
             await daemons.clock.pass(300);
             expect(await moved).to.equal("d2");
             const { held } = daemons.placement("a").standing().get("drafts")!;
@@ -240,14 +237,7 @@
         await ask("b", "one");
         daemons.change(view => ({ ...view, backends: { ...view.backends, d2: engine("d2", "decode") } }));
         daemons.cut.add("a");
-        const holding = {
-            demand: demandOf("b", "one"),
-            prefill: "p1",
-            decode: "d1",
-            stage: "prefilled",
-            tokens: 0,
-        } as const;
-        const moved = daemons.placement("b").move(holding);
+        const moved = daemons.placement("b").move(holdingOf("b", "one", "prefilled"));
         await daemons.clock.pass(500);
         expect(await moved).to.equal("d2");
     });
@@ -267,8 +257,7 @@
     // Guards against a scheduler that was frozen and hands out what others took meanwhile.
     it("hands nothing out after a stall before it has taken in what others took", async () => {
         const taken = ["one", "two"].map(name => {
-            const place = { prefill: "p1", decode: "d1", stage: "prefilling", tokens: 0 } as const;
-            return { kind: "taken", pool: "drafts", holding: { demand: demandOf("b", name), ...place } } as const;
+            return { kind: "taken", pool: "drafts", holding: holdingOf("b", name, "prefilling") } as const;
         });
         daemons.clock.freeze(400);
         reserve("a", "later");
--- a/packages/basilpaddle/src/node/coordination/scheduling/schedulerHost.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/schedulerHost.ts
@@ -164,6 +164,7 @@
     private beatLater(): void {
         this.cancelBeat = this.clock.after(beatInterval, () => {
             this.noteStall();
+            this.beatAt = this.clock.monotonic();
             this.beatLater();
         });
     }
@@ -172,20 +173,19 @@
     private noteStall(): void {
         const now = this.clock.monotonic();
         const silent = now - this.beatAt;
-        this.beatAt = now;
-        if (silent > beatInterval + stallLimit) {
-            this.logger?.warn("the scheduler stood still", { pool: this.pool, milliseconds: Math.round(silent) });
-            this.scheduler.step({ kind: "stalled" }, now);
+        if (silent <= beatInterval + stallLimit) {
+            return;
         }
+        this.beatAt = now;
+        this.logger?.warn("the scheduler stood still", { pool: this.pool, milliseconds: Math.round(silent) });
+        this.scheduler.step({ kind: "stalled" }, now);
     }
 
     private step(event: SchedulerEvent): void {
         if (this.closed) {
             return;
         }
-        if (this.clock.monotonic() - this.beatAt > beatInterval + stallLimit) {
-            this.noteStall();
-        }
+        this.noteStall();
         for (const decision of this.scheduler.step(event, this.clock.monotonic())) {
             const waiting = this.waiting.get(decision.attempt);
             if (waiting === undefined && decision.kind === "assigned") {
--- a/scripts/ci/__tests__/knownRed.spec.ts
+++ b/scripts/ci/__tests__/knownRed.spec.ts
@@ -8,7 +8,7 @@
 const list = `soak/soak.spec.ts "keeps every invariant"
   command: npm test
   fails with: directory-1 ended by itself
-  seen: once. Issue 17.
+  seen: once.
 a/b.spec.ts "without a line of its failure"
   command: npm test
 `;
