Gateways authenticate callers by their organisations' keys

Callers saw: a key was passed on to backend servers and never checked; whoever had no key, a revoked one or an unknown one was served as well, and could name any organisation to the backend server.

Cause: nothing read organisations in a configuration. Now the traffic configuration has organisations with keys and a priority, and routes may be public. A gateway takes the organisation of the key in Authorization (one line, scheme in any case), answers 401 with WWW-Authenticate otherwise, drops key and claimed organisation, and names the holder on every call for the request. The organisation's priority precedes its route's. Without a configuration it answers 503 as before.

--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/fakes.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/fakes.ts
@@ -84,6 +84,7 @@
         attempts: 1,
         prompts: false,
         resumable: false,
+        public: false,
         ...overrides,
     };
 }
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/callerRequest.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/callerRequest.spec.ts
@@ -16,6 +16,7 @@
     attempts: 1,
     prompts: false,
     resumable: false,
+    public: false,
 };
 
 /** Everything that a caller receives until the connection ends. */
@@ -27,9 +28,12 @@
             promptTokens: 0,
             maxTokens: 1,
             expectedTokens: undefined,
-        };
+            tokens: { kind: "notStated" },
+        } as const;
+        const identity = { organisation: undefined, keysInForce: false };
         const now = (): number => performance.now();
-        act(CallerRequest.create({ incoming, response, metadata, route, body: undefined, arrivedAt: now(), now }));
+        const body = undefined;
+        act(CallerRequest.create({ incoming, response, metadata, route, identity, body, arrivedAt: now(), now }));
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     const { port } = server.address() as net.AddressInfo;
--- a/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
@@ -60,7 +60,7 @@
         request: CallerRequest,
         server: ServerAnnouncement,
         service: ServiceRule,
-        metadata: Omit<RunMetadata, "attempt" | "deadlineWithin" | "instance">,
+        metadata: Omit<RunMetadata, "attempt" | "deadlineWithin" | "instance" | "organisation">,
         signal: AbortSignal,
     ): Promise<SendResult> {
         const { wire, connections, gateways } = this.options;
@@ -69,9 +69,11 @@
             attempt: request.metadata.attempt,
             deadlineWithin: Math.max(1, Math.floor(request.remainingTime())),
             instance: serverName(server),
+            organisation: request.identity.organisation?.name,
         });
         const replacedNames = new Set([
             ...wire.systemHeaders,
+            ...request.identity.keysInForce ? wire.keyHeaders : [],
             ...Object.keys(runHeaders).map(name => name.toLowerCase()),
         ]);
         const result = await connections.call(
--- a/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
@@ -1,5 +1,5 @@
 import type * as http from "node:http";
-import { digestOf } from "../../coordination/index.js";
+import { type CallerIdentity, digestOf } from "../../coordination/index.js";
 import type { CallerLimits, TrafficRoute } from "../../protocol/index.js";
 import type { BackendAnswer } from "../backends/index.js";
 import type { CallerMetadata } from "./gatewayWire.js";
@@ -34,6 +34,7 @@
         private readonly response: http.ServerResponse,
         readonly metadata: CallerMetadata,
         readonly route: TrafficRoute,
+        readonly identity: CallerIdentity,
         readonly body: Buffer | undefined,
         readonly arrivedAt: number,
         private readonly now: () => number,
@@ -51,12 +52,13 @@
         readonly response: http.ServerResponse;
         readonly metadata: CallerMetadata;
         readonly route: TrafficRoute;
+        readonly identity: CallerIdentity;
         readonly body: Buffer | undefined;
         readonly arrivedAt: number;
         readonly now: () => number;
     }): CallerRequest {
-        const { incoming, response, metadata, route, body, arrivedAt, now } = options;
-        return new CallerRequest(incoming, response, metadata, route, body, arrivedAt, now);
+        const { incoming, response, metadata, route, identity, body, arrivedAt, now } = options;
+        return new CallerRequest(incoming, response, metadata, route, identity, body, arrivedAt, now);
     }
 
     /** Identifier of the attempt, for logs and for the scheduler; empty if the caller sent none. */
@@ -72,10 +74,16 @@
         return this.incoming.url ?? "/";
     }
 
-    /** Digest of its content: the same for each attempt of the same request, at any gateway. */
+    /** 0 is the highest priority. */
+    get priority(): number {
+        return this.identity.organisation?.priority ?? this.route.priority;
+    }
+
+    /** Digest of its content: the same for each attempt of the same request, at any gateway and with any key. */
     get digest(): string {
         const { method, target, body } = this;
-        this.cachedDigest ??= digestOf({ caller: this.incoming.headers.host ?? "", method, target, body });
+        const caller = this.identity.organisation?.name ?? this.incoming.headers.host ?? "";
+        this.cachedDigest ??= digestOf({ caller, method, target, body });
         return this.cachedDigest;
     }
 
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -255,7 +255,7 @@
         response: http.ServerResponse,
         arrivedAt: number,
     ): Promise<void> {
-        const { wire, clock } = this.options;
+        const { wire, clock, metrics } = this.options;
         const table = this.routeTable ?? await this.awaitRouteTable(wire.parseCaller(incoming.headers).deadlineWithin);
         if (table === undefined) {
             const retryHeaders = { "Retry-After": String(unconfiguredRetryAfterSeconds) };
@@ -272,6 +272,12 @@
             this.refuseRequest(incoming, response, 404, "no route matches the request");
             return;
         }
+        const identity = table.identify(route, wire.parseCredentials(incoming.headersDistinct));
+        if (identity === undefined) {
+            metrics.count("basilpaddle_unauthenticated_requests_total");
+            this.refuseRequest(incoming, response, 401, "no valid key", wire.challenge);
+            return;
+        }
         const metadata = wire.parseCaller(incoming.headers);
         const body = await readBody(incoming, limits);
         if (body === "tooLarge") {
@@ -287,6 +293,7 @@
             response,
             metadata,
             route,
+            identity,
             body: body.length === 0 ? undefined : body,
             arrivedAt,
             now: () => clock.monotonic(),
@@ -337,6 +344,7 @@
             request: request.attempt,
             content: request.digest,
             route: route.name,
+            organisation: request.identity.organisation?.name,
             configuration: version,
             ...outcome,
             milliseconds,
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayWire.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayWire.ts
@@ -1,5 +1,6 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Either } from "purify-ts";
+import type { CallerCredentials } from "../../coordination/index.js";
 import type { Finding, Traffic } from "../../protocol/index.js";
 import type { EngineCall } from "../backends/index.js";
 
@@ -13,6 +14,10 @@
     /** Limit of the answer's tokens, and the caller's estimate of their number. */
     readonly maxTokens: number;
     readonly expectedTokens: number | undefined;
+    /** Tokens of the prompt and of the longest answer together, by which an allowance in tokens is charged. */
+    readonly tokens:
+        | { readonly kind: "notStated" | "malformed"; }
+        | { readonly kind: "stated"; readonly total: number; };
 };
 
 /** Metadata that this system sends to a backend server in addition to the caller's headers. */
@@ -28,6 +33,8 @@
     readonly source?: { readonly address: string; readonly handle: string; };
     /** Number of the last event that the caller has received. */
     readonly resumeAfter?: string;
+    /** Name of the organisation that holds the caller's key. */
+    readonly organisation?: string | undefined;
 };
 
 /** Metadata in the head of a backend server's answer. */
@@ -50,6 +57,15 @@
     /** Lower-case names of headers that only this system sets; a caller's headers of these names are dropped. */
     abstract readonly systemHeaders: ReadonlySet<string>;
 
+    /** Lower-case names of headers with a caller's key; dropped if the configuration has organisations. */
+    abstract readonly keyHeaders: ReadonlySet<string>;
+
+    /** Headers that tell a caller without a valid key how to authenticate. */
+    abstract readonly challenge: Readonly<Record<string, string>>;
+
+    /** Parses a caller's key; every line of each header is given. */
+    abstract parseCredentials(headers: NodeJS.Dict<string[]>): CallerCredentials;
+
     /** Parses a caller's headers. */
     abstract parseCaller(headers: IncomingHttpHeaders): CallerMetadata;
 
--- a/packages/basilpaddle/src/node/daemon/gateway/placementRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementRequest.ts
@@ -35,7 +35,7 @@
         failureDomain: gateway.failureDomain,
         promptTokens: metadata.promptTokens,
         cacheTokens: metadata.promptTokens + answer,
-        priority: route.priority,
+        priority: request.priority,
         targetWithin: route.target - request.age(),
         patienceWithin: Math.min(request.remainingTime(), timeout),
         avoid: [...avoid],
--- a/packages/basilpaddle/src/node/protocol/traffic.ts
+++ b/packages/basilpaddle/src/node/protocol/traffic.ts
@@ -31,6 +31,8 @@
     resumable: z.boolean(),
     /** Maximum pause between two events of a stream that meets its target. */
     gap: milliseconds.optional(),
+    /** Whether its requests need no key, in a configuration with organisations. */
+    public: z.boolean().default(false),
 });
 
 /** Properties that all engines of a service share. */
@@ -65,12 +67,37 @@
     idleTimeout: milliseconds,
 });
 
+/** What an organisation may send through all gateways together: a token bucket. */
+export const allowanceSchema = z.object({
+    /** What is counted: requests, or the tokens of their prompts and answers. */
+    unit: z.enum(["requests", "tokens"]),
+    /** Units per second. */
+    rate: z.number().positive(),
+    /** Units that may be sent at once after a time without requests. */
+    burst: z.number().min(0),
+    /** Units of a request that states no token counts, if tokens are counted. */
+    plainCost: z.number().min(0),
+});
+
+/** An organisation whose callers authenticate with its keys. */
+export const trafficOrganisationSchema = z.object({
+    name,
+    /** Secret; never logged or passed on. */
+    keys: z.array(z.string().min(1, "an empty key")),
+    /** Takes precedence over the priority of the route. */
+    priority: z.int().min(0).optional(),
+    /** Absent if the organisation may send without limit. */
+    allowance: allowanceSchema.optional(),
+});
+
 /** A complete traffic configuration with the version that its author assigned. */
 export const trafficSchema = z.object({
     version: z.int().min(0),
     routes: z.array(trafficRouteSchema),
     services: z.array(serviceRuleSchema),
     limits: callerLimitsSchema,
+    /** If present, even empty, every request of a route that isn't public needs a key of one of them. @default no keys */
+    organisations: z.array(trafficOrganisationSchema).optional(),
 });
 
 /** One route. */
@@ -81,6 +108,10 @@
 export type ServiceRule = z.infer<typeof serviceRuleSchema>;
 /** Limits of callers' requests and connections. */
 export type CallerLimits = z.infer<typeof callerLimitsSchema>;
+/** What an organisation may send through all gateways together. */
+export type Allowance = z.infer<typeof allowanceSchema>;
+/** An organisation whose callers authenticate with its keys. */
+export type TrafficOrganisation = z.infer<typeof trafficOrganisationSchema>;
 /** A complete traffic configuration. */
 export type Traffic = z.infer<typeof trafficSchema>;
 
@@ -110,5 +141,29 @@
         }
         declaredPrefixes.add(key);
     });
+    return [...findings, ...checkOrganisations(traffic.organisations ?? [])];
+}
+
+/** Checks that names and keys of organisations are unique. Findings name positions, never keys. */
+function checkOrganisations(organisations: readonly TrafficOrganisation[]): Finding[] {
+    const names = new Set<string>();
+    const holderByKey = new Map<string, string>();
+    const findings: Finding[] = [];
+    organisations.forEach((organisation, position) => {
+        const addFinding = (place: string, cause: string): void => {
+            findings.push({ file: "configuration", place: `organisations[${position}].${place}`, cause });
+        };
+        if (names.has(organisation.name)) {
+            addFinding("name", `another organisation has the name ${organisation.name}`);
+        }
+        names.add(organisation.name);
+        organisation.keys.forEach((key, keyPosition) => {
+            const holder = holderByKey.get(key);
+            if (holder !== undefined) {
+                addFinding(`keys[${keyPosition}]`, `the key is already listed for ${holder}`);
+            }
+            holderByKey.set(key, organisation.name);
+        });
+    });
     return findings;
 }
