Gateways keep the allowances of organisations together

Callers saw: no bound at all.

Now an organisation has an allowance in requests or tokens (rate and burst) over all gateways. The leading directory keeps one bucket for each organisation that sends. Far from its limit a gateway admits at once and reports what was spent, in reports that take turns by the number of gateways; near it, which the leader pushes to all gateways, the leader is asked before each request. Beyond it: 429 at once, with turns to come back as fast as the allowance flows in. A request is charged once and given back if no backend server has run it. While no leader answers, each gateway admits its equal part; an organisation that had used up its allowance doesn't overdraw these parts.

--- /dev/null
+++ b/packages/basilpaddle/src/node/coordination/allowance/__tests__/leaderAllowances.spec.ts
@@ -0,0 +1,124 @@
+import { expect } from "chai";
+import { ManualClock } from "../../../../../../../simulation/manualClock.js";
+import type { Allowance, ChargeDecision } from "../../../protocol/index.js";
+import type { AllowanceCharge } from "../allowanceCharge.js";
+import { ReportedAllowances } from "../leaderAllowances.js";
+import type { SpentUnits } from "../organisationAllowances.js";
+
+const allowance: Allowance = { unit: "tokens", rate: 1_000, burst: 1_000, plainCost: 100 };
+const gateways = 10;
+
+describe("the allowances at a gateway", () => {
+    let clock: ManualClock;
+    let available: boolean;
+    let near: boolean;
+    let usedUp: boolean;
+    let leaderDecision: ChargeDecision | undefined;
+    let asked: number;
+    let reported: SpentUnits[];
+    let allowances: ReportedAllowances;
+
+    beforeEach(() => {
+        clock = new ManualClock(1);
+        [available, near, usedUp, leaderDecision, asked, reported] = [true, false, false, { granted: true }, 0, []];
+        allowances = ReportedAllowances.create({
+            gateways: () => gateways,
+            clock,
+            leader: {
+                isAvailable: () => available,
+                isNearLimit: () => near,
+                hasUsedUp: () => usedUp,
+                charge: () => {
+                    asked += 1;
+                    return Promise.resolve(leaderDecision);
+                },
+                recordSpent: spent => reported.push(...spent),
+            },
+        });
+    });
+
+    afterEach(() => allowances.close());
+
+    const charge = (cost: number, attempt = "attempt"): AllowanceCharge => ({
+        organisation: "a",
+        allowance,
+        cost,
+        attempt,
+    });
+
+    const admitted = async (cost: number, attempt?: string): Promise<boolean> => {
+        return (await allowances.admit(charge(cost, attempt))).granted;
+    };
+
+    it("admit at once far from the limit, and report what was spent together", async () => {
+        for (let number = 0; number < 5; number++) {
+            expect(await admitted(500)).to.equal(true);
+        }
+        await clock.advance(100);
+        expect(asked).to.equal(0);
+        expect(reported).to.deep.equal([{ organisation: "a", units: 2_500 }]);
+    });
+
+    it("don't report a small part of what this gateway may spend", async () => {
+        await admitted(15);
+        await clock.advance(1_000);
+        expect(reported).to.deep.equal([]);
+        await admitted(15);
+        await clock.advance(1_000);
+        expect(reported).to.deep.equal([{ organisation: "a", units: 30 }]);
+    });
+
+    it("ask the leader near the limit", async () => {
+        near = true;
+        leaderDecision = { granted: false, comeBackIn: 700 };
+        expect(await allowances.admit(charge(500))).to.deep.equal(leaderDecision);
+        expect(asked).to.equal(1);
+        expect(reported).to.deep.equal([]);
+    });
+
+    it("report at once what was given back", async () => {
+        await admitted(500);
+        await clock.advance(100);
+        allowances.giveBack(charge(500));
+        expect(reported.map(({ units }) => units)).to.deep.equal([500, -500]);
+    });
+
+    // Guards against a full bucket that overflows by what is given back before it was reported as spent.
+    it("don't report what was given back before it was reported as spent", async () => {
+        await admitted(500);
+        allowances.giveBack(charge(500));
+        await clock.advance(100);
+        expect(reported.reduce((sum, { units }) => sum + units, 0)).to.equal(0);
+        expect(reported.every(({ units }) => units >= 0)).to.equal(true);
+    });
+
+    it("admit this gateway's part while no leader answers", async () => {
+        available = false;
+        expect(await admitted(200)).to.equal(true);
+        expect(await admitted(1)).to.equal(false);
+        await clock.advance(1_000);
+        expect(await admitted(100)).to.equal(true);
+    });
+
+    // Guards against an allowance that every gateway overdraws by one long prompt when the leader is lost.
+    it("don't overdraw this gateway's part if the allowance was used up before the leader was lost", async () => {
+        usedUp = true;
+        available = false;
+        let units = 0;
+        for (let number = 0; number < 400; number++) {
+            units += await admitted(1_000, `attempt-${number}`) ? 1_000 : 0;
+            await clock.advance(100);
+        }
+        expect(units).to.be.within(2_000, 6_000);
+    });
+
+    // Guards against refusals below the allowance: at one gateway, an organisation had spent more than its part by the leader's
+    // leave.
+    it("owe nothing for what the leader admitted before it was lost", async () => {
+        near = true;
+        await admitted(5_000);
+        available = false;
+        await clock.advance(2_000);
+        expect(await admitted(200)).to.equal(true);
+    });
+});
--- /dev/null
+++ b/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
@@ -0,0 +1,127 @@
+import { LRUCache } from "lru-cache";
+import type { Allowance, ChargeDecision } from "../../protocol/index.js";
+import { TokenBucket } from "./tokenBucket.js";
+
+/** Maximum number of organisations with an account; the least recently used one is forgotten, as if it had spent nothing. */
+const maxAccounts = 32_768;
+/** An organisation is near its limit from the first of these fractions of its burst, until above the second for a while. */
+const nearLimitFraction = 0.45;
+const farFromLimitFraction = 0.75;
+const nearLimitHoldMilliseconds = 5_000;
+/** How long after a refusal an allowance counts as used up. */
+const usedUpMilliseconds = 6_000;
+/** Longest Retry-After; later turns start over, so that callers don't come back together at the end. */
+const maxRetryAfterMilliseconds = 8_000;
+const millisecondsInSecond = 1_000;
+
+/** What one organisation has left, and when refused callers were told to come back. */
+type Account = {
+    readonly bucket: TokenBucket;
+    allowance: Allowance;
+    /** Time of the last turn that a refused caller was given. */
+    lastTurn: number;
+    /** Until when the organisation counts as near its limit. */
+    nearUntil: number;
+    lastRefusalAt: number;
+};
+
+/** Organisations near their limit, for whose requests gateways have to ask, and those of them that have used it up. */
+export type LimitedOrganisations = { readonly near: readonly string[]; readonly usedUp: readonly string[]; };
+
+/** The allowances of all organisations, as the leader keeps them for all gateways. */
+export class AllowanceLedger {
+    private readonly accounts = new LRUCache<string, Account>({ max: maxAccounts });
+    /** Organisations that are near their limit, or were when last looked at. */
+    private readonly near = new Set<string>();
+    private newlyLimited = false;
+
+    /** `initialFraction`: the part of its burst that each organisation starts with. */
+    private constructor(private readonly initialFraction: number) {}
+
+    static create(initialFraction: number): AllowanceLedger {
+        return new AllowanceLedger(initialFraction);
+    }
+
+    /** Charges a request, or refuses it with the time at which it is to come back. */
+    charge(organisation: string, allowance: Allowance, cost: number, now: number): ChargeDecision {
+        const account = this.account(organisation, allowance, now);
+        const granted = account.bucket.take(cost, now);
+        this.updateNear(organisation, account, now);
+        if (granted) {
+            return { granted };
+        }
+        account.lastRefusalAt = now;
+        return { granted, comeBackIn: this.nextTurn(account, cost, now) };
+    }
+
+    /** Records units that a gateway has spent without asking; a negative number was given back. */
+    recordSpent(organisation: string, allowance: Allowance, units: number, now: number): void {
+        const account = this.account(organisation, allowance, now);
+        account.bucket.spend(units, now);
+        this.updateNear(organisation, account, now);
+    }
+
+    /** Whether an organisation has come near its limit since `limited` was called. */
+    hasNewlyLimited(): boolean {
+        return this.newlyLimited;
+    }
+
+    /** Organisations that are near their limit now. */
+    limited(now: number): LimitedOrganisations {
+        this.newlyLimited = false;
+        const usedUp: string[] = [];
+        for (const organisation of this.near) {
+            const account = this.accounts.get(organisation);
+            if (account === undefined || !this.isNear(account, now)) {
+                this.near.delete(organisation);
+            }
+            else if (now - account.lastRefusalAt < usedUpMilliseconds) {
+                usedUp.push(organisation);
+            }
+        }
+        return { near: [...this.near], usedUp };
+    }
+
+    /** Number of organisations with an account. */
+    get size(): number {
+        return this.accounts.size;
+    }
+
+    private account(organisation: string, allowance: Allowance, now: number): Account {
+        let account = this.accounts.get(organisation);
+        if (account === undefined) {
+            const bucket = TokenBucket.create(allowance, allowance.burst * this.initialFraction, now);
+            account = { bucket, allowance, lastTurn: 0, nearUntil: 0, lastRefusalAt: Number.NEGATIVE_INFINITY };
+            this.accounts.set(organisation, account);
+        }
+        else if (account.allowance !== allowance) {
+            account.bucket.setRules(allowance, now);
+            account.allowance = allowance;
+            account.lastTurn = 0;
+        }
+        return account;
+    }
+
+    /** The next turn of a refused caller: refused callers come back one after the other, as fast as the allowance flows in. */
+    private nextTurn(account: Account, cost: number, now: number): number {
+        const available = now + account.bucket.timeUntil(cost, now);
+        const turn = Math.max(available, account.lastTurn) + cost / account.allowance.rate * millisecondsInSecond;
+        account.lastTurn = turn - now > maxRetryAfterMilliseconds ? available : turn;
+        return account.lastTurn - now;
+    }
+
+    private updateNear(organisation: string, account: Account, now: number): void {
+        if (!this.near.has(organisation) && this.isNear(account, now)) {
+            this.near.add(organisation);
+            this.newlyLimited = true;
+        }
+    }
+
+    private isNear(account: Account, now: number): boolean {
+        const fraction = account.nearUntil > now ? farFromLimitFraction : nearLimitFraction;
+        if (account.bucket.level(now) < account.allowance.burst * fraction) {
+            account.nearUntil = now + nearLimitHoldMilliseconds;
+        }
+        return account.nearUntil > now;
+    }
+}
--- /dev/null
+++ b/packages/basilpaddle/src/node/coordination/allowance/index.ts
@@ -0,0 +1,5 @@
+export type { AllowanceCharge } from "./allowanceCharge.js";
+export * from "./allowanceLedger.js";
+export * from "./leaderAllowances.js";
+export * from "./organisationAllowances.js";
+export * from "./tokenBucket.js";
--- /dev/null
+++ b/packages/basilpaddle/src/node/coordination/allowance/leaderAllowances.ts
@@ -0,0 +1,107 @@
+import type { ChargeDecision } from "../../protocol/index.js";
+import type { AllowanceCharge } from "./allowanceCharge.js";
+import { type AllowanceOptions, OrganisationAllowances, type SpentUnits } from "./organisationAllowances.js";
+
+/** Interval between two reports of a gateway, for each gateway of the deployment: all send as many reports as a few would. */
+const reportIntervalPerGatewayMilliseconds = 1.5;
+const minReportIntervalMilliseconds = 20;
+/** A smaller fraction of this gateway's equal part isn't reported yet. */
+const reportedFraction = 0.1;
+
+/**
+ * The leader keeps the allowances; while none answers, each gateway admits its equal part. What distinguishes the
+ * implementations is for which requests the leader is asked before they are admitted.
+ */
+export abstract class LeaderAllowances extends OrganisationAllowances {
+    private readonly unreported = new Map<string, { units: number; readonly threshold: number; }>();
+    private cancelReport: (() => void) | undefined;
+    private lastReportAt = Number.NEGATIVE_INFINITY;
+
+    /** Whether the leader is asked before a request of the organisation is admitted. */
+    protected abstract mustAsk(organisation: string): boolean;
+
+    override async admit(charge: AllowanceCharge): Promise<ChargeDecision> {
+        const decision = await this.chargeLeader(charge);
+        const now = this.now();
+        if (decision === undefined) {
+            return this.options.leader.hasUsedUp(charge.organisation)
+                ? this.ownPart.admitStrictly(charge, now)
+                : this.ownPart.admit(charge, now);
+        }
+        if (decision.granted) {
+            this.ownPart.recordSpent(charge, now);
+        }
+        return decision;
+    }
+
+    override giveBack(charge: AllowanceCharge): void {
+        this.ownPart.giveBack(charge, this.now());
+        const unreported = this.unreported.get(charge.organisation);
+        if (unreported !== undefined && unreported.units >= charge.cost) {
+            unreported.units -= charge.cost;
+            return;
+        }
+        // At once: near the limit, the next request is refused for lack of what this one gives back.
+        this.options.leader.recordSpent([{ organisation: charge.organisation, units: -charge.cost }]);
+    }
+
+    override close(): void {
+        this.cancelReport?.();
+    }
+
+    /** Charges a request at the leader, now or afterwards; undefined if no leader answers. */
+    private chargeLeader(charge: AllowanceCharge): Promise<ChargeDecision | undefined> {
+        const { leader } = this.options;
+        const { organisation, cost } = charge;
+        if (!leader.isAvailable()) {
+            return Promise.resolve(undefined);
+        }
+        if (this.mustAsk(organisation)) {
+            return leader.charge(organisation, cost);
+        }
+        this.recordSpent(charge, cost);
+        return Promise.resolve({ granted: true });
+    }
+
+    private recordSpent({ organisation, allowance }: AllowanceCharge, units: number): void {
+        const gateways = Math.max(1, this.options.gateways());
+        const threshold = reportedFraction * (allowance.burst + allowance.rate) / gateways;
+        const account = this.unreported.get(organisation) ?? { units: 0, threshold };
+        account.units += units;
+        this.unreported.set(organisation, account);
+        if (Math.abs(account.units) >= threshold && this.cancelReport === undefined) {
+            this.scheduleReport(
+                Math.max(minReportIntervalMilliseconds, gateways * reportIntervalPerGatewayMilliseconds),
+            );
+        }
+    }
+
+    private scheduleReport(interval: number): void {
+        const delay = Math.max(0, this.lastReportAt + interval - this.now());
+        this.cancelReport = this.options.clock.after(delay, () => this.report());
+    }
+
+    private report(): void {
+        this.cancelReport = undefined;
+        this.lastReportAt = this.now();
+        const spent: SpentUnits[] = [];
+        this.unreported.forEach(({ units, threshold }, organisation) => {
+            if (Math.abs(units) >= threshold) {
+                spent.push({ organisation, units });
+                this.unreported.delete(organisation);
+            }
+        });
+        this.options.leader.recordSpent(spent);
+    }
+}
+
+/** Spends first and reports afterwards, but asks the leader for requests of an organisation that is near its limit. */
+export class ReportedAllowances extends LeaderAllowances {
+    static create(options: AllowanceOptions): ReportedAllowances {
+        return new ReportedAllowances(options);
+    }
+
+    protected override mustAsk(organisation: string): boolean {
+        return this.options.leader.isNearLimit(organisation);
+    }
+}
--- a/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
@@ -69,6 +69,7 @@
     incarnation: string;
     cursor: number;
     crashCursor: number;
+    limitCursor: number;
     failureDomain: string | undefined;
     reached: boolean;
     gateways: number;
@@ -78,6 +79,7 @@
     members: readonly string[];
     leader: string | undefined;
     ejected: readonly string[];
+    nearLimit: ReadonlySet<string>;
     lastListedAt: number;
 };
 
@@ -93,6 +95,8 @@
     private highestGatewayCountAt = 0;
     private readonly startedAt: number;
     private closed = false;
+    /** Organisations that had used up their allowance, according to the last update of a leader. */
+    private usedUp: ReadonlySet<string> = new Set();
     private unreportedCrashes: CrashRecord[] = [];
 
     private constructor(private readonly options: DirectoryWatcherOptions) {
@@ -122,6 +126,16 @@
         return directory?.reached === true ? directory.ejected : [];
     }
 
+    /** Whether the leader has to be asked for requests of the organisation, because it is near its allowance. */
+    isNearLimit(organisation: string): boolean {
+        return this.directories.get(this.leader() ?? "")?.nearLimit.has(organisation) ?? false;
+    }
+
+    /** Whether the organisation had used up its allowance when a leader was last reached. */
+    hasUsedUp(organisation: string): boolean {
+        return this.usedUp.has(organisation);
+    }
+
     /** The link to a directory; undefined if it isn't known. */
     link(name: string): Link | undefined {
         return this.directories.get(name)?.link;
@@ -196,6 +210,7 @@
                 incarnation: "",
                 cursor: 0,
                 crashCursor: 0,
+                limitCursor: 0,
                 failureDomain: undefined,
                 reached: false,
                 gateways: 0,
@@ -204,6 +219,7 @@
                 members: [],
                 leader: undefined,
                 ejected: [],
+                nearLimit: new Set(),
                 lastListedAt: now,
             };
             this.directories.set(name, directory);
@@ -241,6 +257,7 @@
             incarnation: directory.incarnation,
             cursor: directory.cursor,
             crashCursor: directory.crashCursor,
+            limitCursor: directory.limitCursor,
             wantsDocument,
             observer,
             ...borrowed.length === 0 ? {} : { borrowed },
@@ -260,6 +277,7 @@
         directory.incarnation = update.incarnation;
         directory.cursor = update.cursor;
         directory.crashCursor = update.crashCursor ?? 0;
+        directory.limitCursor = update.limitCursor ?? 0;
         directory.failureDomain = update.failureDomain;
         directory.gateways = update.gateways;
         directory.gatewaysSettled = update.gatewaysSettled ?? false;
@@ -267,6 +285,10 @@
         directory.members = update.members;
         directory.leader = update.leader;
         directory.ejected = update.ejected ?? [];
+        directory.nearLimit = new Set(update.nearLimit);
+        if (update.leader === directory.name) {
+            this.usedUp = new Set(update.usedUp);
+        }
         this.addDirectories(update.members);
         update.announced.forEach(announced => this.options.onAnnounced(announced));
         if (update.crashes !== undefined) {
--- a/packages/basilpaddle/src/node/coordination/index.ts
+++ b/packages/basilpaddle/src/node/coordination/index.ts
@@ -1,4 +1,5 @@
 export * from "./agreement/index.js";
+export * from "./allowance/index.js";
 export * from "./controlClient.js";
 export * from "./engine/index.js";
 export * from "./gateway/index.js";
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/watchService.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/watchService.spec.ts
@@ -4,6 +4,7 @@
 import { Announcements, QuarantinedRequests } from "../../../coordination/index.js";
 import { quarantineRulesSchema } from "../../../protocol/index.js";
 import { createSilentLogger } from "../../../utils/index.js";
+import { noLimits } from "../allowanceService.js";
 import { WatchService } from "../watchService.js";
 
 function createServiceWithGateways(previousGateways: number, clock: ManualClock): WatchService {
@@ -33,6 +34,7 @@
         document: () => ({ version: 1, content: "{}" }),
         members: () => ({ members: [], leader: undefined }),
         ejected: () => [],
+        limits: () => noLimits,
         previousGateways,
         clock,
     });
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/directory/allowanceService.ts
@@ -0,0 +1,116 @@
+import { AllowanceLedger, type LimitedOrganisations } from "../../coordination/index.js";
+import type { Allowance, AllowanceMessage, AllowanceReply, Traffic } from "../../protocol/index.js";
+import type { Clock, Logger, Metrics } from "../../utils/index.js";
+
+/**
+ * Fraction of its burst that each organisation starts with under a new leader, which doesn't know what was spent under the
+ * previous one.
+ */
+const initialBurstFraction = 0.5;
+/** Maximum number of organisations whose names are sent to every gateway; for the others it learns by being refused. */
+const maxNearLimit = 1_000;
+const maxLoggedOrganisations = 4;
+
+/** Organisations near their allowance, and the number of the last change. */
+export type AllowanceLimits = LimitedOrganisations & { readonly change: number; };
+
+/** The limits while no directory is known to lead. */
+export const noLimits: AllowanceLimits = { change: 0, near: [], usedUp: [] };
+
+/** Inputs and dependencies of `AllowanceService`. */
+export type AllowanceServiceOptions = {
+    readonly traffic: () => Traffic | undefined;
+    /** Whether no other directory has led before, so that nothing has been spent. */
+    readonly firstLeader: boolean;
+    /** Called when gateways have to learn of a change of the organisations near their allowance. */
+    readonly onLimitsChanged: () => void;
+    readonly clock: Clock;
+    readonly logger: Logger;
+};
+
+/** Keeps the allowances of all organisations for all gateways while this directory leads. */
+export class AllowanceService {
+    private readonly ledger: AllowanceLedger;
+    private current = noLimits;
+    private allowancesOf: { readonly traffic: Traffic; readonly byName: ReadonlyMap<string, Allowance>; } | undefined;
+
+    private constructor(private readonly options: AllowanceServiceOptions) {
+        this.ledger = AllowanceLedger.create(options.firstLeader ? 1 : initialBurstFraction);
+    }
+
+    static create(options: AllowanceServiceOptions): AllowanceService {
+        return new AllowanceService(options);
+    }
+
+    /** Handles a message from a gateway; undefined for messages that have no reply. */
+    handle(message: AllowanceMessage): AllowanceReply | undefined {
+        const now = this.options.clock.monotonic();
+        const reply = message.kind === "charge"
+            ? this.charge(message.organisation, message.cost, now)
+            : this.recordSpent(message.spent, now);
+        if (this.ledger.hasNewlyLimited()) {
+            this.review();
+        }
+        return reply;
+    }
+
+    /** Organisations near their allowance. */
+    limits(): AllowanceLimits {
+        return this.current;
+    }
+
+    /** Looks for organisations that came near their allowance or are far from it again; to be called periodically. */
+    review(): void {
+        const { near, usedUp } = this.ledger.limited(this.options.clock.monotonic());
+        const limited = { near: near.slice(0, maxNearLimit), usedUp: usedUp.slice(0, maxNearLimit) };
+        if (areSame(limited.near, this.current.near) && areSame(limited.usedUp, this.current.usedUp)) {
+            return;
+        }
+        this.current = { ...limited, change: this.current.change + 1 };
+        this.options.logger.info("the organisations near their allowance changed", {
+            near: near.length,
+            usedUp: usedUp.slice(0, maxLoggedOrganisations),
+        });
+        this.options.onLimitsChanged();
+    }
+
+    /** Updates the gauges of a leader. */
+    measure(metrics: Metrics): void {
+        metrics.gauge("basilpaddle_allowance_accounts", this.ledger.size);
+        metrics.gauge("basilpaddle_organisations_near_allowance", this.current.near.length);
+    }
+
+    private charge(organisation: string, cost: number, now: number): AllowanceReply {
+        const allowance = this.allowance(organisation);
+        const decision = allowance === undefined
+            ? { granted: true } as const
+            : this.ledger.charge(organisation, allowance, cost, now);
+        return { kind: "charged", decision };
+    }
+
+    private recordSpent(spent: Extract<AllowanceMessage, { kind: "spent"; }>["spent"], now: number): undefined {
+        for (const { organisation, units } of spent) {
+            const allowance = this.allowance(organisation);
+            if (allowance !== undefined) {
+                this.ledger.recordSpent(organisation, allowance, units, now);
+            }
+        }
+        return undefined;
+    }
+
+    private allowance(organisation: string): Allowance | undefined {
+        const traffic = this.options.traffic();
+        if (traffic !== undefined && this.allowancesOf?.traffic !== traffic) {
+            const entries = (traffic.organisations ?? []).flatMap(({ name, allowance }) => {
+                return allowance === undefined ? [] : [[name, allowance] as const];
+            });
+            this.allowancesOf = { traffic, byName: new Map(entries) };
+        }
+        return this.allowancesOf?.byName.get(organisation);
+    }
+}
+
+function areSame(one: readonly string[], other: readonly string[]): boolean {
+    const names = new Set(one);
+    return names.size === other.length && other.every(name => names.has(name));
+}
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -12,6 +12,7 @@
 import { DisposableStore, type Metrics, type Randomness } from "../../utils/index.js";
 import { BackendConnections } from "../backends/index.js";
 import type { RoutingOptions } from "../routingOptions.js";
+import { AllowanceService, noLimits } from "./allowanceService.js";
 import { BackendServerCalls } from "./backendServerCalls.js";
 import { BackendServerRegistry } from "./backendServerRegistry.js";
 import { CallHandler, type CallResponse, CallServer } from "./callServer.js";
@@ -52,6 +53,7 @@
     private parsedTraffic: { readonly version: number; readonly traffic: Traffic | undefined; } | undefined;
     private documentNotificationScheduled = false;
     private placement: PlacementService | undefined;
+    private allowances: AllowanceService | undefined;
     private stageOrders: StageOrders | undefined;
 
     private constructor(
@@ -95,6 +97,7 @@
             document: () => group.current(),
             members: () => this.members(),
             ejected: () => this.placement === undefined ? [] : this.outlierDetector.ejected(),
+            limits: () => this.allowances?.limits() ?? noLimits,
             previousGateways: restartCache.gateways(),
             clock,
         });
@@ -166,6 +169,7 @@
         metrics.gauge("basilpaddle_places_waiting", placementStatus?.waiting ?? 0);
         this.backendServers.instances.measure(metrics);
         this.quarantinedRequests.measure(metrics);
+        this.allowances?.measure(metrics);
     }
 
     override async handle(call: DirectoryCall, body: string): Promise<CallResponse> {
@@ -276,6 +280,7 @@
             this.backendServers.markSilentServers();
             this.placement?.retainGateways(this.watchService.gatewayNames());
             this.updateEjections();
+            this.allowances?.review();
             cancel = clock.after(checkIntervalMilliseconds, runChecks);
         };
         this.store.add(() => cancel());
@@ -320,13 +325,18 @@
             case "crashes":
                 this.mergeCrashRecords(message.records);
                 return { kind: "noted" };
-            default: {
-                const leader = this.group.replicaStatus()?.leader;
-                return await (this.placement?.handle(message) ?? { kind: "elsewhere", leader });
-            }
+            case "charge":
+            case "spent":
+                return this.allowances === undefined ? this.redirect() : this.allowances.handle(message);
+            default:
+                return await (this.placement?.handle(message) ?? this.redirect());
         }
     }
 
+    private redirect(): { readonly kind: "elsewhere"; readonly leader: string | undefined; } {
+        return { kind: "elsewhere", leader: this.group.replicaStatus()?.leader };
+    }
+
     private startLeading(): void {
         const { clock, logger, wire, settings } = this.options;
         const term = this.group.replicaStatus()?.term ?? 0;
@@ -348,6 +358,12 @@
             },
             term,
         );
+        const firstLeader = settings.firstStart && term === 1;
+        this.allowances = AllowanceService.create({
+            ...sharedOptions,
+            firstLeader,
+            onLimitsChanged: () => this.watchService.notifyWatchers(),
+        });
         this.stageOrders = StageOrders.create({
             ...sharedOptions,
             typicalRequest: service => this.placement?.typicalRequest(service),
@@ -357,7 +373,7 @@
             wire,
             connections: this.connections,
             lease: settings.orderLease,
-            firstHolder: settings.firstStart && term === 1,
+            firstHolder: firstLeader,
         }, term);
         this.watchService.notifyWatchers();
         logger.info("became leader: placing runs and ordering stage changes", { term });
@@ -367,6 +383,7 @@
         this.placement?.close();
         this.stageOrders?.close();
         this.placement = undefined;
+        this.allowances = undefined;
         this.stageOrders = undefined;
     }
 
--- a/packages/basilpaddle/src/node/daemon/directory/watchService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/watchService.ts
@@ -3,6 +3,7 @@
 import { type PackedDocument, packText, type WatchRequest, type WatchUpdate } from "../../protocol/index.js";
 import type { StoredDocument } from "../../state/index.js";
 import type { Clock } from "../../utils/index.js";
+import type { AllowanceLimits } from "./allowanceService.js";
 
 /** How long a watch is held open while nothing changes. */
 const longPollMilliseconds = 1_000;
@@ -37,6 +38,8 @@
     readonly members: () => { readonly members: readonly string[]; readonly leader: string | undefined; };
     /** Ejected backend servers of plain services; empty unless this directory leads. */
     readonly ejected: () => readonly string[];
+    /** Organisations near their allowance; none unless this directory leads. */
+    readonly limits: () => AllowanceLimits;
     /** Number of gateways before the restart of this directory; 0 if unknown. */
     readonly previousGateways: number;
     readonly clock: Clock;
@@ -136,6 +139,7 @@
         return watch.incarnation !== incarnation
             || announcements.latestChange() > watch.cursor
             || quarantined.latestChange() > (watch.crashCursor ?? 0)
+            || this.options.limits().change !== (watch.limitCursor ?? 0)
             || document().version > watch.version;
     }
 
@@ -180,6 +184,7 @@
         const crashes = quarantined.changedAfter(isSameIncarnation ? watch.crashCursor ?? 0 : 0);
         const group = members();
         const ejected = this.options.ejected();
+        const limits = this.options.limits();
         return {
             incarnation,
             cursor: announcements.latestChange(),
@@ -191,6 +196,9 @@
             ...group.leader === undefined ? {} : { leader: group.leader },
             ...this.gatewayCountStatus(),
             ...ejected.length === 0 ? {} : { ejected: [...ejected] },
+            ...limits.change === 0
+                ? {}
+                : { limitCursor: limits.change, nearLimit: [...limits.near], usedUp: [...limits.usedUp] },
             crashCursor: quarantined.latestChange(),
             ...crashes.length === 0 ? {} : { crashes: [...crashes] },
         };
--- a/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
@@ -88,7 +88,11 @@
             service.connectionLimit,
             gateways(),
         );
-        return isAnswer(result) ? this.classify(request, server, result) : failureResult(result);
+        const sent = isAnswer(result) ? this.classify(request, server, result) : failureResult(result);
+        if (sent.kind !== "notRun" && metadata.prefillOnly !== true) {
+            request.recordRun();
+        }
+        return sent;
     }
 
     private classify(request: CallerRequest, server: ServerAnnouncement, answer: BackendAnswer): SendResult {
--- a/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
@@ -16,6 +16,10 @@
     | "failureGiven"
     /** Refused without having run. */
     | "refused"
+    /** Refused without having run, since its organisation's allowance is used up. */
+    | "overAllowance"
+    /** Its content isn't valid. */
+    | "invalid"
     /** Its outcome isn't known, or its deadline has passed. */
     | "failed"
     /** The answer was cut off after it had begun. */
@@ -28,6 +32,7 @@
     private endState: RequestEnd | undefined;
     private cause = "";
     private cachedDigest: string | undefined;
+    private hasReachedServer = false;
 
     private constructor(
         readonly incoming: http.IncomingMessage,
@@ -106,6 +111,16 @@
         return this.disconnected.signal.aborted;
     }
 
+    /** Records that a backend server may have run it. */
+    recordRun(): void {
+        this.hasReachedServer = true;
+    }
+
+    /** Whether a backend server may have run it. */
+    mayHaveRun(): boolean {
+        return this.hasReachedServer;
+    }
+
     /** Whether its answer has begun. */
     hasAnswerBegun(): boolean {
         return this.response.headersSent;
@@ -188,11 +203,23 @@
 
     /** Refuses the request, which has not run and never will; the caller may retry after that time. */
     refuse(retryAfterMilliseconds: number, cause: string): void {
-        const seconds = Math.max(retryAfterStepSeconds, Math.round(retryAfterMilliseconds) / millisecondsPerSecond);
-        this.sendOwnAnswer(503, cause, { "Retry-After": String(seconds) });
+        this.sendOwnAnswer(503, cause, retryAfter(retryAfterMilliseconds));
         this.end("refused", cause);
     }
 
+    /** Refuses the request, which has not run and never will, because its organisation has used up its allowance. */
+    refuseOverAllowance(retryAfterMilliseconds: number): void {
+        const cause = "the organisation's allowance is used up";
+        this.sendOwnAnswer(429, cause, retryAfter(retryAfterMilliseconds));
+        this.end("overAllowance", cause);
+    }
+
+    /** Rejects the request as invalid. */
+    reject(cause: string): void {
+        this.sendOwnAnswer(400, cause, {});
+        this.end("invalid", cause);
+    }
+
     /** Marks the end of the answer by closing the caller's connection, as the backend server does. */
     private endWithConnection(): void {
         this.response.useChunkedEncodingByDefault = false;
@@ -213,6 +240,11 @@
     }
 }
 
+function retryAfter(milliseconds: number): Record<string, string> {
+    const seconds = Math.max(retryAfterStepSeconds, Math.round(milliseconds) / millisecondsPerSecond);
+    return { "Retry-After": String(seconds) };
+}
+
 /** Writes an error response of this daemon's own. */
 export function writeOwnAnswer(
     response: http.ServerResponse,
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -6,14 +6,16 @@
     InstanceTable,
     LinkQuality,
     QuarantinedRequests,
+    ReportedAllowances,
     RouteTable,
     ServerChoice,
 } from "../../coordination/index.js";
-import { type GatewaySettings, seedNames, type TrafficRoute } from "../../protocol/index.js";
+import { type GatewaySettings, seedNames, type ServiceRule, type TrafficRoute } from "../../protocol/index.js";
 import { probeListening, TcpNetwork } from "../../transport/index.js";
 import { DisposableStore, type Metrics } from "../../utils/index.js";
 import { BackendConnections } from "../backends/index.js";
 import type { RoutingOptions } from "../routingOptions.js";
+import { AllowanceGate } from "./allowanceGate.js";
 import type { ExchangeOptions } from "./backendSender.js";
 import { CallerRequest, readBody, writeOwnAnswer } from "./callerRequest.js";
 import { CallerServer } from "./callerServer.js";
@@ -57,6 +59,7 @@
     private readonly crashDetector: CrashDetector;
     private readonly watcher: DirectoryWatcher;
     private readonly placementClient: PlacementClient;
+    private readonly allowanceGate: AllowanceGate;
     private readonly exchangeOptions: ExchangeOptions;
     private callerServer!: CallerServer;
     private routeTable: RouteTable | undefined;
@@ -115,6 +118,13 @@
             logger,
         });
         this.store.add(() => this.placementClient.close());
+        const allowances = ReportedAllowances.create({
+            leader: this.placementClient.allowanceLeader(),
+            gateways: () => this.watcher.highestRecentGateways(),
+            clock,
+        });
+        this.store.add(() => allowances.close());
+        this.allowanceGate = AllowanceGate.create(allowances, metrics);
         this.exchangeOptions = {
             wire,
             connections: this.connections,
@@ -324,12 +334,17 @@
             request.fail(500, "the route's service is missing from the configuration");
             return;
         }
+        const path = await this.allowanceGate.serve(request, () => this.exchange(request, service));
+        this.logRequest(request, path, table.traffic.version);
+    }
+
+    private async exchange(request: CallerRequest, service: ServiceRule): Promise<readonly string[]> {
         const { settings } = this.options;
-        const exchange = service.engine !== undefined && route.prompts
+        const exchange = service.engine !== undefined && request.route.prompts
             ? StreamExchange.create(this.exchangeOptions, this.placementClient, settings, request, service)
             : ServiceExchange.create(this.exchangeOptions, request, service);
         await exchange.run();
-        this.logRequest(request, exchange.trace(), table.traffic.version);
+        return exchange.trace();
     }
 
     private logRequest(request: CallerRequest, path: readonly string[], version: number): void {
--- a/packages/basilpaddle/src/node/daemon/gateway/placementClient.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementClient.ts
@@ -1,4 +1,5 @@
 import {
+    type AllowanceLeader,
     type DirectoryWatcher,
     type InstanceTable,
     localPlacementTuning,
@@ -152,6 +153,18 @@
         return this.leader.borrowRetry(service);
     }
 
+    /** The leader as keeper of the organisations' allowances. */
+    allowanceLeader(): AllowanceLeader {
+        const { name, watcher } = this.options;
+        return {
+            isAvailable: () => watcher.leader() !== undefined && this.leader.isAvailable(),
+            charge: (organisation, cost) => this.leader.charge(organisation, cost),
+            recordSpent: spent => this.leader.send({ kind: "spent", gateway: name, spent: [...spent] }),
+            isNearLimit: organisation => watcher.isNearLimit(organisation),
+            hasUsedUp: organisation => watcher.hasUsedUp(organisation),
+        };
+    }
+
     /** Stops all periodic reports. */
     close(): void {
         this.cancelTimers.forEach(cancel => cancel());
--- a/packages/basilpaddle/src/node/daemon/gateway/placementLeader.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementLeader.ts
@@ -1,5 +1,8 @@
 import type { DirectoryWatcher } from "../../coordination/index.js";
 import {
+    type AllowanceMessage,
+    allowanceReplySchema,
+    type ChargeDecision,
     type PlacementMessage,
     type PlacementReply,
     placementReplySchema,
@@ -77,6 +80,21 @@
         return answer?.kind === "lent" && answer.granted;
     }
 
+    /** Charges a request to its organisation; undefined if no leader answers. */
+    async charge(organisation: string, cost: number): Promise<ChargeDecision | undefined> {
+        const { watcher, name, clock } = this.options;
+        const leader = watcher.leader();
+        const askedAt = clock.monotonic();
+        const message = { kind: "charge", gateway: name, organisation, cost } as const;
+        const answer = await this.requestAny(leader, message, this.timeout.timeout(askedAt));
+        const reply = allowanceReplySchema.safeParse(answer).data;
+        if (reply?.kind === "charged") {
+            return reply.decision;
+        }
+        this.recordNoAnswer(leader, reply?.kind ?? "none");
+        return undefined;
+    }
+
     /** Checks whether an unresponsive leader answers again; to be called every few hundred milliseconds. */
     async probe(): Promise<void> {
         const { watcher, name, clock } = this.options;
@@ -94,7 +112,7 @@
     }
 
     /** Sends a message that has no reply. */
-    send(message: PlacementMessage): void {
+    send(message: PlacementMessage | AllowanceMessage): void {
         const leader = this.options.watcher.leader();
         if (leader !== undefined) {
             this.options.watcher.link(leader)?.send(message);
@@ -106,9 +124,17 @@
         message: PlacementMessage,
         timeout: number,
     ): Promise<PlacementReply | undefined> {
+        return placementReplySchema.safeParse(await this.requestAny(leader, message, timeout)).data;
+    }
+
+    private async requestAny(
+        leader: string | undefined,
+        message: PlacementMessage | AllowanceMessage,
+        timeout: number,
+    ): Promise<unknown> {
         const link = leader === undefined ? undefined : this.options.watcher.link(leader);
         const answer = await link?.request(message, timeout);
-        return placementReplySchema.safeParse(answer?.toMaybe().extract()).data;
+        return answer?.toMaybe().extract();
     }
 
     private recordAnswer(leader: string | undefined, term: number, askedAt: number): void {
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { allowanceMessageSchema } from "./allowance.js";
 import { crashRecordSchema, crashReportSchema } from "./crash.js";
 
 const identifier = z.string().min(1).max(200);
@@ -48,6 +49,8 @@
     borrowed: z.array(z.object({ service: identifier, count: z.int().min(0) })).optional(),
     /** Crash histories up to this number have been received. @default 0 */
     crashCursor: z.int().min(0).optional(),
+    /** Number of the last received change of `nearLimit` and `usedUp`. @default 0 */
+    limitCursor: z.int().min(0).optional(),
 });
 
 /** Asks a directory for the latest configuration that it knows, which may be older than the latest committed one. */
@@ -70,6 +73,12 @@
     gateways: z.int().min(0),
     /** Backend servers of plain services ejected based on all gateways' call reports. Sent by the leader only. @default none */
     ejected: z.array(identifier).optional(),
+    /** Organisations near their allowance, for whose requests the leader has to be asked. Sent by the leader only. @default none */
+    nearLimit: z.array(identifier).optional(),
+    /** Those of them that have used up their allowance. */
+    usedUp: z.array(identifier).optional(),
+    /** Number of the last change of these two lists. @default 0, and none */
+    limitCursor: z.int().min(0).optional(),
     /** Whether `gateways` is reliable: every existing gateway has had time to connect. @default false */
     gatewaysSettled: z.boolean().optional(),
     /** Number up to which crash histories are included, and the histories that changed since. @default 0, and none */
@@ -189,6 +198,7 @@
     watchRequestSchema,
     documentRequestSchema,
     placementMessageSchema,
+    allowanceMessageSchema,
     documentCallSchema,
     crashReportSchema,
 ]);
--- a/packages/basilpaddle/src/node/protocol/index.ts
+++ b/packages/basilpaddle/src/node/protocol/index.ts
@@ -1,3 +1,4 @@
+export * from "./allowance.js";
 export * from "./backend.js";
 export * from "./caller.js";
 export * from "./command.js";
--- /dev/null
+++ b/simulation/allowances/allowanceSimulation.ts
@@ -0,0 +1,291 @@
+import {
+    AllowanceLedger,
+    type LimitedOrganisations,
+    type OrganisationAllowances,
+    type SpentUnits,
+    TokenBucket,
+} from "../../packages/basilpaddle/src/node/coordination/index.js";
+import type { Allowance, ChargeDecision } from "../../packages/basilpaddle/src/node/protocol/index.js";
+import { type Randomness, SeededRandomness } from "../../packages/basilpaddle/src/node/utils/index.js";
+import { ManualClock } from "../manualClock.js";
+import type { AllowanceDay } from "./day.js";
+import { type Way, ways } from "./ways.js";
+
+/** What a day showed. */
+export type AllowanceOutcome = {
+    /** Most units of one organisation in any window beyond rate and burst, as a fraction of these; 0 if never beyond. */
+    readonly excess: number;
+    /** Units that one bucket for all gateways would have admitted and that were refused, as a fraction of those admitted. */
+    readonly refusedUnder: number;
+    /** Milliseconds that decisions took. */
+    readonly p50: number;
+    readonly p99: number;
+    /** Messages per second that the leader received and sent, and the largest rate of one gateway. */
+    readonly leaderMessages: number;
+    readonly gatewayMessages: number;
+};
+
+const oneWayMilliseconds = 1.4;
+/** Time of the leader for one message, and the interval of its pushes to one gateway. */
+const serviceMilliseconds = 0.2;
+const pushMilliseconds = 100;
+/** How long a gateway waits for the leader's answer, and after a timeout for its next attempt. */
+const answerTimeoutMilliseconds = 250;
+const probeMilliseconds = 300;
+const windowMilliseconds = 8_000;
+const millisecondsInSecond = 1_000;
+
+type Organisation = {
+    readonly name: string;
+    readonly allowance: Allowance;
+    readonly weight: number;
+    readonly home: number;
+};
+type Admission = { readonly organisation: number; readonly at: number; readonly cost: number; };
+
+/** The leader, and what each gateway knows of it. */
+class SimulatedLeader {
+    messages = 0;
+    private ledger = AllowanceLedger.create(1);
+    private current: LimitedOrganisations = { near: [], usedUp: [] };
+    /** What each gateway knows. */
+    private pushed: LimitedOrganisations = { near: [], usedUp: [] };
+
+    constructor(
+        private readonly clock: ManualClock,
+        private readonly day: AllowanceDay,
+        private readonly allowances: ReadonlyMap<string, Allowance>,
+    ) {
+        this.push();
+    }
+
+    /** Whether it answers a gateway now. */
+    reaches(gateway: number): boolean {
+        const { leaderLost, cutOff, gateways } = this.day;
+        const seconds = this.clock.monotonic() / millisecondsInSecond;
+        const isLost = leaderLost !== undefined && leaderLost.from <= seconds && seconds < leaderLost.until;
+        const isCutOff = cutOff !== undefined && gateway < cutOff.fraction * gateways
+            && cutOff.from <= seconds && seconds < cutOff.until;
+        return !isLost && !isCutOff;
+    }
+
+    /** Loses its memory, as its successor starts. */
+    restart(): void {
+        this.ledger = AllowanceLedger.create(0.5);
+    }
+
+    isNearLimit(organisation: string): boolean {
+        return this.pushed.near.includes(organisation);
+    }
+
+    hasUsedUp(organisation: string): boolean {
+        return this.pushed.usedUp.includes(organisation);
+    }
+
+    charge(organisation: string, cost: number): ChargeDecision {
+        const decision = this.ledger.charge(
+            organisation,
+            this.allowances.get(organisation)!,
+            cost,
+            this.clock.monotonic(),
+        );
+        this.messages += 2;
+        return decision;
+    }
+
+    recordSpent(spent: readonly SpentUnits[]): void {
+        this.messages += 1;
+        for (const { organisation, units } of spent) {
+            this.ledger.recordSpent(organisation, this.allowances.get(organisation)!, units, this.clock.monotonic());
+        }
+    }
+
+    /** Tells every gateway of changes, which each receives after the delay of one push at most. */
+    private push(): void {
+        this.pushed = this.current;
+        this.current = this.ledger.limited(this.clock.monotonic());
+        if (JSON.stringify(this.current) !== JSON.stringify(this.pushed)) {
+            this.messages += 2 * this.day.gateways;
+        }
+        this.clock.after(pushMilliseconds, () => this.push());
+    }
+}
+
+/** Plays a day with one implementation at every gateway. */
+export async function simulateAllowances(day: AllowanceDay, way: Way, seed: number): Promise<AllowanceOutcome> {
+    const clock = new ManualClock(1);
+    const random = SeededRandomness.create(seed);
+    const organisations = createOrganisations(day, random);
+    const leader = new SimulatedLeader(
+        clock,
+        day,
+        new Map(organisations.map(({ name, allowance }) => [name, allowance])),
+    );
+    const sentMessages = new Array<number>(day.gateways).fill(0);
+    const gateways = sentMessages.map((_, gateway) => createGateway(way, day, gateway, leader, clock, sentMessages));
+    const reference = organisations.map(({ allowance }) => TokenBucket.create(allowance, allowance.burst, 1));
+    const admitted: Admission[] = [];
+    const referenceUnits = new Array<number>(day.organisations).fill(0);
+    const delays: number[] = [];
+
+    const arrive = async (): Promise<void> => {
+        const organisation = pickOrganisation(organisations, day, clock.monotonic(), random);
+        const { name, allowance, home } = organisations[organisation]!;
+        const cost = sampleCost(day, random);
+        const gateway = day.oneGateway ? home : random.integer(0, day.gateways - 1);
+        const at = clock.monotonic();
+        referenceUnits[organisation]! += reference[organisation]!.take(cost, at) ? cost : 0;
+        const charge = { organisation: name, allowance, cost, attempt: String(delays.length) };
+        const decision = await gateways[gateway]!.admit(charge);
+        delays.push(clock.monotonic() - at);
+        if (decision.granted) {
+            admitted.push({ organisation, at, cost });
+        }
+    };
+    const scheduleArrival = (): void => {
+        const rate = totalRate(organisations, day, clock.monotonic());
+        clock.after(-Math.log(1 - random.fraction()) * millisecondsInSecond / rate, () => {
+            void arrive();
+            scheduleArrival();
+        });
+    };
+    scheduleArrival();
+    if (day.leaderLost !== undefined) {
+        clock.after(day.leaderLost.until * millisecondsInSecond - 1, () => leader.restart());
+    }
+    await clock.advance(day.length * millisecondsInSecond);
+    gateways.forEach(gateway => gateway.close());
+    return {
+        excess: Math.max(...organisations.map(({ allowance }, number) => excessOf(admitted, number, allowance))),
+        refusedUnder: refusedUnder(admitted, referenceUnits),
+        ...percentiles(delays),
+        leaderMessages: leader.messages / day.length,
+        gatewayMessages: Math.max(...sentMessages) / day.length,
+    };
+}
+
+function createGateway(
+    way: Way,
+    day: AllowanceDay,
+    gateway: number,
+    leader: SimulatedLeader,
+    clock: ManualClock,
+    sentMessages: number[],
+): OrganisationAllowances {
+    let silentUntil = 0;
+    const wait = (milliseconds: number): Promise<void> => new Promise(resolve => clock.after(milliseconds, resolve));
+    return ways[way].create({
+        gateways: () => day.gateways,
+        clock,
+        leader: {
+            isAvailable: () => clock.monotonic() >= silentUntil,
+            isNearLimit: organisation => leader.isNearLimit(organisation),
+            hasUsedUp: organisation => leader.hasUsedUp(organisation),
+            charge: async (organisation, cost) => {
+                sentMessages[gateway]! += 1;
+                await wait(oneWayMilliseconds + serviceMilliseconds);
+                if (!leader.reaches(gateway)) {
+                    await wait(answerTimeoutMilliseconds);
+                    silentUntil = clock.monotonic() + probeMilliseconds;
+                    return undefined;
+                }
+                const decision = leader.charge(organisation, cost);
+                await wait(oneWayMilliseconds);
+                return decision;
+            },
+            recordSpent: spent => {
+                sentMessages[gateway]! += 1;
+                clock.after(oneWayMilliseconds, () => {
+                    if (leader.reaches(gateway)) {
+                        leader.recordSpent(spent);
+                    }
+                });
+                if (!leader.reaches(gateway)) {
+                    silentUntil = clock.monotonic() + probeMilliseconds;
+                }
+            },
+        },
+    });
+}
+
+function createOrganisations(day: AllowanceDay, random: Randomness): Organisation[] {
+    const weights = Array.from({ length: day.organisations }, (_, rank) => (rank + 1) ** -day.sizeExponent);
+    const total = weights.reduce((sum, weight) => sum + weight, 0);
+    return weights.map((weight, rank) => {
+        const usual = day.requestRate * day.meanCost * weight / total;
+        const rate = usual * day.rateFactor;
+        return {
+            name: `o-${rank}`,
+            allowance: { unit: "tokens", rate, burst: rate * day.burstSeconds, plainCost: 0 },
+            weight,
+            home: random.integer(0, day.gateways - 1),
+        };
+    });
+}
+
+function weightOf({ weight }: Organisation, rank: number, day: AllowanceDay, now: number): number {
+    const { hot } = day;
+    const seconds = now / millisecondsInSecond;
+    const isHot = hot !== undefined && hot.rank === rank + 1 && hot.from <= seconds && seconds < hot.until;
+    return weight * (isHot ? hot.factor : 1);
+}
+
+function totalRate(organisations: readonly Organisation[], day: AllowanceDay, now: number): number {
+    const usual = organisations.reduce((sum, { weight }) => sum + weight, 0);
+    const current = organisations.reduce((sum, one, rank) => sum + weightOf(one, rank, day, now), 0);
+    const { burst } = day;
+    const seconds = now / millisecondsInSecond;
+    const factor = burst !== undefined && burst.from <= seconds && seconds < burst.until ? burst.factor : 1;
+    return day.requestRate * factor * current / usual;
+}
+
+function pickOrganisation(
+    organisations: readonly Organisation[],
+    day: AllowanceDay,
+    now: number,
+    random: Randomness,
+): number {
+    const total = organisations.reduce((sum, one, rank) => sum + weightOf(one, rank, day, now), 0);
+    let position = random.fraction() * total;
+    const found = organisations.findIndex((one, rank) => {
+        position -= weightOf(one, rank, day, now);
+        return position < 0;
+    });
+    return found < 0 ? 0 : found;
+}
+
+function sampleCost({ meanCost, costSpread }: AllowanceDay, random: Randomness): number {
+    const normal = Math.sqrt(-2 * Math.log(1 - random.fraction())) * Math.cos(2 * Math.PI * random.fraction());
+    return Math.round(meanCost * Math.exp(costSpread * normal - costSpread * costSpread / 2));
+}
+
+/** Most units in any window beyond what the allowance gives in it, as a fraction of that. */
+function excessOf(admitted: readonly Admission[], organisation: number, { rate, burst }: Allowance): number {
+    const own = admitted.filter(admission => admission.organisation === organisation);
+    const allowed = rate * windowMilliseconds / millisecondsInSecond + burst;
+    let first = 0;
+    let units = 0;
+    let most = 0;
+    for (const { at, cost } of own) {
+        units += cost;
+        while (own[first]!.at < at - windowMilliseconds) {
+            units -= own[first]!.cost;
+            first += 1;
+        }
+        most = Math.max(most, units);
+    }
+    return Math.max(0, most / allowed - 1);
+}
+
+function refusedUnder(admitted: readonly Admission[], referenceUnits: readonly number[]): number {
+    const units = new Array<number>(referenceUnits.length).fill(0);
+    admitted.forEach(({ organisation, cost }) => units[organisation]! += cost);
+    const missing = referenceUnits.reduce((sum, reference, number) => sum + Math.max(0, reference - units[number]!), 0);
+    return missing / referenceUnits.reduce((sum, reference) => sum + reference, 0);
+}
+
+function percentiles(delays: number[]): { readonly p50: number; readonly p99: number; } {
+    delays.sort((one, other) => one - other);
+    const at = (fraction: number): number => delays[Math.floor(fraction * (delays.length - 1))] ?? 0;
+    return { p50: at(0.5), p99: at(0.99) };
+}
--- /dev/null
+++ b/simulation/allowances/day.ts
@@ -0,0 +1,59 @@
+import { z } from "zod";
+
+/** A day of organisations that send requests through gateways to one leader. */
+export const allowanceDaySchema = z.object({
+    gateways: z.int().min(1),
+    organisations: z.int().min(1),
+    /** Requests per second of all organisations together. */
+    requestRate: z.number().positive(),
+    /** Mean units that a request costs; costs are distributed log-normally. */
+    meanCost: z.number().positive(),
+    costSpread: z.number().min(0),
+    /** The organisation with rank n sends a fraction of all requests proportional to 1/n to this power. */
+    sizeExponent: z.number().min(0),
+    /** Rate and burst of an allowance, as multiples of the organisation's usual units per second. */
+    rateFactor: z.number().positive(),
+    burstSeconds: z.number().min(0),
+    /** Seconds that the day lasts. */
+    length: z.number().positive(),
+    /** Whether all callers of an organisation come in at one gateway. */
+    oneGateway: z.boolean(),
+    /** Every organisation sends this many times its usual. */
+    burst: z.object({ from: z.number(), until: z.number(), factor: z.number() }).optional(),
+    /** One organisation, by its rank, sends this many times its usual. */
+    hot: z.object({ rank: z.int().min(1), from: z.number(), until: z.number(), factor: z.number() }).optional(),
+    /** The leader is lost, and another one starts without its memory at the end. */
+    leaderLost: z.object({ from: z.number(), until: z.number() }).optional(),
+    /** This fraction of the gateways doesn't reach the leader. */
+    cutOff: z.object({ fraction: z.number(), from: z.number(), until: z.number() }).optional(),
+});
+
+/** A day of organisations that send requests through gateways to one leader. */
+export type AllowanceDay = z.infer<typeof allowanceDaySchema>;
+
+const pool = {
+    gateways: 63,
+    organisations: 16,
+    requestRate: 35,
+    meanCost: 5_270,
+    costSpread: 0.5,
+    sizeExponent: 1,
+    rateFactor: 2.5,
+    burstSeconds: 1,
+    length: 30,
+    oneGateway: false,
+} as const;
+const hot = { rank: 3, from: 8, until: 20, factor: 7.5 } as const;
+
+/** Bundled days by name. */
+export const allowanceDays: Readonly<Record<string, AllowanceDay>> = {
+    "calm": pool,
+    "burst": { ...pool, burst: { from: 10, until: 14, factor: 2.2 } },
+    "hot": { ...pool, hot },
+    "hot, one gateway": { ...pool, hot, oneGateway: true },
+    "hot, leader lost": { ...pool, hot, leaderLost: { from: 11, until: 15 } },
+    "hot, cut off": { ...pool, hot, cutOff: { fraction: 0.2, from: 10, until: 18 } },
+    "calm, leader lost": { ...pool, leaderLost: { from: 11, until: 15 } },
+    "360 gateways, hot": { ...pool, gateways: 360, requestRate: 200, hot },
+    "24,000 organisations": { ...pool, gateways: 360, organisations: 24_000, requestRate: 400, length: 15 },
+};
