--- a/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
@@ -42,10 +42,13 @@
         return new AllowanceLedger(initialFraction);
     }
 
-    /** Charges a request, or refuses it with the time at which it is to come back. */
+    /**
+     * Charges a request, or refuses it with the time at which it is to come back. It is admitted while any unit is left, so
+     * that an organisation's short requests don't leave its long ones without a chance.
+     */
     charge(organisation: string, allowance: Allowance, cost: number, now: number): ChargeDecision {
         const account = this.account(organisation, allowance, now);
-        const granted = account.bucket.take(cost, now);
+        const granted = account.bucket.takeIfAnyLeft(cost, now);
         this.updateNear(organisation, account, now);
         if (granted) {
             return { granted };
@@ -104,7 +107,7 @@
 
     /** The next turn of a refused caller: refused callers come back one after the other, as fast as the allowance flows in. */
     private nextTurn(account: Account, cost: number, now: number): number {
-        const available = now + account.bucket.timeUntil(cost, now);
+        const available = now + account.bucket.timeUntil(0, now);
         const turn = Math.max(available, account.lastTurn) + cost / account.allowance.rate * millisecondsInSecond;
         account.lastTurn = turn - now > maxRetryAfterMilliseconds ? available : turn;
         return account.lastTurn - now;
--- a/packages/basilpaddle/src/node/coordination/allowance/tokenBucket.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/tokenBucket.ts
@@ -9,8 +9,8 @@
 const millisecondsInSecond = 1_000;
 
 /**
- * A token bucket that may be overdrawn: a request that costs more than the burst is admitted when the bucket is full, and the
- * units missing then have to flow in before the next one.
+ * A token bucket that may be overdrawn by one request, such as one that costs more than the burst; the units missing then have
+ * to flow in before the next one.
  */
 export class TokenBucket {
     private constructor(private rules: BucketRules, private storedLevel: number, private updatedAt: number) {}
@@ -38,6 +38,15 @@
         return true;
     }
 
+    /** Takes the cost of a request, however large, if any unit is left; returns false and takes nothing otherwise. */
+    takeIfAnyLeft(cost: number, now: number): boolean {
+        const hasAny = this.rules.burst === 0 ? this.level(now) >= 0 : this.level(now) > 0;
+        if (hasAny) {
+            this.spend(cost, now);
+        }
+        return hasAny;
+    }
+
     /** Takes units even if too few are left; a negative number returns units. */
     spend(units: number, now: number): void {
         this.storedLevel = Math.min(this.rules.burst, this.level(now) - units);
