Soak with organisations; refused keys and allowances in losses and explain

Checked from what fake backend servers see: the organisation that holds the key and never the key itself, no run with a key gone for 4 s, no more runs in 8 s than the allowance and its bound.

losses and explain read 'request turned away' (401, 404, ...), which names the request now; before, a caller without a valid key could not be told from one that never came.

--- a/packages/basilpaddle/src/node/cli/__tests__/lossSummary.spec.ts
+++ b/packages/basilpaddle/src/node/cli/__tests__/lossSummary.spec.ts
@@ -71,6 +71,21 @@
         ]);
     });
 
+    it("tells a missing key, an allowance that is used up and a full pool apart", () => {
+        const { losses, requests } = summarise(
+            { message: "request turned away", status: 401, cause: "no valid key" },
+            { message: "request turned away", status: 401, cause: "no valid key" },
+            { end: "overAllowance", cause: "the organisation's allowance is used up", milliseconds: 3 },
+            { end: "refused", cause: "turned away with 503", milliseconds: 5 },
+        );
+        expect(requests).to.equal(4);
+        expect(losses.map(({ count, cause }) => [count, cause])).to.deep.equal([
+            [2, "turned away with 401: no valid key"],
+            [1, "overAllowance: the organisation's allowance is used up"],
+            [1, "refused: turned away with N"],
+        ]);
+    });
+
     it("counts wasted prefills", () => {
         const { promptsRead, readInVain } = summarise(
             stream(
--- a/packages/basilpaddle/src/node/cli/explanation.ts
+++ b/packages/basilpaddle/src/node/cli/explanation.ts
@@ -6,15 +6,19 @@
 const relatedAfterMilliseconds = 1_000;
 /** Message of the log line in which a gateway reports how a request ended. */
 const requestMessage = "request";
+/** Message of the log line of a request that a gateway refused before it looked for a backend server. */
+export const turnedAwayMessage = "request turned away";
 /** Messages of log lines that concern only one request. */
-const requestMessages: ReadonlySet<string> = new Set([requestMessage, "request turned away"]);
+const requestMessages: ReadonlySet<string> = new Set([requestMessage, turnedAwayMessage]);
 
 const lineSchema = z.looseObject({ at: z.iso.datetime(), daemon: z.string(), message: z.string() });
 const requestSchema = z.looseObject({
     request: z.string(),
     end: z.string().optional(),
     cause: z.string().optional(),
-    milliseconds: z.number(),
+    /** Status of a request that was turned away at once. */
+    status: z.number().optional(),
+    milliseconds: z.number().default(0),
     path: z.array(z.string()).default([]),
 });
 
@@ -68,12 +72,13 @@
 /** Explains each attempt of the request whose end is logged in the lines. */
 export function explain(lines: readonly LogLine[], request: string): Explanation[] {
     return lines
-        .filter(line => line.message === requestMessage && line.request === request)
+        .filter(line => requestMessages.has(line.message) && line.request === request)
         .map(line => explainAttempt(lines, line));
 }
 
 function explainAttempt(lines: readonly LogLine[], line: LogLine): Explanation {
-    const { request, end = "open", cause = "", milliseconds, path } = requestSchema.parse(line);
+    const { request, status, cause = "", milliseconds, path, ...parsed } = requestSchema.parse(line);
+    const end = parsed.end ?? (status === undefined ? "open" : `turned away with ${status}`);
     const endedAt = Date.parse(line.at);
     const arrivedAt = endedAt - milliseconds;
     const servers = serversInPath(path);
--- a/packages/basilpaddle/src/node/cli/lossSummary.ts
+++ b/packages/basilpaddle/src/node/cli/lossSummary.ts
@@ -1,9 +1,11 @@
 import { z } from "zod";
-import type { LogLine } from "./explanation.js";
+import { type LogLine, turnedAwayMessage } from "./explanation.js";
 
 /** Message of the log line in which a gateway reports how a request ended. */
 const requestMessage = "request";
 
+const turnedAwaySchema = z.looseObject({ status: z.number(), cause: z.string().default("") });
+
 const requestSchema = z.looseObject({
     end: z.string().default("open"),
     cause: z.string().default(""),
@@ -67,6 +69,21 @@
     let answeredInTime = 0;
     let totalPrefills = 0;
     let wastedPrefills = 0;
+    const recordLoss = (loss: Pick<Loss, "kind" | "cause">, server: string, arrivedAt: number): void => {
+        const key = `${loss.kind} ${loss.cause}`;
+        const entry = entriesByCause.get(key) ?? { kind: loss.kind, servers: [], moments: [] };
+        entriesByCause.set(key, entry);
+        entry.servers.push(server);
+        entry.moments.push(sliceStart(arrivedAt, options.slice));
+    };
+    for (const line of lines.filter(({ message }) => message === turnedAwayMessage)) {
+        const parsed = turnedAwaySchema.safeParse(line);
+        if (parsed.success) {
+            requests += 1;
+            const cause = `turned away with ${parsed.data.status}: ${parsed.data.cause}`;
+            recordLoss({ kind: "unserved", cause }, "none", Date.parse(line.at));
+        }
+    }
     for (const line of lines.filter(({ message }) => message === requestMessage)) {
         const parsed = requestSchema.safeParse(line);
         if (!parsed.success) {
@@ -82,13 +99,8 @@
             answeredInTime += 1;
             continue;
         }
-        const key = `${loss.kind} ${loss.cause}`;
-        const entry = entriesByCause.get(key) ?? { kind: loss.kind, servers: [], moments: [] };
-        entriesByCause.set(key, entry);
-        entry.servers.push(
-            steps.findLast(({ kind }) => kind === "run" || kind === "read" || kind === "other")?.by ?? "none",
-        );
-        entry.moments.push(sliceStart(Date.parse(line.at) - parsed.data.milliseconds, options.slice));
+        const lastServer = steps.findLast(({ kind }) => kind === "run" || kind === "read" || kind === "other")?.by;
+        recordLoss(loss, lastServer ?? "none", Date.parse(line.at) - parsed.data.milliseconds);
     }
     const losses = [...entriesByCause].map(([key, { kind, servers, moments }]): Loss => ({
         kind,
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -265,7 +265,7 @@
         response: http.ServerResponse,
         arrivedAt: number,
     ): Promise<void> {
-        const { wire, clock, metrics } = this.options;
+        const { wire, clock } = this.options;
         const table = this.routeTable ?? await this.awaitRouteTable(wire.parseCaller(incoming.headers).deadlineWithin);
         if (table === undefined) {
             const retryHeaders = { "Retry-After": String(unconfiguredRetryAfterSeconds) };
@@ -284,7 +284,6 @@
         }
         const identity = table.identify(route, wire.parseCredentials(incoming.headersDistinct));
         if (identity === undefined) {
-            metrics.count("basilpaddle_unauthenticated_requests_total");
             this.refuseRequest(incoming, response, 401, "no valid key", wire.challenge);
             return;
         }
@@ -375,7 +374,10 @@
         cause: string,
         headers: Readonly<Record<string, string>> = {},
     ): void {
-        this.options.logger.info("request turned away", { target: incoming.url, status, cause });
+        const { logger, metrics, wire } = this.options;
+        const request = wire.parseCaller(incoming.headers).attempt;
+        metrics.count("basilpaddle_requests_turned_away_total", { status: String(status) });
+        logger.info("request turned away", { request, target: incoming.url, status, cause });
         incoming.resume();
         writeOwnAnswer(
             response,
--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -224,7 +224,7 @@
             response.writeHead(421, notRunHeaders(attempt)).end();
         }
         else if (isPoison(body) && !received.prefillOnly) {
-            this.options.invariants.runStarted(attempt, this.id, performance.now())(performance.now());
+            this.options.invariants.runStarted(received, this.id, performance.now())(performance.now());
             this.options.invariants.backendCrashed(body, this.id, performance.now());
             this.options.onPoisonRequest(this);
         }
@@ -254,12 +254,13 @@
         response.end(prefillAnswer(handle));
     }
 
-    private async answerPlain({ attempt }: ReceivedRequest, response: http.ServerResponse): Promise<void> {
+    private async answerPlain(received: ReceivedRequest, response: http.ServerResponse): Promise<void> {
+        const { attempt } = received;
         if (this.running >= plainSlots) {
             response.writeHead(503, notRunHeaders(attempt)).end();
             return;
         }
-        await this.runRequest(attempt, response, async () => {
+        await this.runRequest(received, response, async () => {
             await this.delay(plainAnswerMilliseconds * this.slowdownFactor);
             if (this.dropsResponses) {
                 response.socket?.resetAndDestroy();
@@ -284,7 +285,7 @@
             );
         }
         this.options.caches.delete(handle ?? "");
-        await this.runRequest(attempt, response, async () => {
+        await this.runRequest(received, response, async () => {
             const headers = answerHeaders(attempt, this.id, this.id);
             response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
             for (let number = resumeAfter + 1; number <= eventCount(attempt) && !response.destroyed; number++) {
@@ -301,12 +302,12 @@
 
     /** Runs a request and records the run, which ends when the response or its connection is closed. */
     private async runRequest(
-        attempt: string,
+        received: ReceivedRequest,
         response: http.ServerResponse,
         handler: () => Promise<void>,
     ): Promise<void> {
         this.running += 1;
-        const ended = this.options.invariants.runStarted(attempt, this.id, performance.now());
+        const ended = this.options.invariants.runStarted(received, this.id, performance.now());
         response.once("close", () => ended(performance.now()));
         try {
             await handler();
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -4,6 +4,7 @@
 import type { SoakDeployment } from "./deployment.js";
 import type { CallerEnd, Invariants, SoakRequest } from "./invariants.js";
 import type { Member } from "./member.js";
+import { freeKey, keyOfRequest } from "./organisations.js";
 import { plainText, streamText } from "./texts.js";
 
 /** Host that all routes match. */
@@ -72,7 +73,7 @@
     ): Promise<SoakRequest> {
         this.createdRequests += 1;
         const attempt = `a${this.createdRequests}`;
-        const request = this.invariants.requestSent(attempt, kind, gateway.name, performance.now());
+        const request = this.invariants.requestSent(attempt, kind, gateway.name, performance.now(), freeKey);
         const end = await this.exchange(gateway, request, path, undefined, body);
         this.invariants.requestEnded(request, end, performance.now());
         return request;
@@ -93,7 +94,9 @@
             ? this.random.integer(1, maxAbandonMilliseconds)
             : undefined;
         this.createdRequests += 1;
-        const request = this.invariants.requestSent(`a${this.createdRequests}`, kind, gateway.name, performance.now());
+        const key = keyOfRequest(this.createdRequests, this.invariants.newestAcknowledged());
+        const now = performance.now();
+        const request = this.invariants.requestSent(`a${this.createdRequests}`, kind, gateway.name, now, key);
         const done = this.exchange(gateway, request, `${routePrefixes[kind]}x`, abandonAfter).then(end => {
             this.invariants.requestEnded(request, end, performance.now());
             this.openRequests.delete(done);
@@ -120,7 +123,7 @@
                 path,
                 method: kind === "safe" ? "GET" : "POST",
                 agent: this.random.fraction() < newConnectionProbability ? false : this.agent(gateway),
-                headers: { Host: routeHost, ...callerHeaders(attempt, deadlineMilliseconds) },
+                headers: { Host: routeHost, ...callerHeaders(attempt, deadlineMilliseconds, request.key.key) },
             });
             const disconnect = (end: CallerEnd): void => {
                 settle(end);
--- a/soak/invariants.ts
+++ b/soak/invariants.ts
@@ -1,4 +1,5 @@
-import type { RouteKind } from "../platform/src/standins/wire.js";
+import type { ReceivedRequest, RouteKind } from "../platform/src/standins/wire.js";
+import { busyAllowance, busyOrganisation, type RequestKey } from "./organisations.js";
 
 /** Statuses which guarantee that a request has not run and will not run. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -9,6 +10,14 @@
 /** Time for which a disturbance may still have effects after its end. */
 const aftereffectMilliseconds = 4_000;
 
+/** Time after which no gateway accepts a key that a newer configuration doesn't contain. */
+const keyPropagationMilliseconds = 4_000;
+const millisecondsInSecond = 1_000;
+/** Window in which the allowance of an organisation is checked. */
+const allowanceWindowMilliseconds = 8_000;
+/** Runs in a window beyond rate and burst: each gateway may add its part and one request while no leader answers. */
+const allowanceSlack = 3 * busyAllowance.burst;
+
 /** Crashes that one request may cause, and the time after the last of them until all gateways have quarantined it. */
 const maxCrashes = 3;
 const quarantinePropagationMilliseconds = 3_000;
@@ -26,6 +35,7 @@
     readonly attempt: string;
     readonly kind: RouteKind;
     readonly gateway: string;
+    readonly key: RequestKey;
     readonly sentAt: number;
     /** Each run of the request: its backend server, its start and its end. */
     readonly runs: { readonly server: string; readonly begunAt: number; endedAt: number | undefined; }[];
@@ -53,6 +63,8 @@
     private readonly orderHolders = new Map<string, string>();
     private readonly crashTimes = new Map<string, number[]>();
     private newestVersion = 0;
+    /** When each version was first superseded by an acknowledged newer one. */
+    private readonly supersededAt = new Map<number, number>();
 
     private constructor() {}
 
@@ -78,19 +90,25 @@
         return this.disturbances.some(span => span.from <= to && span.to + aftereffectMilliseconds >= from);
     }
 
-    requestSent(attempt: string, kind: RouteKind, gateway: string, now: number): SoakRequest {
-        const request: SoakRequest = { attempt, kind, gateway, sentAt: now, runs: [], end: undefined, endedAt: 0 };
+    requestSent(attempt: string, kind: RouteKind, gateway: string, now: number, key: RequestKey): SoakRequest {
+        const request: SoakRequest = { attempt, kind, gateway, key, sentAt: now, runs: [], end: undefined, endedAt: 0 };
         this.requests.set(attempt, request);
         return request;
     }
 
     /** Records that a backend server started to run a request. Returns a function that records the end of the run. */
-    runStarted(attempt: string, server: string, now: number): (endedAt: number) => void {
+    runStarted(
+        received: Pick<ReceivedRequest, "attempt" | "organisation" | "key">,
+        server: string,
+        now: number,
+    ): (endedAt: number) => void {
+        const { attempt } = received;
         const request = this.requests.get(attempt);
         if (request === undefined) {
             this.violate("unasked", `${server} ran ${attempt}, which no caller sent`);
             return () => undefined;
         }
+        this.checkIdentity(request, received, server);
         const run = { server, begunAt: now, endedAt: undefined as number | undefined };
         request.runs.push(run);
         const drainedAt = this.drainTimes.get(server);
@@ -108,6 +126,31 @@
         };
     }
 
+    /** Checks that the run names the organisation that holds the key, and that the key may still be in force. */
+    private checkIdentity(
+        request: SoakRequest,
+        { attempt, organisation, key }: Pick<ReceivedRequest, "attempt" | "organisation" | "key">,
+        server: string,
+    ): void {
+        if (organisation !== request.key.organisation || key !== undefined) {
+            this.violate(
+                "organisation",
+                `${server} ran ${attempt} of ${request.key.organisation} as ${organisation}, key ${key}`,
+            );
+        }
+        const { version } = request.key;
+        const goneAt = version === undefined ? undefined : this.supersededAt.get(version);
+        if (
+            goneAt !== undefined && request.sentAt > goneAt + keyPropagationMilliseconds
+            && !this.isDisturbed(goneAt, request.sentAt)
+        ) {
+            this.violate(
+                "organisation",
+                `${server} ran ${attempt} by ${request.gateway} with a key that was taken away`,
+            );
+        }
+    }
+
     /** Records that a backend server crashed as it started to run a request with this body. */
     backendCrashed(body: string, server: string, now: number): void {
         const serverCrashes = this.crashTimes.get(body) ?? [];
@@ -156,6 +199,9 @@
     }
 
     configurationAcknowledged(version: number): void {
+        for (let older = this.newestVersion; older < version; older++) {
+            this.supersededAt.set(older, performance.now());
+        }
         this.newestVersion = Math.max(this.newestVersion, version);
     }
 
@@ -177,9 +223,27 @@
     /** Checks all requests, after all of them have ended; returns every violation of the run. */
     checkRequests(): readonly Violation[] {
         this.requests.forEach(request => this.checkRequest(request));
+        this.checkAllowance();
         return this.violations;
     }
 
+    /** Checks that no window contains more first runs of the busy organisation than its allowance. */
+    private checkAllowance(): void {
+        const starts = [...this.requests.values()]
+            .filter(({ key, runs }) => key.organisation === busyOrganisation && runs.length > 0)
+            .map(({ runs }) => runs[0]!.begunAt)
+            .sort((one, other) => one - other);
+        const { rate, burst } = busyAllowance;
+        const limit = (rate * allowanceWindowMilliseconds / millisecondsInSecond + burst) * 1.1 + allowanceSlack;
+        const mostRuns = starts.reduce((most, from) => {
+            const runs = starts.filter(at => at >= from && at < from + allowanceWindowMilliseconds).length;
+            return Math.max(most, runs);
+        }, 0);
+        if (mostRuns > limit) {
+            this.violate("allowance", `${mostRuns} requests of ${busyOrganisation} ran within a window; ${limit} may`);
+        }
+    }
+
     private checkRequest(request: SoakRequest): void {
         const { attempt, kind, runs, end } = request;
         const name = `${kind} ${attempt} by ${request.gateway}`;
--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -10,6 +10,7 @@
 import { routeHost, routePrefixes, routeTimeoutMilliseconds } from "./callers.js";
 import type { SoakDeployment } from "./deployment.js";
 import type { Invariants } from "./invariants.js";
+import { organisationsOf } from "./organisations.js";
 
 /** Time that an operator waits for a response before the call counts as failed. */
 const answerTimeoutMilliseconds = 1_000;
@@ -125,6 +126,7 @@
         version,
         host: routeHost,
         routes,
+        organisations: organisationsOf(version),
         timeout: routeTimeoutMilliseconds,
         handleLife: handleLifetimeMilliseconds,
     });
