--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/placementQueue.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/placementQueue.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import * as fc from "fast-check";
-import type { PlacementDecision } from "../../../protocol/index.js";
+import type { PlacementDecision, PlacementRequest } from "../../../protocol/index.js";
 import { PlacementQueue } from "../placementQueue.js";
 import { announced, engines, placed, refused, rule, typicalPlacementRequest } from "./fakes.js";
 
@@ -24,6 +24,7 @@
     queue: PlacementQueue,
     length: number,
     intervalAt: (time: number) => number,
+    overridesAt: (time: number) => Partial<PlacementRequest> = () => ({}),
 ): SimulationOutcome {
     const waitTimes = new Map<string, number>();
     const refusalTimes = new Map<string, number>();
@@ -50,7 +51,8 @@
         for (; nextArrival <= now; nextArrival += intervalAt(nextArrival)) {
             const attempt = `at-${Math.round(nextArrival)}`;
             arrivedAt.set(attempt, now);
-            recordDecisions(queue.enqueueRequest(typicalPlacementRequest(attempt), now), now);
+            const request = typicalPlacementRequest(attempt, overridesAt(nextArrival));
+            recordDecisions(queue.enqueueRequest(request, now), now);
         }
         recordDecisions(queue.review(now), now);
         maxAllocatedTokens = Math.max(maxAllocatedTokens, ...queue.counts().allocated.values());
@@ -96,6 +98,32 @@
         expect(Math.max(...refusalTimes.values())).to.be.below(3_600);
     });
 
+    // Guards against one organisation's burst that makes all others late. Load: 12.5 requests a second of ten organisations, and
+    // 37.5 a second for 3 s, of which one organisation sends two thirds, on engines with room for 25 a second.
+    it("serves the other organisations in time during one organisation's burst", () => {
+        const isBurst = (time: number): boolean => time > 5_000 && time < 8_000;
+        const othersInBurst = new Set<string>();
+        let arrivals = 0;
+        const { waitTimes } = simulateArrivals(
+            createQueue(3, 10),
+            20_000,
+            time => isBurst(time) ? 80 / 3 : 80,
+            time => {
+                arrivals += 1;
+                if (isBurst(time) && arrivals % 3 !== 0) {
+                    return { organisation: { name: "busy", refillTime: 60 } };
+                }
+                if (isBurst(time)) {
+                    othersInBurst.add(`at-${Math.round(time)}`);
+                }
+                return { organisation: { name: `o-${arrivals % 10}`, refillTime: 200 } };
+            },
+        );
+        const late = [...othersInBurst].filter(attempt => (waitTimes.get(attempt) ?? Number.POSITIVE_INFINITY) > 700);
+        expect(othersInBurst.size).to.be.greaterThan(30);
+        expect(late.length / othersInBurst.size).to.be.below(0.1);
+    });
+
     it("refuses a request at once that can't be served before its caller's timeout, with a retry-after time", () => {
         const queue = createQueue(1, 1);
         for (let number = 0; number < 8; number++) {
