Revert the try: organisations ahead of their share in the placement queue

What callers of other organisations lose in a burst is first lost at the plain services, where this has no hand.

--- a/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
@@ -8,7 +8,6 @@
 import { hashToFraction } from "../../utils/index.js";
 import { type EnginePair, EnginePool, type LeastLoadedEngine, type PlacementTuning } from "./enginePool.js";
 import { PlacementForecast } from "./placementForecast.js";
-import { PlacementOrder, type WaitingRequest } from "./placementOrder.js";
 import { RunRejections } from "./runRejections.js";
 import type { TypicalRequest } from "./stagePlan.js";
 
@@ -23,6 +22,8 @@
 const overtakingMilliseconds = 50;
 /** Number of requests that don't fit after which a dispatch stops; it bounds the time for a long queue. */
 const maxSkipped = 6;
+/** How much later a request sorts for each step of its priority number. */
+const priorityStepMilliseconds = 60;
 /** Margin by which the forecast must be earlier than the caller's timeout for a request to stay in the queue. */
 const timeoutMarginMilliseconds = 250;
 /** Spread of the retry-after times of refused requests, so that their retries don't cause a second burst. */
@@ -36,6 +37,19 @@
 const noEngineRetryAfterMilliseconds = 1_000;
 /** How long a placement is kept if its gateway never reports its end. */
 const maxPlacementMilliseconds = 60_000;
+/** Sort key offset that moves requests that can't meet their target behind all that still can. */
+const lateKeyOffset = 1e9;
+
+/** A request in the queue. */
+type WaitingRequest = {
+    readonly request: PlacementRequest;
+    readonly arrivedAt: number;
+    readonly targetAt: number;
+    readonly timeoutAt: number;
+    late: boolean;
+    sortKey: number;
+};
+
 /** Forecast for a pool at one point in time. */
 type PoolForecast = {
     /** Tokens of KV cache that may be allocated in total. */
@@ -67,7 +81,6 @@
     private readonly placements = new Map<string, Placement>();
     private readonly forecast = PlacementForecast.create();
     private readonly rejections = RunRejections.create();
-    private readonly order = PlacementOrder.create();
     private queue: WaitingRequest[] = [];
     private reviewedAt = 0;
 
@@ -101,8 +114,16 @@
         if (this.queue.some(waiting => waiting.request.attempt === request.attempt)) {
             return [];
         }
-        const waiting = this.order.createEntry(request, now);
-        this.order.insert(this.queue, waiting);
+        const waiting: WaitingRequest = {
+            request,
+            arrivedAt: now,
+            targetAt: now + request.targetWithin,
+            timeoutAt: now + request.patienceWithin,
+            late: false,
+            sortKey: now + request.targetWithin + request.priority * priorityStepMilliseconds
+                - (request.resumed ? lateKeyOffset : 0),
+        };
+        this.enqueue(waiting);
         return [...this.dispatch(now), ...this.refuseOnArrival(waiting, now)];
     }
 
@@ -211,6 +232,11 @@
         };
     }
 
+    private enqueue(waiting: WaitingRequest): void {
+        const at = this.queue.findIndex(other => other.sortKey > waiting.sortKey);
+        this.queue.splice(at < 0 ? this.queue.length : at, 0, waiting);
+    }
+
     private dispatch(now: number): PlacementDecision[] {
         const decisions: PlacementDecision[] = [];
         const reserved = new Set<string>();
@@ -226,18 +252,14 @@
             }
             this.queue.splice(position, 1);
             if (this.isTooLate(waiting, pair, now)) {
-                this.order.insertAsLate(this.queue, waiting);
+                this.requeueAsLate(waiting);
                 continue;
             }
             const readingWithin = Math.round(this.forecast.expectedPrefillTime(pair.prefillTime));
             const placement = { ...pair, request: waiting.request, placedAt: now, readingWithin, isPrefilled: false };
             this.allocate(placement, now);
-            this.order.recordServed(waiting);
             decisions.push(placedDecision(placement));
         }
-        if (this.queue.length === 0) {
-            this.order.reset();
-        }
         return decisions;
     }
 
@@ -278,6 +300,12 @@
         return now + this.forecast.firstEventDelay(pair.prefillTime) > waiting.targetAt;
     }
 
+    private requeueAsLate(waiting: WaitingRequest): void {
+        waiting.late = true;
+        waiting.sortKey += lateKeyOffset;
+        this.enqueue(waiting);
+    }
+
     /** Refuses a new request that can't be served before its caller's timeout. */
     private refuseOnArrival(arrived: WaitingRequest, now: number): PlacementDecision[] {
         const position = this.queue.indexOf(arrived);
@@ -316,7 +344,7 @@
             }
         }
         this.queue = remaining;
-        tooLate.forEach(waiting => this.order.insertAsLate(this.queue, waiting));
+        tooLate.forEach(waiting => this.requeueAsLate(waiting));
         return refused;
     }
 
--- a/packages/basilpaddle/src/node/coordination/scheduling/organisationShares.ts
+++ b/packages/basilpaddle/src/node/coordination/scheduling/organisationShares.ts
@@ -31,7 +31,7 @@
      * Charges the organisation for a request that would occupy the whole pool for `poolMilliseconds`. Returns its virtual
      * start time.
      */
-    charge(organisation: string, rules: Pick<Organisation, "share">, poolMilliseconds: number): number {
+    charge(organisation: string, rules: Organisation, poolMilliseconds: number): number {
         const start = this.nextStart(organisation);
         this.accounts.set(organisation, start + poolMilliseconds / rules.share);
         return start;
--- a/packages/basilpaddle/src/node/daemon/gateway/allowanceGate.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/allowanceGate.ts
@@ -23,7 +23,6 @@
             request.reject("the token counts aren't two numbers");
             return [];
         }
-        request.setCharge(charge);
         const decision = await this.allowances.admit(charge);
         if (!decision.granted) {
             this.count("refused", charge);
--- a/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
@@ -1,5 +1,5 @@
 import type * as http from "node:http";
-import { type AllowanceCharge, type CallerIdentity, digestOf } from "../../coordination/index.js";
+import { type CallerIdentity, digestOf } from "../../coordination/index.js";
 import type { CallerLimits, TrafficRoute } from "../../protocol/index.js";
 import type { BackendAnswer } from "../backends/index.js";
 import type { CallerMetadata } from "./gatewayWire.js";
@@ -33,7 +33,6 @@
     private cause = "";
     private cachedDigest: string | undefined;
     private hasReachedServer = false;
-    private allowanceCharge: AllowanceCharge | undefined;
 
     private constructor(
         readonly incoming: http.IncomingMessage,
@@ -85,16 +84,6 @@
         return this.identity.organisation?.priority ?? this.route.priority;
     }
 
-    /** Records what it costs its organisation. */
-    setCharge(charge: AllowanceCharge): void {
-        this.allowanceCharge = charge;
-    }
-
-    /** What it costs its organisation; undefined if that has no allowance. */
-    get charge(): AllowanceCharge | undefined {
-        return this.allowanceCharge;
-    }
-
     /** Digest of its content: the same for each attempt of the same request, at any gateway and with any key. */
     get digest(): string {
         const { method, target, body } = this;
--- a/packages/basilpaddle/src/node/daemon/gateway/placementRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementRequest.ts
@@ -11,7 +11,6 @@
 const nextEventTimeoutMilliseconds = 2_000;
 /** Expected length of an answer, as a fraction of its token limit, if the caller gives no estimate. */
 const expectedAnswerFraction = 0.6;
-const millisecondsInSecond = 1_000;
 
 /** Builds a placement request: the KV cache for the prompt and the answer, the target, and how long the caller will wait. */
 export function placementRequest(
@@ -21,7 +20,7 @@
     avoid: readonly string[],
     linkStalls: LinkStalls = [],
 ): PlacementRequest {
-    const { metadata, route, charge } = request;
+    const { metadata, route } = request;
     const answer = Math.min(
         metadata.maxTokens,
         metadata.expectedTokens ?? Math.ceil(metadata.maxTokens * expectedAnswerFraction),
@@ -41,12 +40,6 @@
         patienceWithin: Math.min(request.remainingTime(), timeout),
         avoid: [...avoid],
         resumed: request.hasAnswerBegun(),
-        ...charge === undefined ? {} : {
-            organisation: {
-                name: charge.organisation,
-                refillTime: charge.cost / charge.allowance.rate * millisecondsInSecond,
-            },
-        },
         ...linkStalls.length === 0 ? {} : { linkStalls },
     };
 }
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -110,11 +110,6 @@
     avoid: z.array(identifier),
     /** True if it continues an interrupted run whose caller has received a part of the answer; placed before all new runs. */
     resumed: z.boolean(),
-    /**
-     * The organisation, and the milliseconds in which its allowance refills by the cost of this request. Absent without an
-     * allowance.
-     */
-    organisation: z.object({ name: identifier, refillTime: z.number().min(0) }).optional(),
     /** Stall rates of the gateway's links. @default no stalls */
     linkStalls: linkStallsSchema.optional(),
 });
