A gateway that shuts down answers requests on connections that were idle at its start

Callers saw: a request on a kept connection met its closing within 50 ms of SIGTERM ('socket hang up'; never read, not run, no line in the gateway's log).

Cause: close() closed idle connections from its first moment on, every 50 ms, while the balancer and callers still counted on them for up to 2.8 s; whatever was on its way to one was reset unread. Evidence: the new test, an idle connection whose caller sends 200 ms after the start of the shutdown, gets nothing on the code before, and 200 with 'Connection: close' now.

Why this works: until the balancer has noticed, every such request is answered and its connection closed with the answer; what is closed afterwards has been idle for that time, when no caller is sent here any more.

--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -168,12 +168,15 @@
         this.callerServer.closeAfterResponses();
         let listening = true;
         while (clock.monotonic() < deadline) {
-            // A caller with an idle connection would send its next request here, and lose it when the gateway exits.
-            this.callerServer.closeIdle();
             if (listening && clock.monotonic() - startedAt > balancerNoticeMilliseconds) {
                 listening = false;
                 this.callerServer.stopListening();
             }
+            if (!listening) {
+                // A caller with an idle connection would send its next request here, and lose it when the gateway exits. Until the
+                // balancer has noticed, such requests are answered, and their connections closed with the answer.
+                this.callerServer.closeIdle();
+            }
             if (!listening && this.callerServer.openRequests() === 0) {
                 break;
             }
