--- a/simulation/allowances/allowanceSimulation.ts
+++ b/simulation/allowances/allowanceSimulation.ts
@@ -134,7 +134,7 @@
         const cost = sampleCost(day, random);
         const gateway = day.oneGateway ? home : random.integer(0, day.gateways - 1);
         const at = clock.monotonic();
-        referenceUnits[organisation]! += reference[organisation]!.take(cost, at) ? cost : 0;
+        referenceUnits[organisation]! += reference[organisation]!.takeIfAnyLeft(cost, at) ? cost : 0;
         const charge = { organisation: name, allowance, cost, attempt: String(delays.length) };
         const decision = await gateways[gateway]!.admit(charge);
         delays.push(clock.monotonic() - at);
