Allowances: large requests are asked for, and gateways are told of fewer changes

Now a request that costs a quarter of its organisation's burst is asked for (one round trip in place of a report), only what was spent unasked brings an organisation near its limit, and changes that can wait are told once a second.

--- a/packages/basilpaddle/src/node/coordination/allowance/__tests__/allowanceLedger.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/__tests__/allowanceLedger.spec.ts
@@ -86,6 +86,8 @@
     it("names organisations that have used up their allowance", () => {
         const ledger = AllowanceLedger.create(1);
         ledger.charge("a", allowance, 2_000, 0);
+        expect(ledger.limited(0)).to.deep.equal({ near: [], usedUp: [] });
+        ledger.recordSpent("a", allowance, 1, 0);
         expect(ledger.limited(0)).to.deep.equal({ near: ["a"], usedUp: [] });
         ledger.charge("a", allowance, 1_000, 0);
         expect(ledger.limited(0).usedUp).to.deep.equal(["a"]);
--- a/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
@@ -49,7 +49,6 @@
     charge(organisation: string, allowance: Allowance, cost: number, now: number): ChargeDecision {
         const account = this.account(organisation, allowance, now);
         const granted = account.bucket.takeIfAnyLeft(cost, now);
-        this.updateNear(organisation, account, now);
         if (granted) {
             return { granted };
         }
@@ -57,7 +56,10 @@
         return { granted, comeBackIn: this.nextTurn(account, cost, now) };
     }
 
-    /** Records units that a gateway has spent without asking; a negative number was given back. */
+    /**
+     * Records units that a gateway has spent without asking; a negative number was given back. Only this brings an organisation
+     * near its limit: whoever asks for every request anyway needs no notice of it.
+     */
     recordSpent(organisation: string, allowance: Allowance, units: number, now: number): void {
         const account = this.account(organisation, allowance, now);
         account.bucket.spend(units, now);
--- a/packages/basilpaddle/src/node/coordination/allowance/leaderAllowances.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/leaderAllowances.ts
@@ -17,8 +17,8 @@
     private cancelReport: (() => void) | undefined;
     private lastReportAt = Number.NEGATIVE_INFINITY;
 
-    /** Whether the leader is asked before a request of the organisation is admitted. */
-    protected abstract mustAsk(organisation: string): boolean;
+    /** Whether the leader is asked before the request is admitted. */
+    protected abstract mustAsk(charge: AllowanceCharge): boolean;
 
     override async admit(charge: AllowanceCharge): Promise<ChargeDecision> {
         const decision = await this.chargeLeader(charge);
@@ -56,7 +56,7 @@
         if (!leader.isAvailable()) {
             return Promise.resolve(undefined);
         }
-        if (this.mustAsk(organisation)) {
+        if (this.mustAsk(charge)) {
             return leader.charge(organisation, cost);
         }
         this.recordSpent(charge, cost);
@@ -95,13 +95,19 @@
     }
 }
 
-/** Spends first and reports afterwards, but asks the leader for requests of an organisation that is near its limit. */
+/**
+ * A request that costs at least this fraction of the burst is asked for. Otherwise organisations that send a few requests at a
+ * time, of which a deployment may have thousands, would come near their limit with each, and every gateway be told each time.
+ */
+const askedBurstFraction = 0.25;
+
+/** Spends first and reports afterwards, but asks the leader for large requests, and near the organisation's limit for all. */
 export class ReportedAllowances extends LeaderAllowances {
     static create(options: AllowanceOptions): ReportedAllowances {
         return new ReportedAllowances(options);
     }
 
-    protected override mustAsk(organisation: string): boolean {
-        return this.options.leader.isNearLimit(organisation);
+    protected override mustAsk({ organisation, allowance, cost }: AllowanceCharge): boolean {
+        return cost >= allowance.burst * askedBurstFraction || this.options.leader.isNearLimit(organisation);
     }
 }
--- a/packages/basilpaddle/src/node/daemon/directory/allowanceService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/allowanceService.ts
@@ -9,6 +9,8 @@
 const initialBurstFraction = 0.5;
 /** Maximum number of organisations whose names are sent to every gateway; for the others it learns by being refused. */
 const maxNearLimit = 1_000;
+/** Minimum interval between two changes that can wait: all but an organisation that comes near its allowance. */
+const minChangeIntervalMilliseconds = 1_000;
 const maxLoggedOrganisations = 4;
 
 /** Organisations near their allowance, and the number of the last change. */
@@ -32,6 +34,7 @@
 export class AllowanceService {
     private readonly ledger: AllowanceLedger;
     private current = noLimits;
+    private changedAt = Number.NEGATIVE_INFINITY;
     private allowancesOf: { readonly traffic: Traffic; readonly byName: ReadonlyMap<string, Allowance>; } | undefined;
 
     private constructor(private readonly options: AllowanceServiceOptions) {
@@ -61,11 +64,17 @@
 
     /** Looks for organisations that came near their allowance or are far from it again; to be called periodically. */
     review(): void {
-        const { near, usedUp } = this.ledger.limited(this.options.clock.monotonic());
+        const now = this.options.clock.monotonic();
+        const isUrgent = this.ledger.hasNewlyLimited();
+        if (!isUrgent && now - this.changedAt < minChangeIntervalMilliseconds) {
+            return;
+        }
+        const { near, usedUp } = this.ledger.limited(now);
         const limited = { near: near.slice(0, maxNearLimit), usedUp: usedUp.slice(0, maxNearLimit) };
         if (areSame(limited.near, this.current.near) && areSame(limited.usedUp, this.current.usedUp)) {
             return;
         }
+        this.changedAt = now;
         this.current = { ...limited, change: this.current.change + 1 };
         this.options.logger.info("the organisations near their allowance changed", {
             near: near.length,
