--- a/packages/basilpaddle/src/node/coordination/gateway/index.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/index.ts
@@ -8,6 +8,5 @@
 export * from "./placementQueue.js";
 export * from "./routeTable.js";
 export * from "./serverChoice.js";
-export * from "./serviceAdmission.js";
 export * from "./serviceRetryBudget.js";
 export * from "./stagePlan.js";
--- a/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
@@ -1,11 +1,4 @@
-import type {
-    CallTally,
-    CrashDetector,
-    InstanceTable,
-    LinkQuality,
-    ServerChoice,
-    ServiceAdmission,
-} from "../../coordination/index.js";
+import type { CallTally, CrashDetector, InstanceTable, LinkQuality, ServerChoice } from "../../coordination/index.js";
 import { type ServerAnnouncement, serverName, type ServiceRule } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
 import {
@@ -28,8 +21,6 @@
     readonly connections: BackendConnections;
     readonly instances: InstanceTable;
     readonly choice: ServerChoice;
-    /** Which requests of plain services are refused before a server is called. */
-    readonly admission: ServiceAdmission;
     /** Tally of calls to plain services, which is reported to the leader. */
     readonly tally: CallTally;
     /** Quality of the links, measured by stalls of streams. */
--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -55,11 +55,6 @@
     async run(): Promise<void> {
         const { options, request, service } = this;
         options.retryAllowance.recordRequest(service.name);
-        const comeBackIn = options.admission.refusal(service.name, request.attempt, options.clock.monotonic());
-        if (comeBackIn !== undefined) {
-            request.refuse(comeBackIn, "the service's servers are full");
-            return;
-        }
         let lastResult: Extract<ServerResult, { kind: "next"; }> | undefined;
         for (let round = 0; round < maxRounds; round++) {
             if (request.isDisconnected() || refuseQuarantined(options, request, this.runCount > 0, this.steps)) {
@@ -122,14 +117,13 @@
             request.refuse(noServerRetryAfterMilliseconds, "no backend server is known");
         }
         else {
-            this.options.admission.recordFull(this.service.name, this.options.clock.monotonic());
             request.refuse(fullRetryAfterMilliseconds, lastResult.cause);
         }
     }
 
     private async sendTo(server: ServerAnnouncement): Promise<ServerResult> {
         const { request, options } = this;
-        const { clock, choice, tally, admission } = options;
+        const { clock, choice, tally } = options;
         const startedAt = clock.monotonic();
         choice.recordStart(server.id);
         const call = tally.recordStart(server, startedAt);
@@ -138,9 +132,6 @@
             const sent = await this.sender.send(request, server, this.service, {}, limit.signal);
             const [result, outcome] = await this.classify(server, sent);
             const milliseconds = clock.monotonic() - startedAt;
-            if (outcome === "answered") {
-                admission.recordAnswer(this.service.name, milliseconds, request.route.target, clock.monotonic());
-            }
             choice.recordOutcome(
                 server,
                 request.isDisconnected() ? "answered" : outcome,
