--- a/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
@@ -10,7 +10,7 @@
 const nearLimitHoldMilliseconds = 5_000;
 /** How long after a refusal an allowance counts as used up. */
 const usedUpMilliseconds = 6_000;
-/** Longest Retry-After; later turns start over, so that callers don't come back together at the end. */
+/** Longest Retry-After. Turns beyond it start over from the earliest one, so that callers don't all come back at the end. */
 const maxRetryAfterMilliseconds = 8_000;
 const millisecondsInSecond = 1_000;
 
--- a/packages/basilpaddle/src/node/coordination/allowance/equalPart.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/equalPart.ts
@@ -4,6 +4,7 @@
 import type { AllowanceCharge } from "./allowanceCharge.js";
 import { type BucketRules, TokenBucket } from "./tokenBucket.js";
 
+/** Maximum number of organisations with an account; the least recently used one is forgotten, as if it had spent nothing. */
 const maxAccounts = 32_768;
 /** Seconds of the rate that the burst of a part is larger by: a part of the burst alone is less than one long prompt. */
 const extraBurstSeconds = 1;
@@ -40,8 +41,9 @@
     }
 
     /**
-     * Records a request that the leader or nobody was asked for, down to an empty part: when the leader fails, an organisation
-     * that has used up its allowance has no unused parts left, and one whose callers come in at few gateways isn't in debt.
+     * Records a request that was admitted while a leader answered, but never overdraws the part. When the leader fails, an
+     * organisation that has just used up its allowance then has little left in these parts, and one whose callers come in at few
+     * gateways doesn't begin with a debt there.
      */
     recordSpent(charge: AllowanceCharge, now: number): void {
         const bucket = this.bucket(charge, now);
--- a/packages/basilpaddle/src/node/coordination/allowance/leaderAllowances.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/leaderAllowances.ts
@@ -2,10 +2,10 @@
 import type { AllowanceCharge } from "./allowanceCharge.js";
 import { type AllowanceOptions, OrganisationAllowances, type SpentUnits } from "./organisationAllowances.js";
 
-/** Interval between two reports of a gateway, for each gateway of the deployment: all send as many reports as a few would. */
+/** Interval between two reports, multiplied by the number of gateways: bounds the reports that the leader receives from all. */
 const reportIntervalPerGatewayMilliseconds = 1.5;
 const minReportIntervalMilliseconds = 20;
-/** A smaller fraction of this gateway's equal part isn't reported yet. */
+/** Units are reported once they reach this fraction of the gateway's equal part of the allowance. */
 const reportedFraction = 0.1;
 
 /**
--- a/packages/basilpaddle/src/node/daemon/directory/allowanceService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/allowanceService.ts
@@ -7,7 +7,7 @@
  * previous one.
  */
 const initialBurstFraction = 0.5;
-/** Maximum number of organisations whose names are sent to every gateway; for the others it learns by being refused. */
+/** Maximum number of organisations whose names are sent to every gateway. */
 const maxNearLimit = 1_000;
 /** Minimum interval between two changes that can wait: all but an organisation that comes near its allowance. */
 const minChangeIntervalMilliseconds = 1_000;
