refactor(allowance): one name for one thing, and the field's own

Share (as the retry allowance has it) in place of part, refund in place of give back, near its limit in place of near its allowance, policy in place of way, busy in place of the platform's hot, default cost in place of its plain cost, admission in place of gate, retry time in place of turn. A test's title says what it checks.

--- a/packages/basilpaddle/src/node/coordination/allowance/__tests__/allowanceLedger.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/__tests__/allowanceLedger.spec.ts
@@ -2,10 +2,10 @@
 import type { Allowance } from "../../../protocol/index.js";
 import { AllowanceLedger } from "../allowanceLedger.js";
 
-const allowance: Allowance = { unit: "tokens", rate: 1_000, burst: 2_000, plainCost: 100 };
+const allowance: Allowance = { unit: "tokens", rate: 1_000, burst: 2_000, defaultCost: 100 };
 
-/** Times to come back of requests that are refused at the same time. */
-function turns(ledger: AllowanceLedger, count: number, cost: number, now: number): number[] {
+/** Milliseconds until the retries of requests that are refused at the same time. */
+function retryDelays(ledger: AllowanceLedger, count: number, cost: number, now: number): number[] {
     return Array.from({ length: count }, () => {
         const decision = ledger.charge("a", allowance, cost, now);
         return decision.granted ? Number.NaN : decision.comeBackIn;
@@ -35,7 +35,7 @@
     });
 
     // Guards against long requests that are refused far more often than short ones: what short ones leave never suffices.
-    it("refuses long requests no more often than short ones", () => {
+    it("doesn't refuse long requests far more often than short ones", () => {
         const ledger = AllowanceLedger.create(1);
         const admitted = { long: 0, short: 0 };
         for (let number = 0; number < 2_000; number++) {
@@ -47,11 +47,11 @@
     });
 
     // Guards against refused callers who return in step and are refused together again.
-    it("tells refused callers to come back one after the other, as the allowance flows in, and not too late", () => {
+    it("spreads the retries of refused callers at the rate of the allowance, within a limit", () => {
         const ledger = AllowanceLedger.create(1);
         ledger.charge("a", allowance, 2_000, 0);
-        expect(turns(ledger, 4, 500, 0)).to.deep.equal([500, 1_000, 1_500, 2_000]);
-        const many = turns(ledger, 100, 500, 0);
+        expect(retryDelays(ledger, 4, 500, 0)).to.deep.equal([500, 1_000, 1_500, 2_000]);
+        const many = retryDelays(ledger, 100, 500, 0);
         expect(Math.max(...many)).to.be.at.most(8_000);
         expect(new Set(many).size).to.be.greaterThan(10);
     });
@@ -65,7 +65,7 @@
         expect(ledger.charge("a", allowance, 1_900, 100).granted).to.equal(true);
     });
 
-    it("counts what gateways spent without asking, and what they gave back", () => {
+    it("counts what gateways spent without asking, and refunds", () => {
         const ledger = AllowanceLedger.create(1);
         ledger.recordSpent("a", allowance, 4_000, 0);
         expect(ledger.charge("a", allowance, 1, 1_999).granted).to.equal(false);
--- a/packages/basilpaddle/src/node/coordination/allowance/__tests__/leaderAllowances.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/__tests__/leaderAllowances.spec.ts
@@ -5,7 +5,7 @@
 import { ReportedAllowances } from "../leaderAllowances.js";
 import type { SpentUnits } from "../organisationAllowances.js";
 
-const allowance: Allowance = { unit: "tokens", rate: 1_000, burst: 1_000, plainCost: 100 };
+const allowance: Allowance = { unit: "tokens", rate: 1_000, burst: 1_000, defaultCost: 100 };
 const gateways = 10;
 
 describe("the allowances at a gateway", () => {
@@ -59,7 +59,7 @@
         expect(reported).to.deep.equal([{ organisation: "a", units: 1_000 }]);
     });
 
-    it("don't report a small part of what this gateway may spend", async () => {
+    it("don't report a small fraction of this gateway's share", async () => {
         await admitted(15);
         await clock.advance(1_000);
         expect(reported).to.deep.equal([]);
@@ -76,31 +76,31 @@
         expect(reported).to.deep.equal([]);
     });
 
-    // Guards against a notice to every gateway for each request of organisations that send a few requests at a time.
-    it("ask the leader for a request that costs a large part of the burst, far from the limit too", async () => {
+    // Guards against a notification of every gateway for each request of organisations whose burst is a few requests.
+    it("ask the leader before a request that costs a large fraction of the burst, far from the limit too", async () => {
         expect(await admitted(250)).to.equal(true);
         expect(asked).to.equal(1);
         await clock.advance(100);
         expect(reported).to.deep.equal([]);
     });
 
-    it("report at once what was given back", async () => {
+    it("report a refund immediately", async () => {
         await admitted(200);
         await clock.advance(100);
-        allowances.giveBack(charge(200));
+        allowances.refund(charge(200));
         expect(reported.map(({ units }) => units)).to.deep.equal([200, -200]);
     });
 
-    // Guards against a full bucket that overflows by what is given back before it was reported as spent.
-    it("don't report what was given back before it was reported as spent", async () => {
+    // Guards against a refund that is lost because it reaches a full bucket before the spending was reported.
+    it("don't report a refund of what wasn't reported as spent", async () => {
         await admitted(200);
-        allowances.giveBack(charge(200));
+        allowances.refund(charge(200));
         await clock.advance(100);
         expect(reported.reduce((sum, { units }) => sum + units, 0)).to.equal(0);
         expect(reported.every(({ units }) => units >= 0)).to.equal(true);
     });
 
-    it("admit this gateway's part while no leader answers", async () => {
+    it("admit this gateway's share while no leader answers", async () => {
         available = false;
         expect(await admitted(200)).to.equal(true);
         expect(await admitted(1)).to.equal(false);
@@ -109,7 +109,7 @@
     });
 
     // Guards against an allowance that every gateway overdraws by one long prompt when the leader is lost.
-    it("don't overdraw this gateway's part if the allowance was used up before the leader was lost", async () => {
+    it("don't overdraw this gateway's share if the allowance was used up before the leader was lost", async () => {
         usedUp = true;
         available = false;
         let units = 0;
@@ -120,9 +120,8 @@
         expect(units).to.be.within(2_000, 6_000);
     });
 
-    // Guards against refusals below the allowance: at one gateway, an organisation had spent more than its part by the leader's
-    // leave.
-    it("owe nothing for what the leader admitted before it was lost", async () => {
+    // Guards against refusals below the allowance: at one gateway the leader had admitted more than that gateway's share.
+    it("don't start in debt for what the leader admitted before it was lost", async () => {
         near = true;
         await admitted(5_000);
         available = false;
--- a/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
@@ -10,16 +10,16 @@
 const nearLimitHoldMilliseconds = 5_000;
 /** How long after a refusal an allowance counts as used up. */
 const usedUpMilliseconds = 6_000;
-/** Longest Retry-After. Turns beyond it start over from the earliest one, so that callers don't all come back at the end. */
+/** Longest Retry-After. Later retries are spread anew from the earliest time on, so that callers don't all return at the end. */
 const maxRetryAfterMilliseconds = 8_000;
 const millisecondsInSecond = 1_000;
 
-/** What one organisation has left, and when refused callers were told to come back. */
+/** What one organisation has left, and when its refused callers were told to retry. */
 type Account = {
     readonly bucket: TokenBucket;
     allowance: Allowance;
-    /** Time of the last turn that a refused caller was given. */
-    lastTurn: number;
+    /** Latest time at which a refused caller was told to retry. */
+    lastRetryAt: number;
     /** Until when the organisation counts as near its limit. */
     nearUntil: number;
     lastRefusalAt: number;
@@ -35,7 +35,7 @@
     private readonly near = new Set<string>();
     private newlyLimited = false;
 
-    /** `initialFraction`: the part of its burst that each organisation starts with. */
+    /** `initialFraction`: the fraction of its burst that each organisation starts with. */
     private constructor(private readonly initialFraction: number) {}
 
     static create(initialFraction: number): AllowanceLedger {
@@ -44,7 +44,7 @@
 
     /**
      * Charges a request, or refuses it with the time at which it is to come back. It is admitted while any unit is left, so
-     * that an organisation's short requests don't leave its long ones without a chance.
+     * that an organisation's long requests aren't refused more often than its short ones.
      */
     charge(organisation: string, allowance: Allowance, cost: number, now: number): ChargeDecision {
         const account = this.account(organisation, allowance, now);
@@ -53,12 +53,12 @@
             return { granted };
         }
         account.lastRefusalAt = now;
-        return { granted, comeBackIn: this.nextTurn(account, cost, now) };
+        return { granted, comeBackIn: this.nextRetry(account, cost, now) };
     }
 
     /**
-     * Records units that a gateway has spent without asking; a negative number was given back. Only this brings an organisation
-     * near its limit: whoever asks for every request anyway needs no notice of it.
+     * Records units that a gateway has spent without asking; a negative number is a refund. Only this brings an organisation near
+     * its limit: gateways that ask before each of its requests anyway don't have to be notified.
      */
     recordSpent(organisation: string, allowance: Allowance, units: number, now: number): void {
         const account = this.account(organisation, allowance, now);
@@ -96,23 +96,23 @@
         let account = this.accounts.get(organisation);
         if (account === undefined) {
             const bucket = TokenBucket.create(allowance, allowance.burst * this.initialFraction, now);
-            account = { bucket, allowance, lastTurn: 0, nearUntil: 0, lastRefusalAt: Number.NEGATIVE_INFINITY };
+            account = { bucket, allowance, lastRetryAt: 0, nearUntil: 0, lastRefusalAt: Number.NEGATIVE_INFINITY };
             this.accounts.set(organisation, account);
         }
         else if (account.allowance !== allowance) {
             account.bucket.setRules(allowance, now);
             account.allowance = allowance;
-            account.lastTurn = 0;
+            account.lastRetryAt = 0;
         }
         return account;
     }
 
-    /** The next turn of a refused caller: refused callers come back one after the other, as fast as the allowance flows in. */
-    private nextTurn(account: Account, cost: number, now: number): number {
+    /** Milliseconds until a refused caller may retry: callers are spread one after the other at the rate of the allowance. */
+    private nextRetry(account: Account, cost: number, now: number): number {
         const available = now + account.bucket.timeUntil(0, now);
-        const turn = Math.max(available, account.lastTurn) + cost / account.allowance.rate * millisecondsInSecond;
-        account.lastTurn = turn - now > maxRetryAfterMilliseconds ? available : turn;
-        return account.lastTurn - now;
+        const retryAt = Math.max(available, account.lastRetryAt) + cost / account.allowance.rate * millisecondsInSecond;
+        account.lastRetryAt = retryAt - now > maxRetryAfterMilliseconds ? available : retryAt;
+        return account.lastRetryAt - now;
     }
 
     private updateNear(organisation: string, account: Account, now: number): void {
--- a/packages/basilpaddle/src/node/coordination/allowance/equalPart.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/equalShare.ts
@@ -6,31 +6,32 @@
 
 /** Maximum number of organisations with an account; the least recently used one is forgotten, as if it had spent nothing. */
 const maxAccounts = 32_768;
-/** Seconds of the rate that the burst of a part is larger by: a part of the burst alone is less than one long prompt. */
+/** Seconds of the rate by which the burst of a share is larger: a share of the burst alone is less than one long prompt. */
 const extraBurstSeconds = 1;
 
 type Account = { readonly bucket: TokenBucket; allowance: Allowance; gateways: number; };
 
-/** One gateway's equal part of the allowances, which it may spend without asking. */
-export class EqualPart {
+/** One gateway's equal share of the allowances, which it may spend without asking the leader. */
+export class EqualShare {
     private readonly accounts = new LRUCache<string, Account>({ max: maxAccounts });
 
     private constructor(private readonly gateways: () => number) {}
 
     /** `gateways`: upper bound of the number of gateways that share the allowances. */
-    static create(gateways: () => number): EqualPart {
-        return new EqualPart(gateways);
+    static create(gateways: () => number): EqualShare {
+        return new EqualShare(gateways);
     }
 
-    /** Charges a request, or refuses it; a request that costs more than the part is admitted when the part is whole. */
+    /** Charges a request, or refuses it; one that costs more than the share is admitted when the share is full. */
     admit(charge: AllowanceCharge, now: number): ChargeDecision {
         const bucket = this.bucket(charge, now);
         return bucket.take(charge.cost, now) ? { granted: true } : refusal(bucket, charge, now);
     }
 
     /**
-     * Charges a request of an organisation that has used up its allowance, so that all parts together are never overdrawn. A
-     * request that costs more than is left of the part uses it up, and is admitted with a probability of their ratio.
+     * Charges a request of an organisation that has used up its allowance, so that all shares together are never
+     * overdrawn. A request that costs more than is left of the share uses it up, and is admitted with the probability of their
+     * ratio.
      */
     admitStrictly(charge: AllowanceCharge, now: number): ChargeDecision {
         const { cost, attempt } = charge;
@@ -41,9 +42,9 @@
     }
 
     /**
-     * Records a request that was admitted while a leader answered, but never overdraws the part. When the leader fails, an
-     * organisation that has just used up its allowance then has little left in these parts, and one whose callers come in at few
-     * gateways doesn't begin with a debt there.
+     * Records a request that was admitted while a leader answered, but never overdraws the share. When the leader fails, an
+     * organisation that has just used up its allowance then has little left in these shares, and one whose callers use few
+     * gateways isn't in debt there.
      */
     recordSpent(charge: AllowanceCharge, now: number): void {
         const bucket = this.bucket(charge, now);
@@ -51,7 +52,7 @@
     }
 
     /** Returns the cost of a request that didn't run. */
-    giveBack(charge: AllowanceCharge, now: number): void {
+    refund(charge: AllowanceCharge, now: number): void {
         this.bucket(charge, now).spend(-charge.cost, now);
     }
 
@@ -59,12 +60,12 @@
         const gateways = Math.max(1, this.gateways());
         let account = this.accounts.get(organisation);
         if (account === undefined) {
-            const rules = partOf(allowance, gateways);
+            const rules = shareOf(allowance, gateways);
             account = { bucket: TokenBucket.create(rules, rules.burst, now), allowance, gateways };
             this.accounts.set(organisation, account);
         }
         else if (account.allowance !== allowance || account.gateways !== gateways) {
-            account.bucket.setRules(partOf(allowance, gateways), now);
+            account.bucket.setRules(shareOf(allowance, gateways), now);
             account.allowance = allowance;
             account.gateways = gateways;
         }
@@ -76,6 +77,6 @@
     return { granted: false, comeBackIn: bucket.timeUntil(cost, now) * (1 + hashToFraction(attempt)) };
 }
 
-function partOf({ rate, burst }: Allowance, gateways: number): BucketRules {
+function shareOf({ rate, burst }: Allowance, gateways: number): BucketRules {
     return { rate: rate / gateways, burst: (burst + rate * extraBurstSeconds) / gateways };
 }
--- a/packages/basilpaddle/src/node/coordination/allowance/leaderAllowances.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/leaderAllowances.ts
@@ -5,12 +5,12 @@
 /** Interval between two reports, multiplied by the number of gateways: bounds the reports that the leader receives from all. */
 const reportIntervalPerGatewayMilliseconds = 1.5;
 const minReportIntervalMilliseconds = 20;
-/** Units are reported once they reach this fraction of the gateway's equal part of the allowance. */
+/** Units are reported once they reach this fraction of the gateway's equal share of the allowance. */
 const reportedFraction = 0.1;
 
 /**
- * The leader keeps the allowances; while none answers, each gateway admits its equal part. What distinguishes the
- * implementations is for which requests the leader is asked before they are admitted.
+ * The leader keeps the allowances; while none answers, each gateway admits its equal share. The implementations
+ * differ in the requests for which the leader is asked before they are admitted.
  */
 export abstract class LeaderAllowances extends OrganisationAllowances {
     private readonly unreported = new Map<string, { units: number; readonly threshold: number; }>();
@@ -25,23 +25,23 @@
         const now = this.now();
         if (decision === undefined) {
             return this.options.leader.hasUsedUp(charge.organisation)
-                ? this.ownPart.admitStrictly(charge, now)
-                : this.ownPart.admit(charge, now);
+                ? this.ownShare.admitStrictly(charge, now)
+                : this.ownShare.admit(charge, now);
         }
         if (decision.granted) {
-            this.ownPart.recordSpent(charge, now);
+            this.ownShare.recordSpent(charge, now);
         }
         return decision;
     }
 
-    override giveBack(charge: AllowanceCharge): void {
-        this.ownPart.giveBack(charge, this.now());
+    override refund(charge: AllowanceCharge): void {
+        this.ownShare.refund(charge, this.now());
         const unreported = this.unreported.get(charge.organisation);
         if (unreported !== undefined && unreported.units >= charge.cost) {
             unreported.units -= charge.cost;
             return;
         }
-        // At once: near the limit, the next request is refused for lack of what this one gives back.
+        // Immediately: near the limit, the next request would be refused for lack of this refund.
         this.options.leader.recordSpent([{ organisation: charge.organisation, units: -charge.cost }]);
     }
 
@@ -96,12 +96,13 @@
 }
 
 /**
- * A request that costs at least this fraction of the burst is asked for. Otherwise organisations that send a few requests at a
- * time, of which a deployment may have thousands, would come near their limit with each, and every gateway be told each time.
+ * The leader is asked before a request that costs at least this fraction of the burst. Otherwise organisations whose burst is a
+ * few requests, of which a deployment may have thousands, would come near their limit with each request, and every gateway would
+ * be notified each time.
  */
 const askedBurstFraction = 0.25;
 
-/** Spends first and reports afterwards, but asks the leader for large requests, and near the organisation's limit for all. */
+/** Admits first and reports afterwards, but asks the leader before large requests, and near the limit before all. */
 export class ReportedAllowances extends LeaderAllowances {
     static create(options: AllowanceOptions): ReportedAllowances {
         return new ReportedAllowances(options);
--- a/packages/basilpaddle/src/node/coordination/allowance/organisationAllowances.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/organisationAllowances.ts
@@ -1,9 +1,9 @@
 import type { ChargeDecision } from "../../protocol/index.js";
 import type { Clock } from "../../utils/index.js";
 import type { AllowanceCharge } from "./allowanceCharge.js";
-import { EqualPart } from "./equalPart.js";
+import { EqualShare } from "./equalShare.js";
 
-/** Units that were spent without asking the leader, by organisation; negative if more was given back. */
+/** Units that were spent without asking the leader, by organisation; negative if more was refunded. */
 export type SpentUnits = { readonly organisation: string; readonly units: number; };
 
 /** The leader's side of the allowances, as a gateway reaches it. */
@@ -12,7 +12,7 @@
     readonly isAvailable: () => boolean;
     /** Charges a request; undefined if no leader answers. */
     readonly charge: (organisation: string, cost: number) => Promise<ChargeDecision | undefined>;
-    /** Tells what was spent without asking. */
+    /** Reports what was spent without asking. */
     readonly recordSpent: (spent: readonly SpentUnits[]) => void;
     /** Whether the organisation is near its limit, according to the leader. */
     readonly isNearLimit: (organisation: string) => boolean;
@@ -30,18 +30,18 @@
 
 /** How one gateway keeps the allowances that its organisations share over all gateways. */
 export abstract class OrganisationAllowances {
-    /** What this gateway may spend on its own. */
-    protected readonly ownPart: EqualPart;
+    /** What this gateway may spend without a leader. */
+    protected readonly ownShare: EqualShare;
 
     protected constructor(protected readonly options: AllowanceOptions) {
-        this.ownPart = EqualPart.create(options.gateways);
+        this.ownShare = EqualShare.create(options.gateways);
     }
 
     /** Charges a request once, or refuses it with the milliseconds after which it may come back. */
     abstract admit(charge: AllowanceCharge): Promise<ChargeDecision>;
 
-    /** Gives the cost of an admitted request back, since no backend server has run it. */
-    abstract giveBack(charge: AllowanceCharge): void;
+    /** Refunds the cost of an admitted request that no backend server has run. */
+    abstract refund(charge: AllowanceCharge): void;
 
     /** Stops periodic reports. */
     abstract close(): void;
--- a/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
@@ -126,7 +126,7 @@
         return directory?.reached === true ? directory.ejected : [];
     }
 
-    /** Whether the leader has to be asked for requests of the organisation, because it is near its allowance. */
+    /** Whether the leader has to be asked for requests of the organisation, because it is near its limit. */
     isNearLimit(organisation: string): boolean {
         return this.directories.get(this.leader() ?? "")?.nearLimit.has(organisation) ?? false;
     }
--- a/packages/basilpaddle/src/node/daemon/directory/allowanceService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/allowanceService.ts
@@ -9,11 +9,11 @@
 const initialBurstFraction = 0.5;
 /** Maximum number of organisations whose names are sent to every gateway. */
 const maxNearLimit = 1_000;
-/** Minimum interval between two changes that can wait: all but an organisation that comes near its allowance. */
+/** Minimum interval between two changes that can wait: all but an organisation that comes near its limit. */
 const minChangeIntervalMilliseconds = 1_000;
 const maxLoggedOrganisations = 4;
 
-/** Organisations near their allowance, and the number of the last change. */
+/** Organisations near their limit, and the number of the last change. */
 export type AllowanceLimits = LimitedOrganisations & { readonly change: number; };
 
 /** The limits while no directory is known to lead. */
@@ -24,7 +24,7 @@
     readonly traffic: () => Traffic | undefined;
     /** Whether no other directory has led before, so that nothing has been spent. */
     readonly firstLeader: boolean;
-    /** Called when gateways have to learn of a change of the organisations near their allowance. */
+    /** Called when gateways have to learn of a change of the organisations near their limit. */
     readonly onLimitsChanged: () => void;
     readonly clock: Clock;
     readonly logger: Logger;
@@ -57,12 +57,12 @@
         return reply;
     }
 
-    /** Organisations near their allowance. */
+    /** Organisations near their limit. */
     limits(): AllowanceLimits {
         return this.current;
     }
 
-    /** Looks for organisations that came near their allowance or are far from it again; to be called periodically. */
+    /** Looks for organisations that came near their limit or are far from it again; to be called periodically. */
     review(): void {
         const now = this.options.clock.monotonic();
         const isUrgent = this.ledger.hasNewlyLimited();
@@ -76,7 +76,7 @@
         }
         this.changedAt = now;
         this.current = { ...limited, change: this.current.change + 1 };
-        this.options.logger.info("the organisations near their allowance changed", {
+        this.options.logger.info("the organisations near their limit changed", {
             near: near.length,
             usedUp: usedUp.slice(0, maxLoggedOrganisations),
         });
@@ -86,7 +86,7 @@
     /** Updates the gauges of a leader. */
     measure(metrics: Metrics): void {
         metrics.gauge("basilpaddle_allowance_accounts", this.ledger.size);
-        metrics.gauge("basilpaddle_organisations_near_allowance", this.current.near.length);
+        metrics.gauge("basilpaddle_organisations_near_limit", this.current.near.length);
     }
 
     private charge(organisation: string, cost: number, now: number): AllowanceReply {
--- a/packages/basilpaddle/src/node/daemon/directory/watchService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/watchService.ts
@@ -38,7 +38,7 @@
     readonly members: () => { readonly members: readonly string[]; readonly leader: string | undefined; };
     /** Ejected backend servers of plain services; empty unless this directory leads. */
     readonly ejected: () => readonly string[];
-    /** Organisations near their allowance; none unless this directory leads. */
+    /** Organisations near their limit; none unless this directory leads. */
     readonly limits: () => AllowanceLimits;
     /** Number of gateways before the restart of this directory; 0 if unknown. */
     readonly previousGateways: number;
--- a/packages/basilpaddle/src/node/daemon/gateway/allowanceGate.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/allowanceAdmission.ts
@@ -3,11 +3,11 @@
 import type { CallerRequest } from "./callerRequest.js";
 
 /** Charges requests to their organisations' allowances, and refuses those beyond them. */
-export class AllowanceGate {
+export class AllowanceAdmission {
     private constructor(private readonly allowances: OrganisationAllowances, private readonly metrics: Metrics) {}
 
-    static create(allowances: OrganisationAllowances, metrics: Metrics): AllowanceGate {
-        return new AllowanceGate(allowances, metrics);
+    static create(allowances: OrganisationAllowances, metrics: Metrics): AllowanceAdmission {
+        return new AllowanceAdmission(allowances, metrics);
     }
 
     /**
@@ -32,13 +32,13 @@
         this.count("charged", charge);
         const path = await run();
         if (!request.mayHaveRun()) {
-            this.count("givenBack", charge);
-            this.allowances.giveBack(charge);
+            this.count("refunded", charge);
+            this.allowances.refund(charge);
         }
         return path;
     }
 
-    private count(outcome: "charged" | "givenBack" | "refused", { allowance, cost }: AllowanceCharge): void {
+    private count(outcome: "charged" | "refunded" | "refused", { allowance, cost }: AllowanceCharge): void {
         const labels = { outcome, unit: allowance.unit };
         this.metrics.count("basilpaddle_allowance_requests_total", labels);
         this.metrics.count("basilpaddle_allowance_units_total", labels, cost);
@@ -59,5 +59,5 @@
     if (tokens.kind === "malformed") {
         return "malformed";
     }
-    return { ...charge, cost: tokens.kind === "stated" ? tokens.total : allowance.plainCost };
+    return { ...charge, cost: tokens.kind === "stated" ? tokens.total : allowance.defaultCost };
 }
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -15,7 +15,7 @@
 import { DisposableStore, type Metrics } from "../../utils/index.js";
 import { BackendConnections } from "../backends/index.js";
 import type { RoutingOptions } from "../routingOptions.js";
-import { AllowanceGate } from "./allowanceGate.js";
+import { AllowanceAdmission } from "./allowanceAdmission.js";
 import type { ExchangeOptions } from "./backendSender.js";
 import { CallerRequest, readBody, writeOwnAnswer } from "./callerRequest.js";
 import { CallerServer } from "./callerServer.js";
@@ -59,7 +59,7 @@
     private readonly crashDetector: CrashDetector;
     private readonly watcher: DirectoryWatcher;
     private readonly placementClient: PlacementClient;
-    private readonly allowanceGate: AllowanceGate;
+    private readonly allowanceAdmission: AllowanceAdmission;
     private readonly exchangeOptions: ExchangeOptions;
     private callerServer!: CallerServer;
     private routeTable: RouteTable | undefined;
@@ -124,7 +124,7 @@
             clock,
         });
         this.store.add(() => allowances.close());
-        this.allowanceGate = AllowanceGate.create(allowances, metrics);
+        this.allowanceAdmission = AllowanceAdmission.create(allowances, metrics);
         this.exchangeOptions = {
             wire,
             connections: this.connections,
@@ -336,7 +336,7 @@
             request.fail(500, "the route's service is missing from the configuration");
             return;
         }
-        const path = await this.allowanceGate.serve(request, () => this.exchange(request, service));
+        const path = await this.allowanceAdmission.serve(request, () => this.exchange(request, service));
         this.logRequest(request, path, table.traffic.version);
     }
 
--- a/packages/basilpaddle/src/node/protocol/allowance.ts
+++ b/packages/basilpaddle/src/node/protocol/allowance.ts
@@ -17,7 +17,7 @@
         organisation: organisationName,
         cost: z.number().min(0),
     }),
-    /** Units spent without asking since the previous message; negative if more was given back. No reply. */
+    /** Units spent without asking since the previous message; negative if more was refunded. No reply. */
     z.object({
         kind: z.literal("spent"),
         gateway: z.string(),
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -73,7 +73,7 @@
     gateways: z.int().min(0),
     /** Backend servers of plain services ejected based on all gateways' call reports. Sent by the leader only. @default none */
     ejected: z.array(identifier).optional(),
-    /** Organisations near their allowance, for whose requests the leader has to be asked. Sent by the leader only. @default none */
+    /** Organisations near their limit, for whose requests the leader has to be asked. Sent by the leader only. @default none */
     nearLimit: z.array(identifier).optional(),
     /** Those of them that have used up their allowance. */
     usedUp: z.array(identifier).optional(),
--- a/packages/basilpaddle/src/node/protocol/traffic.ts
+++ b/packages/basilpaddle/src/node/protocol/traffic.ts
@@ -76,7 +76,7 @@
     /** Units that may be sent at once after a time without requests. */
     burst: z.number().min(0),
     /** Units of a request that states no token counts, if tokens are counted. */
-    plainCost: z.number().min(0),
+    defaultCost: z.number().min(0),
 });
 
 /** An organisation whose callers authenticate with its keys. */
--- a/simulation/allowances/__tests__/allowanceSimulation.spec.ts
+++ b/simulation/allowances/__tests__/allowanceSimulation.spec.ts
@@ -12,7 +12,7 @@
     this.timeout(120_000);
 
     // Guards against an allowance that is exceeded, or not available, when one organisation sends many times its usual.
-    for (const name of ["burst", "hot", "hot, one gateway", "360 gateways, hot"]) {
+    for (const name of ["burst", "busy", "busy, one gateway", "360 gateways, busy"]) {
         it(`are neither exceeded nor withheld on the day "${name}"`, async () => {
             const { excess, refusedUnder } = await simulateAllowances(allowanceDays[name]!, "reported", seed);
             expect(excess).to.be.at.most(admissibleExcess);
@@ -22,7 +22,7 @@
 
     // Guards against gateways that exceed an allowance together while no leader counts, and under a leader that knows nothing.
     it("aren't exceeded when the leader is lost while one organisation sends many times its usual", async () => {
-        const { excess } = await simulateAllowances(allowanceDays["hot, leader lost"]!, "reported", seed);
+        const { excess } = await simulateAllowances(allowanceDays["busy, leader lost"]!, "reported", seed);
         expect(excess).to.be.at.most(admissibleExcess);
     });
 
--- a/simulation/allowances/allowanceSimulation.ts
+++ b/simulation/allowances/allowanceSimulation.ts
@@ -13,7 +13,7 @@
 } from "../../packages/basilpaddle/src/node/utils/index.js";
 import { ManualClock } from "../manualClock.js";
 import type { AllowanceDay } from "./day.js";
-import { type Way, ways } from "./ways.js";
+import { policies, type Policy } from "./policies.js";
 
 /** What a day showed. */
 export type AllowanceOutcome = {
@@ -122,7 +122,7 @@
 }
 
 /** Plays a day with one implementation at every gateway. */
-export async function simulateAllowances(day: AllowanceDay, way: Way, seed: number): Promise<AllowanceOutcome> {
+export async function simulateAllowances(day: AllowanceDay, policy: Policy, seed: number): Promise<AllowanceOutcome> {
     const clock = new ManualClock(1);
     const random = SeededRandomness.create(seed);
     const organisations = createOrganisations(day, random);
@@ -134,7 +134,7 @@
         organisations: organisations.map(({ name, allowance }) => ({ name, keys: [], allowance })),
     });
     const sentMessages = new Array<number>(day.gateways).fill(0);
-    const gateways = sentMessages.map((_, gateway) => createGateway(way, day, gateway, leader, clock, sentMessages));
+    const gateways = sentMessages.map((_, gateway) => createGateway(policy, day, gateway, leader, clock, sentMessages));
     const reference = organisations.map(({ allowance }) => TokenBucket.create(allowance, allowance.burst, 1));
     const admitted: Admission[] = [];
     const referenceUnits = new Array<number>(day.organisations).fill(0);
@@ -177,7 +177,7 @@
 }
 
 function createGateway(
-    way: Way,
+    policy: Policy,
     day: AllowanceDay,
     gateway: number,
     leader: SimulatedLeader,
@@ -186,7 +186,7 @@
 ): OrganisationAllowances {
     let silentUntil = 0;
     const wait = (milliseconds: number): Promise<void> => new Promise(resolve => clock.after(milliseconds, resolve));
-    return ways[way].create({
+    return policies[policy].create({
         gateways: () => day.gateways,
         clock,
         leader: {
@@ -228,7 +228,7 @@
         const rate = usual * day.rateFactor;
         return {
             name: `o-${rank}`,
-            allowance: { unit: "tokens", rate, burst: rate * day.burstSeconds, plainCost: 0 },
+            allowance: { unit: "tokens", rate, burst: rate * day.burstSeconds, defaultCost: 0 },
             weight,
             home: random.integer(0, day.gateways - 1),
         };
@@ -236,10 +236,10 @@
 }
 
 function weightOf({ weight }: Organisation, rank: number, day: AllowanceDay, now: number): number {
-    const { hot } = day;
+    const { busy } = day;
     const seconds = now / millisecondsInSecond;
-    const isHot = hot !== undefined && hot.rank === rank + 1 && hot.from <= seconds && seconds < hot.until;
-    return weight * (isHot ? hot.factor : 1);
+    const isBusy = busy !== undefined && busy.rank === rank + 1 && busy.from <= seconds && seconds < busy.until;
+    return weight * (isBusy ? busy.factor : 1);
 }
 
 function totalRate(organisations: readonly Organisation[], day: AllowanceDay, now: number): number {
--- a/simulation/allowances/day.ts
+++ b/simulation/allowances/day.ts
@@ -21,7 +21,7 @@
     /** Every organisation sends this many times its usual. */
     burst: z.object({ from: z.number(), until: z.number(), factor: z.number() }).optional(),
     /** One organisation, by its rank, sends this many times its usual. */
-    hot: z.object({ rank: z.int().min(1), from: z.number(), until: z.number(), factor: z.number() }).optional(),
+    busy: z.object({ rank: z.int().min(1), from: z.number(), until: z.number(), factor: z.number() }).optional(),
     /** The leader is lost, and another one starts without its memory at the end. */
     leaderLost: z.object({ from: z.number(), until: z.number() }).optional(),
     /** This fraction of the gateways doesn't reach the leader. */
@@ -43,17 +43,17 @@
     length: 30,
     oneGateway: false,
 } as const;
-const hot = { rank: 3, from: 8, until: 20, factor: 7.5 } as const;
+const busy = { rank: 3, from: 8, until: 20, factor: 7.5 } as const;
 
 /** Bundled days by name. */
 export const allowanceDays: Readonly<Record<string, AllowanceDay>> = {
     "calm": pool,
     "burst": { ...pool, burst: { from: 10, until: 14, factor: 2.2 } },
-    "hot": { ...pool, hot },
-    "hot, one gateway": { ...pool, hot, oneGateway: true },
-    "hot, leader lost": { ...pool, hot, leaderLost: { from: 11, until: 15 } },
-    "hot, cut off": { ...pool, hot, cutOff: { fraction: 0.2, from: 10, until: 18 } },
+    "busy": { ...pool, busy },
+    "busy, one gateway": { ...pool, busy, oneGateway: true },
+    "busy, leader lost": { ...pool, busy, leaderLost: { from: 11, until: 15 } },
+    "busy, cut off": { ...pool, busy, cutOff: { fraction: 0.2, from: 10, until: 18 } },
     "calm, leader lost": { ...pool, leaderLost: { from: 11, until: 15 } },
-    "360 gateways, hot": { ...pool, gateways: 360, requestRate: 200, hot },
+    "360 gateways, busy": { ...pool, gateways: 360, requestRate: 200, busy },
     "24,000 organisations": { ...pool, gateways: 360, organisations: 24_000, requestRate: 400, length: 15 },
 };
--- a/simulation/allowances/main.ts
+++ b/simulation/allowances/main.ts
@@ -4,11 +4,11 @@
 import { meanOf } from "../experiment/difference.js";
 import { type AllowanceOutcome, simulateAllowances } from "./allowanceSimulation.js";
 import { allowanceDays } from "./day.js";
-import { type Way, ways } from "./ways.js";
+import { policies, type Policy } from "./policies.js";
 
 const options = await yargs(hideBin(process.argv))
     .usage("npm run allowances -- --seeds 10")
-    .option("seeds", { type: "number", default: 5, describe: "number of seeds for each day and way" })
+    .option("seeds", { type: "number", default: 5, describe: "number of seeds for each day and policy" })
     .option("first", { type: "number", default: 1, describe: "the first seed" })
     .option("days", {
         type: "string",
@@ -35,17 +35,19 @@
     return `${meanOf(values).toFixed(3)} ±${range.toFixed(3)}`.padStart(16);
 }
 
-console.log(["day".padEnd(24), "way".padEnd(10), ...measures.map(measure => measure.padStart(16))].join(""));
+console.log(["day".padEnd(24), "policy".padEnd(10), ...measures.map(measure => measure.padStart(16))].join(""));
 for (const name of options.days) {
     const day = allowanceDays[name];
     if (day === undefined) {
         throw new Error(`there is no day ${name}`);
     }
-    for (const way of Object.keys(ways) as Way[]) {
+    for (const policy of Object.keys(policies) as Policy[]) {
         const outcomes: AllowanceOutcome[] = [];
         for (let seed = options.first; seed < options.first + options.seeds; seed++) {
-            outcomes.push(await simulateAllowances(day, way, seed));
+            outcomes.push(await simulateAllowances(day, policy, seed));
         }
-        console.log([name.padEnd(24), way.padEnd(10), ...measures.map(measure => column(outcomes, measure))].join(""));
+        console.log(
+            [name.padEnd(24), policy.padEnd(10), ...measures.map(measure => column(outcomes, measure))].join(""),
+        );
     }
 }
--- a/simulation/allowances/ways.ts
+++ b/simulation/allowances/policies.ts
@@ -7,18 +7,18 @@
 } from "../../packages/basilpaddle/src/node/coordination/index.js";
 import type { ChargeDecision } from "../../packages/basilpaddle/src/node/protocol/index.js";
 
-/** Each gateway admits an equal part of each allowance; costs no message. */
-class EqualParts extends OrganisationAllowances {
-    static create(options: AllowanceOptions): EqualParts {
-        return new EqualParts(options);
+/** Each gateway admits an equal share of each allowance; costs no message. */
+class EqualShares extends OrganisationAllowances {
+    static create(options: AllowanceOptions): EqualShares {
+        return new EqualShares(options);
     }
 
     override admit(charge: AllowanceCharge): Promise<ChargeDecision> {
-        return Promise.resolve(this.ownPart.admit(charge, this.now()));
+        return Promise.resolve(this.ownShare.admit(charge, this.now()));
     }
 
-    override giveBack(charge: AllowanceCharge): void {
-        this.ownPart.giveBack(charge, this.now());
+    override refund(charge: AllowanceCharge): void {
+        this.ownShare.refund(charge, this.now());
     }
 
     override close(): void {}
@@ -36,6 +36,6 @@
 }
 
 /** The implementations that are compared, by name; `reported` is the product's. */
-export const ways = { equal: EqualParts, asked: AskedAllowances, reported: ReportedAllowances } as const;
+export const policies = { equal: EqualShares, asked: AskedAllowances, reported: ReportedAllowances } as const;
 /** Name of an implementation. */
-export type Way = keyof typeof ways;
+export type Policy = keyof typeof policies;
