refactor: comments that told a measurement, and one sentence in place of a term

'Requests that backend servers were running when they crashed' stood for three things: the quarantine, crash histories, and their reports; each has its term.

--- a/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
@@ -54,7 +54,7 @@
     readonly onAnnounced: (announced: ServerAnnouncement) => void;
     /** Retries that this gateway borrowed within the last window; a new leader counts them as lent. @default none */
     readonly borrowed?: () => WatchRequest["borrowed"];
-    /** Called with records of requests that backend servers were running when they crashed. */
+    /** Called with crash histories of requests. */
     readonly onCrashes: (records: readonly CrashRecord[]) => void;
     /** The records to send to a directory after its restart. */
     readonly knownCrashes: () => readonly CrashRecord[];
@@ -172,8 +172,7 @@
     }
 
     /**
-     * Reports requests that backend servers were running when they crashed. Every directory receives them, not only the
-     * leader: any may fail next.
+     * Reports crash histories of requests. Every directory receives them, not only the leader: any may fail next.
      */
     report(records: readonly CrashRecord[]): void {
         if (this.unreportedCrashes.length === 0) {
--- a/packages/basilpaddle/src/node/coordination/gateway/outlierDetector.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/outlierDetector.ts
@@ -25,8 +25,7 @@
  *
  * It is meant for hundreds of gateways in front of a few servers, one of which hangs or fails some of its calls while its
  * health checks pass. By itself, each gateway sends such a server a request or two before it detects the failure, and tries
- * it again some seconds later: with 191 gateways and five servers, 123 of 4,200 calls in 13 s failed at the server that
- * hung.
+ * it again some seconds later.
  */
 export class OutlierDetector {
     private readonly countsByServer = new Map<string, ServerCallCounts>();
--- a/packages/basilpaddle/src/node/coordination/gateway/runRejections.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/runRejections.ts
@@ -9,8 +9,8 @@
  *
  * During a burst some engines become slow and stay full, while at others KV caches expire at once. A full decode engine
  * rejects runs of several prefill engines; a prefill engine whose caches expire has its runs rejected by several decode
- * engines. Blaming the wrong one pauses a healthy engine when all are needed: when the prefill engine was always blamed,
- * four decode engines rejected 180 of 2,500 runs of a day while healthy prefill engines were paused in turn.
+ * engines. Blaming the wrong one pauses a healthy engine when all are needed: if the prefill engine were always blamed, a
+ * few full decode engines would get healthy prefill engines paused in turn.
  */
 export class RunRejections {
     private recentRejections: RunRejection[] = [];
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -45,7 +45,7 @@
     private readonly configurationCalls: ConfigurationCalls;
     private readonly connections: BackendConnections;
     private readonly watchService: WatchService;
-    /** Requests that backend servers were running when they crashed. */
+    /** This daemon's copy of the quarantine that all daemons share. */
     readonly quarantinedRequests: QuarantinedRequests;
     private readonly name: string;
     private outlierDetector = OutlierDetector.create();
--- a/packages/basilpaddle/src/node/daemon/directory/restartCache.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/restartCache.ts
@@ -26,7 +26,7 @@
     committed: z.object({ index: z.int().min(0), term: z.int().min(0) }),
     /** Number of connected gateways. */
     gateways: z.int().min(0),
-    /** Requests that backend servers were running when they crashed. */
+    /** Crash histories of requests. */
     crashes: z.array(crashRecordSchema).default([]),
     /** Wall clock time in Unix milliseconds. */
     writtenAt: z.number(),
@@ -86,10 +86,7 @@
         return this.restored?.servers ?? [];
     }
 
-    /**
-     * Requests that backend servers were running when they crashed. Without these records each such request could crash as
-     * many servers again.
-     */
+    /** Crash histories of requests. Without them each such request could crash as many servers again. */
     crashes(): readonly CrashRecord[] {
         return this.restored?.crashes ?? [];
     }
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -54,7 +54,7 @@
     private readonly tally = CallTally.create();
     private readonly retries: RetryAllowance;
     private readonly connections: BackendConnections;
-    /** Requests that backend servers were running when they crashed. */
+    /** This daemon's copy of the quarantine that all daemons share. */
     readonly quarantinedRequests: QuarantinedRequests;
     private readonly crashDetector: CrashDetector;
     private readonly watcher: DirectoryWatcher;
--- a/packages/basilpaddle/src/node/daemon/gateway/leaderTimeout.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/leaderTimeout.ts
@@ -10,9 +10,9 @@
  * How long a placement request waits for the leader before its gateway places locally.
  *
  * Each gateway detects by a request of its own that the leader's host failed; with hundreds of gateways that affects every
- * request of the first seconds. With a timeout of 400 ms, 18 of 21 late first events had waited that long, several of them
- * twice. A newly elected leader is slow too, since all gateways contact it at once: with a constant 250 ms, gateways gave it
- * up repeatedly for two seconds, and waited up to 0.9 s in total. So the timeout follows the slowest recent answers.
+ * request of the first seconds, so the timeout is short. A newly elected leader is slow, since all gateways contact it at
+ * once, and a timeout that is too short for it makes gateways consider it unresponsive repeatedly. So the timeout follows the
+ * slowest recent answers.
  */
 export class LeaderTimeout {
     private slowest = 0;
