--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamExchange.spec.ts
@@ -0,0 +1,111 @@
+import { expect } from "chai";
+import * as http from "node:http";
+import * as net from "node:net";
+import { Readable } from "node:stream";
+import { ManualClock } from "../../../../../../../simulation/manualClock.js";
+import { announced, route, rule } from "../../../coordination/gateway/__tests__/fakes.js";
+import { InstanceTable, LinkQuality } from "../../../coordination/index.js";
+import { createSilentLogger, RecordedMetrics } from "../../../utils/index.js";
+import type { BackendAnswer, BackendCall, CallFailure } from "../../backends/index.js";
+import type { ExchangeOptions } from "../backendSender.js";
+import { CallerRequest } from "../callerRequest.js";
+import type { GatewayWire, RunMetadata } from "../gatewayWire.js";
+import type { PlacementClient } from "../placementClient.js";
+import { StreamExchange } from "../streamExchange.js";
+
+const service = { name: "pool", healthPath: "/health", connectionLimit: 50, engine: rule };
+
+function createRequest(): CallerRequest {
+    const incoming = new http.IncomingMessage(new net.Socket());
+    return CallerRequest.create({
+        incoming,
+        response: new http.ServerResponse(incoming),
+        metadata: {
+            attempt: "a",
+            deadlineWithin: 10_000,
+            promptTokens: 3_000,
+            maxTokens: 70,
+            expectedTokens: undefined,
+            tokens: { kind: "notStated" },
+        },
+        route: route({ kind: "streaming", timeout: 10_000, attempts: 2, resumable: true, prompts: true }),
+        identity: { organisation: undefined, keysInForce: false },
+        body: undefined,
+        arrivedAt: 0,
+        now: () => 0,
+    });
+}
+
+/** Engines whose prefills succeed and whose runs are all lost, and an allowance with a number of retries. */
+class LosingEngines {
+    readonly sent: ("prefill" | "run")[] = [];
+    private retriesLeft: number;
+
+    constructor(retries: number) {
+        this.retriesLeft = retries;
+    }
+
+    async serve(request: CallerRequest): Promise<void> {
+        const instances = InstanceTable.create();
+        instances.apply(announced({ id: "prefill", stage: "prefill" }));
+        instances.apply(announced({ id: "decode", address: "10.0.0.2:80", stage: "decode" }));
+        const options = {
+            wire: this.wire(),
+            connections: { call: (call: BackendCall) => Promise.resolve(this.answer(call)) },
+            instances,
+            links: LinkQuality.create(),
+            clock: new ManualClock(),
+            logger: createSilentLogger(),
+            metrics: RecordedMetrics.create(),
+            crashes: { quarantineStatus: () => undefined, reportLostRun: () => Promise.resolve() },
+            retryAllowance: {
+                recordRequest: () => undefined,
+                takeRetry: () => Promise.resolve(this.retriesLeft > 0 && this.retriesLeft-- > 0),
+                returnRetry: () => {
+                    this.retriesLeft += 1;
+                },
+            },
+            gateways: () => 1,
+        } as unknown as ExchangeOptions;
+        const placements = {
+            requestPlacement: () =>
+                Promise.resolve({ kind: "placed", attempt: "a", prefill: "prefill", decode: "decode", by: "leader" }),
+            release: () => undefined,
+            prefillCompleted: () => undefined,
+        } as unknown as PlacementClient;
+        await StreamExchange.create(options, placements, { name: "g", failureDomain: "a" }, request, service).run();
+    }
+
+    private wire(): GatewayWire {
+        return {
+            systemHeaders: new Set(),
+            keyHeaders: new Set(),
+            runHeaders: (run: RunMetadata) => {
+                this.sent.push(run.prefillOnly === true ? "prefill" : "run");
+                return {};
+            },
+            parseAnswer: () => ({ attempt: undefined, sealed: true, notRun: false, instance: undefined }),
+            parsePrefill: () => "handle",
+            freeHandle: () => ({ method: "DELETE", path: "/", headers: {} }),
+        } as unknown as GatewayWire;
+    }
+
+    private answer(call: BackendCall): BackendAnswer | CallFailure {
+        return call.server.id === "prefill"
+            ? { status: 200, rawHeaders: [], headers: {}, body: Readable.from([Buffer.from("{}")]), framed: true }
+            : { kind: "broken", cause: "reset" };
+    }
+}
+
+describe("a stream", () => {
+    // Guards against a service that receives more than its retry allowance: the second prefill of a resumed stream wasn't charged.
+    it("is charged for its second prefill as well as for its second run", async () => {
+        const withOneRetry = new LosingEngines(1);
+        await withOneRetry.serve(createRequest());
+        expect(withOneRetry.sent).to.deep.equal(["prefill", "run"]);
+
+        const withTwoRetries = new LosingEngines(2);
+        await withTwoRetries.serve(createRequest());
+        expect(withTwoRetries.sent).to.deep.equal(["prefill", "run", "prefill", "run"]);
+    });
+});
