fix(gateway): a stream is charged for each prefill after the first

A prefill that an engine accepted was never reported to the request's charges: the function returned before the report. Each further prefill of the request, after its run was lost or its KV cache had expired, then counted as the free first one and was sent without a retry.

Before: with one retry left a resumed stream sent prefill, run, prefill, run. Now it ends before the second prefill; with two retries it is resumed.

--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -177,6 +177,8 @@
                 )
                 : undefined;
             this.steps.push(`read ${prefill.id} ${handle === undefined ? "failed" : "done"} ${this.since(startedAt)}`);
+            const unreached = sent.kind === "notRun" && sent.unreachable;
+            reportPrefill(unreached ? "unreached" : handle === undefined ? "counted" : "read");
             if (handle !== undefined) {
                 this.prompt = { engine: prefill, handle, prefilledAt: this.now() };
                 this.cacheOffers = 0;
@@ -186,8 +188,6 @@
             if (sent.kind === "unknown" && !request.isDisconnected()) {
                 void options.crashes.reportLostRun(request, prefill, "early");
             }
-            const unreached = sent.kind === "notRun" && sent.unreachable;
-            reportPrefill(unreached ? "unreached" : handle === undefined ? "counted" : "read");
             this.discountFailedConnection(unreached);
             if (request.isDisconnected()) {
                 return {};
