fix(retries): a gateway or leader that starts again doesn't spend the allowance once more

Each gateway kept what it had spent in memory: killed and started again within the window, it spent its share of the slack once more; what it had borrowed was forgotten too, so that a new leader lent it again. The class: what a process remembers ends with it, while the promise is the deployment's.

Now a gateway's share of the slack is available one window after its process started, and a leader lends from a bucket that is empty when its term begins: no restart and no election adds anything, and nobody needs to report what was borrowed (the reports are gone). Of the slack 0.2 are the gateways' equal shares, 0.4 the leader's burst and 0.3 a window its flow. A retry counts for one slice longer, since it may arrive after a prefill.

--- a/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
@@ -4,7 +4,6 @@
     packedDocumentSchema,
     type ServerAnnouncement,
     unpackText,
-    type WatchRequest,
     type WatchUpdate,
     watchUpdateSchema,
 } from "../../protocol/index.js";
@@ -52,8 +51,6 @@
     /** Milliseconds after the start in which the gateway count may be too low. @default 4000 */
     readonly settleTime?: number | undefined;
     readonly onAnnounced: (announced: ServerAnnouncement) => void;
-    /** Retries that this gateway borrowed within the last window; a new leader counts them as lent. @default none */
-    readonly borrowed?: () => WatchRequest["borrowed"];
     /** Called with crash histories of requests. */
     readonly onCrashes: (records: readonly CrashRecord[]) => void;
     /** The records to send to a directory after its restart. */
@@ -247,7 +244,6 @@
     private async sendWatchRequest(directory: WatchedDirectory): Promise<WatchUpdate | undefined> {
         const { name, observer } = this.options;
         const wantsDocument = this.wantsDocument(directory);
-        const borrowed = this.options.borrowed?.() ?? [];
         const answer = await directory.link.request({
             kind: "watch",
             gateway: name,
@@ -259,7 +255,6 @@
             limitCursor: directory.limitCursor,
             wantsDocument,
             observer,
-            ...borrowed.length === 0 ? {} : { borrowed },
         }, watchTimeoutMilliseconds);
         const parsed = watchUpdateSchema.safeParse(answer.toMaybe().extract());
         return parsed.success ? parsed.data : undefined;
--- a/packages/basilpaddle/src/node/coordination/gateway/serviceRetryBudget.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/serviceRetryBudget.ts
@@ -1,10 +1,13 @@
+import { TokenBucket } from "../allowance/index.js";
+
 /** Number of slices of the window; more would only refine its edges. */
 const windowSlices = 10;
 /**
- * Number of slices to count: those of a whole window and the current one. Without the extra slice, retries from the
- * beginning of a slice would expire up to one slice too early, and a window could contain twice the allowance.
+ * Number of slices to count: those of a whole window, the current one, and one for the time between taking a retry and its
+ * arrival at a server, which may follow a prefill. Without the extra slices, retries would expire too early, and a window
+ * could contain twice the allowance.
  */
-const countedSlices = windowSlices + 1;
+const countedSlices = windowSlices + 2;
 
 /** Limits of the retries of a service's requests. */
 export type RetryBudgetRules = {
@@ -16,22 +19,21 @@
     readonly slack: number;
 };
 
-/** Fraction of the allowance that gateways use locally; the leader lends another fraction, and the rest is a margin. */
-const localFraction = 0.7;
-/**
- * Fraction of the slack that the leader lends, one retry at a time. Divided equally among hundreds of gateways, the slack is
- * a retry or two for each, but faults affect gateways unevenly: requests were refused at gateways that had used up their
- * share while others hadn't used any of theirs.
- */
-const leaderFraction = 0.2;
+/** Fraction of the ratio that a gateway uses for its own requests; the rest is a margin for requests that come in waves. */
+const ownRequestsFraction = 0.7;
 /**
- * The same during a leader's first window. The previous leader may have lent its whole fraction in its last second, which
- * gateways haven't reported yet; together with the gateways' local shares, both leaders must not exceed the slack.
+ * Parts of the slack. Gateways use one without asking, in equal shares: all that there is while no leader answers. The leader
+ * lends the others, one retry at a time: with hundreds of gateways an equal share is a retry or two, and faults affect
+ * gateways unevenly. Together they must not exceed the slack, with a margin for shares that differ while some gateways are
+ * cut off.
  */
-const firstWindowLeaderFraction = 0.1;
+const ownShareFraction = 0.2;
+const lentBurstFraction = 0.4;
+const lentFlowFraction = 0.3;
+const millisecondsInSecond = 1_000;
 
 /**
- * The share of a service's retry allowance that this gateway may use without asking the leader: the ratio of the requests
+ * The part of a service's retry allowance that this gateway may use without asking the leader: the ratio of the requests
  * that it received itself, and its share of the slack. The retries of all gateways together then stay within the allowance
  * without a round trip per request. It limits retries during failures that affect all gateways at once, when unlimited
  * retries would multiply the load on the remaining backend servers.
@@ -41,10 +43,14 @@
     private readonly retries = new Array<number>(countedSlices).fill(0);
     private currentSlice = 0;
 
-    private constructor(private readonly rules: RetryBudgetRules) {}
+    private constructor(private readonly rules: RetryBudgetRules, private readonly shareFrom: number) {}
 
-    static create(rules: RetryBudgetRules): ServiceRetryBudget {
-        return new ServiceRetryBudget(rules);
+    /**
+     * `startedAt`: when this gateway's process started. Its share of the slack is available one window later: the process
+     * before it may have used the whole share just before it ended, and nobody knows.
+     */
+    static create(rules: RetryBudgetRules, startedAt: number): ServiceRetryBudget {
+        return new ServiceRetryBudget(rules, startedAt + countedSlices * rules.window / windowSlices);
     }
 
     /** Records a request of the service. */
@@ -56,8 +62,8 @@
     /** Takes a retry from this gateway's share of the allowance; returns false if none is left. */
     takeRetry(now: number, gateways: number): boolean {
         this.advanceWindow(now);
-        const ownAllowance = sum(this.requests) * this.rules.ratio;
-        const allowed = localFraction * (ownAllowance + this.rules.slack / Math.max(1, gateways));
+        const shareOfSlack = now < this.shareFrom ? 0 : ownShareFraction * this.rules.slack / Math.max(1, gateways);
+        const allowed = ownRequestsFraction * this.rules.ratio * sum(this.requests) + shareOfSlack;
         if (sum(this.retries) + 1 > allowed) {
             return false;
         }
@@ -65,12 +71,6 @@
         return true;
     }
 
-    /** Number of retries used within the last window. */
-    usedRetries(now: number): number {
-        this.advanceWindow(now);
-        return sum(this.retries);
-    }
-
     /** Returns a retry to the allowance, since its request reached no server. */
     returnRetry(now: number): void {
         this.advanceWindow(now);
@@ -95,40 +95,22 @@
 }
 
 /**
- * The retries that the leader lends to gateways that have used up their own share. Those that the previous leader lent
- * within the last window count as well: gateways report what they borrowed, and until all have, nothing is lent during the
- * first window.
+ * The retries that the leader lends to gateways beyond their own part. A new leader begins with nothing to lend and gains it
+ * with time: whatever its predecessors have lent, and to whom, all leaders together lend no more in a window than one.
  */
 export class SharedRetryBudget {
-    private readonly lentBudget: ServiceRetryBudget;
-
-    private constructor(private readonly rules: RetryBudgetRules, private readonly startedAt: number) {
-        this.lentBudget = ServiceRetryBudget.create({
-            ratio: 0,
-            window: rules.window,
-            slack: rules.slack * leaderFraction / localFraction,
-        });
-    }
+    private constructor(private readonly bucket: TokenBucket, private readonly canLend: boolean) {}
 
     /** `now`: when this leader's term began. */
-    static create(rules: RetryBudgetRules, now: number): SharedRetryBudget {
-        return new SharedRetryBudget(rules, now);
+    static create({ slack, window }: RetryBudgetRules, now: number): SharedRetryBudget {
+        const rate = slack * lentFlowFraction / window * millisecondsInSecond;
+        const bucket = TokenBucket.create({ rate, burst: slack * lentBurstFraction }, 0, now);
+        return new SharedRetryBudget(bucket, slack > 0);
     }
 
-    /**
-     * Lends one retry; returns false if none is left. `borrowed`: number of retries that gateways report to have borrowed
-     * within the last window, from any leader; undefined while reports are missing.
-     */
-    lend(now: number, borrowed: number | undefined): boolean {
-        if (now - this.startedAt > this.rules.window) {
-            return this.lentBudget.takeRetry(now, 1);
-        }
-        if (borrowed === undefined) {
-            return false;
-        }
-        // Retries that this leader lent may not be reported yet either.
-        const borrowedOrLent = Math.max(borrowed, this.lentBudget.usedRetries(now));
-        return borrowedOrLent + 1 <= this.rules.slack * firstWindowLeaderFraction && this.lentBudget.takeRetry(now, 1);
+    /** Lends one retry; returns false if none is left. */
+    lend(now: number): boolean {
+        return this.canLend && this.bucket.take(1, now);
     }
 }
 
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -352,7 +352,6 @@
             {
                 ...sharedOptions,
                 repeats: settings.repeats,
-                borrowed: service => this.watchService.borrowed(service),
                 onServerCalls: calls => this.outlierDetector.addCalls(calls, clock.monotonic()),
                 onIncarnationEnded: instance => this.backendServers.markEnded(instance),
             },
--- a/packages/basilpaddle/src/node/daemon/directory/placementService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/placementService.ts
@@ -38,8 +38,6 @@
     readonly onIncarnationEnded: (instance: string) => void;
     /** Rules of the retry budget that all gateways share; undefined if this leader lends no retries. */
     readonly repeats?: RetryBudgetRules | undefined;
-    /** Retries of a service that gateways borrowed within the last window, as returned by `WatchService.borrowed`. */
-    readonly borrowed?: (service: string) => number | undefined;
     readonly clock: Clock;
     readonly logger: Logger;
 };
@@ -199,7 +197,7 @@
         }
         const budget = this.sharedRetryBudgets.get(service) ?? SharedRetryBudget.create(repeats, this.startedAt);
         this.sharedRetryBudgets.set(service, budget);
-        const granted = budget.lend(now, this.options.borrowed?.(service));
+        const granted = budget.lend(now);
         logger.info("a gateway requested a retry from the shared budget", { gateway, service, granted });
         return granted;
     }
--- a/packages/basilpaddle/src/node/daemon/directory/watchService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/watchService.ts
@@ -48,10 +48,8 @@
 /** Answers watches by long polling: immediately if the watcher is out of date, otherwise on the next change. */
 export class WatchService {
     private readonly pendingWatches = new Set<() => void>();
-    private readonly gateways = new Map<
-        string,
-        { readonly at: number; readonly borrowed: WatchRequest["borrowed"]; }
-    >();
+    /** When each gateway last sent a watch. */
+    private readonly gateways = new Map<string, number>();
     private packedDocument: PackedDocument | undefined;
     /** When each watcher last received an update. */
     private readonly lastUpdateAt = new LRUCache<string, number>({ max: maxWatchers });
@@ -69,7 +67,7 @@
     async watch(watch: WatchRequest): Promise<WatchUpdate> {
         const { clock } = this.options;
         if (!watch.observer) {
-            this.gateways.set(watch.gateway, { at: clock.monotonic(), borrowed: watch.borrowed });
+            this.gateways.set(watch.gateway, clock.monotonic());
         }
         const hasChanged = this.hasUpdates(watch) || await this.waitForChange();
         const isFirstWatch = watch.incarnation !== this.options.incarnation;
@@ -101,7 +99,7 @@
     /** Names of the connected gateways. */
     gatewayNames(): readonly string[] {
         const oldestWatch = this.options.clock.monotonic() - gatewayTimeoutMilliseconds;
-        this.gateways.forEach(({ at }, name) => {
+        this.gateways.forEach((at, name) => {
             if (at < oldestWatch) {
                 this.gateways.delete(name);
             }
@@ -109,17 +107,6 @@
         return [...this.gateways.keys()];
     }
 
-    /** Retries of a service that gateways borrowed within the last window; undefined while not all of them have reported. */
-    borrowed(service: string): number | undefined {
-        const names = this.gatewayNames();
-        const { previousGateways } = this.options;
-        if (!this.haveGatewaysSettled() && (previousGateways === 0 || names.length < previousGateways)) {
-            return undefined;
-        }
-        const borrowedRetries = [...this.gateways.values()].flatMap(({ borrowed = [] }) => borrowed);
-        return borrowedRetries.filter(loan => loan.service === service).reduce((sum, { count }) => sum + count, 0);
-    }
-
     private haveGatewaysSettled(): boolean {
         return this.options.clock.monotonic() - this.startedAt > gatewaySettleMilliseconds;
     }
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/retriesOfAllGateways.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/retriesOfAllGateways.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { ManualClock } from "../../../../../../../simulation/manualClock.js";
 import { InstanceTable } from "../../../coordination/index.js";
-import { createSilentLogger, SeededRandomness } from "../../../utils/index.js";
+import { createSilentLogger, RecordedMetrics, SeededRandomness } from "../../../utils/index.js";
 import { PlacementService } from "../../directory/placementService.js";
 import { RetryAllowance } from "../retryAllowance.js";
 
@@ -83,6 +83,7 @@
             allowance: RetryAllowance.create({
                 rules,
                 clock: this.clock,
+                metrics: RecordedMetrics.create(),
                 maxGateways: () => gatewayCount,
                 borrow: async service => {
                     const message = { kind: "borrow", gateway: "g", service } as const;
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -72,6 +72,7 @@
         this.retries = RetryAllowance.create({
             rules: settings.repeats,
             clock,
+            metrics,
             maxGateways: () => this.watcher.highestRecentGateways(),
             borrow: service => this.placementClient.borrowRetry(service),
         });
@@ -102,7 +103,6 @@
             logger,
             settleTime: options.settleTime,
             onAnnounced: announced => this.instances.apply(announced),
-            borrowed: () => this.retries.borrowed(),
             onCrashes: records => void this.quarantinedRequests.merge(records),
             knownCrashes: () => this.quarantinedRequests.all(),
             onDocument: (version, content) => this.configure(version, content),
--- a/packages/basilpaddle/src/node/daemon/gateway/retryAllowance.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/retryAllowance.ts
@@ -1,23 +1,25 @@
 import { type RetryBudgetRules, ServiceRetryBudget } from "../../coordination/index.js";
-import type { Clock } from "../../utils/index.js";
+import type { Clock, Metrics } from "../../utils/index.js";
 
 /** Dependencies of the allowance. */
 export type RetryAllowanceOptions = {
     readonly rules: RetryBudgetRules;
     readonly clock: Clock;
+    readonly metrics: Metrics;
     /** Upper bound of the number of gateways that share the allowance. */
     readonly maxGateways: () => number;
-    /** Borrows a retry from the leader, beyond this gateway's own share. */
+    /** Borrows a retry from the leader, beyond this gateway's own part. */
     readonly borrow: (service: string) => Promise<boolean>;
 };
 
-/** The retry allowance of each service: this gateway's own share first, then retries that the leader lends. */
+/** The retry allowance of each service: this gateway's own part first, then retries that the leader lends. */
 export class RetryAllowance {
     private readonly budgets = new Map<string, ServiceRetryBudget>();
-    /** Retries that the leader lent, to be reported to the next leader. */
-    private readonly loans = new Map<string, ServiceRetryBudget>();
+    private readonly startedAt: number;
 
-    private constructor(private readonly options: RetryAllowanceOptions) {}
+    private constructor(private readonly options: RetryAllowanceOptions) {
+        this.startedAt = options.clock.monotonic();
+    }
 
     static create(options: RetryAllowanceOptions): RetryAllowance {
         return new RetryAllowance(options);
@@ -30,35 +32,30 @@
 
     /** Takes one retry; returns false if none is available. */
     async takeRetry(service: string): Promise<boolean> {
-        const { maxGateways, borrow, rules } = this.options;
+        const { maxGateways, borrow } = this.options;
         if (this.budget(service).takeRetry(this.now(), maxGateways())) {
+            this.count("own");
             return true;
         }
-        const granted = await borrow(service);
-        if (granted) {
-            const loans = this.loans.get(service)
-                ?? ServiceRetryBudget.create({ ...rules, slack: Number.POSITIVE_INFINITY });
-            this.loans.set(service, loans);
-            loans.takeRetry(this.now(), 1);
-        }
-        return granted;
-    }
-
-    /** Number of retries borrowed within the last window, by service. */
-    borrowed(): { readonly service: string; readonly count: number; }[] {
-        const loans = [...this.loans].map(([service, budget]) => ({ service, count: budget.usedRetries(this.now()) }));
-        return loans.filter(({ count }) => count > 0);
+        const isLent = await borrow(service);
+        this.count(isLent ? "lent" : "refused");
+        return isLent;
     }
 
-    /** Returns a retry that didn't reach a server. A borrowed one is added to this gateway's share, not returned to the leader. */
+    /** Returns a retry that didn't reach a server. A borrowed one is added to this gateway's part, not returned to the leader. */
     returnRetry(service: string): void {
+        this.count("returned");
         this.budget(service).returnRetry(this.now());
     }
 
+    private count(outcome: "own" | "lent" | "refused" | "returned"): void {
+        this.options.metrics.count("basilpaddle_retries_total", { outcome });
+    }
+
     private budget(service: string): ServiceRetryBudget {
         let budget = this.budgets.get(service);
         if (budget === undefined) {
-            budget = ServiceRetryBudget.create(this.options.rules);
+            budget = ServiceRetryBudget.create(this.options.rules, this.startedAt);
             this.budgets.set(service, budget);
         }
         return budget;
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -45,8 +45,6 @@
     wantsDocument: z.boolean(),
     /** True for a directory that watches another one; it isn't counted as a gateway. */
     observer: z.boolean(),
-    /** Retries that the gateway borrowed within the last window, by service. @default none */
-    borrowed: z.array(z.object({ service: identifier, count: z.int().min(0) })).optional(),
     /** Crash histories up to this number have been received. @default 0 */
     crashCursor: z.int().min(0).optional(),
     /** Number of the last received change of `nearLimit` and `usedUp`. @default 0 */
