fix(gateway): a gateway that reaches no directory keeps its share of common limits

A gateway divides common limits by the number of gateways that the directories it reaches report. Reaching none, it took itself for the only one: its share of the retry allowance became the whole (at once for connections and engines, after 20 s, or 4 s after its start, for retries and allowances of organisations). With several gateways cut off, or all directories down, each took all of it.

Now the last known number stays until a directory reports another one, and a gateway that has never reached one assumes many. The test of the watcher failed before (1 in place of 2). The count has a module of its own.

--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/directoryWatcher.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/directoryWatcher.spec.ts
@@ -67,6 +67,17 @@
         expect(directories.all[1]!.documentsSent).to.equal(0);
     });
 
+    it("keeps the last known number of gateways while it reaches no directory", async () => {
+        const created = watch(names);
+        await until(() => created.gateways() === 2);
+        directories.all.forEach(directory => {
+            directory.reachable = false;
+        });
+        await until(() => !created.reachesMajority());
+        await new Promise(resolve => setTimeout(resolve, 60));
+        expect(created.gateways()).to.equal(2);
+    });
+
     it("uses the leader that most directories name", async () => {
         directories.all[0]!.leader = names[0]!;
         directories.all[1]!.leader = names[2]!;
--- a/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
@@ -9,6 +9,7 @@
 } from "../../protocol/index.js";
 import { type Link, type Network, parseAddress } from "../../transport/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
+import { GatewayCount } from "./gatewayCount.js";
 
 /** Timeout of a watch request: a directory holds it open for up to a second. */
 const watchTimeoutMilliseconds = 2_200;
@@ -22,11 +23,6 @@
 const documentGraceMilliseconds = 150;
 /** Timeout of a request for a configuration. */
 const documentTimeoutMilliseconds = 1_000;
-/** How long the highest gateway count is kept: two windows of the retry allowance that the gateways share. */
-const gatewayCountRetentionMilliseconds = 20_000;
-/** How long after the start the reported gateway counts may be too low, and the number of gateways assumed until then. */
-const defaultSettleMilliseconds = 4_000;
-const assumedGateways = 100;
 /** Timeout and number of attempts of a crash report to a directory: its link may fail, or it may be starting. */
 const reportTimeoutMilliseconds = 400;
 const reportAttempts = 8;
@@ -88,16 +84,14 @@
 export class DirectoryWatcher {
     private readonly directories = new Map<string, WatchedDirectory>();
     private version = -1;
-    private highestGatewayCount = 1;
-    private highestGatewayCountAt = 0;
-    private readonly startedAt: number;
+    private readonly gatewayCount: GatewayCount;
     private closed = false;
     /** Organisations that had used up their allowance, according to the last update of a leader. */
     private usedUp: ReadonlySet<string> = new Set();
     private unreportedCrashes: CrashRecord[] = [];
 
     private constructor(private readonly options: DirectoryWatcherOptions) {
-        this.startedAt = options.clock.monotonic();
+        this.gatewayCount = GatewayCount.create(options.clock.monotonic(), options.settleTime);
     }
 
     static create(options: DirectoryWatcherOptions): DirectoryWatcher {
@@ -140,25 +134,12 @@
 
     /** Number of gateways of the deployment, including this one. */
     gateways(): number {
-        return Math.max(1, ...this.reachedDirectories().map(directory => directory.gateways));
+        return this.gatewayCount.current(this.reachedDirectories());
     }
 
-    /**
-     * Highest recent gateway count. A directory that has just started counts only the gateways that have reconnected so far;
-     * with that count each gateway's share of the common retry allowance would be many times too large.
-     */
+    /** Highest recent number of gateways, by which limits that all share are divided. */
     highestRecentGateways(): number {
-        const now = this.options.clock.monotonic();
-        const current = this.gateways();
-        if (
-            current >= this.highestGatewayCount || now - this.highestGatewayCountAt > gatewayCountRetentionMilliseconds
-        ) {
-            this.highestGatewayCount = current;
-            this.highestGatewayCountAt = now;
-        }
-        const settled = this.reachedDirectories().some(directory => directory.gatewaysSettled);
-        const unsettled = !settled && now - this.startedAt < (this.options.settleTime ?? defaultSettleMilliseconds);
-        return unsettled ? Math.max(this.highestGatewayCount, assumedGateways) : this.highestGatewayCount;
+        return this.gatewayCount.highestRecent(this.reachedDirectories(), this.options.clock.monotonic());
     }
 
     /** Whether more than half of the named members answered their last watch request. */
