fix(limits): all gateways together keep the limit that a backend server names

Class: a sum over all gateways that nobody keeps.

An answer tells one gateway; it tells the leader, which tells all gateways at once and admits each request to such a server from a bucket that is empty when its term begins, so that no election or restart adds anything. Without a leader each gateway admits its equal share of 0.4 of the limit, by chance where the share is less than a request. What can wait until its server has room does so for half of its target; otherwise it is refused as not run, with the time at which there is room. Engines that name a limit are placed on no faster than they take requests. A limit ends with an answer that names none, at every gateway; malformed ones are ignored; one of 0 leaves a request in four seconds, so that its end is noticed. A server that nobody chose for two seconds is preferred once.

The leader's services have a module of their own, as has the readiness probe.

--- a/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
@@ -1,6 +1,7 @@
 import {
     type CrashRecord,
     type CrashReport,
+    type LimitObservation,
     packedDocumentSchema,
     type ServerAnnouncement,
     unpackText,
@@ -47,6 +48,8 @@
     /** Milliseconds after the start in which the gateway count may be too low. @default 4000 */
     readonly settleTime?: number | undefined;
     readonly onAnnounced: (announced: ServerAnnouncement) => void;
+    /** Called with the limits of backend servers that the leader sends. */
+    readonly onServerLimits?: (observed: readonly LimitObservation[]) => void;
     /** Called with crash histories of requests. */
     readonly onCrashes: (records: readonly CrashRecord[]) => void;
     /** The records to send to a directory after its restart. */
@@ -63,6 +66,7 @@
     cursor: number;
     crashCursor: number;
     limitCursor: number;
+    serverLimitCursor: number;
     failureDomain: string | undefined;
     reached: boolean;
     gateways: number;
@@ -188,6 +192,7 @@
                 cursor: 0,
                 crashCursor: 0,
                 limitCursor: 0,
+                serverLimitCursor: 0,
                 failureDomain: undefined,
                 reached: false,
                 gateways: 0,
@@ -234,6 +239,7 @@
             cursor: directory.cursor,
             crashCursor: directory.crashCursor,
             limitCursor: directory.limitCursor,
+            serverLimitCursor: directory.serverLimitCursor,
             wantsDocument,
             observer,
         }, watchTimeoutMilliseconds);
@@ -253,6 +259,7 @@
         directory.cursor = update.cursor;
         directory.crashCursor = update.crashCursor ?? 0;
         directory.limitCursor = update.limitCursor ?? 0;
+        directory.serverLimitCursor = update.serverLimitCursor ?? 0;
         directory.failureDomain = update.failureDomain;
         directory.gateways = update.gateways;
         directory.gatewaysSettled = update.gatewaysSettled ?? false;
@@ -266,6 +273,9 @@
         }
         this.addDirectories(update.members);
         update.announced.forEach(announced => this.options.onAnnounced(announced));
+        if (update.serverLimits !== undefined) {
+            this.options.onServerLimits?.(update.serverLimits);
+        }
         if (update.crashes !== undefined) {
             this.options.onCrashes(update.crashes);
         }
--- a/packages/basilpaddle/src/node/coordination/gateway/engineLoad.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/engineLoad.ts
@@ -1,5 +1,7 @@
 import type { PlacementRequest, ServerAnnouncement } from "../../protocol/index.js";
 
+const millisecondsInSecond = 1_000;
+
 /** Prefill time per prompt token assumed until an engine has completed prefills. */
 export const defaultPrefillMillisecondsPerToken = 0.035;
 /** Factor by which a prefill takes longer on a decode engine, which interleaves it with decoding. */
@@ -59,6 +61,7 @@
     private pausedUntil = 0;
     private delayFactor = minDelayFactor;
     private delayMeasuredAt = 0;
+    private nextSendAt = 0;
     private stageOrder: { readonly stage: ServerAnnouncement["stage"]; readonly until: number; } | undefined;
 
     private constructor(public announced: ServerAnnouncement) {}
@@ -90,6 +93,16 @@
         return stageOrder !== undefined && now < stageOrder.until && this.announced.stage !== stageOrder.stage;
     }
 
+    /** Whether an engine that names a limit may be sent its next request. */
+    isSendDue(now: number): boolean {
+        return now >= this.nextSendAt;
+    }
+
+    /** Records a request to an engine that takes `limit` of them a second. */
+    recordSend(limit: number, now: number): void {
+        this.nextSendAt = Math.max(now, this.nextSendAt) + millisecondsInSecond / limit;
+    }
+
     /** Whether the engine has room for a run. An engine without runs accepts even one that exceeds the capacity. */
     hasRoom(request: PlacementRequest, capacity: EngineCapacity): boolean {
         if (this.allocations.size === 0) {
--- a/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
@@ -78,12 +78,19 @@
     private rule: EngineRule | undefined;
     private share: number;
 
-    private constructor(private readonly tuning: PlacementTuning) {
+    private constructor(
+        private readonly tuning: PlacementTuning,
+        private readonly limitOf: (engine: string) => number | undefined,
+    ) {
         this.share = tuning.share;
     }
 
-    static create(tuning: PlacementTuning): EnginePool {
-        return new EnginePool(tuning);
+    /** `limitOf`: requests per second that an engine takes from all gateways; undefined if it names no limit. */
+    static create(
+        tuning: PlacementTuning,
+        limitOf: (engine: string) => number | undefined = () => undefined,
+    ): EnginePool {
+        return new EnginePool(tuning, limitOf);
     }
 
     /** Replaces the announcements of the pool's engines and the rule that applies to all of them. */
@@ -119,13 +126,14 @@
     bestPair(request: PlacementRequest, now: number, reserved: ReadonlySet<string>): EnginePair | undefined {
         const capacity = this.engineCapacity();
         const decodes = this.usable("decode", request.avoid, now).filter(engine => {
-            return engine.hasRoom(request, capacity) && !reserved.has(engine.id);
+            return engine.hasRoom(request, capacity) && !reserved.has(engine.id) && this.isWithinLimit(engine, now);
         });
         if (decodes.length === 0) {
             return undefined;
         }
         // Without a healthy prefill engine a decode engine runs the prefill; a prefill engine that just failed would fail again.
-        const prefills = this.healthyEngines("prefill", request.avoid, now).map(engine => {
+        const healthyPrefills = this.healthyEngines("prefill", request.avoid, now);
+        const prefills = healthyPrefills.filter(engine => this.isWithinLimit(engine, now)).map(engine => {
             const time = engine.prefillDelay(request.promptTokens, now);
             const stallDelay = stallRateOf(request.linkStalls, engine.announced.failureDomain) * packetsPerCall
                 * lostPacketDelayMilliseconds;
@@ -176,6 +184,16 @@
         this.engines.get(pair.prefill ?? pair.decode)?.addPrefill(request.attempt, request.promptTokens, now);
     }
 
+    /** Records that a request is about to be sent to its engines, for those that name a limit. */
+    recordSends({ prefill, decode }: EnginePair, now: number): void {
+        for (const id of prefill === undefined ? [decode] : [prefill, decode]) {
+            const limit = this.limitOf(id);
+            if (limit !== undefined) {
+                this.engines.get(id)?.recordSend(limit, now);
+            }
+        }
+    }
+
     /** Frees the KV cache of a request and removes its prefill. */
     release(pair: EnginePair, attempt: string, now: number): void {
         this.engines.get(pair.decode)?.removeRun(attempt);
@@ -245,6 +263,10 @@
         });
     }
 
+    private isWithinLimit(engine: EngineLoad, now: number): boolean {
+        return this.limitOf(engine.id) === undefined || engine.isSendDue(now);
+    }
+
     private randomPenalty(request: PlacementRequest, engine: EngineLoad): number {
         const { scatter = 0 } = this.tuning;
         return scatter === 0 ? 0 : scatter * hashToFraction(request.attempt + engine.id);
--- a/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
@@ -1,5 +1,4 @@
 import type {
-    EngineRule,
     PlacementDecision,
     PlacementOutcome,
     PlacementRequest,
@@ -67,8 +66,7 @@
 };
 
 /**
- * Places requests at the engines of one pool, and decides which of them wait and which are refused. It uses no sockets or
- * timers: the caller passes the time and carries out the decisions.
+ * Places requests at the engines of one pool, and decides which wait and which are refused. The caller passes the time.
  *
  * Decode capacity is the bottleneck: a run occupies thousands of tokens of KV cache for seconds, while its prefill takes a
  * tenth of a second, and the result of a prefill is kept for only half a second. So a prefill doesn't start before its run
@@ -86,13 +84,14 @@
 
     private constructor(private readonly pool: EnginePool) {}
 
-    static create(tuning: PlacementTuning): PlacementQueue {
-        return new PlacementQueue(EnginePool.create(tuning));
+    /** `limitOf`: requests per second that an engine takes from all gateways; undefined if it names no limit. */
+    static create(tuning: PlacementTuning, limitOf?: (engine: string) => number | undefined): PlacementQueue {
+        return new PlacementQueue(EnginePool.create(tuning, limitOf));
     }
 
     /** Replaces the announcements of the pool's engines and the rule that applies to all of them. */
-    setEngines(announced: readonly ServerAnnouncement[], rule: EngineRule): void {
-        this.pool.setEngines(announced, rule);
+    setEngines(...engines: Parameters<EnginePool["setEngines"]>): void {
+        this.pool.setEngines(...engines);
     }
 
     /** Changes the fraction of each engine that this instance may allocate. */
@@ -150,7 +149,7 @@
     /** Records that a request's prefill is complete. */
     prefillCompleted(attempt: string, now: number): void {
         const placement = this.placements.get(attempt);
-        if (placement !== undefined && !placement.isPrefilled) {
+        if (placement?.isPrefilled === false) {
             placement.isPrefilled = true;
             this.forecast.recordPrefill(placement.prefillTime, now - placement.placedAt);
             this.pool.engine(placement.prefill ?? placement.decode)?.prefillCompleted(attempt, now);
@@ -258,6 +257,7 @@
             const readingWithin = Math.round(this.forecast.expectedPrefillTime(pair.prefillTime));
             const placement = { ...pair, request: waiting.request, placedAt: now, readingWithin, isPrefilled: false };
             this.allocate(placement, now);
+            this.pool.recordSends(pair, now);
             decisions.push(placedDecision(placement));
         }
         return decisions;
--- a/packages/basilpaddle/src/node/coordination/index.ts
+++ b/packages/basilpaddle/src/node/coordination/index.ts
@@ -3,6 +3,7 @@
 export * from "./controlClient.js";
 export * from "./engine/index.js";
 export * from "./gateway/index.js";
+export * from "./limits/index.js";
 export * from "./orders/index.js";
 export * from "./placement.js";
 export * from "./quarantine/index.js";
--- /dev/null
+++ b/packages/basilpaddle/src/node/coordination/limits/index.ts
@@ -0,0 +1,3 @@
+export { RequestPacer } from "./requestPacer.js";
+export * from "./serverAdmission.js";
+export * from "./serverLimits.js";
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/watchService.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/watchService.spec.ts
@@ -5,6 +5,7 @@
 import { quarantineRulesSchema } from "../../../protocol/index.js";
 import { createSilentLogger } from "../../../utils/index.js";
 import { noLimits } from "../allowanceService.js";
+import { noServerLimits } from "../serverLimitService.js";
 import { WatchService } from "../watchService.js";
 
 function createServiceWithGateways(previousGateways: number, clock: ManualClock): WatchService {
@@ -34,6 +35,7 @@
         document: () => ({ version: 1, content: "{}" }),
         members: () => ({ members: [], leader: undefined }),
         ejected: () => [],
+        serverLimits: () => noServerLimits,
         limits: () => noLimits,
         previousGateways,
         clock,
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -1,4 +1,4 @@
-import { DirectoryWatcher, OutlierDetector, QuarantinedRequests } from "../../coordination/index.js";
+import { DirectoryWatcher, QuarantinedRequests } from "../../coordination/index.js";
 import {
     type CrashRecord,
     type DirectoryMessage,
@@ -12,16 +12,16 @@
 import { DisposableStore, type Metrics, type Randomness } from "../../utils/index.js";
 import { BackendConnections } from "../backends/index.js";
 import type { RoutingOptions } from "../routingOptions.js";
-import { AllowanceService, noLimits } from "./allowanceService.js";
+import { noLimits } from "./allowanceService.js";
 import { BackendServerCalls } from "./backendServerCalls.js";
 import { BackendServerRegistry } from "./backendServerRegistry.js";
 import { CallHandler, type CallResponse, CallServer } from "./callServer.js";
 import { ConfigurationCalls } from "./configurationCalls.js";
 import type { DirectoryCall, DirectoryWire } from "./directoryWire.js";
 import { DocumentGroup } from "./documentGroup.js";
-import { PlacementService } from "./placementService.js";
+import { LeaderServices } from "./leaderServices.js";
 import { RestartCache, type RestartState } from "./restartCache.js";
-import { StageOrders } from "./stageOrders.js";
+import { noServerLimits } from "./serverLimitService.js";
 import { WatchService } from "./watchService.js";
 
 /** Interval of the checks for silent backend servers, disconnected gateways and outliers. */
@@ -48,13 +48,11 @@
     /** This daemon's copy of the quarantine that all daemons share. */
     readonly quarantinedRequests: QuarantinedRequests;
     private readonly name: string;
-    private outlierDetector = OutlierDetector.create();
     /** Cache of the parsed configuration, by version. */
     private parsedTraffic: { readonly version: number; readonly traffic: Traffic | undefined; } | undefined;
     private documentNotificationScheduled = false;
-    private placement: PlacementService | undefined;
-    private allowances: AllowanceService | undefined;
-    private stageOrders: StageOrders | undefined;
+    /** Defined while this directory leads. */
+    private leading: LeaderServices | undefined;
 
     private constructor(
         private readonly options: DirectoryDaemonOptions,
@@ -75,7 +73,7 @@
                 restartCache.markChanged();
             },
             onInstancesChanged: () => {
-                this.placement?.markPoolsOutdated();
+                this.leading?.markPoolsOutdated();
                 restartCache.markChanged();
             },
         });
@@ -96,8 +94,9 @@
             quarantined: this.quarantinedRequests,
             document: () => group.current(),
             members: () => this.members(),
-            ejected: () => this.placement === undefined ? [] : this.outlierDetector.ejected(),
-            limits: () => this.allowances?.limits() ?? noLimits,
+            ejected: () => this.leading?.ejected() ?? [],
+            limits: () => this.leading?.limits() ?? noLimits,
+            serverLimits: () => this.leading?.publishedServerLimits() ?? noServerLimits,
             previousGateways: restartCache.gateways(),
             clock,
         });
@@ -158,7 +157,7 @@
     /** Updates the directory's gauges. */
     measure(metrics: Metrics): void {
         const groupStatus = this.group.replicaStatus();
-        const placementStatus = this.placement?.queueStatus();
+        const placementStatus = this.leading?.queueStatus();
         metrics.gauge("basilpaddle_group_leading", groupStatus?.leading === true ? 1 : 0);
         metrics.gauge("basilpaddle_group_voting", groupStatus?.voting === true ? 1 : 0);
         metrics.gauge("basilpaddle_group_term", groupStatus?.term ?? 0);
@@ -169,7 +168,7 @@
         metrics.gauge("basilpaddle_places_waiting", placementStatus?.waiting ?? 0);
         this.backendServers.instances.measure(metrics);
         this.quarantinedRequests.measure(metrics);
-        this.allowances?.measure(metrics);
+        this.leading?.measure(metrics);
     }
 
     override async handle(call: DirectoryCall, body: string): Promise<CallResponse> {
@@ -248,7 +247,7 @@
             const { version } = this.group.current();
             this.watchService.notifyWatchers();
             this.options.logger.info("configuration committed", { version });
-            this.placement?.markPoolsOutdated();
+            this.leading?.markPoolsOutdated();
             this.restartCache.markChanged();
         });
     }
@@ -278,24 +277,12 @@
         let cancel = clock.after(checkIntervalMilliseconds, () => runChecks());
         const runChecks = (): void => {
             this.backendServers.markSilentServers();
-            this.placement?.retainGateways(this.watchService.gatewayNames());
-            this.updateEjections();
-            this.allowances?.review();
+            this.leading?.review(this.watchService.gatewayNames());
             cancel = clock.after(checkIntervalMilliseconds, runChecks);
         };
         this.store.add(() => cancel());
     }
 
-    /** Recomputes which servers are ejected as outliers, and notifies gateways immediately if these changed. */
-    private updateEjections(): void {
-        if (this.placement !== undefined && this.outlierDetector.updateEjections(this.options.clock.monotonic())) {
-            this.options.logger.info("the set of ejected backend servers of plain services changed", {
-                ejected: this.outlierDetector.ejected(),
-            });
-            this.watchService.notifyWatchers();
-        }
-    }
-
     private async handlePeerBody(body: unknown): Promise<unknown> {
         const envelope = body as { readonly kind?: unknown; readonly from?: unknown; readonly message?: unknown; };
         if (envelope?.kind === "agreement" && typeof envelope.from === "string") {
@@ -325,11 +312,8 @@
             case "crashes":
                 this.mergeCrashRecords(message.records);
                 return { kind: "noted" };
-            case "charge":
-            case "spent":
-                return this.allowances === undefined ? this.redirect() : this.allowances.handle(message);
             default:
-                return await (this.placement?.handle(message) ?? this.redirect());
+                return await (this.leading?.handle(message) ?? this.redirect());
         }
     }
 
@@ -340,50 +324,25 @@
     private startLeading(): void {
         const { clock, logger, wire, settings } = this.options;
         const term = this.group.replicaStatus()?.term ?? 0;
-        this.stopLeading();
-        this.outlierDetector = OutlierDetector.create();
-        const sharedOptions = {
+        this.leading?.close();
+        this.leading = LeaderServices.create({
+            settings,
+            wire,
             instances: this.backendServers.instances,
             traffic: () => this.currentTraffic(),
+            connections: this.connections,
+            onIncarnationEnded: instance => this.backendServers.markEnded(instance),
+            onChanged: () => this.watchService.notifyWatchers(),
             clock,
             logger,
-        };
-        this.placement = PlacementService.create(
-            {
-                ...sharedOptions,
-                repeats: settings.repeats,
-                onServerCalls: calls => this.outlierDetector.addCalls(calls, clock.monotonic()),
-                onIncarnationEnded: instance => this.backendServers.markEnded(instance),
-            },
-            term,
-        );
-        const firstLeader = settings.firstStart && term === 1;
-        this.allowances = AllowanceService.create({
-            ...sharedOptions,
-            firstLeader,
-            onLimitsChanged: () => this.watchService.notifyWatchers(),
-        });
-        this.stageOrders = StageOrders.create({
-            ...sharedOptions,
-            typicalRequest: service => this.placement?.typicalRequest(service),
-            queuedRequests: service => this.placement?.queuedRequests(service) ?? 0,
-            onOrdered: (engine, stage, within) => this.placement?.recordStageOrder(engine, stage, within),
-            holder: settings.name,
-            wire,
-            connections: this.connections,
-            lease: settings.orderLease,
-            firstHolder: firstLeader,
         }, term);
         this.watchService.notifyWatchers();
         logger.info("became leader: placing runs and ordering stage changes", { term });
     }
 
     private stopLeading(): void {
-        this.placement?.close();
-        this.stageOrders?.close();
-        this.placement = undefined;
-        this.allowances = undefined;
-        this.stageOrders = undefined;
+        this.leading?.close();
+        this.leading = undefined;
     }
 
     private members(): { readonly members: readonly string[]; readonly leader: string | undefined; } {
--- a/packages/basilpaddle/src/node/daemon/directory/placementService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/placementService.ts
@@ -32,6 +32,8 @@
 export type PlacementServiceOptions = {
     readonly instances: InstanceTable;
     readonly traffic: () => Traffic | undefined;
+    /** Requests per second that an engine takes from all gateways together; undefined if it names no limit. @default none */
+    readonly limitOf?: (engine: string) => number | undefined;
     /** Called with a gateway's statistics of its calls to plain services. */
     readonly onServerCalls: (calls: readonly ServerCalls[]) => void;
     /** Called with an incarnation that a gateway reports as ended. */
@@ -154,11 +156,11 @@
             return;
         }
         this.poolsOutdated = false;
-        const { instances, traffic } = this.options;
+        const { instances, traffic, limitOf } = this.options;
         const allInstances = instances.all();
         for (const service of traffic()?.services ?? []) {
             if (service.engine !== undefined) {
-                const pool = this.pools.get(service.name) ?? PlacementQueue.create(leaderPlacementTuning);
+                const pool = this.pools.get(service.name) ?? PlacementQueue.create(leaderPlacementTuning, limitOf);
                 this.pools.set(service.name, pool);
                 pool.setEngines(allInstances.filter(instance => instance.service === service.name), service.engine);
             }
--- a/packages/basilpaddle/src/node/daemon/directory/watchService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/watchService.ts
@@ -4,6 +4,7 @@
 import type { StoredDocument } from "../../state/index.js";
 import type { Clock } from "../../utils/index.js";
 import type { AllowanceLimits } from "./allowanceService.js";
+import type { PublishedLimits } from "./serverLimitService.js";
 
 /** How long a watch is held open while nothing changes. */
 const longPollMilliseconds = 1_000;
@@ -40,6 +41,8 @@
     readonly ejected: () => readonly string[];
     /** Organisations near their limit; none unless this directory leads. */
     readonly limits: () => AllowanceLimits;
+    /** Limits that backend servers name; none unless this directory leads. */
+    readonly serverLimits: () => PublishedLimits;
     /** Number of gateways before the restart of this directory; 0 if unknown. */
     readonly previousGateways: number;
     readonly clock: Clock;
@@ -127,6 +130,7 @@
             || announcements.latestChange() > watch.cursor
             || quarantined.latestChange() > (watch.crashCursor ?? 0)
             || this.options.limits().change !== (watch.limitCursor ?? 0)
+            || this.options.serverLimits().change !== (watch.serverLimitCursor ?? 0)
             || document().version > watch.version;
     }
 
@@ -172,6 +176,7 @@
         const group = members();
         const ejected = this.options.ejected();
         const limits = this.options.limits();
+        const serverLimits = this.options.serverLimits();
         return {
             incarnation,
             cursor: announcements.latestChange(),
@@ -186,6 +191,9 @@
             ...limits.change === 0
                 ? {}
                 : { limitCursor: limits.change, nearLimit: [...limits.near], usedUp: [...limits.usedUp] },
+            ...serverLimits.change === 0
+                ? {}
+                : { serverLimitCursor: serverLimits.change, serverLimits: [...serverLimits.observed] },
             crashCursor: quarantined.latestChange(),
             ...crashes.length === 0 ? {} : { crashes: [...crashes] },
         };
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamExchange.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamExchange.spec.ts
@@ -57,6 +57,7 @@
             clock: new ManualClock(),
             logger: createSilentLogger(),
             metrics: RecordedMetrics.create(),
+            admission: { admit: () => Promise.resolve(true), observeAnswer: () => undefined },
             crashes: { quarantineStatus: () => undefined, reportLostRun: () => Promise.resolve() },
             retryAllowance: {
                 recordRequest: () => undefined,
--- a/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
@@ -1,4 +1,11 @@
-import type { CallTally, CrashDetector, InstanceTable, LinkQuality, ServerChoice } from "../../coordination/index.js";
+import type {
+    CallTally,
+    CrashDetector,
+    InstanceTable,
+    LinkQuality,
+    ServerAdmission,
+    ServerChoice,
+} from "../../coordination/index.js";
 import { type ServerAnnouncement, serverName, type ServiceRule } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
 import {
@@ -14,6 +21,7 @@
 import type { RetryAllowance } from "./retryAllowance.js";
 
 const misdirectedStatus = 421;
+const minFailureStatus = 400;
 
 /** Options shared by all exchanges. */
 export type ExchangeOptions = {
@@ -32,6 +40,8 @@
     readonly reportEnded: (instance: string) => void;
     /** Detects backend servers that crash while running a request. */
     readonly crashes: CrashDetector;
+    /** Admits requests to backend servers that name a limit; to be asked before each send. */
+    readonly admission: ServerAdmission;
     /** How many requests may be sent to another backend server. */
     readonly retryAllowance: RetryAllowance;
     /** Number of gateways of the deployment. */
@@ -116,6 +126,7 @@
             // Otherwise each gateway would detect it by a request of its own, and spend a retry on it.
             this.options.reportEnded(server.id);
         }
+        this.observeLimit(server, answer.status, metadata);
         if (metadata.notRun) {
             drain(answer);
             return {
@@ -127,6 +138,14 @@
         }
         return { kind: "answer", answer, metadata };
     }
+
+    /** Only a successful answer proves that the server names no limit any more: others may lack it. */
+    private observeLimit(server: ServerAnnouncement, status: number, { limit }: AnswerMetadata): void {
+        const isSuccess = status < minFailureStatus;
+        if (status !== misdirectedStatus && limit !== "malformed" && (limit !== undefined || isSuccess)) {
+            this.options.admission.observeAnswer(server.id, limit);
+        }
+    }
 }
 
 function failureResult(failure: CallFailure): SendResult {
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -8,6 +8,7 @@
     QuarantinedRequests,
     ReportedAllowances,
     RouteTable,
+    ServerAdmission,
     ServerChoice,
 } from "../../coordination/index.js";
 import { type GatewaySettings, seedNames, type ServiceRule, type TrafficRoute } from "../../protocol/index.js";
@@ -22,6 +23,7 @@
 import type { GatewayWire } from "./gatewayWire.js";
 import { headerBytes } from "./headers.js";
 import { PlacementClient } from "./placementClient.js";
+import { serveReadiness } from "./readinessServer.js";
 import { RetryAllowance } from "./retryAllowance.js";
 import { ServiceExchange } from "./serviceExchange.js";
 import { StreamExchange } from "./streamExchange.js";
@@ -60,6 +62,7 @@
     private readonly watcher: DirectoryWatcher;
     private readonly placementClient: PlacementClient;
     private readonly allowanceAdmission: AllowanceAdmission;
+    private readonly serverAdmission: ServerAdmission;
     private readonly exchangeOptions: ExchangeOptions;
     private callerServer!: CallerServer;
     private routeTable: RouteTable | undefined;
@@ -103,6 +106,7 @@
             logger,
             settleTime: options.settleTime,
             onAnnounced: announced => this.instances.apply(announced),
+            onServerLimits: observed => this.serverAdmission.observeLeader(observed),
             onCrashes: records => void this.quarantinedRequests.merge(records),
             knownCrashes: () => this.quarantinedRequests.all(),
             onDocument: (version, content) => this.configure(version, content),
@@ -113,6 +117,7 @@
             watcher: this.watcher,
             instances: this.instances,
             engineRule: service => this.routeTable?.service(service)?.engine,
+            limitOf: engine => this.serverAdmission.limitOf(engine),
             calls: () => this.tally.takeCounts(clock.monotonic()),
             clock,
             logger,
@@ -125,6 +130,14 @@
         });
         this.store.add(() => allowances.close());
         this.allowanceAdmission = AllowanceAdmission.create(allowances, metrics);
+        this.serverAdmission = ServerAdmission.create({
+            name: settings.name,
+            leader: this.placementClient.limitLeader(),
+            gateways: () => this.watcher.highestRecentGateways(),
+            clock,
+            logger,
+            metrics,
+        });
         this.exchangeOptions = {
             wire,
             connections: this.connections,
@@ -137,6 +150,7 @@
             metrics,
             reportEnded: instance => this.placementClient.reportEnded(instance),
             crashes: this.crashDetector,
+            admission: this.serverAdmission,
             retryAllowance: this.retries,
             gateways: () => this.watcher.gateways(),
         };
@@ -202,6 +216,7 @@
     measure(metrics: Metrics): void {
         this.instances.measure(metrics);
         this.quarantinedRequests.measure(metrics);
+        this.serverAdmission.measure(metrics);
     }
 
     private async open(): Promise<void> {
@@ -212,21 +227,8 @@
             logger,
         });
         this.store.add(() => this.callerServer.closeAll());
-        const readiness = http.createServer({ keepAliveTimeout: 10_000 }, (incoming, response) => {
-            const isReadinessPath = (incoming.url ?? "").split("?", 1)[0] === this.options.wire.readinessPath;
-            response.writeHead(isReadinessPath && this.isReady() ? 200 : isReadinessPath ? 503 : 404, {
-                "Content-Length": 0,
-            });
-            response.end();
-        });
-        await new Promise<void>((resolve, reject) => {
-            readiness.once("error", reject);
-            readiness.listen(settings.readiness.port, settings.readiness.host, resolve);
-        });
-        this.store.add(() => {
-            readiness.close();
-            readiness.closeAllConnections();
-        });
+        const { readinessPath } = this.options.wire;
+        this.store.add(await serveReadiness(settings.readiness, readinessPath, () => this.isReady()));
         logger.info("serving", { callers: settings.callers, readiness: settings.readiness });
     }
 
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayWire.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayWire.ts
@@ -47,6 +47,8 @@
     readonly notRun: boolean;
     /** The incarnation that answers, if it is named. */
     readonly instance: string | undefined;
+    /** Requests per second that the server takes from all gateways together; undefined if it names no limit. */
+    readonly limit: number | "malformed" | undefined;
 };
 
 /** Translates between the wire format of callers and backend servers and the gateway's own types; makes no decisions. */
--- a/packages/basilpaddle/src/node/daemon/gateway/placementClient.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementClient.ts
@@ -2,6 +2,7 @@
     type AllowanceLeader,
     type DirectoryWatcher,
     type InstanceTable,
+    type LimitLeader,
     localPlacementTuning,
     PlacementQueue,
 } from "../../coordination/index.js";
@@ -51,6 +52,8 @@
     readonly watcher: DirectoryWatcher;
     readonly instances: InstanceTable;
     readonly engineRule: (service: string) => EngineRule | undefined;
+    /** Requests per second that an engine takes from all gateways together; undefined if it names no limit. @default none */
+    readonly limitOf?: (engine: string) => number | undefined;
     /** Outcomes of calls to plain services since the previous call of this function. */
     readonly calls: () => readonly ServerCalls[];
     readonly clock: Clock;
@@ -165,6 +168,16 @@
         };
     }
 
+    /** The leader as keeper of the limits that backend servers name. */
+    limitLeader(): LimitLeader {
+        const { watcher } = this.options;
+        return {
+            isAvailable: () => watcher.leader() !== undefined && this.leader.isAvailable(),
+            admit: (observed, within) => this.leader.admit(observed, within),
+            send: message => this.leader.send(message),
+        };
+    }
+
     /** Stops all periodic reports. */
     close(): void {
         this.cancelTimers.forEach(cancel => cancel());
@@ -231,7 +244,7 @@
         }
         let pool = this.localPools.get(service);
         if (pool === undefined) {
-            pool = PlacementQueue.create({ ...localPlacementTuning, share: 1 });
+            pool = PlacementQueue.create({ ...localPlacementTuning, share: 1 }, this.options.limitOf);
             this.localPools.set(service, pool);
         }
         const now = this.options.clock.monotonic();
--- a/packages/basilpaddle/src/node/daemon/gateway/placementLeader.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementLeader.ts
@@ -1,12 +1,16 @@
 import type { DirectoryWatcher } from "../../coordination/index.js";
 import {
+    type Admission,
+    admissionReplySchema,
     type AllowanceMessage,
     allowanceReplySchema,
     type ChargeDecision,
+    type LimitObservation,
     type PlacementMessage,
     type PlacementReply,
     placementReplySchema,
     type PlacementRequest,
+    type ServerLimitMessage,
 } from "../../protocol/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
 import { LeaderTimeout } from "./leaderTimeout.js";
@@ -17,6 +21,9 @@
 /** The leader's answer to a placement request: its decision, or that the request is queued there. */
 export type LeaderAnswer = Extract<PlacementReply, { kind: "decided" | "waiting"; }>;
 
+/** Any message of a gateway to the leader. */
+export type LeaderMessage = PlacementMessage | AllowanceMessage | ServerLimitMessage;
+
 /** Dependencies of the connection to the leader. */
 export type PlacementLeaderOptions = {
     /** The gateway's own name. */
@@ -95,6 +102,23 @@
         return undefined;
     }
 
+    /** Asks to send a request to a backend server that names a limit; undefined if no leader answers. */
+    async admit(observed: LimitObservation, within: number): Promise<Admission | undefined> {
+        const { watcher, clock } = this.options;
+        const leader = watcher.leader();
+        const answer = await this.requestAny(
+            leader,
+            { kind: "admit", observed, within },
+            this.timeout.timeout(clock.monotonic()),
+        );
+        const reply = admissionReplySchema.safeParse(answer).data;
+        if (reply?.kind === "admission") {
+            return reply.admission;
+        }
+        this.recordNoAnswer(leader, reply?.kind ?? "none");
+        return undefined;
+    }
+
     /** Checks whether an unresponsive leader answers again; to be called every few hundred milliseconds. */
     async probe(): Promise<void> {
         const { watcher, name, clock } = this.options;
@@ -112,7 +136,7 @@
     }
 
     /** Sends a message that has no reply. */
-    send(message: PlacementMessage | AllowanceMessage): void {
+    send(message: LeaderMessage): void {
         const leader = this.options.watcher.leader();
         if (leader !== undefined) {
             this.options.watcher.link(leader)?.send(message);
@@ -129,7 +153,7 @@
 
     private async requestAny(
         leader: string | undefined,
-        message: PlacementMessage | AllowanceMessage,
+        message: LeaderMessage,
         timeout: number,
     ): Promise<unknown> {
         const link = leader === undefined ? undefined : this.options.watcher.link(leader);
--- a/packages/basilpaddle/src/node/daemon/gateway/prefilledPrompt.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/prefilledPrompt.ts
@@ -1,7 +1,11 @@
 import type { ServerAnnouncement, ServiceRule } from "../../protocol/index.js";
-import { drain, isAnswer } from "../backends/index.js";
-import type { ExchangeOptions } from "./backendSender.js";
+import { drain, isAnswer, readWholeBody } from "../backends/index.js";
+import type { BackendSender, ExchangeOptions, SendResult } from "./backendSender.js";
+import type { CallerRequest } from "./callerRequest.js";
+import { TimeLimit } from "./timeLimit.js";
 
+/** Largest answer of a prefill, or of a failed run. */
+export const maxShortAnswerBytes = 1024 * 1024;
 /** Timeout of the call that frees a prompt's KV cache. */
 const freeTimeoutMilliseconds = 1_200;
 
@@ -32,6 +36,28 @@
     return Math.min(request.remainingTime(), maxTimeout, forecastTimeout);
 }
 
+/** Sends the prefill of a request to an engine; returns the handle of the KV cache if there is one. `forecast` as above. */
+export async function requestPrefill(
+    options: ExchangeOptions,
+    sender: BackendSender,
+    request: CallerRequest,
+    service: ServiceRule,
+    engine: ServerAnnouncement,
+    forecast: number | undefined,
+): Promise<{ readonly sent: SendResult; readonly handle: string | undefined; }> {
+    const limit = TimeLimit.create(options.clock, prefillTimeout(request, forecast), request.disconnected.signal);
+    try {
+        const sent = await sender.send(request, engine, service, { prefillOnly: true }, limit.signal);
+        const isAnswered = sent.kind === "answer" && sent.answer.status === 200;
+        const body = isAnswered ? await readWholeBody(sent.answer, maxShortAnswerBytes) : undefined;
+        const handle = isAnswered ? options.wire.parsePrefill(body?.toString("utf8") ?? "") : undefined;
+        return { sent, handle };
+    }
+    finally {
+        limit.clear();
+    }
+}
+
 /** A prompt whose KV cache waits at its prefill engine for a decode engine. */
 export type PrefilledPrompt = {
     readonly engine: ServerAnnouncement;
--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -1,9 +1,11 @@
 import type { CallOutcome } from "../../coordination/index.js";
 import type { ServerAnnouncement, ServiceRule } from "../../protocol/index.js";
+import { hashToFraction } from "../../utils/index.js";
 import { type BackendAnswer, discard, readWholeBody } from "../backends/index.js";
 import { BackendSender, type ExchangeOptions, type SendResult } from "./backendSender.js";
 import type { CallerRequest } from "./callerRequest.js";
 import { refuseQuarantined } from "./refuseQuarantined.js";
+import { guaranteesNotRun } from "./statuses.js";
 import { TimeLimit } from "./timeLimit.js";
 
 /** Largest answer that is buffered before it is forwarded. */
@@ -18,6 +20,9 @@
 /** Retry-After if no backend server is known, or if all of them are full. */
 const noServerRetryAfterMilliseconds = 400;
 const fullRetryAfterMilliseconds = 120;
+/** Fraction of its target that a request waits for room at a server that names a limit. */
+const roomWaitFraction = 0.5;
+const noRoom = "the backend servers have reached the limits that they name";
 /** Minimum remaining time in which an answer is possible. */
 const minAnswerMilliseconds = 2;
 const minServerErrorStatus = 500;
@@ -33,6 +38,8 @@
     private readonly triedServers = new Set<string>();
     private readonly steps: string[] = [];
     private runCount = 0;
+    /** Milliseconds until a server has room; undefined unless all have reached the limits that they name. */
+    private roomIn: number | undefined;
 
     private constructor(
         private readonly options: ExchangeOptions,
@@ -63,8 +70,11 @@
             if (request.remainingTime() < minAnswerMilliseconds) {
                 break;
             }
-            const server = this.nextServer() ?? (round === 0 ? await this.waitForServer() : undefined);
-            if (server === undefined || (round > 0 && !await options.retryAllowance.takeRetry(service.name))) {
+            const server = await this.nextServer() ?? (round === 0 ? await this.waitForServer() : undefined);
+            if (
+                server === undefined || request.isDisconnected()
+                || (round > 0 && !await options.retryAllowance.takeRetry(service.name))
+            ) {
                 break;
             }
             const result = await this.sendTo(server);
@@ -80,9 +90,41 @@
         this.endUnanswered(lastResult);
     }
 
-    private nextServer(): ServerAnnouncement | undefined {
-        const { instances, choice, clock } = this.options;
-        return choice.choose(instances.usable(this.service.name), this.triedServers, clock.monotonic());
+    /** The best server that takes the request now; undefined if none does. */
+    private async nextServer(): Promise<ServerAnnouncement | undefined> {
+        const { instances, choice, admission, clock } = this.options;
+        const usable = instances.usable(this.service.name);
+        const excluded = new Set(this.triedServers);
+        for (;;) {
+            const candidates = usable.filter(({ id }) => admission.timeUntilRoom(id) === 0);
+            const server = candidates.find(({ id }) => admission.isOverdue(id) && !excluded.has(id))
+                ?? choice.choose(candidates, excluded, clock.monotonic());
+            if (server === undefined) {
+                return this.nextServerWithRoom(usable);
+            }
+            if (await admission.admit(server.id, 0)) {
+                return server;
+            }
+            this.steps.push(`${server.id} at its limit`);
+            excluded.add(server.id);
+        }
+    }
+
+    /** The server that is the first to have room again, after a wait that leaves time to answer by the target. */
+    private async nextServerWithRoom(usable: readonly ServerAnnouncement[]): Promise<ServerAnnouncement | undefined> {
+        const { admission } = this.options;
+        const limited = usable.filter(({ id }) => !this.triedServers.has(id) && admission.limitOf(id) !== undefined);
+        const timeUntilRoom = ({ id }: ServerAnnouncement): number => admission.timeUntilRoom(id);
+        const first = limited.sort((one, other) => timeUntilRoom(one) - timeUntilRoom(other))[0];
+        if (first === undefined) {
+            return undefined;
+        }
+        const within = Math.min(this.request.remainingTime(), this.request.route.target * roomWaitFraction);
+        if (await admission.admit(first.id, within)) {
+            return first;
+        }
+        this.roomIn = Math.min(...limited.map(timeUntilRoom));
+        return undefined;
     }
 
     /**
@@ -90,11 +132,14 @@
      * within about a second. A caller that was refused at once would spend its only retry before that.
      */
     private async waitForServer(): Promise<ServerAnnouncement | undefined> {
-        const { clock } = this.options;
+        const { clock, instances } = this.options;
+        if (instances.usable(this.service.name).length > 0) {
+            return undefined;
+        }
         const deadline = clock.monotonic() + this.request.remainingTime() * firstServerWaitFraction;
         while (clock.monotonic() < deadline && !this.request.isDisconnected()) {
             await new Promise<void>(resolve => clock.after(firstServerPollMilliseconds, resolve));
-            const server = this.nextServer();
+            const server = await this.nextServer();
             if (server !== undefined) {
                 return server;
             }
@@ -113,6 +158,9 @@
         else if (this.runCount > 0) {
             request.fail(request.remainingTime() < minAnswerMilliseconds ? 504 : 502, lastResult?.cause ?? "no answer");
         }
+        else if (this.roomIn !== undefined) {
+            request.refuse(this.roomIn * (1 + hashToFraction(request.attempt)), noRoom);
+        }
         else if (lastResult === undefined) {
             request.refuse(noServerRetryAfterMilliseconds, "no backend server is known");
         }
@@ -216,8 +264,7 @@
      */
     private forwardAnswer(answer: BackendAnswer, body: Buffer): void {
         const { status } = answer;
-        const claimsNotRun = status === 503 || status === 429 || status === 408 || status === 421;
-        if (claimsNotRun) {
+        if (guaranteesNotRun(status)) {
             this.request.fail(502, `a backend server that may have run it answered ${status}`);
         }
         else {
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -1,19 +1,19 @@
 import { StallDetector } from "../../coordination/index.js";
 import type { PlacementOutcome, ServerAnnouncement, ServiceRule } from "../../protocol/index.js";
 import { type BackendAnswer, discard, readWholeBody } from "../backends/index.js";
+import { admitEngines } from "./admitEngines.js";
 import { awaitEngines } from "./awaitEngines.js";
 import { BackendSender, type ExchangeOptions } from "./backendSender.js";
 import type { CallerRequest } from "./callerRequest.js";
 import type { PlacementClient, PlacementGrant } from "./placementClient.js";
 import { placementRequest } from "./placementRequest.js";
-import { freePromptCache, type PrefilledPrompt, prefillTimeout } from "./prefilledPrompt.js";
+import { freePromptCache, maxShortAnswerBytes, type PrefilledPrompt, requestPrefill } from "./prefilledPrompt.js";
 import { refuseQuarantined } from "./refuseQuarantined.js";
 import { type ReportSendOutcome, RetryCharges } from "./retryCharges.js";
+import { guaranteesNotRun } from "./statuses.js";
 import { StreamRelay } from "./streamRelay.js";
 import { TimeLimit } from "./timeLimit.js";
 
-/** Largest answer of a prefill, or of a failed run. */
-const maxShortAnswerBytes = 1024 * 1024;
 /** Limit of rounds per request; a round is a placement, a prefill and a run. */
 const maxRounds = 4;
 /** Fraction of a KV cache's lifetime within which it is offered to an engine; later it may expire before it is fetched. */
@@ -139,6 +139,12 @@
             return {};
         }
         const prefillEngine = this.hasUsablePrompt() || this.prefillsAtDecode ? undefined : prefill;
+        const fullEngine = await admitEngines(this.options.admission, prefillEngine, decode);
+        if (fullEngine !== undefined) {
+            this.steps.push(`${fullEngine} at its limit`);
+            this.retryElsewhere(fullEngine, "an engine has reached the limit that it names");
+            return {};
+        }
         const reports = await this.retryCharges.reserve(prefillEngine !== undefined);
         if (reports === undefined) {
             this.refuse(rejectedRetryAfterMilliseconds, noRetryLeft);
@@ -168,37 +174,26 @@
     ): Promise<PlacementOutcome | undefined> {
         const { request, options, placementClient } = this;
         const startedAt = this.now();
-        const limit = TimeLimit.create(options.clock, prefillTimeout(request, forecast), request.disconnected.signal);
-        try {
-            const sent = await this.sender.send(request, prefill, this.service, { prefillOnly: true }, limit.signal);
-            const handle = sent.kind === "answer" && sent.answer.status === 200
-                ? options.wire.parsePrefill(
-                    (await readWholeBody(sent.answer, maxShortAnswerBytes))?.toString("utf8") ?? "",
-                )
-                : undefined;
-            this.steps.push(`read ${prefill.id} ${handle === undefined ? "failed" : "done"} ${this.since(startedAt)}`);
-            const unreached = sent.kind === "notRun" && sent.unreachable;
-            reportPrefill(unreached ? "unreached" : handle === undefined ? "counted" : "read");
-            if (handle !== undefined) {
-                this.prompt = { engine: prefill, handle, prefilledAt: this.now() };
-                this.cacheOffers = 0;
-                placementClient.prefillCompleted(request.attempt);
-                return undefined;
-            }
-            if (sent.kind === "unknown" && !request.isDisconnected()) {
-                void options.crashes.reportLostRun(request, prefill, "early");
-            }
-            this.discountFailedConnection(unreached);
-            if (request.isDisconnected()) {
-                return {};
-            }
-            const cause = sent.kind === "answer" ? `status ${sent.answer.status}` : sent.cause;
-            this.retryElsewhere(prefill.id, `the prefill failed: ${cause}`);
-            return { failed: prefill.id };
+        const { sent, handle } = await requestPrefill(options, this.sender, request, this.service, prefill, forecast);
+        this.steps.push(`read ${prefill.id} ${handle === undefined ? "failed" : "done"} ${this.since(startedAt)}`);
+        const unreached = sent.kind === "notRun" && sent.unreachable;
+        reportPrefill(unreached ? "unreached" : handle === undefined ? "counted" : "read");
+        if (handle !== undefined) {
+            this.prompt = { engine: prefill, handle, prefilledAt: this.now() };
+            this.cacheOffers = 0;
+            placementClient.prefillCompleted(request.attempt);
+            return undefined;
         }
-        finally {
-            limit.clear();
+        if (sent.kind === "unknown" && !request.isDisconnected()) {
+            void options.crashes.reportLostRun(request, prefill, "early");
+        }
+        this.discountFailedConnection(unreached);
+        if (request.isDisconnected()) {
+            return {};
         }
+        const cause = sent.kind === "answer" ? `status ${sent.answer.status}` : sent.cause;
+        this.retryElsewhere(prefill.id, `the prefill failed: ${cause}`);
+        return { failed: prefill.id };
     }
 
     private async runAt(decode: ServerAnnouncement, reportRun: ReportSendOutcome): Promise<PlacementOutcome> {
@@ -302,8 +297,7 @@
     private async forwardFailure(answer: BackendAnswer): Promise<RunEnd> {
         const body = await readWholeBody(answer, maxShortAnswerBytes);
         const { status } = answer;
-        const claimsNotRun = status === 503 || status === 429 || status === 408 || status === 421;
-        if (body === undefined || claimsNotRun || this.request.hasAnswerBegun()) {
+        if (body === undefined || guaranteesNotRun(status) || this.request.hasAnswerBegun()) {
             return { kind: "lost", cause: `the engine answered ${status}` };
         }
         this.request.sendAnswer(answer, body);
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import { allowanceMessageSchema } from "./allowance.js";
 import { crashRecordSchema, crashReportSchema } from "./crash.js";
+import { limitObservationSchema, serverLimitMessageSchema } from "./serverLimit.js";
 
 const identifier = z.string().min(1).max(200);
 /**
@@ -49,6 +50,8 @@
     crashCursor: z.int().min(0).optional(),
     /** Number of the last received change of `nearLimit` and `usedUp`. @default 0 */
     limitCursor: z.int().min(0).optional(),
+    /** Number of the last received change of `serverLimits`. @default 0 */
+    serverLimitCursor: z.int().min(0).optional(),
 });
 
 /** Asks a directory for the latest configuration that it knows, which may be older than the latest committed one. */
@@ -77,6 +80,10 @@
     usedUp: z.array(identifier).optional(),
     /** Number of the last change of these two lists. @default 0, and none */
     limitCursor: z.int().min(0).optional(),
+    /** Limits that backend servers name, and those that ended a moment ago. Sent by the leader only. @default none */
+    serverLimits: z.array(limitObservationSchema).optional(),
+    /** Number of the last change of `serverLimits`. @default 0, and none */
+    serverLimitCursor: z.int().min(0).optional(),
     /** Whether `gateways` is reliable: every existing gateway has had time to connect. @default false */
     gatewaysSettled: z.boolean().optional(),
     /** Number up to which crash histories are included, and the histories that changed since. @default 0, and none */
@@ -197,6 +204,7 @@
     documentRequestSchema,
     placementMessageSchema,
     allowanceMessageSchema,
+    serverLimitMessageSchema,
     documentCallSchema,
     crashReportSchema,
 ]);
--- a/packages/basilpaddle/src/node/protocol/index.ts
+++ b/packages/basilpaddle/src/node/protocol/index.ts
@@ -13,6 +13,7 @@
 export * from "./prefix.js";
 export * from "./refusal.js";
 export * from "./scheduling.js";
+export * from "./serverLimit.js";
 export * from "./settings.js";
 export * from "./traffic.js";
 export * from "./view.js";
