soak: a backend server names a limit beside each plan's faults, and arrivals are counted over all gateways

Each plan has one more planned operation, drawn apart, so that the other faults of a seed stay as they are: a server takes 2 requests a second for 6 to 10 s. Two checks count what arrives at the servers, not what daemons believe: a named limit, and a service's retry allowance. Directories of the soak get the allowance's rules, as on the platform; without them leaders lent nothing.

--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -10,6 +10,7 @@
     type ReceivedRequest,
     receivedRequest,
     releasedHandle,
+    setLimit,
 } from "../platform/src/standins/wire.js";
 import { Relay } from "../playground/harness/relay.js";
 import type { Invariants } from "./invariants.js";
@@ -56,6 +57,8 @@
     expiresHandles = false;
     /** Whether it resets a connection after it has run the request that arrived on it. */
     dropsResponses = false;
+    /** Requests per second that it takes from all gateways together, and names in its answers; undefined for no limit. */
+    limit: number | undefined;
     /** Pending delays and their resolve functions; all are resolved early when this backend server crashes. */
     private readonly pendingDelays = new Map<NodeJS.Timeout, () => void>();
     private stage: "prefill" | "decode" | undefined;
@@ -220,6 +223,17 @@
 
     private async serve(received: ReceivedRequest, response: http.ServerResponse, body: string): Promise<void> {
         const { attempt, instance } = received;
+        if (this.limit !== undefined) {
+            setLimit(response, this.limit);
+            response.once("finish", () => this.options.invariants.limitTold(this.id, attempt, performance.now()));
+        }
+        this.options.invariants.arrived({
+            attempt,
+            server: this.id,
+            service: this.service,
+            at: performance.now(),
+            isAcceptedPrefill: received.prefillOnly && this.stage === "prefill" && instance === this.id,
+        });
         if (instance !== undefined && instance !== this.id) {
             response.writeHead(421, notRunHeaders(attempt)).end();
         }
--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -8,8 +8,11 @@
 import type { Invariants } from "./invariants.js";
 import { Member } from "./member.js";
 import type { SoakPlan } from "./plan.js";
+import { retryRules } from "./serverArrivals.js";
 
 const failureDomains = ["a", "b", "c"];
+/** The retry allowance as settings state it, the window in seconds. */
+const repeats = { ratio: retryRules.ratio, window: retryRules.windowMilliseconds / 1_000, slack: retryRules.slack };
 /** Host numbers: daemons are known by their relay's host, and listen on the host that is `bindHostOffset` higher. */
 const directoryHostBase = 1;
 const gatewayHostBase = 21;
@@ -197,6 +200,7 @@
                 tolerated: 1,
                 heartbeat: heartbeatMilliseconds,
                 orderLease: 1_000,
+                repeats,
             },
             { peers: peer, calls },
             this.folder,
@@ -214,7 +218,7 @@
                 role: "gateway",
                 callers: `${common.bindHost}:${callers}`,
                 readiness: `${common.bindHost}:${readiness}`,
-                repeats: { ratio: 0.2, window: 10, slack: 50 },
+                repeats,
             },
             { callers },
             this.folder,
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -14,6 +14,8 @@
 const catchUpMilliseconds = 7_000;
 /** Factor by which the processing times of a slow backend server are multiplied. */
 const backendSlowdownFactor = 6;
+/** Requests per second that a backend server names as its limit: a fraction of what it receives otherwise. */
+const namedLimit = 2;
 /** Delay that slow links add. */
 const linkDelayMilliseconds = 120;
 /** Interval between two copies of a poison request, and the time it is sent beyond the fault's duration: past the third crash. */
@@ -107,6 +109,7 @@
             drainBackend: () => this.drainBackend(fault),
             lapseHandles: () => this.impairBackend(fault, backend => (backend.expiresHandles = true), restoreHandles),
             loseAnswers: () => this.impairBackend(fault, backend => (backend.dropsResponses = true), restoreResponses),
+            limitBackend: () => this.limitBackend(fault),
             changeConfiguration: () => operator.change(),
             raceConfigurations: () => operator.race(),
             invalidConfiguration: () => operator.sendInvalid(),
@@ -127,7 +130,7 @@
             await runWhileDown();
         }
         await pause(lasts);
-        affected.forEach(member => member.start());
+        affected.forEach(member => this.startAgain(member));
     }
 
     private async pauseFor(fault: Fault, member: Member): Promise<void> {
@@ -157,7 +160,7 @@
             );
         }
         await pause(restartDelayMilliseconds);
-        member.start();
+        this.startAgain(member);
     }
 
     private mayLoseDisk(): boolean {
@@ -294,6 +297,17 @@
         repair(backend);
     }
 
+    /** Lets a backend server name a limit. */
+    private async limitBackend(fault: Fault): Promise<void> {
+        const backend = pickByFraction(this.deployment.backends, fault.pick);
+        this.recordFault(fault, backend.id);
+        const end = this.invariants.arrivals.limitNamed(backend.id, namedLimit, performance.now());
+        backend.limit = namedLimit;
+        await pause(fault.lasts);
+        backend.limit = undefined;
+        end(performance.now());
+    }
+
     /** Starts a new backend server, and drains and removes an old one. */
     private async drainBackend(fault: Fault): Promise<void> {
         const backend = pickByFraction(this.deployment.backends.filter(one => !one.isDraining()), fault.pick);
@@ -303,6 +317,11 @@
         this.deployment.removeBackend(backend);
     }
 
+    private startAgain(member: Member): void {
+        this.invariants.arrivals.gatewayStarted(member.name, performance.now());
+        member.start();
+    }
+
     private others(directory: Member): readonly Member[] {
         return this.deployment.directories.filter(other => other !== directory);
     }
--- a/soak/invariants.ts
+++ b/soak/invariants.ts
@@ -1,5 +1,6 @@
 import type { ReceivedRequest, RouteKind } from "../platform/src/standins/wire.js";
 import { busyAllowance, busyOrganisation, type RequestKey } from "./organisations.js";
+import { type Arrival, ServerArrivals } from "./serverArrivals.js";
 
 /** Statuses which guarantee that a request has not run and will not run. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -57,6 +58,8 @@
     readonly violations: Violation[] = [];
     readonly disturbances: Disturbance[] = [];
     readonly requests = new Map<string, SoakRequest>();
+    /** What arrived at backend servers over all gateways. */
+    readonly arrivals = ServerArrivals.create();
     /** Contents sent for each version; there can be two, as two operators may race with the same version. */
     private readonly sentVersions = new Map<number, Set<string>>();
     private readonly drainTimes = new Map<string, number>();
@@ -93,9 +96,20 @@
     requestSent(attempt: string, kind: RouteKind, gateway: string, now: number, key: RequestKey): SoakRequest {
         const request: SoakRequest = { attempt, kind, gateway, key, sentAt: now, runs: [], end: undefined, endedAt: 0 };
         this.requests.set(attempt, request);
+        this.arrivals.requestSent(kind === "safe" || kind === "unsafe" ? "plain" : "pool", now);
         return request;
     }
 
+    /** Records that a request arrived at a backend server, whether that runs it or not. */
+    arrived(arrival: Omit<Arrival, "gateway">): void {
+        this.arrivals.arrived({ ...arrival, gateway: this.requests.get(arrival.attempt)?.gateway ?? "" });
+    }
+
+    /** Records an answer with which a server named its limit. */
+    limitTold(server: string, attempt: string, now: number): void {
+        this.arrivals.told(server, this.requests.get(attempt)?.gateway ?? "", now);
+    }
+
     /** Records that a backend server started to run a request. Returns a function that records the end of the run. */
     runStarted(
         received: Pick<ReceivedRequest, "attempt" | "organisation" | "key">,
@@ -224,6 +238,8 @@
     checkRequests(): readonly Violation[] {
         this.requests.forEach(request => this.checkRequest(request));
         this.checkAllowance();
+        this.arrivals.limitViolations().forEach(what => this.violate("a server's limit", what));
+        this.arrivals.retryViolations().forEach(what => this.violate("the retry allowance", what));
         return this.violations;
     }
 
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -37,8 +37,8 @@
     "invalidConfiguration",
 ] as const;
 
-/** The kind of a fault. */
-export type FaultKind = typeof faultKinds[number];
+/** The kind of a fault. `limitBackend` is planned apart from the others. */
+export type FaultKind = typeof faultKinds[number] | "limitBackend";
 
 /** Planned operations: they must not cut off any request while no fault is active. */
 export const plannedKinds: ReadonlySet<FaultKind> = new Set<FaultKind>([
@@ -49,7 +49,10 @@
     "changeConfiguration",
     "raceConfigurations",
     "invalidConfiguration",
+    "limitBackend",
 ]);
+/** Planned operations that a plan draws from. */
+const drawnPlannedKinds = faultKinds.filter(kind => plannedKinds.has(kind));
 
 /** One fault: its start in milliseconds after the start of the load, its duration in milliseconds, and its target. */
 export type Fault = {
@@ -87,6 +90,9 @@
 /** Probability that a fault is followed by another of the same kind, since real faults often recur within a short time. */
 const seriesProbability = 0.25;
 const seriesGapMilliseconds = 700;
+/** Bounds for the time in which a backend server names a limit: longer than all gateways may take to learn of it. */
+const minLimitMilliseconds = 6_000;
+const maxLimitMilliseconds = 10_000;
 /**
  * Every fourth seed has planned operations only. While unplanned faults are active, a request that is cut off isn't a
  * violation: a shutdown that didn't wait for open requests went undetected in a run with twelve faults.
@@ -100,7 +106,7 @@
     const gateways = size.gateways ?? random.integer(3, 6);
     const length = (size.seconds ?? defaultSeconds) * millisecondsInSecond;
     const faults: Fault[] = [];
-    const kinds = seed % plannedOnlySeedInterval === 0 ? [...plannedKinds] : faultKinds;
+    const kinds = seed % plannedOnlySeedInterval === 0 ? drawnPlannedKinds : faultKinds;
     let at = random.integer(minGapMilliseconds, maxGapMilliseconds);
     let kind = kinds[random.integer(0, kinds.length - 1)]!;
     while (at < length) {
@@ -114,5 +120,18 @@
         at += repeatsKind ? seriesGapMilliseconds : random.integer(minGapMilliseconds, maxGapMilliseconds);
         kind = repeatsKind ? kind : kinds[random.integer(0, kinds.length - 1)]!;
     }
+    faults.push(createLimit(seed, length));
+    faults.sort((one, other) => one.at - other.at);
     return { seed, directories, gateways, engines: 6, plainServers: 3, length, requestsPerSecond: 30, faults };
 }
+
+/** One backend server names a limit beside the other faults, which are the same as without it. */
+function createLimit(seed: number, length: number): Fault {
+    const random = SeededRandomness.create(-1 - seed);
+    return {
+        kind: "limitBackend",
+        at: random.integer(0, Math.floor(length / 2)),
+        lasts: random.integer(minLimitMilliseconds, maxLimitMilliseconds),
+        pick: random.fraction(),
+    };
+}
