--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -15,7 +15,7 @@
 /** Factor by which the processing times of a slow backend server are multiplied. */
 const backendSlowdownFactor = 6;
 /** Requests per second that a backend server names as its limit: a fraction of what it receives otherwise. */
-const namedLimit = 2;
+const namedLimit = 1;
 /** Delay that slow links add. */
 const linkDelayMilliseconds = 120;
 /** Interval between two copies of a poison request, and the time it is sent beyond the fault's duration: past the third crash. */
