--- a/soak/main.ts
+++ b/soak/main.ts
@@ -62,7 +62,8 @@
     while (next < first + options.seeds) {
         const seed = next++;
         try {
-            failedSeeds += await runSeed(seed) ? 0 : 1;
+            const isKept = await runSeed(seed);
+            failedSeeds += isKept ? 0 : 1;
         }
         catch (error) {
             failedSeeds += 1;
