--- a/packages/basilpaddle/src/node/daemon/directory/leaderServices.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/leaderServices.ts
@@ -1,6 +1,5 @@
 import { type InstanceTable, OutlierDetector } from "../../coordination/index.js";
-import type { AllowanceMessage, PlacementMessage, ServerLimitMessage, Traffic } from "../../protocol/index.js";
-import type { DirectorySettings } from "../../protocol/index.js";
+import type { DirectorySettings, LeaderMessage, Traffic } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
 import type { BackendConnections } from "../backends/index.js";
 import { type AllowanceLimits, AllowanceService } from "./allowanceService.js";
@@ -24,9 +23,6 @@
     readonly logger: Logger;
 };
 
-/** A gateway's message to the leader. */
-export type LeaderMessage = PlacementMessage | AllowanceMessage | ServerLimitMessage;
-
 /** What a directory does for all gateways while it leads; created anew for each term. */
 export class LeaderServices {
     private readonly outlierDetector = OutlierDetector.create();
--- a/packages/basilpaddle/src/node/daemon/gateway/placementLeader.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementLeader.ts
@@ -2,15 +2,14 @@
 import {
     type Admission,
     admissionReplySchema,
-    type AllowanceMessage,
     allowanceReplySchema,
     type ChargeDecision,
+    type LeaderMessage,
     type LimitObservation,
     type PlacementMessage,
     type PlacementReply,
     placementReplySchema,
     type PlacementRequest,
-    type ServerLimitMessage,
 } from "../../protocol/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
 import { LeaderTimeout } from "./leaderTimeout.js";
@@ -21,9 +20,6 @@
 /** The leader's answer to a placement request: its decision, or that the request is queued there. */
 export type LeaderAnswer = Extract<PlacementReply, { kind: "decided" | "waiting"; }>;
 
-/** Any message of a gateway to the leader. */
-export type LeaderMessage = PlacementMessage | AllowanceMessage | ServerLimitMessage;
-
 /** Dependencies of the connection to the leader. */
 export type PlacementLeaderOptions = {
     /** The gateway's own name. */
--- a/packages/basilpaddle/src/node/daemon/gateway/retryAllowance.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/retryAllowance.ts
@@ -1,6 +1,9 @@
 import { type RetryBudgetRules, ServiceRetryBudget } from "../../coordination/index.js";
 import type { Clock, Metrics } from "../../utils/index.js";
 
+/** Cause of a request that isn't sent again for lack of a retry. */
+export const noRetryLeft = "no retry is left in the allowance";
+
 /** Dependencies of the allowance. */
 export type RetryAllowanceOptions = {
     readonly rules: RetryBudgetRules;
--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -5,6 +5,7 @@
 import { BackendSender, type ExchangeOptions, type SendResult } from "./backendSender.js";
 import type { CallerRequest } from "./callerRequest.js";
 import { refuseQuarantined } from "./refuseQuarantined.js";
+import { noRetryLeft } from "./retryAllowance.js";
 import { guaranteesNotRun } from "./statuses.js";
 import { TimeLimit } from "./timeLimit.js";
 
@@ -71,10 +72,11 @@
                 break;
             }
             const server = await this.nextServer() ?? (round === 0 ? await this.waitForServer() : undefined);
-            if (
-                server === undefined || request.isDisconnected()
-                || (round > 0 && !await options.retryAllowance.takeRetry(service.name))
-            ) {
+            if (server === undefined || request.isDisconnected()) {
+                break;
+            }
+            if (lastResult !== undefined && !await options.retryAllowance.takeRetry(service.name)) {
+                lastResult = { ...lastResult, cause: `${lastResult.cause}; ${noRetryLeft}` };
                 break;
             }
             const result = await this.sendTo(server);
@@ -105,7 +107,7 @@
             if (await admission.admit(server.id, 0)) {
                 return server;
             }
-            this.steps.push(`${server.id} at its limit`);
+            this.steps.push(`${server.id} limited`);
             excluded.add(server.id);
         }
     }
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -9,6 +9,7 @@
 import { placementRequest } from "./placementRequest.js";
 import { freePromptCache, maxShortAnswerBytes, type PrefilledPrompt, requestPrefill } from "./prefilledPrompt.js";
 import { refuseQuarantined } from "./refuseQuarantined.js";
+import { noRetryLeft } from "./retryAllowance.js";
 import { type ReportSendOutcome, RetryCharges } from "./retryCharges.js";
 import { guaranteesNotRun } from "./statuses.js";
 import { StreamRelay } from "./streamRelay.js";
@@ -29,7 +30,6 @@
 const maxCacheOffers = 2;
 /** Number of failed connections to engines that aren't counted as rounds. */
 const maxUncountedConnectionFailures = 6;
-const noRetryLeft = "no retry is left in the allowance";
 const minFailureStatus = 400;
 
 /** Result of a run at a decode engine. */
@@ -141,7 +141,7 @@
         const prefillEngine = this.hasUsablePrompt() || this.prefillsAtDecode ? undefined : prefill;
         const fullEngine = await admitEngines(this.options.admission, prefillEngine, decode);
         if (fullEngine !== undefined) {
-            this.steps.push(`${fullEngine} at its limit`);
+            this.steps.push(`${fullEngine} limited`);
             this.retryElsewhere(fullEngine, "an engine has reached the limit that it names");
             return {};
         }
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -1,7 +1,7 @@
 import { z } from "zod";
-import { allowanceMessageSchema } from "./allowance.js";
+import { type AllowanceMessage, allowanceMessageSchema } from "./allowance.js";
 import { crashRecordSchema, crashReportSchema } from "./crash.js";
-import { limitObservationSchema, serverLimitMessageSchema } from "./serverLimit.js";
+import { limitObservationSchema, type ServerLimitMessage, serverLimitMessageSchema } from "./serverLimit.js";
 
 const identifier = z.string().min(1).max(200);
 /**
@@ -251,6 +251,8 @@
 export type PlacementDecision = z.infer<typeof placementDecisionSchema>;
 /** Message of a gateway to the leading directory about placement. */
 export type PlacementMessage = z.infer<typeof placementMessageSchema>;
+/** Any message of a gateway to the leading directory. */
+export type LeaderMessage = PlacementMessage | AllowanceMessage | ServerLimitMessage;
 /** Reply of a directory to a message about placement. */
 export type PlacementReply = z.infer<typeof placementReplySchema>;
 /** Request of a directory to the leader about the configuration document. */
