--- a/packages/basilpaddle/src/node/coordination/allowance/equalShare.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/equalShare.ts
@@ -15,11 +15,14 @@
 export class EqualShare {
     private readonly accounts = new LRUCache<string, Account>({ max: maxAccounts });
 
-    private constructor(private readonly gateways: () => number) {}
+    private constructor(private readonly gateways: () => number, private readonly startedAt: number) {}
 
-    /** `gateways`: upper bound of the number of gateways that share the allowances. */
-    static create(gateways: () => number): EqualShare {
-        return new EqualShare(gateways);
+    /**
+     * `gateways`: upper bound of the number of gateways that share the allowances. `startedAt`: when this gateway's process
+     * started. Its share is empty then: the process before it may have spent the whole share just before it ended.
+     */
+    static create(gateways: () => number, startedAt: number): EqualShare {
+        return new EqualShare(gateways, startedAt);
     }
 
     /** Charges a request, or refuses it; one that costs more than the share is admitted when the share is full. */
@@ -61,7 +64,7 @@
         let account = this.accounts.get(organisation);
         if (account === undefined) {
             const rules = shareOf(allowance, gateways);
-            account = { bucket: TokenBucket.create(rules, rules.burst, now), allowance, gateways };
+            account = { bucket: TokenBucket.create(rules, 0, this.startedAt), allowance, gateways };
             this.accounts.set(organisation, account);
         }
         else if (account.allowance !== allowance || account.gateways !== gateways) {
--- a/packages/basilpaddle/src/node/coordination/allowance/organisationAllowances.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/organisationAllowances.ts
@@ -34,7 +34,7 @@
     protected readonly ownShare: EqualShare;
 
     protected constructor(protected readonly options: AllowanceOptions) {
-        this.ownShare = EqualShare.create(options.gateways);
+        this.ownShare = EqualShare.create(options.gateways, options.clock.monotonic());
     }
 
     /** Charges a request once, or refuses it with the milliseconds after which it may come back. */
