--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -96,7 +96,7 @@
             members: () => this.members(),
             ejected: () => this.leading?.ejected() ?? [],
             limits: () => this.leading?.limits() ?? noLimits,
-            serverLimits: () => this.leading?.publishedServerLimits() ?? noServerLimits,
+            serverLimits: () => this.leading?.serverLimits ?? noServerLimits,
             previousGateways: restartCache.gateways(),
             clock,
         });
--- a/packages/basilpaddle/src/node/daemon/directory/leaderServices.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/leaderServices.ts
@@ -5,7 +5,7 @@
 import { type AllowanceLimits, AllowanceService } from "./allowanceService.js";
 import type { DirectoryWire } from "./directoryWire.js";
 import { PlacementService } from "./placementService.js";
-import { type PublishedLimits, ServerLimitService } from "./serverLimitService.js";
+import { ServerLimitService } from "./serverLimitService.js";
 import { StageOrders } from "./stageOrders.js";
 
 /** Dependencies of a leader's services. */
@@ -28,7 +28,8 @@
     private readonly outlierDetector = OutlierDetector.create();
     private readonly placement: PlacementService;
     private readonly allowances: AllowanceService;
-    private readonly serverLimits: ServerLimitService;
+    /** Limits that backend servers name. */
+    readonly serverLimits: ServerLimitService;
     private readonly stageOrders: StageOrders;
 
     private constructor(private readonly options: LeaderServicesOptions, term: number) {
@@ -84,11 +85,6 @@
         return this.allowances.limits();
     }
 
-    /** Limits that backend servers name. */
-    publishedServerLimits(): PublishedLimits {
-        return this.serverLimits.published();
-    }
-
     /** Marks engines or rules as changed. */
     markPoolsOutdated(): void {
         this.placement.markPoolsOutdated();
--- a/packages/basilpaddle/src/node/daemon/directory/serverLimitService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/serverLimitService.ts
@@ -2,11 +2,11 @@
 import type { AdmissionReply, LimitObservation, ServerLimitMessage } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
 
-/** The limits that all gateways have to know, and the number of the last change. */
-export type PublishedLimits = { readonly change: number; readonly observed: readonly LimitObservation[]; };
+/** The limits that all gateways have to know, and the number of their last change. */
+export type PublishedLimits = { latestChange(): number; recent(): readonly LimitObservation[]; };
 
 /** What a directory publishes that doesn't lead. */
-export const noServerLimits: PublishedLimits = { change: 0, observed: [] };
+export const noServerLimits: PublishedLimits = { latestChange: () => 0, recent: () => [] };
 
 /** Dependencies of the service. */
 export type ServerLimitServiceOptions = {
@@ -17,7 +17,7 @@
 };
 
 /** Keeps the limits that backend servers name for all gateways, and admits their requests, while this directory leads. */
-export class ServerLimitService {
+export class ServerLimitService implements PublishedLimits {
     private readonly limits = ServerLimits.create();
     private readonly pacer = RequestPacer.create();
 
@@ -47,9 +47,14 @@
         return this.limits.limitOf(server);
     }
 
-    /** The limits that all gateways have to know. */
-    published(): PublishedLimits {
-        return { change: this.limits.latestChange(), observed: this.limits.recent(this.now()) };
+    /** Number of the last change of the limits. */
+    latestChange(): number {
+        return this.limits.latestChange();
+    }
+
+    /** The current limits, and those that ended a moment ago. */
+    recent(): readonly LimitObservation[] {
+        return this.limits.recent(this.now());
     }
 
     /** Updates the gauges of a leader. */
--- a/packages/basilpaddle/src/node/daemon/directory/watchService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/watchService.ts
@@ -130,7 +130,7 @@
             || announcements.latestChange() > watch.cursor
             || quarantined.latestChange() > (watch.crashCursor ?? 0)
             || this.options.limits().change !== (watch.limitCursor ?? 0)
-            || this.options.serverLimits().change !== (watch.serverLimitCursor ?? 0)
+            || this.options.serverLimits().latestChange() !== (watch.serverLimitCursor ?? 0)
             || document().version > watch.version;
     }
 
@@ -191,9 +191,9 @@
             ...limits.change === 0
                 ? {}
                 : { limitCursor: limits.change, nearLimit: [...limits.near], usedUp: [...limits.usedUp] },
-            ...serverLimits.change === 0
+            ...serverLimits.latestChange() === 0
                 ? {}
-                : { serverLimitCursor: serverLimits.change, serverLimits: [...serverLimits.observed] },
+                : { serverLimitCursor: serverLimits.latestChange(), serverLimits: [...serverLimits.recent()] },
             crashCursor: quarantined.latestChange(),
             ...crashes.length === 0 ? {} : { crashes: [...crashes] },
         };
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/limitsOfAllGateways.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/limitsOfAllGateways.spec.ts
@@ -80,7 +80,7 @@
         const { leader } = this.gateways[number]!;
         const gateway = this.startedGateway();
         gateway.leader = leader;
-        gateway.admission.observeLeader(leader?.published().observed ?? []);
+        gateway.admission.observeLeader(leader?.recent() ?? []);
         this.gateways[number] = gateway;
     }
 
@@ -100,7 +100,7 @@
 
     private publish(leader: ServerLimitService): void {
         const reached = this.gateways.filter(gateway => gateway.leader === leader);
-        reached.forEach(({ admission }) => admission.observeLeader(leader.published().observed));
+        reached.forEach(({ admission }) => admission.observeLeader(leader.recent()));
     }
 
     private startedGateway(): Gateway {
