known red: refused callers of an organisation are told one time if a request costs more than the longest spread

Traced: the ledger spreads refused callers by what a request costs at the rate, and begins anew from the earliest time where that lies more than 8 s ahead; a request that costs 1,400 at 10 a second always does, so that every caller gets the earliest time. The new test brings it about without a clock and fails.

--- a/packages/basilpaddle/src/node/coordination/allowance/__tests__/allowanceLedger.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/__tests__/allowanceLedger.spec.ts
@@ -56,6 +56,13 @@
         expect(new Set(many).size).to.be.greaterThan(10);
     });
 
+    // Guards against refused callers that all return at the same time.
+    it("spreads the retries of refused callers whose requests cost more than the longest spread", () => {
+        const ledger = AllowanceLedger.create(1);
+        ledger.charge("a", allowance, 2_000, 0);
+        expect(new Set(retryDelays(ledger, 6, 10_000, 0)).size).to.be.above(1);
+    });
+
     it("applies a lower limit at once, and makes a larger burst available at once", () => {
         const ledger = AllowanceLedger.create(1);
         const lower = { ...allowance, rate: 10, burst: 20 };
