fix(limits): a limit that ends while the leader doesn't answer refuses no request

Found by reading the change again. A gateway that asked the leader for room and got no answer took the limit anew for its own share; if it had ended meanwhile it counted with an infinite rate, whose empty bucket has no level (NaN). The request was refused with the time 0, and the bucket stayed without a level, so that every later request without a leader was refused too.

--- a/packages/basilpaddle/src/node/coordination/limits/serverAdmission.ts
+++ b/packages/basilpaddle/src/node/coordination/limits/serverAdmission.ts
@@ -134,7 +134,12 @@
             return fromLeader;
         }
         const { server } = observed;
-        const rate = this.appliedLimit(server) * ownShareFraction;
+        const limit = this.limitOf(server);
+        if (limit === undefined) {
+            // It ended while the leader was asked.
+            return { admitted: true, wait: 0 };
+        }
+        const rate = limit * ownShareFraction;
         const share = rate / Math.max(1, gateways());
         const admitted = this.ownPacer.admitByChance(server, share, this.chance(server), this.now());
         this.count(admitted ? "ownShare" : "refusedByOwnShare");
@@ -143,8 +148,8 @@
 
     /** Spreads the gateways' questions after a refusal, so that each admitted request costs the leader a few of them. */
     private askDelay(server: string): number {
-        const interval = this.options.gateways() * millisecondsInSecond
-            / (askedPerAdmitted * this.appliedLimit(server));
+        const limit = this.limitOf(server) ?? Number.POSITIVE_INFINITY;
+        const interval = this.options.gateways() * millisecondsInSecond / (askedPerAdmitted * limit);
         return this.chance(server) * Math.min(maxAskDelayMilliseconds, interval);
     }
 
@@ -152,10 +157,6 @@
         return hashToFraction(`${this.options.name} ${server} ${this.now()}`);
     }
 
-    private appliedLimit(server: string): number {
-        return this.limitOf(server) ?? Number.POSITIVE_INFINITY;
-    }
-
     private logChange(server: string, limit: number | undefined, age: number, source: "answer" | "leader"): void {
         this.options.logger.info("the limit that a backend server names changed", {
             server,
