--- a/packages/basilpaddle/src/node/coordination/gateway/gatewayCount.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/gatewayCount.ts
@@ -46,7 +46,7 @@
             this.highestAt = now;
         }
         this.hasSettled ||= reported.some(({ gatewaysSettled }) => gatewaysSettled);
-        const isRecent = reported.length === 0 || now - this.startedAt < this.settleTime;
-        return !this.hasSettled && isRecent ? Math.max(this.highest, assumedGateways) : this.highest;
+        const mayBeTooLow = reported.length === 0 || now - this.startedAt < this.settleTime;
+        return !this.hasSettled && mayBeTooLow ? Math.max(this.highest, assumedGateways) : this.highest;
     }
 }
--- a/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
@@ -1,4 +1,5 @@
 import type {
+    EngineRule,
     PlacementDecision,
     PlacementOutcome,
     PlacementRequest,
@@ -6,6 +7,7 @@
 } from "../../protocol/index.js";
 import { hashToFraction } from "../../utils/index.js";
 import { type EnginePair, EnginePool, type LeastLoadedEngine, type PlacementTuning } from "./enginePool.js";
+import { placedDecision, type Placement } from "./placement.js";
 import { PlacementForecast } from "./placementForecast.js";
 import { RunRejections } from "./runRejections.js";
 import type { TypicalRequest } from "./stagePlan.js";
@@ -57,16 +59,9 @@
     readonly firstEventIn: (request: PlacementRequest, ahead: number) => number;
 };
 
-type Placement = EnginePair & {
-    readonly request: PlacementRequest;
-    readonly placedAt: number;
-    /** Expected milliseconds of the prefill, sent to the gateway. */
-    readonly readingWithin?: number;
-    isPrefilled: boolean;
-};
-
 /**
- * Places requests at the engines of one pool, and decides which wait and which are refused. The caller passes the time.
+ * Places requests at the engines of one pool, and decides which of them wait and which are refused. It uses no sockets or
+ * timers: the caller passes the time and carries out the decisions.
  *
  * Decode capacity is the bottleneck: a run occupies thousands of tokens of KV cache for seconds, while its prefill takes a
  * tenth of a second, and the result of a prefill is kept for only half a second. So a prefill doesn't start before its run
@@ -90,8 +85,8 @@
     }
 
     /** Replaces the announcements of the pool's engines and the rule that applies to all of them. */
-    setEngines(...engines: Parameters<EnginePool["setEngines"]>): void {
-        this.pool.setEngines(...engines);
+    setEngines(announced: readonly ServerAnnouncement[], rule: EngineRule): void {
+        this.pool.setEngines(announced, rule);
     }
 
     /** Changes the fraction of each engine that this instance may allocate. */
@@ -149,7 +144,7 @@
     /** Records that a request's prefill is complete. */
     prefillCompleted(attempt: string, now: number): void {
         const placement = this.placements.get(attempt);
-        if (placement?.isPrefilled === false) {
+        if (placement !== undefined && !placement.isPrefilled) {
             placement.isPrefilled = true;
             this.forecast.recordPrefill(placement.prefillTime, now - placement.placedAt);
             this.pool.engine(placement.prefill ?? placement.decode)?.prefillCompleted(attempt, now);
@@ -393,8 +388,3 @@
         return placement;
     }
 }
-
-function placedDecision(placement: Placement): PlacementDecision {
-    const { request, prefill, decode, readingWithin } = placement;
-    return { kind: "placed", attempt: request.attempt, prefill, decode, readingWithin };
-}
--- a/packages/basilpaddle/src/node/coordination/gateway/serviceRetryBudget.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/serviceRetryBudget.ts
@@ -4,8 +4,8 @@
 const windowSlices = 10;
 /**
  * Number of slices to count: those of a whole window, the current one, and one for the time between taking a retry and its
- * arrival at a server, which may follow a prefill. Without the extra slices, retries would expire too early, and a window
- * could contain twice the allowance.
+ * arrival at a server, which may follow a prefill. Without the extra slices, retries from the beginning of a slice, or those
+ * that arrive late, would expire too early, and a window could contain twice the allowance.
  */
 const countedSlices = windowSlices + 2;
 
@@ -23,9 +23,9 @@
 const ownRequestsFraction = 0.7;
 /**
  * Parts of the slack. Gateways use one without asking, in equal shares: all that there is while no leader answers. The leader
- * lends the others, one retry at a time: with hundreds of gateways an equal share is a retry or two, and faults affect
- * gateways unevenly. Together they must not exceed the slack, with a margin for shares that differ while some gateways are
- * cut off.
+ * lends the others, one retry at a time: with hundreds of gateways an equal share is a retry or two, but faults affect gateways
+ * unevenly, and requests were refused at gateways that had used up their share while others hadn't used any of theirs.
+ * Together the parts must not exceed the slack, with a margin for shares that differ while some gateways are cut off.
  */
 const ownShareFraction = 0.2;
 const lentBurstFraction = 0.4;
--- a/packages/basilpaddle/src/node/coordination/limits/requestPacer.ts
+++ b/packages/basilpaddle/src/node/coordination/limits/requestPacer.ts
@@ -7,6 +7,7 @@
 /** Seconds of the rate that a server may receive at once, and the minimum number of requests. */
 const burstSeconds = 0.2;
 const minBurst = 1;
+
 type PacedServer = { bucket: TokenBucket; rate: number; };
 
 /**
--- a/packages/basilpaddle/src/node/coordination/limits/serverAdmission.ts
+++ b/packages/basilpaddle/src/node/coordination/limits/serverAdmission.ts
@@ -12,9 +12,12 @@
 const repeatIntervalMilliseconds = 1_000;
 /** Age of the last observation from which a server is preferred for one request. */
 const overdueMilliseconds = 2_000;
-/** Requests to a server that was full ask again at most so often over all gateways, as a multiple of its limit. */
-const askedPerAdmitted = 4;
-const maxAskDelayMilliseconds = 2_000;
+/**
+ * Gateways that the leader refused ask again after a random delay, so that over all gateways about this many questions come
+ * with each admitted request; and the longest such delay.
+ */
+const questionsPerAdmission = 4;
+const maxQuestionDelayMilliseconds = 2_000;
 const millisecondsInSecond = 1_000;
 
 /** The leader's side of the limits, as a gateway reaches it. */
@@ -23,6 +26,7 @@
     readonly isAvailable: () => boolean;
     /** Asks to send a request to a server that names a limit; undefined if no leader answers. */
     readonly admit: (observed: LimitObservation, within: number) => Promise<Admission | undefined>;
+    /** Sends a message that has no reply. */
     readonly send: (message: ServerLimitMessage) => void;
 };
 
@@ -46,7 +50,9 @@
 export class ServerAdmission {
     private readonly limits = ServerLimits.create();
     private ownPacer = RequestPacer.create();
+    /** When each server that had no room may have some again. */
     private readonly roomAt = new LRUCache<string, number>({ max: maxServers });
+    /** When each server's limit was last reported to the leader. */
     private readonly reportedAt = new LRUCache<string, number>({ max: maxServers });
 
     private constructor(private readonly options: ServerAdmissionOptions) {}
@@ -110,7 +116,7 @@
         }
         const admission = await this.decide(observed, within);
         if (!admission.admitted) {
-            this.roomAt.set(server, this.now() + admission.comeBackIn + this.askDelay(server));
+            this.roomAt.set(server, this.now() + admission.comeBackIn + this.questionDelay(server));
             return false;
         }
         if (admission.wait > 0) {
@@ -146,11 +152,11 @@
         return admitted ? { admitted, wait: 0 } : { admitted, comeBackIn: millisecondsInSecond / rate };
     }
 
-    /** Spreads the gateways' questions after a refusal, so that each admitted request costs the leader a few of them. */
-    private askDelay(server: string): number {
+    /** Milliseconds by which this gateway's next question follows the time at which there is room. */
+    private questionDelay(server: string): number {
         const limit = this.limitOf(server) ?? Number.POSITIVE_INFINITY;
-        const interval = this.options.gateways() * millisecondsInSecond / (askedPerAdmitted * limit);
-        return this.chance(server) * Math.min(maxAskDelayMilliseconds, interval);
+        const interval = this.options.gateways() * millisecondsInSecond / (questionsPerAdmission * limit);
+        return this.chance(server) * Math.min(maxQuestionDelayMilliseconds, interval);
     }
 
     private chance(server: string): number {
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/limitsOfAllGateways.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/limitsOfAllGateways.spec.ts
@@ -167,12 +167,12 @@
 
         // Guards against requests beyond the limit: each new leader began with a full bucket.
         it(`receives no more while leaders and gateways are killed again and again: ${gatewayCount} gateways`, async () => {
-            const deployment = await play(gatewayCount, (gateways, time) => {
+            const deployment = await play(gatewayCount, (running, time) => {
                 if (isEvery(900, time)) {
-                    gateways.elect(() => true);
+                    running.elect(() => true);
                 }
                 if (isEvery(1_300, time)) {
-                    gateways.restartMost();
+                    running.restartMost();
                 }
             });
             expect(worstWindow(deployment)).to.be.at.most(1);
@@ -180,18 +180,18 @@
         });
 
         it(`receives no more while a half of the gateways reaches no leader: ${gatewayCount} gateways`, async () => {
-            const deployment = await play(gatewayCount, (gateways, time) => {
+            const deployment = await play(gatewayCount, (running, time) => {
                 if (time === 5_000) {
-                    gateways.cut(number => number % 2 === 0);
+                    running.cut(number => number % 2 === 0);
                 }
             });
             expect(worstWindow(deployment)).to.be.at.most(1);
         });
 
         it(`receives a part of what it takes without any leader: ${gatewayCount} gateways`, async () => {
-            const deployment = await play(gatewayCount, (gateways, time) => {
+            const deployment = await play(gatewayCount, (running, time) => {
                 if (time === 2_000) {
-                    gateways.cut(() => true);
+                    running.cut(() => true);
                 }
             });
             expect(worstWindow(deployment)).to.be.at.most(1);
@@ -199,12 +199,12 @@
         });
 
         it(`receives no more while two directories lead for two seconds: ${gatewayCount} gateways`, async () => {
-            const deployment = await play(gatewayCount, (gateways, time) => {
+            const deployment = await play(gatewayCount, (running, time) => {
                 if (isEvery(6_000, time)) {
-                    gateways.elect(number => number % 2 === 0);
+                    running.elect(number => number % 2 === 0);
                 }
                 if (isEvery(6_000, time - 2_000)) {
-                    gateways.elect(() => true);
+                    running.elect(() => true);
                 }
             });
             expect(worstWindow(deployment)).to.be.at.most(1);
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/retriesOfAllGateways.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/retriesOfAllGateways.spec.ts
@@ -14,7 +14,7 @@
 const requestsPerStep = 0.25;
 const sendsPerRequest = 3;
 
-type Gateway = { allowance: RetryAllowance; isCut: boolean; };
+type Gateway = { readonly allowance: RetryAllowance; };
 
 /** What happens in one step, `time` milliseconds after the first fault. */
 type Faults = (deployment: Deployment, time: number) => void;
@@ -45,10 +45,9 @@
     electLeader(): void {
         this.leader?.close();
         this.term += 1;
-        const traffic = undefined;
         this.leader = PlacementService.create({
             instances: InstanceTable.create(),
-            traffic: () => traffic,
+            traffic: () => undefined,
             onServerCalls: () => undefined,
             onIncarnationEnded: () => undefined,
             repeats: rules,
@@ -78,8 +77,7 @@
     }
 
     private startedGateway(): Gateway {
-        const gateway: Gateway = {
-            isCut: false,
+        return {
             allowance: RetryAllowance.create({
                 rules,
                 clock: this.clock,
@@ -87,12 +85,11 @@
                 maxGateways: () => gatewayCount,
                 borrow: async service => {
                     const message = { kind: "borrow", gateway: "g", service } as const;
-                    const answer = gateway.isCut ? undefined : await this.leader?.handle(message);
+                    const answer = await this.leader?.handle(message);
                     return answer?.kind === "lent" && answer.granted;
                 },
             }),
         };
-        return gateway;
     }
 }
 
@@ -131,9 +128,9 @@
 describe("the retries of all gateways together", () => {
     // Guards against retries beyond the allowance: each gateway that was started again spent its share once more.
     it("stay within the allowance while gateways are killed again and again", async () => {
-        const deployment = await play((gateways, time) => {
+        const deployment = await play((running, time) => {
             if (every(2_600, time)) {
-                restartAllButFirst(gateways);
+                restartAllButFirst(running);
             }
         });
         expect(worstWindow(deployment)).to.be.at.most(1);
@@ -141,12 +138,12 @@
 
     // Guards against retries beyond the allowance: each new leader lent once more what its predecessor had lent.
     it("stay within the allowance while leaders and gateways are killed again and again", async () => {
-        const deployment = await play((gateways, time) => {
+        const deployment = await play((running, time) => {
             if (every(2_200, time)) {
-                gateways.electLeader();
+                running.electLeader();
             }
             if (every(2_600, time)) {
-                restartAllButFirst(gateways);
+                restartAllButFirst(running);
             }
         });
         expect(worstWindow(deployment)).to.be.at.most(1);
@@ -158,9 +155,9 @@
     });
 
     it("are possible at a gateway that has just been started", async () => {
-        const deployment = await play((gateways, time) => {
+        const deployment = await play((running, time) => {
             if (time === 0) {
-                restartAllButFirst(gateways);
+                restartAllButFirst(running);
             }
         });
         const firstFault = calmMilliseconds;
--- a/packages/basilpaddle/src/node/daemon/gateway/prefilledPrompt.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/prefilledPrompt.ts
@@ -36,7 +36,10 @@
     return Math.min(request.remainingTime(), maxTimeout, forecastTimeout);
 }
 
-/** Sends the prefill of a request to an engine; returns the handle of the KV cache if there is one. `forecast` as above. */
+/**
+ * Sends the prefill of a request to an engine; returns the handle of the KV cache if there is one. `forecast`: expected
+ * duration of the prefill in milliseconds, if known.
+ */
 export async function requestPrefill(
     options: ExchangeOptions,
     sender: BackendSender,
--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -136,6 +136,7 @@
     private async waitForServer(): Promise<ServerAnnouncement | undefined> {
         const { clock, instances } = this.options;
         if (instances.usable(this.service.name).length > 0) {
+            // Servers are known, but none of them takes the request.
             return undefined;
         }
         const deadline = clock.monotonic() + this.request.remainingTime() * firstServerWaitFraction;
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -139,10 +139,10 @@
             return {};
         }
         const prefillEngine = this.hasUsablePrompt() || this.prefillsAtDecode ? undefined : prefill;
-        const fullEngine = await admitEngines(this.options.admission, prefillEngine, decode);
-        if (fullEngine !== undefined) {
-            this.steps.push(`${fullEngine} limited`);
-            this.retryElsewhere(fullEngine, "an engine has reached the limit that it names");
+        const limitedEngine = await admitEngines(this.options.admission, prefillEngine, decode);
+        if (limitedEngine !== undefined) {
+            this.steps.push(`${limitedEngine} limited`);
+            this.retryElsewhere(limitedEngine, "an engine has reached the limit that it names");
             return {};
         }
         const reports = await this.retryCharges.reserve(prefillEngine !== undefined);
