--- a/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
@@ -35,8 +35,8 @@
  * as the regular end of an answer whose connection would be closed anyway: half of such an answer would be taken for a
  * complete one if the backend server crashes in the middle. With another error code undici handles a reset as an error.
  */
-const connector: buildConnector.connector = (options, callback) => {
-    const socket = net.connect({ host: options.hostname, port: Number(options.port), noDelay: true });
+const connectFrom = (localAddress: string | undefined): buildConnector.connector => (options, callback) => {
+    const socket = net.connect({ host: options.hostname, port: Number(options.port), noDelay: true, localAddress });
     const cancel = afterPoll(connectTimeoutMilliseconds, () => {
         const error: NodeJS.ErrnoException = new Error(`no connection within ${connectTimeoutMilliseconds} ms`);
         error.code = connectTimeoutCode;
@@ -97,13 +97,14 @@
     private readonly pools = new Map<string, { readonly pool: Pool; usedAt: number; }>();
     private readonly idleSweep: NodeJS.Timeout;
 
-    private constructor(private readonly logger: Logger) {
+    private constructor(private readonly logger: Logger, private readonly localAddress: string | undefined) {
         this.idleSweep = setInterval(() => this.closeIdle(), idleTimeoutMilliseconds / 4);
         this.idleSweep.unref();
     }
 
-    static create(logger: Logger): BackendConnections {
-        return new BackendConnections(logger);
+    /** `localAddress`: for outgoing connections; by default the operating system chooses one. */
+    static create(logger: Logger, localAddress?: string): BackendConnections {
+        return new BackendConnections(logger, localAddress);
     }
 
     /** Sends a request and returns the head of the answer. `limit`: connections that all gateways together may open to the server. */
@@ -167,7 +168,7 @@
             pipelining: 1,
             keepAliveTimeout: keepAliveTimeoutMilliseconds,
             keepAliveTimeoutThreshold: keepAliveMarginMilliseconds,
-            connect: connector,
+            connect: connectFrom(this.localAddress),
         });
         this.pools.set(server.id, { pool, usedAt: performance.now() });
         return pool;
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -85,7 +85,7 @@
             clock,
             logger: options.logger,
         });
-        this.connections = BackendConnections.create(options.logger);
+        this.connections = BackendConnections.create(options.logger, settings.bindHost);
         this.store.add(() => this.connections.close());
         this.watchService = WatchService.create({
             incarnation: randomness.identifier(),
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -79,7 +79,7 @@
             maxGateways: () => this.watcher.highestRecentGateways(),
             borrow: service => this.placementClient.borrowRetry(service),
         });
-        this.connections = BackendConnections.create(logger);
+        this.connections = BackendConnections.create(logger, settings.bindHost);
         this.store.add(() => this.connections.close());
         this.quarantinedRequests = QuarantinedRequests.create({
             rules: settings.holds,
--- a/playground/harness/relay.ts
+++ b/playground/harness/relay.ts
@@ -166,6 +166,13 @@
         [...this.connections].forEach(connection => connection.reset());
     }
 
+    /** Resets every open connection from one source host. */
+    resetFrom(source: string): void {
+        [...this.connections].filter(connection => connection.source === source).forEach(connection =>
+            connection.reset()
+        );
+    }
+
     /** Removes all stalls and delays; buffered bytes are forwarded first. */
     heal(): void {
         this.stalledBySource.clear();
