fix(allowances): refused callers whose requests cost more than the longest spread come back one after the other

Callers of an organisation over its allowance were all told one time if a request used up more than eight seconds of the rate, or if the allowance was used up for longer than that: they returned in step. Such retries are now spread over what is left of the longest Retry-After, two seconds at least, by the golden ratio.

--- a/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
@@ -10,8 +10,15 @@
 const nearLimitHoldMilliseconds = 5_000;
 /** How long after a refusal an allowance counts as used up. */
 const usedUpMilliseconds = 6_000;
-/** Longest Retry-After. Later retries are spread anew from the earliest time on, so that callers don't all return at the end. */
+/**
+ * Longest Retry-After, unless the allowance is used up for longer. Later retries are spread anew from the earliest time on, so that
+ * callers don't all return at the end.
+ */
 const maxRetryAfterMilliseconds = 8_000;
+/** Minimum time over which retries are spread. */
+const minSpreadMilliseconds = 2_000;
+/** Distance of two retries, as a fraction of that time, if one request uses up more than all of it: no two coincide. */
+const goldenFraction = 0.618;
 const millisecondsInSecond = 1_000;
 
 /** What one organisation has left, and when its refused callers were told to retry. */
@@ -109,9 +116,16 @@
 
     /** Milliseconds until a refused caller may retry: callers are spread one after the other at the rate of the allowance. */
     private nextRetry(account: Account, cost: number, now: number): number {
-        const available = now + account.bucket.timeUntil(0, now);
-        const retryAt = Math.max(available, account.lastRetryAt) + cost / account.allowance.rate * millisecondsInSecond;
-        account.lastRetryAt = retryAt - now > maxRetryAfterMilliseconds ? available : retryAt;
+        const earliest = now + account.bucket.timeUntil(0, now);
+        const spread = Math.max(minSpreadMilliseconds, now + maxRetryAfterMilliseconds - earliest);
+        const step = cost / account.allowance.rate * millisecondsInSecond;
+        const lastOffset = Math.max(0, account.lastRetryAt - earliest);
+        const offset = step > spread
+            ? (lastOffset + goldenFraction * spread) % spread
+            : lastOffset + step > spread
+            ? 0
+            : lastOffset + step;
+        account.lastRetryAt = earliest + offset;
         return account.lastRetryAt - now;
     }
 
