fix(gateway): a request that was answered with 408 doesn't run when its rest arrives

Cause: after the answer the connection was ended but still read; what was left of the request completed it.

--- a/packages/basilpaddle/src/node/daemon/gateway/callerServer.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerServer.ts
@@ -1,5 +1,5 @@
 import * as http from "node:http";
-import type { Socket } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import type { CallerLimits } from "../../protocol/index.js";
 import type { Logger } from "../../utils/index.js";
 
@@ -30,6 +30,8 @@
 export class CallerServer {
     private limits = initialLimits;
     private closing = false;
+    /** Connections whose request was answered as not run; the rest of it may still arrive. */
+    private readonly rejectedSockets = new WeakSet<Socket>();
     private readonly openResponses = new Set<http.ServerResponse>();
 
     private constructor(private readonly server: http.Server, private readonly options: CallerServerOptions) {}
@@ -60,6 +62,11 @@
         return callerServer;
     }
 
+    /** The port that the server listens on. */
+    port(): number {
+        return (this.server.address() as AddressInfo).port;
+    }
+
     /** Applies the limits of a configuration. */
     setLimits(limits: CallerLimits): void {
         this.limits = limits;
@@ -98,6 +105,10 @@
     }
 
     private receive(incoming: http.IncomingMessage, response: http.ServerResponse): void {
+        if (this.rejectedSockets.has(incoming.socket)) {
+            incoming.socket.destroy();
+            return;
+        }
         this.openResponses.add(response);
         response.once("close", () => this.openResponses.delete(response));
         // Without a listener, an error of a caller's connection would terminate the process.
@@ -122,6 +133,7 @@
             : error.code === "ERR_HTTP_REQUEST_TIMEOUT"
             ? "408 Request Timeout"
             : "400 Bad Request";
+        this.rejectedSockets.add(socket);
         this.options.logger.warn("rejected a malformed, oversized or slow request", { status, cause: error.code });
         socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     }
