--- a/packages/basilpaddle/src/node/daemon/entry/httpServer.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/httpServer.ts
@@ -24,6 +24,8 @@
 /** An HTTP listener. Every timeout of Node's server is set explicitly, since none of them may interrupt an answer in progress. */
 export class HttpServer {
     private readonly responsesBySocket = new WeakMap<Socket, Set<http.ServerResponse>>();
+    /** Connections whose request was answered as not run; the rest of it may still arrive. */
+    private readonly refusedSockets = new WeakSet<Socket>();
 
     private constructor(private readonly server: http.Server, private readonly options: HttpServerOptions) {}
 
@@ -80,6 +82,10 @@
 
     private handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
         const socket = request.socket;
+        if (this.refusedSockets.has(socket)) {
+            socket.destroy();
+            return;
+        }
         const responses = this.responsesBySocket.get(socket) ?? new Set();
         this.responsesBySocket.set(socket, responses.add(response));
         response.once("close", () => responses.delete(response));
@@ -115,6 +121,7 @@
             }
             return;
         }
+        this.refusedSockets.add(socket);
         const refusal = failure.code === "HPE_HEADER_OVERFLOW"
             ? notRun("headersTooLarge", `the headers exceed ${maxHeaderBytes} bytes`)
             : failure.code === "ERR_HTTP_REQUEST_TIMEOUT"
