test(soak): gateways partitioned from all backend servers, in three kinds, twice in most plans

Held: in undisturbed spans partitioned gateways serve at least 0.9 of what the others do, from 1.5 s after the start.

--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -7,6 +7,7 @@
 import { Backend } from "./backend.js";
 import type { Invariants } from "./invariants.js";
 import { Member } from "./member.js";
+import { PartitionFile } from "./partitionFile.js";
 import type { SoakPlan } from "./plan.js";
 import { retryRules } from "./serverArrivals.js";
 
@@ -25,7 +26,7 @@
 /** Delay before a replacement is started for a backend server that crashed while running a request. */
 const replacementDelayMilliseconds = 1_500;
 
-type Ports = { readonly peer: number; readonly calls: number; readonly callers: number; readonly readiness: number; };
+type Ports = Readonly<Record<"peer" | "calls" | "callers" | "readiness" | "relay", number>>;
 
 /** A deployment of real processes on loopback with a relay in front of each address, and simulated backend servers. */
 export class SoakDeployment {
@@ -53,14 +54,16 @@
         const addresses = Addresses.create();
         const host = addresses.host(backendHostNumber);
         const ports: number[] = [];
-        while (ports.length < 4) {
+        while (ports.length < 5) {
             const { port } = await addresses.free(host);
             if (!ports.includes(port)) {
                 ports.push(port);
             }
         }
-        const [peer, calls, callers, readiness] = ports as [number, number, number, number];
-        const deployment = new SoakDeployment(plan, invariants, addresses, folder, { peer, calls, callers, readiness });
+        const [peer, calls, callers, readiness, relay] = ports as [number, number, number, number, number];
+        const namedPorts = { peer, calls, callers, readiness, relay };
+        PartitionFile.buildModule();
+        const deployment = new SoakDeployment(plan, invariants, addresses, folder, namedPorts);
         await deployment.createMembers();
         return deployment;
     }
@@ -210,7 +213,7 @@
     }
 
     private createGateway(index: number): Promise<Member> {
-        const { callers, readiness } = this.ports;
+        const { callers, readiness, relay } = this.ports;
         const common = this.commonSettings(`gateway-${index + 1}`, gatewayHostBase + index, index);
         return Member.create(
             {
@@ -218,9 +221,10 @@
                 role: "gateway",
                 callers: `${common.bindHost}:${callers}`,
                 readiness: `${common.bindHost}:${readiness}`,
+                relayPort: relay,
                 repeats,
             },
-            { callers },
+            { callers, relay },
             this.folder,
         );
     }
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,4 +1,4 @@
-import { pause } from "../playground/harness/index.js";
+import { partitionKinds, pause } from "../playground/harness/index.js";
 import type { Backend } from "./backend.js";
 import { type Callers, routePrefixes } from "./callers.js";
 import type { SoakDeployment } from "./deployment.js";
@@ -110,6 +110,7 @@
             lapseHandles: () => this.impairBackend(fault, backend => (backend.expiresHandles = true), restoreHandles),
             loseAnswers: () => this.impairBackend(fault, backend => (backend.dropsResponses = true), restoreResponses),
             limitBackend: () => this.limitBackend(fault),
+            partitionGateways: () => this.partitionGateways(fault),
             changeConfiguration: () => operator.change(),
             raceConfigurations: () => operator.race(),
             invalidConfiguration: () => operator.sendInvalid(),
@@ -308,6 +309,23 @@
         end(performance.now());
     }
 
+    /** Partitions some gateways from all backend servers; at least one is left. */
+    private async partitionGateways(fault: Fault): Promise<void> {
+        const { gateways } = this.deployment;
+        const kind = pickByFraction(partitionKinds, fault.pick);
+        const relays = this.deployment.backends.map(({ relay }) => relay);
+        const count = 1 + Math.floor(fault.pick * 97) % (gateways.length - 1);
+        const partitioned = gateways.slice(0, count);
+        this.recordFault(fault, `${kind} ${partitioned.map(({ name }) => name).join(" ")}`);
+        const ends = partitioned.map(gateway => {
+            gateway.partition(kind, relays);
+            return this.invariants.partitioned(gateway.name, performance.now());
+        });
+        await pause(fault.lasts);
+        partitioned.forEach(gateway => gateway.healPartition(relays));
+        ends.forEach(end => end(performance.now()));
+    }
+
     /** Starts a new backend server, and drains and removes an old one. */
     private async drainBackend(fault: Fault): Promise<void> {
         const backend = pickByFraction(this.deployment.backends.filter(one => !one.isDraining()), fault.pick);
--- a/soak/invariants.ts
+++ b/soak/invariants.ts
@@ -23,6 +23,11 @@
 const maxCrashes = 3;
 const quarantinePropagationMilliseconds = 3_000;
 
+/** Time after which a partitioned gateway has to serve its callers, compared with the others, except for so many. */
+const partitionNoticeMilliseconds = 1_500;
+const minServedAtPartitioned = 0.9;
+const partitionSlack = 2;
+
 /** How a request ended, as its caller saw it. */
 export type CallerEnd =
     /** A response with its complete body; `right` if the body is the one expected for the request. */
@@ -58,6 +63,8 @@
     readonly violations: Violation[] = [];
     readonly disturbances: Disturbance[] = [];
     readonly requests = new Map<string, SoakRequest>();
+    /** Gateways that were partitioned from all backend servers, and when. */
+    private readonly partitions: (Disturbance & { readonly gateway: string; })[] = [];
     /** What arrived at backend servers over all gateways. */
     readonly arrivals = ServerArrivals.create();
     /** Contents sent for each version; there can be two, as two operators may race with the same version. */
@@ -88,6 +95,15 @@
         };
     }
 
+    /** Records that a gateway is partitioned from all backend servers. Returns a function that records the end. */
+    partitioned(gateway: string, now: number): (until: number) => void {
+        const partition = { gateway, what: "partition", from: now, to: Number.POSITIVE_INFINITY };
+        this.partitions.push(partition);
+        return until => {
+            partition.to = until;
+        };
+    }
+
     /** Whether an unplanned fault was active within the time span, or shortly before it. */
     isDisturbed(from: number, to: number): boolean {
         return this.disturbances.some(span => span.from <= to && span.to + aftereffectMilliseconds >= from);
@@ -238,11 +254,46 @@
     checkRequests(): readonly Violation[] {
         this.requests.forEach(request => this.checkRequest(request));
         this.checkAllowance();
+        this.checkPartitions();
         this.arrivals.limitViolations().forEach(what => this.violate("a server's limit", what));
         this.arrivals.retryViolations().forEach(what => this.violate("the retry allowance", what));
         return this.violations;
     }
 
+    /** Checks that partitioned gateways serve their callers nearly as often as the others do. */
+    private checkPartitions(): void {
+        const counts = { partitioned: { sent: 0, served: 0 }, others: { sent: 0, served: 0 } };
+        for (const { gateway, sentAt, endedAt, end, key } of this.requests.values()) {
+            const span = this.partitions.find(({ from, to }) =>
+                sentAt > from + partitionNoticeMilliseconds && sentAt < to
+            );
+            const isOtherwiseDisturbed = this.disturbances.some(({ what, from, to }) => {
+                return what !== "partitionGateways" && from <= endedAt && to + aftereffectMilliseconds >= sentAt;
+            });
+            if (
+                span === undefined || isOtherwiseDisturbed || end?.kind === "left"
+                || key.organisation === busyOrganisation
+            ) {
+                continue;
+            }
+            const isPartitioned = this.partitions.some(one => {
+                return one.gateway === gateway && one.from < sentAt && one.to > sentAt;
+            });
+            const count = isPartitioned ? counts.partitioned : counts.others;
+            count.sent += 1;
+            count.served += end?.kind === "answered" && end.status === 200 ? 1 : 0;
+        }
+        const { partitioned, others } = counts;
+        const minServed = minServedAtPartitioned * partitioned.sent
+            * (others.sent === 0 ? 1 : others.served / others.sent);
+        if (partitioned.served < minServed - partitionSlack) {
+            this.violate(
+                "partitioned gateways serve",
+                `${partitioned.served} of ${partitioned.sent} at them, ${others.served} of ${others.sent} at the others`,
+            );
+        }
+    }
+
     /** Checks that no window contains more first runs of the busy organisation than its allowance. */
     private checkAllowance(): void {
         const starts = [...this.requests.values()]
--- a/soak/member.ts
+++ b/soak/member.ts
@@ -1,6 +1,7 @@
 import { appendFile, readdir, rm, writeFile } from "node:fs/promises";
 import * as path from "node:path";
-import { Program, Relay, until } from "../playground/harness/index.js";
+import { type PartitionKind, partitionOpenConnections, Program, Relay, until } from "../playground/harness/index.js";
+import { PartitionFile } from "./partitionFile.js";
 
 /** The program, built as for deployment. */
 const programPath = "target/basilpaddle.cjs";
@@ -30,13 +31,16 @@
     private program: Program | undefined;
     private earlierOutput = "";
     private isPaused = false;
+    private readonly partitionFile: PartitionFile;
 
     private constructor(
         private settings: MemberSettings,
         private readonly folder: string,
         /** Relays by the kind of connection that they accept: peers, calls, callers. */
         readonly relays: ReadonlyMap<string, Relay>,
-    ) {}
+    ) {
+        this.partitionFile = PartitionFile.create(path.join(folder, `${settings.name}-partition.json`));
+    }
 
     /** Writes the settings file and opens a relay on each port, without starting the process. */
     static async create(
@@ -87,7 +91,11 @@
         this.incarnation += 1;
         this.isPaused = false;
         this.expectedDown = false;
-        this.program = Program.create(this.name, [programPath], { [settingsVariable]: this.settingsFile() });
+        const { args, variables } = this.partitionFile.launch;
+        this.program = Program.create(this.name, [...args, programPath], {
+            ...variables,
+            [settingsVariable]: this.settingsFile(),
+        });
     }
 
     /** Sends SIGKILL and waits until the process has exited. */
@@ -113,6 +121,18 @@
         return !hadLoadedProgram || (await this.program?.end())?.code === 0;
     }
 
+    /** Partitions the process from the targets of relays. */
+    partition(kind: PartitionKind, relays: readonly Relay[]): void {
+        this.partitionFile.write({ kind, ports: relays.map(({ address }) => address.port) });
+        partitionOpenConnections(this.bindHost, kind, relays);
+    }
+
+    /** Ends a partition. */
+    healPartition(relays: readonly Relay[]): void {
+        this.partitionFile.remove();
+        relays.forEach(relay => relay.removeStallsFrom(this.bindHost));
+    }
+
     pause(): void {
         this.isPaused = true;
         this.program?.signal("SIGSTOP");
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -37,8 +37,8 @@
     "invalidConfiguration",
 ] as const;
 
-/** The kind of a fault. `limitBackend` is planned apart from the others. */
-export type FaultKind = typeof faultKinds[number] | "limitBackend";
+/** The kind of a fault. `limitBackend` and `partitionGateways` are planned apart from the others. */
+export type FaultKind = typeof faultKinds[number] | "limitBackend" | "partitionGateways";
 
 /** Planned operations: they must not cut off any request while no fault is active. */
 export const plannedKinds: ReadonlySet<FaultKind> = new Set<FaultKind>([
@@ -93,11 +93,16 @@
 /** Bounds for the time in which a backend server names a limit: longer than all gateways may take to learn of it. */
 const minLimitMilliseconds = 6_000;
 const maxLimitMilliseconds = 10_000;
+/** Bounds for the duration of a partition: some are too short to be noticed, others last until callers must be served again. */
+const minPartitionMilliseconds = 300;
+const maxPartitionMilliseconds = 6_000;
 /**
  * Every fourth seed has planned operations only. While unplanned faults are active, a request that is cut off isn't a
  * violation: a shutdown that didn't wait for open requests went undetected in a run with twelve faults.
  */
 const plannedOnlySeedInterval = 4;
+/** Of as many seeds one has no unplanned faults but partitions of gateways, so that what callers are served can be compared. */
+const partitionOnlyRemainder = 2;
 
 /** Generates the plan of a seed. */
 export function createPlan(seed: number, size: PlanSize = {}): SoakPlan {
@@ -106,7 +111,8 @@
     const gateways = size.gateways ?? random.integer(3, 6);
     const length = (size.seconds ?? defaultSeconds) * millisecondsInSecond;
     const faults: Fault[] = [];
-    const kinds = seed % plannedOnlySeedInterval === 0 ? drawnPlannedKinds : faultKinds;
+    const remainder = seed % plannedOnlySeedInterval;
+    const kinds = remainder === 0 || remainder === partitionOnlyRemainder ? drawnPlannedKinds : faultKinds;
     let at = random.integer(minGapMilliseconds, maxGapMilliseconds);
     let kind = kinds[random.integer(0, kinds.length - 1)]!;
     while (at < length) {
@@ -121,10 +127,24 @@
         kind = repeatsKind ? kind : kinds[random.integer(0, kinds.length - 1)]!;
     }
     faults.push(createLimit(seed, length));
+    if (seed % plannedOnlySeedInterval !== 0) {
+        faults.push(...createPartitions(seed, length));
+    }
     faults.sort((one, other) => one.at - other.at);
     return { seed, directories, gateways, engines: 6, plainServers: 3, length, requestsPerSecond: 30, faults };
 }
 
+/** Gateways are partitioned from all backend servers twice beside the other faults, which are the same as without it. */
+function createPartitions(seed: number, length: number): Fault[] {
+    const random = SeededRandomness.create(-1_000_000 - seed);
+    return [0, 1].map(half => ({
+        kind: "partitionGateways",
+        at: Math.floor(random.fraction() * length / 2 + half * length / 2),
+        lasts: random.integer(minPartitionMilliseconds, maxPartitionMilliseconds),
+        pick: random.fraction(),
+    }));
+}
+
 /** One backend server names a limit beside the other faults, which are the same as without it. */
 function createLimit(seed: number, length: number): Fault {
     const random = SeededRandomness.create(-1 - seed);
