fix(gateway): with no path at all a request is refused at once; explain follows a call to its relay

Found by a test with all gateways partitioned: each request asked relays one by one and then waited 250 ms a server, and was refused as if servers were full. A call that finds no path now fails at once, and for 0.2 s further requests are refused without asking.

--- a/packages/basilpaddle/src/node/cli/__tests__/explanation.spec.ts
+++ b/packages/basilpaddle/src/node/cli/__tests__/explanation.spec.ts
@@ -32,6 +32,16 @@
         ]);
     });
 
+    it("contains lines of the gateway through which a call was relayed", () => {
+        const relayed = line(5_400, "gateway-1", "request", {
+            request: "r",
+            milliseconds: 20,
+            path: ["s answered 9 via g-3"],
+        });
+        const { lines } = readLogLines([relayed, line(5_395, "g-3", "a path to the backend servers has failed")]);
+        expect(explain(lines, "r")[0]!.beliefs.map(({ daemon }) => daemon)).to.deep.equal(["g-3"]);
+    });
+
     it("omits other requests, unrelated lines of other daemons and lines from long before", () => {
         const { lines } = readLogLines([
             endLine,
--- a/packages/basilpaddle/src/node/cli/explanation.ts
+++ b/packages/basilpaddle/src/node/cli/explanation.ts
@@ -45,7 +45,7 @@
     readonly cause: string;
     /** The steps of the attempt, in order. */
     readonly path: readonly string[];
-    /** Related log lines in order: those of its gateway around that time, of any daemon about its backend servers, and about the same content. */
+    /** Related log lines in order: those of its gateway and of its relays around that time, of any daemon about its backend servers, and about the same content. */
     readonly beliefs: readonly RelatedLine[];
 };
 
@@ -82,10 +82,11 @@
     const endedAt = Date.parse(line.at);
     const arrivedAt = endedAt - milliseconds;
     const servers = serversInPath(path);
+    const relays = new Set(path.flatMap(step => / via (\S+)/.exec(step)?.[1] ?? []));
     const isRelated = (other: LogLine): boolean => {
         const at = Date.parse(other.at);
         const isNear = at >= arrivedAt - relatedBeforeMilliseconds && at <= endedAt + relatedAfterMilliseconds;
-        const isSameDaemon = other.daemon === line.daemon;
+        const isSameDaemon = other.daemon === line.daemon || relays.has(other.daemon);
         // Crashes that quarantine a request may have happened hours before, during other attempts.
         const hasSameContent = line.content !== undefined && other.content === line.content;
         return !requestMessages.has(other.message)
--- a/packages/basilpaddle/src/node/coordination/gateway/relayPeers.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/relayPeers.ts
@@ -9,7 +9,7 @@
 const neededIntervalMilliseconds = 1_000;
 const registrationTimeoutMilliseconds = 400;
 /** A relay that failed isn't chosen for this long. */
-const avoidMilliseconds = 1_000;
+const avoidMilliseconds = 400;
 /** How many more open calls a relay of this gateway's failure domain may have than one of another. */
 const nearPreferenceCalls = 4;
 /** A relay that is missing from the lists for this long, while directories list others, isn't used: it has failed or shuts down. */
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -95,7 +95,7 @@
             quarantined: this.quarantinedRequests,
             document: () => group.current(),
             members: () => this.members(),
-            ejected: () => this.leading?.ejected() ?? [],
+            ejected: () => this.ejectedServers(),
             limits: () => this.leading?.limits() ?? noLimits,
             serverLimits: () => this.leading?.serverLimits ?? noServerLimits,
             previousGateways: restartCache.gateways(),
@@ -155,6 +155,11 @@
         await this.store.dispose();
     }
 
+    /** Ejected backend servers of plain services; empty unless this directory leads. */
+    ejectedServers(): readonly string[] {
+        return this.leading?.ejected() ?? [];
+    }
+
     /** Updates the directory's gauges. */
     measure(metrics: Metrics): void {
         const groupStatus = this.group.replicaStatus();
--- a/packages/basilpaddle/src/node/daemon/gateway/serverPaths.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serverPaths.ts
@@ -12,6 +12,9 @@
 /** A direct path that has failed still carries calls if bytes arrived on it this recently: connections that are open may live on. */
 const livingSilenceMilliseconds = 1_000;
 
+/** How long requests are refused at once after no relay could help. */
+const cutOffMilliseconds = 200;
+
 /** Dependencies of the paths. */
 export type ServerPathsOptions = Pick<PathMonitorOptions, "clock" | "randomness" | "logger" | "metrics"> & {
     readonly localAddress: string | undefined;
@@ -31,6 +34,8 @@
 export class ServerPaths extends BackendCaller {
     readonly direct: ServerPath;
     private readonly relayed = new Map<string, ServerPath>();
+    /** Until when no relay is asked, since none could help. */
+    private cutOffUntil = 0;
 
     private constructor(private readonly options: ServerPathsOptions) {
         super();
@@ -59,8 +64,8 @@
 
     /** Whether no call can be sent now: the direct path has failed, and no relay is known that may help. */
     isCutOff(): boolean {
-        return this.direct.monitor.state() === "failed" && this.usableRelays().length === 0
-            && this.direct.monitor.silence() > livingSilenceMilliseconds;
+        const isRelayed = this.usableRelays().length > 0 && this.options.clock.monotonic() >= this.cutOffUntil;
+        return !isRelayed && this.isDirectDead();
     }
 
     override async call(call: BackendCall, limit: number, gateways: number): Promise<RoutedResult> {
@@ -75,6 +80,10 @@
             }
             this.options.relays()?.avoid(relay, result.cause);
         }
+        if (this.isDirectDead()) {
+            this.cutOffUntil = this.options.clock.monotonic() + cutOffMilliseconds;
+            return { kind: "notSent", cause: "no path leads to the server", lostOnPath: true };
+        }
         return this.direct.call(call, limit, gateways);
     }
 
@@ -103,6 +112,11 @@
         await Promise.all([this.direct, ...this.relayed.values()].map(path => path.close()));
     }
 
+    /** Whether the direct path has failed, and its open connections don't live on. */
+    private isDirectDead(): boolean {
+        return this.direct.monitor.state() === "failed" && this.direct.monitor.silence() > livingSilenceMilliseconds;
+    }
+
     private usableRelays(): readonly Relay[] {
         return this.options.relays()?.candidates() ?? [];
     }
