--- a/packages/basilpaddle/src/node/coordination/gateway/relayPeers.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/relayPeers.ts
@@ -2,9 +2,10 @@
 import type { Link } from "../../transport/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
 
-/** Interval of registering at all directories, and of trying again while no relay is known. */
+/** Interval of registering at all directories, and the shorter one after the start while no relay is known. */
 const registrationIntervalMilliseconds = 10_000;
-const firstRegistrationIntervalMilliseconds = 500;
+const startupIntervalMilliseconds = 500;
+const startupMilliseconds = 10_000;
 /** Interval while this gateway needs relays: those that it knows may fail too. */
 const neededIntervalMilliseconds = 1_000;
 const registrationTimeoutMilliseconds = 400;
@@ -37,8 +38,10 @@
     private cancelRegistration: () => void;
     private latestListAt = 0;
     private closed = false;
+    private readonly startedAt: number;
 
     private constructor(private readonly options: RelayPeersOptions) {
+        this.startedAt = options.clock.monotonic();
         this.cancelRegistration = options.clock.after(0, () => void this.registerAndRepeat());
     }
 
@@ -104,16 +107,22 @@
         );
         this.forgetOld();
         if (!this.closed) {
-            const interval = this.known.size === 0
-                ? firstRegistrationIntervalMilliseconds
-                : this.options.reachesServers()
-                ? registrationIntervalMilliseconds
-                : neededIntervalMilliseconds;
             this.cancelRegistration();
-            this.cancelRegistration = this.options.clock.after(interval, () => void this.registerAndRepeat());
+            this.cancelRegistration = this.options.clock.after(
+                this.registrationInterval(),
+                () => void this.registerAndRepeat(),
+            );
         }
     }
 
+    private registrationInterval(): number {
+        const isStarting = this.options.clock.monotonic() - this.startedAt < startupMilliseconds;
+        if (isStarting && this.known.size === 0) {
+            return startupIntervalMilliseconds;
+        }
+        return this.options.reachesServers() ? registrationIntervalMilliseconds : neededIntervalMilliseconds;
+    }
+
     private addRelay(relay: Relay): void {
         const known = this.known.get(relay.address);
         const listedAt = this.options.clock.monotonic();
--- a/packages/basilpaddle/src/node/daemon/gateway/relaying.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/relaying.ts
@@ -36,29 +36,21 @@
         return new Relaying(options);
     }
 
-    /** Starts to relay for others, if the settings have a port for it. */
+    /**
+     * Starts to relay for others, if the settings have a port for it. A failure, such as a port in use, is only logged, so that
+     * the gateway can still serve callers.
+     */
     async open(): Promise<void> {
-        const { settings, instances, watcher, clock, logger, metrics } = this.options;
-        const { relayPort, host, bindHost, name: gateway, failureDomain } = settings;
+        const { settings: { relayPort }, logger } = this.options;
         if (relayPort === undefined) {
             return;
         }
-        this.server = await RelayServer.create({
-            address: { host: bindHost ?? host, port: relayPort },
-            instances,
-            opener: DirectOpener.create(bindHost),
-            reachesServers: () => this.paths.reachesServers(),
-            confirmReach: async server => !await this.paths.isLostOnPath(server),
-            logger,
-            metrics,
-        });
-        this.relays = RelayPeers.create({
-            self: { gateway, failureDomain, address: `${host}:${this.server.port()}` },
-            directories: () => watcher().reachedLinks(),
-            reachesServers: () => this.paths.reachesServers() && !this.shuttingDown,
-            clock,
-            logger,
-        });
+        try {
+            await this.openPort(relayPort);
+        }
+        catch (error) {
+            logger.error("failed to start relaying", { port: relayPort, error });
+        }
     }
 
     /** Relays for no other gateway from now on; tunnels in use stay open. */
@@ -79,6 +71,27 @@
         await this.paths.close();
     }
 
+    private async openPort(relayPort: number): Promise<void> {
+        const { settings, instances, watcher, clock, logger, metrics } = this.options;
+        const { host, bindHost, name: gateway, failureDomain } = settings;
+        this.server = await RelayServer.create({
+            address: { host: bindHost ?? host, port: relayPort },
+            instances,
+            opener: DirectOpener.create(bindHost),
+            reachesServers: () => this.paths.reachesServers(),
+            confirmReach: async server => !await this.paths.isLostOnPath(server),
+            logger,
+            metrics,
+        });
+        this.relays = RelayPeers.create({
+            self: { gateway, failureDomain, address: `${host}:${this.server.port()}` },
+            directories: () => watcher().reachedLinks(),
+            reachesServers: () => this.paths.reachesServers() && !this.shuttingDown,
+            clock,
+            logger,
+        });
+    }
+
     private reachChanged(): void {
         this.relays?.registerNow();
         if (!this.paths.reachesServers()) {
