--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -198,7 +198,8 @@
                 // balancer has noticed, such requests are answered, and their connections closed with the answer.
                 this.callerServer.closeIdle();
             }
-            if (!listening && this.relaying.closeIdleTunnels() + this.callerServer.openRequests() === 0) {
+            const usedTunnels = listening ? 0 : this.relaying.closeIdleTunnels();
+            if (!listening && this.callerServer.openRequests() === 0 && usedTunnels === 0) {
                 break;
             }
             await new Promise<void>(resolve => clock.after(shutdownPollMilliseconds, resolve));
--- a/packages/basilpaddle/src/node/daemon/gateway/refuseCutOff.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/refuseCutOff.ts
@@ -1,3 +1,4 @@
+import { hashToFraction } from "../../utils/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 import type { ServerPaths } from "./serverPaths.js";
 
@@ -16,7 +17,8 @@
         request.fail(502, cutOffCause);
     }
     else {
-        request.refuse(minRetryAfterMilliseconds + Math.random() * retryAfterSpreadMilliseconds, cutOffCause);
+        const spread = hashToFraction(request.attempt) * retryAfterSpreadMilliseconds;
+        request.refuse(minRetryAfterMilliseconds + spread, cutOffCause);
     }
     return true;
 }
--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -71,10 +71,11 @@
             if (request.isDisconnected() || refuseQuarantined(options, request, this.runCount > 0, this.steps)) {
                 return;
             }
-            if (refuseCutOff(options.paths, request, this.runCount > 0)) {
+            if (lastResult?.forward === undefined && refuseCutOff(options.paths, request, this.runCount > 0)) {
                 return;
             }
-            if (request.remainingTime() < minAnswerMilliseconds) {
+            // A server's answer is forwarded where no other server can be tried.
+            if (request.remainingTime() < minAnswerMilliseconds || options.paths.isCutOff()) {
                 break;
             }
             const server = await this.nextServer() ?? (round === 0 ? await this.waitForServer() : undefined);
