fix(gateway): a call that waited for relays doesn't state the time that was left before

Found on reading: up to three relays could each take 0.7 s before the call's headers, with its deadline, were sent. A tunnel has 0.35 s in all, and after 0.2 s no further relay is tried; the next round states the time anew. The reasons of a relay in one function.

--- a/packages/basilpaddle/src/node/daemon/gateway/relayServer.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/relayServer.ts
@@ -107,17 +107,26 @@
         joinSockets(socket, upstream);
     }
 
+    /** Why no tunnel can be opened to any server now; undefined if one can. */
+    private obstacle(): FailureReason | undefined {
+        if (this.closing) {
+            return "closing";
+        }
+        if (!this.options.reachesServers()) {
+            return "partitioned";
+        }
+        return this.tunnelCount >= maxTunnels ? "full" : undefined;
+    }
+
     private async openTunnel(server: string, socket: net.Socket): Promise<"open" | FailureReason> {
-        const { instances, opener, reachesServers, confirmReach } = this.options;
+        const { instances, opener, confirmReach } = this.options;
         const announced = instances.get(server);
-        if (this.closing || announced === undefined || !reachesServers() || this.tunnelCount >= maxTunnels) {
-            return this.closing
-                ? "closing"
-                : announced === undefined
-                ? "unknownServer"
-                : this.tunnelCount >= maxTunnels
-                ? "full"
-                : "partitioned";
+        if (announced === undefined) {
+            return "unknownServer";
+        }
+        const obstacle = this.obstacle();
+        if (obstacle !== undefined) {
+            return obstacle;
         }
         // Counted from here on, so that connections that are still being opened don't exceed the limit.
         this.tunnelCount += 1;
--- a/packages/basilpaddle/src/node/daemon/gateway/serverPaths.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serverPaths.ts
@@ -1,5 +1,5 @@
 import type { InstanceTable, PathMonitorOptions, PathState, RelayPeers } from "../../coordination/index.js";
-import type { Relay } from "../../protocol/index.js";
+import type { Relay, ServerAnnouncement } from "../../protocol/index.js";
 import { type ListenStatus, probeListening } from "../../transport/index.js";
 import type { Metrics } from "../../utils/index.js";
 import { type BackendAnswer, type BackendCall, BackendCaller, DirectOpener, isAnswer } from "../backends/index.js";
@@ -9,6 +9,8 @@
 /** Number of relays that a call tries, and that connections are shared among. */
 const maxRelaysTried = 3;
 const maxRelaysUsed = 4;
+/** After this time no further relay is tried for a call: its headers state the time that was left when it began. */
+const maxRelayTriesMilliseconds = 200;
 /** A direct path that has failed still carries calls if bytes arrived on it this recently: connections that are open may live on. */
 const livingSilenceMilliseconds = 1_000;
 
@@ -64,7 +66,7 @@
 
     /** Whether no call can be sent now: the direct path has failed, and no relay is known that may help. */
     isCutOff(): boolean {
-        const isRelayed = this.usableRelays().length > 0 && this.options.clock.monotonic() >= this.cutOffUntil;
+        const isRelayed = this.usableRelays().length > 0 && this.now() >= this.cutOffUntil;
         return !isRelayed && this.isDirectDead();
     }
 
@@ -72,7 +74,11 @@
         if (this.direct.isSound()) {
             return this.direct.call(call, limit, gateways);
         }
+        const startedAt = this.now();
         for (const relay of this.usableRelays().slice(0, maxRelaysTried)) {
+            if (this.now() - startedAt > maxRelayTriesMilliseconds) {
+                return { kind: "notSent", cause: "no relay answered in time", lostOnPath: true };
+            }
             const result = await this.callBy(relay, call, limit, gateways);
             const hasFailedAtRelay = !isAnswer(result) && result.kind === "notSent" && result.lostOnPath;
             if (!hasFailedAtRelay || call.signal.aborted) {
@@ -81,7 +87,7 @@
             this.options.relays()?.avoid(relay, result.cause);
         }
         if (this.isDirectDead()) {
-            this.cutOffUntil = this.options.clock.monotonic() + cutOffMilliseconds;
+            this.cutOffUntil = this.now() + cutOffMilliseconds;
             return { kind: "notSent", cause: "no path leads to the server", lostOnPath: true };
         }
         return this.direct.call(call, limit, gateways);
@@ -176,7 +182,11 @@
         this.options.onChanged(state);
     }
 
-    private readyServers() {
+    private readyServers(): readonly ServerAnnouncement[] {
         return this.options.instances.all().filter(({ state }) => state === "ready");
     }
+
+    private now(): number {
+        return this.options.clock.monotonic();
+    }
 }
--- a/packages/basilpaddle/src/node/transport/tunnel.ts
+++ b/packages/basilpaddle/src/node/transport/tunnel.ts
@@ -13,8 +13,9 @@
     timeout: number,
     localAddress?: string,
 ): Promise<{ readonly socket: Socket; readonly reply: unknown; }> {
+    const startedAt = performance.now();
     const socket = await openSocket(address, timeout, localAddress);
-    const timer = setTimeout(() => socket.destroy(), timeout);
+    const timer = setTimeout(() => socket.destroy(), startedAt + timeout - performance.now());
     socket.write(encodeFrame(request));
     const reply = await readFrame(socket);
     clearTimeout(timer);
