fix(gateway): calls aren't broken off because their relay opens no further tunnel

Cause: once probes through a relay failed, all its tunnels were destroyed, and a gateway whose own probes failed reset the tunnels of others, though both may still forward. The test (a relay that refuses its second tunnel while the first forwards an answer) failed before: undefined in place of the whole answer. Now such a relay is only avoided, and calls in progress end by themselves.

--- a/packages/basilpaddle/src/node/coordination/gateway/relayPeers.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/relayPeers.ts
@@ -49,7 +49,7 @@
         return new RelayPeers(options);
     }
 
-    /** Registers now, since it has changed whether this gateway reaches backend servers. */
+    /** Registers now, since it has changed whether this gateway relays. */
     registerNow(): void {
         this.cancelRegistration();
         void this.registerAndRepeat();
--- a/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
@@ -153,12 +153,6 @@
         return [...this.sockets].reduce((sum, { bytesRead }) => sum + bytesRead, this.closedSocketsBytes);
     }
 
-    /** Destroys all connections, so that calls in progress fail at once. */
-    destroyAllConnections(): void {
-        this.sockets.forEach(socket => socket.destroy(new Error("the path has failed")));
-        this.closeAllConnections();
-    }
-
     /** Closes all connections immediately. */
     async close(): Promise<void> {
         clearInterval(this.idleSweep);
--- a/packages/basilpaddle/src/node/daemon/gateway/relayServer.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/relayServer.ts
@@ -64,15 +64,10 @@
         return this.tunnels.size;
     }
 
-    /** Ends all tunnels: this gateway doesn't reach backend servers any more. */
-    resetTunnels(): void {
-        this.sockets.forEach(socket => socket.resetAndDestroy());
-    }
-
     /** Stops listening and closes all tunnels. */
     close(): void {
         this.server.close();
-        this.resetTunnels();
+        this.sockets.forEach(socket => socket.resetAndDestroy());
     }
 
     private async accept(socket: net.Socket): Promise<void> {
--- a/packages/basilpaddle/src/node/daemon/gateway/relaying.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/relaying.ts
@@ -28,7 +28,7 @@
             ...options,
             localAddress: options.settings.bindHost,
             relays: () => this.relays,
-            onChanged: () => this.reachChanged(),
+            onChanged: () => this.relays?.registerNow(),
         });
     }
 
@@ -91,11 +91,4 @@
             logger,
         });
     }
-
-    private reachChanged(): void {
-        this.relays?.registerNow();
-        if (!this.paths.reachesServers()) {
-            this.server?.resetTunnels();
-        }
-    }
 }
--- a/packages/basilpaddle/src/node/daemon/gateway/serverPaths.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serverPaths.ts
@@ -163,12 +163,12 @@
         return path;
     }
 
-    /** A relay that has failed or was partitioned too is forgotten with its connections, so that its calls fail at once. */
+    /** Drops the path through a relay that opens no tunnel any more; calls in progress can finish, since it may still forward them. */
     private relayChanged(relay: Relay, path: ServerPath, state: PathState): void {
         if (state === "failed") {
             this.options.relays()?.avoid(relay, "it reaches no backend server");
             this.relayed.delete(relay.address);
-            path.connections.destroyAllConnections();
+            path.connections.closeAllConnections();
             void path.close();
         }
     }
