fix(gateway): a path on which bytes still arrive isn't given up because connections are late

The test failed before (expected no change, got failed) and passes: if all probes are only late and bytes arrived meanwhile, the path is sound; refused and reset connections count as before.

--- a/packages/basilpaddle/src/node/coordination/gateway/pathMonitor.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/pathMonitor.ts
@@ -21,14 +21,17 @@
 /** `doubtful`: a probe has not succeeded yet. `failed`: no server that was probed could be reached. */
 export type PathState = "sound" | "doubtful" | "failed";
 
+/** Result of connecting to a server: established, refused or reset, or not established in time. */
+export type ProbeOutcome = "established" | "refused" | "late";
+
 /** Dependencies of a monitor. */
 export type PathMonitorOptions = {
     /** Name of the path, for logs. */
     readonly name: string;
     /** Backend servers that should be reachable. */
     readonly servers: () => readonly ServerAnnouncement[];
-    /** Whether a connection to the server can be established by this path. */
-    readonly probe: (server: ServerAnnouncement) => Promise<boolean>;
+    /** Connects to the server by this path, and closes the connection. */
+    readonly probe: (server: ServerAnnouncement) => Promise<ProbeOutcome>;
     /** Bytes received by this path since the start. */
     readonly receivedBytes: () => number;
     /** Called when the path has failed, or is sound again. */
@@ -44,7 +47,7 @@
 /**
  * Tells a path to backend servers that has failed from servers that have. A server that doesn't accept a connection, resets one
  * or falls silent is no evidence against the path: other servers are probed then, and the path has failed if none accepts a
- * connection.
+ * connection. If bytes arrive while all connections are only late, the hosts are busy and the path is sound.
  */
 export class PathMonitor {
     private current: PathState = "sound";
@@ -153,13 +156,17 @@
                 this.current = "doubtful";
                 resolve(false);
             });
-            let unsettled = servers.length;
+            const startedAt = this.now();
+            const outcomes: ProbeOutcome[] = [];
             let isConcluded = false;
-            const settle = (succeeded: boolean): void => {
-                unsettled -= 1;
-                if (isConcluded || this.closed || !succeeded && unsettled > 0) {
+            const settle = (outcome: ProbeOutcome): void => {
+                outcomes.push(outcome);
+                const isComplete = outcome === "established" || outcomes.length === servers.length;
+                if (isConcluded || this.closed || !isComplete) {
                     return;
                 }
+                const isOnlyLate = outcomes.every(one => one === "late") && this.silence() < this.now() - startedAt;
+                const succeeded = outcome === "established" || isOnlyLate;
                 isConcluded = true;
                 cancelDoubt();
                 this.pendingProbe = undefined;
@@ -201,7 +208,7 @@
         if (this.closed) {
             return;
         }
-        const reached = results.filter(succeeded => succeeded).length;
+        const reached = results.filter(outcome => outcome === "established").length;
         if (reached * 2 <= servers.length) {
             this.awaitRecovery(0);
         }
--- a/packages/basilpaddle/src/node/daemon/gateway/serverPath.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serverPath.ts
@@ -1,4 +1,6 @@
-import { PathMonitor, type PathMonitorOptions } from "../../coordination/index.js";
+import { PathMonitor, type PathMonitorOptions, type ProbeOutcome } from "../../coordination/index.js";
+import type { ServerAnnouncement } from "../../protocol/index.js";
+import { ConnectionFailure, connectTimeoutCode } from "../../transport/index.js";
 import {
     type BackendAnswer,
     type BackendCall,
@@ -7,7 +9,7 @@
     type ConnectionOpener,
     isAnswer,
 } from "../backends/index.js";
-import { relayFailureCode } from "./tunnelOpener.js";
+import { relayFailureCode, relayTimeoutCode } from "./tunnelOpener.js";
 
 /** A call that ended without an answer is examined if the whole path has been silent for this long. */
 const suspiciousSilenceMilliseconds = 100;
@@ -30,7 +32,7 @@
         this.connections = BackendConnections.create(logger, opener);
         this.monitor = PathMonitor.create({
             ...options,
-            probe: server => opener.open(server).then(socket => socket.destroy() !== undefined, () => false),
+            probe: server => probe(opener, server),
             receivedBytes: () => this.connections.receivedBytes(),
         });
     }
@@ -62,7 +64,8 @@
 
     private async isLostOnPath({ server }: BackendCall, failure: CallFailure): Promise<boolean> {
         if (failure.kind === "notSent") {
-            return failure.cause === relayFailureCode || !await this.monitor.confirm(server.id);
+            const isRelaysFault = failure.cause === relayFailureCode || failure.cause === relayTimeoutCode;
+            return isRelaysFault || !await this.monitor.confirm(server.id);
         }
         if (failure.wasReset || this.monitor.silence() > suspiciousSilenceMilliseconds) {
             return !await this.monitor.confirm(server.id);
@@ -70,3 +73,14 @@
         return !this.isSound();
     }
 }
+
+async function probe(opener: ConnectionOpener, server: ServerAnnouncement): Promise<ProbeOutcome> {
+    try {
+        (await opener.open(server)).destroy();
+        return "established";
+    }
+    catch (error) {
+        const code = error instanceof ConnectionFailure ? error.code : undefined;
+        return code === connectTimeoutCode || code === relayTimeoutCode ? "late" : "refused";
+    }
+}
--- a/packages/basilpaddle/src/node/daemon/gateway/tunnelOpener.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/tunnelOpener.ts
@@ -1,12 +1,14 @@
 import type { Socket } from "node:net";
 import { type Relay, type ServerAnnouncement, tunnelReplySchema } from "../../protocol/index.js";
-import { ConnectionFailure, openTunnel, parseAddress } from "../../transport/index.js";
+import { ConnectionFailure, connectTimeoutCode, openTunnel, parseAddress } from "../../transport/index.js";
 import { ConnectionOpener, connectTimeoutMilliseconds } from "../backends/index.js";
 
 /** Timeout for a tunnel: the relay itself waits for a connection for `connectTimeoutMilliseconds`. */
 const tunnelTimeoutMilliseconds = connectTimeoutMilliseconds + 100;
 /** Code of a tunnel that failed for a reason that concerns its relay alone. */
 export const relayFailureCode = "NO_RELAY";
+/** Code of a tunnel to which its relay didn't reply in time. */
+export const relayTimeoutCode = "NO_RELAY_IN_TIME";
 
 /** Opens connections to backend servers through another gateway. */
 export class TunnelOpener extends ConnectionOpener {
@@ -41,8 +43,9 @@
             return await openTunnel(address, { server }, tunnelTimeoutMilliseconds, this.localAddress);
         }
         catch (error) {
-            const { message } = error as Error;
-            throw ConnectionFailure.create(relayFailureCode, `${this.relay.gateway}: ${message}`);
+            const { code, message } = error as ConnectionFailure;
+            const relayCode = code === connectTimeoutCode ? relayTimeoutCode : relayFailureCode;
+            throw ConnectionFailure.create(relayCode, `${this.relay.gateway}: ${message}`);
         }
     }
 }
--- a/packages/basilpaddle/src/node/transport/tunnel.ts
+++ b/packages/basilpaddle/src/node/transport/tunnel.ts
@@ -1,6 +1,6 @@
 import type { Socket } from "node:net";
 import type { NetworkAddress } from "./address.js";
-import { ConnectionFailure, openSocket } from "./connecting.js";
+import { ConnectionFailure, connectTimeoutCode, openSocket } from "./connecting.js";
 import { encodeFrame, readFrame } from "./frame.js";
 
 /**
@@ -15,13 +15,20 @@
 ): Promise<{ readonly socket: Socket; readonly reply: unknown; }> {
     const startedAt = performance.now();
     const socket = await openSocket(address, timeout, localAddress);
-    const timer = setTimeout(() => socket.destroy(), startedAt + timeout - performance.now());
+    let isLate = false;
+    const timer = setTimeout(() => {
+        isLate = true;
+        socket.destroy();
+    }, startedAt + timeout - performance.now());
     socket.write(encodeFrame(request));
     const reply = await readFrame(socket);
     clearTimeout(timer);
     if (reply === undefined) {
         socket.destroy();
-        throw ConnectionFailure.create("NO_TUNNEL", `no reply from ${address.host}:${address.port}`);
+        throw ConnectionFailure.create(
+            isLate ? connectTimeoutCode : "NO_TUNNEL",
+            `no reply from ${address.host}:${address.port}`,
+        );
     }
     return { socket, reply };
 }
--- a/simulation/partitions/partitionSimulation.ts
+++ b/simulation/partitions/partitionSimulation.ts
@@ -1,4 +1,9 @@
-import { PathMonitor, RelayPeers, RelayRegistry } from "../../packages/basilpaddle/src/node/coordination/index.js";
+import {
+    PathMonitor,
+    type ProbeOutcome,
+    RelayPeers,
+    RelayRegistry,
+} from "../../packages/basilpaddle/src/node/coordination/index.js";
 import type { RelayRegistration, ServerAnnouncement } from "../../packages/basilpaddle/src/node/protocol/index.js";
 import {
     createSilentLogger,
@@ -69,7 +74,7 @@
             ...common,
             name: `gateway-${index}`,
             servers: () => servers,
-            probe: () => this.connect(),
+            probe: () => this.probe(),
             receivedBytes: () => this.bytes,
             onChanged: () => this.relays.registerNow(),
             randomness: random,
@@ -153,6 +158,11 @@
         return this.callDirectly();
     }
 
+    private async probe(): Promise<ProbeOutcome> {
+        const isEstablished = await this.connect();
+        return isEstablished ? "established" : this.simulation.day.kind === "hang" ? "late" : "refused";
+    }
+
     private async connect(): Promise<boolean> {
         const { clock, day } = this.simulation;
         const fails = this.simulation.isPartitioned(this.index);
