--- a/packages/basilpaddle/src/node/daemon/entry/__tests__/httpServer.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/__tests__/httpServer.spec.ts
@@ -1,7 +1,6 @@
 import { expect } from "chai";
-import { once } from "node:events";
-import * as net from "node:net";
 import { createSilentLogger } from "../../../utils/index.js";
+import { sendLate } from "../../__tests__/lateRequest.js";
 import { HttpServer } from "../httpServer.js";
 
 describe("the HTTP listener of an entry daemon", () => {
@@ -16,13 +15,7 @@
                 handled += 1;
             },
         });
-        const socket = net.connect({ host: "127.0.0.1", port: server.port() });
-        socket.write("POST / HTTP/1.1\r\nHost: a\r\n");
-        const [answer] = await once(socket, "data") as [Buffer];
-        expect(answer.toString()).to.match(/^HTTP\/1\.1 408 /);
-        socket.on("error", () => undefined);
-        socket.write("Content-Length: 0\r\n\r\n");
-        await once(socket, "close");
+        expect(await sendLate(server.port())).to.match(/^HTTP\/1\.1 408 /);
         server.closeAll();
         await server.close();
         expect(handled).to.equal(0);
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/callerServer.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/callerServer.spec.ts
@@ -1,7 +1,6 @@
 import { expect } from "chai";
-import { once } from "node:events";
-import * as net from "node:net";
 import { createSilentLogger } from "../../../utils/index.js";
+import { sendLate } from "../../__tests__/lateRequest.js";
 import { CallerServer } from "../callerServer.js";
 
 describe("the server of callers", () => {
@@ -16,13 +15,7 @@
             logger: createSilentLogger(),
         });
         server.setLimits({ headerBytes: 1_000, bodyBytes: 1_000, headerTimeout: 50, idleTimeout: 1_000 });
-        const socket = net.connect({ host: "127.0.0.1", port: server.port() });
-        socket.write("POST / HTTP/1.1\r\nHost: a\r\n");
-        const [answer] = await once(socket, "data") as [Buffer];
-        expect(answer.toString()).to.match(/^HTTP\/1\.1 408 /);
-        socket.on("error", () => undefined);
-        socket.write("Content-Length: 0\r\n\r\n");
-        await once(socket, "close");
+        expect(await sendLate(server.port())).to.match(/^HTTP\/1\.1 408 /);
         server.closeAll();
         expect(handled).to.equal(0);
     });
