--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/fakeRequest.ts
@@ -0,0 +1,27 @@
+import * as http from "node:http";
+import * as net from "node:net";
+import { route } from "../../../coordination/gateway/__tests__/fakes.js";
+import type { TrafficRoute } from "../../../protocol/index.js";
+import { CallerRequest } from "../callerRequest.js";
+
+/** A caller's request on a route, with an answer that goes nowhere. */
+export function createRequest(routeFields: Partial<TrafficRoute>): CallerRequest {
+    const incoming = new http.IncomingMessage(new net.Socket());
+    return CallerRequest.create({
+        incoming,
+        response: new http.ServerResponse(incoming),
+        metadata: {
+            attempt: "a",
+            deadlineWithin: 10_000,
+            promptTokens: 3_000,
+            maxTokens: 70,
+            expectedTokens: undefined,
+            tokens: { kind: "notStated" },
+        },
+        route: route(routeFields),
+        identity: { organisation: undefined, keysInForce: false },
+        body: undefined,
+        arrivedAt: 0,
+        now: () => 0,
+    });
+}
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamExchange.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamExchange.spec.ts
@@ -1,42 +1,20 @@
 import { expect } from "chai";
-import * as http from "node:http";
-import * as net from "node:net";
 import { Readable } from "node:stream";
 import { ManualClock } from "../../../../../../../simulation/manualClock.js";
-import { announced, route, rule } from "../../../coordination/gateway/__tests__/fakes.js";
+import { announced, rule } from "../../../coordination/gateway/__tests__/fakes.js";
 import { InstanceTable, LinkQuality } from "../../../coordination/index.js";
 import { createSilentLogger, RecordedMetrics } from "../../../utils/index.js";
 import type { BackendCall } from "../../backends/index.js";
 import type { ExchangeOptions } from "../backendSender.js";
-import { CallerRequest } from "../callerRequest.js";
+import type { CallerRequest } from "../callerRequest.js";
 import type { GatewayWire, RunMetadata } from "../gatewayWire.js";
 import type { PlacementClient } from "../placementClient.js";
 import type { RoutedResult } from "../serverPaths.js";
 import { StreamExchange } from "../streamExchange.js";
+import { createRequest } from "./fakeRequest.js";
 
 const service = { name: "pool", healthPath: "/health", connectionLimit: 50, engine: rule };
 
-function createRequest(): CallerRequest {
-    const incoming = new http.IncomingMessage(new net.Socket());
-    return CallerRequest.create({
-        incoming,
-        response: new http.ServerResponse(incoming),
-        metadata: {
-            attempt: "a",
-            deadlineWithin: 10_000,
-            promptTokens: 3_000,
-            maxTokens: 70,
-            expectedTokens: undefined,
-            tokens: { kind: "notStated" },
-        },
-        route: route({ kind: "streaming", timeout: 10_000, attempts: 2, resumable: true, prompts: true }),
-        identity: { organisation: undefined, keysInForce: false },
-        body: undefined,
-        arrivedAt: 0,
-        now: () => 0,
-    });
-}
-
 /** Engines whose prefills succeed and whose runs are all lost, and an allowance with a number of retries. */
 class LosingEngines {
     readonly sent: ("prefill" | "run")[] = [];
@@ -107,11 +85,15 @@
     // Guards against a service that receives more than its retry allowance: the second prefill of a resumed stream wasn't charged.
     it("is charged for its second prefill as well as for its second run", async () => {
         const withOneRetry = new LosingEngines(1);
-        await withOneRetry.serve(createRequest());
+        await withOneRetry.serve(
+            createRequest({ kind: "streaming", timeout: 10_000, attempts: 2, resumable: true, prompts: true }),
+        );
         expect(withOneRetry.sent).to.deep.equal(["prefill", "run"]);
 
         const withTwoRetries = new LosingEngines(2);
-        await withTwoRetries.serve(createRequest());
+        await withTwoRetries.serve(
+            createRequest({ kind: "streaming", timeout: 10_000, attempts: 2, resumable: true, prompts: true }),
+        );
         expect(withTwoRetries.sent).to.deep.equal(["prefill", "run", "prefill", "run"]);
     });
 });
