--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/serviceExchange.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/serviceExchange.spec.ts
@@ -30,7 +30,7 @@
                     const body = Readable.from([Buffer.from("own")]);
                     return Promise.resolve({ status: 500, rawHeaders: [], headers: {}, body, framed: true });
                 },
-                isCutOff: () => calls > 0,
+                hasNoPath: () => calls > 0,
             },
             instances,
             choice: ServerChoice.create("a"),
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamExchange.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamExchange.spec.ts
@@ -32,7 +32,7 @@
             wire: this.wire(),
             paths: {
                 call: (call: BackendCall) => Promise.resolve(this.answer(call)),
-                isCutOff: () => false,
+                hasNoPath: () => false,
                 isLostOnPath: () => Promise.resolve(false),
             },
             instances,
--- a/packages/basilpaddle/src/node/daemon/gateway/relayServer.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/relayServer.ts
@@ -19,8 +19,9 @@
     readonly instances: InstanceTable;
     /** Opens connections to backend servers directly, so that no tunnel leads through two relays. */
     readonly opener: ConnectionOpener;
-    /** Whether this gateway reaches backend servers itself, given that one doesn't accept a connection. */
+    /** Whether this gateway reaches backend servers itself. */
     readonly reachesServers: () => boolean;
+    /** The same, examined again because this server doesn't accept a connection. */
     readonly confirmReach: (failedServer: string) => Promise<boolean>;
     readonly logger: Logger;
     readonly metrics: Metrics;
--- a/packages/basilpaddle/src/node/daemon/gateway/serverPaths.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serverPaths.ts
@@ -13,9 +13,8 @@
 const maxRelayTriesMilliseconds = 200;
 /** A direct path that has failed still carries calls if bytes arrived on it this recently: connections that are open may live on. */
 const livingSilenceMilliseconds = 1_000;
-
-/** How long requests are refused at once after no relay could help. */
-const cutOffMilliseconds = 200;
+/** How long no relay is asked after none could help. */
+const noRelayMilliseconds = 200;
 
 /** Dependencies of the paths. */
 export type ServerPathsOptions = Pick<PathMonitorOptions, "clock" | "randomness" | "logger" | "metrics"> & {
@@ -36,8 +35,8 @@
 export class ServerPaths extends BackendCaller {
     readonly direct: ServerPath;
     private readonly relayed = new Map<string, ServerPath>();
-    /** Until when no relay is asked, since none could help. */
-    private cutOffUntil = 0;
+    /** Until when no relay is asked. */
+    private noRelayUntil = 0;
 
     private constructor(private readonly options: ServerPathsOptions) {
         super();
@@ -65,9 +64,9 @@
     }
 
     /** Whether no call can be sent now: the direct path has failed, and no relay is known that may help. */
-    isCutOff(): boolean {
-        const isRelayed = this.usableRelays().length > 0 && this.now() >= this.cutOffUntil;
-        return !isRelayed && this.isDirectDead();
+    hasNoPath(): boolean {
+        const mayBeRelayed = this.usableRelays().length > 0 && this.now() >= this.noRelayUntil;
+        return !mayBeRelayed && this.isDirectDead();
     }
 
     override async call(call: BackendCall, limit: number, gateways: number): Promise<RoutedResult> {
@@ -87,7 +86,7 @@
             this.options.relays()?.avoid(relay, result.cause);
         }
         if (this.isDirectDead()) {
-            this.cutOffUntil = this.now() + cutOffMilliseconds;
+            this.noRelayUntil = this.now() + noRelayMilliseconds;
             return { kind: "notSent", cause: "no path leads to the server", lostOnPath: true };
         }
         return this.direct.call(call, limit, gateways);
--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -4,8 +4,8 @@
 import { type BackendAnswer, discard, readWholeBody } from "../backends/index.js";
 import { BackendSender, type ExchangeOptions, type SendResult, viaRelay } from "./backendSender.js";
 import type { CallerRequest } from "./callerRequest.js";
-import { refuseCutOff } from "./refuseCutOff.js";
 import { refuseQuarantined } from "./refuseQuarantined.js";
+import { refuseWithoutPath } from "./refuseWithoutPath.js";
 import { noRetryLeft } from "./retryAllowance.js";
 import { guaranteesNotRun } from "./statuses.js";
 import { TimeLimit } from "./timeLimit.js";
@@ -71,11 +71,11 @@
             if (request.isDisconnected() || refuseQuarantined(options, request, this.runCount > 0, this.steps)) {
                 return;
             }
-            if (lastResult?.forward === undefined && refuseCutOff(options.paths, request, this.runCount > 0)) {
+            if (lastResult?.forward === undefined && refuseWithoutPath(options.paths, request, this.runCount > 0)) {
                 return;
             }
             // A server's answer is forwarded where no other server can be tried.
-            if (request.remainingTime() < minAnswerMilliseconds || options.paths.isCutOff()) {
+            if (request.remainingTime() < minAnswerMilliseconds || options.paths.hasNoPath()) {
                 break;
             }
             const server = await this.nextServer() ?? (round === 0 ? await this.waitForServer() : undefined);
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -8,8 +8,8 @@
 import type { PlacementClient, PlacementGrant } from "./placementClient.js";
 import { placementRequest } from "./placementRequest.js";
 import { freePromptCache, maxShortAnswerBytes, type PrefilledPrompt, requestPrefill } from "./prefilledPrompt.js";
-import { refuseCutOff } from "./refuseCutOff.js";
 import { refuseQuarantined } from "./refuseQuarantined.js";
+import { refuseWithoutPath } from "./refuseWithoutPath.js";
 import { noRetryLeft } from "./retryAllowance.js";
 import { type ReportSendOutcome, RetryCharges } from "./retryCharges.js";
 import type { RunEnd } from "./runEnd.js";
@@ -95,7 +95,7 @@
 
     private async runRound(): Promise<void> {
         const { request, placementClient } = this;
-        if (this.refuseIfQuarantined() || refuseCutOff(this.options.paths, request, this.runCount > 0)) {
+        if (this.refuseIfQuarantined() || refuseWithoutPath(this.options.paths, request, this.runCount > 0)) {
             return;
         }
         this.roundCount += 1;
