--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/membershipOfServers.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/membershipOfServers.spec.ts
@@ -31,9 +31,9 @@
     it("become silent once after some missed heartbeats, and ready again with the next one", () => {
         const announcements = Announcements.create(1_000);
         announcements.apply(announced({ id: "i", sequence: 1 }), 0);
-        expect(announcements.markSilent(2_500)).to.equal(false);
-        expect(announcements.markSilent(3_500)).to.equal(true);
-        expect(announcements.markSilent(3_600)).to.equal(false);
+        expect(announcements.markSilent(2_500)).to.deep.equal([]);
+        expect(announcements.markSilent(3_500)).to.deep.equal(["i"]);
+        expect(announcements.markSilent(3_600)).to.deep.equal([]);
         expect(announcements.apply(announced({ id: "i", sequence: 2 }), 4_000)).to.equal(true);
     });
 });
@@ -110,8 +110,8 @@
     it("are silent after two missed heartbeats", () => {
         const announcements = createRestored();
         announcements.apply(announced({ id: "i", sequence: 41 }), 500);
-        expect(announcements.markSilent(1_900)).to.equal(false);
-        expect(announcements.markSilent(2_100)).to.equal(true);
+        expect(announcements.markSilent(1_900)).to.deep.equal([]);
+        expect(announcements.markSilent(2_100)).to.deep.equal(["j"]);
         expect(announcements.changedAfter(0).map(one => [one.id, one.state])).to.deep.include(["j", "silent"]);
     });
 
@@ -119,7 +119,7 @@
         const announcements = createRestored();
         announcements.confirm(announced({ id: "j", sequence: 41 }));
         announcements.confirm(announced({ id: "i", sequence: 40 }));
-        expect(announcements.markSilent(2_100)).to.equal(true);
+        expect(announcements.markSilent(2_100)).to.deep.equal(["i"]);
         expect(announcements.changedAfter(0).map(one => [one.id, one.state])).to.deep.equal([["i", "silent"]]);
     });
 });
--- a/packages/basilpaddle/src/node/coordination/gateway/announcements.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/announcements.ts
@@ -118,9 +118,9 @@
         });
     }
 
-    /** Marks backend servers without a recent heartbeat as silent; returns whether any was marked. */
-    markSilent(now: number): boolean {
-        let hasMarked = false;
+    /** Marks backend servers without a recent heartbeat as silent; returns those that were marked. */
+    markSilent(now: number): readonly string[] {
+        const marked: string[] = [];
         for (const [id, known] of this.entries) {
             const { state } = known.announced;
             if (state === "left" && now - known.receivedAt > leftRetentionMilliseconds) {
@@ -130,10 +130,10 @@
             if (silent && (state === "ready" || state === "draining")) {
                 known.announced = { ...known.announced, state: "silent" };
                 known.changeNumber = this.nextChangeNumber();
-                hasMarked = true;
+                marked.push(id);
             }
         }
-        return hasMarked;
+        return marked;
     }
 
     /**
--- a/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
@@ -47,7 +47,8 @@
     readonly logger: Logger;
     /** Milliseconds after the start in which the gateway count may be too low. @default 4000 */
     readonly settleTime?: number | undefined;
-    readonly onAnnounced: (announced: ServerAnnouncement) => void;
+    /** Called with each announcement and the directory that sent it. */
+    readonly onAnnounced: (announced: ServerAnnouncement, directory: string) => void;
     /** Called with the limits of backend servers that the leader sends. */
     readonly onServerLimits?: (observed: readonly LimitObservation[]) => void;
     /** Called with crash histories of requests. */
@@ -277,7 +278,7 @@
             this.usedUp = new Set(update.usedUp);
         }
         this.addDirectories(update.members);
-        update.announced.forEach(announced => this.options.onAnnounced(announced));
+        update.announced.forEach(announced => this.options.onAnnounced(announced, directory.name));
         if (update.serverLimits !== undefined) {
             this.options.onServerLimits?.(update.serverLimits);
         }
--- a/packages/basilpaddle/src/node/coordination/gateway/index.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/index.ts
@@ -1,4 +1,5 @@
 export * from "./announcements.js";
+export * from "./applyAnnouncement.js";
 export * from "./callTally.js";
 export * from "./directoryWatcher.js";
 export { leaderPlacementTuning, localPlacementTuning, type PlacementTuning } from "./enginePool.js";
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/backendServerRegistry.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/backendServerRegistry.spec.ts
@@ -22,9 +22,9 @@
     it("include those known from other directories, so that the first directory to start knows them", () => {
         const registry = createRegistry("d-1");
         registry.announce(announced({ id: "own" }));
-        registry.applyRemoteAnnouncement(announced({ id: "elsewhere" }));
-        registry.applyRemoteAnnouncement(announced({ id: "gone", state: "silent" }));
-        registry.applyRemoteAnnouncement(announced({ id: "left", state: "left" }));
+        registry.applyRemoteAnnouncement(announced({ id: "elsewhere" }), "d-2");
+        registry.applyRemoteAnnouncement(announced({ id: "gone", state: "silent" }), "d-2");
+        registry.applyRemoteAnnouncement(announced({ id: "left", state: "left" }), "d-2");
         expect(registry.serversForRestart().map(({ id }) => id)).to.deep.equal(["own", "elsewhere"]);
     });
 
@@ -33,7 +33,10 @@
         const storedIds = ["d-1", "d-2"].map(name => {
             const registry = createRegistry(name);
             for (let number = 0; number < 1_000; number++) {
-                registry.applyRemoteAnnouncement(announced({ id: `i-${number}`, address: `10.0.0.1:${number}` }));
+                registry.applyRemoteAnnouncement(
+                    announced({ id: `i-${number}`, address: `10.0.0.1:${number}` }),
+                    "d-2",
+                );
             }
             return new Set(registry.serversForRestart().map(({ id }) => id));
         });
@@ -49,7 +52,7 @@
         const registry = createRegistry("d-1", () => {
             changes += 1;
         });
-        registry.applyRemoteAnnouncement(announced({ id: "i", sequence: 4 }));
+        registry.applyRemoteAnnouncement(announced({ id: "i", sequence: 4 }), "d-2");
         expect(changes).to.equal(0);
         registry.announce(announced({ id: "i", sequence: 5 }));
         expect(changes).to.equal(1);
--- a/packages/basilpaddle/src/node/daemon/directory/backendServerRegistry.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/backendServerRegistry.ts
@@ -1,4 +1,4 @@
-import { Announcements, InstanceTable } from "../../coordination/index.js";
+import { Announcements, applyAnnouncement, InstanceTable } from "../../coordination/index.js";
 import { incarnationOf, type ServerAnnouncement } from "../../protocol/index.js";
 import { type Clock, hashToFraction, type Logger } from "../../utils/index.js";
 import type { Departure } from "./directoryWire.js";
@@ -11,6 +11,8 @@
  * servers of a directory with a lost disk stayed unknown until their next heartbeat.
  */
 const maxRemoteServers = 100;
+/** Only the first of several backend servers are named in one log line. */
+const maxLoggedServers = 60;
 
 /** Dependencies and listeners of `BackendServerRegistry`. */
 export type BackendServerRegistryOptions = {
@@ -48,7 +50,10 @@
             this.announcements.restoreServer(server, clock.monotonic());
             this.instances.apply(server);
         });
-        logger.info("restored backend servers from before the restart", { count: servers.length });
+        logger.info("restored backend servers from before the restart", {
+            count: servers.length,
+            servers: servers.slice(0, maxLoggedServers).map(({ id, state, sequence }) => `${id} ${state} ${sequence}`),
+        });
     }
 
     /**
@@ -71,9 +76,13 @@
         if (this.announcements.apply(announced, clock.monotonic())) {
             const { id, service, address, state, stage, sequence } = announced;
             logger.info("a backend server announced itself", { id, service, address, state, stage, sequence });
-            this.updateInstance(announced);
+            this.updateInstance(announced, "heartbeat");
             onAnnouncementsChanged();
         }
+        else if (this.instances.hasEnded(announced.id)) {
+            const { id, state, sequence } = announced;
+            logger.info("ignored a heartbeat of a backend server that has left", { id, state, sequence });
+        }
     }
 
     /** Applies a backend server's call that it leaves. */
@@ -99,8 +108,8 @@
     }
 
     /** Applies another directory's announcement of a backend server. */
-    applyRemoteAnnouncement(announced: ServerAnnouncement): void {
-        this.updateInstance(announced);
+    applyRemoteAnnouncement(announced: ServerAnnouncement, directory: string): void {
+        this.updateInstance(announced, directory);
         this.announcements.confirm(announced);
         if (this.announcements.refutes(announced)) {
             const { id, sequence } = announced;
@@ -114,7 +123,12 @@
 
     /** Marks backend servers as silent whose heartbeats stopped. */
     markSilentServers(): void {
-        if (this.announcements.markSilent(this.options.clock.monotonic())) {
+        const silent = this.announcements.markSilent(this.options.clock.monotonic());
+        if (silent.length > 0) {
+            this.options.logger.info("heartbeats of backend servers stopped", {
+                count: silent.length,
+                servers: silent.slice(0, maxLoggedServers),
+            });
             this.publishAll();
         }
     }
@@ -133,8 +147,8 @@
         this.options.onAnnouncementsChanged();
     }
 
-    private updateInstance(announced: ServerAnnouncement): void {
-        if (this.instances.apply(announced)) {
+    private updateInstance(announced: ServerAnnouncement, source: string): void {
+        if (applyAnnouncement(this.instances, announced, source, this.options.logger)) {
             this.options.onInstancesChanged();
         }
     }
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -216,7 +216,7 @@
             network: this.network,
             clock,
             logger,
-            onAnnounced: announced => this.backendServers.applyRemoteAnnouncement(announced),
+            onAnnounced: (announced, directory) => this.backendServers.applyRemoteAnnouncement(announced, directory),
             onCrashes: records => this.mergeCrashRecords(records),
             knownCrashes: () => this.quarantinedRequests.changedAfter(0),
         });
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -1,5 +1,6 @@
 import * as http from "node:http";
 import {
+    applyAnnouncement,
     CallTally,
     CrashDetector,
     DirectoryWatcher,
@@ -111,7 +112,7 @@
             clock,
             logger,
             settleTime: options.settleTime,
-            onAnnounced: announced => this.instances.apply(announced),
+            onAnnounced: (announced, directory) => applyAnnouncement(this.instances, announced, directory, logger),
             onServerLimits: observed => this.serverAdmission.observeLeader(observed),
             onCrashes: records => void this.quarantinedRequests.merge(records),
             knownCrashes: () => this.quarantinedRequests.all(),
