--- a/packages/basilpaddle/src/node/daemon/directory/backendServerCalls.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/backendServerCalls.ts
@@ -6,9 +6,9 @@
     serverAnnouncementSchema,
 } from "../../protocol/index.js";
 import type { Logger } from "../../utils/index.js";
-import type { BackendServerRegistry } from "./backendServerRegistry.js";
 import type { CallResponse } from "./callServer.js";
 import type { DirectoryWire } from "./directoryWire.js";
+import type { ServerMembership } from "./serverMembership.js";
 
 /** Only the first findings of a rejected call are logged. */
 const maxLoggedFindings = 3;
@@ -16,16 +16,11 @@
 /** Dependencies of `BackendServerCalls`. */
 export type BackendServerCallsOptions = {
     readonly wire: DirectoryWire;
-    readonly registry: BackendServerRegistry;
-    /**
-     * Whether any gateway receives this directory's updates. Acknowledging a leave call that reaches no gateway would let
-     * the leaving server assume that it gets no more work.
-     */
-    readonly hasWatchingGateway: () => boolean;
+    readonly membership: ServerMembership;
     readonly logger: Logger;
 };
 
-/** Handles the calls of backend servers: heartbeats and leave calls. */
+/** Parses the calls of backend servers: heartbeats and leave calls. */
 export class BackendServerCalls {
     private constructor(private readonly options: BackendServerCallsOptions) {}
 
@@ -34,43 +29,36 @@
     }
 
     /** Handles a heartbeat. */
-    announce(name: string, body: string): CallResponse {
-        const { wire, registry } = this.options;
+    announce(name: string, body: string): Promise<CallResponse> {
+        const { wire, membership } = this.options;
         return this.applyCall(
             name,
             wire.parseAnnouncement(name, body).chain(validateAnnouncement),
-            announced => registry.announce(announced),
+            announced => membership.announce(announced),
         );
     }
 
     /** Handles a backend server's call that it leaves. */
-    leave(name: string, body: string): CallResponse {
-        const { wire, registry } = this.options;
-        return this.applyCall(name, wire.parseDeparture(name, body), departure => registry.leave(departure));
+    leave(name: string, body: string): Promise<CallResponse> {
+        const { wire, membership } = this.options;
+        return this.applyCall(name, wire.parseDeparture(name, body), departure => membership.leave(departure));
     }
 
     /** Applies a valid call. An invalid one is rejected: it may come from another program and identifies no usable server. */
-    private applyCall<T>(
+    private async applyCall<T>(
         name: string,
         parsedBody: Either<readonly Finding[], T>,
-        apply: (value: T) => void,
-    ): CallResponse {
-        const { hasWatchingGateway, logger } = this.options;
-        if (!hasWatchingGateway()) {
-            return { kind: "unavailable", reason: "no gateway watches this directory" };
-        }
-        return parsedBody.caseOf<CallResponse>({
+        apply: (value: T) => Promise<CallResponse>,
+    ): Promise<CallResponse> {
+        return parsedBody.caseOf<CallResponse | Promise<CallResponse>>({
             Left: findings => {
-                logger.warn("rejected an invalid call of a backend server", {
+                this.options.logger.warn("rejected an invalid call of a backend server", {
                     name,
                     findings: findings.slice(0, maxLoggedFindings),
                 });
                 return { kind: "invalid", findings };
             },
-            Right: value => {
-                apply(value);
-                return { kind: "done" };
-            },
+            Right: apply,
         });
     }
 }
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -1,4 +1,4 @@
-import { DirectoryWatcher, QuarantinedRequests, RelayRegistry } from "../../coordination/index.js";
+import { QuarantinedRequests, RelayRegistry } from "../../coordination/index.js";
 import {
     type CrashRecord,
     type DirectoryMessage,
@@ -14,7 +14,6 @@
 import type { RoutingOptions } from "../routingOptions.js";
 import { noLimits } from "./allowanceService.js";
 import { BackendServerCalls } from "./backendServerCalls.js";
-import { BackendServerRegistry } from "./backendServerRegistry.js";
 import { CallHandler, type CallResponse, CallServer } from "./callServer.js";
 import { ConfigurationCalls } from "./configurationCalls.js";
 import type { DirectoryCall, DirectoryWire } from "./directoryWire.js";
@@ -22,7 +21,7 @@
 import { LeaderServices } from "./leaderServices.js";
 import { RestartCache, type RestartState } from "./restartCache.js";
 import { noServerLimits } from "./serverLimitService.js";
-import { WatchService } from "./watchService.js";
+import { ServerMembership } from "./serverMembership.js";
 
 /** Interval of the checks for silent backend servers, disconnected gateways and outliers. */
 const checkIntervalMilliseconds = 300;
@@ -40,11 +39,10 @@
  */
 export class DirectoryDaemon extends CallHandler {
     private readonly store = DisposableStore.create();
-    private readonly backendServers: BackendServerRegistry;
+    private readonly membership: ServerMembership;
     private readonly backendServerCalls: BackendServerCalls;
     private readonly configurationCalls: ConfigurationCalls;
     private readonly connections: BackendConnections;
-    private readonly watchService: WatchService;
     /** This daemon's copy of the quarantine that all daemons share. */
     readonly quarantinedRequests: QuarantinedRequests;
     private readonly name: string;
@@ -57,27 +55,13 @@
 
     private constructor(
         private readonly options: DirectoryDaemonOptions,
-        private readonly network: Network,
+        network: Network,
         private readonly group: DocumentGroup,
         private readonly restartCache: RestartCache,
     ) {
         super();
         const { settings, clock, randomness } = options;
         this.name = `${settings.host}:${settings.peerPort}`;
-        this.backendServers = BackendServerRegistry.create({
-            name: this.name,
-            heartbeat: settings.heartbeat,
-            clock,
-            logger: options.logger,
-            onAnnouncementsChanged: () => {
-                this.watchService.notifyWatchers();
-                restartCache.markChanged();
-            },
-            onInstancesChanged: () => {
-                this.leading?.markPoolsOutdated();
-                restartCache.markChanged();
-            },
-        });
         this.store.add(() => restartCache.close());
         restartCache.setSource(() => this.restartState());
         this.quarantinedRequests = QuarantinedRequests.create({
@@ -88,23 +72,30 @@
         });
         this.connections = BackendConnections.create(options.logger, DirectOpener.create(settings.bindHost));
         this.store.add(() => this.connections.close());
-        this.watchService = WatchService.create({
+        this.membership = ServerMembership.create({
+            name: this.name,
             incarnation: randomness.identifier(),
             failureDomain: settings.failureDomain,
-            announcements: this.backendServers.announcements,
+            heartbeat: settings.heartbeat,
+            seeds: options.seeds ?? (() => seedNames(settings)),
+            network,
+            restartCache,
             quarantined: this.quarantinedRequests,
             document: () => group.current(),
             members: () => this.members(),
             ejected: () => this.ejectedServers(),
             limits: () => this.leading?.limits() ?? noLimits,
             serverLimits: () => this.leading?.serverLimits ?? noServerLimits,
-            previousGateways: restartCache.gateways(),
+            onInstancesChanged: () => this.leading?.markPoolsOutdated(),
+            onCrashes: records => this.mergeCrashRecords(records),
+            knownCrashes: () => this.quarantinedRequests.changedAfter(0),
             clock,
+            logger: options.logger,
         });
+        this.store.add(() => this.membership.close());
         this.backendServerCalls = BackendServerCalls.create({
             wire: options.wire,
-            registry: this.backendServers,
-            hasWatchingGateway: () => this.watchService.gatewayCount() > 0,
+            membership: this.membership,
             logger: options.logger,
         });
         this.configurationCalls = ConfigurationCalls.create({
@@ -169,10 +160,10 @@
         metrics.gauge("basilpaddle_group_term", groupStatus?.term ?? 0);
         metrics.gauge("basilpaddle_group_committed_index", groupStatus?.committedIndex ?? 0);
         metrics.gauge("basilpaddle_configuration_version", this.group.current().version);
-        metrics.gauge("basilpaddle_gateways", this.watchService.gatewayCount());
+        metrics.gauge("basilpaddle_gateways", this.membership.watches.gatewayCount());
         metrics.gauge("basilpaddle_places_held", placementStatus?.placements ?? 0);
         metrics.gauge("basilpaddle_places_waiting", placementStatus?.waiting ?? 0);
-        this.backendServers.instances.measure(metrics);
+        this.membership.instances.measure(metrics);
         this.quarantinedRequests.measure(metrics);
         this.leading?.measure(metrics);
     }
@@ -193,7 +184,7 @@
     }
 
     private async open(): Promise<void> {
-        const { settings, logger, wire, clock } = this.options;
+        const { settings, logger, wire } = this.options;
         const peers = await TcpServer.create({
             host: settings.bindHost ?? settings.host,
             port: settings.peerPort,
@@ -203,24 +194,11 @@
         this.store.add(() => peers.close());
         this.group.onChange(() => this.notifyDocumentChange());
         this.group.onLeadership(leading => leading ? this.startLeading() : this.stopLeading());
-        this.backendServers.restore(this.restartCache.servers());
+        this.membership.start();
         this.mergeCrashRecords(this.restartCache.crashes());
         if (this.group.replicaStatus()?.leading === true) {
             this.startLeading();
         }
-        const watcher = DirectoryWatcher.create({
-            name: this.name,
-            observer: true,
-            failureDomain: settings.failureDomain,
-            seeds: this.options.seeds ?? (() => seedNames(settings)),
-            network: this.network,
-            clock,
-            logger,
-            onAnnounced: (announced, directory) => this.backendServers.applyRemoteAnnouncement(announced, directory),
-            onCrashes: records => this.mergeCrashRecords(records),
-            knownCrashes: () => this.quarantinedRequests.changedAfter(0),
-        });
-        this.store.add(() => watcher.close());
         const calls = await CallServer.create({ address: settings.calls, handler: this, wire, logger });
         this.store.add(() => calls.close());
         this.schedulePeriodicChecks();
@@ -251,7 +229,7 @@
         setImmediate(() => {
             this.documentNotificationScheduled = false;
             const { version } = this.group.current();
-            this.watchService.notifyWatchers();
+            this.membership.watches.notifyWatchers();
             this.options.logger.info("configuration committed", { version });
             this.leading?.markPoolsOutdated();
             this.restartCache.markChanged();
@@ -266,14 +244,14 @@
     }
 
     private publishCrashRecords(): void {
-        this.watchService.notifyWatchers();
+        this.membership.watches.notifyWatchers();
         this.restartCache.markChanged();
     }
 
     private restartState(): RestartState | undefined {
         const committed = this.group.committedPosition();
-        const servers = this.backendServers.serversForRestart();
-        const gateways = this.watchService.gatewayCount();
+        const servers = this.membership.serversForRestart();
+        const gateways = this.membership.watches.gatewayCount();
         const crashes = this.quarantinedRequests.changedAfter(0);
         return committed && { identity: committed.identity, committed: committed.mark, servers, gateways, crashes };
     }
@@ -282,8 +260,8 @@
         const { clock } = this.options;
         let cancel = clock.after(checkIntervalMilliseconds, () => runChecks());
         const runChecks = (): void => {
-            this.backendServers.markSilentServers();
-            this.leading?.review(this.watchService.gatewayNames());
+            this.membership.review();
+            this.leading?.review(this.membership.watches.gatewayNames());
             cancel = clock.after(checkIntervalMilliseconds, runChecks);
         };
         this.store.add(() => cancel());
@@ -309,9 +287,9 @@
     private async handlePeerMessage(message: DirectoryMessage): Promise<unknown> {
         switch (message.kind) {
             case "watch":
-                return this.watchService.watch(message);
+                return this.membership.watch(message);
             case "document":
-                return this.watchService.packed();
+                return this.membership.watches.packed();
             case "storeDocument":
             case "readDocument":
                 return this.configurationCalls.execute(message);
@@ -336,15 +314,15 @@
         this.leading = LeaderServices.create({
             settings,
             wire,
-            instances: this.backendServers.instances,
+            instances: this.membership.instances,
             traffic: () => this.currentTraffic(),
             connections: this.connections,
-            onIncarnationEnded: instance => this.backendServers.markEnded(instance),
-            onChanged: () => this.watchService.notifyWatchers(),
+            onIncarnationEnded: instance => this.membership.markEnded(instance),
+            onChanged: () => this.membership.watches.notifyWatchers(),
             clock,
             logger,
         }, term);
-        this.watchService.notifyWatchers();
+        this.membership.watches.notifyWatchers();
         logger.info("became leader: placing runs and ordering stage changes", { term });
     }
 
