--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -77,6 +77,7 @@
             incarnation: randomness.identifier(),
             failureDomain: settings.failureDomain,
             heartbeat: settings.heartbeat,
+            tolerated: settings.tolerated,
             seeds: options.seeds ?? (() => seedNames(settings)),
             network,
             restartCache,
@@ -287,7 +288,7 @@
     private async handlePeerMessage(message: DirectoryMessage): Promise<unknown> {
         switch (message.kind) {
             case "watch":
-                return this.membership.watch(message);
+                return this.membership.handle(message);
             case "document":
                 return this.membership.watches.packed();
             case "storeDocument":
--- a/packages/basilpaddle/src/node/daemon/directory/serverMembership.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/serverMembership.ts
@@ -1,5 +1,5 @@
 import { DirectoryWatcher, type InstanceTable } from "../../coordination/index.js";
-import type { CrashRecord, ServerAnnouncement, WatchRequest, WatchUpdate } from "../../protocol/index.js";
+import type { CrashRecord, ServerAnnouncement, WatchRequest } from "../../protocol/index.js";
 import type { Network } from "../../transport/index.js";
 import type { Logger } from "../../utils/index.js";
 import { BackendServerRegistry } from "./backendServerRegistry.js";
@@ -14,6 +14,8 @@
     readonly name: string;
     /** Milliseconds between two heartbeats of a backend server. */
     readonly heartbeat: number;
+    /** Number of lost hosts with a disk that the deployment tolerates. */
+    readonly tolerated: number;
     /** Addresses of the directories to start with; read again on each failure, since settings may change. */
     readonly seeds: () => readonly string[];
     readonly network: Network;
@@ -102,9 +104,9 @@
         this.registry.markEnded(id);
     }
 
-    /** Answers a watch of a gateway or of another directory. */
-    watch(request: WatchRequest): Promise<WatchUpdate> {
-        return this.watches.watch(request);
+    /** Handles a message of a gateway or of another directory. */
+    handle(message: WatchRequest): Promise<unknown> {
+        return this.watches.watch(message);
     }
 
     /** Marks backend servers as silent whose heartbeats stopped; to be called a few times per heartbeat interval. */
