fix(directory): a backend server that has said that it leaves gets no more work, whatever arrives later and whoever is lost

Cause: several sources state something about one server, and the sequence number of heartbeats ordered all of them. A leave call has none: it was recorded under the one that its directory knew, which is an old one where heartbeats go elsewhere. And the call was acknowledged while one process alone knew of it, in memory.

A leave call without a start time may be a late one of the incarnation before: it holds as one that the server made itself if the incarnation has been known for 15 s, longer than a call is late; else the server gets no work until a heartbeat arrives 15 s after the call, which must have been sent after it. Before a departure is acknowledged it is on as many disks as the deployment tolerates lost hosts, and one more; all directories that are reached announce it. A server that leaves isn't used either where all others are silent.

--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/membershipOfServers.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/membershipOfServers.spec.ts
@@ -94,7 +94,14 @@
         announcements.restoreServer(announced({ id: "elsewhere", sequence: 1 }), 0);
         announcements.confirm(announced({ id: "elsewhere", sequence: 2 }));
         announcements.markLeft("left", 0);
-        expect(announcements.restartCacheEntries().map(({ id }) => id)).to.deep.equal(["own", "draining", "restored"]);
+        announcements.apply(announced({ id: "silent", sequence: 1 }), -9_000);
+        announcements.markSilent(0);
+        expect(announcements.restartCacheEntries().map(({ id, state }) => [id, state])).to.deep.equal([
+            ["own", "ready"],
+            ["draining", "draining"],
+            ["restored", "ready"],
+            ["left", "left"],
+        ]);
     });
 
     it("are announced at once, and again with their first heartbeat", () => {
--- a/packages/basilpaddle/src/node/coordination/gateway/index.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/index.ts
@@ -1,3 +1,4 @@
+export { departureRank, isLeaving } from "./announcementOrder.js";
 export * from "./announcements.js";
 export * from "./applyAnnouncement.js";
 export * from "./callTally.js";
--- a/packages/basilpaddle/src/node/coordination/gateway/instanceTable.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/instanceTable.ts
@@ -1,16 +1,14 @@
 import { LRUCache } from "lru-cache";
 import type { ServerAnnouncement } from "../../protocol/index.js";
 import type { Metrics } from "../../utils/index.js";
+import { isLeaving, joinAnnouncements } from "./announcementOrder.js";
 import { LatestIncarnations } from "./latestIncarnations.js";
 
 /** Number of ended incarnations to remember, so that a delayed heartbeat doesn't restore one of them. */
 const maxEndedIncarnations = 8_192;
-/** Order of states that arrive with the same sequence number: the later one in an incarnation's lifecycle wins. */
-const stateRank: Record<ServerAnnouncement["state"], number> = { ready: 0, silent: 1, draining: 2, left: 3 };
-
 /**
  * The tracked state of all backend servers at a gateway. Announcements arrive from several directories, delayed and out of
- * order: for each incarnation the highest sequence number wins, and an incarnation that has ended is never restored.
+ * order: for each incarnation they are joined, and one that leaves or has ended is never restored.
  */
 export class InstanceTable {
     private readonly instances = new Map<string, ServerAnnouncement>();
@@ -19,6 +17,10 @@
     private readonly byService = new Map<string, readonly ServerAnnouncement[]>();
     /** The incarnation that was announced last at each address. */
     private readonly latestAtAddress = new Map<string, string>();
+    /** Services whose last known backend server has left. */
+    private readonly abandonedServices = new Set<string>();
+    /** Number of announcements that changed nothing, since they were older than what was known. */
+    private outdatedCount = 0;
 
     static create(): InstanceTable {
         return new InstanceTable();
@@ -27,6 +29,7 @@
     /** Applies an announcement; returns whether a backend server was added or removed, or its state or stage changed. */
     apply(announced: ServerAnnouncement): boolean {
         if (this.ended.has(announced.id) || this.incarnations.isOutdated(announced)) {
+            this.outdatedCount += 1;
             return false;
         }
         const previousId = this.incarnations.recordLatest(announced);
@@ -34,18 +37,21 @@
             this.end(previousId);
         }
         const known = this.instances.get(announced.id);
-        if (known !== undefined && !supersedes(announced, known)) {
-            return false;
+        const joined = joinAnnouncements(announced, known ?? announced);
+        if (joined.state === "left") {
+            return this.endByDeparture(joined) || known === undefined;
         }
-        if (announced.state === "left") {
-            return this.end(announced.id) || known === undefined;
+        if (known !== undefined && isSame(known, joined)) {
+            this.outdatedCount += 1;
+            return false;
         }
-        this.instances.set(announced.id, announced);
-        if (known?.address !== announced.address) {
-            this.latestAtAddress.set(announced.address, announced.id);
+        this.instances.set(announced.id, joined);
+        this.abandonedServices.delete(joined.service);
+        if (known?.address !== joined.address) {
+            this.latestAtAddress.set(joined.address, joined.id);
         }
         this.byService.clear();
-        return known === undefined || known.state !== announced.state || known.stage !== announced.stage;
+        return known === undefined || known.state !== joined.state || known.stage !== joined.stage;
     }
 
     /** Removes an incarnation that has ended: it left, or another incarnation answers at its address. */
@@ -80,9 +86,27 @@
         return instance === undefined || instance.state === "silent" || this.isSuperseded(instance);
     }
 
-    /** All incarnations that haven't ended; one whose address a later incarnation has is returned as silent. */
+    /** Whether the incarnation may be sent new work: it hasn't ended, and isn't known to leave. */
+    acceptsWork(id: string): boolean {
+        const instance = this.instances.get(id);
+        return instance !== undefined && !isLeaving(instance);
+    }
+
+    /** Whether no backend server of the service is left because those that were known have said that they leave. */
+    isAbandoned(service: string): boolean {
+        const instances = [...this.instances.values()].filter(instance => instance.service === service);
+        return instances.length === 0 ? this.abandonedServices.has(service) : instances.every(isLeaving);
+    }
+
+    /**
+     * All incarnations that haven't ended. One whose address a later incarnation has is returned as silent, and one that leaves
+     * as draining, whether its heartbeats go on or not.
+     */
     all(): readonly ServerAnnouncement[] {
         return [...this.instances.values()].map(instance => {
+            if (isLeaving(instance)) {
+                return { ...instance, state: "draining" };
+            }
             return this.isSuperseded(instance) ? { ...instance, state: "silent" } : instance;
         });
     }
@@ -93,11 +117,13 @@
         for (const state of ["ready", "draining", "silent"] as const) {
             metrics.gauge("basilpaddle_instances", states.filter(other => other === state).length, { state });
         }
+        metrics.gauge("basilpaddle_outdated_announcements", this.outdatedCount);
     }
 
     /**
      * Backend servers of a service that may receive new requests. Silent ones are returned only if none is ready: they have
-     * probably terminated, but are reported as silent as well if a network partition separates their directory from them.
+     * probably terminated, but are reported as silent as well if a network partition separates their directory from them. One
+     * that leaves isn't among them.
      */
     usable(service: string): readonly ServerAnnouncement[] {
         const known = this.byService.get(service);
@@ -111,6 +137,14 @@
         return usable;
     }
 
+    private endByDeparture({ id, service }: ServerAnnouncement): boolean {
+        const hasEnded = this.end(id);
+        if (hasEnded && ![...this.instances.values()].some(other => other.service === service)) {
+            this.abandonedServices.add(service);
+        }
+        return hasEnded;
+    }
+
     /**
      * Whether another incarnation was announced later at the same address. A backend server that restarts after a crash
      * announces itself at once, while its previous incarnation appears ready until it has missed its heartbeats: requests
@@ -124,8 +158,7 @@
     }
 }
 
-function supersedes(announced: ServerAnnouncement, known: ServerAnnouncement): boolean {
-    return announced.sequence > known.sequence
-        || announced.state === "left"
-        || (announced.sequence === known.sequence && stateRank[announced.state] > stateRank[known.state]);
+function isSame(one: ServerAnnouncement, other: ServerAnnouncement): boolean {
+    return one.sequence === other.sequence && one.state === other.state && one.departure === other.departure
+        && one.address === other.address;
 }
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/backendServerRegistry.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/backendServerRegistry.spec.ts
@@ -25,7 +25,11 @@
         registry.applyRemoteAnnouncement(announced({ id: "elsewhere" }), "d-2");
         registry.applyRemoteAnnouncement(announced({ id: "gone", state: "silent" }), "d-2");
         registry.applyRemoteAnnouncement(announced({ id: "left", state: "left" }), "d-2");
-        expect(registry.serversForRestart().map(({ id }) => id)).to.deep.equal(["own", "elsewhere"]);
+        expect(registry.serversForRestart().map(({ id, state }) => [id, state])).to.deep.equal([
+            ["own", "ready"],
+            ["left", "left"],
+            ["elsewhere", "ready"],
+        ]);
     });
 
     // Guards against every directory sending a thousand servers to every gateway after a restart of all directories.
--- a/packages/basilpaddle/src/node/daemon/directory/backendServerRegistry.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/backendServerRegistry.ts
@@ -1,5 +1,6 @@
-import { Announcements, applyAnnouncement, InstanceTable } from "../../coordination/index.js";
-import { incarnationOf, type ServerAnnouncement } from "../../protocol/index.js";
+import { LRUCache } from "lru-cache";
+import { Announcements, applyAnnouncement, InstanceTable, maxCallDelayMilliseconds } from "../../coordination/index.js";
+import { type DepartureReport, incarnationOf, type ServerAnnouncement, serverName } from "../../protocol/index.js";
 import { type Clock, hashToFraction, type Logger } from "../../utils/index.js";
 import type { Departure } from "./directoryWire.js";
 
@@ -14,6 +15,10 @@
 /** Only the first of several backend servers are named in one log line. */
 const maxLoggedServers = 60;
 
+/** Number of incarnations and of calls to remember: several times the backend servers of a large deployment. */
+const maxIncarnations = 8_192;
+const maxUnresolvedCalls = 1_024;
+
 /** Dependencies and listeners of `BackendServerRegistry`. */
 export type BackendServerRegistryOptions = {
     /** Name of this directory. */
@@ -34,6 +39,10 @@
     readonly instances = InstanceTable.create();
     /** Announcements that this directory received itself. */
     readonly announcements: Announcements;
+    /** When each incarnation was first heard of. */
+    private readonly firstHeardAt = new LRUCache<string, number>({ max: maxIncarnations });
+    /** When a backend server of a name that wasn't known said that it leaves. */
+    private readonly unresolvedCalls = new LRUCache<string, number>({ max: maxUnresolvedCalls });
 
     private constructor(private readonly options: BackendServerRegistryOptions) {
         this.announcements = Announcements.create(options.heartbeat);
@@ -47,6 +56,7 @@
     restore(servers: readonly ServerAnnouncement[]): void {
         const { clock, logger } = this.options;
         servers.forEach(server => {
+            this.noteFirstHeard(server);
             this.announcements.restoreServer(server, clock.monotonic());
             this.instances.apply(server);
         });
@@ -61,7 +71,7 @@
      * directories. The selection of the latter differs between directories, so that together they cover as many as possible.
      */
     serversForRestart(): readonly ServerAnnouncement[] {
-        const own = this.announcements.restartCacheEntries();
+        const own = this.announcements.restartCacheEntries(this.options.clock.monotonic());
         const ownIds = new Set(own.map(({ id }) => id));
         const others = this.instances.all().filter(({ id, state }) => {
             return (state === "ready" || state === "draining") && !ownIds.has(id);
@@ -70,34 +80,55 @@
         return [...own, ...others.sort((one, other) => rank(one) - rank(other)).slice(0, maxRemoteServers)];
     }
 
-    /** Applies a heartbeat of a backend server. */
-    announce(announced: ServerAnnouncement): void {
+    /** Applies a heartbeat of a backend server; returns what is known of the incarnation. */
+    announce(heartbeat: ServerAnnouncement): ServerAnnouncement | undefined {
         const { clock, logger, onAnnouncementsChanged } = this.options;
-        if (this.announcements.apply(announced, clock.monotonic())) {
-            const { id, service, address, state, stage, sequence } = announced;
-            logger.info("a backend server announced itself", { id, service, address, state, stage, sequence });
+        const { id, service, address, state, stage, sequence } = heartbeat;
+        if (this.instances.hasEnded(id)) {
+            logger.info("ignored a heartbeat of a backend server that has left", { id, state, sequence });
+            return undefined;
+        }
+        this.noteFirstHeard(heartbeat);
+        const mustForward = this.announcements.apply(heartbeat, clock.monotonic());
+        const announced = this.announcements.get(id);
+        if (mustForward && announced !== undefined) {
+            const { departure } = announced;
+            logger.info("a backend server announced itself", {
+                id,
+                service,
+                address,
+                state,
+                stage,
+                sequence,
+                departure,
+            });
             this.updateInstance(announced, "heartbeat");
             onAnnouncementsChanged();
         }
-        else if (this.instances.hasEnded(announced.id)) {
-            const { id, state, sequence } = announced;
-            logger.info("ignored a heartbeat of a backend server that has left", { id, state, sequence });
-        }
+        return announced;
     }
 
-    /** Applies a backend server's call that it leaves. */
-    leave({ name, startedAt }: Departure): void {
+    /** Applies a backend server's call that it leaves; returns what is known of the incarnation. */
+    leave({ name, startedAt }: Departure): ServerAnnouncement | undefined {
         const newest = this.instances.newestOf(name);
-        const known = newest === undefined ? undefined : this.instances.get(newest.id);
-        if (startedAt === undefined && newest?.hasStartTime === true && known !== undefined) {
-            this.options.logger.warn("a backend server leaves without reporting its start time; draining it", {
-                id: known.id,
-            });
-            this.announcements.drain(known, this.options.clock.monotonic());
-            this.publishAll();
-            return;
+        if (startedAt !== undefined || newest?.hasStartTime !== true) {
+            return this.leaveIncarnation(name, incarnationOf(name, startedAt), newest === undefined);
+        }
+        const known = this.instances.get(newest.id);
+        if (known !== undefined) {
+            this.leaveWithoutStartTime(known);
+        }
+        return this.announcements.get(newest.id);
+    }
+
+    /** Takes over a departure that another directory was told of. */
+    adoptDeparture({ name, server }: Pick<DepartureReport, "name" | "server">): void {
+        if (server === undefined) {
+            this.leave({ name });
+        }
+        else {
+            this.applyRemoteAnnouncement(server, "a departure report");
         }
-        this.markLeft(incarnationOf(name, startedAt), "a backend server leaves");
     }
 
     /** Marks an incarnation as ended after a gateway found another incarnation at its address. */
@@ -109,8 +140,12 @@
 
     /** Applies another directory's announcement of a backend server. */
     applyRemoteAnnouncement(announced: ServerAnnouncement, directory: string): void {
+        this.noteFirstHeard(announced);
         this.updateInstance(announced, directory);
         this.announcements.confirm(announced);
+        if (this.announcements.adoptDeparture(announced, this.options.clock.monotonic())) {
+            this.publishAll();
+        }
         if (this.announcements.refutes(announced)) {
             const { id, sequence } = announced;
             this.options.logger.info(
@@ -133,6 +168,44 @@
         }
     }
 
+    /** `isUnknown`: no incarnation of the name is known; the call is kept for one that may become known soon. */
+    private leaveIncarnation(name: string, id: string, isUnknown: boolean): ServerAnnouncement | undefined {
+        if (isUnknown) {
+            this.unresolvedCalls.set(name, this.options.clock.monotonic());
+        }
+        this.markLeft(id, "a backend server leaves");
+        return isUnknown ? undefined : this.announcements.get(id);
+    }
+
+    /**
+     * Applies a leave call without a start time. It may be a late call of the previous incarnation, unless this one has been known
+     * for longer than a call can be late.
+     */
+    private leaveWithoutStartTime(server: ServerAnnouncement): void {
+        const { clock, logger } = this.options;
+        const now = clock.monotonic();
+        const knownFor = now - (this.firstHeardAt.get(server.id) ?? now);
+        const stage = knownFor >= maxCallDelayMilliseconds ? "left" : "suspected";
+        logger.info("a backend server leaves without reporting its start time", { id: server.id, knownFor, stage });
+        this.announcements.depart(server, stage, now);
+        this.publishAll();
+    }
+
+    /** Records when an incarnation was first heard of, and applies a leave call that came before that. */
+    private noteFirstHeard(announced: ServerAnnouncement): void {
+        const { id } = announced;
+        const now = this.options.clock.monotonic();
+        if (this.firstHeardAt.has(id) || announced.state === "left") {
+            return;
+        }
+        this.firstHeardAt.set(id, now);
+        const calledAt = this.unresolvedCalls.get(serverName(announced));
+        if (calledAt !== undefined && now - calledAt < maxCallDelayMilliseconds) {
+            this.announcements.depart(announced, "suspected", now);
+            this.publishAll();
+        }
+    }
+
     /** Records that an incarnation has ended, and publishes it. */
     private markLeft(id: string, logMessage: string): void {
         if (this.announcements.markLeft(id, this.options.clock.monotonic())) {
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -288,6 +288,7 @@
     private async handlePeerMessage(message: DirectoryMessage): Promise<unknown> {
         switch (message.kind) {
             case "watch":
+            case "departure":
                 return this.membership.handle(message);
             case "document":
                 return this.membership.watches.packed();
--- a/packages/basilpaddle/src/node/daemon/directory/restartCache.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/restartCache.ts
@@ -58,8 +58,10 @@
  */
 export class RestartCache {
     private source: (() => RestartState | undefined) | undefined;
-    private writing = false;
     private writeScheduled = false;
+    private currentWrite: Promise<boolean> | undefined;
+    /** The write that begins once the current one has ended. */
+    private nextWrite: Promise<boolean> | undefined;
     private closed = false;
     private disk: Disk | undefined;
 
@@ -105,8 +107,27 @@
     markChanged(): void {
         if (!this.writeScheduled && !this.closed) {
             this.writeScheduled = true;
-            this.options.clock.after(writeDelayMilliseconds, () => void this.write());
+            this.options.clock.after(writeDelayMilliseconds, () => {
+                this.writeScheduled = false;
+                void this.flush();
+            });
+        }
+    }
+
+    /** Writes the current state now; returns whether that succeeded. */
+    flush(): Promise<boolean> {
+        if (this.currentWrite === undefined) {
+            this.currentWrite = this.write().finally(() => {
+                this.currentWrite = undefined;
+            });
+            return this.currentWrite;
         }
+        // A disk may hang for seconds: there is one write at a time, and only the newest state waits behind it.
+        this.nextWrite ??= this.currentWrite.then(() => {
+            this.nextWrite = undefined;
+            return this.flush();
+        });
+        return this.nextWrite;
     }
 
     /** Stops writing; a scheduled write is dropped. */
@@ -114,28 +135,20 @@
         this.closed = true;
     }
 
-    private async write(): Promise<void> {
-        if (this.writing) {
-            // A disk may hang for seconds: there is one write at a time, and only the newest state waits behind it.
-            this.options.clock.after(writeDelayMilliseconds, () => void this.write());
-            return;
-        }
-        this.writeScheduled = false;
+    private async write(): Promise<boolean> {
         const state = this.closed ? undefined : this.source?.();
         if (state === undefined) {
-            return;
+            return false;
         }
-        this.writing = true;
         try {
             await this.writeState(state);
+            return true;
         }
         catch (error) {
             this.options.logger.warn("failed to write the restart cache; the next change triggers another write", {
                 error,
             });
-        }
-        finally {
-            this.writing = false;
+            return false;
         }
     }
 
@@ -164,7 +177,7 @@
         return {
             identity,
             committed,
-            servers,
+            servers: servers.map(addLeavingTime(elapsedMilliseconds)),
             gateways: isRecent ? gateways : 0,
             crashes: crashes.map(addAge(elapsedMilliseconds)),
         };
@@ -175,6 +188,15 @@
     }
 }
 
+/** Adds the time since the write to the time for which a backend server has been known to leave; 0 if the wall clock has been set back since. */
+function addLeavingTime(elapsedMilliseconds: number): (server: ServerAnnouncement) => ServerAnnouncement {
+    const addedMilliseconds = Math.max(0, elapsedMilliseconds);
+    return server => {
+        const { leavingFor } = server;
+        return leavingFor === undefined ? server : { ...server, leavingFor: leavingFor + addedMilliseconds };
+    };
+}
+
 /** Adds the time since the write to a record's ages; 0 if the wall clock has been set back since. */
 function addAge(elapsedMilliseconds: number): (record: CrashRecord) => CrashRecord {
     const addedMilliseconds = Math.max(0, elapsedMilliseconds);
--- a/packages/basilpaddle/src/node/daemon/directory/serverMembership.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/serverMembership.ts
@@ -1,9 +1,17 @@
 import { DirectoryWatcher, type InstanceTable } from "../../coordination/index.js";
-import type { CrashRecord, ServerAnnouncement, WatchRequest } from "../../protocol/index.js";
+import {
+    type CrashRecord,
+    type DepartureReply,
+    type DepartureReport,
+    type ServerAnnouncement,
+    serverName,
+    type WatchRequest,
+} from "../../protocol/index.js";
 import type { Network } from "../../transport/index.js";
 import type { Logger } from "../../utils/index.js";
 import { BackendServerRegistry } from "./backendServerRegistry.js";
 import type { CallResponse } from "./callServer.js";
+import { DepartureReplication } from "./departureReplication.js";
 import type { Departure } from "./directoryWire.js";
 import type { RestartCache } from "./restartCache.js";
 import { WatchService, type WatchServiceOptions } from "./watchService.js";
@@ -36,6 +44,7 @@
 export class ServerMembership {
     readonly watches: WatchService;
     private readonly registry: BackendServerRegistry;
+    private readonly replication: DepartureReplication;
     private watcher: DirectoryWatcher | undefined;
 
     private constructor(private readonly options: ServerMembershipOptions) {
@@ -54,6 +63,13 @@
                 restartCache.markChanged();
             },
         });
+        this.replication = DepartureReplication.create({
+            reachedDirectories: () => this.watcher?.reachedLinks() ?? [],
+            requiredCopies: () => this.requiredCopies(),
+            restartCache,
+            clock,
+            logger,
+        });
         this.watches = WatchService.create({
             ...options,
             announcements: this.registry.announcements,
@@ -91,12 +107,21 @@
 
     /** Applies a heartbeat of a backend server. */
     async announce(announced: ServerAnnouncement): Promise<CallResponse> {
-        return this.applyCall(() => this.registry.announce(announced));
+        if (!this.hasGateways()) {
+            return noGateway;
+        }
+        const known = this.registry.announce(announced);
+        const isDeparture = announced.state === "draining" && known !== undefined;
+        return !isDeparture || await this.replication.store(serverName(announced), known) ? done : notStored;
     }
 
     /** Applies a backend server's call that it leaves. */
     async leave(departure: Departure): Promise<CallResponse> {
-        return this.applyCall(() => this.registry.leave(departure));
+        if (!this.hasGateways()) {
+            return noGateway;
+        }
+        const known = this.registry.leave(departure);
+        return await this.replication.store(departure.name, known) ? done : notStored;
     }
 
     /** Marks an incarnation as ended after a gateway found another incarnation at its address. */
@@ -105,8 +130,12 @@
     }
 
     /** Handles a message of a gateway or of another directory. */
-    handle(message: WatchRequest): Promise<unknown> {
-        return this.watches.watch(message);
+    async handle(message: WatchRequest | DepartureReport): Promise<unknown> {
+        if (message.kind === "watch") {
+            return this.watches.watch(message);
+        }
+        this.registry.adoptDeparture(message);
+        return { kind: "noted", stored: await this.options.restartCache.flush() } satisfies DepartureReply;
     }
 
     /** Marks backend servers as silent whose heartbeats stopped; to be called a few times per heartbeat interval. */
@@ -125,14 +154,19 @@
     }
 
     /**
-     * Applies a call, unless no gateway receives this directory's updates: the acknowledgement of a leave call that reaches no
-     * gateway would let the leaving server assume that it gets no more work.
+     * Whether any gateway receives this directory's updates. The acknowledgement of a leave call that reaches no gateway would let
+     * the leaving server assume that it gets no more work.
      */
-    private applyCall(apply: () => void): CallResponse {
-        if (this.watches.gatewayCount() === 0) {
-            return { kind: "unavailable", reason: "no gateway watches this directory" };
-        }
-        apply();
-        return { kind: "done" };
+    private hasGateways(): boolean {
+        return this.watches.gatewayCount() > 0;
+    }
+
+    /** Number of disks that hold a departure after the loss of as many hosts as the deployment tolerates, and one more. */
+    private requiredCopies(): number {
+        return Math.min(this.options.tolerated + 1, this.options.members().members.length);
     }
 }
+
+const done: CallResponse = { kind: "done" };
+const noGateway: CallResponse = { kind: "unavailable", reason: "no gateway watches this directory" };
+const notStored: CallResponse = { kind: "unavailable", reason: "too few directories have stored the departure" };
--- a/packages/basilpaddle/src/node/daemon/directory/watchService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/watchService.ts
@@ -182,7 +182,7 @@
             cursor: announcements.latestChange(),
             version: current.version,
             ...sendsDocument ? { document: this.packed() } : {},
-            announced: [...announcements.changedAfter(knownChange)],
+            announced: [...announcements.changedAfter(knownChange, this.options.clock.monotonic())],
             members: [...group.members],
             failureDomain: this.options.failureDomain,
             ...group.leader === undefined ? {} : { leader: group.leader },
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -11,6 +11,14 @@
  */
 const packedSchema = z.custom<Uint8Array>(value => value instanceof Uint8Array, "bytes are expected");
 
+/**
+ * How far it is known that an incarnation leaves, in ascending order: a stage is never followed by an earlier one.
+ * `suspected`: a leave call that doesn't name the incarnation, and may be a late one of the previous incarnation.
+ * `refuted`: heartbeats arrived for longer after that call than one sent before it can be late.
+ * `announced`: it said itself that it leaves.
+ */
+export const departureStages = ["suspected", "refuted", "announced"] as const;
+
 /** Announcement of a backend server, as forwarded by a directory. */
 export const serverAnnouncementSchema = z.object({
     /** Identifier of this incarnation; it changes at each restart of the server. */
@@ -27,6 +35,10 @@
     slots: z.int().min(0),
     /** `silent`: the directory that last received its heartbeat has missed several heartbeats. */
     state: z.enum(["ready", "draining", "left", "silent"]),
+    /** Set with `draining`, and with `silent` if the server had said that it leaves. @default not known to leave */
+    departure: z.enum(departureStages).optional(),
+    /** Milliseconds for which the sender has known that it leaves, or may. An age, since clocks differ between hosts. */
+    leavingFor: z.number().min(0).optional(),
     /** The stage that the engine runs; present only for engines. */
     stage: z.enum(["prefill", "decode"]).optional(),
     /** Incremented with each heartbeat. The announcement with the highest number applies, whichever path it arrived by. */
@@ -55,6 +67,18 @@
     serverLimitCursor: z.int().min(0).optional(),
 });
 
+/** Message of a directory to the others: a backend server has said that it leaves. */
+export const departureReportSchema = z.object({
+    kind: z.literal("departure"),
+    /** Name of the backend server on the wire. */
+    name: identifier,
+    /** What is known of the incarnation that leaves; absent if the sender knows none. */
+    server: serverAnnouncementSchema.optional(),
+});
+
+/** Reply to a departure report: whether it is stored on the disk. */
+export const departureReplySchema = z.object({ kind: z.literal("noted"), stored: z.boolean() });
+
 /** Asks a directory for the latest configuration that it knows, which may be older than the latest committed one. */
 export const documentRequestSchema = z.object({ kind: z.literal("document") });
 
@@ -209,6 +233,7 @@
     documentCallSchema,
     crashReportSchema,
     relayRegistrationSchema,
+    departureReportSchema,
 ]);
 
 /** Result of a request to store or read the configuration document. */
@@ -221,6 +246,12 @@
 
 /** Announcement of a backend server. */
 export type ServerAnnouncement = z.infer<typeof serverAnnouncementSchema>;
+/** How far it is known that an incarnation leaves. */
+export type DepartureStage = typeof departureStages[number];
+/** Message of a directory to the others: a backend server has said that it leaves. */
+export type DepartureReport = z.infer<typeof departureReportSchema>;
+/** Reply to a departure report. */
+export type DepartureReply = z.infer<typeof departureReplySchema>;
 /** Long poll of a gateway at a directory. */
 export type WatchRequest = z.infer<typeof watchRequestSchema>;
 /** Asks a directory for its latest configuration. */
