fix(gateway): a request isn't sent to a backend server that has left since it was chosen

The same held for choices that wait for room at a server that names a limit, for retries and for resumed streams: they asked whether the server may get work when they chose it.

The sender asks at the moment of each send, whoever chose the server; a placement whose engine leaves is given back before anything is spent on it. Counted by a metric.

--- a/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
@@ -74,7 +74,12 @@
         metadata: Omit<RunMetadata, "attempt" | "deadlineWithin" | "instance" | "organisation">,
         signal: AbortSignal,
     ): Promise<SendResult> {
-        const { wire, paths, gateways } = this.options;
+        const { wire, paths, gateways, instances, metrics } = this.options;
+        if (!instances.acceptsWork(server.id)) {
+            // It was chosen, or a run was placed there, before it was known to leave.
+            metrics.count("basilpaddle_sends_to_leaving_servers_prevented_total", { service: service.name });
+            return { kind: "notRun", cause: "the backend server leaves", unreachable: true, lostOnPath: false };
+        }
         const runHeaders = wire.runHeaders({
             ...metadata,
             attempt: request.metadata.attempt,
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -122,10 +122,10 @@
         await awaitEngines(this.options, grant, () => this.request.isDisconnected());
         const decode = instances.get(grant.decode);
         const prefill = grant.prefill === undefined ? undefined : instances.get(grant.prefill);
-        if (decode === undefined || (grant.prefill !== undefined && prefill === undefined)) {
-            const missing = decode === undefined ? grant.decode : grant.prefill!;
-            this.retryElsewhere(missing, "a placed engine has ended or is unknown");
-            return { failed: missing };
+        const lost = [grant.decode, grant.prefill].find(id => id !== undefined && !instances.acceptsWork(id));
+        if (lost !== undefined || decode === undefined) {
+            this.retryElsewhere(lost, "a placed engine leaves, has ended or is unknown");
+            return { failed: lost };
         }
         if (this.refuseIfQuarantined()) {
             return {};
