fix: requests to a service whose servers all leave are refused at once

They waited for half of their time at a gateway (1,257 ms of 2,500), for 1.8 s in the leader's queue (1,812 ms), since no usable server looked like none known yet, as after a restart of all directories. The caller gets 503 with the time to come back; nothing has run.

--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/membershipOfServers.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/membershipOfServers.spec.ts
@@ -181,6 +181,23 @@
         expect(table.usable("pool").map(one => one.id)).to.deep.equal(["live"]);
     });
 
+    // Guards against callers who wait for the servers of a service that have all said that they leave.
+    it("tells a service whose servers have all left from one whose servers aren't known yet", () => {
+        const table = InstanceTable.create();
+        expect(table.isAbandoned("pool")).to.equal(false);
+        table.apply(announced({ id: "i", sequence: 1 }));
+        table.apply(announced({ id: "j", sequence: 1, state: "silent" }));
+        expect(table.isAbandoned("pool")).to.equal(false);
+        table.apply(announced({ id: "i", sequence: 1, state: "draining" }));
+        expect(table.isAbandoned("pool")).to.equal(false);
+        table.apply(announced({ id: "j", sequence: 1, state: "left" }));
+        expect(table.isAbandoned("pool")).to.equal(true);
+        table.apply(announced({ id: "i", sequence: 1, state: "left" }));
+        expect(table.isAbandoned("pool")).to.equal(true);
+        table.apply(announced({ id: "k", sequence: 1 }));
+        expect(table.isAbandoned("pool")).to.equal(false);
+    });
+
     it("never restores an incarnation that left or was ended", () => {
         const table = InstanceTable.create();
         table.apply(announced({ id: "i", sequence: 1 }));
--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/placementQueue.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/placementQueue.spec.ts
@@ -329,4 +329,16 @@
             { seed: 1, numRuns: 200 },
         );
     });
+
+    // Guards against callers who wait for engines that have all said that they leave.
+    it("refuses a request at once if all decode engines leave, and lets it wait if none is known yet", () => {
+        const queue = createQueue(1, 2);
+        queue.setEngines(
+            engines(1, 2).map(engine => engine.stage === "decode" ? { ...engine, state: "draining" } : engine),
+            rule,
+        );
+        expect(refused(queue.enqueueRequest(typicalPlacementRequest("first"), 0))).to.deep.equal(["first"]);
+        queue.setEngines([], rule);
+        expect(queue.enqueueRequest(typicalPlacementRequest("second"), 0)).to.deep.equal([]);
+    });
 });
--- a/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
@@ -221,6 +221,12 @@
         return this.usable("decode", [], now).length * this.engineCapacity().tokens;
     }
 
+    /** Whether no request can be placed because all decode engines that are known leave. */
+    isAbandoned(): boolean {
+        const decodes = [...this.engines.values()].filter(({ announced }) => announced.stage === "decode");
+        return decodes.length > 0 && decodes.every(({ announced }) => announced.state === "draining");
+    }
+
     /** Tokens of KV cache that may still be allocated. */
     freeTokens(now: number): number {
         const capacity = this.engineCapacity();
--- a/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
@@ -356,7 +356,8 @@
     }
 
     private mayWait(waiting: WaitingRequest, firstEventIn: number, capacity: number, now: number): boolean {
-        const waitsForEngines = capacity === 0 && now - waiting.arrivedAt < unknownPoolTimeoutMilliseconds;
+        const waitsForEngines = capacity === 0 && !this.pool.isAbandoned()
+            && now - waiting.arrivedAt < unknownPoolTimeoutMilliseconds;
         return waiting.request.resumed || waitsForEngines
             || now + firstEventIn + timeoutMarginMilliseconds <= waiting.timeoutAt;
     }
--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -24,6 +24,7 @@
 const fullRetryAfterMilliseconds = 120;
 /** Fraction of its target that a request waits for room at a server that names a limit. */
 const roomWaitFraction = 0.5;
+const allLeave = "the backend servers of the service leave";
 const noRoom = "the backend servers have reached the limits that they name";
 /** Minimum remaining time in which an answer is possible. */
 const minAnswerMilliseconds = 2;
@@ -145,8 +146,8 @@
      */
     private async waitForServer(): Promise<ServerAnnouncement | undefined> {
         const { clock, instances } = this.options;
-        if (instances.usable(this.service.name).length > 0) {
-            // Servers are known, but none of them takes the request.
+        if (instances.usable(this.service.name).length > 0 || instances.isAbandoned(this.service.name)) {
+            // Servers are known, but none of them takes the request; or those that were known leave.
             return undefined;
         }
         const deadline = clock.monotonic() + this.request.remainingTime() * firstServerWaitFraction;
@@ -175,7 +176,8 @@
             request.refuse(this.roomIn * (1 + hashToFraction(request.attempt)), noRoom);
         }
         else if (lastResult === undefined) {
-            request.refuse(noServerRetryAfterMilliseconds, "no backend server is known");
+            const isAbandoned = this.options.instances.isAbandoned(this.service.name);
+            request.refuse(noServerRetryAfterMilliseconds, isAbandoned ? allLeave : "no backend server is known");
         }
         else {
             request.refuse(fullRetryAfterMilliseconds, lastResult.cause);
