fix(gateway): a gateway that starts hears all directories before it sends requests

What a gateway hears first isn't what all directories know together.

The first configuration comes into force once every known directory has answered or failed, or 150 ms after the first answer, so that a dark directory delays the start by no more.

--- a/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
@@ -1,6 +1,5 @@
 import {
     type CrashRecord,
-    type CrashReport,
     type LimitObservation,
     packedDocumentSchema,
     type ServerAnnouncement,
@@ -10,6 +9,7 @@
 } from "../../protocol/index.js";
 import { type Link, type Network, parseAddress } from "../../transport/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
+import { CrashReports } from "./crashReports.js";
 import { GatewayCount } from "./gatewayCount.js";
 
 /** Timeout of a watch request: a directory holds it open for up to a second. */
@@ -24,13 +24,8 @@
 const documentGraceMilliseconds = 150;
 /** Timeout of a request for a configuration. */
 const documentTimeoutMilliseconds = 1_000;
-/** Timeout and number of attempts of a crash report to a directory: its link may fail, or it may be starting. */
-const reportTimeoutMilliseconds = 400;
-const reportAttempts = 8;
-/** How long crash records are collected for one report: one engine's crash ends dozens of runs. */
-const reportDelayMilliseconds = 10;
-/** Maximum number of records that are resent to a directory after its restart: hundreds of gateways resend theirs at once. */
-const maxResentRecords = 200;
+/** How long, from the first answer on, the other directories' first answers are waited for. */
+const firstAnswersMilliseconds = 150;
 /** An unreachable directory is dropped after this time without being listed as a member by any other directory. */
 const forgetAfterMilliseconds = 20_000;
 
@@ -69,6 +64,8 @@
     limitCursor: number;
     serverLimitCursor: number;
     failureDomain: string | undefined;
+    /** Whether it has answered a watch, or one has failed. */
+    asked: boolean;
     reached: boolean;
     gateways: number;
     gatewaysSettled: boolean;
@@ -93,10 +90,13 @@
     private closed = false;
     /** Organisations that had used up their allowance, according to the last update of a leader. */
     private usedUp: ReadonlySet<string> = new Set();
-    private unreportedCrashes: CrashRecord[] = [];
+    private readonly crashReports: CrashReports;
+    private readonly onFirstAnswers: (() => void)[] = [];
+    private firstAnsweredAt: number | undefined;
 
     private constructor(private readonly options: DirectoryWatcherOptions) {
         this.gatewayCount = GatewayCount.create(options.clock.monotonic(), options.settleTime);
+        this.crashReports = CrashReports.create({ ...options, directories: () => [...this.directories.values()] });
     }
 
     static create(options: DirectoryWatcherOptions): DirectoryWatcher {
@@ -105,6 +105,22 @@
         return watcher;
     }
 
+    /**
+     * Resolves once every known directory has answered or failed, or some time after the first answer. A directory that was cut
+     * off has missed what the others know, among it which backend servers leave.
+     */
+    firstAnswers(): Promise<void> {
+        return this.hasFirstAnswers() ? Promise.resolve() : new Promise(resolve => this.onFirstAnswers.push(resolve));
+    }
+
+    /** Whether `firstAnswers` has resolved. */
+    hasFirstAnswers(): boolean {
+        const { clock } = this.options;
+        return this.firstAnsweredAt !== undefined
+            && (clock.monotonic() - this.firstAnsweredAt >= firstAnswersMilliseconds
+                || [...this.directories.values()].every(({ asked }) => asked));
+    }
+
     /** Name of the leader according to most of the reached directories. */
     leader(): string | undefined {
         const votesByLeader = new Map<string, number>();
@@ -159,19 +175,15 @@
         return reached.filter(directory => listedMembers.has(directory.name)).length * 2 > listedMembers.size;
     }
 
-    /**
-     * Reports crash histories of requests. Every directory receives them, not only the leader: any may fail next.
-     */
+    /** Reports crash histories of requests. Every directory receives them, not only the leader: any may fail next. */
     report(records: readonly CrashRecord[]): void {
-        if (this.unreportedCrashes.length === 0) {
-            this.options.clock.after(reportDelayMilliseconds, () => this.sendCrashReports());
-        }
-        this.unreportedCrashes.push(...records);
+        this.crashReports.report(records);
     }
 
     /** Stops watching. */
     close(): void {
         this.closed = true;
+        this.crashReports.close();
         this.directories.forEach(directory => directory.link.close());
     }
 
@@ -200,6 +212,7 @@
                 limitCursor: 0,
                 serverLimitCursor: 0,
                 failureDomain: undefined,
+                asked: false,
                 reached: false,
                 gateways: 0,
                 gatewaysSettled: false,
@@ -219,12 +232,15 @@
         let backoff = initialBackoffMilliseconds;
         while (!this.closed && this.isListed(directory)) {
             const update = await this.sendWatchRequest(directory);
+            directory.asked = true;
             if (update !== undefined) {
                 backoff = initialBackoffMilliseconds;
                 this.applyUpdate(directory, update);
+                this.reviewFirstAnswers();
                 continue;
             }
             this.markUnreachable(directory);
+            this.reviewFirstAnswers();
             await new Promise<void>(resolve => this.options.clock.after(backoff, resolve));
             backoff = Math.min(maxBackoffMilliseconds, 2 * backoff);
             this.addDirectories(this.options.seeds());
@@ -233,6 +249,16 @@
         this.directories.delete(directory.name);
     }
 
+    private reviewFirstAnswers(): void {
+        if (this.firstAnsweredAt === undefined && this.reachedDirectories().length > 0) {
+            this.firstAnsweredAt = this.options.clock.monotonic();
+            this.options.clock.after(firstAnswersMilliseconds, () => this.reviewFirstAnswers());
+        }
+        if (this.hasFirstAnswers()) {
+            this.onFirstAnswers.splice(0).forEach(resolve => resolve());
+        }
+    }
+
     private async sendWatchRequest(directory: WatchedDirectory): Promise<WatchUpdate | undefined> {
         const { name, observer } = this.options;
         const wantsDocument = this.wantsDocument(directory);
@@ -258,7 +284,7 @@
             this.options.logger.info("a directory is reached", { directory: directory.name, version: update.version });
         }
         if (directory.incarnation !== update.incarnation) {
-            this.resendKnownCrashes(directory);
+            this.crashReports.resendKnown(directory);
         }
         directory.reached = true;
         directory.incarnation = update.incarnation;
@@ -296,33 +322,6 @@
         }
     }
 
-    private sendCrashReports(): void {
-        const records = this.unreportedCrashes;
-        this.unreportedCrashes = [];
-        this.directories.forEach(directory => void this.sendCrashReport(directory, { kind: "crashes", records }));
-    }
-
-    private resendKnownCrashes(directory: WatchedDirectory): void {
-        const records = this.options.knownCrashes().slice(0, maxResentRecords);
-        if (records.length > 0) {
-            void this.sendCrashReport(directory, { kind: "crashes", records: [...records] });
-        }
-    }
-
-    private async sendCrashReport(directory: WatchedDirectory, report: CrashReport): Promise<void> {
-        for (let attempt = 0; attempt < reportAttempts && !this.closed; attempt++) {
-            const answer = await directory.link.request(report, reportTimeoutMilliseconds);
-            if (answer.isRight()) {
-                return;
-            }
-            await new Promise<void>(resolve => this.options.clock.after(initialBackoffMilliseconds, resolve));
-        }
-        this.options.logger.warn("a directory didn't acknowledge a crash report", {
-            directory: directory.name,
-            requests: report.records.length,
-        });
-    }
-
     private markUnreachable(directory: WatchedDirectory): void {
         if (directory.reached && !this.closed) {
             this.options.logger.warn("a directory isn't reached any more", { directory: directory.name });
--- a/simulation/departures/__tests__/departures.spec.ts
+++ b/simulation/departures/__tests__/departures.spec.ts
@@ -1,9 +1,18 @@
 import { expect } from "chai";
 import { SeededRandomness } from "../../../packages/basilpaddle/src/node/utils/index.js";
-import { calmDay, type Departure, type DepartureDay, type DepartureKind, departureKinds, randomDay } from "../day.js";
+import {
+    calmDay,
+    type Departure,
+    type DepartureDay,
+    type DepartureKind,
+    departureKinds,
+    randomDay,
+    randomDayWithCuts,
+} from "../day.js";
 import { simulateDepartures } from "../departureSimulation.js";
 
 const seed = 5;
+const seeds = [seed, 1, 3];
 const leavesAt = 5_000;
 const randomDays = 12;
 /** The directories of the server's heartbeats, of its leave call, and the third. */
@@ -39,6 +48,10 @@
         lateHeartbeat: { by: 1_000, directory: third },
     },
     "all other servers fall silent": { silences: [{ server: 1, at: leavesAt }, { server: 2, at: leavesAt }] },
+    "the directory of its heartbeats was cut off, and comes back as a gateway starts": {
+        isolations: [{ at: leavesAt - 200, lasts: 2_700, directory: home }],
+        kills: [{ at: leavesAt + 2_440, downFor: 60, directories: [], gateways: [0] }],
+    },
     "the directory that acknowledged is cut off": {
         isolations: [{ at: leavesAt + 100, lasts: 6_000, directory: called }],
     },
@@ -51,8 +64,12 @@
 async function lateChoices(kind: DepartureKind, name: string): Promise<readonly string[]> {
     const { lateHeartbeat, ...day } = scenarios[name]!;
     const departure = { server: home, kind, at: leavesAt, directory: called, ...lateHeartbeat && { lateHeartbeat } };
-    const { late, unacknowledged } = await simulateDepartures({ ...calmDay, departures: [departure], ...day }, seed);
-    return [...late, ...unacknowledged.map(id => `${id} wasn't acknowledged`)];
+    const outcomes = await Promise.all(
+        seeds.map(one => simulateDepartures({ ...calmDay, departures: [departure], ...day }, one)),
+    );
+    return outcomes.flatMap(({ late, unacknowledged }) => {
+        return [...late, ...unacknowledged.map(id => `${id} wasn't acknowledged`)];
+    });
 }
 
 // Guards against work for a backend server later than two seconds after a directory acknowledged that it leaves.
@@ -65,6 +82,18 @@
         });
     }
 
+    it("on random days with directories that are cut off", async () => {
+        for (let number = 1; number <= randomDays; number++) {
+            const day = randomDayWithCuts(SeededRandomness.create(number));
+            const { late, unacknowledged } = await simulateDepartures(day, number);
+            expect({ seed: number, late, unacknowledged }).to.deep.equal({
+                seed: number,
+                late: [],
+                unacknowledged: [],
+            });
+        }
+    });
+
     it("on random days", async () => {
         for (let number = 1; number <= randomDays; number++) {
             const { late, unacknowledged } = await simulateDepartures(
--- a/simulation/departures/day.ts
+++ b/simulation/departures/day.ts
@@ -68,6 +68,8 @@
 const firstDepartureMilliseconds = 5_000;
 /** Longest time between two departures: some overlap, as in a release. */
 const maxGapMilliseconds = 3_500;
+/** Time between two cuts, and between a cut and a kill: both are losses of a directory. */
+const maxCutMilliseconds = 8_000;
 /** Longest time by which a heartbeat or a leave call is late. */
 const maxLatenessMilliseconds = 4_000;
 
@@ -115,6 +117,25 @@
     };
 }
 
+/** The same, and after some departures a directory is cut off, and a gateway starts at the moment at which it is back. */
+export function randomDayWithCuts(random: Randomness): DepartureDay {
+    const day = randomDay(random);
+    const cuts = day.departures.filter(() => random.fraction() < 0.5).map(({ at }) => ({
+        at: at - random.integer(0, 1_000),
+        lasts: random.integer(1_500, 6_000),
+        directory: random.integer(0, day.directories - 1),
+    }));
+    const isolations = cuts.filter((cut, number) => number === 0 || cut.at > cuts[number - 1]!.at + maxCutMilliseconds);
+    const isNearCut = (kill: Kill): boolean =>
+        isolations.some(({ at, lasts }) => {
+            return kill.at > at - maxCutMilliseconds && kill.at < at + lasts + maxCutMilliseconds;
+        });
+    const starts = isolations.map(({ at, lasts }) => {
+        return { at: at + lasts - 60, downFor: 60 + random.integer(0, 20), directories: [], gateways: [0] };
+    });
+    return { ...day, isolations, kills: [...day.kills.filter(kill => !isNearCut(kill)), ...starts] };
+}
+
 /** One directory, with gateways; a gateway; or everything. */
 function randomKill(random: Randomness, at: number, directories: number, gateways: number): Kill {
     const downFor = random.integer(100, 1_500);
--- a/simulation/departures/departureSimulation.ts
+++ b/simulation/departures/departureSimulation.ts
@@ -54,7 +54,7 @@
         this.world = { clock: this.clock, network, directories: addresses };
         this.directories = addresses.map((address, number) => EmulatedDirectory.create(this.world, address, number));
         this.gateways = Array.from({ length: day.gateways }, (_, number) => {
-            return EmulatedGateway.create(this.world, `10.0.1.${number + 1}:7000`, number);
+            return EmulatedGateway.create(this.world, `10.0.1.${number + 1}:7000`, number, () => this.check());
         });
     }
 
--- a/simulation/departures/processes.ts
+++ b/simulation/departures/processes.ts
@@ -160,13 +160,19 @@
     private instances = InstanceTable.create();
     private watcher: DirectoryWatcher | undefined;
 
-    static create(world: World, address: string, number: number): EmulatedGateway {
-        return new EmulatedGateway(world, address, number);
+    private constructor(world: World, address: string, number: number, private readonly onAnnounced: () => void) {
+        super(world, address, number);
+    }
+
+    /** `onAnnounced` is called after each announcement that it has applied. */
+    static create(world: World, address: string, number: number, onAnnounced: () => void): EmulatedGateway {
+        return new EmulatedGateway(world, address, number, onAnnounced);
     }
 
     /** Backend servers that it would send a request to now. */
     usable(service: string): readonly string[] {
-        return this.isRunning() ? this.instances.usable(service).map(({ id }) => id) : [];
+        const maySend = this.isRunning() && this.watcher?.hasFirstAnswers() === true;
+        return maySend ? this.instances.usable(service).map(({ id }) => id) : [];
     }
 
     protected override async open(isStopped: () => boolean): Promise<void> {
@@ -182,7 +188,10 @@
             network: network.viewOf(this.address, isStopped),
             clock,
             logger,
-            onAnnounced: (announced, directory) => applyAnnouncement(instances, announced, directory, logger),
+            onAnnounced: (announced, directory) => {
+                applyAnnouncement(instances, announced, directory, logger);
+                this.onAnnounced();
+            },
             onCrashes: () => undefined,
             knownCrashes: () => [],
         });
