test(soak): backend servers leave in series, in three ways, at another directory than that of their heartbeats, beside kills

The stand-in always sent its start time with its leave call, always at the directory of its heartbeats, which ended with it. Now most calls have none, heartbeats that were sent before arrive late, and a directory and a gateway are killed beside them in plans with unplanned faults. Work more than 2 s after the acknowledgement (it was 4 s) violates a plan, kills being no excuse.

--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -33,6 +33,21 @@
 const stageSwitchMilliseconds = 1_000;
 const plainSlots = 12;
 
+/**
+ * How a backend server says that it leaves. `draining`: by a heartbeat, and its heartbeats go on; the others: by a leave call, with and
+ * without its start time, and it sends no more heartbeats.
+ */
+export const departureKinds = ["leaveCall", "leaveCallWithStart", "draining"] as const;
+
+/** A backend server's departure. */
+export type Departure = {
+    readonly kind: typeof departureKinds[number];
+    /** Number of the directory that is called first; heartbeats go to the first one. */
+    readonly directory: number;
+    /** Milliseconds after the call at which a heartbeat arrives that was sent before it; undefined for none. */
+    readonly lateHeartbeat: number | undefined;
+};
+
 /** Options of a simulated backend server. */
 export type BackendOptions = {
     readonly id: string;
@@ -49,6 +64,8 @@
     readonly onPoisonRequest: (backend: Backend) => void;
 };
 
+type ServerCall = { readonly path: string; readonly body: string; };
+
 /** A simulated backend server behind a relay: an engine of the pool or a plain server. It records each run of a request. */
 export class Backend {
     /** Factor by which processing times are multiplied. */
@@ -64,6 +81,7 @@
     private stage: "prefill" | "decode" | undefined;
     private state: "ready" | "draining" = "ready";
     private sequence = 0;
+    private sendsHeartbeats = true;
     private readonly startedAt = Date.now();
     private running = 0;
     private hasCrashed = false;
@@ -108,10 +126,17 @@
         return this.state === "draining";
     }
 
-    /** Announces that it is draining, keeps serving for `drainMilliseconds`, and announces that it has left. */
-    async drain(): Promise<void> {
+    /** Says that it leaves, keeps serving for `drainMilliseconds`, and says again that it has left. */
+    async leave({ kind, directory, lateHeartbeat }: Departure): Promise<void> {
+        const earlierHeartbeat = this.nextHeartbeat();
         this.state = "draining";
-        while (!this.hasCrashed && !await this.sendHeartbeat()) {
+        this.sendsHeartbeats = kind === "draining";
+        if (lateHeartbeat !== undefined) {
+            void this.delay(lateHeartbeat).then(() => this.postToDirectories(earlierHeartbeat, 0));
+        }
+        const startedAt = kind === "leaveCallWithStart" ? this.startedAt : undefined;
+        const call = (): ServerCall => kind === "draining" ? this.nextHeartbeat() : leaveCall(this.id, startedAt);
+        while (!this.hasCrashed && !await this.postToDirectories(call(), directory)) {
             await this.delay(heartbeatIntervalMilliseconds / 4);
         }
         if (this.hasCrashed) {
@@ -119,8 +144,7 @@
         }
         this.options.invariants.drainAcknowledged(this.id, performance.now());
         await this.delay(drainMilliseconds);
-        const { path, body } = leaveCall(this.id, this.startedAt);
-        await this.postToDirectories(path, body);
+        await this.postToDirectories(leaveCall(this.id), directory);
     }
 
     /** Closes the server and resets all its connections immediately. */
@@ -141,18 +165,17 @@
     }
 
     private async sendHeartbeats(): Promise<void> {
-        while (!this.hasCrashed && this.state === "ready") {
-            await this.sendHeartbeat();
+        while (!this.hasCrashed && this.sendsHeartbeats) {
+            await this.postToDirectories(this.nextHeartbeat(), 0);
             await this.delay(heartbeatIntervalMilliseconds);
         }
     }
 
-    /** Sends one heartbeat; returns whether a directory acknowledged it. */
-    private sendHeartbeat(): Promise<boolean> {
+    private nextHeartbeat(): ServerCall {
         this.sequence += 1;
         const { service, failureDomain } = this.options;
         const { host, port } = this.relay.address;
-        const { path, body } = announcementCall(this.id, {
+        return announcementCall(this.id, {
             service,
             address: `${host}:${port}`,
             failureDomain,
@@ -161,11 +184,13 @@
             sequence: this.sequence,
             startedAt: this.startedAt,
         });
-        return this.postToDirectories(path, body);
     }
 
-    private async postToDirectories(path: string, body: string): Promise<boolean> {
-        for (const directory of this.options.directories()) {
+    /** Calls the directories in turn, beginning with the one of the given number; returns whether one acknowledged. */
+    private async postToDirectories({ path, body }: ServerCall, first: number): Promise<boolean> {
+        const directories = this.options.directories();
+        for (let number = first; number < first + directories.length; number++) {
+            const directory = directories[number % directories.length]!;
             try {
                 const signal = AbortSignal.timeout(heartbeatTimeoutMilliseconds);
                 const answer = await fetch(`http://${directory}${path}`, { method: "POST", body, signal });
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,5 +1,5 @@
 import { partitionKinds, pause } from "../playground/harness/index.js";
-import type { Backend } from "./backend.js";
+import { type Backend, type Departure, departureKinds } from "./backend.js";
 import { type Callers, routePrefixes } from "./callers.js";
 import type { SoakDeployment } from "./deployment.js";
 import type { Invariants } from "./invariants.js";
@@ -21,6 +21,8 @@
 /** Interval between two copies of a poison request, and the time it is sent beyond the fault's duration: past the third crash. */
 const poisonIntervalMilliseconds = 250;
 const poisonExtraMilliseconds = 6_000;
+/** Time between two departures of a series. */
+const departureGapMilliseconds = 700;
 /** Delay between a stop and the next start of a process. */
 const restartDelayMilliseconds = 300;
 
@@ -106,7 +108,9 @@
             darkenBackend: () => this.impairBackend(fault, backend => backend.relay.stallAll(), healRelay),
             slowBackend: () =>
                 this.impairBackend(fault, backend => (backend.slowdownFactor = backendSlowdownFactor), restoreSpeed),
-            drainBackend: () => this.drainBackend(fault),
+            drainBackend: () =>
+                this.replaceBackend(fault, { kind: "draining", directory: 0, lateHeartbeat: undefined }),
+            leaveBackends: () => this.leaveBackends(fault),
             lapseHandles: () => this.impairBackend(fault, backend => (backend.expiresHandles = true), restoreHandles),
             loseAnswers: () => this.impairBackend(fault, backend => (backend.dropsResponses = true), restoreResponses),
             limitBackend: () => this.limitBackend(fault),
@@ -326,12 +330,25 @@
         ends.forEach(end => end(performance.now()));
     }
 
-    /** Starts a new backend server, and drains and removes an old one. */
-    private async drainBackend(fault: Fault): Promise<void> {
+    /** Backend servers leave in series, each in another way. */
+    private async leaveBackends(fault: Fault): Promise<void> {
+        const departures = departureKinds.map(async (kind, number) => {
+            await pause(number * departureGapMilliseconds);
+            await this.replaceBackend(fault, {
+                kind,
+                directory: number + 1,
+                lateHeartbeat: kind === "draining" ? undefined : fault.lasts,
+            });
+        });
+        await Promise.all(departures);
+    }
+
+    /** Starts a new backend server, and lets an old one leave. */
+    private async replaceBackend(fault: Fault, departure: Departure): Promise<void> {
         const backend = pickByFraction(this.deployment.backends.filter(one => !one.isDraining()), fault.pick);
-        this.recordFault(fault, backend.id);
+        this.recordFault(fault, `${backend.id} (${departure.kind})`);
         await this.deployment.addBackend(backend.service, backend.initialStage);
-        await backend.drain();
+        await backend.leave(departure);
         this.deployment.removeBackend(backend);
     }
 
--- a/soak/invariants.ts
+++ b/soak/invariants.ts
@@ -6,8 +6,24 @@
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Time for which a backend server may still work on a request after its caller has disconnected. */
 const abandonedWorkMilliseconds = 2_500;
-/** Time for which a draining backend server may still receive new work after a directory acknowledged the drain. */
-const drainPropagationMilliseconds = 4_000;
+/** Time for which a leaving backend server may still receive new work after a directory acknowledged that it leaves. */
+const drainPropagationMilliseconds = 2_000;
+/** Time without a fault after which a daemon has heard of all that the others know. */
+const contactMilliseconds = 3_000;
+/** Faults that don't excuse later work: processes are gone, and those that start have to learn of it before they send. */
+const killKinds: ReadonlySet<string> = new Set([
+    "killGateway",
+    "killDirectory",
+    "killDirectories",
+    "killAll",
+    "crashBackend",
+    "deadlyRequests",
+    "slowBackend",
+    "lapseHandles",
+    "loseAnswers",
+    "resetCallers",
+    "resetBackends",
+]);
 /** Time for which a disturbance may still have effects after its end. */
 const aftereffectMilliseconds = 4_000;
 
@@ -109,6 +125,12 @@
         return this.disturbances.some(span => span.from <= to && span.to + aftereffectMilliseconds >= from);
     }
 
+    /** Whether a fault other than a kill was active shortly before a moment. */
+    private isDisturbedShortlyBefore(now: number): boolean {
+        const others = this.disturbances.filter(({ what }) => !killKinds.has(what));
+        return others.some(span => span.from <= now && span.to >= now - contactMilliseconds);
+    }
+
     requestSent(attempt: string, kind: RouteKind, gateway: string, now: number, key: RequestKey): SoakRequest {
         const request: SoakRequest = { attempt, kind, gateway, key, sentAt: now, runs: [], end: undefined, endedAt: 0 };
         this.requests.set(attempt, request);
@@ -144,7 +166,7 @@
         const drainedAt = this.drainTimes.get(server);
         if (
             drainedAt !== undefined && now > drainedAt + drainPropagationMilliseconds
-            && !this.isDisturbed(drainedAt, now)
+            && !this.isDisturbedShortlyBefore(drainedAt) && !this.isDisturbedShortlyBefore(now)
         ) {
             this.violate(
                 "drain",
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -37,8 +37,8 @@
     "invalidConfiguration",
 ] as const;
 
-/** The kind of a fault. `limitBackend` and `partitionGateways` are planned apart from the others. */
-export type FaultKind = typeof faultKinds[number] | "limitBackend" | "partitionGateways";
+/** The kind of a fault. `limitBackend`, `partitionGateways` and `leaveBackends` are planned apart from the others. */
+export type FaultKind = typeof faultKinds[number] | "limitBackend" | "partitionGateways" | "leaveBackends";
 
 /** Planned operations: they must not cut off any request while no fault is active. */
 export const plannedKinds: ReadonlySet<FaultKind> = new Set<FaultKind>([
@@ -50,6 +50,7 @@
     "raceConfigurations",
     "invalidConfiguration",
     "limitBackend",
+    "leaveBackends",
 ]);
 /** Planned operations that a plan draws from. */
 const drawnPlannedKinds = faultKinds.filter(kind => plannedKinds.has(kind));
@@ -93,6 +94,9 @@
 /** Bounds for the time in which a backend server names a limit: longer than all gateways may take to learn of it. */
 const minLimitMilliseconds = 6_000;
 const maxLimitMilliseconds = 10_000;
+/** Bounds for the time by which a heartbeat is late that a leaving server had sent before. */
+const minLatenessMilliseconds = 100;
+const maxLatenessMilliseconds = 4_000;
 /** Bounds for the duration of a partition: some are too short to be noticed, others last until callers must be served again. */
 const minPartitionMilliseconds = 300;
 const maxPartitionMilliseconds = 6_000;
@@ -127,6 +131,8 @@
         kind = repeatsKind ? kind : kinds[random.integer(0, kinds.length - 1)]!;
     }
     faults.push(createLimit(seed, length));
+    const hasUnplannedFaults = remainder !== 0 && remainder !== partitionOnlyRemainder;
+    faults.push(...createDepartures(seed, length, hasUnplannedFaults));
     if (seed % plannedOnlySeedInterval !== 0) {
         faults.push(...createPartitions(seed, length));
     }
@@ -134,6 +140,30 @@
     return { seed, directories, gateways, engines: 6, plainServers: 3, length, requestsPerSecond: 30, faults };
 }
 
+/**
+ * Backend servers leave in series, beside a kill of the directory that receives their heartbeats and one of a gateway where a plan
+ * has unplanned faults; the other faults are the same as without it.
+ */
+function createDepartures(seed: number, length: number, beside: boolean): Fault[] {
+    const random = SeededRandomness.create(-2_000_000 - seed);
+    const at = random.integer(0, Math.floor(length * 2 / 3));
+    const departures: Fault = {
+        kind: "leaveBackends",
+        at,
+        lasts: random.integer(minLatenessMilliseconds, maxLatenessMilliseconds),
+        pick: random.fraction(),
+    };
+    const kill = (kind: FaultKind, pick: number): Fault => {
+        return {
+            kind,
+            at: at + random.integer(100, 3_000),
+            lasts: random.integer(minDurationMilliseconds, 1_500),
+            pick,
+        };
+    };
+    return beside ? [departures, kill("killDirectory", 0), kill("killGateway", random.fraction())] : [departures];
+}
+
 /** Gateways are partitioned from all backend servers twice beside the other faults, which are the same as without it. */
 function createPartitions(seed: number, length: number): Fault[] {
     const random = SeededRandomness.create(-1_000_000 - seed);
--- a/soak/regressions.ts
+++ b/soak/regressions.ts
@@ -106,4 +106,24 @@
             ],
         },
     },
+    {
+        cause:
+            "a leave call without a start time was undone by heartbeats that had been sent before, and by kills of directories",
+        plan: {
+            seed: 8009,
+            directories: 3,
+            gateways: 3,
+            engines: 6,
+            plainServers: 3,
+            length: 14000,
+            requestsPerSecond: 30,
+            faults: [
+                { kind: "leaveBackends", at: 1500, lasts: 1000, pick: 0.9 },
+                { kind: "killDirectory", at: 2500, lasts: 1200, pick: 0 },
+                { kind: "leaveBackends", at: 5000, lasts: 3000, pick: 0.9 },
+                { kind: "killGateway", at: 6800, lasts: 300, pick: 0.5 },
+                { kind: "killAll", at: 11000, lasts: 500, pick: 0 },
+            ],
+        },
+    },
 ];
