--- a/packages/basilpaddle/src/node/cli/__tests__/explanation.spec.ts
+++ b/packages/basilpaddle/src/node/cli/__tests__/explanation.spec.ts
@@ -32,6 +32,23 @@
         ]);
     });
 
+    // Guards against a request at a server that leaves, without a line that tells why the gateway considered it ready.
+    it("contains what its gateway last learnt of each of its servers, however long before", () => {
+        const changed = (milliseconds: number, daemon: string, id: string, to: string): string =>
+            line(milliseconds, daemon, "the known state of a backend server changed", { id, to });
+        const { lines } = readLogLines([
+            endLine,
+            changed(-90_000, "gateway-1", "d-2", "draining"),
+            changed(-80_000, "gateway-1", "d-2", "ready"),
+            changed(-70_000, "gateway-2", "d-2", "draining"),
+            changed(-70_000, "gateway-1", "d-9", "draining"),
+        ]);
+        const [attempt] = explain(lines, "r");
+        expect(attempt!.beliefs.map(({ after, facts }) => [after, facts.id, facts.to])).to.deep.equal([
+            [-85_000, "d-2", "ready"],
+        ]);
+    });
+
     it("contains lines of the gateway through which a call was relayed", () => {
         const relayed = line(5_400, "gateway-1", "request", {
             request: "r",
--- a/packages/basilpaddle/src/node/cli/explanation.ts
+++ b/packages/basilpaddle/src/node/cli/explanation.ts
@@ -8,6 +8,8 @@
 const requestMessage = "request";
 /** Message of the log line of a request that a gateway refused before it looked for a backend server. */
 export const turnedAwayMessage = "request turned away";
+/** Message of the log line in which a daemon reports what it has learnt of a backend server. */
+const serverStateMessage = "the known state of a backend server changed";
 /** Messages of log lines that concern only one request. */
 const requestMessages: ReadonlySet<string> = new Set([requestMessage, turnedAwayMessage]);
 
@@ -45,7 +47,7 @@
     readonly cause: string;
     /** The steps of the attempt, in order. */
     readonly path: readonly string[];
-    /** Related log lines in order: those of its gateway and of its relays around that time, of any daemon about its backend servers, and about the same content. */
+    /** Related log lines in order: those of its gateway and of its relays around that time, of any daemon about its backend servers, what its gateway last learnt of these, and about the same content. */
     readonly beliefs: readonly RelatedLine[];
 };
 
@@ -83,6 +85,12 @@
     const arrivedAt = endedAt - milliseconds;
     const servers = serversInPath(path);
     const relays = new Set(path.flatMap(step => / via (\S+)/.exec(step)?.[1] ?? []));
+    const lastStates = new Set([...servers].map(server => {
+        return lines.findLast(other => {
+            return other.message === serverStateMessage && other.daemon === line.daemon && other.id === server
+                && Date.parse(other.at) <= endedAt;
+        });
+    }));
     const isRelated = (other: LogLine): boolean => {
         const at = Date.parse(other.at);
         const isNear = at >= arrivedAt - relatedBeforeMilliseconds && at <= endedAt + relatedAfterMilliseconds;
@@ -90,7 +98,7 @@
         // Crashes that quarantine a request may have happened hours before, during other attempts.
         const hasSameContent = line.content !== undefined && other.content === line.content;
         return !requestMessages.has(other.message)
-            && (hasSameContent || isNear && (isSameDaemon || namesAnyServer(other, servers)));
+            && (hasSameContent || lastStates.has(other) || isNear && (isSameDaemon || namesAnyServer(other, servers)));
     };
     const relatedLines = lines.filter(isRelated).map(({ at, daemon, message, ...facts }) => {
         return { after: Date.parse(at) - arrivedAt, daemon, message, facts };
