--- a/simulation/departures/__tests__/departures.spec.ts
+++ b/simulation/departures/__tests__/departures.spec.ts
@@ -109,6 +109,15 @@
     });
 });
 
+// Guards against an acknowledgement that is lost with the one directory that gave it.
+it("a departure isn't acknowledged by a directory that reaches no other", async () => {
+    const isolations = [home, third].map(directory => ({ at: leavesAt - 3_000, lasts: 20_000, directory }));
+    const departures = [{ server: home, kind: "leaveFirst" as const, at: leavesAt, directory: called }];
+    const { acknowledgeTimes, unacknowledged } = await simulateDepartures({ ...calmDay, departures, isolations }, seed);
+    expect(acknowledgeTimes).to.deep.equal([]);
+    expect(unacknowledged).to.deep.equal(["server-0@0"]);
+}).timeout(60_000);
+
 // Guards against a sound server that gets no work because a leave call of its previous incarnation arrived late.
 it("a backend server that restarted gets work again after a late leave call of its previous incarnation", async () => {
     const day = {
