--- a/packages/basilpaddle/src/node/daemon/directory/departureReplication.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/departureReplication.ts
@@ -60,7 +60,7 @@
         ];
         const copies = await this.countCopies(writes, required);
         const isStored = copies >= required;
-        logger[isStored ? "info" : "warn"]("stored the departure of a backend server", {
+        const details = {
             name: report.name,
             id: report.server?.id,
             departure: report.server?.departure ?? report.server?.state,
@@ -68,7 +68,13 @@
             required,
             directories: writes.length,
             milliseconds: Math.round(clock.monotonic() - startedAt),
-        });
+        };
+        if (isStored) {
+            logger.info("stored the departure of a backend server", details);
+        }
+        else {
+            logger.warn("too few directories have stored the departure of a backend server", details);
+        }
         return isStored;
     }
 
--- a/packages/basilpaddle/src/node/daemon/directory/serverMembership.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/serverMembership.ts
@@ -161,9 +161,12 @@
         return this.watches.gatewayCount() > 0;
     }
 
-    /** Number of disks that hold a departure after the loss of as many hosts as the deployment tolerates, and one more. */
+    /** Number of disks that have to hold a departure: one is left after the loss of as many hosts as the deployment tolerates. */
     private requiredCopies(): number {
-        return Math.min(this.options.tolerated + 1, this.options.members().members.length);
+        const reached = this.watcher?.reachedLinks().length ?? 0;
+        // While this directory's disk fails it doesn't know the members of the group.
+        const directories = Math.max(this.options.members().members.length, reached + 1);
+        return Math.min(this.options.tolerated + 1, directories);
     }
 }
 
