--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/backendServerRegistry.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/backendServerRegistry.spec.ts
@@ -63,3 +63,23 @@
         expect(registry.announcements.restartCacheEntries().map(({ id }) => id)).to.deep.equal(["i"]);
     });
 });
+
+describe("a leave call of a backend server that a directory doesn't know", () => {
+    const second = announced({ id: "i@2", name: "i", startedAt: 2 });
+
+    // Guards against work for a server whose call reached a directory that has just lost its disk.
+    it("holds for the incarnation that becomes known next, if it names none", () => {
+        const registry = createRegistry("d-1");
+        registry.leave({ name: "i" });
+        registry.announce(second);
+        expect(registry.instances.usable("pool")).to.deep.equal([]);
+    });
+
+    // Guards against a sound server without work because the end of its previous incarnation became known first.
+    it("doesn't hold for a later incarnation than the one that it names", () => {
+        const registry = createRegistry("d-1");
+        expect(registry.leave({ name: "i", startedAt: 1 })).to.include({ id: "i@1", state: "left" });
+        registry.announce(second);
+        expect(registry.instances.usable("pool").map(({ id }) => id)).to.deep.equal(["i@2"]);
+    });
+});
--- a/packages/basilpaddle/src/node/daemon/directory/backendServerRegistry.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/backendServerRegistry.ts
@@ -108,11 +108,17 @@
         return announced;
     }
 
-    /** Applies a backend server's call that it leaves; returns what is known of the incarnation. */
+    /** Applies a backend server's call that it leaves; returns what is known of the incarnation, if it is clear which one. */
     leave({ name, startedAt }: Departure): ServerAnnouncement | undefined {
         const newest = this.instances.newestOf(name);
-        if (startedAt !== undefined || newest?.hasStartTime !== true) {
-            return this.leaveIncarnation(name, incarnationOf(name, startedAt), newest === undefined);
+        if (startedAt !== undefined || newest?.hasStartTime === false) {
+            return this.leaveIncarnation(incarnationOf(name, startedAt));
+        }
+        if (newest === undefined) {
+            // Kept for an incarnation that becomes known soon, and for other daemons that know one without a start time.
+            this.unresolvedCalls.set(name, this.options.clock.monotonic());
+            this.leaveIncarnation(name);
+            return undefined;
         }
         const known = this.instances.get(newest.id);
         if (known !== undefined) {
@@ -168,13 +174,9 @@
         }
     }
 
-    /** `isUnknown`: no incarnation of the name is known; the call is kept for one that may become known soon. */
-    private leaveIncarnation(name: string, id: string, isUnknown: boolean): ServerAnnouncement | undefined {
-        if (isUnknown) {
-            this.unresolvedCalls.set(name, this.options.clock.monotonic());
-        }
+    private leaveIncarnation(id: string): ServerAnnouncement | undefined {
         this.markLeft(id, "a backend server leaves");
-        return isUnknown ? undefined : this.announcements.get(id);
+        return this.announcements.get(id);
     }
 
     /**
