--- a/soak/main.ts
+++ b/soak/main.ts
@@ -14,6 +14,11 @@
     .option("seconds", { type: "number", describe: "seconds during which faults are injected" })
     .option("gateways", { type: "number", describe: "gateways of each run; derived from the seed by default" })
     .option("directories", { type: "number", describe: "directories of each run; derived from the seed by default" })
+    .option("departures", {
+        type: "boolean",
+        default: true,
+        describe: "whether backend servers leave in series; without, a seed's plan is as it was before they did",
+    })
     .option("logs", { type: "string", default: "target/soak", describe: "folder for the logs of failed runs" })
     .strict()
     .parse();
@@ -25,8 +30,9 @@
 }
 
 const first = options.first ?? Math.floor(Date.now() / 1_000) % 1_000_000;
-const { seconds, gateways, directories } = options;
+const { seconds, gateways, directories, departures } = options;
 const size = {
+    departures,
     ...seconds === undefined ? {} : { seconds },
     ...gateways === undefined ? {} : { gateways },
     ...directories === undefined ? {} : { directories },
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -78,7 +78,13 @@
 };
 
 /** Overrides for the size of a plan. */
-export type PlanSize = { readonly seconds?: number; readonly gateways?: number; readonly directories?: number; };
+export type PlanSize = {
+    readonly seconds?: number;
+    readonly gateways?: number;
+    readonly directories?: number;
+    /** Whether backend servers leave in series. @default true */
+    readonly departures?: boolean;
+};
 
 const defaultSeconds = 14;
 const millisecondsInSecond = 1_000;
@@ -132,7 +138,9 @@
     }
     faults.push(createLimit(seed, length));
     const hasUnplannedFaults = remainder !== 0 && remainder !== partitionOnlyRemainder;
-    faults.push(...createDepartures(seed, length, hasUnplannedFaults));
+    if (size.departures !== false) {
+        faults.push(...createDepartures(seed, length, hasUnplannedFaults));
+    }
     if (seed % plannedOnlySeedInterval !== 0) {
         faults.push(...createPartitions(seed, length));
     }
