--- a/packages/basilpaddle/src/node/cli/__tests__/explanation.spec.ts
+++ b/packages/basilpaddle/src/node/cli/__tests__/explanation.spec.ts
@@ -42,9 +42,14 @@
             changed(-80_000, "gateway-1", "d-2", "ready"),
             changed(-70_000, "gateway-2", "d-2", "draining"),
             changed(-70_000, "gateway-1", "d-9", "draining"),
+            line(-95_000, "gateway-1", "a directory announced backend servers", {
+                servers: ["p-1 ready 3", "d-2 ready 1"],
+            }),
+            line(-94_000, "gateway-1", "a directory announced backend servers", { servers: ["p-11 ready 3"] }),
         ]);
         const [attempt] = explain(lines, "r");
-        expect(attempt!.beliefs.map(({ after, facts }) => [after, facts.id, facts.to])).to.deep.equal([
+        expect(attempt!.beliefs.map(({ after, facts }) => [after, facts.id ?? facts.servers, facts.to])).to.deep.equal([
+            [-100_000, ["p-1 ready 3", "d-2 ready 1"], undefined],
             [-85_000, "d-2", "ready"],
         ]);
     });
--- a/packages/basilpaddle/src/node/cli/explanation.ts
+++ b/packages/basilpaddle/src/node/cli/explanation.ts
@@ -8,8 +8,9 @@
 const requestMessage = "request";
 /** Message of the log line of a request that a gateway refused before it looked for a backend server. */
 export const turnedAwayMessage = "request turned away";
-/** Message of the log line in which a daemon reports what it has learnt of a backend server. */
+/** Messages of the log lines in which a daemon reports what it has learnt of a backend server, or of several. */
 const serverStateMessage = "the known state of a backend server changed";
+const announcedServersMessage = "a directory announced backend servers";
 /** Messages of log lines that concern only one request. */
 const requestMessages: ReadonlySet<string> = new Set([requestMessage, turnedAwayMessage]);
 
@@ -87,8 +88,7 @@
     const relays = new Set(path.flatMap(step => / via (\S+)/.exec(step)?.[1] ?? []));
     const lastStates = new Set([...servers].map(server => {
         return lines.findLast(other => {
-            return other.message === serverStateMessage && other.daemon === line.daemon && other.id === server
-                && Date.parse(other.at) <= endedAt;
+            return other.daemon === line.daemon && tellsStateOf(other, server) && Date.parse(other.at) <= endedAt;
         });
     }));
     const isRelated = (other: LogLine): boolean => {
@@ -114,6 +114,13 @@
     return new Set(stepWords.map(([first = "", second = ""]) => first === "read" || first === "run" ? second : first));
 }
 
+/** Whether the line tells what its daemon learnt of a backend server: `id`, or an entry of `servers`, "ID STATE SEQUENCE". */
+function tellsStateOf({ message, id, servers }: LogLine, server: string): boolean {
+    return (message === serverStateMessage && id === server)
+        || (message === announcedServersMessage && Array.isArray(servers)
+            && servers.some(entry => String(entry).startsWith(`${server} `)));
+}
+
 function namesAnyServer(line: LogLine, servers: ReadonlySet<string>): boolean {
     return ["id", "engine", "expected", "instance"].some(field => servers.has(String(line[field])));
 }
--- /dev/null
+++ b/packages/basilpaddle/src/node/coordination/gateway/describeServers.ts
@@ -0,0 +1,9 @@
+import type { ServerAnnouncement } from "../../protocol/index.js";
+
+/** Only the first of several backend servers are named in one log line. */
+export const maxLoggedServers = 60;
+
+/** The first backend servers for a log line, each as "ID STATE SEQUENCE". */
+export function describeServers(servers: readonly ServerAnnouncement[]): readonly string[] {
+    return servers.slice(0, maxLoggedServers).map(({ id, state, sequence }) => `${id} ${state} ${sequence}`);
+}
--- a/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
@@ -10,6 +10,7 @@
 import { type Link, type Network, parseAddress } from "../../transport/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
 import { CrashReports } from "./crashReports.js";
+import { describeServers } from "./describeServers.js";
 import { GatewayCount } from "./gatewayCount.js";
 
 /** Timeout of a watch request: a directory holds it open for up to a second. */
@@ -246,6 +247,17 @@
         this.directories.delete(directory.name);
     }
 
+    private applyAnnouncements({ name }: WatchedDirectory, announced: readonly ServerAnnouncement[]): void {
+        if (announced.length > 0) {
+            this.options.logger.info("a directory announced backend servers", {
+                directory: name,
+                count: announced.length,
+                servers: describeServers(announced),
+            });
+        }
+        announced.forEach(server => this.options.onAnnounced(server, name));
+    }
+
     private reviewFirstAnswers(): void {
         if (this.firstAnsweredAt === undefined && this.reachedDirectories().length > 0) {
             this.firstAnsweredAt = this.options.clock.monotonic();
@@ -299,7 +311,7 @@
             this.usedUp = new Set(update.usedUp);
         }
         this.addDirectories(update.members);
-        update.announced.forEach(announced => this.options.onAnnounced(announced, directory.name));
+        this.applyAnnouncements(directory, update.announced);
         if (update.serverLimits !== undefined) {
             this.options.onServerLimits?.(update.serverLimits);
         }
--- a/packages/basilpaddle/src/node/coordination/gateway/index.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/index.ts
@@ -2,6 +2,7 @@
 export * from "./announcements.js";
 export * from "./applyAnnouncement.js";
 export * from "./callTally.js";
+export * from "./describeServers.js";
 export * from "./directoryWatcher.js";
 export { leaderPlacementTuning, localPlacementTuning, type PlacementTuning } from "./enginePool.js";
 export * from "./instanceTable.js";
--- a/packages/basilpaddle/src/node/daemon/directory/backendServerRegistry.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/backendServerRegistry.ts
@@ -1,5 +1,12 @@
 import { LRUCache } from "lru-cache";
-import { Announcements, applyAnnouncement, InstanceTable, maxCallDelayMilliseconds } from "../../coordination/index.js";
+import {
+    Announcements,
+    applyAnnouncement,
+    describeServers,
+    InstanceTable,
+    maxCallDelayMilliseconds,
+    maxLoggedServers,
+} from "../../coordination/index.js";
 import { type DepartureReport, incarnationOf, type ServerAnnouncement, serverName } from "../../protocol/index.js";
 import { type Clock, hashToFraction, type Logger } from "../../utils/index.js";
 import type { Departure } from "./directoryWire.js";
@@ -12,8 +19,6 @@
  * servers of a directory with a lost disk stayed unknown until their next heartbeat.
  */
 const maxRemoteServers = 100;
-/** Only the first of several backend servers are named in one log line. */
-const maxLoggedServers = 60;
 
 /** Number of incarnations and of calls to remember: several times the backend servers of a large deployment. */
 const maxIncarnations = 8_192;
@@ -62,7 +67,7 @@
         });
         logger.info("restored backend servers from before the restart", {
             count: servers.length,
-            servers: servers.slice(0, maxLoggedServers).map(({ id, state, sequence }) => `${id} ${state} ${sequence}`),
+            servers: describeServers(servers),
         });
     }
 
