--- a/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
@@ -81,8 +81,8 @@
 
 /**
  * Watches all directories of the deployment in parallel, and discovers them from the member lists of those that it reaches.
- * Each directory sends only the announcements that it received itself: they travel a single hop, and the loss of one
- * directory doesn't affect the announcements of the others.
+ * Each directory sends the announcements that it received itself, and all departures that it knows: they travel a single hop, and
+ * the loss of one directory doesn't affect the announcements of the others.
  */
 export class DirectoryWatcher {
     private readonly directories = new Map<string, WatchedDirectory>();
--- a/packages/basilpaddle/src/node/daemon/directory/restartCache.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/restartCache.ts
@@ -52,8 +52,8 @@
 
 /**
  * State that a directory keeps across a restart beside its log: the newest entry that it knew to be committed, the backend
- * servers that it considered present, the number of gateways, and crash records. Correctness doesn't depend on it, and it
- * may be outdated or missing. It shortens the time to serve requests again after a power loss of the whole deployment,
+ * servers that it considered present, those that leave or have left, the number of gateways, and crash records. It may be outdated or
+ * missing. Only departures are promised by it, which is why several directories store each before it is acknowledged. It shortens the time to serve requests again after a power loss of the whole deployment,
  * which would otherwise have to wait for an election (half a second) and for heartbeats (more than a second).
  */
 export class RestartCache {
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -41,7 +41,7 @@
     leavingFor: z.number().min(0).optional(),
     /** The stage that the engine runs; present only for engines. */
     stage: z.enum(["prefill", "decode"]).optional(),
-    /** Incremented with each heartbeat. The announcement with the highest number applies, whichever path it arrived by. */
+    /** Incremented with each heartbeat. Of presence the highest number applies, whichever path it arrived by; of departure the last stage. */
     sequence: z.int().min(0),
 });
 
