--- a/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
@@ -53,8 +53,13 @@
     readonly knownCrashes: () => readonly CrashRecord[];
     /** Called with each configuration that is newer than all before; if absent, no configuration is fetched. */
     readonly onDocument?: (version: number, content: string) => void;
+    /** Called with a directory that has started anew, or is reached for the first time. */
+    readonly onDirectoryStarted?: (directory: KnownDirectory) => void;
 };
 
+/** A directory that is known here, and whether it answered its last watch request. */
+export type KnownDirectory = { readonly name: string; readonly link: Link; readonly reached: boolean; };
+
 /** The tracked state of one directory. */
 type WatchedDirectory = {
     readonly name: string;
@@ -151,6 +156,11 @@
         return this.directories.get(name)?.link;
     }
 
+    /** All directories that are known, reached or not. */
+    knownDirectories(): readonly KnownDirectory[] {
+        return [...this.directories.values()];
+    }
+
     /** Links to the directories that are reached. */
     reachedLinks(): readonly Link[] {
         return this.reachedDirectories().map(({ link }) => link);
@@ -292,6 +302,7 @@
         }
         if (directory.incarnation !== update.incarnation) {
             this.crashReports.resendKnown(directory);
+            this.options.onDirectoryStarted?.(directory);
         }
         directory.reached = true;
         directory.incarnation = update.incarnation;
--- a/packages/basilpaddle/src/node/coordination/gateway/engineLoad.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/engineLoad.ts
@@ -1,4 +1,4 @@
-import type { PlacementRequest, ServerAnnouncement } from "../../protocol/index.js";
+import { type PlacementRequest, type ServerAnnouncement, softwareVersionOf } from "../../protocol/index.js";
 
 const millisecondsInSecond = 1_000;
 
@@ -74,6 +74,11 @@
         return this.announced.id;
     }
 
+    /** Version of its software; empty if it reports none. */
+    get version(): string {
+        return softwareVersionOf(this.announced);
+    }
+
     /** Whether new work may be assigned to the engine. */
     acceptsWork(now: number): boolean {
         return this.announced.state === "ready" && now >= this.pausedUntil && !this.isChangingStage(now);
--- a/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
@@ -125,14 +125,14 @@
     /** The best engines for a request; undefined if no decode engine that isn't reserved for another request has room. */
     bestPair(request: PlacementRequest, now: number, reserved: ReadonlySet<string>): EnginePair | undefined {
         const capacity = this.engineCapacity();
-        const decodes = this.usable("decode", request.avoid, now).filter(engine => {
+        const decodes = this.usable("decode", request, now).filter(engine => {
             return engine.hasRoom(request, capacity) && !reserved.has(engine.id) && this.isWithinLimit(engine, now);
         });
         if (decodes.length === 0) {
             return undefined;
         }
         // Without a healthy prefill engine a decode engine runs the prefill; a prefill engine that just failed would fail again.
-        const healthyPrefills = this.healthyEngines("prefill", request.avoid, now);
+        const healthyPrefills = this.healthyEngines("prefill", request, now);
         const prefills = healthyPrefills.filter(engine => this.isWithinLimit(engine, now)).map(engine => {
             const time = engine.prefillDelay(request.promptTokens, now);
             const stallDelay = stallRateOf(request.linkStalls, engine.announced.failureDomain) * packetsPerCall
@@ -148,7 +148,7 @@
                 + this.randomPenalty(request, engine);
             return { engine, time: 0, score };
         });
-        const separatePair = bestSeparatePair(bestPerDomain(prefills), bestPerDomain(scoredDecodes));
+        const separatePair = bestSeparatePair(bestPerGroup(prefills), bestPerGroup(scoredDecodes));
         const combinedEngine = lowestScore(scoredDecodes.map(({ engine, score }) => {
             const time = engine.decodePrefillDelay(request.promptTokens, now);
             return {
@@ -164,7 +164,7 @@
 
     /** The decode engine with the fewest allocated tokens that isn't reserved for another request; undefined if there is none. */
     leastLoaded(request: PlacementRequest, now: number, reserved: ReadonlySet<string>): LeastLoadedEngine | undefined {
-        const engines = this.usable("decode", request.avoid, now).filter(engine => !reserved.has(engine.id));
+        const engines = this.usable("decode", request, now).filter(engine => !reserved.has(engine.id));
         const engine = lowestScore(engines.map(candidate => ({ engine: candidate, score: candidate.allocatedTokens })))
             ?.engine;
         if (engine === undefined) {
@@ -218,7 +218,7 @@
 
     /** Tokens of KV cache that may be allocated in total. */
     capacity(now: number): number {
-        return this.usable("decode", [], now).length * this.engineCapacity().tokens;
+        return this.usable("decode", anyRequest, now).length * this.engineCapacity().tokens;
     }
 
     /** Whether no request can be placed because all decode engines that are known leave. */
@@ -227,10 +227,17 @@
         return decodes.length > 0 && decodes.every(({ announced }) => announced.state === "draining");
     }
 
+    /** Whether a decode engine of the software version is known that doesn't leave. */
+    hasVersion(version: string): boolean {
+        return [...this.engines.values()].some(({ announced, version: other }) => {
+            return other === version && announced.stage === "decode" && announced.state !== "draining";
+        });
+    }
+
     /** Tokens of KV cache that may still be allocated. */
     freeTokens(now: number): number {
         const capacity = this.engineCapacity();
-        return this.usable("decode", [], now).reduce(
+        return this.usable("decode", anyRequest, now).reduce(
             (sum, engine) => sum + Math.max(0, capacity.tokens - engine.allocatedTokens),
             0,
         );
@@ -242,30 +249,37 @@
     }
 
     /**
-     * Engines of a stage that may receive work: healthy ones, else those that failed recently or should be avoided, else
+     * Engines of a stage that may receive a request: healthy ones, else those that failed recently or should be avoided, else
      * silent ones. Silent engines have probably terminated, but they are reported as silent as well if a network partition
      * separates their directory from them.
      */
-    private usable(stage: ServerAnnouncement["stage"], avoid: readonly string[], now: number): EngineLoad[] {
-        const healthy = this.healthyEngines(stage, avoid, now);
+    private usable(stage: ServerAnnouncement["stage"], request: EngineConstraints, now: number): EngineLoad[] {
+        const healthy = this.healthyEngines(stage, request, now);
         return healthy.length > 0
             ? healthy
-            : this.enginesInState(stage, "ready") ?? this.enginesInState(stage, "silent") ?? [];
+            : this.enginesInState(stage, "ready", request) ?? this.enginesInState(stage, "silent", request) ?? [];
     }
 
     private enginesInState(
         stage: ServerAnnouncement["stage"],
         state: ServerAnnouncement["state"],
+        request: EngineConstraints,
     ): EngineLoad[] | undefined {
-        const engines = [...this.engines.values()].filter(({ announced }) => {
-            return announced.stage === stage && announced.state === state;
+        const engines = [...this.engines.values()].filter(engine => {
+            const { announced } = engine;
+            return announced.stage === stage && announced.state === state && mayRun(engine, request);
         });
         return engines.length > 0 ? engines : undefined;
     }
 
-    private healthyEngines(stage: ServerAnnouncement["stage"], avoid: readonly string[], now: number): EngineLoad[] {
+    private healthyEngines(
+        stage: ServerAnnouncement["stage"],
+        request: EngineConstraints,
+        now: number,
+    ): EngineLoad[] {
         return [...this.engines.values()].filter(engine => {
-            return engine.announced.stage === stage && engine.acceptsWork(now) && !avoid.includes(engine.id);
+            return engine.announced.stage === stage && engine.acceptsWork(now) && mayRun(engine, request)
+                && !request.avoid.includes(engine.id);
         });
     }
 
@@ -292,6 +306,15 @@
     return 1 - (1 - stallRate) ** eventsPerAnswer;
 }
 
+/** What a request demands of its engines. */
+type EngineConstraints = Pick<PlacementRequest, "avoid" | "version">;
+
+const anyRequest: EngineConstraints = { avoid: [] };
+
+function mayRun({ version }: EngineLoad, request: EngineConstraints): boolean {
+    return request.version === undefined || request.version === version;
+}
+
 type ScoredEngine = { readonly engine: EngineLoad; readonly score: number; };
 type Candidate = ScoredEngine & { readonly time: number; };
 
@@ -306,22 +329,24 @@
 }
 
 /**
- * The best candidate of each failure domain. Only these can be part of the best pair, since the transfer penalty is the same
- * for all engines of a domain. Comparing all pairs of 78 engines saturated the leader's processor in a burst, and it lost
- * the leadership.
+ * The best candidate of each failure domain and software version. Only these can be part of the best pair, since the transfer
+ * penalty is the same for all engines of a domain. Comparing all pairs of 78 engines saturated the leader's processor in a burst,
+ * and it lost the leadership.
  */
-function bestPerDomain(candidates: readonly Candidate[]): readonly Candidate[] {
+function bestPerGroup(candidates: readonly Candidate[]): readonly Candidate[] {
     const best = new Map<string, Candidate>();
     for (const candidate of candidates) {
-        const { failureDomain } = candidate.engine.announced;
-        const known = best.get(failureDomain);
+        const { version, announced } = candidate.engine;
+        const group = `${announced.failureDomain} ${version}`;
+        const known = best.get(group);
         if (known === undefined || candidate.score < known.score) {
-            best.set(failureDomain, candidate);
+            best.set(group, candidate);
         }
     }
     return [...best.values()];
 }
 
+/** The best pair of a prefill and a decode engine: of the same version, since no version reads the KV cache of another one. */
 function bestSeparatePair(
     prefills: readonly Candidate[],
     decodes: readonly Candidate[],
@@ -329,6 +354,9 @@
     let best: { readonly pair: EnginePair; readonly score: number; } | undefined;
     for (const decode of decodes) {
         for (const prefill of prefills) {
+            if (prefill.engine.version !== decode.engine.version) {
+                continue;
+            }
             const score = decode.score + prefill.score + prefill.engine.domainPenalty(decode.engine);
             if (best === undefined || score < best.score) {
                 const pair = { prefill: prefill.engine.id, decode: decode.engine.id, prefillTime: prefill.time };
--- a/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
@@ -5,10 +5,10 @@
     PlacementRequest,
     ServerAnnouncement,
 } from "../../protocol/index.js";
-import { hashToFraction } from "../../utils/index.js";
 import { type EnginePair, EnginePool, type LeastLoadedEngine, type PlacementTuning } from "./enginePool.js";
 import { placedDecision, type Placement } from "./placement.js";
 import { PlacementForecast } from "./placementForecast.js";
+import { noEngineRefusal, tooLateRefusal, versionGoneRefusal } from "./placementRefusals.js";
 import { RunRejections } from "./runRejections.js";
 import type { TypicalRequest } from "./stagePlan.js";
 
@@ -27,15 +27,11 @@
 const priorityStepMilliseconds = 60;
 /** Margin by which the forecast must be earlier than the caller's timeout for a request to stay in the queue. */
 const timeoutMarginMilliseconds = 250;
-/** Spread of the retry-after times of refused requests, so that their retries don't cause a second burst. */
-const retryAfterSpreadMilliseconds = 700;
 /**
  * How long a request waits while no engine is known: after a restart of all directories the engines' heartbeats arrive
  * again within about a second, and a caller that is refused at once would use its only retry before that.
  */
 const unknownPoolTimeoutMilliseconds = 1_800;
-/** Retry-after time of requests that are refused because no engine is ready. */
-const noEngineRetryAfterMilliseconds = 1_000;
 /** How long a placement is kept if its gateway never reports its end. */
 const maxPlacementMilliseconds = 60_000;
 /** Sort key offset that moves requests that can't meet their target behind all that still can. */
@@ -307,6 +303,10 @@
         if (position < 0) {
             return [];
         }
+        if (this.isVersionGone(arrived, now)) {
+            this.queue.splice(position, 1);
+            return [versionGoneRefusal(arrived.request)];
+        }
         const ahead = this.queue.slice(0, position).reduce((sum, { request }) => sum + request.cacheTokens, 0);
         const poolForecast = this.forecastPool(now);
         const firstEventIn = poolForecast.firstEventIn(arrived.request, ahead);
@@ -327,7 +327,10 @@
         for (const waiting of this.queue) {
             const { request } = waiting;
             const firstEventIn = poolForecast.firstEventIn(request, ahead);
-            if (!this.mayWait(waiting, firstEventIn, poolForecast.capacity, now)) {
+            if (this.isVersionGone(waiting, now)) {
+                refused.push(versionGoneRefusal(request));
+            }
+            else if (!this.mayWait(waiting, firstEventIn, poolForecast.capacity, now)) {
                 refused.push(this.refusal(waiting, firstEventIn, poolForecast.capacity, now));
             }
             else if (!waiting.late && !request.resumed && now + firstEventIn > waiting.targetAt) {
@@ -355,6 +358,13 @@
         return { capacity, firstEventIn };
     }
 
+    /** Whether no engine can run the request because its version isn't served any more, as far as the pool's engines are known. */
+    private isVersionGone({ request, arrivedAt }: WaitingRequest, now: number): boolean {
+        const mayBecomeKnown = this.pool.capacity(now) === 0 && !this.pool.isAbandoned()
+            && now - arrivedAt < unknownPoolTimeoutMilliseconds;
+        return request.version !== undefined && !mayBecomeKnown && !this.pool.hasVersion(request.version);
+    }
+
     private mayWait(waiting: WaitingRequest, firstEventIn: number, capacity: number, now: number): boolean {
         const waitsForEngines = capacity === 0 && !this.pool.isAbandoned()
             && now - waiting.arrivedAt < unknownPoolTimeoutMilliseconds;
@@ -363,15 +373,10 @@
     }
 
     private refusal(waiting: WaitingRequest, firstEventIn: number, capacity: number, now: number): PlacementDecision {
-        const { request } = waiting;
-        const reason = capacity === 0
-            ? "no engine is ready"
-            : `the first event would come in ${Math.round(firstEventIn)} ms, after its caller's timeout`;
-        const excess = Math.max(0, now + firstEventIn + timeoutMarginMilliseconds - waiting.timeoutAt);
-        const comeBackIn = capacity === 0
-            ? noEngineRetryAfterMilliseconds
-            : excess + hashToFraction(request.attempt) * retryAfterSpreadMilliseconds;
-        return { kind: "refused", attempt: request.attempt, reason, comeBackIn };
+        const tooLateBy = Math.max(0, now + firstEventIn + timeoutMarginMilliseconds - waiting.timeoutAt);
+        return capacity === 0
+            ? noEngineRefusal(waiting.request)
+            : tooLateRefusal(waiting.request, firstEventIn, tooLateBy);
     }
 
     private allocate(placement: Placement, now: number): void {
--- /dev/null
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementRefusals.ts
@@ -0,0 +1,31 @@
+import type { PlacementDecision, PlacementRequest } from "../../protocol/index.js";
+import { hashToFraction } from "../../utils/index.js";
+
+/** Spread of the retry-after times of refused requests, so that their retries don't cause a second burst. */
+const retryAfterSpreadMilliseconds = 700;
+/** Retry-after time of requests that are refused because no engine is ready. */
+const noEngineRetryAfterMilliseconds = 1_000;
+/** Retry-after time of a request whose software version no engine has any more: it won't come back within a caller's patience. */
+const versionGoneRetryAfterMilliseconds = 10_000;
+
+/** Refuses a request because no engine of its pool is ready. */
+export function noEngineRefusal({ attempt }: PlacementRequest): PlacementDecision {
+    return { kind: "refused", attempt, reason: "no engine is ready", comeBackIn: noEngineRetryAfterMilliseconds };
+}
+
+/** Refuses a request whose first event would come after its caller's timeout, by so many milliseconds. */
+export function tooLateRefusal(
+    { attempt }: PlacementRequest,
+    firstEventIn: number,
+    tooLateBy: number,
+): PlacementDecision {
+    const reason = `the first event would come in ${Math.round(firstEventIn)} ms, after its caller's timeout`;
+    const comeBackIn = tooLateBy + hashToFraction(attempt) * retryAfterSpreadMilliseconds;
+    return { kind: "refused", attempt, reason, comeBackIn };
+}
+
+/** Refuses a request that only engines of one software version may run, since none of that version is left. */
+export function versionGoneRefusal({ attempt, version = "" }: PlacementRequest): PlacementDecision {
+    const reason = `no engine of version ${version} is left`;
+    return { kind: "refused", attempt, reason, comeBackIn: versionGoneRetryAfterMilliseconds, versionGone: true };
+}
--- a/packages/basilpaddle/src/node/coordination/gateway/stagePlan.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/stagePlan.ts
@@ -1,4 +1,4 @@
-import type { EngineRule, ServerAnnouncement } from "../../protocol/index.js";
+import { type EngineRule, type ServerAnnouncement, softwareVersionOf } from "../../protocol/index.js";
 
 /** Resources that a typical request uses in a pool; a plan depends only on their proportions. */
 export type TypicalRequest = {
@@ -21,12 +21,16 @@
 const maxPrefillSurplus = 0.6;
 const maxPrefillDeficit = 1.5;
 
+/** Number of engines of one version, beside others, from which on one of them runs prefill alone: resumed streams need two for decode. */
+const minMixedGroup = 3;
+
 /** An engine that should change its stage, and the new stage. */
 export type StageChange = { readonly engine: ServerAnnouncement; readonly stage: "prefill" | "decode"; };
 
 /**
  * Returns the engines that should change their stage next: few enough that at least one engine of each stage remains while
- * they change. Prefill engines stay spread over the failure domains, since KV cache transfers between domains cost more.
+ * they change. Prefill engines stay spread over the failure domains, since KV cache transfers between domains cost more. Engines of
+ * each software version are planned by themselves, since no version decodes what another one has read.
  */
 export function planStages(
     engines: readonly ServerAnnouncement[],
@@ -34,9 +38,29 @@
     observed?: TypicalRequest,
 ): StageChange[] {
     const ready = engines.filter(engine => engine.state === "ready" && engine.stage !== undefined);
+    const byVersion = new Map<string, ServerAnnouncement[]>();
+    for (const engine of ready) {
+        const version = softwareVersionOf(engine);
+        byVersion.set(version, [...byVersion.get(version) ?? [], engine]);
+    }
+    const isMixed = byVersion.size > 1;
+    return [...byVersion.values()].flatMap(group => planVersion(group, isMixed, rule, observed));
+}
+
+/** Plans the engines of one version. `isMixed`: whether the pool has engines of other versions too. */
+function planVersion(
+    ready: readonly ServerAnnouncement[],
+    isMixed: boolean,
+    rule: EngineRule,
+    observed: TypicalRequest | undefined,
+): StageChange[] {
     const prefill = ready.filter(engine => engine.stage === "prefill");
     const decode = ready.filter(engine => engine.stage === "decode");
-    if (ready.length < 2) {
+    if (isMixed && decode.length === 0) {
+        // Without a decode engine no stream that began at this version can be resumed.
+        return selectFromLargestDomains(prefill, 1).map(engine => ({ engine, stage: "decode" }));
+    }
+    if (ready.length < (isMixed ? minMixedGroup : 2)) {
         return [];
     }
     const exactPrefillCount = ready.length * prefillFraction(rule, observed ?? assumedRequest);
--- a/packages/basilpaddle/src/node/coordination/index.ts
+++ b/packages/basilpaddle/src/node/coordination/index.ts
@@ -9,5 +9,6 @@
 export * from "./quarantine/index.js";
 export * from "./replica.js";
 export * from "./scheduling/index.js";
+export * from "./streams/index.js";
 export * from "./supervisor/index.js";
 export * from "./view/index.js";
--- /dev/null
+++ b/packages/basilpaddle/src/node/coordination/streams/versionHistory.ts
@@ -0,0 +1,66 @@
+import { type ServerAnnouncement, softwareVersionOf, type StoredVersionHistory } from "../../protocol/index.js";
+
+/** How long versions that are no longer served are remembered, at least: longer than any caller waits for a stream. */
+export const versionMemoryMilliseconds = 600_000;
+
+/** Which software versions the engines of each service had recently, present ones and those that are gone. */
+export class VersionHistory {
+    /** When each version was last seen, by service. */
+    private readonly seenAt = new Map<string, Map<string, number>>();
+
+    private constructor(private knownSince: number) {}
+
+    /** `knownSince`: the time from which on it is complete; negative infinity if nothing was served before. */
+    static create(knownSince: number): VersionHistory {
+        return new VersionHistory(knownSince);
+    }
+
+    /** Records that engines are served; to be called for each that becomes known, and periodically for those that are present. */
+    observe(servers: readonly ServerAnnouncement[], now: number): void {
+        for (const server of servers) {
+            if (server.stage !== undefined) {
+                this.recordSeen(server.service, softwareVersionOf(server), now);
+            }
+        }
+    }
+
+    /** Versions of a service that were seen within so many milliseconds. */
+    versions(service: string, within: number, now: number): readonly string[] {
+        const seen = [...this.seenAt.get(service) ?? []];
+        return seen.filter(([, at]) => now - at <= within).map(([version]) => version);
+    }
+
+    /** Whether all versions of the last milliseconds are known. */
+    covers(within: number, now: number): boolean {
+        return now - this.knownSince >= within;
+    }
+
+    /** The history to keep across a restart. */
+    stored(now: number): StoredVersionHistory {
+        const coversLast = Math.min(versionMemoryMilliseconds, now - this.knownSince);
+        const seen = [...this.seenAt].flatMap(([service, versions]) => {
+            return [...versions].map(([version, at]) => ({ service, version, age: now - at }));
+        });
+        return { coversLast, seen: seen.filter(({ age }) => age <= versionMemoryMilliseconds) };
+    }
+
+    /**
+     * Takes over the history from before a restart. The time of the restart itself isn't added: clocks may have been set, and a
+     * version that counts as seen too recently does no harm.
+     */
+    restore({ coversLast, seen }: StoredVersionHistory, now: number): void {
+        this.knownSince = Math.min(this.knownSince, now - coversLast);
+        seen.forEach(({ service, version, age }) => this.recordSeen(service, version, now - age));
+    }
+
+    private recordSeen(service: string, version: string, at: number): void {
+        const versions = this.seenAt.get(service) ?? new Map<string, number>();
+        this.seenAt.set(service, versions);
+        versions.set(version, Math.max(at, versions.get(version) ?? at));
+        for (const [other, lastSeenAt] of versions) {
+            if (at - lastSeenAt > versionMemoryMilliseconds) {
+                versions.delete(other);
+            }
+        }
+    }
+}
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/backendServerRegistry.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/backendServerRegistry.spec.ts
@@ -12,6 +12,7 @@
         logger: createSilentLogger(),
         onAnnouncementsChanged,
         onInstancesChanged: () => undefined,
+        onFirstHeard: () => undefined,
     });
 }
 
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/restartCache.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/restartCache.spec.ts
@@ -36,6 +36,7 @@
     servers: [announced({ id: "i@5", name: "i", startedAt: 5, stage: "decode" })],
     gateways: 9,
     crashes: [{ digest: "d", crashes: [{ server: "i@5", phase: "early", age: 70 }] }],
+    versions: { coversLast: 90, seen: [{ service: "pool", version: "v1", age: 3 }] },
 };
 
 describe("the restart cache of a directory", () => {
--- a/packages/basilpaddle/src/node/daemon/directory/backendServerRegistry.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/backendServerRegistry.ts
@@ -36,6 +36,8 @@
     readonly onAnnouncementsChanged: () => void;
     /** Called when the known state of any backend server has changed, whatever the source. */
     readonly onInstancesChanged: () => void;
+    /** Called with each incarnation that becomes known. */
+    readonly onFirstHeard: (announced: ServerAnnouncement) => void;
 };
 
 /** State of the backend servers as one directory knows it: from their heartbeats, from gateways, and from other directories. */
@@ -206,6 +208,7 @@
             return;
         }
         this.firstHeardAt.set(id, now);
+        this.options.onFirstHeard(announced);
         const calledAt = this.unresolvedCalls.get(serverName(announced));
         if (calledAt !== undefined && now - calledAt < maxCallDelayMilliseconds) {
             this.announcements.depart(announced, "suspected", now);
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -22,6 +22,7 @@
 import { RestartCache, type RestartState } from "./restartCache.js";
 import { noServerLimits } from "./serverLimitService.js";
 import { ServerMembership } from "./serverMembership.js";
+import { StreamRegistry } from "./streamRegistry.js";
 
 /** Interval of the checks for silent backend servers, disconnected gateways and outliers. */
 const checkIntervalMilliseconds = 300;
@@ -50,6 +51,7 @@
     private parsedTraffic: { readonly version: number; readonly traffic: Traffic | undefined; } | undefined;
     private documentNotificationScheduled = false;
     private readonly relays = RelayRegistry.create();
+    private readonly streams: StreamRegistry;
     /** Defined while this directory leads. */
     private leading: LeaderServices | undefined;
 
@@ -72,6 +74,13 @@
         });
         this.connections = BackendConnections.create(options.logger, DirectOpener.create(settings.bindHost));
         this.store.add(() => this.connections.close());
+        this.streams = StreamRegistry.create({
+            instances: () => this.membership.instances,
+            firstStart: settings.firstStart,
+            restored: restartCache.versions(),
+            clock,
+            logger: options.logger,
+        });
         this.membership = ServerMembership.create({
             name: this.name,
             incarnation: randomness.identifier(),
@@ -88,6 +97,7 @@
             limits: () => this.leading?.limits() ?? noLimits,
             serverLimits: () => this.leading?.serverLimits ?? noServerLimits,
             onInstancesChanged: () => this.leading?.markPoolsOutdated(),
+            onFirstHeard: announced => this.streams.observe(announced),
             onCrashes: records => this.mergeCrashRecords(records),
             knownCrashes: () => this.quarantinedRequests.changedAfter(0),
             clock,
@@ -166,6 +176,7 @@
         metrics.gauge("basilpaddle_places_waiting", placementStatus?.waiting ?? 0);
         this.membership.instances.measure(metrics);
         this.quarantinedRequests.measure(metrics);
+        this.streams.measure(metrics);
         this.leading?.measure(metrics);
     }
 
@@ -254,7 +265,9 @@
         const servers = this.membership.serversForRestart();
         const gateways = this.membership.watches.gatewayCount();
         const crashes = this.quarantinedRequests.changedAfter(0);
-        return committed && { identity: committed.identity, committed: committed.mark, servers, gateways, crashes };
+        const versions = this.streams.storedVersions();
+        return committed
+            && { identity: committed.identity, committed: committed.mark, servers, gateways, crashes, versions };
     }
 
     private schedulePeriodicChecks(): void {
@@ -262,6 +275,7 @@
         let cancel = clock.after(checkIntervalMilliseconds, () => runChecks());
         const runChecks = (): void => {
             this.membership.review();
+            this.streams.review();
             this.leading?.review(this.membership.watches.gatewayNames());
             cancel = clock.after(checkIntervalMilliseconds, runChecks);
         };
@@ -298,6 +312,9 @@
             case "crashes":
                 this.mergeCrashRecords(message.records);
                 return { kind: "noted" };
+            case "origins":
+            case "origin":
+                return this.streams.handle(message);
             case "relay":
                 return this.relays.register(message, this.options.clock.monotonic());
             default:
--- a/packages/basilpaddle/src/node/daemon/directory/restartCache.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/restartCache.ts
@@ -6,6 +6,8 @@
     crashRecordSchema,
     type ServerAnnouncement,
     serverAnnouncementSchema,
+    type StoredVersionHistory,
+    storedVersionHistorySchema,
 } from "../../protocol/index.js";
 import { type Disk, readSnapshot, writeSnapshot } from "../../state/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
@@ -28,6 +30,8 @@
     gateways: z.int().min(0),
     /** Crash histories of requests. */
     crashes: z.array(crashRecordSchema).default([]),
+    /** Software versions of engines. */
+    versions: storedVersionHistorySchema.optional(),
     /** Wall clock time in Unix milliseconds. */
     writtenAt: z.number(),
 });
@@ -40,6 +44,7 @@
     readonly servers: readonly ServerAnnouncement[];
     readonly gateways: number;
     readonly crashes: readonly CrashRecord[];
+    readonly versions: StoredVersionHistory | undefined;
 };
 
 /** Dependencies of `RestartCache`. */
@@ -52,7 +57,7 @@
 
 /**
  * State that a directory keeps across a restart beside its log: the newest entry that it knew to be committed, the backend
- * servers that it considered present, those that leave or have left, the number of gateways, and crash records. It may be outdated or
+ * servers that it considered present, those that leave or have left, the number of gateways, crash records, and the software versions of engines. It may be outdated or
  * missing. Only departures are promised by it, which is why several directories store each before it is acknowledged. It shortens the time to serve requests again after a power loss of the whole deployment,
  * which would otherwise have to wait for an election (half a second) and for heartbeats (more than a second).
  */
@@ -93,6 +98,11 @@
         return this.restored?.crashes ?? [];
     }
 
+    /** Software versions of engines; undefined if none are stored, or they are outdated. */
+    versions(): StoredVersionHistory | undefined {
+        return this.restored?.versions;
+    }
+
     /** Restored number of gateways; 0 if none is stored. */
     gateways(): number {
         return this.restored?.gateways ?? 0;
@@ -152,11 +162,11 @@
         }
     }
 
-    private async writeState({ identity, committed, servers, gateways, crashes }: RestartState): Promise<void> {
+    private async writeState({ servers, ...description }: RestartState): Promise<void> {
         const { openDisk, clock } = this.options;
         this.disk ??= await openDisk();
         await writeSnapshot(this.disk, restartCacheFile, {
-            description: encode({ identity, committed, gateways, crashes, writtenAt: clock.wall() }),
+            description: encode({ ...description, writtenAt: clock.wall() }),
             data: encode(servers),
         });
     }
@@ -168,7 +178,7 @@
         if (stored === undefined) {
             return undefined;
         }
-        const { identity, committed, gateways, crashes, writtenAt } = descriptionSchema.parse(
+        const { identity, committed, gateways, crashes, versions, writtenAt } = descriptionSchema.parse(
             decode(stored.description),
         );
         const elapsedMilliseconds = clock.wall() - writtenAt;
@@ -180,6 +190,7 @@
             servers: servers.map(addLeavingTime(elapsedMilliseconds)),
             gateways: isRecent ? gateways : 0,
             crashes: crashes.map(addAge(elapsedMilliseconds)),
+            versions: isRecent ? versions : undefined,
         };
     }
     catch (error) {
--- a/packages/basilpaddle/src/node/daemon/directory/serverMembership.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/serverMembership.ts
@@ -30,6 +30,8 @@
     readonly restartCache: RestartCache;
     /** Called when the known state of any backend server has changed. */
     readonly onInstancesChanged: () => void;
+    /** Called with each incarnation of a backend server that becomes known. */
+    readonly onFirstHeard: (announced: ServerAnnouncement) => void;
     /** Called with crash histories that other directories send. */
     readonly onCrashes: (records: readonly CrashRecord[]) => void;
     /** Crash histories to send to a directory after its restart. */
@@ -62,6 +64,7 @@
                 options.onInstancesChanged();
                 restartCache.markChanged();
             },
+            onFirstHeard: options.onFirstHeard,
         });
         this.replication = DepartureReplication.create({
             reachedDirectories: () => this.watcher?.reachedLinks() ?? [],
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamExchange.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamExchange.spec.ts
@@ -11,6 +11,7 @@
 import type { PlacementClient } from "../placementClient.js";
 import type { RoutedResult } from "../serverPaths.js";
 import { StreamExchange } from "../streamExchange.js";
+import type { StreamVersions } from "../streamVersions.js";
 import { createRequest } from "./fakeRequest.js";
 
 const service = { name: "pool", healthPath: "/health", connectionLimit: 50, engine: rule };
@@ -57,7 +58,9 @@
             release: () => undefined,
             prefillCompleted: () => undefined,
         } as unknown as PlacementClient;
-        await StreamExchange.create(options, placements, { name: "g", failureDomain: "a" }, request, service).run();
+        const versions = { begin: () => undefined } as unknown as StreamVersions;
+        const gateway = { name: "g", failureDomain: "a" };
+        await StreamExchange.create(options, placements, gateway, request, service, versions).run();
     }
 
     private wire(): GatewayWire {
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
@@ -0,0 +1,121 @@
+import { StallDetector } from "../../coordination/index.js";
+import type { ServerAnnouncement, ServiceRule } from "../../protocol/index.js";
+import { type BackendAnswer, discard, readWholeBody } from "../backends/index.js";
+import type { BackendSender, ExchangeOptions } from "./backendSender.js";
+import type { CallerRequest } from "./callerRequest.js";
+import { maxShortAnswerBytes, type PrefilledPrompt } from "./prefilledPrompt.js";
+import type { RunEnd } from "./runEnd.js";
+import { guaranteesNotRun } from "./statuses.js";
+import type { StreamBinding } from "./streamBinding.js";
+import type { StreamRelay } from "./streamRelay.js";
+import { TimeLimit } from "./timeLimit.js";
+
+/** Idle time of a stream after which its run is aborted, if it may be resumed on another engine. */
+const idleLimitMilliseconds = 1_200;
+/** Timeout of the head of a run's answer, if the run may be repeated elsewhere: an engine whose host failed sends nothing. */
+const headLimitMilliseconds = 1_500;
+const minFailureStatus = 400;
+
+/** What all runs of one request have in common. */
+export type EngineRunOptions = {
+    readonly exchange: ExchangeOptions;
+    readonly sender: BackendSender;
+    readonly request: CallerRequest;
+    readonly service: ServiceRule;
+    readonly relay: StreamRelay;
+    readonly binding: StreamBinding;
+    /** Steps of the request, for its log line. */
+    readonly steps: string[];
+};
+
+/** One run of a request at a decode engine. */
+export class EngineRun {
+    private constructor(
+        private readonly options: EngineRunOptions,
+        private readonly engine: ServerAnnouncement,
+        /** Whether the run may be resumed on another engine if this one is lost. */
+        private readonly mayResume: boolean,
+    ) {}
+
+    /** `mayResume`: whether the run may be resumed on another engine if this one is lost. */
+    static create(options: EngineRunOptions, engine: ServerAnnouncement, mayResume: boolean): EngineRun {
+        return new EngineRun(options, engine, mayResume);
+    }
+
+    /** Sends the run and forwards its events. `prompt`: the KV cache to fetch; undefined if the engine runs the prefill. */
+    async execute(prompt: PrefilledPrompt | undefined): Promise<RunEnd> {
+        const { exchange, sender, request, service, relay, binding } = this.options;
+        binding.bindTo(this.engine);
+        const limit = TimeLimit.create(exchange.clock, request.remainingTime(), request.disconnected.signal);
+        const stopTimer = this.mayResume
+            ? exchange.clock.after(headLimitMilliseconds, () => limit.expire())
+            : undefined;
+        try {
+            const sent = await sender.send(request, this.engine, service, {
+                ...prompt === undefined ? {} : { source: { address: prompt.engine.address, handle: prompt.handle } },
+                ...relay.lastEvent() === undefined ? {} : { resumeAfter: String(relay.lastEvent()) },
+            }, limit.signal);
+            stopTimer?.();
+            if (sent.kind === "notRun") {
+                const { cause, unreachable, lostOnPath } = sent;
+                return { kind: "turnedAway", cause, unreachable, lostOnPath };
+            }
+            if (sent.kind === "unknown") {
+                return { kind: "lost", cause: sent.cause };
+            }
+            const { answer, metadata } = sent;
+            if (answer.status >= minFailureStatus) {
+                return await this.forwardFailure(answer);
+            }
+            if (!metadata.sealed) {
+                discard(answer);
+                return { kind: "lost", cause: "the answer has no seal" };
+            }
+            return await this.stream(answer, limit.signal);
+        }
+        finally {
+            stopTimer?.();
+            limit.clear();
+        }
+    }
+
+    /** Forwards the engine's error, unless the answer has begun or the status would guarantee that the request didn't run. */
+    private async forwardFailure(answer: BackendAnswer): Promise<RunEnd> {
+        const { request } = this.options;
+        const body = await readWholeBody(answer, maxShortAnswerBytes);
+        const { status } = answer;
+        if (body === undefined || guaranteesNotRun(status) || request.hasAnswerBegun()) {
+            return { kind: "lost", cause: `the engine answered ${status}` };
+        }
+        request.sendAnswer(answer, body);
+        return { kind: "failureGiven" };
+    }
+
+    private async stream(answer: BackendAnswer, signal: AbortSignal): Promise<RunEnd> {
+        const { exchange: { links, clock, crashes }, request, relay, binding, steps } = this.options;
+        if (!await binding.awaitReport()) {
+            discard(answer);
+            return { kind: "lost", cause: "directories may take the stream for one of another version" };
+        }
+        const stallDetector = StallDetector.create();
+        const onBytes = (): void => {
+            links.countEvent(this.engine, stallDetector.recordEvent(clock.monotonic()), clock.monotonic());
+        };
+        const end = await relay.forward(answer, this.mayResume ? idleLimitMilliseconds : undefined, signal, onBytes);
+        if (stallDetector.longest() > (request.route.gap ?? Number.POSITIVE_INFINITY)) {
+            steps.push(`pause ${Math.round(stallDetector.longest())}`);
+        }
+        if (end.kind === "broken") {
+            return { kind: "lost", cause: end.cause };
+        }
+        request.finishStream();
+        if (answer.framed) {
+            crashes.reportAnswered(request);
+        }
+        else {
+            // The answer ended with its connection: a regular end and a crash of the engine look the same.
+            void crashes.reportLostRun(request, this.engine, "late");
+        }
+        return { kind: "done" };
+    }
+}
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -20,6 +20,7 @@
 import type { ExchangeOptions } from "./backendSender.js";
 import { CallerRequest, readBody, writeOwnAnswer } from "./callerRequest.js";
 import { CallerServer } from "./callerServer.js";
+import { closeGradually } from "./closeGradually.js";
 import { CurrentRoutes } from "./currentRoutes.js";
 import type { GatewayWire } from "./gatewayWire.js";
 import { headerBytes } from "./headers.js";
@@ -29,16 +30,14 @@
 import { RetryAllowance } from "./retryAllowance.js";
 import { ServiceExchange } from "./serviceExchange.js";
 import { StreamExchange } from "./streamExchange.js";
+import { StreamVersions } from "./streamVersions.js";
 
 /** Retry-After of a gateway that has no configuration yet. */
 const unconfiguredRetryAfterSeconds = 0.3;
 /** How long a gateway waits to reach a majority of the directories before it reports ready without one. */
 const majorityTimeoutMilliseconds = 1_500;
-/** Time in which the balancer detects that a gateway shuts down: two probes a second apart, and a margin. */
-const balancerNoticeMilliseconds = 2_800;
-/** Time reserved for closing at the end of a shutdown, and the interval of checking for open requests. */
+/** Time reserved for closing at the end of a shutdown. */
 const shutdownMarginMilliseconds = 600;
-const shutdownPollMilliseconds = 50;
 
 /** Settings and dependencies of a gateway. */
 export type GatewayDaemonOptions = RoutingOptions<GatewaySettings, GatewayWire> & {
@@ -64,6 +63,7 @@
     private readonly allowanceAdmission: AllowanceAdmission;
     private readonly serverAdmission: ServerAdmission;
     private readonly exchangeOptions: ExchangeOptions;
+    private readonly streamVersions: StreamVersions;
     private callerServer!: CallerServer;
     private shuttingDown = false;
 
@@ -112,13 +112,25 @@
             clock,
             logger,
             settleTime: options.settleTime,
-            onAnnounced: (announced, directory) => applyAnnouncement(this.instances, announced, directory, logger),
+            onAnnounced: (announced, directory) => {
+                this.streamVersions.observe(announced);
+                applyAnnouncement(this.instances, announced, directory, logger);
+            },
+            onDirectoryStarted: directory => this.streamVersions.resend(directory),
             onServerLimits: observed => this.serverAdmission.observeLeader(observed),
             onCrashes: records => void this.quarantinedRequests.merge(records),
             knownCrashes: () => this.quarantinedRequests.all(),
             onDocument: (version, content) => this.configure(version, content),
         });
         this.store.add(() => this.watcher.close());
+        this.streamVersions = StreamVersions.create({
+            directories: () => this.watcher.knownDirectories(),
+            servers: () => this.instances.all(),
+            clock,
+            logger,
+            metrics,
+        });
+        this.store.add(() => this.streamVersions.close());
         this.placementClient = PlacementClient.create({
             name: settings.name,
             watcher: this.watcher,
@@ -188,23 +200,7 @@
         this.shuttingDown = true;
         this.relaying.beginShutdown();
         this.callerServer.closeAfterResponses();
-        let listening = true;
-        while (clock.monotonic() < deadline) {
-            if (listening && clock.monotonic() - startedAt > balancerNoticeMilliseconds) {
-                listening = false;
-                this.callerServer.stopListening();
-            }
-            if (!listening) {
-                // A caller with an idle connection would send its next request here, and lose it when the gateway exits. Until the
-                // balancer has noticed, such requests are answered, and their connections closed with the answer.
-                this.callerServer.closeIdle();
-            }
-            const usedTunnels = listening ? 0 : this.relaying.closeIdleTunnels();
-            if (!listening && this.callerServer.openRequests() === 0 && usedTunnels === 0) {
-                break;
-            }
-            await new Promise<void>(resolve => clock.after(shutdownPollMilliseconds, resolve));
-        }
+        await closeGradually(this.callerServer, this.relaying, deadline, clock);
         const unfinishedRequests = this.callerServer.openRequests();
         logger.info("closing", { cut: unfinishedRequests, after: Math.round(clock.monotonic() - startedAt) });
         this.callerServer.closeAll();
@@ -339,7 +335,14 @@
     private async exchange(request: CallerRequest, service: ServiceRule): Promise<readonly string[]> {
         const { settings } = this.options;
         const exchange = service.engine !== undefined && request.route.prompts
-            ? StreamExchange.create(this.exchangeOptions, this.placementClient, settings, request, service)
+            ? StreamExchange.create(
+                this.exchangeOptions,
+                this.placementClient,
+                settings,
+                request,
+                service,
+                this.streamVersions,
+            )
             : ServiceExchange.create(this.exchangeOptions, request, service);
         await exchange.run();
         return exchange.trace();
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayWire.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayWire.ts
@@ -18,6 +18,10 @@
     readonly tokens:
         | { readonly kind: "notStated" | "malformed"; }
         | { readonly kind: "stated"; readonly total: number; };
+    /** The attempt in which the caller received the first event of the stream that it resumes, if it names one. @default it resumes none */
+    readonly resumes?: string | undefined;
+    /** Number of the last event that it has received, as it states it. @default none */
+    readonly lastEvent?: string | undefined;
 };
 
 /** Metadata that this system sends to a backend server in addition to the caller's headers. */
--- a/packages/basilpaddle/src/node/daemon/gateway/placementRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementRequest.ts
@@ -12,13 +12,19 @@
 /** Expected length of an answer, as a fraction of its token limit, if the caller gives no estimate. */
 const expectedAnswerFraction = 0.6;
 
-/** Builds a placement request: the KV cache for the prompt and the answer, the target, and how long the caller will wait. */
+const newStream = { resumed: false, version: undefined };
+
+/**
+ * Builds a placement request: the KV cache for the prompt and the answer, the target, and how long the caller will wait.
+ * `stream`: whether it continues a stream, and the software version that has to run it.
+ */
 export function placementRequest(
     request: CallerRequest,
     service: string,
     gateway: { readonly name: string; readonly failureDomain: string; },
     avoid: readonly string[],
     linkStalls: LinkStalls = [],
+    stream: { readonly resumed: boolean; readonly version: string | undefined; } = newStream,
 ): PlacementRequest {
     const { metadata, route } = request;
     const answer = Math.min(
@@ -39,7 +45,8 @@
         targetWithin: route.target - request.age(),
         patienceWithin: Math.min(request.remainingTime(), timeout),
         avoid: [...avoid],
-        resumed: request.hasAnswerBegun(),
+        resumed: stream.resumed || request.hasAnswerBegun(),
+        ...stream.version === undefined ? {} : { version: stream.version },
         ...linkStalls.length === 0 ? {} : { linkStalls },
     };
 }
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -1,21 +1,25 @@
-import { StallDetector } from "../../coordination/index.js";
-import type { PlacementOutcome, ServerAnnouncement, ServiceRule } from "../../protocol/index.js";
-import { type BackendAnswer, discard, readWholeBody } from "../backends/index.js";
+import {
+    type PlacementOutcome,
+    type ServerAnnouncement,
+    type ServiceRule,
+    softwareVersionOf,
+} from "../../protocol/index.js";
 import { admitEngines } from "./admitEngines.js";
 import { awaitEngines } from "./awaitEngines.js";
 import { BackendSender, type ExchangeOptions, viaRelay } from "./backendSender.js";
 import type { CallerRequest } from "./callerRequest.js";
+import { EngineRun, type EngineRunOptions } from "./engineRun.js";
 import type { PlacementClient, PlacementGrant } from "./placementClient.js";
 import { placementRequest } from "./placementRequest.js";
-import { freePromptCache, maxShortAnswerBytes, type PrefilledPrompt, requestPrefill } from "./prefilledPrompt.js";
+import { freePromptCache, type PrefilledPrompt, requestPrefill } from "./prefilledPrompt.js";
 import { refuseQuarantined } from "./refuseQuarantined.js";
 import { refuseWithoutPath } from "./refuseWithoutPath.js";
 import { noRetryLeft } from "./retryAllowance.js";
 import { type ReportSendOutcome, RetryCharges } from "./retryCharges.js";
 import type { RunEnd } from "./runEnd.js";
-import { guaranteesNotRun } from "./statuses.js";
+import { StreamBinding } from "./streamBinding.js";
 import { StreamRelay } from "./streamRelay.js";
-import { TimeLimit } from "./timeLimit.js";
+import type { StreamVersions } from "./streamVersions.js";
 
 /** Limit of rounds per request; a round is a placement, a prefill and a run. */
 const maxRounds = 4;
@@ -23,16 +27,14 @@
 const handleLifeFraction = 0.7;
 /** Retry-After for a request that every engine rejected. */
 const rejectedRetryAfterMilliseconds = 300;
-/** Idle time of a stream after which its run is aborted, if it may be resumed on another engine. */
-const idleLimitMilliseconds = 1_200;
-/** Timeout of the head of a run's answer, if the run may be repeated elsewhere: an engine whose host failed sends nothing. */
-const headLimitMilliseconds = 1_500;
 const minAnswerMilliseconds = 5;
 /** Number of engines that a prompt's KV cache is offered to before it is assumed to have expired. */
 const maxCacheOffers = 2;
+/** Retry-After for a stream whose version isn't known: if this gateway reaches too few directories, and if none knows it. */
+const unreachedRetryAfterMilliseconds = 300;
+const unknownVersionRetryAfterMilliseconds = 1_000;
 /** Number of failed connections to engines that aren't counted as rounds. */
 const maxUncountedConnectionFailures = 6;
-const minFailureStatus = 400;
 
 /** Processes one request on the engines of a pool: requests a placement, runs the prefill, then the run. */
 export class StreamExchange {
@@ -48,6 +50,8 @@
     private readonly relay: StreamRelay;
     private readonly retryCharges: RetryCharges;
     private prompt: PrefilledPrompt | undefined;
+    private readonly binding: StreamBinding;
+    private readonly runOptions: EngineRunOptions;
 
     private constructor(
         private readonly options: ExchangeOptions,
@@ -55,13 +59,17 @@
         private readonly gateway: { readonly name: string; readonly failureDomain: string; },
         private readonly request: CallerRequest,
         private readonly service: ServiceRule,
+        versions: StreamVersions,
     ) {
+        this.binding = StreamBinding.create(versions, request, service.name);
         this.sender = BackendSender.create(options);
         this.retryCharges = RetryCharges.create(options.retryAllowance, service.name);
         this.relay = StreamRelay.create(request, () => {
             placementClient.prefillCompleted(request.attempt);
             this.steps.push(`first ${Math.round(request.age())}`);
         });
+        const { sender, relay, binding, steps } = this;
+        this.runOptions = { exchange: options, sender, request, service, relay, binding, steps };
     }
 
     static create(
@@ -70,8 +78,9 @@
         gateway: { readonly name: string; readonly failureDomain: string; },
         request: CallerRequest,
         service: ServiceRule,
+        versions: StreamVersions,
     ): StreamExchange {
-        return new StreamExchange(options, placementClient, gateway, request, service);
+        return new StreamExchange(options, placementClient, gateway, request, service, versions);
     }
 
     /** Engines that were used, with their results, for the log. */
@@ -83,6 +92,9 @@
     async run(): Promise<void> {
         const { options, request } = this;
         options.retryAllowance.recordRequest(this.service.name);
+        if (this.binding.resumesStream) {
+            await this.resolveVersion();
+        }
         try {
             while (!request.isDisconnected() && request.outcome() === undefined) {
                 await this.runRound();
@@ -93,6 +105,21 @@
         }
     }
 
+    /** Finds the version that began the stream; refuses the request if nobody knows it, since any other one would corrupt the stream. */
+    private async resolveVersion(): Promise<void> {
+        const startedAt = this.now();
+        const origin = await this.binding.resolve();
+        if (origin.kind === "known") {
+            this.steps.push(`resumes ${origin.version} ${origin.source} ${this.since(startedAt)}`);
+            return;
+        }
+        this.steps.push(`resumes unknown ${this.since(startedAt)}`);
+        this.refuse(
+            origin.isReported ? unknownVersionRetryAfterMilliseconds : unreachedRetryAfterMilliseconds,
+            origin.cause,
+        );
+    }
+
     private async runRound(): Promise<void> {
         const { request, placementClient } = this;
         if (this.refuseIfQuarantined() || refuseWithoutPath(this.options.paths, request, this.runCount > 0)) {
@@ -101,7 +128,10 @@
         this.roundCount += 1;
         const askedAt = this.now();
         const grantOrRefusal = await placementClient.requestPlacement(
-            placementRequest(request, this.service.name, this.gateway, this.avoid, this.options.links.stalls(askedAt)),
+            placementRequest(request, this.service.name, this.gateway, this.avoid, this.options.links.stalls(askedAt), {
+                resumed: this.binding.resumesStream,
+                version: this.binding.version,
+            }),
             request.disconnected.signal,
         );
         if (grantOrRefusal === undefined) {
@@ -109,6 +139,10 @@
         }
         if (grantOrRefusal.kind === "refused") {
             this.steps.push(`refused ${Math.round(this.now() - askedAt)}`);
+            if (grantOrRefusal.versionGone === true && this.mayChangeVersion()) {
+                this.binding.unbind();
+                return;
+            }
             this.refuse(grantOrRefusal.comeBackIn, grantOrRefusal.reason);
             return;
         }
@@ -127,10 +161,17 @@
             this.retryElsewhere(lost, "a placed engine leaves, has ended or is unknown");
             return { failed: lost };
         }
+        if (!this.binding.allows(decode)) {
+            this.retryElsewhere(decode.id, `the placed engine has version ${softwareVersionOf(decode)}`);
+            return {};
+        }
         if (this.refuseIfQuarantined()) {
             return {};
         }
-        const prefillEngine = this.hasUsablePrompt() || this.prefillsAtDecode ? undefined : prefill;
+        const version = softwareVersionOf(decode);
+        // A decode engine that got the KV cache of another version would write on from what it can't read.
+        const fittingPrefill = prefill !== undefined && softwareVersionOf(prefill) === version ? prefill : undefined;
+        const prefillEngine = this.hasUsablePrompt(version) || this.prefillsAtDecode ? undefined : fittingPrefill;
         const limitedEngine = await admitEngines(this.options.admission, prefillEngine, decode);
         if (limitedEngine !== undefined) {
             this.steps.push(`${limitedEngine} limited`);
@@ -142,7 +183,7 @@
             this.refuse(rejectedRetryAfterMilliseconds, noRetryLeft);
             return {};
         }
-        if (!this.hasUsablePrompt()) {
+        if (!this.hasUsablePrompt(version)) {
             this.freePrompt();
         }
         const prefillFailure = prefillEngine === undefined
@@ -193,7 +234,11 @@
     private async runAt(decode: ServerAnnouncement, reportRun: ReportSendOutcome): Promise<PlacementOutcome> {
         const startedAt = this.now();
         const eventsBefore = this.relay.events();
-        const end = await this.runOnce(decode);
+        const run = EngineRun.create(this.runOptions, decode, this.canResume());
+        const end = await run.execute(this.prompt);
+        if (end.kind !== "turnedAway") {
+            this.prompt = undefined;
+        }
         const unreached = end.kind === "turnedAway" && end.unreachable;
         reportRun(unreached ? "unreached" : "counted");
         this.discountFailedConnection(unreached);
@@ -214,7 +259,6 @@
                     void this.options.crashes.reportLostRun(this.request, decode, phase);
                 }
                 this.runCount += 1;
-                this.prompt = undefined;
                 this.resumeElsewhere(decode.id, end.cause);
                 // One broken stream is little evidence against its engine; if it has ended, the next connection will fail.
                 return {};
@@ -245,40 +289,9 @@
         return { turnedAwayBy: decode.id, readBy: prompt.engine.id };
     }
 
-    private async runOnce(decode: ServerAnnouncement): Promise<RunEnd> {
-        const { request, prompt, relay, options } = this;
-        const limit = TimeLimit.create(options.clock, request.remainingTime(), request.disconnected.signal);
-        const stopTimer = this.canResume()
-            ? options.clock.after(headLimitMilliseconds, () => limit.expire())
-            : undefined;
-        try {
-            const sent = await this.sender.send(request, decode, this.service, {
-                ...prompt === undefined ? {} : { source: { address: prompt.engine.address, handle: prompt.handle } },
-                ...relay.lastEvent() === undefined ? {} : { resumeAfter: String(relay.lastEvent()) },
-            }, limit.signal);
-            stopTimer?.();
-            if (sent.kind === "notRun") {
-                const { cause, unreachable, lostOnPath } = sent;
-                return { kind: "turnedAway", cause, unreachable, lostOnPath };
-            }
-            this.prompt = undefined;
-            if (sent.kind === "unknown") {
-                return { kind: "lost", cause: sent.cause };
-            }
-            const { answer, metadata } = sent;
-            if (answer.status >= minFailureStatus) {
-                return await this.forwardFailure(answer);
-            }
-            if (!metadata.sealed) {
-                discard(answer);
-                return { kind: "lost", cause: "the answer has no seal" };
-            }
-            return await this.stream(decode, answer, limit.signal);
-        }
-        finally {
-            stopTimer?.();
-            limit.clear();
-        }
+    /** Whether the stream may still begin at another version: its caller has received nothing of it. */
+    private mayChangeVersion(): boolean {
+        return !this.binding.resumesStream && this.relay.events() === 0 && this.roundCount < maxRounds;
     }
 
     /** Whether the run may be resumed on another engine if this one is lost. */
@@ -287,39 +300,6 @@
         return route.resumable && this.runCount + 1 < route.attempts;
     }
 
-    /** Forwards the engine's error, unless the answer has begun or the status would guarantee that the request didn't run. */
-    private async forwardFailure(answer: BackendAnswer): Promise<RunEnd> {
-        const body = await readWholeBody(answer, maxShortAnswerBytes);
-        const { status } = answer;
-        if (body === undefined || guaranteesNotRun(status) || this.request.hasAnswerBegun()) {
-            return { kind: "lost", cause: `the engine answered ${status}` };
-        }
-        this.request.sendAnswer(answer, body);
-        return { kind: "failureGiven" };
-    }
-
-    private async stream(decode: ServerAnnouncement, answer: BackendAnswer, signal: AbortSignal): Promise<RunEnd> {
-        const { request, relay, options } = this;
-        const stallDetector = StallDetector.create();
-        const onBytes = (): void => options.links.countEvent(decode, stallDetector.recordEvent(this.now()), this.now());
-        const end = await relay.forward(answer, this.canResume() ? idleLimitMilliseconds : undefined, signal, onBytes);
-        if (stallDetector.longest() > (request.route.gap ?? Number.POSITIVE_INFINITY)) {
-            this.steps.push(`pause ${Math.round(stallDetector.longest())}`);
-        }
-        if (end.kind === "broken") {
-            return { kind: "lost", cause: end.cause };
-        }
-        request.finishStream();
-        if (answer.framed) {
-            options.crashes.reportAnswered(request);
-        }
-        else {
-            // The answer ended with its connection: a regular end and a crash of the engine look the same.
-            void options.crashes.reportLostRun(request, decode, "late");
-        }
-        return { kind: "done" };
-    }
-
     /** Excludes an engine that has run nothing, if it is to blame, and refuses the request if no further round is possible. */
     private retryElsewhere(engine: string | undefined, cause: string): void {
         const { request } = this;
@@ -356,9 +336,11 @@
         }
     }
 
-    private hasUsablePrompt(): boolean {
+    private hasUsablePrompt(version: string): boolean {
+        const { prompt } = this;
         const maxAgeMilliseconds = (this.service.engine?.handleLife ?? 0) * handleLifeFraction;
-        return this.prompt !== undefined && this.now() - this.prompt.prefilledAt < maxAgeMilliseconds;
+        return prompt !== undefined && softwareVersionOf(prompt.engine) === version
+            && this.now() - prompt.prefilledAt < maxAgeMilliseconds;
     }
 
     private freePrompt(): void {
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamVersions.ts
@@ -0,0 +1,150 @@
+import {
+    type KnownDirectory,
+    OriginReporter,
+    type ReportedOrigin,
+    type ResolvedOrigin,
+    resolveOrigin,
+    StreamOrigins,
+    VersionHistory,
+} from "../../coordination/index.js";
+import type { ServerAnnouncement, TrafficRoute } from "../../protocol/index.js";
+import type { Clock, Logger, Metrics } from "../../utils/index.js";
+import type { CallerRequest } from "./callerRequest.js";
+
+/** Interval of recording the versions of the engines that are present. */
+const reviewIntervalMilliseconds = 500;
+/** A caller may resume a stream for as long as an answer may take, and its next attempt may take as long again. */
+const attemptsPerStream = 2;
+const marginMilliseconds = 2_000;
+/** Longest name of an attempt that is looked up. */
+const maxAttemptLength = 200;
+/** Number of origins that are sent to a directory that has started anew. */
+const maxResentOrigins = 500;
+
+/** Dependencies of `StreamVersions`. */
+export type StreamVersionsOptions = {
+    readonly directories: () => readonly KnownDirectory[];
+    /** All engines that are known. */
+    readonly servers: () => readonly ServerAnnouncement[];
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+};
+
+/**
+ * Which software version began each stream. What two versions write doesn't fit together, and engines don't check it: a caller that
+ * took its stream up at another gateway would receive the rest from whichever engine is free.
+ *
+ * While a service has engines of several versions, a gateway tells more than half of the directories of each stream before its
+ * first event is sent. While it has had only one for as long as a stream may last, nothing is recorded.
+ */
+export class StreamVersions {
+    private readonly own = StreamOrigins.create();
+    private readonly history: VersionHistory;
+    private readonly reporter: OriginReporter;
+    private closed = false;
+
+    private constructor(private readonly options: StreamVersionsOptions) {
+        this.history = VersionHistory.create(options.clock.monotonic());
+        this.reporter = OriginReporter.create(options);
+        this.scheduleReview();
+    }
+
+    static create(options: StreamVersionsOptions): StreamVersions {
+        return new StreamVersions(options);
+    }
+
+    /** Records the version of an engine that becomes known. */
+    observe(server: ServerAnnouncement): void {
+        this.history.observe([server], this.options.clock.monotonic());
+    }
+
+    /**
+     * Records that a stream begins at a version, for as long as its caller may resume it. Returns the report to the directories;
+     * undefined if they needn't know, because the service has had no other version for as long. `binding`: 1, or the number of
+     * versions that the stream was bound to if it has to change its version before its first event.
+     */
+    begin(request: CallerRequest, service: string, version: string, binding: number): ReportedOrigin | undefined {
+        const { route, metadata, attempt } = request;
+        const keepFor = streamLifetime(route, metadata.deadlineWithin);
+        if (!route.resumable || attempt === "" || attempt.length > maxAttemptLength) {
+            return undefined;
+        }
+        const now = this.options.clock.monotonic();
+        const origin = { service, attempt, version, binding, keepFor };
+        this.own.record(origin, now);
+        const isNotNeeded = binding === 1 && this.hasHadOneVersion(service, keepFor, now);
+        return isNotNeeded ? undefined : this.reporter.report(origin);
+    }
+
+    /** The version that began the stream that a request resumes. */
+    async resolve(request: CallerRequest, service: string): Promise<ResolvedOrigin> {
+        const { clock, directories, metrics, logger } = this.options;
+        const { route, metadata } = request;
+        const { resumes } = metadata;
+        const attempt = resumes === undefined || resumes === "" || resumes.length > maxAttemptLength
+            ? undefined
+            : resumes;
+        const within = streamLifetime(route, metadata.deadlineWithin);
+        const own = attempt === undefined ? undefined : this.own.find(service, attempt, clock.monotonic());
+        const origin: ResolvedOrigin = own === undefined
+            ? await resolveOrigin(
+                directories(),
+                { kind: "origin", service, ...attempt === undefined ? {} : { attempt }, within },
+                clock,
+            )
+            : { kind: "known", source: "own", ...own };
+        if (origin.kind === "known" && attempt !== undefined) {
+            const { version, binding } = origin;
+            this.keepLonger({ service, attempt, version, binding, keepFor: within });
+        }
+        const source = origin.kind === "known" ? origin.source : "unknown";
+        metrics.count("basilpaddle_streams_resumed_total", { service, source });
+        logger.info("a caller resumes a stream", {
+            request: request.attempt,
+            resumes: attempt,
+            lastEvent: metadata.lastEvent,
+            ...origin,
+        });
+        return origin;
+    }
+
+    /** Sends the streams that began here to a directory that has started anew. */
+    resend(directory: KnownDirectory): void {
+        this.reporter.resend(directory, this.own.latest(maxResentOrigins, this.options.clock.monotonic()));
+    }
+
+    /** Stops the periodic review, and reports under way. */
+    close(): void {
+        this.closed = true;
+        this.reporter.close();
+    }
+
+    /** Keeps the origin of a stream for its caller's next attempt: that will name the same first attempt again. */
+    private keepLonger(origin: Parameters<StreamOrigins["record"]>[0]): void {
+        const now = this.options.clock.monotonic();
+        this.own.record(origin, now);
+        if (!this.hasHadOneVersion(origin.service, origin.keepFor, now)) {
+            this.reporter.report(origin);
+        }
+    }
+
+    private hasHadOneVersion(service: string, within: number, now: number): boolean {
+        return this.history.covers(within, now) && this.history.versions(service, within, now).length === 1;
+    }
+
+    private scheduleReview(): void {
+        const { clock, servers } = this.options;
+        clock.after(reviewIntervalMilliseconds, () => {
+            if (!this.closed) {
+                this.history.observe(servers(), clock.monotonic());
+                this.scheduleReview();
+            }
+        });
+    }
+}
+
+/** Milliseconds for which a stream's caller may still resume it. */
+function streamLifetime({ timeout }: TrafficRoute, deadlineWithin: number | undefined): number {
+    return Math.max(attemptsPerStream * timeout, deadlineWithin ?? 0) + marginMilliseconds;
+}
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -3,6 +3,7 @@
 import { crashRecordSchema, crashReportSchema } from "./crash.js";
 import { relayRegistrationSchema } from "./relay.js";
 import { limitObservationSchema, type ServerLimitMessage, serverLimitMessageSchema } from "./serverLimit.js";
+import { originQuerySchema, originReportSchema } from "./streamOrigin.js";
 
 const identifier = z.string().min(1).max(200);
 /**
@@ -41,6 +42,8 @@
     leavingFor: z.number().min(0).optional(),
     /** The stage that the engine runs; present only for engines. */
     stage: z.enum(["prefill", "decode"]).optional(),
+    /** Version of its software, if it reports one. Engines of different versions neither continue each other's streams nor read each other's KV caches. */
+    softwareVersion: z.string().max(200).optional(),
     /** Incremented with each heartbeat. Of presence the highest number applies, whichever path it arrived by; of departure the last stage. */
     sequence: z.int().min(0),
 });
@@ -140,6 +143,8 @@
     avoid: z.array(identifier),
     /** True if it continues an interrupted run whose caller has received a part of the answer; placed before all new runs. */
     resumed: z.boolean(),
+    /** Software version of the engines that may run it. @default any */
+    version: z.string().max(200).optional(),
     /** Stall rates of the gateway's links. @default no stalls */
     linkStalls: linkStallsSchema.optional(),
 });
@@ -156,7 +161,14 @@
         readingWithin: z.number().optional(),
     }),
     /** The run can't be served in time; `comeBackIn` is the retry delay in milliseconds. */
-    z.object({ kind: z.literal("refused"), attempt: identifier, reason: z.string(), comeBackIn: z.number() }),
+    z.object({
+        kind: z.literal("refused"),
+        attempt: identifier,
+        reason: z.string(),
+        comeBackIn: z.number(),
+        /** Whether no engine of the demanded software version is left. @default false */
+        versionGone: z.boolean().optional(),
+    }),
 ]);
 
 /** Outcome of a placed run, as far as engines caused it. */
@@ -234,6 +246,8 @@
     crashReportSchema,
     relayRegistrationSchema,
     departureReportSchema,
+    originReportSchema,
+    originQuerySchema,
 ]);
 
 /** Result of a request to store or read the configuration document. */
@@ -267,6 +281,11 @@
     return startedAt === undefined ? name : `${name}@${startedAt}`;
 }
 
+/** Version of a backend server's software; empty if it reports none. */
+export function softwareVersionOf(server: Pick<ServerAnnouncement, "softwareVersion">): string {
+    return server.softwareVersion ?? "";
+}
+
 /** Name of a backend server on the wire. */
 export function serverName(server: Pick<ServerAnnouncement, "id" | "name">): string {
     return server.name ?? server.id;
--- a/packages/basilpaddle/src/node/protocol/index.ts
+++ b/packages/basilpaddle/src/node/protocol/index.ts
@@ -16,5 +16,6 @@
 export * from "./scheduling.js";
 export * from "./serverLimit.js";
 export * from "./settings.js";
+export * from "./streamOrigin.js";
 export * from "./traffic.js";
 export * from "./view.js";
--- /dev/null
+++ b/packages/basilpaddle/src/node/protocol/streamOrigin.ts
@@ -0,0 +1,69 @@
+import { z } from "zod";
+
+const identifier = z.string().min(1).max(200);
+const milliseconds = z.number().min(0);
+
+/** Maximum number of origins in one report. */
+export const maxReportedOrigins = 500;
+
+/** The software version of the engine that made the first event of a stream: only engines of that version may continue it. */
+export const streamOriginSchema = z.object({
+    service: identifier,
+    /** The caller's attempt that the first event was sent in. */
+    attempt: identifier,
+    /** Software version of the engine; empty if it announces none. */
+    version: z.string().max(200),
+    /**
+     * Number of versions that the stream was bound to, this one included: 1, unless none of its first version's engines was left
+     * before the first event. The highest one applies.
+     */
+    binding: z.int().min(1),
+    /** Milliseconds for which its caller may still resume it. */
+    keepFor: milliseconds,
+});
+
+/** Report of a gateway to every directory: origins of streams that it has begun. */
+export const originReportSchema = z.object({
+    kind: z.literal("origins"),
+    origins: z.array(streamOriginSchema).max(maxReportedOrigins),
+});
+
+/** Query of a gateway to every directory: where a stream began, and which versions a service had. */
+export const originQuerySchema = z.object({
+    kind: z.literal("origin"),
+    service: identifier,
+    /** The attempt that began the stream; absent if the caller doesn't name it. */
+    attempt: identifier.optional(),
+    /** Milliseconds within which the stream must have begun. */
+    within: milliseconds,
+});
+
+/** Answer to an origin query. */
+export const originReplySchema = z.object({
+    kind: z.literal("origin"),
+    /** The version that began the stream, the binding's number, and milliseconds since it was reported; absent if this directory doesn't know it. */
+    found: z.object({ version: z.string(), binding: z.int().min(1), age: milliseconds }).optional(),
+    /** Software versions that engines of the service had within the query's time. */
+    versions: z.array(z.string()),
+    /** Whether this directory knows all versions of that time. */
+    complete: z.boolean(),
+});
+
+/** Which software versions the engines of each service had, as a directory keeps it across a restart. */
+export const storedVersionHistorySchema = z.object({
+    /** Milliseconds before the time of storing for which all versions are known. */
+    coversLast: milliseconds,
+    /** Versions, with milliseconds since each was last seen. */
+    seen: z.array(z.object({ service: identifier, version: z.string(), age: milliseconds })),
+});
+
+/** The software version that began a stream. */
+export type StreamOrigin = z.infer<typeof streamOriginSchema>;
+/** Report of a gateway to every directory: origins of streams that it has begun. */
+export type OriginReport = z.infer<typeof originReportSchema>;
+/** Query of a gateway to every directory. */
+export type OriginQuery = z.infer<typeof originQuerySchema>;
+/** Answer to an origin query. */
+export type OriginReply = z.infer<typeof originReplySchema>;
+/** Which software versions the engines of each service had, as a directory keeps it across a restart. */
+export type StoredVersionHistory = z.infer<typeof storedVersionHistorySchema>;
--- a/simulation/departures/processes.ts
+++ b/simulation/departures/processes.ts
@@ -109,6 +109,7 @@
             limits: () => noLimits,
             serverLimits: () => noServerLimits,
             onInstancesChanged: () => undefined,
+            onFirstHeard: () => undefined,
             onCrashes: () => undefined,
             knownCrashes: () => [],
             clock,
@@ -120,6 +121,7 @@
             servers: membership.serversForRestart(),
             gateways: membership.watches.gatewayCount(),
             crashes: [],
+            versions: undefined,
         }));
         this.cache = cache;
         this.membership = membership;
