test(soak): engines of two versions in one pool, callers that take streams up at other gateways

Engines' versions take turns, those of one version are replaced by a third in series; four in ten callers of resumable streams break off after one to six events and go on elsewhere, after 5 ms to 1.5 s, up to twice; the version of each event is checked over all attempts, that of each prompt's KV cache at the engine, and the share of resumed streams that go on. Plans without departures are as they were. Departures have a module of their own.

--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -53,17 +53,22 @@
     readonly id: string;
     readonly service: "plain" | "pool";
     readonly stage: "prefill" | "decode" | undefined;
+    /** Version of its software. */
+    readonly version: string;
     readonly failureDomain: string;
     readonly host: string;
     /** Addresses at which directories accept heartbeats, in the order in which they are tried. */
     readonly directories: () => readonly string[];
     readonly invariants: Invariants;
-    /** Attempts whose prompts' KV caches are kept, by handle; shared by all engines, which fetch caches from each other. */
-    readonly caches: Map<string, string>;
+    /** The prompts' KV caches that are kept, by handle; shared by all engines, which fetch caches from each other. */
+    readonly caches: Map<string, KeptCache>;
     /** Called when it starts to run a poison request, which must crash it. */
     readonly onPoisonRequest: (backend: Backend) => void;
 };
 
+/** A prompt's KV cache: the attempt that it belongs to, and the software version of the engine that made it. */
+export type KeptCache = { readonly attempt: string; readonly version: string; };
+
 type ServerCall = { readonly path: string; readonly body: string; };
 
 /** A simulated backend server behind a relay: an engine of the pool or a plain server. It records each run of a request. */
@@ -117,6 +122,10 @@
         return this.options.service;
     }
 
+    get version(): string {
+        return this.options.version;
+    }
+
     /** The stage before any order to change it. */
     get initialStage(): "prefill" | "decode" | undefined {
         return this.options.stage;
@@ -173,7 +182,7 @@
 
     private nextHeartbeat(): ServerCall {
         this.sequence += 1;
-        const { service, failureDomain } = this.options;
+        const { service, failureDomain, version } = this.options;
         const { host, port } = this.relay.address;
         return announcementCall(this.id, {
             service,
@@ -182,6 +191,7 @@
             state: this.state,
             stage: this.stage,
             sequence: this.sequence,
+            softwareVersion: version,
             startedAt: this.startedAt,
         });
     }
@@ -287,7 +297,7 @@
         this.createdHandles += 1;
         const handle = `${this.id}-${this.createdHandles}`;
         if (!this.expiresHandles) {
-            this.options.caches.set(handle, attempt);
+            this.options.caches.set(handle, { attempt, version: this.version });
             void this.delay(handleLifetimeMilliseconds).then(() => this.options.caches.delete(handle));
         }
         response.end(prefillAnswer(handle));
@@ -311,24 +321,30 @@
     }
 
     private async decode(received: ReceivedRequest, response: http.ServerResponse): Promise<void> {
-        const { attempt, handle, resumeAfter = 0 } = received;
-        const hasCache = handle === undefined || this.options.caches.get(handle) !== undefined;
-        if (this.stage !== "decode" || !hasCache) {
+        const { attempt, handle, resumeAfter = 0, resumes = attempt } = received;
+        const cache = this.options.caches.get(handle ?? "");
+        if (this.stage !== "decode" || (handle !== undefined && cache === undefined)) {
             response.writeHead(this.stage === "decode" ? 503 : 421, notRunHeaders(attempt)).end();
             return;
         }
-        if (handle !== undefined && this.options.caches.get(handle) !== attempt) {
+        if (cache !== undefined && cache.attempt !== attempt) {
             this.options.invariants.violate(
                 "its own whole answer",
                 `${attempt} resumed from the KV cache of another request`,
             );
         }
+        if (cache !== undefined && cache.version !== this.version) {
+            this.options.invariants.violate(
+                "one version",
+                `${this.id} got a KV cache of ${cache.version} for ${attempt}`,
+            );
+        }
         this.options.caches.delete(handle ?? "");
         await this.runRequest(received, response, async () => {
             const headers = answerHeaders(attempt, this.id, this.id);
             response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
-            for (let number = resumeAfter + 1; number <= eventCount(attempt) && !response.destroyed; number++) {
-                response.write(eventText(attempt, number));
+            for (let number = resumeAfter + 1; number <= eventCount(resumes) && !response.destroyed; number++) {
+                response.write(eventText(resumes, number, this.version));
                 await this.delay(eventIntervalMilliseconds * this.slowdownFactor);
             }
             if (this.dropsResponses) {
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -1,11 +1,12 @@
 import * as http from "node:http";
 import type { Randomness } from "../packages/basilpaddle/src/node/utils/index.js";
-import { answerSeal, callerHeaders, type RouteKind } from "../platform/src/standins/wire.js";
+import { answerSeal, callerHeaders, resumptionHeaders, type RouteKind } from "../platform/src/standins/wire.js";
+import { pause } from "../playground/harness/index.js";
 import type { SoakDeployment } from "./deployment.js";
 import type { CallerEnd, Invariants, SoakRequest } from "./invariants.js";
 import type { Member } from "./member.js";
 import { freeKey, keyOfRequest } from "./organisations.js";
-import { plainText, streamText } from "./texts.js";
+import { eventVersions, isRestOfStream, plainText } from "./texts.js";
 
 /** Host that all routes match. */
 export const routeHost = "soak.example";
@@ -25,6 +26,12 @@
 /** Share of the callers that may disconnect before the response, and the longest time after which they do. */
 const abandonProbability = 0.12;
 const maxAbandonMilliseconds = 900;
+/** Share of the streams that their callers break off to resume them, after at most so many events, at once or after a pause. */
+const breakOffProbability = 0.4;
+const maxEventsBeforeBreak = 6;
+const resumePauses = [5, 5, 300, 1_500];
+/** Number of times that a caller resumes its stream, whoever broke it off. */
+const maxResumptions = 2;
 /** Share of the requests that open a new connection; the others use kept-alive connections. */
 const newConnectionProbability = 0.3;
 const maxIdleConnections = 4;
@@ -43,10 +50,20 @@
         private readonly deployment: SoakDeployment,
         private readonly invariants: Invariants,
         private readonly random: Randomness,
+        /** Decides which streams are broken off, so that everything else is drawn as without. */
+        private readonly breakRandom: Randomness,
+        private readonly resumesStreams: boolean,
     ) {}
 
-    static create(deployment: SoakDeployment, invariants: Invariants, random: Randomness): Callers {
-        return new Callers(deployment, invariants, random);
+    /** `resumesStreams`: whether callers break streams off and resume them at other gateways. */
+    static create(
+        deployment: SoakDeployment,
+        invariants: Invariants,
+        random: Randomness,
+        breakRandom: Randomness,
+        resumesStreams: boolean,
+    ): Callers {
+        return new Callers(deployment, invariants, random, breakRandom, resumesStreams);
     }
 
     /** Starts to send requests at a fixed rate. */
@@ -97,21 +114,62 @@
         const key = keyOfRequest(this.createdRequests, this.invariants.newestAcknowledged());
         const now = performance.now();
         const request = this.invariants.requestSent(`a${this.createdRequests}`, kind, gateway.name, now, key);
-        const done = this.exchange(gateway, request, `${routePrefixes[kind]}x`, abandonAfter).then(end => {
-            this.invariants.requestEnded(request, end, performance.now());
-            this.openRequests.delete(done);
-        });
+        const breakAfter = this.drawBreak(kind);
+        const done = this.exchange(gateway, request, `${routePrefixes[kind]}x`, abandonAfter, undefined, breakAfter)
+            .then(async end => {
+                this.invariants.requestEnded(request, end, performance.now());
+                await this.resume(request, breakAfter !== undefined, maxResumptions);
+                this.openRequests.delete(done);
+            });
         this.openRequests.add(done);
     }
 
+    /** Number of events after which a caller breaks its stream off; undefined if it doesn't. */
+    private drawBreak(kind: RouteKind): number | undefined {
+        const isBroken = this.resumesStreams && kind === "resumable"
+            && this.breakRandom.fraction() < breakOffProbability;
+        return isBroken ? this.breakRandom.integer(1, maxEventsBeforeBreak) : undefined;
+    }
+
+    /** Resumes a stream of which a part was received, at another gateway, if its caller broke it off or its connection was lost. */
+    private async resume(request: SoakRequest, hasBrokenOff: boolean, resumptionsLeft: number): Promise<void> {
+        const { kind, end, versions, resumes, key, attempt } = request;
+        const firstAttempt = resumes?.firstAttempt ?? attempt;
+        const lastEvent = (resumes?.lastEvent ?? 0) + versions.length;
+        const wasBroken = end?.kind === "cut" || (end?.kind === "left" && hasBrokenOff);
+        const wasRefused = resumes !== undefined && end?.kind === "answered" && end.status === 503;
+        const isOver = !wasBroken && !wasRefused || lastEvent === 0;
+        if (!this.resumesStreams || kind !== "resumable" || isOver || resumptionsLeft === 0) {
+            return;
+        }
+        await pause(resumePauses[this.breakRandom.integer(0, resumePauses.length - 1)]!);
+        const others = this.rotation.filter(({ name }) => name !== request.gateway);
+        const candidates = others.length > 0 ? others : this.rotation;
+        const gateway = candidates[this.breakRandom.integer(0, candidates.length - 1)]!;
+        this.createdRequests += 1;
+        const resumption = { firstAttempt, lastEvent };
+        const next = this.invariants.requestSent(
+            `a${this.createdRequests}`,
+            kind,
+            gateway.name,
+            performance.now(),
+            key,
+            resumption,
+        );
+        const nextEnd = await this.exchange(gateway, next, `${routePrefixes[kind]}x`, undefined);
+        this.invariants.requestEnded(next, nextEnd, performance.now());
+        await this.resume(next, false, resumptionsLeft - 1);
+    }
+
     private exchange(
         gateway: Member,
         request: SoakRequest,
         path: string,
         abandonAfterMilliseconds: number | undefined,
-        body = `body of ${request.attempt}`,
+        body = `body of ${request.resumes?.firstAttempt ?? request.attempt}`,
+        breakAfterEvents = Number.POSITIVE_INFINITY,
     ): Promise<CallerEnd> {
-        const { attempt, kind } = request;
+        const { attempt, kind, resumes } = request;
         return new Promise(resolve => {
             const timers: NodeJS.Timeout[] = [];
             const settle = (end: CallerEnd): void => {
@@ -123,7 +181,11 @@
                 path,
                 method: kind === "safe" ? "GET" : "POST",
                 agent: this.random.fraction() < newConnectionProbability ? false : this.agent(gateway),
-                headers: { Host: routeHost, ...callerHeaders(attempt, deadlineMilliseconds, request.key.key) },
+                headers: {
+                    Host: routeHost,
+                    ...callerHeaders(attempt, deadlineMilliseconds, request.key.key),
+                    ...resumes === undefined ? {} : resumptionHeaders(resumes.firstAttempt, resumes.lastEvent),
+                },
             });
             const disconnect = (end: CallerEnd): void => {
                 settle(end);
@@ -142,7 +204,12 @@
             if (abandonAfterMilliseconds !== undefined) {
                 timers.push(setTimeout(() => disconnect({ kind: "left" }), abandonAfterMilliseconds));
             }
-            clientRequest.on("response", response => void readAnswer(response, request).then(settle));
+            const onEvents = (count: number): void => {
+                if (count >= breakAfterEvents) {
+                    disconnect({ kind: "left" });
+                }
+            };
+            clientRequest.on("response", response => void readAnswer(response, request, onEvents).then(settle));
             clientRequest.on("error", error => settle({ kind: "cut", cause: error.message }));
             clientRequest.end(kind === "safe" ? undefined : body);
         });
@@ -163,20 +230,29 @@
 }
 
 /** Reads a response to its end and compares its body with the one expected for the request. */
-function readAnswer(response: http.IncomingMessage, { attempt, kind }: SoakRequest): Promise<CallerEnd> {
+function readAnswer(
+    response: http.IncomingMessage,
+    request: SoakRequest,
+    onEvents: (count: number) => void,
+): Promise<CallerEnd> {
+    const { attempt, kind, resumes } = request;
     return new Promise(resolve => {
         let body = "";
         response.on("data", chunk => {
             body += String(chunk);
+            request.versions = eventVersions(body);
+            onEvents(request.versions.length);
         });
         response.on("error", () => undefined);
         response.on("close", () => {
             const { statusCode: status = 0, complete } = response;
-            const expected = kind === "safe" || kind === "unsafe" ? plainText(attempt) : streamText(attempt);
+            const isRight = kind === "safe" || kind === "unsafe"
+                ? body === plainText(attempt)
+                : isRestOfStream(body, resumes?.firstAttempt ?? attempt, resumes?.lastEvent ?? 0);
             const sealed = answerSeal(response.headers) !== undefined;
             resolve(
                 complete
-                    ? { kind: "answered", status, sealed, right: body === expected }
+                    ? { kind: "answered", status, sealed, right: isRight }
                     : { kind: "cut", cause: `the response was cut off after ${body.length} bytes` },
             );
         });
--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -4,7 +4,7 @@
 import { operatorPaths } from "../platform/src/standins/wire.js";
 import { Addresses } from "../playground/harness/addresses.js";
 import { pause, until } from "../playground/harness/index.js";
-import { Backend } from "./backend.js";
+import { Backend, type KeptCache } from "./backend.js";
 import type { Invariants } from "./invariants.js";
 import { Member } from "./member.js";
 import { PartitionFile } from "./partitionFile.js";
@@ -35,7 +35,7 @@
     /** Directories that were replaced: they stay down, but their logs are still checked. */
     readonly replaced: Member[] = [];
     readonly backends: Backend[] = [];
-    private readonly caches = new Map<string, string>();
+    private readonly caches = new Map<string, KeptCache>();
     private closed = false;
     private createdBackends = 0;
     private createdDirectories = 0;
@@ -118,17 +118,22 @@
         return this.directories.map(({ host }) => `${host}:${this.ports.calls}`);
     }
 
-    /** Starts a backend server with a new name, or with `name` if it is a new incarnation of an earlier one. */
+    /**
+     * Starts a backend server with a new name, or with `name` if it is a new incarnation of an earlier one. `version`: of its software; by
+     * default those of the plan take turns.
+     */
     async addBackend(
         service: "plain" | "pool",
         stage: "prefill" | "decode" | undefined,
         name?: string,
+        version = this.nextVersion(),
     ): Promise<Backend> {
         this.createdBackends += 1;
         const backend = await Backend.create({
             id: name ?? `${service}-${this.createdBackends}`,
             service,
             stage,
+            version,
             failureDomain: failureDomains[this.createdBackends % failureDomains.length]!,
             host: this.addresses.host(backendHostNumber),
             directories: () => this.callAddresses(),
@@ -140,6 +145,12 @@
         return backend;
     }
 
+    /** Software version of the next backend server: the versions take turns if the plan has several. */
+    private nextVersion(): string {
+        const { versions = 1 } = this.plan;
+        return `v${1 + this.createdBackends % versions}`;
+    }
+
     /** Crashes a backend server without a replacement. */
     removeBackend(backend: Backend): void {
         const position = this.backends.indexOf(backend);
@@ -154,7 +165,7 @@
         this.removeBackend(backend);
         await pause(replacementDelayMilliseconds);
         if (!this.closed) {
-            await this.addBackend(backend.service, backend.initialStage);
+            await this.addBackend(backend.service, backend.initialStage, undefined, backend.version);
         }
     }
 
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,5 +1,6 @@
 import { partitionKinds, pause } from "../playground/harness/index.js";
-import { type Backend, type Departure, departureKinds } from "./backend.js";
+import type { Backend } from "./backend.js";
+import { BackendDepartures, pickByFraction } from "./backendDepartures.js";
 import { type Callers, routePrefixes } from "./callers.js";
 import type { SoakDeployment } from "./deployment.js";
 import type { Invariants } from "./invariants.js";
@@ -21,8 +22,6 @@
 /** Interval between two copies of a poison request, and the time it is sent beyond the fault's duration: past the third crash. */
 const poisonIntervalMilliseconds = 250;
 const poisonExtraMilliseconds = 6_000;
-/** Time between two departures of a series. */
-const departureGapMilliseconds = 700;
 /** Delay between a stop and the next start of a process. */
 const restartDelayMilliseconds = 300;
 
@@ -32,6 +31,7 @@
     private diskLostAt: number | undefined;
     private directoriesHealthySince = 0;
     private readonly running = new Set<Promise<void>>();
+    private readonly departures: BackendDepartures;
 
     private constructor(
         private readonly deployment: SoakDeployment,
@@ -39,7 +39,9 @@
         private readonly invariants: Invariants,
         private readonly callers: Callers,
         private readonly report: (line: string) => void,
-    ) {}
+    ) {
+        this.departures = BackendDepartures.create(deployment, (fault, target) => this.recordFault(fault, target));
+    }
 
     static create(
         deployment: SoakDeployment,
@@ -109,8 +111,9 @@
             slowBackend: () =>
                 this.impairBackend(fault, backend => (backend.slowdownFactor = backendSlowdownFactor), restoreSpeed),
             drainBackend: () =>
-                this.replaceBackend(fault, { kind: "draining", directory: 0, lateHeartbeat: undefined }),
-            leaveBackends: () => this.leaveBackends(fault),
+                this.departures.replaceOne(fault, { kind: "draining", directory: 0, lateHeartbeat: undefined }),
+            leaveBackends: () => this.departures.leaveInSeries(fault),
+            replaceVersion: () => this.departures.replaceVersion(fault),
             lapseHandles: () => this.impairBackend(fault, backend => (backend.expiresHandles = true), restoreHandles),
             loseAnswers: () => this.impairBackend(fault, backend => (backend.dropsResponses = true), restoreResponses),
             limitBackend: () => this.limitBackend(fault),
@@ -330,28 +333,6 @@
         ends.forEach(end => end(performance.now()));
     }
 
-    /** Backend servers leave in series, each in another way. */
-    private async leaveBackends(fault: Fault): Promise<void> {
-        const departures = departureKinds.map(async (kind, number) => {
-            await pause(number * departureGapMilliseconds);
-            await this.replaceBackend(fault, {
-                kind,
-                directory: number + 1,
-                lateHeartbeat: kind === "draining" ? undefined : fault.lasts,
-            });
-        });
-        await Promise.all(departures);
-    }
-
-    /** Starts a new backend server, and lets an old one leave. */
-    private async replaceBackend(fault: Fault, departure: Departure): Promise<void> {
-        const backend = pickByFraction(this.deployment.backends.filter(one => !one.isDraining()), fault.pick);
-        this.recordFault(fault, `${backend.id} (${departure.kind})`);
-        await this.deployment.addBackend(backend.service, backend.initialStage);
-        await backend.leave(departure);
-        this.deployment.removeBackend(backend);
-    }
-
     private startAgain(member: Member): void {
         this.invariants.arrivals.gatewayStarted(member.name, performance.now());
         member.start();
@@ -381,7 +362,3 @@
 function restoreResponses(backend: Backend): void {
     backend.dropsResponses = false;
 }
-
-function pickByFraction<T>(all: readonly T[], fraction: number): T {
-    return all[Math.min(all.length - 1, Math.floor(fraction * all.length))]!;
-}
--- a/soak/invariants.ts
+++ b/soak/invariants.ts
@@ -1,6 +1,7 @@
 import type { ReceivedRequest, RouteKind } from "../platform/src/standins/wire.js";
 import { busyAllowance, busyOrganisation, type RequestKey } from "./organisations.js";
 import { type Arrival, ServerArrivals } from "./serverArrivals.js";
+import { streamViolations } from "./streamViolations.js";
 
 /** Statuses which guarantee that a request has not run and will not run. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -61,10 +62,17 @@
     readonly sentAt: number;
     /** Each run of the request: its backend server, its start and its end. */
     readonly runs: { readonly server: string; readonly begunAt: number; endedAt: number | undefined; }[];
+    /** The stream that it resumes: the attempt that began it, and the last event that its caller has. */
+    readonly resumes: Resumption | undefined;
+    /** Software versions of the engines that made the events which its caller received, in order. */
+    versions: readonly string[];
     end: CallerEnd | undefined;
     endedAt: number;
 };
 
+/** A stream that a caller resumes: the attempt that began it, and the last event that the caller has. */
+export type Resumption = { readonly firstAttempt: string; readonly lastEvent: number; };
+
 /** A time span in which an unplanned fault was active, in milliseconds. */
 export type Disturbance = { readonly what: string; readonly from: number; to: number; };
 
@@ -131,8 +139,16 @@
         return others.some(span => span.from <= now && span.to >= now - contactMilliseconds);
     }
 
-    requestSent(attempt: string, kind: RouteKind, gateway: string, now: number, key: RequestKey): SoakRequest {
-        const request: SoakRequest = { attempt, kind, gateway, key, sentAt: now, runs: [], end: undefined, endedAt: 0 };
+    requestSent(
+        attempt: string,
+        kind: RouteKind,
+        gateway: string,
+        now: number,
+        key: RequestKey,
+        resumes?: Resumption,
+    ): SoakRequest {
+        const common = { attempt, kind, gateway, key, resumes, sentAt: now };
+        const request: SoakRequest = { ...common, runs: [], versions: [], end: undefined, endedAt: 0 };
         this.requests.set(attempt, request);
         this.arrivals.requestSent(kind === "safe" || kind === "unsafe" ? "plain" : "pool", now);
         return request;
@@ -277,6 +293,8 @@
         this.requests.forEach(request => this.checkRequest(request));
         this.checkAllowance();
         this.checkPartitions();
+        const isDisturbed = (from: number, to: number): boolean => this.isDisturbed(from, to);
+        this.violations.push(...streamViolations([...this.requests.values()], isDisturbed));
         this.arrivals.limitViolations().forEach(what => this.violate("a server's limit", what));
         this.arrivals.retryViolations().forEach(what => this.violate("the retry allowance", what));
         return this.violations;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -19,6 +19,10 @@
         default: true,
         describe: "whether backend servers leave in series; without, a seed's plan is as it was before they did",
     })
+    .option("versions", {
+        type: "boolean",
+        describe: "whether they have several software versions, and callers take streams up; as departures by default",
+    })
     .option("logs", { type: "string", default: "target/soak", describe: "folder for the logs of failed runs" })
     .strict()
     .parse();
@@ -30,9 +34,10 @@
 }
 
 const first = options.first ?? Math.floor(Date.now() / 1_000) % 1_000_000;
-const { seconds, gateways, directories, departures } = options;
+const { seconds, gateways, directories, departures, versions } = options;
 const size = {
     departures,
+    ...versions === undefined ? {} : { versions },
     ...seconds === undefined ? {} : { seconds },
     ...gateways === undefined ? {} : { gateways },
     ...directories === undefined ? {} : { directories },
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -37,8 +37,13 @@
     "invalidConfiguration",
 ] as const;
 
-/** The kind of a fault. `limitBackend`, `partitionGateways` and `leaveBackends` are planned apart from the others. */
-export type FaultKind = typeof faultKinds[number] | "limitBackend" | "partitionGateways" | "leaveBackends";
+/** The kind of a fault. Those from `limitBackend` on are planned apart from the others. */
+export type FaultKind =
+    | typeof faultKinds[number]
+    | "limitBackend"
+    | "partitionGateways"
+    | "leaveBackends"
+    | "replaceVersion";
 
 /** Planned operations: they must not cut off any request while no fault is active. */
 export const plannedKinds: ReadonlySet<FaultKind> = new Set<FaultKind>([
@@ -51,6 +56,7 @@
     "invalidConfiguration",
     "limitBackend",
     "leaveBackends",
+    "replaceVersion",
 ]);
 /** Planned operations that a plan draws from. */
 const drawnPlannedKinds = faultKinds.filter(kind => plannedKinds.has(kind));
@@ -74,6 +80,8 @@
     /** Milliseconds within which faults begin. */
     readonly length: number;
     readonly requestsPerSecond: number;
+    /** Number of software versions of backend servers that serve side by side; callers take streams up if there are several. @default 1 */
+    readonly versions?: number;
     readonly faults: readonly Fault[];
 };
 
@@ -84,6 +92,8 @@
     readonly directories?: number;
     /** Whether backend servers leave in series. @default true */
     readonly departures?: boolean;
+    /** Whether they have several software versions, and callers take streams up. @default `departures` */
+    readonly versions?: boolean;
 };
 
 const defaultSeconds = 14;
@@ -144,8 +154,13 @@
     if (seed % plannedOnlySeedInterval !== 0) {
         faults.push(...createPartitions(seed, length));
     }
+    const hasVersions = size.versions ?? size.departures ?? true;
+    if (hasVersions) {
+        faults.push(createReplacement(seed, length));
+    }
     faults.sort((one, other) => one.at - other.at);
-    return { seed, directories, gateways, engines: 6, plainServers: 3, length, requestsPerSecond: 30, faults };
+    const common = { seed, directories, gateways, plainServers: 3, length, requestsPerSecond: 30, faults };
+    return hasVersions ? { ...common, engines: 8, versions: 2 } : { ...common, engines: 6 };
 }
 
 /**
@@ -183,6 +198,17 @@
     }));
 }
 
+/** Engines of one version are replaced in series by engines of another, beside the other faults, which are the same as without it. */
+function createReplacement(seed: number, length: number): Fault {
+    const random = SeededRandomness.create(-3_000_000 - seed);
+    return {
+        kind: "replaceVersion",
+        at: random.integer(0, Math.floor(length / 2)),
+        lasts: random.integer(minDurationMilliseconds, maxDurationMilliseconds),
+        pick: random.fraction(),
+    };
+}
+
 /** One backend server names a limit beside the other faults, which are the same as without it. */
 function createLimit(seed: number, length: number): Fault {
     const random = SeededRandomness.create(-1 - seed);
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -57,7 +57,9 @@
         private readonly invariants: Invariants,
         random: Randomness,
     ) {
-        this.callers = Callers.create(deployment, invariants, random);
+        const { seed, versions = 1 } = plan;
+        const breakRandom = SeededRandomness.create(-1 - seed);
+        this.callers = Callers.create(deployment, invariants, random, breakRandom, versions > 1);
         this.operator = Operator.create(deployment, invariants, random);
     }
 
--- a/soak/texts.ts
+++ b/soak/texts.ts
@@ -12,19 +12,26 @@
     return `${attempt} `.repeat(Math.ceil(plainBodyLength / (attempt.length + 1))).slice(0, plainBodyLength);
 }
 
-/** Number of events in a streamed response; derived from the attempt. */
-export function eventCount(attempt: string): number {
-    return minEvents + Math.floor(hashToFraction(attempt) * (maxEvents - minEvents));
+/** Number of events in a stream; derived from the attempt that began it. */
+export function eventCount(firstAttempt: string): number {
+    return minEvents + Math.floor(hashToFraction(firstAttempt) * (maxEvents - minEvents));
 }
 
-/** One event of a streamed response, numbered from 1. */
-export function eventText(attempt: string, number: number): string {
-    return `id: ${number}\ndata: ${attempt} ${number}\n\n`;
+/** One event of a stream, numbered from 1. `version`: the software version of the engine that made it. */
+export function eventText(firstAttempt: string, number: number, version: string): string {
+    return `id: ${number}\ndata: ${firstAttempt} ${number} ${version}\n\n`;
 }
 
-/** The whole body of a streamed response. */
-export function streamText(attempt: string): string {
-    return Array.from({ length: eventCount(attempt) }, (_, index) => eventText(attempt, index + 1)).join("");
+/** The software versions of the engines that made the complete events of a stream's text, in order. */
+export function eventVersions(text: string): string[] {
+    return [...text.matchAll(/^data: \S+ \d+ (\S+)\n\n/gm)].map(([, version = ""]) => version);
+}
+
+/** Whether a text holds all events of a stream after the given one, each once and in order. */
+export function isRestOfStream(text: string, firstAttempt: string, lastEvent: number): boolean {
+    const versions = eventVersions(text);
+    const expected = versions.map((version, index) => eventText(firstAttempt, lastEvent + index + 1, version));
+    return lastEvent + versions.length === eventCount(firstAttempt) && text === expected.join("");
 }
 
 /** Prefix of a request body that crashes each backend server that starts to run it. */
