fix: a stop signal that arrives while a daemon starts closes it instead of terminating its process

Handlers were installed once the daemon had started. Signals are now collected from the process's start and passed on; the test fails without. Looked for elsewhere: the command line's daemons had the same gap.

--- a/packages/basilpaddle/src/node/cli/commands/daemon.ts
+++ b/packages/basilpaddle/src/node/cli/commands/daemon.ts
@@ -1,5 +1,6 @@
 import {
     type DaemonExit,
+    EarlyStopSignals,
     resolveSettings,
     serveUntilStopped,
     startControl,
@@ -31,11 +32,12 @@
 
 async function serve(settings: Settings): Promise<ExitCode> {
     const logger = createLogger(settings.name, settings.log.level);
+    const early = EarlyStopSignals.create();
     const daemon = await start(settings, logger);
     if (daemon === undefined) {
         return exitCodes.failed;
     }
-    const code = exitCodeOf(await serveUntilStopped(daemon, logger));
+    const code = exitCodeOf(await serveUntilStopped(daemon, logger, process, early.take()));
     logger.info("ended", { exitCode: code });
     // Pending work, such as a connection attempt to an unreachable host, must not keep the process of a stopped daemon alive.
     setImmediate(() => process.exit(code));
--- a/packages/basilpaddle/src/node/daemon/start/__tests__/daemonLifecycle.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/start/__tests__/daemonLifecycle.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { EventEmitter } from "node:events";
 import { createSilentLogger } from "../../../utils/index.js";
-import { serveUntilStopped } from "../daemonLifecycle.js";
+import { EarlyStopSignals, serveUntilStopped } from "../daemonLifecycle.js";
 import { RunningDaemon, type ShutdownReport } from "../runningDaemon.js";
 
 /** A daemon with one request in progress, which completes on `finish()` or is aborted by a second call of `stop()`. */
@@ -67,4 +67,17 @@
         daemon.fail("the disk failed");
         expect(await ended).to.deep.equal({ kind: "failed", cause: "the disk failed" });
     });
+
+    // Guards against a process that a stop signal terminates while its daemon starts, with nothing closed.
+    it("ends as stopped on a signal that arrived while it started", async () => {
+        const starting = new EventEmitter();
+        const early = EarlyStopSignals.create(starting);
+        starting.emit("SIGTERM", "SIGTERM");
+        const started = new FakeDaemon();
+        const end = serveUntilStopped(started, createSilentLogger(), starting, early.take());
+        expect(started.stopCalls).to.equal(1);
+        started.finish();
+        expect(await end).to.deep.equal({ kind: "stopped" });
+        expect(starting.eventNames()).to.deep.equal([]);
+    });
 });
--- a/packages/basilpaddle/src/node/daemon/start/daemonLifecycle.ts
+++ b/packages/basilpaddle/src/node/daemon/start/daemonLifecycle.ts
@@ -13,14 +13,35 @@
 /** Time that a shutdown may still take after the second signal. */
 const forcedShutdownTimeoutMilliseconds = 10_000;
 
+/** Collects the stop signals that arrive while a daemon starts: without a handler, the first one would terminate the process at once. */
+export class EarlyStopSignals {
+    private readonly received: string[] = [];
+    private readonly onSignal = (signal: string): void => void this.received.push(signal);
+
+    private constructor(private readonly signals: EventEmitter) {
+        stopSignals.forEach(signal => signals.on(signal, this.onSignal));
+    }
+
+    static create(signals: EventEmitter = process): EarlyStopSignals {
+        return new EarlyStopSignals(signals);
+    }
+
+    /** Stops collecting, and returns the signals that have arrived. */
+    take(): readonly string[] {
+        stopSignals.forEach(signal => this.signals.off(signal, this.onSignal));
+        return this.received;
+    }
+}
+
 /**
  * Runs the daemon until a stop signal, an uncaught error or a failure of the daemon. The first signal starts a graceful
- * shutdown, the second one aborts requests in progress.
+ * shutdown, the second one aborts requests in progress. `early`: signals that arrived while the daemon started.
  */
 export async function serveUntilStopped(
     daemon: RunningDaemon,
     logger: Logger,
     signals: EventEmitter = process,
+    early: readonly string[] = [],
 ): Promise<DaemonExit> {
     const lifecycle = new DaemonLifecycle(daemon, logger);
     const onSignal = (signal: string): void => lifecycle.signal(signal);
@@ -28,6 +49,7 @@
     stopSignals.forEach(signal => signals.on(signal, onSignal));
     signals.on("uncaughtException", onUncaughtError);
     signals.on("unhandledRejection", onUncaughtError);
+    early.forEach(onSignal);
     void daemon.failure.then(cause => lifecycle.fail(cause, undefined));
     try {
         return await lifecycle.ended;
