--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/decisions.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/decisions.spec.ts
@@ -278,4 +278,19 @@
         const long = { prefillTime: 10_000, allocationTime: 100, cacheTokens: 1_000 };
         expect(planStages(engines(1, 2), rule, long).length).to.equal(1);
     });
+
+    // Guards against a version of which one engine after the other is turned to prefill, until none can go on with its streams.
+    it("plans the engines of each software version by themselves", () => {
+        const version = (softwareVersion: string, prefill: number, decode: number) => {
+            return engines(prefill, decode).map(engine => {
+                return { ...engine, id: `${softwareVersion}-${engine.id}`, softwareVersion };
+            });
+        };
+        const planned = (...versions: ReturnType<typeof version>[]): string[] => {
+            return planStages(versions.flat(), rule).map(({ engine, stage }) => `${engine.id} to ${stage}`);
+        };
+        expect(planned(version("v1", 1, 0), version("v2", 2, 6))).to.deep.equal(["v1-prefill-0 to decode"]);
+        expect(planned(version("v1", 0, 2), version("v2", 2, 6))).to.deep.equal([]);
+        expect(planned(version("v1", 3, 1))).to.deep.equal(planned(version("v1", 3, 1), version("v2", 2, 6)));
+    });
 });
