--- a/soak/main.ts
+++ b/soak/main.ts
@@ -56,8 +56,9 @@
 
 async function runSeed(seed: number): Promise<boolean> {
     const report = await runSoak(createPlan(seed, size));
-    const { violations, requests, ends, cuts, faults } = report;
-    const summary = `${requests} requests ${JSON.stringify(ends)} ${JSON.stringify(cuts)}, ${faults.length} faults`;
+    const { violations, requests, ends, cuts, streams, faults } = report;
+    const [endCounts, cutCounts, streamCounts] = [ends, cuts, streams].map(counts => JSON.stringify(counts));
+    const summary = `${requests} requests ${endCounts} ${cutCounts}, streams ${streamCounts}, ${faults.length} faults`;
     if (violations.length === 0) {
         console.log(`seed ${seed}: kept; ${summary}`);
         return true;
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -25,6 +25,8 @@
     readonly ends: Readonly<Record<string, number>>;
     /** Number of requests that were cut off, by the error that their callers observed. */
     readonly cuts: Readonly<Record<string, number>>;
+    /** Numbers of streams that callers resumed, of those that were answered whole, and of those with events of two versions. */
+    readonly streams: { readonly resumed: number; readonly wentOn: number; readonly mixed: number; };
     /** The injected faults, in order. */
     readonly faults: readonly string[];
     /** The output of the daemon processes, by name. */
@@ -97,7 +99,13 @@
         }
         const logs = new Map(this.allMembers().map(member => [member.name, member.output()]));
         const { violations, requests } = invariants;
-        return { seed: plan.seed, violations, requests: requests.size, ends, cuts, faults, logs };
+        const resumptions = [...requests.values()].filter(({ resumes }) => resumes !== undefined);
+        const streams = {
+            resumed: resumptions.length,
+            wentOn: resumptions.filter(({ end }) => end?.kind === "answered" && end.status === 200).length,
+            mixed: violations.filter(({ invariant }) => invariant === "one version").length,
+        };
+        return { seed: plan.seed, violations, requests: requests.size, ends, cuts, streams, faults, logs };
     }
 
     /** Waits until every gateway serves every kind of request. */
