fix(gateway): streams that began while a service had one version are recorded once it has a second one

Callers whose streams were under way when the second version appeared would have been refused when they took them up: nothing had been recorded, and directories had seen two versions. The gateway reports them with the first engine of another version, and to a directory that it reaches again; the test fails without. Metrics count how resumed streams end, and a request's steps name the version it is bound to.

--- a/packages/basilpaddle/src/node/cli/explanation.ts
+++ b/packages/basilpaddle/src/node/cli/explanation.ts
@@ -109,7 +109,7 @@
 
 /** Backend servers that a path names: `read ID ...` and `run ID ...` of streams, `ID outcome ...` of plain requests. */
 function serversInPath(path: readonly string[]): ReadonlySet<string> {
-    const stepsWithoutServer = new Set(["placed", "first", "refused", "heldBack", "pause", "resumes"]);
+    const stepsWithoutServer = new Set(["placed", "first", "refused", "heldBack", "pause", "resumes", "bound"]);
     const stepWords = path.map(step => step.split(" ")).filter(([first = ""]) => !stepsWithoutServer.has(first));
     return new Set(stepWords.map(([first = "", second = ""]) => first === "read" || first === "run" ? second : first));
 }
--- a/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
@@ -53,8 +53,8 @@
     readonly knownCrashes: () => readonly CrashRecord[];
     /** Called with each configuration that is newer than all before; if absent, no configuration is fetched. */
     readonly onDocument?: (version: number, content: string) => void;
-    /** Called with a directory that has started anew, or is reached for the first time. */
-    readonly onDirectoryStarted?: (directory: KnownDirectory) => void;
+    /** Called with a directory that is reached for the first time or again, or has been restarted. */
+    readonly onDirectoryReached?: (directory: KnownDirectory) => void;
 };
 
 /** A directory that is known here, and whether it answered its last watch request. */
@@ -302,7 +302,9 @@
         }
         if (directory.incarnation !== update.incarnation) {
             this.crashReports.resendKnown(directory);
-            this.options.onDirectoryStarted?.(directory);
+        }
+        if (directory.incarnation !== update.incarnation || !directory.reached) {
+            this.options.onDirectoryReached?.(directory);
         }
         directory.reached = true;
         directory.incarnation = update.incarnation;
--- a/packages/basilpaddle/src/node/coordination/streams/versionHistory.ts
+++ b/packages/basilpaddle/src/node/coordination/streams/versionHistory.ts
@@ -15,13 +15,14 @@
         return new VersionHistory(knownSince);
     }
 
-    /** Records that engines are served; to be called for each that becomes known, and periodically for those that are present. */
-    observe(servers: readonly ServerAnnouncement[], now: number): void {
-        for (const server of servers) {
-            if (server.stage !== undefined) {
-                this.recordSeen(server.service, softwareVersionOf(server), now);
-            }
-        }
+    /**
+     * Records that engines are served; to be called for each that becomes known, and periodically for those that are present. Returns
+     * whether a service has got a version beside another one.
+     */
+    observe(servers: readonly ServerAnnouncement[], now: number): boolean {
+        const engines = servers.filter(({ stage }) => stage !== undefined);
+        const added = engines.map(server => this.recordSeen(server.service, softwareVersionOf(server), now));
+        return added.some(isFurther => isFurther);
     }
 
     /** Versions of a service that were seen within so many milliseconds. */
@@ -53,8 +54,10 @@
         seen.forEach(({ service, version, age }) => this.recordSeen(service, version, now - age));
     }
 
-    private recordSeen(service: string, version: string, at: number): void {
+    /** Records a version; returns whether it is new beside another one. */
+    private recordSeen(service: string, version: string, at: number): boolean {
         const versions = this.seenAt.get(service) ?? new Map<string, number>();
+        const isFurther = versions.size > 0 && !versions.has(version);
         this.seenAt.set(service, versions);
         versions.set(version, Math.max(at, versions.get(version) ?? at));
         for (const [other, lastSeenAt] of versions) {
@@ -62,5 +65,6 @@
                 versions.delete(other);
             }
         }
+        return isFurther;
     }
 }
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamVersions.spec.ts
@@ -0,0 +1,67 @@
+import { expect } from "chai";
+import { Right } from "purify-ts";
+import { ManualClock } from "../../../../../../../simulation/manualClock.js";
+import { announced } from "../../../coordination/gateway/__tests__/fakes.js";
+import type { KnownDirectory } from "../../../coordination/index.js";
+import type { OriginReport } from "../../../protocol/index.js";
+import { createSilentLogger, SilentMetrics } from "../../../utils/index.js";
+import type { CallerRequest } from "../callerRequest.js";
+import { StreamVersions } from "../streamVersions.js";
+
+const timeout = 14_000;
+const lifetime = 2 * timeout + 2_000;
+
+function request(attempt: string): CallerRequest {
+    return { attempt, route: { timeout, resumable: true }, metadata: { promptTokens: 1 } } as unknown as CallerRequest;
+}
+
+describe("the versions of a gateway's streams", () => {
+    let clock: ManualClock;
+    let reports: OriginReport[];
+    let versions: StreamVersions;
+    const engine = (softwareVersion: string) => announced({ id: softwareVersion, stage: "decode", softwareVersion });
+
+    beforeEach(() => {
+        clock = new ManualClock();
+        reports = [];
+        const link = {
+            request: async (report: OriginReport) => {
+                reports.push(report);
+                return Right({ kind: "noted" });
+            },
+        };
+        const directory = { name: "directory", reached: true, link } as unknown as KnownDirectory;
+        versions = StreamVersions.create({
+            directories: () => [directory],
+            servers: () => [engine("v1")],
+            clock,
+            logger: createSilentLogger(),
+            metrics: SilentMetrics.create(),
+        });
+        versions.observe(engine("v1"));
+    });
+
+    afterEach(() => versions.close());
+
+    function reportedAttempts(): string[] {
+        return reports.flatMap(({ origins }) => origins.map(({ attempt }) => attempt));
+    }
+
+    it("are reported after the gateway's start, until it knows all versions that streams may have begun at", async () => {
+        versions.begin(request("early"), "pool", "v1", 1);
+        await clock.advance(lifetime);
+        expect(versions.begin(request("late"), "pool", "v1", 1)).to.equal(undefined);
+        await clock.advance(10);
+        expect(reportedAttempts()).to.deep.equal(["early"]);
+    });
+
+    // Guards against streams that can't be taken up because a second version has appeared since they began.
+    it("are reported with a service's second version, those under way as well", async () => {
+        await clock.advance(lifetime);
+        versions.begin(request("before"), "pool", "v1", 1);
+        versions.observe(engine("v2"));
+        versions.begin(request("after"), "pool", "v2", 1);
+        await clock.advance(10);
+        expect(reportedAttempts()).to.have.members(["before", "after"]);
+    });
+});
--- a/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
@@ -45,7 +45,9 @@
     /** Sends the run and forwards its events. `prompt`: the KV cache to fetch; undefined if the engine runs the prefill. */
     async execute(prompt: PrefilledPrompt | undefined): Promise<RunEnd> {
         const { exchange, sender, request, service, relay, binding } = this.options;
-        binding.bindTo(this.engine);
+        if (binding.bindTo(this.engine)) {
+            this.options.steps.push(`bound ${binding.version}`);
+        }
         const limit = TimeLimit.create(exchange.clock, request.remainingTime(), request.disconnected.signal);
         const stopTimer = this.mayResume
             ? exchange.clock.after(headLimitMilliseconds, () => limit.expire())
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -116,7 +116,7 @@
                 this.streamVersions.observe(announced);
                 applyAnnouncement(this.instances, announced, directory, logger);
             },
-            onDirectoryStarted: directory => this.streamVersions.resend(directory),
+            onDirectoryReached: directory => this.streamVersions.resend(directory),
             onServerLimits: observed => this.serverAdmission.observeLeader(observed),
             onCrashes: records => void this.quarantinedRequests.merge(records),
             knownCrashes: () => this.quarantinedRequests.all(),
--- a/packages/basilpaddle/src/node/daemon/gateway/streamBinding.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamBinding.ts
@@ -50,13 +50,18 @@
         return origin;
     }
 
-    /** Binds the stream to the version of its first run, whether that sends anything or not: directories may know of it already. */
-    bindTo(engine: ServerAnnouncement): void {
-        if (this.boundVersion === undefined && this.request.route.resumable) {
-            this.bindings += 1;
-            this.boundVersion = softwareVersionOf(engine);
-            this.reportedOrigin = this.versions.begin(this.request, this.service, this.boundVersion, this.bindings);
+    /**
+     * Binds the stream to the version of its first run, whether that sends anything or not: directories may know of it already. Returns
+     * whether it has been bound by this.
+     */
+    bindTo(engine: ServerAnnouncement): boolean {
+        if (this.boundVersion !== undefined || !this.request.route.resumable) {
+            return false;
         }
+        this.bindings += 1;
+        this.boundVersion = softwareVersionOf(engine);
+        this.reportedOrigin = this.versions.begin(this.request, this.service, this.boundVersion, this.bindings);
+        return true;
     }
 
     /** Lets the stream begin at another version, since no engine of this one is left and its caller has received nothing. */
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -102,6 +102,13 @@
         }
         finally {
             this.freePrompt();
+            if (this.binding.resumesStream) {
+                const outcome = request.outcome()?.end ?? "callerGone";
+                options.metrics.count("basilpaddle_resumed_streams_ended_total", {
+                    service: this.service.name,
+                    outcome,
+                });
+            }
         }
     }
 
--- a/packages/basilpaddle/src/node/daemon/gateway/streamVersions.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamVersions.ts
@@ -18,7 +18,7 @@
 const marginMilliseconds = 2_000;
 /** Longest name of an attempt that is looked up. */
 const maxAttemptLength = 200;
-/** Number of origins that are sent to a directory that has started anew. */
+/** Number of origins that are sent to a directory at once. */
 const maxResentOrigins = 500;
 
 /** Dependencies of `StreamVersions`. */
@@ -54,9 +54,14 @@
         return new StreamVersions(options);
     }
 
-    /** Records the version of an engine that becomes known. */
+    /**
+     * Records the version of an engine that becomes known. With a service's second version the streams that are under way have to be
+     * recorded too: they began while there was no need.
+     */
     observe(server: ServerAnnouncement): void {
-        this.history.observe([server], this.options.clock.monotonic());
+        if (this.history.observe([server], this.options.clock.monotonic())) {
+            this.options.directories().forEach(directory => this.resend(directory));
+        }
     }
 
     /**
@@ -109,7 +114,7 @@
         return origin;
     }
 
-    /** Sends the streams that began here to a directory that has started anew. */
+    /** Sends the streams that began here to a directory that may not know them: it was restarted, or out of reach. */
     resend(directory: KnownDirectory): void {
         this.reporter.resend(directory, this.own.latest(maxResentOrigins, this.options.clock.monotonic()));
     }
