--- a/soak/__tests__/soak.spec.ts
+++ b/soak/__tests__/soak.spec.ts
@@ -7,6 +7,7 @@
 import { runSoak, type SoakReport } from "../run.js";
 
 const shortSeeds = [1, 2, 4];
+const shortSeedsWithVersions = [3, 8];
 const shortSeconds = 6;
 
 /** Saves all logs of a run that violated an invariant, since the failure may not be reproducible. */
@@ -26,17 +27,25 @@
 
     for (const seed of shortSeeds) {
         it(`keeps every invariant in a short run of seed ${seed}`, async () => {
-            const report = await runSoak(createPlan(seed, { seconds: shortSeconds }));
+            const report = await runSoak(createPlan(seed, { seconds: shortSeconds, versions: false }));
             await expectNoViolation(report);
             expect(report.ends["200"]).to.be.above(50);
         });
     }
 
+    for (const seed of shortSeedsWithVersions) {
+        it(`keeps every invariant in a short run of seed ${seed} with engines of several versions`, async () => {
+            const report = await runSoak(createPlan(seed, { seconds: shortSeconds }));
+            await expectNoViolation(report);
+            expect(report.streams.resumed).to.be.above(5);
+        });
+    }
+
     it("keeps every invariant while poison requests crash engines and plain servers", async () => {
         const faults = [0.2, 0.8].map((pick, index) => {
             return { kind: "deadlyRequests", at: 500 + 900 * index, lasts: 500, pick } as const;
         });
-        const report = await runSoak({ ...createPlan(1, { seconds: shortSeconds }), faults });
+        const report = await runSoak({ ...createPlan(1, { seconds: shortSeconds, versions: false }), faults });
         await expectNoViolation(report);
         expect([...report.logs.values()].filter(log => log.includes("a request is held back")).length).to.be.above(3);
     });
