--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -3,9 +3,10 @@
 import { answerSeal, callerHeaders, resumptionHeaders, type RouteKind } from "../platform/src/standins/wire.js";
 import { pause } from "../playground/harness/index.js";
 import type { SoakDeployment } from "./deployment.js";
-import type { CallerEnd, Invariants, SoakRequest } from "./invariants.js";
+import type { Invariants } from "./invariants.js";
 import type { Member } from "./member.js";
 import { freeKey, keyOfRequest } from "./organisations.js";
+import type { CallerEnd, SoakRequest } from "./soakRequest.js";
 import { eventVersions, isRestOfStream, plainText } from "./texts.js";
 
 /** Host that all routes match. */
--- a/soak/invariants.ts
+++ b/soak/invariants.ts
@@ -1,6 +1,7 @@
 import type { ReceivedRequest, RouteKind } from "../platform/src/standins/wire.js";
 import { busyAllowance, busyOrganisation, type RequestKey } from "./organisations.js";
 import { type Arrival, ServerArrivals } from "./serverArrivals.js";
+import type { CallerEnd, Resumption, SoakRequest, Violation } from "./soakRequest.js";
 import { streamViolations } from "./streamViolations.js";
 
 /** Statuses which guarantee that a request has not run and will not run. */
@@ -45,40 +46,9 @@
 const minServedAtPartitioned = 0.9;
 const partitionSlack = 2;
 
-/** How a request ended, as its caller saw it. */
-export type CallerEnd =
-    /** A response with its complete body; `right` if the body is the one expected for the request. */
-    | { readonly kind: "answered"; readonly status: number; readonly sealed: boolean; readonly right: boolean; }
-    /** A response that was cut off, or none at all. */
-    | { readonly kind: "cut"; readonly cause: string; }
-    | { readonly kind: "left"; };
-
-/** One request of a caller and everything that was observed of it; times in milliseconds. */
-export type SoakRequest = {
-    readonly attempt: string;
-    readonly kind: RouteKind;
-    readonly gateway: string;
-    readonly key: RequestKey;
-    readonly sentAt: number;
-    /** Each run of the request: its backend server, its start and its end. */
-    readonly runs: { readonly server: string; readonly begunAt: number; endedAt: number | undefined; }[];
-    /** The stream that it resumes: the attempt that began it, and the last event that its caller has. */
-    readonly resumes: Resumption | undefined;
-    /** Software versions of the engines that made the events which its caller received, in order. */
-    versions: readonly string[];
-    end: CallerEnd | undefined;
-    endedAt: number;
-};
-
-/** A stream that a caller resumes: the attempt that began it, and the last event that the caller has. */
-export type Resumption = { readonly firstAttempt: string; readonly lastEvent: number; };
-
 /** A time span in which an unplanned fault was active, in milliseconds. */
 export type Disturbance = { readonly what: string; readonly from: number; to: number; };
 
-/** A violation of an invariant. */
-export type Violation = { readonly invariant: string; readonly what: string; };
-
 /**
  * Checks what callers, backend servers and operators observed against the system's guarantees. Correctness invariants
  * hold under any fault; those that involve a time limit hold only while no unplanned fault is active.
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -3,10 +3,11 @@
 import { Callers } from "./callers.js";
 import { SoakDeployment } from "./deployment.js";
 import { FaultRunner } from "./faults.js";
-import { Invariants, type Violation } from "./invariants.js";
+import { Invariants } from "./invariants.js";
 import type { Member } from "./member.js";
 import { Operator } from "./operator.js";
 import type { SoakPlan } from "./plan.js";
+import type { Violation } from "./soakRequest.js";
 
 /** Time limit for each recovery step after the last fault, such as a gateway serving one kind of request again. */
 const recoveryTimeoutMilliseconds = 20_000;
--- a/soak/streamViolations.ts
+++ b/soak/streamViolations.ts
@@ -1,4 +1,4 @@
-import type { SoakRequest, Violation } from "./invariants.js";
+import type { SoakRequest, Violation } from "./soakRequest.js";
 
 /** Share of the streams that callers resume without a fault nearby which have to go on, compared with new ones, except for so many. */
 const minResumed = 0.9;
