fix(gateway): a report is acknowledged only by a directory that knows what it is; a cut gateway refuses resumed streams sooner

A directory of an earlier release drops a message that it doesn't know, and its empty answer counted as an acknowledgement: during a rollout of ours, streams that nobody had recorded would have left as recorded. And a gateway that reaches too few directories waited 0.3 s for them before it sent a caller on; 60 ms now. Tests of both fail without.

--- a/packages/basilpaddle/src/node/coordination/streams/__tests__/streams.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/streams/__tests__/streams.spec.ts
@@ -103,6 +103,24 @@
         expect(await resolve(undefined, reply(["v1"]), reply(["v1"]))).to.include({ kind: "known", version: "v1" });
     });
 
+    // Guards against callers that wait at a gateway which is cut off, before they are sent to another one.
+    it("isn't waited for where too few directories are reached", async () => {
+        const clock = new ManualClock();
+        const silent = { request: () => new Promise(() => undefined) };
+        const unreached = [1, 2].map(
+            name => ({ name: `${name}`, reached: false, link: silent } as unknown as KnownDirectory),
+        );
+        let origin: Awaited<ReturnType<typeof resolveOrigin>> | undefined;
+        void resolveOrigin([...unreached, directory(reply(["v1"]))], {
+            kind: "origin",
+            service: "pool",
+            within: keepFor,
+        }, clock)
+            .then(resolved => (origin = resolved));
+        await clock.advance(100);
+        expect(origin).to.include({ kind: "unknown", isReported: false });
+    });
+
     // Guards against a version that is guessed: each case has a way in which another one may have begun the stream.
     for (
         const [why, replies] of [
@@ -124,6 +142,8 @@
 });
 
 describe("a report of where a stream begins", () => {
+    const noted = { kind: "noted" };
+
     async function isAcknowledged(binding: number, ...answers: readonly unknown[]): Promise<boolean> {
         const clock = new ManualClock();
         const directories = answers.map(body => directory(body));
@@ -135,16 +155,21 @@
     }
 
     it("is acknowledged by more than half of the directories, or by all if one may know an earlier binding", async () => {
-        expect(await isAcknowledged(1, {}, {}, undefined)).to.equal(true);
-        expect(await isAcknowledged(1, {}, undefined, undefined)).to.equal(false);
-        expect(await isAcknowledged(2, {}, {}, undefined)).to.equal(false);
-        expect(await isAcknowledged(2, {}, {}, {})).to.equal(true);
+        expect(await isAcknowledged(1, noted, noted, undefined)).to.equal(true);
+        expect(await isAcknowledged(1, noted, undefined, undefined)).to.equal(false);
+        expect(await isAcknowledged(2, noted, noted, undefined)).to.equal(false);
+        expect(await isAcknowledged(2, noted, noted, noted)).to.equal(true);
+    });
+
+    // Guards against directories of an earlier release, which drop reports, being taken for ones that know the stream.
+    it("isn't acknowledged by directories that don't know such reports", async () => {
+        expect(await isAcknowledged(1, {}, {}, noted)).to.equal(false);
     });
 
     it("holds all that begin within a moment", async () => {
         const clock = new ManualClock();
         const received: unknown[] = [];
-        const directories = [directory({}, received)];
+        const directories = [directory(noted, received)];
         const reporter = OriginReporter.create({ directories: () => directories, clock, logger: createSilentLogger() });
         ["a", "b"].forEach(attempt => reporter.report(origin(attempt, "v1")));
         await clock.advance(10);
--- a/packages/basilpaddle/src/node/coordination/streams/originReporter.ts
+++ b/packages/basilpaddle/src/node/coordination/streams/originReporter.ts
@@ -1,4 +1,4 @@
-import { maxReportedOrigins, type OriginReport, type StreamOrigin } from "../../protocol/index.js";
+import { maxReportedOrigins, type OriginReport, originsNotedSchema, type StreamOrigin } from "../../protocol/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
 import type { KnownDirectory } from "../gateway/index.js";
 
@@ -117,7 +117,8 @@
         const report: OriginReport = { kind: "origins", origins: batch.origins.slice(0, maxReportedOrigins) };
         for (let attempt = 0; attempt < reportAttempts && !this.closed; attempt++) {
             const answer = await directory.link.request(report, reportTimeoutMilliseconds);
-            if (answer.isRight()) {
+            // A directory of an earlier release answers nothing to a message that it doesn't know.
+            if (originsNotedSchema.safeParse(answer.toMaybe().extract()).success) {
                 batch.recordAcknowledgement(directory.name);
                 return;
             }
--- a/packages/basilpaddle/src/node/coordination/streams/originResolver.ts
+++ b/packages/basilpaddle/src/node/coordination/streams/originResolver.ts
@@ -3,8 +3,9 @@
 import type { KnownDirectory } from "../gateway/index.js";
 import type { KnownOrigin } from "./streamOrigins.js";
 
-/** How long directories are waited for. A caller that resumes a stream has been waiting since it broke off. */
+/** How long directories are waited for, and while too few are reached to agree. A caller that resumes a stream has been waiting since it broke off. */
 const queryTimeoutMilliseconds = 300;
+const unreachedTimeoutMilliseconds = 60;
 
 /** Where the version that began a stream is known from. */
 export type OriginSource =
@@ -32,6 +33,8 @@
     clock: Clock,
 ): Promise<ResolvedOrigin> {
     const replies: OriginReply[] = [];
+    const reachesMost = directories.filter(({ reached }) => reached).length * 2 > directories.length;
+    const timeout = reachesMost ? queryTimeoutMilliseconds : unreachedTimeoutMilliseconds;
     return new Promise(resolve => {
         let pending = directories.length;
         const settle = (origin: ResolvedOrigin): void => {
@@ -44,9 +47,9 @@
                 settle(origin);
             }
         };
-        const cancel = clock.after(queryTimeoutMilliseconds, () => review(true));
+        const cancel = clock.after(timeout, () => review(true));
         const ask = async ({ link }: KnownDirectory): Promise<void> => {
-            const answer = await link.request(query, queryTimeoutMilliseconds);
+            const answer = await link.request(query, timeout);
             const reply = originReplySchema.safeParse(answer.toMaybe().extract()).data;
             replies.push(...reply === undefined ? [] : [reply]);
             pending -= 1;
--- a/packages/basilpaddle/src/node/daemon/directory/streamRegistry.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/streamRegistry.ts
@@ -3,6 +3,7 @@
     OriginQuery,
     OriginReply,
     OriginReport,
+    OriginsNoted,
     ServerAnnouncement,
     StoredVersionHistory,
 } from "../../protocol/index.js";
@@ -48,7 +49,7 @@
     }
 
     /** Handles a report or a query of a gateway. */
-    handle(message: OriginReport | OriginQuery): { readonly kind: "noted"; } | OriginReply {
+    handle(message: OriginReport | OriginQuery): OriginsNoted | OriginReply {
         const now = this.options.clock.monotonic();
         if (message.kind === "origins") {
             message.origins.forEach(origin => this.origins.record(origin, now));
--- a/packages/basilpaddle/src/node/protocol/streamOrigin.ts
+++ b/packages/basilpaddle/src/node/protocol/streamOrigin.ts
@@ -28,6 +28,9 @@
     origins: z.array(streamOriginSchema).max(maxReportedOrigins),
 });
 
+/** Reply to an origin report: it is recorded. */
+export const originsNotedSchema = z.object({ kind: z.literal("noted") });
+
 /** Query of a gateway to every directory: where a stream began, and which versions a service had. */
 export const originQuerySchema = z.object({
     kind: z.literal("origin"),
@@ -61,6 +64,8 @@
 export type StreamOrigin = z.infer<typeof streamOriginSchema>;
 /** Report of a gateway to every directory: origins of streams that it has begun. */
 export type OriginReport = z.infer<typeof originReportSchema>;
+/** Reply to an origin report. */
+export type OriginsNoted = z.infer<typeof originsNotedSchema>;
 /** Query of a gateway to every directory. */
 export type OriginQuery = z.infer<typeof originQuerySchema>;
 /** Answer to an origin query. */
