fix(soak): requests with keys that were taken away don't count as unserved at partitioned gateways

The check left out organisations over their allowance already. Both shares, and that of resumed streams, are now taken of requests that nothing but a fault keeps from being served; a test shows that as many 503s are still reported.

--- a/soak/__tests__/invariants.spec.ts
+++ b/soak/__tests__/invariants.spec.ts
@@ -37,6 +37,45 @@
         expect(violatedInvariants()).to.deep.equal(["held back"]);
     });
 
+    // Guards against a run that is called broken since requests with keys that were taken away came to partitioned gateways by chance.
+    it("reports partitioned gateways that serve less than the others, apart from keys that were taken away", () => {
+        invariants.partitioned("partitioned", 0)(60_000);
+        const takenAway = { ...freeKey, version: 1 };
+        const send = (number: number, gateway: string, status: number): void => {
+            const key = status === 401 ? takenAway : freeKey;
+            const request = invariants.requestSent(`${gateway}-${number}`, "safe", gateway, 10_000 + number, key);
+            invariants.requestEnded(
+                request,
+                { ...right, status, sealed: status === 200, right: status === 200 },
+                10_010 + number,
+            );
+        };
+        const counts = [["partitioned", 200, 36], ["partitioned", 401, 8], ["other", 200, 15]] as const;
+        counts.forEach(([gateway, status, count]) => {
+            Array.from({ length: count }, (_, number) => send(status * 100 + number, gateway, status));
+        });
+        expect(violatedInvariants()).to.deep.equal([]);
+        Array.from({ length: 8 }, (_, number) => send(number, "partitioned", 503));
+        expect(violatedInvariants()).to.include("partitioned gateways serve");
+    });
+
+    it("reports streams with events of two versions, and resumed streams that don't go on", () => {
+        const resume = (number: number, status: number, version: string): void => {
+            const begun = invariants.requestSent(`a${number}`, "resumable", "g", 0, freeKey);
+            begun.versions = ["v1"];
+            invariants.requestEnded(begun, { kind: "left" }, 10);
+            const resumption = { firstAttempt: `a${number}`, lastEvent: 1 };
+            const next = invariants.requestSent(`b${number}`, "resumable", "h", 20, freeKey, resumption);
+            next.versions = [version];
+            invariants.requestEnded(next, { ...right, status, sealed: status === 200, right: status === 200 }, 30);
+        };
+        Array.from({ length: 12 }, (_, number) => resume(number, 200, "v1"));
+        expect(violatedInvariants()).to.deep.equal([]);
+        resume(12, 200, "v2");
+        Array.from({ length: 8 }, (_, number) => resume(20 + number, 503, "v1"));
+        expect(violatedInvariants().sort()).to.deep.equal(["one version", "resumed streams go on"]);
+    });
+
     it("reports a not-run status for a request that has run, even if the request is idempotent", () => {
         const request = invariants.requestSent("a", "safe", "g", 0, freeKey);
         invariants.runStarted(runOf("a"), "one", 10)(20);
--- a/soak/invariants.ts
+++ b/soak/invariants.ts
@@ -1,5 +1,5 @@
 import type { ReceivedRequest, RouteKind } from "../platform/src/standins/wire.js";
-import { busyAllowance, busyOrganisation, type RequestKey } from "./organisations.js";
+import { busyAllowance, busyOrganisation, isAlwaysAdmitted, type RequestKey } from "./organisations.js";
 import { type Arrival, ServerArrivals } from "./serverArrivals.js";
 import type { CallerEnd, Resumption, SoakRequest, Violation } from "./soakRequest.js";
 import { streamViolations } from "./streamViolations.js";
@@ -282,7 +282,7 @@
             });
             if (
                 span === undefined || isOtherwiseDisturbed || end?.kind === "left"
-                || key.organisation === busyOrganisation
+                || !isAlwaysAdmitted(key)
             ) {
                 continue;
             }
--- a/soak/organisations.ts
+++ b/soak/organisations.ts
@@ -37,6 +37,11 @@
 /** The lasting key of the organisation without an allowance. */
 export const freeKey: RequestKey = { key: lastingKey(freeOrganisation), organisation: freeOrganisation };
 
+/** Whether a request with this key is answered whenever it can be: neither its allowance nor a key that was taken away is in the way. */
+export function isAlwaysAdmitted({ organisation, version }: RequestKey): boolean {
+    return organisation !== busyOrganisation && version === undefined;
+}
+
 /** The key of the request with this number; `newest`: the newest version that was acknowledged. */
 export function keyOfRequest(number: number, newest: number): RequestKey {
     if (number % versionKeyInterval === 0) {
--- a/soak/streamViolations.ts
+++ b/soak/streamViolations.ts
@@ -1,3 +1,4 @@
+import { isAlwaysAdmitted } from "./organisations.js";
 import type { SoakRequest, Violation } from "./soakRequest.js";
 
 /** Share of the streams that callers resume without a fault nearby which have to go on, compared with new ones, except for so many. */
@@ -12,8 +13,8 @@
     requests: readonly SoakRequest[],
     isDisturbed: (from: number, to: number) => boolean,
 ): readonly Violation[] {
-    const counted = requests.filter(({ kind, end, sentAt, endedAt }) => {
-        return kind === "resumable" && end?.kind !== "left" && !isDisturbed(sentAt, endedAt);
+    const counted = requests.filter(({ kind, key, end, sentAt, endedAt }) => {
+        return kind === "resumable" && isAlwaysAdmitted(key) && end?.kind !== "left" && !isDisturbed(sentAt, endedAt);
     });
     const resumed = counted.filter(({ resumes }) => resumes !== undefined);
     const begun = counted.filter(({ resumes }) => resumes === undefined);
