--- a/packages/basilpaddle/src/node/coordination/streams/originReporter.ts
+++ b/packages/basilpaddle/src/node/coordination/streams/originReporter.ts
@@ -6,7 +6,7 @@
 const reportTimeoutMilliseconds = 400;
 const reportAttempts = 8;
 const reportPauseMilliseconds = 100;
-/** How long origins are collected for one report: several gateways' worth of streams begin in a burst. */
+/** How long origins are collected for one report. */
 const reportDelayMilliseconds = 1;
 
 /** Origins that are reported together, and the directories that have acknowledged them. */
@@ -89,7 +89,7 @@
         };
     }
 
-    /** Sends origins to a directory that has started anew. */
+    /** Sends origins to one directory. */
     resend(directory: KnownDirectory, origins: readonly StreamOrigin[]): void {
         if (origins.length > 0) {
             const batch = OriginBatch.create();
--- a/packages/basilpaddle/src/node/daemon/gateway/streamVersions.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamVersions.ts
@@ -33,7 +33,7 @@
 
 /**
  * Which software version began each stream. What two versions write doesn't fit together, and engines don't check it: a caller that
- * took its stream up at another gateway would receive the rest from whichever engine is free.
+ * resumed its stream at another gateway would receive the rest from whichever engine is free.
  *
  * While a service has engines of several versions, a gateway tells more than half of the directories of each stream before its
  * first event is sent. While it has had only one for as long as a stream may last, nothing is recorded.
