refactor: one word for a caller that resumes its stream; engines of a version come from one place in tests

'Take up' and 'go on' stood beside 'resume' and 'continue' for the same thing. Two comments said that a stream is bound to the version of its first event: it is that of its first run.

--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/decisions.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/decisions.spec.ts
@@ -4,7 +4,7 @@
 import { ServerChoice } from "../serverChoice.js";
 import { ServiceRetryBudget, SharedRetryBudget } from "../serviceRetryBudget.js";
 import { planStages } from "../stagePlan.js";
-import { announced, engines, route, rule } from "./fakes.js";
+import { announced, engines, enginesOfVersion, route, rule } from "./fakes.js";
 
 const limits = { headerBytes: 1_000, bodyBytes: 1_000, headerTimeout: 1_000, idleTimeout: 1_000 };
 const services = [
@@ -279,18 +279,17 @@
         expect(planStages(engines(1, 2), rule, long).length).to.equal(1);
     });
 
-    // Guards against a version of which one engine after the other is turned to prefill, until none can go on with its streams.
+    // Guards against a version of which one engine after the other is turned to prefill, until none can continue its streams.
     it("plans the engines of each software version by themselves", () => {
-        const version = (softwareVersion: string, prefill: number, decode: number) => {
-            return engines(prefill, decode).map(engine => {
-                return { ...engine, id: `${softwareVersion}-${engine.id}`, softwareVersion };
-            });
-        };
-        const planned = (...versions: ReturnType<typeof version>[]): string[] => {
+        const planned = (...versions: ReturnType<typeof enginesOfVersion>[]): string[] => {
             return planStages(versions.flat(), rule).map(({ engine, stage }) => `${engine.id} to ${stage}`);
         };
-        expect(planned(version("v1", 1, 0), version("v2", 2, 6))).to.deep.equal(["v1-prefill-0 to decode"]);
-        expect(planned(version("v1", 0, 2), version("v2", 2, 6))).to.deep.equal([]);
-        expect(planned(version("v1", 3, 1))).to.deep.equal(planned(version("v1", 3, 1), version("v2", 2, 6)));
+        expect(planned(enginesOfVersion("v1", 1, 0), enginesOfVersion("v2", 2, 6))).to.deep.equal([
+            "v1-prefill-0 to decode",
+        ]);
+        expect(planned(enginesOfVersion("v1", 0, 2), enginesOfVersion("v2", 2, 6))).to.deep.equal([]);
+        expect(planned(enginesOfVersion("v1", 3, 1))).to.deep.equal(
+            planned(enginesOfVersion("v1", 3, 1), enginesOfVersion("v2", 2, 6)),
+        );
     });
 });
--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/fakes.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/fakes.ts
@@ -31,6 +31,15 @@
     return [...enginesOfStage("prefill", prefill), ...enginesOfStage("decode", decode)];
 }
 
+/** Announcements of engines of one software version, with the given number for each stage. */
+export function enginesOfVersion(softwareVersion: string, prefill: number, decode: number): ServerAnnouncement[] {
+    return engines(prefill, decode).map(engine => ({
+        ...engine,
+        id: `${softwareVersion}-${engine.id}`,
+        softwareVersion,
+    }));
+}
+
 /** The rule of the test pool's engines. */
 export const rule: EngineRule = { slots: 96, cacheTokens: 34_000, handleLife: 500, stageSwitch: 6_000 };
 
--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/placementVersions.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/placementVersions.spec.ts
@@ -1,18 +1,11 @@
 import { expect } from "chai";
 import { PlacementQueue } from "../placementQueue.js";
-import { engines, rule, typicalPlacementRequest } from "./fakes.js";
+import { enginesOfVersion, rule, typicalPlacementRequest } from "./fakes.js";
 
 describe("placements while engines of several software versions serve", () => {
     function createMixedQueue(...versions: (readonly [version: string, prefill: number, decode: number])[]) {
         const queue = PlacementQueue.create({ fill: 1, share: 1 });
-        queue.setEngines(
-            versions.flatMap(([softwareVersion, prefill, decode]) => {
-                return engines(prefill, decode).map(engine => {
-                    return { ...engine, id: `${softwareVersion}-${engine.id}`, softwareVersion };
-                });
-            }),
-            rule,
-        );
+        queue.setEngines(versions.flatMap(version => enginesOfVersion(...version)), rule);
         return queue;
     }
 
--- a/packages/basilpaddle/src/node/coordination/streams/__tests__/streams.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/streams/__tests__/streams.spec.ts
@@ -3,7 +3,7 @@
 import { ManualClock } from "../../../../../../../simulation/manualClock.js";
 import type { OriginReply, StreamOrigin } from "../../../protocol/index.js";
 import { createSilentLogger } from "../../../utils/index.js";
-import { announced } from "../../gateway/__tests__/fakes.js";
+import { enginesOfVersion } from "../../gateway/__tests__/fakes.js";
 import type { KnownDirectory } from "../../gateway/index.js";
 import { OriginReporter } from "../originReporter.js";
 import { resolveOrigin } from "../originResolver.js";
@@ -71,7 +71,7 @@
 });
 
 describe("the version history of a service", () => {
-    const engine = (softwareVersion: string) => announced({ id: softwareVersion, stage: "decode", softwareVersion });
+    const engine = (softwareVersion: string) => enginesOfVersion(softwareVersion, 0, 1)[0]!;
 
     it("has versions that are gone for as long as a stream may last", () => {
         const history = VersionHistory.create(0);
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamVersions.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamVersions.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { Right } from "purify-ts";
 import { ManualClock } from "../../../../../../../simulation/manualClock.js";
-import { announced } from "../../../coordination/gateway/__tests__/fakes.js";
+import { enginesOfVersion } from "../../../coordination/gateway/__tests__/fakes.js";
 import type { KnownDirectory } from "../../../coordination/index.js";
 import type { OriginReport } from "../../../protocol/index.js";
 import { createSilentLogger, SilentMetrics } from "../../../utils/index.js";
@@ -19,7 +19,7 @@
     let clock: ManualClock;
     let reports: OriginReport[];
     let versions: StreamVersions;
-    const engine = (softwareVersion: string) => announced({ id: softwareVersion, stage: "decode", softwareVersion });
+    const engine = (softwareVersion: string) => enginesOfVersion(softwareVersion, 0, 1)[0]!;
 
     beforeEach(() => {
         clock = new ManualClock();
@@ -55,7 +55,7 @@
         expect(reportedAttempts()).to.deep.equal(["early"]);
     });
 
-    // Guards against streams that can't be taken up because a second version has appeared since they began.
+    // Guards against streams that can't be resumed because a second version has appeared since they began.
     it("are reported with a service's second version, those under way as well", async () => {
         await clock.advance(lifetime);
         versions.begin(request("before"), "pool", "v1", 1);
--- a/packages/basilpaddle/src/node/daemon/gateway/streamBinding.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamBinding.ts
@@ -9,7 +9,7 @@
  */
 const originTimeoutMilliseconds = 100;
 
-/** The software version that one stream is bound to: that of the engine which made its first event. */
+/** The software version that one stream is bound to: that of the first engine that is sent a run of it. */
 export class StreamBinding {
     /** Whether the request continues a stream that its caller has received a part of. */
     readonly resumesStream: boolean;
--- a/packages/basilpaddle/src/node/protocol/streamOrigin.ts
+++ b/packages/basilpaddle/src/node/protocol/streamOrigin.ts
@@ -6,12 +6,12 @@
 /** Maximum number of origins in one report. */
 export const maxReportedOrigins = 500;
 
-/** The software version of the engine that made the first event of a stream: only engines of that version may continue it. */
+/** The software version that a stream is bound to before its first event: only engines of that version may continue it. */
 export const streamOriginSchema = z.object({
     service: identifier,
     /** The caller's attempt that the first event was sent in. */
     attempt: identifier,
-    /** Software version of the engine; empty if it announces none. */
+    /** Software version of its engine; empty if that announces none. */
     version: z.string().max(200),
     /**
      * Number of versions that the stream was bound to, this one included: 1, unless none of its first version's engines was left
--- a/simulation/versions/__tests__/versions.spec.ts
+++ b/simulation/versions/__tests__/versions.spec.ts
@@ -4,7 +4,7 @@
 import { AskDirectories } from "../ways.js";
 
 const seed = 3;
-/** Share of the resumed streams that go on, compared with new ones that begin. */
+/** Share of the resumed streams that continue, compared with new ones that begin. */
 const minShare = 0.9;
 /** Troubles after which some streams aren't known to anybody that is reached. */
 const losesRecords: ReadonlySet<string> = new Set(["gatewayCut", "allKilled"]);
@@ -12,11 +12,11 @@
 describe("streams that callers resume at other gateways, emulated", () => {
     // Guards against streams with events of two versions, and against resumed streams that are refused without need.
     for (const trouble of troubles) {
-        it(`go on at their version: ${trouble}`, async () => {
-            const { mixed, resumed, wentOn } = await simulateVersions(dayOfSize(10, trouble), AskDirectories, seed);
+        it(`continue at their version: ${trouble}`, async () => {
+            const { mixed, resumed, continued } = await simulateVersions(dayOfSize(10, trouble), AskDirectories, seed);
             expect(mixed).to.equal(0);
             expect(resumed).to.be.above(20);
-            expect(wentOn / resumed).to.be.at.least(losesRecords.has(trouble) ? minShare / 2 : minShare);
+            expect(continued / resumed).to.be.at.least(losesRecords.has(trouble) ? minShare / 2 : minShare);
         });
     }
 });
--- a/simulation/versions/versionSimulation.ts
+++ b/simulation/versions/versionSimulation.ts
@@ -19,8 +19,8 @@
     readonly way: string;
     readonly begun: number;
     readonly resumed: number;
-    /** Resumed streams that went on, and those that did so at another version than the one that began them. */
-    readonly wentOn: number;
+    /** Resumed streams that continued, and those that did so at another version than the one that began them. */
+    readonly continued: number;
     readonly mixed: number;
     /** Milliseconds by which the first event was later than without: median, and 99 of 100. */
     readonly delayMedian: number;
@@ -44,7 +44,7 @@
 
 class VersionSimulation {
     private readonly delays: number[] = [];
-    private readonly counts = { begun: 0, resumed: 0, wentOn: 0, mixed: 0 };
+    private readonly counts = { begun: 0, resumed: 0, continued: 0, mixed: 0 };
     private readonly streams: Promise<void>[] = [];
 
     constructor(
@@ -108,9 +108,9 @@
             const gateway = this.pickGateway(last);
             const resolved = await way.resolve(gateway, attempt);
             if (resolved !== undefined) {
-                const goesOn = world.versions.includes(resolved);
-                counts.mixed += goesOn && resolved !== version ? 1 : 0;
-                counts.wentOn += goesOn && isServed ? 1 : 0;
+                const continues = world.versions.includes(resolved);
+                counts.mixed += continues && resolved !== version ? 1 : 0;
+                counts.continued += continues && isServed ? 1 : 0;
                 return;
             }
             last = gateway;
--- a/simulation/versions/ways.ts
+++ b/simulation/versions/ways.ts
@@ -31,7 +31,7 @@
     /** Called as a run is sent; resolves when its first event may leave. */
     abstract begin(gateway: EmulatedProcess, attempt: string, version: string): Promise<void>;
 
-    /** The version at which a resumed stream goes on; undefined if it is refused. */
+    /** The version at which a resumed stream continues; undefined if it is refused. */
     abstract resolve(gateway: EmulatedProcess, attempt: string): Promise<string | undefined>;
 
     /** Called when a process was killed: its memory is lost. */
