test(soak): a version is replaced there and back, beside a kill, a freeze and a cut; callers break off after any event

Until now the second version only came, callers broke off within six events and resumed within 1.5 s, and faults beside the replacement were left to chance.

--- a/soak/__tests__/invariants.spec.ts
+++ b/soak/__tests__/invariants.spec.ts
@@ -59,7 +59,7 @@
         expect(violatedInvariants()).to.include("partitioned gateways serve");
     });
 
-    it("reports streams with events of two versions, and resumed streams that don't go on", () => {
+    it("reports streams with events of two versions, and resumed streams that don't continue", () => {
         const resume = (number: number, status: number, version: string): void => {
             const begun = invariants.requestSent(`a${number}`, "resumable", "g", 0, freeKey);
             begun.versions = ["v1"];
@@ -73,7 +73,7 @@
         expect(violatedInvariants()).to.deep.equal([]);
         resume(12, 200, "v2");
         Array.from({ length: 8 }, (_, number) => resume(20 + number, 503, "v1"));
-        expect(violatedInvariants().sort()).to.deep.equal(["one version", "resumed streams go on"]);
+        expect(violatedInvariants().sort()).to.deep.equal(["one version", "resumed streams continue"]);
     });
 
     it("reports a not-run status for a request that has run, even if the request is idempotent", () => {
--- a/soak/backendDepartures.ts
+++ b/soak/backendDepartures.ts
@@ -31,19 +31,31 @@
         await Promise.all(departures);
     }
 
-    /** Replaces all engines of one version by engines of another, one after the other. */
+    /** Replaces all engines of one version by engines of another, one after the other, and those by engines of the first again. */
     async replaceVersion(fault: Fault): Promise<void> {
-        const { backends } = this.deployment;
-        const engines = backends.filter(({ service, version }) => service === "pool" && version === "v1");
-        const replaced = engines.filter(engine => !engine.isDraining()).map(async (engine, number) => {
+        const count = this.enginesOf("v1").length;
+        const there = this.replaceAll(fault, "v1", "v3");
+        await pause(count * departureGapMilliseconds + fault.lasts);
+        await Promise.all([there, this.replaceAll(fault, "v3", "v1")]);
+    }
+
+    private async replaceAll(fault: Fault, from: string, to: string): Promise<void> {
+        const replaced = this.enginesOf(from).map(async (engine, number) => {
             await pause(number * departureGapMilliseconds);
-            if (!engine.isDraining() && backends.includes(engine)) {
-                await this.replace(fault, engine, { kind: "draining", directory: 0, lateHeartbeat: undefined }, "v3");
+            if (this.enginesOf(from).includes(engine)) {
+                await this.replace(fault, engine, { kind: "draining", directory: 0, lateHeartbeat: undefined }, to);
             }
         });
         await Promise.all(replaced);
     }
 
+    /** Engines of a software version that don't leave. */
+    private enginesOf(softwareVersion: string): readonly Backend[] {
+        return this.deployment.backends.filter(backend => {
+            return backend.service === "pool" && backend.version === softwareVersion && !backend.isDraining();
+        });
+    }
+
     /** Starts a new backend server, and lets an old one leave. */
     async replaceOne(fault: Fault, departure: Departure): Promise<void> {
         const backend = pickByFraction(this.deployment.backends.filter(one => !one.isDraining()), fault.pick);
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -7,7 +7,7 @@
 import type { Member } from "./member.js";
 import { freeKey, keyOfRequest } from "./organisations.js";
 import type { CallerEnd, SoakRequest } from "./soakRequest.js";
-import { eventVersions, isRestOfStream, plainText } from "./texts.js";
+import { eventCount, eventVersions, isRestOfStream, plainText } from "./texts.js";
 
 /** Host that all routes match. */
 export const routeHost = "soak.example";
@@ -27,10 +27,9 @@
 /** Share of the callers that may disconnect before the response, and the longest time after which they do. */
 const abandonProbability = 0.12;
 const maxAbandonMilliseconds = 900;
-/** Share of the streams that their callers break off to resume them, after at most so many events, at once or after a pause. */
+/** Share of the streams that their callers break off after any of their events, to resume them at once or after a pause. */
 const breakOffProbability = 0.4;
-const maxEventsBeforeBreak = 6;
-const resumePauses = [5, 5, 300, 1_500];
+const resumePauses = [5, 5, 300, 2_500];
 /** Number of times that a caller resumes its stream, whoever broke it off. */
 const maxResumptions = 2;
 /** Share of the requests that open a new connection; the others use kept-alive connections. */
@@ -115,7 +114,7 @@
         const key = keyOfRequest(this.createdRequests, this.invariants.newestAcknowledged());
         const now = performance.now();
         const request = this.invariants.requestSent(`a${this.createdRequests}`, kind, gateway.name, now, key);
-        const breakAfter = this.drawBreak(kind);
+        const breakAfter = this.drawBreak(request);
         const done = this.exchange(gateway, request, `${routePrefixes[kind]}x`, abandonAfter, undefined, breakAfter)
             .then(async end => {
                 this.invariants.requestEnded(request, end, performance.now());
@@ -126,10 +125,10 @@
     }
 
     /** Number of events after which a caller breaks its stream off; undefined if it doesn't. */
-    private drawBreak(kind: RouteKind): number | undefined {
+    private drawBreak({ kind, attempt }: SoakRequest): number | undefined {
         const isBroken = this.resumesStreams && kind === "resumable"
             && this.breakRandom.fraction() < breakOffProbability;
-        return isBroken ? this.breakRandom.integer(1, maxEventsBeforeBreak) : undefined;
+        return isBroken ? this.breakRandom.integer(1, eventCount(attempt)) : undefined;
     }
 
     /** Resumes a stream of which a part was received, at another gateway, if its caller broke it off or its connection was lost. */
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -21,7 +21,7 @@
     })
     .option("versions", {
         type: "boolean",
-        describe: "whether they have several software versions, and callers take streams up; as departures by default",
+        describe: "whether they have several software versions, and callers resume streams; as departures by default",
     })
     .option("logs", { type: "string", default: "target/soak", describe: "folder for the logs of failed runs" })
     .strict()
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -80,7 +80,7 @@
     /** Milliseconds within which faults begin. */
     readonly length: number;
     readonly requestsPerSecond: number;
-    /** Number of software versions of backend servers that serve side by side; callers take streams up if there are several. @default 1 */
+    /** Number of software versions of backend servers that serve side by side; callers resume streams if there are several. @default 1 */
     readonly versions?: number;
     readonly faults: readonly Fault[];
 };
@@ -92,7 +92,7 @@
     readonly directories?: number;
     /** Whether backend servers leave in series. @default true */
     readonly departures?: boolean;
-    /** Whether they have several software versions, and callers take streams up. @default `departures` */
+    /** Whether they have several software versions, and callers resume streams. @default `departures` */
     readonly versions?: boolean;
 };
 
@@ -113,6 +113,8 @@
 /** Bounds for the time by which a heartbeat is late that a leaving server had sent before. */
 const minLatenessMilliseconds = 100;
 const maxLatenessMilliseconds = 4_000;
+/** Longest time from the start of a version's replacement to a fault beside it: until about when the engines of the first one are back. */
+const maxReplacementFaultDelayMilliseconds = 8_000;
 /** Bounds for the duration of a partition: some are too short to be noticed, others last until callers must be served again. */
 const minPartitionMilliseconds = 300;
 const maxPartitionMilliseconds = 6_000;
@@ -156,7 +158,7 @@
     }
     const hasVersions = size.versions ?? size.departures ?? true;
     if (hasVersions) {
-        faults.push(createReplacement(seed, length));
+        faults.push(...createReplacement(seed, length, hasUnplannedFaults));
     }
     faults.sort((one, other) => one.at - other.at);
     const common = { seed, directories, gateways, plainServers: 3, length, requestsPerSecond: 30, faults };
@@ -198,15 +200,30 @@
     }));
 }
 
-/** Engines of one version are replaced in series by engines of another, beside the other faults, which are the same as without it. */
-function createReplacement(seed: number, length: number): Fault {
+/**
+ * Engines of one version are replaced in series by engines of another and back, beside a kill, a freeze and a cut, each of a gateway or of a
+ * directory, where a plan has unplanned faults; the other faults are the same as without it.
+ */
+function createReplacement(seed: number, length: number, beside: boolean): Fault[] {
     const random = SeededRandomness.create(-3_000_000 - seed);
-    return {
-        kind: "replaceVersion",
-        at: random.integer(0, Math.floor(length / 2)),
-        lasts: random.integer(minDurationMilliseconds, maxDurationMilliseconds),
-        pick: random.fraction(),
+    const at = random.integer(0, Math.floor(length / 2));
+    const drawFault = (kind: FaultKind, delay: number, longest: number): Fault => {
+        const lasts = random.integer(minDurationMilliseconds, longest);
+        return { kind, at: at + delay, lasts, pick: random.fraction() };
     };
+    const replacement = drawFault("replaceVersion", 0, maxDurationMilliseconds);
+    const pairs = [["killGateway", "killDirectory"], ["pauseGateway", "pauseDirectory"], [
+        "cutGateway",
+        "cutDirectory",
+    ]] as const;
+    const others = pairs.map(kinds => {
+        return drawFault(
+            kinds[random.integer(0, 1)]!,
+            random.integer(100, maxReplacementFaultDelayMilliseconds),
+            2_500,
+        );
+    });
+    return beside ? [replacement, ...others] : [replacement];
 }
 
 /** One backend server names a limit beside the other faults, which are the same as without it. */
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -27,7 +27,7 @@
     /** Number of requests that were cut off, by the error that their callers observed. */
     readonly cuts: Readonly<Record<string, number>>;
     /** Numbers of streams that callers resumed, of those that were answered whole, and of those with events of two versions. */
-    readonly streams: { readonly resumed: number; readonly wentOn: number; readonly mixed: number; };
+    readonly streams: { readonly resumed: number; readonly continued: number; readonly mixed: number; };
     /** The injected faults, in order. */
     readonly faults: readonly string[];
     /** The output of the daemon processes, by name. */
@@ -103,7 +103,7 @@
         const resumptions = [...requests.values()].filter(({ resumes }) => resumes !== undefined);
         const streams = {
             resumed: resumptions.length,
-            wentOn: resumptions.filter(({ end }) => end?.kind === "answered" && end.status === 200).length,
+            continued: resumptions.filter(({ end }) => end?.kind === "answered" && end.status === 200).length,
             mixed: violations.filter(({ invariant }) => invariant === "one version").length,
         };
         return { seed: plan.seed, violations, requests: requests.size, ends, cuts, streams, faults, logs };
--- a/soak/streamViolations.ts
+++ b/soak/streamViolations.ts
@@ -1,12 +1,12 @@
 import { isAlwaysAdmitted } from "./organisations.js";
 import type { SoakRequest, Violation } from "./soakRequest.js";
 
-/** Share of the streams that callers resume without a fault nearby which have to go on, compared with new ones, except for so many. */
+/** Share of the streams that callers resume without a fault nearby which have to continue, compared with new ones, except for so many. */
 const minResumed = 0.9;
 const resumedSlack = 2;
 
 /**
- * Streams with events of two software versions, over all attempts of their callers; and whether too few resumed streams go on.
+ * Streams with events of two software versions, over all attempts of their callers; and whether too few resumed streams continue.
  * `isDisturbed`: whether an unplanned fault was active within a time span.
  */
 export function streamViolations(
@@ -19,9 +19,9 @@
     const resumed = counted.filter(({ resumes }) => resumes !== undefined);
     const begun = counted.filter(({ resumes }) => resumes === undefined);
     const servedShare = begun.length === 0 ? 1 : servedCount(begun) / begun.length;
-    const goOn = servedCount(resumed) >= minResumed * resumed.length * servedShare - resumedSlack;
+    const doContinue = servedCount(resumed) >= minResumed * resumed.length * servedShare - resumedSlack;
     const what = `${servedCount(resumed)} of ${resumed.length}, ${servedCount(begun)} of ${begun.length} new ones`;
-    return [...mixedStreams(requests), ...goOn ? [] : [{ invariant: "resumed streams go on", what }]];
+    return [...mixedStreams(requests), ...doContinue ? [] : [{ invariant: "resumed streams continue", what }]];
 }
 
 function mixedStreams(requests: readonly SoakRequest[]): readonly Violation[] {
