fix(gateway): a report of more streams than one message holds is divided, not cut

What was cut counted as acknowledged: such a stream would have left unknown, and been refused when its caller resumed it. Seen on reading; the test fails without ([500] for [500, 1]).

--- a/packages/basilpaddle/src/node/coordination/streams/__tests__/streams.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/streams/__tests__/streams.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { Left, Right } from "purify-ts";
 import { ManualClock } from "../../../../../../../simulation/manualClock.js";
-import type { OriginReply, StreamOrigin } from "../../../protocol/index.js";
+import { maxReportedOrigins, type OriginReply, type StreamOrigin } from "../../../protocol/index.js";
 import { createSilentLogger } from "../../../utils/index.js";
 import { enginesOfVersion } from "../../gateway/__tests__/fakes.js";
 import type { KnownDirectory } from "../../gateway/index.js";
@@ -175,4 +175,16 @@
         await clock.advance(10);
         expect(received).to.deep.equal([{ kind: "origins", origins: [origin("a", "v1"), origin("b", "v1")] }]);
     });
+
+    // Guards against streams that count as known though their report was cut to what one message holds.
+    it("is divided if more begin than one message holds", async () => {
+        const clock = new ManualClock();
+        const received: unknown[] = [];
+        const directories = [directory(noted, received)];
+        const reporter = OriginReporter.create({ directories: () => directories, clock, logger: createSilentLogger() });
+        Array.from({ length: maxReportedOrigins + 1 }, (_, number) => reporter.report(origin(`a${number}`, "v1")));
+        await clock.advance(10);
+        const sizes = received.map(report => (report as { readonly origins: unknown[]; }).origins.length);
+        expect(sizes).to.deep.equal([maxReportedOrigins, 1]);
+    });
 });
--- a/packages/basilpaddle/src/node/coordination/streams/originReporter.ts
+++ b/packages/basilpaddle/src/node/coordination/streams/originReporter.ts
@@ -77,7 +77,8 @@
     /** Reports an origin, those of a short time together. */
     report(origin: StreamOrigin): ReportedOrigin {
         const { clock, directories } = this.options;
-        const batch = this.collecting ?? this.startBatch();
+        const isFull = (this.collecting?.origins.length ?? 0) >= maxReportedOrigins;
+        const batch = isFull ? this.startBatch() : this.collecting ?? this.startBatch();
         batch.origins.push(origin);
         return {
             acknowledged: async timeout => {
@@ -89,7 +90,7 @@
         };
     }
 
-    /** Sends origins to one directory. */
+    /** Sends origins to one directory, `maxReportedOrigins` at most. */
     resend(directory: KnownDirectory, origins: readonly StreamOrigin[]): void {
         if (origins.length > 0) {
             const batch = OriginBatch.create();
@@ -107,14 +108,16 @@
         const batch = OriginBatch.create();
         this.collecting = batch;
         this.options.clock.after(reportDelayMilliseconds, () => {
-            this.collecting = undefined;
+            if (this.collecting === batch) {
+                this.collecting = undefined;
+            }
             this.options.directories().forEach(directory => void this.send(directory, batch));
         });
         return batch;
     }
 
     private async send(directory: KnownDirectory, batch: OriginBatch): Promise<void> {
-        const report: OriginReport = { kind: "origins", origins: batch.origins.slice(0, maxReportedOrigins) };
+        const report: OriginReport = { kind: "origins", origins: batch.origins };
         for (let attempt = 0; attempt < reportAttempts && !this.closed; attempt++) {
             const answer = await directory.link.request(report, reportTimeoutMilliseconds);
             // A directory of an earlier release answers nothing to a message that it doesn't know.
--- a/packages/basilpaddle/src/node/daemon/gateway/streamVersions.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamVersions.ts
@@ -7,7 +7,7 @@
     StreamOrigins,
     VersionHistory,
 } from "../../coordination/index.js";
-import type { ServerAnnouncement, TrafficRoute } from "../../protocol/index.js";
+import { maxReportedOrigins, type ServerAnnouncement, type TrafficRoute } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 
@@ -18,8 +18,6 @@
 const marginMilliseconds = 2_000;
 /** Longest name of an attempt that is looked up. */
 const maxAttemptLength = 200;
-/** Number of origins that are sent to a directory at once. */
-const maxResentOrigins = 500;
 
 /** Dependencies of `StreamVersions`. */
 export type StreamVersionsOptions = {
@@ -116,7 +114,7 @@
 
     /** Sends the streams that began here to a directory that may not know them: it was restarted, or out of reach. */
     resend(directory: KnownDirectory): void {
-        this.reporter.resend(directory, this.own.latest(maxResentOrigins, this.options.clock.monotonic()));
+        this.reporter.resend(directory, this.own.latest(maxReportedOrigins, this.options.clock.monotonic()));
     }
 
     /** Stops the periodic review, and reports under way. */
