fix(quarantine): a part of prompts under which engines crash is held back at all gateways

Cause: crashes were recorded under the digest of a whole request, a name that never comes again here; each record had one crash, which isn't even told to others. Class: evidence kept under a name that never comes again. Why it works: a prompt's parts are suspects of their own beside the request. Each part is judged by a sequential probability ratio test of the answers begun on it against the crashes under it: one crash of each request counts, simultaneous ones count as one, and answers begun speak for it. A crash travels at once with what the gateway knows in the part's favour; others add what they know once the part is suspected. Without begun answers two crashes under different requests are enough; with eight or more before them five in a row. What is held back is refused before each placement, prefill and run, as not run. Log lines name the parts of each request and each lost run, and a part's evidence.

--- a/packages/basilpaddle/src/node/coordination/quarantine/__tests__/quarantine.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/__tests__/quarantine.spec.ts
@@ -90,7 +90,7 @@
     });
 
     it("follows its rules, and shares a single crash if one is enough", () => {
-        quarantine = Quarantine.create({ crashes: 1, earlyCrashes: 1, lateCrashes: 1, firstHold: 1_000 });
+        quarantine = Quarantine.create({ ...rules, crashes: 1, earlyCrashes: 1, lateCrashes: 1, firstHold: 1_000 });
         quarantine.merge([recordOf("a", late("s1"))], 0);
         expect([isQuarantined("a", 900), isQuarantined("a", 1_100), quarantine.latestChange()]).to.deep.equal([
             true,
--- a/packages/basilpaddle/src/node/coordination/quarantine/crashDetector.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/crashDetector.ts
@@ -1,6 +1,7 @@
 import type { CrashPhase } from "../../protocol/index.js";
 import type { ListenStatus } from "../../transport/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
+import { loggedPromptParts } from "./promptPart.js";
 import type { QuarantineStatus } from "./quarantine.js";
 import type { QuarantinedRequests } from "./quarantinedRequests.js";
 
@@ -16,6 +17,8 @@
     readonly digest: string;
     /** Identifier of the attempt, for logs. */
     readonly attempt: string;
+    /** Names of the parts that its prompt may share with others, in their order. @default none are known */
+    readonly promptParts?: readonly string[];
 };
 
 /** One incarnation of a backend server. */
@@ -27,10 +30,13 @@
 };
 
 /** A run that ended without a complete answer. */
-type LostRun = RequestAttempt & {
+type LostRun = {
+    readonly request: RequestAttempt;
     readonly server: BackendIncarnation;
     readonly phase: CrashPhase;
     readonly at: number;
+    /** Whether it had written for so long that its prompt isn't suspected. */
+    readonly hadBegun: boolean;
 };
 
 /** Dependencies of the detector. */
@@ -65,20 +71,28 @@
      * Why a request may not be sent now; undefined if it may. Check it before each send, since other daemons may have
      * reported crashes in the meantime.
      */
-    quarantineStatus(request: RequestAttempt): QuarantineStatus | undefined {
-        return this.options.quarantine.quarantineStatus(request.digest);
+    quarantineStatus({ digest, promptParts = [] }: RequestAttempt): QuarantineStatus | undefined {
+        const { quarantine } = this.options;
+        for (const suspect of [digest, ...promptParts]) {
+            const status = quarantine.quarantineStatus(suspect);
+            if (status !== undefined) {
+                return status;
+            }
+        }
+        return undefined;
     }
 
-    /** Reports a run that ended without a complete answer, and checks whether its server has crashed. */
+    /**
+     * Reports a run that ended without a complete answer, and checks whether its server has crashed. `hadBegun`: whether
+     * `reportBegun` was called for it.
+     */
     async reportLostRun(
-        { digest, attempt }: RequestAttempt,
+        request: RequestAttempt,
         server: BackendIncarnation,
         phase: CrashPhase,
+        hadBegun = false,
     ): Promise<void> {
-        const run = { server, digest, attempt, phase, at: this.now() };
-        if (this.options.quarantine.wasRecentlyAnswered(digest)) {
-            return;
-        }
+        const run = { request, server, phase, at: this.now(), hadBegun };
         if (await this.probe(server) === "no") {
             this.recordCrash(run, "nothing listens at its address");
         }
@@ -89,6 +103,16 @@
         }
     }
 
+    /** Milliseconds of writing after which a run is to be reported as begun. */
+    get begunAfter(): number {
+        return this.options.quarantine.begunAfter;
+    }
+
+    /** Reports that a backend server writes the answer to a request, which speaks for the parts of its prompt. */
+    reportBegun({ attempt, promptParts = [] }: RequestAttempt): void {
+        this.options.quarantine.recordBegun(promptParts, attempt);
+    }
+
     /** Reports that a request was answered in full. */
     reportAnswered({ digest }: RequestAttempt): void {
         this.options.quarantine.recordAnswered(digest);
@@ -123,19 +147,28 @@
             : clock.after(endReportPollMilliseconds, () => this.checkPendingRuns());
     }
 
-    private recordCrash({ server, digest, attempt, phase, at }: LostRun, proof: string): void {
+    private recordCrash({ request, server, phase, at, hadBegun }: LostRun, proof: string): void {
         const { quarantine, logger, metrics } = this.options;
+        const { digest, attempt, promptParts = [] } = request;
         const age = this.now() - at;
         logger.warn("a backend server ended under a request", {
             request: attempt,
             content: digest,
+            promptParts: loggedPromptParts(promptParts),
             server: server.id,
             phase,
+            hadBegun,
             age: Math.round(age),
             proof,
         });
         metrics.count("basilpaddle_crashes_under_requests_total", { phase });
-        quarantine.addCrash(digest, { server: server.id, phase, age });
+        const crash = { server: server.id, phase, age };
+        if (!quarantine.wasRecentlyAnswered(digest)) {
+            quarantine.addCrash(digest, crash);
+        }
+        if (!hadBegun) {
+            quarantine.addPartCrash(promptParts, { ...crash, request: digest });
+        }
     }
 
     private now(): number {
--- a/packages/basilpaddle/src/node/coordination/quarantine/quarantinedRequests.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/quarantinedRequests.ts
@@ -1,7 +1,9 @@
 import { LRUCache } from "lru-cache";
 import { randomUUID } from "node:crypto";
-import type { CrashRecord, QuarantineRules } from "../../protocol/index.js";
+import type { Crash, CrashRecord, QuarantineRules } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
+import { BegunAnswers } from "./begunAnswers.js";
+import { isPromptPartName } from "./promptPart.js";
 import { Quarantine, type QuarantinedRequest, type QuarantineStatus } from "./quarantine.js";
 
 /** Number of fully answered requests that are remembered, and how long an answer clears a request of crashes. */
@@ -20,13 +22,14 @@
 };
 
 /**
- * One daemon's copy of the records, shared by all daemons, of requests that backend servers crashed on. Logs each change of
- * a request's state.
+ * One daemon's copy of the records, shared by all daemons, of requests and parts of prompts that backend servers crashed on. Logs
+ * each change of their state.
  */
 export class QuarantinedRequests {
     /** Identifies this copy: change numbers of another copy, such as one before a restart, aren't valid here. */
     readonly source = randomUUID();
     private readonly quarantine: Quarantine;
+    private readonly begunAnswers = BegunAnswers.create();
     private readonly answeredAt = new LRUCache<string, number>({ max: answeredCacheSize });
     private lastSweepAt = -Infinity;
 
@@ -43,7 +46,7 @@
         return this.quarantine.currentStatus(digest, this.now());
     }
 
-    /** Whether any crash counts against a request. */
+    /** Whether anything speaks against a request or a part. */
     isSuspected(digest: string): boolean {
         return this.quarantine.isSuspected(digest);
     }
@@ -56,6 +59,10 @@
             if (this.isSuspected(digest) && this.wasRecentlyAnswered(digest)) {
                 this.clear(digest);
             }
+            else if (isPromptPartName(digest)) {
+                this.logPart(digest);
+                this.publishBegun(digest);
+            }
             else {
                 this.logState(digest);
             }
@@ -68,6 +75,31 @@
         this.mergeAndPublish({ digest, crashes: [crash] });
     }
 
+    /** Records that a backend server crashed while it read a prompt with these parts, or began to answer it, and publishes it. */
+    addPartCrash(parts: readonly string[], crash: Crash): void {
+        // Rare parts come late in a prompt; if two are guilty by the same crashes, these are attributed to the rarer one.
+        for (const digest of [...parts].reverse()) {
+            this.mergeAndPublish({
+                digest,
+                crashes: [crash],
+                begun: [...this.begunAnswers.recent(digest, this.now())],
+            });
+        }
+    }
+
+    /** Milliseconds of writing after which an answer has begun. */
+    get begunAfter(): number {
+        return this.options.rules.promptParts.begunAfter;
+    }
+
+    /** Records that the answer to a prompt with these parts has begun; publishes it for those that are suspected. */
+    recordBegun(parts: readonly string[], attempt: string): void {
+        if (attempt !== "") {
+            this.begunAnswers.record(parts, attempt, this.now());
+            parts.forEach(part => this.publishBegun(part));
+        }
+    }
+
     /** Records that a request was answered in full, which clears it of earlier crashes: it didn't cause them. */
     recordAnswered(digest: string): void {
         this.answeredAt.set(digest, this.now());
@@ -133,6 +165,16 @@
         }
     }
 
+    /** Publishes what speaks for a part, if it is suspected here and the others may not know it. */
+    private publishBegun(part: string): void {
+        if (this.isSuspected(part)) {
+            const begun = this.begunAnswers.recent(part, this.now());
+            if (begun.length > 0) {
+                this.mergeAndPublish({ digest: part, crashes: [], begun: [...begun] });
+            }
+        }
+    }
+
     private clear(digest: string): void {
         this.mergeAndPublish({ digest, crashes: [], clearedAge: 0 });
     }
@@ -159,6 +201,19 @@
         }
     }
 
+    private logPart(part: string): void {
+        const status = this.quarantineStatus(part);
+        const { crashes = [], begun = [] } = this.records([part])[0] ?? {};
+        const evidence = { content: part, crashes: describeCrashes(crashes), begun: begun.length };
+        if (status !== undefined) {
+            this.options.logger.warn("a part of prompts is held back", { ...evidence, for: Math.round(status.left) });
+        }
+        else {
+            const suspected = this.isSuspected(part);
+            this.options.logger.info("a part of prompts was on engines that crashed", { ...evidence, suspected });
+        }
+    }
+
     private now(): number {
         return this.options.clock.monotonic();
     }
--- a/packages/basilpaddle/src/node/daemon/directory/restartCache.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/restartCache.ts
@@ -211,9 +211,14 @@
 /** Adds the time since the write to a record's ages; 0 if the wall clock has been set back since. */
 function addAge(elapsedMilliseconds: number): (record: CrashRecord) => CrashRecord {
     const addedMilliseconds = Math.max(0, elapsedMilliseconds);
-    return ({ digest, crashes, clearedAge }) => ({
+    const addTo = <Event extends { readonly age: number; }>(event: Event): Event => ({
+        ...event,
+        age: event.age + addedMilliseconds,
+    });
+    return ({ digest, crashes, clearedAge, begun }) => ({
         digest,
-        crashes: crashes.map(crash => ({ ...crash, age: crash.age + addedMilliseconds })),
+        crashes: crashes.map(addTo),
+        ...begun === undefined ? {} : { begun: begun.map(addTo) },
         ...clearedAge === undefined ? {} : { clearedAge: clearedAge + addedMilliseconds },
     });
 }
--- a/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
@@ -1,5 +1,5 @@
 import type * as http from "node:http";
-import { type CallerIdentity, digestOf } from "../../coordination/index.js";
+import { type CallerIdentity, digestOf, promptPartName } from "../../coordination/index.js";
 import type { CallerLimits, TrafficRoute } from "../../protocol/index.js";
 import type { BackendAnswer } from "../backends/index.js";
 import type { CallerMetadata } from "./gatewayWire.js";
@@ -32,6 +32,7 @@
     private endState: RequestEnd | undefined;
     private cause = "";
     private cachedDigest: string | undefined;
+    private cachedPromptParts: readonly string[] | undefined;
     private hasReachedServer = false;
 
     private constructor(
@@ -92,6 +93,12 @@
         return this.cachedDigest;
     }
 
+    /** Names of the parts that its prompt may share with others, for crash records. */
+    get promptParts(): readonly string[] {
+        this.cachedPromptParts ??= (this.metadata.promptParts ?? []).map(promptPartName);
+        return this.cachedPromptParts;
+    }
+
     /** Time by which its answer must be complete: the caller's own limit or the route's, whichever comes first. */
     get deadline(): number {
         return this.arrivedAt + Math.min(this.metadata.deadlineWithin ?? this.route.timeout, this.route.timeout);
--- a/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
@@ -30,6 +30,9 @@
 
 /** One run of a request at a decode engine. */
 export class EngineRun {
+    private writingSince: number | undefined;
+    private hadBegun = false;
+
     private constructor(
         private readonly options: EngineRunOptions,
         private readonly engine: ServerAnnouncement,
@@ -42,6 +45,11 @@
         return new EngineRun(options, engine, mayResume);
     }
 
+    /** Whether it has written for long enough that its prompt isn't suspected if its engine crashes. */
+    hasBegun(): boolean {
+        return this.hadBegun;
+    }
+
     /** Sends the run and forwards its events. `prompt`: the KV cache to fetch; undefined if the engine runs the prefill. */
     async execute(prompt: PrefilledPrompt | undefined): Promise<RunEnd> {
         const { exchange, sender, request, service, relay, binding } = this.options;
@@ -102,6 +110,7 @@
         const stallDetector = StallDetector.create();
         const onBytes = (): void => {
             links.countEvent(this.engine, stallDetector.recordEvent(clock.monotonic()), clock.monotonic());
+            this.recordWriting(clock.monotonic());
         };
         const end = await relay.forward(answer, this.mayResume ? idleLimitMilliseconds : undefined, signal, onBytes);
         if (stallDetector.longest() > (request.route.gap ?? Number.POSITIVE_INFINITY)) {
@@ -112,12 +121,27 @@
         }
         request.finishStream();
         if (answer.framed) {
+            this.reportBegun();
             crashes.reportAnswered(request);
         }
         else {
             // The answer ended with its connection: a regular end and a crash of the engine look the same.
-            void crashes.reportLostRun(request, this.engine, "late");
+            void crashes.reportLostRun(request, this.engine, "late", this.hadBegun);
         }
         return { kind: "done" };
     }
+
+    private recordWriting(now: number): void {
+        this.writingSince ??= now;
+        if (now - this.writingSince >= this.options.exchange.crashes.begunAfter) {
+            this.reportBegun();
+        }
+    }
+
+    private reportBegun(): void {
+        if (!this.hadBegun) {
+            this.hadBegun = true;
+            this.options.exchange.crashes.reportBegun(this.options.request);
+        }
+    }
 }
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -6,6 +6,7 @@
     DirectoryWatcher,
     InstanceTable,
     LinkQuality,
+    loggedPromptParts,
     QuarantinedRequests,
     ReportedAllowances,
     type RouteTable,
@@ -359,6 +360,7 @@
         logger.info("request", {
             request: request.attempt,
             content: request.digest,
+            promptParts: loggedPromptParts(request.promptParts),
             route: route.name,
             organisation: request.identity.organisation?.name,
             configuration: version,
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayWire.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayWire.ts
@@ -20,6 +20,8 @@
         | { readonly kind: "stated"; readonly total: number; };
     /** The attempt in which the caller received the first event of the stream that it resumes, if it names one. @default it resumes none */
     readonly resumes?: string | undefined;
+    /** Identifiers of the contents that its prompt may share with others, in their order. @default not stated */
+    readonly promptParts?: readonly string[];
     /** Number of the last event that it has received, as it states it. @default none */
     readonly lastEvent?: string | undefined;
 };
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -263,7 +263,7 @@
             case "lost":
                 if (!await this.options.paths.isLostOnPath(decode.id)) {
                     const phase = this.relay.events() === eventsBefore ? "early" : "late";
-                    void this.options.crashes.reportLostRun(this.request, decode, phase);
+                    void this.options.crashes.reportLostRun(this.request, decode, phase, run.hasBegun());
                 }
                 this.runCount += 1;
                 this.resumeElsewhere(decode.id, end.cause);
--- a/packages/basilpaddle/src/node/protocol/crash.ts
+++ b/packages/basilpaddle/src/node/protocol/crash.ts
@@ -6,6 +6,39 @@
 /** Maximum number of crashes that are stored and reported for one request. */
 export const maxRecordedCrashes = 8;
 
+/** Maximum number of begun answers that are stored and reported for one part of prompts. */
+export const maxRecordedAnswers = 12;
+
+/**
+ * When a part of prompts is quarantined: a sequential test of the answers begun on it against the crashes under it. Only one crash
+ * of each request counts, and crashes within `simultaneous` count as one.
+ */
+export const promptPartRulesSchema = z.object({
+    /** Fraction of the runs with a guilty part under which the engine crashes, at least. */
+    guiltyCrashRate: z.number().positive().lt(1).default(0.5),
+    /** Fraction of the runs with another part that are hit early by a crash, at most; while many engines crash, hardly more are. */
+    innocentCrashRate: z.number().positive().lt(1).default(0.1),
+    /** How many times as likely the observations must be with a guilty part as with an innocent one. */
+    likelihoodRatio: z.number().gt(1).default(20),
+    /**
+     * Number of answers, begun before the crashes, that speak for a part. More aren't counted: its content may crash only the
+     * engines of a version that was rolled out a moment ago.
+     */
+    countedAnswers: z.int().min(0).max(maxRecordedAnswers).default(8),
+    /**
+     * Weight of a crash shortly after the first part of the answer, as a fraction of that of a crash before it: runs are exposed to
+     * unrelated crashes for longer.
+     */
+    lateWeight: z.number().positive().max(1).default(0.5),
+    /** Milliseconds within which crashes of several servers count as one: they have a common cause, such as a loss of power. */
+    simultaneous: z.number().min(0).default(100),
+    /** Milliseconds of writing after which an answer has begun. */
+    begunAfter: z.number().min(0).default(250),
+});
+
+/** When a part of prompts is quarantined. */
+export type PromptPartRules = z.infer<typeof promptPartRulesSchema>;
+
 /** When a request is quarantined because backend servers crashed while running it. The same for all daemons of a deployment. */
 export const quarantineRulesSchema = z.object({
     /**
@@ -28,6 +61,8 @@
      * Other crashes count in proportion to their thresholds, and the sum is rounded to a whole number.
      */
     firstHold: z.number().positive().default(600_000),
+    /** When a part that several prompts share is quarantined. */
+    promptParts: promptPartRulesSchema.prefault({}),
 });
 
 /** When a request is quarantined, and for how long. */
@@ -45,15 +80,26 @@
     phase: z.enum(crashPhases),
     /** Milliseconds since the crash. An age rather than a timestamp, since the clocks of hosts differ. */
     age: milliseconds,
+    /** In the record of a part of prompts: digest of the request that ran. @default not known */
+    request: identifier.optional(),
+});
+
+/** An answer that a backend server began to write. */
+export const begunAnswerSchema = z.object({
+    /** Identifier of the attempt. */
+    attempt: identifier,
+    age: milliseconds,
 });
 
-/** Crash history of a request that backend servers crashed while running. */
+/** Crash history of a request that backend servers crashed while running, or of a part of prompts. */
 export const crashRecordSchema = z.object({
-    /** Digest of the request, as computed by `digestOf`. */
+    /** Digest of the request, as computed by `digestOf`, or the part's name, as computed by `promptPartName`. */
     digest: identifier,
     crashes: z.array(crashSchema).max(maxRecordedCrashes),
     /** Milliseconds since it was answered completely or released by an operator; earlier crashes don't count. */
     clearedAge: milliseconds.optional(),
+    /** In the record of a part of prompts: answers begun on it, which speak for it. @default none */
+    begun: z.array(begunAnswerSchema).max(maxRecordedAnswers).optional(),
 });
 
 /** Crash histories that gateways and directories send to each other. */
@@ -75,7 +121,9 @@
 
 /** A crash of a backend server while it was running a request. */
 export type Crash = z.infer<typeof crashSchema>;
-/** Crash history of a request that backend servers crashed while running. */
+/** An answer that a backend server began to write. */
+export type BegunAnswer = z.infer<typeof begunAnswerSchema>;
+/** Crash history of a request that backend servers crashed while running, or of a part of prompts. */
 export type CrashRecord = z.infer<typeof crashRecordSchema>;
 /** Query for changed crash histories: the cursor of the querying daemon, and the records that it contributes. */
 export type CrashQuery = z.infer<typeof crashQuerySchema>;
