fix(gateway): an answer without length that was broken off doesn't reach its caller as a whole one

What callers saw: of streams without length that can't be resumed within one answer, those that ended within an event, or with their engine, ended as if they were whole; plain answers likewise. Cause: to a caller the end of its connection is the end of such an answer, and a failed one was closed in the same way; and the end of a server that closes its connections was taken for the regular end of its answer. Why it works: the connection of a caller whose answer ends with it is reset on a failure; and before such an answer counts as whole, its server's address is probed, as it was after each such stream before, so that streams cost no further connection; a plain answer without length costs one.

--- a/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
@@ -34,6 +34,7 @@
     private cachedDigest: string | undefined;
     private cachedPromptParts: readonly string[] | undefined;
     private hasReachedServer = false;
+    private endsWithConnection = false;
 
     private constructor(
         readonly incoming: http.IncomingMessage,
@@ -196,11 +197,14 @@
 
     /**
      * Ends the request with an error. If its answer has begun, the connection is destroyed instead: a regular end of the
-     * response would look like a complete answer.
+     * response would look like a complete answer. It is reset if its end marks that of the answer.
      */
     fail(status: 500 | 502 | 504, cause: string): void {
         if (this.hasAnswerBegun()) {
             this.end("brokenOff", cause);
+            if (this.endsWithConnection) {
+                this.response.socket?.resetAndDestroy();
+            }
             this.response.destroy();
             return;
         }
@@ -229,6 +233,7 @@
 
     /** Marks the end of the answer by closing the caller's connection, as the backend server does. */
     private endWithConnection(): void {
+        this.endsWithConnection = true;
         this.response.useChunkedEncodingByDefault = false;
         this.response.shouldKeepAlive = false;
     }
--- a/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
@@ -119,15 +119,13 @@
         if (end.kind === "broken") {
             return { kind: "lost", cause: end.cause };
         }
-        request.finishStream();
-        if (answer.framed) {
-            this.reportBegun();
-            crashes.reportAnswered(request);
-        }
-        else {
-            // The answer ended with its connection: a regular end and a crash of the engine look the same.
-            void crashes.reportLostRun(request, this.engine, "late", this.hadBegun);
+        // Without a length, the regular end of an answer and that of its engine look the same.
+        if (!answer.framed && await crashes.hasEnded(this.engine)) {
+            return { kind: "lost", cause: "the engine ended" };
         }
+        request.finishStream();
+        this.reportBegun();
+        crashes.reportAnswered(request);
         return { kind: "done" };
     }
 
--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -257,7 +257,8 @@
             return [{ kind: "next", mayHaveRun: true, cause: "the answer has no seal" }, "failed"];
         }
         const body = await readWholeBody(answer, maxAnswerBytes);
-        if (body === undefined) {
+        // Without a length, the regular end of an answer and that of its server look the same.
+        if (body === undefined || !answer.framed && await this.options.crashes.hasEnded(server)) {
             const lostOnPath = await this.options.paths.isLostOnPath(server.id);
             this.reportPossibleCrash(server, lostOnPath);
             return [
