--- a/packages/basilpaddle/src/node/coordination/quarantine/promptPartSuspect.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/promptPartSuspect.ts
@@ -86,11 +86,12 @@
         };
     }
 
+    /** The answers that were begun between older crashes may be forgotten, so that these don't count. */
     private evaluate(culprits: Culprits): TestResult {
+        const since = this.begun.size < maxRecordedAnswers ? -Infinity : Math.min(...this.begun.values());
+        const crashes = this.countedCrashes(culprits).filter(({ at }) => at >= since);
         return this.test.evaluate([
-            ...this.countedCrashes(culprits).map(crash =>
-                ({ kind: "crash", ...crash, request: crash.request }) as const
-            ),
+            ...crashes.map(crash => ({ kind: "crash", ...crash, request: crash.request }) as const),
             ...[...this.begun.values()].map(at => ({ kind: "begun", at }) as const),
         ]);
     }
--- a/packages/basilpaddle/src/node/coordination/quarantine/sequentialTest.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/sequentialTest.ts
@@ -15,8 +15,6 @@
     readonly quarantinedUntil: number;
 };
 
-/** Fraction of the limit under which a guilty part counts as innocent again. */
-const acquittalFraction = 0.4;
 /** Factor by which each further conviction lengthens the quarantine. */
 const growthFactor = 4;
 
@@ -54,20 +52,20 @@
             const { at } = observation;
             if (observation.kind === "begun") {
                 suspicion = Math.max(this.minSuspicion, suspicion + this.answerWeight);
-                if (suspicion < this.limit * acquittalFraction) {
+                if (suspicion <= 0) {
                     convictions = 0;
                     quarantinedUntil = -Infinity;
                 }
                 continue;
             }
-            const isCounted = at - lastCrashAt >= this.rules.simultaneous
-                && (observation.request === undefined || !requests.has(observation.request));
-            if (!isCounted) {
+            if (at - lastCrashAt < this.rules.simultaneous) {
                 continue;
             }
             lastCrashAt = at;
-            requests.add(observation.request ?? "");
-            suspicion += this.crashWeight * (observation.phase === "early" ? 1 : this.rules.lateWeight);
+            const { request, phase } = observation;
+            suspicion += this.crashWeight * (phase === "early" ? 1 : this.rules.lateWeight)
+                * (request !== undefined && requests.has(request) ? this.rules.repeatedWeight : 1);
+            requests.add(request ?? "");
             if (suspicion >= this.limit && at > quarantinedUntil) {
                 quarantinedUntil = at + this.firstHold * growthFactor ** convictions;
                 convictions += 1;
--- a/packages/basilpaddle/src/node/protocol/crash.ts
+++ b/packages/basilpaddle/src/node/protocol/crash.ts
@@ -10,16 +10,16 @@
 export const maxRecordedAnswers = 12;
 
 /**
- * When a part of prompts is quarantined: a sequential test of the answers begun on it against the crashes under it. Only one crash
- * of each request counts, and crashes within `simultaneous` count as one.
+ * When a part of prompts is quarantined: a sequential test of the answers begun on it against the crashes under it. Crashes within
+ * `simultaneous` count as one.
  */
 export const promptPartRulesSchema = z.object({
     /** Fraction of the runs with a guilty part under which the engine crashes, at least. */
-    guiltyCrashRate: z.number().positive().lt(1).default(0.5),
+    guiltyCrashRate: z.number().positive().lt(1).default(0.4),
     /** Fraction of the runs with another part that are hit early by a crash, at most; while many engines crash, hardly more are. */
     innocentCrashRate: z.number().positive().lt(1).default(0.1),
     /** How many times as likely the observations must be with a guilty part as with an innocent one. */
-    likelihoodRatio: z.number().gt(1).default(20),
+    likelihoodRatio: z.number().gt(1).default(15),
     /**
      * Number of answers, begun before the crashes, that speak for a part. More aren't counted: its content may crash only the
      * engines of a version that was rolled out a moment ago.
@@ -29,7 +29,9 @@
      * Weight of a crash shortly after the first part of the answer, as a fraction of that of a crash before it: runs are exposed to
      * unrelated crashes for longer.
      */
-    lateWeight: z.number().positive().max(1).default(0.5),
+    lateWeight: z.number().positive().max(1).default(0.7),
+    /** Weight of a further crash under the same request, as a fraction: that request's own content may be what crashes engines. */
+    repeatedWeight: z.number().min(0).max(1).default(0.5),
     /** Milliseconds within which crashes of several servers count as one: they have a common cause, such as a loss of power. */
     simultaneous: z.number().min(0).default(100),
     /** Milliseconds of writing after which an answer has begun. */
