test(soak): prompts share parts, and engines end under a marked one beside the other faults

Callers name the parts of their prompts; plans with unplanned faults send prompts with a marked part for some seconds, no two alike, and the engine that begins to write on one ends. The invariant is that of whole requests: no crash later than three seconds after the third, apart from other disturbances.

--- a/soak/__tests__/soak.spec.ts
+++ b/soak/__tests__/soak.spec.ts
@@ -50,6 +50,14 @@
         expect([...report.logs.values()].filter(log => log.includes("a request is held back")).length).to.be.above(3);
     });
 
+    it("keeps every invariant while engines crash under a part of prompts", async () => {
+        const faults = [{ kind: "markedPrompts", at: 500, lasts: 500, pick: 0.2 }] as const;
+        const report = await runSoak({ ...createPlan(1, { seconds: shortSeconds, versions: false }), faults });
+        await expectNoViolation(report);
+        const holdsPart = (log: string): boolean => log.includes("a part of prompts is held back");
+        expect([...report.logs.values()].filter(holdsPart).length).to.be.above(3);
+    });
+
     for (const { plan, cause } of regressions) {
         it(`keeps every invariant in the run of seed ${plan.seed}: ${cause}`, async () => {
             const report = await runSoak(plan);
--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -14,7 +14,7 @@
 } from "../platform/src/standins/wire.js";
 import { Relay } from "../playground/harness/relay.js";
 import type { Invariants } from "./invariants.js";
-import { eventCount, eventText, isPoison, plainText } from "./texts.js";
+import { eventCount, eventText, isMarkedPart, isPoison, plainText } from "./texts.js";
 
 /** Simulated processing times: prefill of a prompt, a plain request, and the interval between two streamed events. */
 const prefillMilliseconds = 30;
@@ -62,7 +62,7 @@
     readonly invariants: Invariants;
     /** The prompts' KV caches that are kept, by handle; shared by all engines, which fetch caches from each other. */
     readonly caches: Map<string, KeptCache>;
-    /** Called when it starts to run a poison request, which must crash it. */
+    /** Called when it starts to run a poison request, or one with a marked part, which must crash it. */
     readonly onPoisonRequest: (backend: Backend) => void;
 };
 
@@ -257,7 +257,9 @@
     }
 
     private async serve(received: ReceivedRequest, response: http.ServerResponse, body: string): Promise<void> {
-        const { attempt, instance } = received;
+        const { attempt, instance, promptParts } = received;
+        const markedPart = this.service === "pool" ? promptParts.find(isMarkedPart) : undefined;
+        const poison = isPoison(body) ? body : markedPart;
         if (this.limit !== undefined) {
             setLimit(response, this.limit);
             response.once("finish", () => this.options.invariants.limitTold(this.id, attempt, performance.now()));
@@ -272,9 +274,9 @@
         if (instance !== undefined && instance !== this.id) {
             response.writeHead(421, notRunHeaders(attempt)).end();
         }
-        else if (isPoison(body) && !received.prefillOnly) {
+        else if (poison !== undefined && !received.prefillOnly) {
             this.options.invariants.runStarted(received, this.id, performance.now())(performance.now());
-            this.options.invariants.backendCrashed(body, this.id, performance.now());
+            this.options.invariants.backendCrashed(poison, this.id, performance.now());
             this.options.onPoisonRequest(this);
         }
         else if (this.service === "plain") {
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -7,7 +7,7 @@
 import type { Member } from "./member.js";
 import { freeKey, keyOfRequest } from "./organisations.js";
 import type { CallerEnd, SoakRequest } from "./soakRequest.js";
-import { eventCount, eventVersions, isRestOfStream, plainText } from "./texts.js";
+import { eventCount, eventVersions, isRestOfStream, plainText, promptParts } from "./texts.js";
 
 /** Host that all routes match. */
 export const routeHost = "soak.example";
@@ -87,11 +87,13 @@
         kind: RouteKind,
         path = `${routePrefixes[kind]}x`,
         body?: string,
+        markedPart?: string,
     ): Promise<SoakRequest> {
         this.createdRequests += 1;
         const attempt = `a${this.createdRequests}`;
         const request = this.invariants.requestSent(attempt, kind, gateway.name, performance.now(), freeKey);
-        const end = await this.exchange(gateway, request, path, undefined, body);
+        const parts = promptParts(attempt, markedPart);
+        const end = await this.exchange(gateway, request, path, undefined, body, undefined, parts);
         this.invariants.requestEnded(request, end, performance.now());
         return request;
     }
@@ -168,6 +170,7 @@
         abandonAfterMilliseconds: number | undefined,
         body = `body of ${request.resumes?.firstAttempt ?? request.attempt}`,
         breakAfterEvents = Number.POSITIVE_INFINITY,
+        parts = promptParts(request.resumes?.firstAttempt ?? request.attempt),
     ): Promise<CallerEnd> {
         const { attempt, kind, resumes } = request;
         return new Promise(resolve => {
@@ -183,7 +186,7 @@
                 agent: this.random.fraction() < newConnectionProbability ? false : this.agent(gateway),
                 headers: {
                     Host: routeHost,
-                    ...callerHeaders(attempt, deadlineMilliseconds, request.key.key),
+                    ...callerHeaders(attempt, deadlineMilliseconds, request.key.key, parts),
                     ...resumes === undefined ? {} : resumptionHeaders(resumes.firstAttempt, resumes.lastEvent),
                 },
             });
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -7,7 +7,7 @@
 import type { Member } from "./member.js";
 import type { Operator } from "./operator.js";
 import { type Fault, type FaultKind, plannedKinds } from "./plan.js";
-import { poisonBody } from "./texts.js";
+import { markedPart, poisonBody } from "./texts.js";
 
 /** Longest time for which all directories are down together. */
 const maxOutageMilliseconds = 2_000;
@@ -22,6 +22,8 @@
 /** Interval between two copies of a poison request, and the time it is sent beyond the fault's duration: past the third crash. */
 const poisonIntervalMilliseconds = 250;
 const poisonExtraMilliseconds = 6_000;
+/** Interval between two prompts with a marked part. */
+const markedIntervalMilliseconds = 150;
 /** Delay between a stop and the next start of a process. */
 const restartDelayMilliseconds = 300;
 
@@ -107,6 +109,7 @@
             changeSeeds: () => this.changeSeeds(fault),
             crashBackend: () => this.crashBackend(fault),
             deadlyRequests: () => this.sendPoisonRequests(fault),
+            markedPrompts: () => this.sendMarkedPrompts(fault),
             darkenBackend: () => this.impairBackend(fault, backend => backend.relay.stallAll(), healRelay),
             slowBackend: () =>
                 this.impairBackend(fault, backend => (backend.slowdownFactor = backendSlowdownFactor), restoreSpeed),
@@ -293,6 +296,22 @@
         await Promise.all(pendingRequests);
     }
 
+    /** Sends prompts with a marked part, no two alike, to all gateways in turn; each engine that starts to write on one crashes. */
+    private async sendMarkedPrompts(fault: Fault): Promise<void> {
+        const part = markedPart(Math.round(fault.at));
+        this.recordFault(fault, part);
+        const endsAt = performance.now() + fault.lasts + poisonExtraMilliseconds;
+        const pendingRequests: Promise<unknown>[] = [];
+        for (let count = 0; performance.now() < endsAt; count++) {
+            const kind = count % 2 === 0 ? "once" : "resumable";
+            const gateway = this.deployment.gateways[count % this.deployment.gateways.length]!;
+            const path = `${routePrefixes[kind]}x`;
+            pendingRequests.push(this.callers.sendRequest(gateway, kind, path, `marked ${fault.at} ${count}`, part));
+            await pause(markedIntervalMilliseconds);
+        }
+        await Promise.all(pendingRequests);
+    }
+
     private async impairBackend(
         fault: Fault,
         impair: (backend: Backend) => unknown,
--- a/soak/invariants.ts
+++ b/soak/invariants.ts
@@ -20,6 +20,7 @@
     "killAll",
     "crashBackend",
     "deadlyRequests",
+    "markedPrompts",
     "slowBackend",
     "lapseHandles",
     "loseAnswers",
@@ -37,7 +38,7 @@
 /** Runs in a window beyond rate and burst: each gateway may add its part and one request while no leader answers. */
 const allowanceSlack = 3 * busyAllowance.burst;
 
-/** Crashes that one request may cause, and the time after the last of them until all gateways have quarantined it. */
+/** Crashes that one request, or one part of prompts, may cause, and the time after the last of them until all gateways have quarantined it. */
 const maxCrashes = 3;
 const quarantinePropagationMilliseconds = 3_000;
 
@@ -189,7 +190,7 @@
         }
     }
 
-    /** Records that a backend server crashed as it started to run a request with this body. */
+    /** Records that a backend server crashed as it started to run a request with this body, or this part of its prompt. */
     backendCrashed(body: string, server: string, now: number): void {
         const serverCrashes = this.crashTimes.get(body) ?? [];
         this.crashTimes.set(body, serverCrashes);
@@ -207,7 +208,9 @@
     }
 
     private isOtherwiseDisturbed(from: number, to: number): boolean {
-        const otherFaults = this.disturbances.filter(({ what }) => what !== "deadlyRequests");
+        const otherFaults = this.disturbances.filter(({ what }) =>
+            what !== "deadlyRequests" && what !== "markedPrompts"
+        );
         return otherFaults.some(span => span.from <= to && span.to + aftereffectMilliseconds >= from);
     }
 
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -41,6 +41,7 @@
 export type FaultKind =
     | typeof faultKinds[number]
     | "limitBackend"
+    | "markedPrompts"
     | "partitionGateways"
     | "leaveBackends"
     | "replaceVersion";
@@ -152,6 +153,7 @@
     const hasUnplannedFaults = remainder !== 0 && remainder !== partitionOnlyRemainder;
     if (size.departures !== false) {
         faults.push(...createDepartures(seed, length, hasUnplannedFaults));
+        faults.push(...(hasUnplannedFaults ? [createMarkedPrompts(seed, length)] : []));
     }
     if (seed % plannedOnlySeedInterval !== 0) {
         faults.push(...createPartitions(seed, length));
@@ -189,6 +191,17 @@
     return beside ? [departures, kill("killDirectory", 0), kill("killGateway", random.fraction())] : [departures];
 }
 
+/** Prompts with a part that crashes engines arrive beside the other faults, which are the same as without them. */
+function createMarkedPrompts(seed: number, length: number): Fault {
+    const random = SeededRandomness.create(-4_000_000 - seed);
+    return {
+        kind: "markedPrompts",
+        at: random.integer(0, Math.floor(length / 2)),
+        lasts: random.integer(minDurationMilliseconds, maxDurationMilliseconds),
+        pick: random.fraction(),
+    };
+}
+
 /** Gateways are partitioned from all backend servers twice beside the other faults, which are the same as without it. */
 function createPartitions(seed: number, length: number): Fault[] {
     const random = SeededRandomness.create(-1_000_000 - seed);
--- a/soak/texts.ts
+++ b/soak/texts.ts
@@ -46,3 +46,24 @@
 export function isPoison(body: string): boolean {
     return body.startsWith(poisonPrefix);
 }
+
+/** Prefix of a prompt's part that crashes each engine that begins to write on it. */
+const markedPartPrefix = "bad";
+/** Number of first parts that prompts share. */
+const sharedPartCount = 3;
+
+/** Identifiers of a prompt's parts: a shared one, perhaps a marked one, and the request's own. */
+export function promptParts(attempt: string, markedPart?: string): string[] {
+    const number = Math.floor(hashToFraction(attempt) * sharedPartCount);
+    return [`5a${number}`, ...markedPart === undefined ? [] : [markedPart], Buffer.from(attempt).toString("hex")];
+}
+
+/** Identifier of a part that crashes engines. */
+export function markedPart(number: number): string {
+    return `${markedPartPrefix}${number}`;
+}
+
+/** Whether a part of a prompt crashes engines. */
+export function isMarkedPart(part: string): boolean {
+    return part.startsWith(markedPartPrefix);
+}
