feat(cli): explain, held and refusals name the part of prompts that is held back

A refused caller was told that servers had ended under its request, which for a new request with a guilty part wasn't true; explain showed only records of the request's own digest. The reason and the step heldBack name the part now, explain shows the lines of each part of the prompt, and held lists parts beside requests. Test of explain added (it showed no line before).

--- a/packages/basilpaddle/src/node/cli/__tests__/explanation.spec.ts
+++ b/packages/basilpaddle/src/node/cli/__tests__/explanation.spec.ts
@@ -85,6 +85,15 @@
         expect(explain(lines, "r")[0]!.beliefs.map(({ daemon }) => daemon)).to.deep.equal(["gateway-2", "gateway-1"]);
     });
 
+    it("shows the crashes that quarantined a part of its prompt", () => {
+        const { lines } = readLogLines([
+            line(-3_500_000, "gateway-2", "a part of prompts is held back", { content: "part:b" }),
+            line(-3_500_000, "gateway-3", "a part of prompts is held back", { content: "part:d" }),
+            line(5_000, "gateway-1", "request", { request: "r", content: "c", promptParts: ["part:a", "part:b"] }),
+        ]);
+        expect(explain(lines, "r")[0]!.beliefs.map(({ daemon }) => daemon)).to.deep.equal(["gateway-2"]);
+    });
+
     it("reads lines behind a collector's prefix, and counts what isn't a log line", () => {
         const { lines, unread } = readLogLines([`host-7 12.5 ${endLine}\nError: torn\n{"at":"20`]);
         expect([lines.length, unread]).to.deep.equal([1, 2]);
--- a/packages/basilpaddle/src/node/cli/commands/held.ts
+++ b/packages/basilpaddle/src/node/cli/commands/held.ts
@@ -4,7 +4,7 @@
 
 const millisecondsInSecond = 1_000;
 
-/** Lists the requests that are quarantined because backend servers crashed while running them. */
+/** Lists the requests and parts of prompts that are quarantined because backend servers crashed while running them. */
 export function run(args: OperatorArguments): Promise<ExitCode> {
     return withClient(
         args,
@@ -18,8 +18,12 @@
                     ),
                 ]);
                 return rows.length === 0
-                    ? ["no request is quarantined"]
-                    : table(["request", "time left", "backend servers that crashed while running it"], rows);
+                    ? ["no request and no part of prompts is quarantined"]
+                    : table([
+                        "request or part of prompts",
+                        "time left",
+                        "backend servers that crashed while running it",
+                    ], rows);
             }),
     );
 }
--- a/packages/basilpaddle/src/node/cli/explanation.ts
+++ b/packages/basilpaddle/src/node/cli/explanation.ts
@@ -91,12 +91,13 @@
             return other.daemon === line.daemon && tellsStateOf(other, server) && Date.parse(other.at) <= endedAt;
         });
     }));
+    const contents: readonly unknown[] = [line.content ?? [], line.promptParts ?? []].flat();
     const isRelated = (other: LogLine): boolean => {
         const at = Date.parse(other.at);
         const isNear = at >= arrivedAt - relatedBeforeMilliseconds && at <= endedAt + relatedAfterMilliseconds;
         const isSameDaemon = other.daemon === line.daemon || relays.has(other.daemon);
-        // Crashes that quarantine a request may have happened hours before, during other attempts.
-        const hasSameContent = line.content !== undefined && other.content === line.content;
+        // Crashes that quarantine a request, or a part of its prompt, may have happened hours before, during other attempts.
+        const hasSameContent = contents.includes(other.content);
         return !requestMessages.has(other.message)
             && (hasSameContent || lastStates.has(other) || isNear && (isSameDaemon || namesAnyServer(other, servers)));
     };
--- a/packages/basilpaddle/src/node/daemon/gateway/refuseQuarantined.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/refuseQuarantined.ts
@@ -1,4 +1,4 @@
-import { type CrashDetector, describeCrashes, quarantineReason } from "../../coordination/index.js";
+import { type CrashDetector, describeCrashes, isPromptPartName, quarantineReason } from "../../coordination/index.js";
 import type { Metrics } from "../../utils/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 
@@ -17,12 +17,14 @@
         return false;
     }
     metrics.count("basilpaddle_held_back_refusals_total");
-    trace.push(`heldBack (${describeCrashes(quarantine.crashes).join(", ")})`);
+    const { digest, crashes: countedCrashes, left } = quarantine;
+    const part = isPromptPartName(digest) ? [digest] : [];
+    trace.push(`heldBack (${[...part, ...describeCrashes(countedCrashes)].join(", ")})`);
     if (hasRun || request.hasAnswerBegun()) {
-        request.fail(502, quarantineReason);
+        request.fail(502, quarantineReason(digest));
     }
     else {
-        request.refuse(quarantine.left, quarantineReason);
+        request.refuse(left, quarantineReason(digest));
     }
     return true;
 }
