--- a/packages/basilpaddle/src/node/coordination/quarantine/sequentialTest.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/sequentialTest.ts
@@ -1,9 +1,15 @@
 import type { CrashPhase, PromptPartRules } from "../../protocol/index.js";
 
+/** A crash under a part of prompts; `request`: digest of the request that ran, if it is known. */
+export type ObservedCrash = {
+    readonly kind: "crash";
+    readonly at: number;
+    readonly phase: CrashPhase;
+    readonly request: string | undefined;
+};
+
 /** One observation of a part of prompts: a crash under it, or an answer begun on it. */
-export type Observation =
-    | { readonly kind: "crash"; readonly at: number; readonly phase: CrashPhase; readonly request: string | undefined; }
-    | { readonly kind: "begun"; readonly at: number; };
+export type Observation = ObservedCrash | { readonly kind: "begun"; readonly at: number; };
 
 /** State of the test after all observations. */
 export type TestResult = {
@@ -15,6 +21,15 @@
     readonly quarantinedUntil: number;
 };
 
+/** State of the test after some observations. */
+type TestState = {
+    suspicion: number;
+    convictions: number;
+    quarantinedUntil: number;
+    lastCrashAt: number;
+    readonly requests: Set<string>;
+};
+
 /** Factor by which each further conviction lengthens the quarantine. */
 const growthFactor = 4;
 
@@ -41,36 +56,53 @@
         return new SequentialTest(rules, firstHold);
     }
 
-    /** Evaluates observations in any order. */
+    /** Evaluates observations, which may be in any order. */
     evaluate(observations: readonly Observation[]): TestResult {
-        const requests = new Set<string>();
-        let suspicion = 0;
-        let convictions = 0;
-        let quarantinedUntil = -Infinity;
-        let lastCrashAt = -Infinity;
+        const state: TestState = {
+            suspicion: 0,
+            convictions: 0,
+            quarantinedUntil: -Infinity,
+            lastCrashAt: -Infinity,
+            requests: new Set(),
+        };
         for (const observation of [...observations].sort((one, other) => one.at - other.at)) {
-            const { at } = observation;
             if (observation.kind === "begun") {
-                suspicion = Math.max(this.minSuspicion, suspicion + this.answerWeight);
-                if (suspicion <= 0) {
-                    convictions = 0;
-                    quarantinedUntil = -Infinity;
-                }
-                continue;
+                this.addAnswer(state);
             }
-            if (at - lastCrashAt < this.rules.simultaneous) {
-                continue;
-            }
-            lastCrashAt = at;
-            const { request, phase } = observation;
-            suspicion += this.crashWeight * (phase === "early" ? 1 : this.rules.lateWeight)
-                * (request !== undefined && requests.has(request) ? this.rules.repeatedWeight : 1);
-            requests.add(request ?? "");
-            if (suspicion >= this.limit && at > quarantinedUntil) {
-                quarantinedUntil = at + this.firstHold * growthFactor ** convictions;
-                convictions += 1;
+            else {
+                this.addCrash(state, observation);
             }
         }
+        const { suspicion, convictions, quarantinedUntil } = state;
         return { suspicion, convictions, quarantinedUntil };
     }
+
+    private addAnswer(state: TestState): void {
+        state.suspicion = Math.max(this.minSuspicion, state.suspicion + this.answerWeight);
+        if (state.suspicion <= 0) {
+            state.convictions = 0;
+            state.quarantinedUntil = -Infinity;
+        }
+    }
+
+    private addCrash(state: TestState, crash: ObservedCrash): void {
+        const { at, request } = crash;
+        if (at - state.lastCrashAt < this.rules.simultaneous) {
+            return;
+        }
+        state.lastCrashAt = at;
+        state.suspicion += this.weightOf(crash, request !== undefined && state.requests.has(request));
+        if (request !== undefined) {
+            state.requests.add(request);
+        }
+        if (state.suspicion >= this.limit && at > state.quarantinedUntil) {
+            state.quarantinedUntil = at + this.firstHold * growthFactor ** state.convictions;
+            state.convictions += 1;
+        }
+    }
+
+    private weightOf({ phase }: ObservedCrash, isRepeated: boolean): number {
+        const { lateWeight, repeatedWeight } = this.rules;
+        return this.crashWeight * (phase === "early" ? 1 : lateWeight) * (isRepeated ? repeatedWeight : 1);
+    }
 }
--- a/packages/basilpaddle/src/node/protocol/crash.ts
+++ b/packages/basilpaddle/src/node/protocol/crash.ts
@@ -36,6 +36,8 @@
     simultaneous: z.number().min(0).default(100),
     /** Milliseconds of writing after which an answer has begun. */
     begunAfter: z.number().min(0).default(250),
+}).refine(({ guiltyCrashRate, innocentCrashRate }) => guiltyCrashRate > innocentCrashRate, {
+    error: "guiltyCrashRate has to be above innocentCrashRate",
 });
 
 /** When a part of prompts is quarantined. */
