fix(quarantine): parts of prompts aren't held back for servers that are silent, plain servers, or because nearly all prompts share them

Cause: a run that was lost at a silent server counted against its prompt's parts once the end was reported, and at a loaded machine many servers go silent; runs at plain servers, which begin no answers, counted as well; and after all processes were killed no daemon knew any begun answer that spoke for a part. Why it works: only an engine at whose address nothing listens counts against parts, and only under streams. A crash weighs less the larger the share of begun streams is that hold the part, near a half where few have begun, so that a daemon that knows nothing condemns nobody by two crashes.

--- a/packages/basilpaddle/src/node/coordination/quarantine/__tests__/promptParts.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/__tests__/promptParts.spec.ts
@@ -59,6 +59,16 @@
         expect(isHeldBack()).to.equal(false);
     });
 
+    it("that many prompts share aren't held back for a few requests that crash engines by themselves", () => {
+        const isHeldBackWith = (share: number): boolean => {
+            quarantine = Quarantine.create(rules);
+            const all = numbers(4).map(index => ({ ...crash(`s${index}`, `r${index}`, 5_000 - 900 * index), share }));
+            quarantine.merge([crashes(part, ...all)], 10_000);
+            return isHeldBack();
+        };
+        expect([1, 0.33, 0.15, 0.02].map(isHeldBackWith)).to.deep.equal([false, false, true, true]);
+    });
+
     it("take the blame for their crashes from requests and other parts that were hit", () => {
         const guilty = [crash("s1", "r1", 900), crash("s2", "r2", 600), crash("s3", "r3", 300)];
         quarantine.merge([crashes(part, ...guilty), crashes(other, ...guilty), crashes("hit", ...guilty)], 10_000);
--- a/packages/basilpaddle/src/node/coordination/quarantine/crashDetector.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/crashDetector.ts
@@ -100,6 +100,9 @@
         const run = { request, server, phase, at: this.now(), hadBegun };
         if (await this.probe(server) === "no") {
             this.recordCrash(run, "nothing listens at its address");
+            if (!hadBegun && phase !== "whole") {
+                this.recordPartCrash(run);
+            }
         }
         else if (this.pendingRuns.length < maxPendingRuns) {
             // An unresponsive server may have ended long before the run timed out, so "early" would be no evidence.
@@ -171,9 +174,13 @@
         if (!quarantine.wasRecentlyAnswered(digest)) {
             quarantine.addCrash(digest, crash);
         }
-        if (!hadBegun) {
-            quarantine.addPartCrash(promptParts, { ...crash, request: digest });
-        }
+    }
+
+    /** A reported end isn't enough here: everybody's runs are lost while a server is silent, and most of them are young. */
+    private recordPartCrash({ request, server, phase, at }: LostRun): void {
+        const { digest, promptParts = [] } = request;
+        const crash = { server: server.id, phase, age: this.now() - at, request: digest };
+        this.options.quarantine.addPartCrash(promptParts, crash);
     }
 
     private now(): number {
--- a/packages/basilpaddle/src/node/coordination/quarantine/promptPartSuspect.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/promptPartSuspect.ts
@@ -10,7 +10,7 @@
 import { SequentialTest, type TestResult } from "./sequentialTest.js";
 import { type Culprits, Suspect } from "./suspect.js";
 
-type PartCrash = KnownCrash & Pick<Crash, "request">;
+type PartCrash = KnownCrash & Pick<Crash, "request" | "share">;
 
 /**
  * A part that several prompts share. Most crashes that a part is exposed to have another cause, and a part that all prompts share is
@@ -91,16 +91,16 @@
         const since = this.begun.size < maxRecordedAnswers ? -Infinity : Math.min(...this.begun.values());
         const crashes = this.countedCrashes(culprits).filter(({ at }) => at >= since);
         return this.test.evaluate([
-            ...crashes.map(crash => ({ kind: "crash", ...crash, request: crash.request }) as const),
+            ...crashes.map(crash => ({ kind: "crash", ...crash, request: crash.request, share: crash.share }) as const),
             ...[...this.begun.values()].map(at => ({ kind: "begun", at }) as const),
         ]);
     }
 
-    private addCrash({ server, phase, request }: Crash, at: number): boolean {
+    private addCrash({ server, phase, request, share }: Crash, at: number): boolean {
         if (this.crashes.has(server) || at <= this.clearedAt) {
             return false;
         }
-        this.crashes.set(server, { server, phase, at, request });
+        this.crashes.set(server, { server, phase, at, request, share });
         return !removeOldest(this.crashes, maxRecordedCrashes, crash => crash.at).includes(server);
     }
 
--- a/packages/basilpaddle/src/node/coordination/quarantine/quarantinedRequests.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/quarantinedRequests.ts
@@ -3,6 +3,7 @@
 import type { Crash, CrashRecord, QuarantineRules } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
 import { BegunAnswers } from "./begunAnswers.js";
+import { PartShares } from "./partShares.js";
 import { isPromptPartName } from "./promptPart.js";
 import { Quarantine, type QuarantinedRequest, type QuarantineStatus } from "./quarantine.js";
 
@@ -30,6 +31,7 @@
     readonly source = randomUUID();
     private readonly quarantine: Quarantine;
     private readonly begunAnswers = BegunAnswers.create();
+    private readonly partShares = PartShares.create();
     private readonly answeredAt = new LRUCache<string, number>({ max: answeredCacheSize });
     private lastSweepAt = -Infinity;
 
@@ -81,7 +83,7 @@
         for (const digest of [...parts].reverse()) {
             this.mergeAndPublish({
                 digest,
-                crashes: [crash],
+                crashes: [{ ...crash, share: this.partShares.shareOf(digest) }],
                 begun: [...this.begunAnswers.recent(digest, this.now())],
             });
         }
@@ -96,6 +98,7 @@
     recordBegun(parts: readonly string[], attempt: string): void {
         if (attempt !== "") {
             this.begunAnswers.record(parts, attempt, this.now());
+            this.partShares.record(parts);
             parts.forEach(part => this.publishBegun(part));
         }
     }
--- a/packages/basilpaddle/src/node/coordination/quarantine/sequentialTest.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/sequentialTest.ts
@@ -1,11 +1,12 @@
 import type { CrashPhase, PromptPartRules } from "../../protocol/index.js";
 
-/** A crash under a part of prompts; `request`: digest of the request that ran, if it is known. */
+/** A crash under a part of prompts; `request`: digest of the request that ran; `share`: share of the prompts that hold the part. */
 export type ObservedCrash = {
     readonly kind: "crash";
     readonly at: number;
     readonly phase: CrashPhase;
     readonly request: string | undefined;
+    readonly share: number | undefined;
 };
 
 /** One observation of a part of prompts: a crash under it, or an answer begun on it. */
@@ -101,8 +102,9 @@
         }
     }
 
-    private weightOf({ phase }: ObservedCrash, isRepeated: boolean): number {
-        const { lateWeight, repeatedWeight } = this.rules;
-        return this.crashWeight * (phase === "early" ? 1 : lateWeight) * (isRepeated ? repeatedWeight : 1);
+    private weightOf({ phase, share }: ObservedCrash, isRepeated: boolean): number {
+        const { lateWeight, repeatedWeight, innocentCrashRate } = this.rules;
+        const rarity = share === undefined ? 1 : Math.min(1, Math.log(share) / Math.log(innocentCrashRate));
+        return this.crashWeight * rarity * (phase === "early" ? 1 : lateWeight) * (isRepeated ? repeatedWeight : 1);
     }
 }
--- a/packages/basilpaddle/src/node/protocol/crash.ts
+++ b/packages/basilpaddle/src/node/protocol/crash.ts
@@ -16,7 +16,10 @@
 export const promptPartRulesSchema = z.object({
     /** Fraction of the runs with a guilty part under which the engine crashes, at least. */
     guiltyCrashRate: z.number().positive().lt(1).default(0.4),
-    /** Fraction of the runs with another part that are hit early by a crash, at most; while many engines crash, hardly more are. */
+    /**
+     * Fraction of the runs with another part that are hit early by a crash, at most; while many engines crash, hardly more are. A crash
+     * under a part that a larger share of the begun streams holds weighs less: some request with it is on most engines.
+     */
     innocentCrashRate: z.number().positive().lt(1).default(0.1),
     /** How many times as likely the observations must be with a guilty part as with an innocent one. */
     likelihoodRatio: z.number().gt(1).default(15),
@@ -33,7 +36,7 @@
     /** Weight of a further crash under the same request, as a fraction: that request's own content may be what crashes engines. */
     repeatedWeight: z.number().min(0).max(1).default(0.5),
     /** Milliseconds within which crashes of several servers count as one: they have a common cause, such as a loss of power. */
-    simultaneous: z.number().min(0).default(100),
+    simultaneous: z.number().min(0).default(20),
     /** Milliseconds of writing after which an answer has begun. */
     begunAfter: z.number().min(0).default(250),
 }).refine(({ guiltyCrashRate, innocentCrashRate }) => guiltyCrashRate > innocentCrashRate, {
@@ -86,6 +89,8 @@
     age: milliseconds,
     /** In the record of a part of prompts: digest of the request that ran. @default not known */
     request: identifier.optional(),
+    /** In the record of a part of prompts: share of the streams begun at the daemon that reports the crash that hold it. @default small */
+    share: z.number().min(0).max(1).optional(),
 });
 
 /** An answer that a backend server began to write. */
