fix(daemon): a daemon whose log can't be written ends instead of taking a processor for ever

What was seen: an entry daemon of a test run whose reader had been ended ran on for 50 minutes at 97% of a processor; its stack was the logging of an uncaught error. Cause: writing to the closed pipe is an uncaught error, which is logged, which fails again; these errors come before any promise settles, so that the end of the process, which had been asked for, never came. Evidence: the stack above by the inspector; the new test logged the failure 100 times (its limit) and logs it once now. Why it works: only the first failure is logged; the end then settles.

--- a/packages/basilpaddle/src/node/daemon/start/__tests__/daemonLifecycle.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/start/__tests__/daemonLifecycle.spec.ts
@@ -57,6 +57,22 @@
         expect(await ended).to.deep.equal({ kind: "cutOff", abortedRequests: ["request-1"] });
     });
 
+    // Guards against a daemon that takes a whole processor for ever once nobody reads its log.
+    it("ends as failed if its log can't be written, and logs that once", async () => {
+        let logged = 0;
+        const failToWrite = (): undefined => {
+            logged += 1;
+            if (logged < 100) {
+                process.nextTick(() => signals.emit("uncaughtException", new Error("EPIPE")));
+            }
+        };
+        signals.removeAllListeners();
+        ended = serveUntilStopped(daemon, Object.assign(createSilentLogger(), { fatal: failToWrite }), signals);
+        signals.emit("uncaughtException", new Error("EPIPE"));
+        expect(await ended).to.deep.equal({ kind: "failed", cause: "an uncaught error" });
+        expect(logged).to.equal(1);
+    });
+
     it("ends as failed on an uncaught error, without a graceful shutdown", async () => {
         signals.emit("uncaughtException", new Error("a fault"));
         expect(await ended).to.deep.equal({ kind: "failed", cause: "an uncaught error" });
--- a/packages/basilpaddle/src/node/daemon/start/daemonLifecycle.ts
+++ b/packages/basilpaddle/src/node/daemon/start/daemonLifecycle.ts
@@ -66,6 +66,7 @@
     readonly ended: Promise<DaemonExit>;
     private end!: (end: DaemonExit) => void;
     private receivedSignals = 0;
+    private hasFailed = false;
 
     constructor(private readonly daemon: RunningDaemon, private readonly logger: Logger) {
         this.ended = new Promise(resolve => {
@@ -94,6 +95,11 @@
     // There is no graceful shutdown here: after an uncaught error the state of the process can't be trusted. Its leases
     // expire once its heartbeats are missed, and the platform restarts it.
     fail(cause: string, error: unknown): void {
+        if (this.hasFailed) {
+            // The log itself may be what fails: logging each failure to write it would never end.
+            return;
+        }
+        this.hasFailed = true;
         this.logger.fatal("the daemon is terminating after a failure", { cause, error });
         this.end({ kind: "failed", cause });
     }
