--- a/packages/basilpaddle/src/node/coordination/quarantine/crashDetector.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/crashDetector.ts
@@ -68,8 +68,8 @@
     }
 
     /**
-     * Why a request may not be sent now, by itself or for a part of its prompt; undefined if it may. Check it before each send, since other daemons may have
-     * reported crashes in the meantime.
+     * Why a request may not be sent now, by itself or for a part of its prompt; undefined if it may. Check it before each send,
+     * since other daemons may have reported crashes in the meantime.
      */
     quarantineStatus({ digest, promptParts = [] }: RequestAttempt): QuarantinedRequest | undefined {
         const { quarantine } = this.options;
@@ -176,7 +176,7 @@
         }
     }
 
-    /** A reported end isn't enough here: everybody's runs are lost while a server is silent, and most of them are young. */
+    /** Only for servers that don't listen: those that are silent lose the runs of everybody, whatever their prompts hold. */
     private recordPartCrash({ request, server, phase, at }: LostRun): void {
         const { digest, promptParts = [] } = request;
         const crash = { server: server.id, phase, age: this.now() - at, request: digest };
--- a/packages/basilpaddle/src/node/protocol/crash.ts
+++ b/packages/basilpaddle/src/node/protocol/crash.ts
@@ -89,7 +89,10 @@
     age: milliseconds,
     /** In the record of a part of prompts: digest of the request that ran. @default not known */
     request: identifier.optional(),
-    /** In the record of a part of prompts: share of the streams begun at the daemon that reports the crash that hold it. @default small */
+    /**
+     * In the record of a part of prompts: share of the newest begun streams whose prompts hold it, at the daemon that reports the
+     * crash. @default small
+     */
     share: z.number().min(0).max(1).optional(),
 });
 
