test(playground): an engine that a failed test had added no longer fails the four tests after it

Cause of four: the first one's third decode engine is ended at the end of the test, so that it stayed behind a relay when the test failed; the pool's copies were placed on it ('transfer on decode-3: abandoned' in two of the failures). Its checks are unchanged.

--- a/playground/__tests__/failures.spec.ts
+++ b/playground/__tests__/failures.spec.ts
@@ -3,6 +3,8 @@
 import { expectCompleteAnswer, StreamLoad } from "./load.js";
 import { call, model, Rig, secondModel, timing } from "./rig.js";
 
+type RelayedEngine = Awaited<ReturnType<Rig["addRelayedEngine"]>>;
+
 describe("a deployment of real processes under network partitions and shutdowns", () => {
     let rig: Rig;
     before(async function() {
@@ -40,6 +42,20 @@
         return answers;
     }
 
+    /** Runs a test with one more decode engine behind a relay, and ends it, whatever the test's outcome. */
+    async function withRelayedEngine(id: string, test: (engine: RelayedEngine) => Promise<void>): Promise<void> {
+        const engine = await rig.addRelayedEngine(id, "decode");
+        try {
+            await rig.deployment.waitForBackends([id]);
+            await test(engine);
+        }
+        finally {
+            engine.relay.heal();
+            engine.backend.signal("SIGTERM");
+            await engine.backend.end();
+        }
+    }
+
     async function schedulerOf(entryIndex: number) {
         const { view } = await rig.deployment.status(rig.entry(entryIndex));
         return view.leases["scheduler/drafting"]?.holder.daemon;
@@ -85,24 +101,27 @@
 
     it("returns a final answer when a decode engine becomes unreachable in the middle of a stream", async () => {
         // Guards against a caller that waits forever, and a decode slot that stays allocated after the network has recovered.
-        const { backend, relay } = await rig.addRelayedEngine("decode-3", "decode");
-        await rig.deployment.waitForBackends(["decode-3"]);
-        const before = await rig.decodeCount();
-        const load = new StreamLoad(rig);
-        await until("a stream of decode-3", async () => {
-            load.keepOpen(11);
-            const isStreaming = Object.values(await backend.attemptRecords()).some(({ tokens }) => tokens > 0);
-            return isStreaming && (await backend.activeAttempts()).length > 0;
+        await withRelayedEngine("decode-3", async ({ backend, relay }) => {
+            const before = await rig.decodeCount();
+            const load = new StreamLoad(rig);
+            await until("a stream of decode-3", async () => {
+                load.keepOpen(11);
+                const isStreaming = Object.values(await backend.attemptRecords()).some(({ tokens }) => tokens > 0);
+                return isStreaming && (await backend.activeAttempts()).length > 0;
+            });
+            relay.stallAll();
+            const answers = await load.answers();
+            answers.forEach(({ modelCall, answer }) => expectCompleteAnswer(answer, modelCall));
+            // The interrupted streams were decoded again on another engine.
+            expect(await rig.decodeCount() - before).to.be.greaterThan(answers.length);
+            relay.heal();
+            await until(
+                "decode-3 to have no active attempt",
+                async () => (await backend.activeAttempts()).length === 0,
+            );
+            backend.signal("SIGTERM");
+            expect(await backend.end()).to.deep.equal({ code: 0, signal: undefined });
         });
-        relay.stallAll();
-        const answers = await load.answers();
-        answers.forEach(({ modelCall, answer }) => expectCompleteAnswer(answer, modelCall));
-        // The interrupted streams were decoded again on another engine.
-        expect(await rig.decodeCount() - before).to.be.greaterThan(answers.length);
-        relay.heal();
-        await until("decode-3 to have no active attempt", async () => (await backend.activeAttempts()).length === 0);
-        backend.signal("SIGTERM");
-        expect(await backend.end()).to.deep.equal({ code: 0, signal: undefined });
     });
 
     it("interrupts no request when the entry daemon that schedules the pool shuts down under load", async () => {
