--- a/packages/basilpaddle/src/node/coordination/quarantine/__tests__/promptParts.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/__tests__/promptParts.spec.ts
@@ -29,26 +29,21 @@
         quarantine = Quarantine.create(rules);
     });
 
-    const isHeldBack = (digest = part, now = 10_000): boolean => quarantine.currentStatus(digest, now) !== undefined;
+    const isQuarantined = (digest = part, now = 10_000): boolean => quarantine.currentStatus(digest, now) !== undefined;
 
-    it("are held back after crashes under two requests, and aren't after two under the same one", () => {
+    it("are quarantined after crashes under two requests, and aren't after two under the same one", () => {
         quarantine.merge([crashes(part, crash("s1", "r1", 900), crash("s2", "r1", 600))], 10_000);
-        expect(isHeldBack()).to.equal(false);
+        expect(isQuarantined()).to.equal(false);
         quarantine.merge([crashes(part, crash("s3", "r2", 100))], 10_000);
-        expect(isHeldBack()).to.equal(true);
-        expect(isHeldBack(part, 10_000 + rules.firstHold)).to.equal(false);
+        expect(isQuarantined()).to.equal(true);
+        expect(isQuarantined(part, 10_000 + rules.firstHold)).to.equal(false);
     });
 
-    it("aren't held back if all engines lose power at once", () => {
-        quarantine.merge([crashes(part, ...numbers(8).map(index => crash(`s${index}`, `r${index}`, index)))], 10_000);
-        expect(isHeldBack()).to.equal(false);
-    });
-
-    it("of which many answers had begun are held back after as many crashes in a row as outweigh these", () => {
+    it("of which many answers had begun are quarantined after as many crashes in a row as outweigh these", () => {
         quarantine.merge([begun(part, numbers(12).map(index => 8_000 + index))], 10_000);
         const held = numbers(6).map(index => {
             quarantine.merge([crashes(part, crash(`s${index}`, `r${index}`, 5_000 - 500 * index))], 10_000);
-            return isHeldBack();
+            return isQuarantined();
         });
         expect(held).to.deep.equal([false, false, false, false, true, true]);
     });
@@ -56,29 +51,29 @@
     it("are let go by answers that begin on them", () => {
         quarantine.merge([crashes(part, crash("s1", "r1", 5_000), crash("s2", "r2", 4_000))], 10_000);
         quarantine.merge([begun(part, numbers(8).map(index => 3_000 - index))], 10_000);
-        expect(isHeldBack()).to.equal(false);
+        expect(isQuarantined()).to.equal(false);
     });
 
-    it("that many prompts share aren't held back for a few requests that crash engines by themselves", () => {
-        const isHeldBackWith = (share: number): boolean => {
+    it("that many prompts share aren't quarantined for a few requests that crash engines by themselves", () => {
+        const isQuarantinedWith = (share: number): boolean => {
             quarantine = Quarantine.create(rules);
             const all = numbers(4).map(index => ({ ...crash(`s${index}`, `r${index}`, 5_000 - 900 * index), share }));
             quarantine.merge([crashes(part, ...all)], 10_000);
-            return isHeldBack();
+            return isQuarantined();
         };
-        expect([1, 0.33, 0.15, 0.02].map(isHeldBackWith)).to.deep.equal([false, false, true, true]);
+        expect([1, 0.33, 0.15, 0.02].map(isQuarantinedWith)).to.deep.equal([false, false, true, true]);
     });
 
-    it("take the blame for their crashes from requests and other parts that were hit", () => {
-        const guilty = [crash("s1", "r1", 900), crash("s2", "r2", 600), crash("s3", "r3", 300)];
-        quarantine.merge([crashes(part, ...guilty), crashes(other, ...guilty), crashes("hit", ...guilty)], 10_000);
-        expect([part, other, "hit"].map(digest => isHeldBack(digest))).to.deep.equal([true, false, false]);
+    it("are named as the cause of their crashes, instead of requests and other parts that were hit", () => {
+        const all = [crash("s1", "r1", 900), crash("s2", "r2", 600), crash("s3", "r3", 300)];
+        quarantine.merge([crashes(part, ...all), crashes(other, ...all), crashes("hit", ...all)], 10_000);
+        expect([part, other, "hit"].map(digest => isQuarantined(digest))).to.deep.equal([true, false, false]);
     });
 
     it("are released by an operator", () => {
         quarantine.merge([crashes(part, crash("s1", "r1", 900), crash("s2", "r2", 600))], 10_000);
         quarantine.merge([{ digest: part, crashes: [], clearedAge: 0 }], 10_000);
-        expect([isHeldBack(), quarantine.isSuspected(part)]).to.deep.equal([false, false]);
+        expect([isQuarantined(), quarantine.isSuspected(part)]).to.deep.equal([false, false]);
     });
 
     it("are shared from the first crash on unless answers speak for them", () => {
--- a/packages/basilpaddle/src/node/coordination/quarantine/crashDetector.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/crashDetector.ts
@@ -2,7 +2,7 @@
 import type { ListenStatus } from "../../transport/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
 import { loggedPromptParts } from "./promptPart.js";
-import type { QuarantinedRequest } from "./quarantine.js";
+import type { QuarantineEntry } from "./quarantine.js";
 import type { QuarantinedRequests } from "./quarantinedRequests.js";
 
 /** How long after a lost run a reported end of its server counts as a crash during the run, and the interval of checking. */
@@ -71,7 +71,7 @@
      * Why a request may not be sent now, by itself or for a part of its prompt; undefined if it may. Check it before each send,
      * since other daemons may have reported crashes in the meantime.
      */
-    quarantineStatus({ digest, promptParts = [] }: RequestAttempt): QuarantinedRequest | undefined {
+    quarantineStatus({ digest, promptParts = [] }: RequestAttempt): QuarantineEntry | undefined {
         const { quarantine } = this.options;
         for (const suspect of [digest, ...promptParts]) {
             const status = quarantine.quarantineStatus(suspect);
--- a/packages/basilpaddle/src/node/coordination/quarantine/sequentialTest.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/crashLikelihood.ts
@@ -12,56 +12,56 @@
 /** One observation of a part of prompts: a crash under it, or an answer begun on it. */
 export type Observation = ObservedCrash | { readonly kind: "begun"; readonly at: number; };
 
-/** State of the test after all observations. */
-export type TestResult = {
-    /** Logarithm of the likelihood ratio, guilty against innocent; above 0 the part is suspected. */
-    readonly suspicion: number;
-    /** Number of times that the part was found guilty after the quarantine before had ended; 0 if it is innocent now. */
-    readonly convictions: number;
+/** What all observations of a part show. */
+export type PartLikelihood = {
+    /** Logarithm of the likelihood ratio, harmful against harmless; above 0 the part is suspected. */
+    readonly logRatio: number;
+    /** Number of quarantines, each after the one before had ended; 0 if the part is harmless by now. */
+    readonly quarantineCount: number;
     /** End of the quarantine, on the clock of the observations; `-Infinity` if there is none. */
     readonly quarantinedUntil: number;
 };
 
-/** State of the test after some observations. */
-type TestState = {
-    suspicion: number;
-    convictions: number;
+/** What some of the observations show. */
+type LikelihoodState = {
+    logRatio: number;
+    quarantineCount: number;
     quarantinedUntil: number;
     lastCrashAt: number;
     readonly requests: Set<string>;
 };
 
-/** Factor by which each further conviction lengthens the quarantine. */
-const growthFactor = 4;
+/** Factor by which each further quarantine is longer. */
+const quarantineGrowthFactor = 4;
 
 /**
  * Wald's sequential probability ratio test of whether a part of prompts crashes engines. The order of the observations in time
  * counts, not that of their arrival, so that all daemons come to the same result.
  */
-export class SequentialTest {
+export class CrashLikelihood {
     private readonly crashWeight: number;
     private readonly answerWeight: number;
     private readonly limit: number;
-    private readonly minSuspicion: number;
+    private readonly minLogRatio: number;
 
     private constructor(private readonly rules: PromptPartRules, private readonly firstHold: number) {
-        const { guiltyCrashRate, innocentCrashRate, likelihoodRatio, countedAnswers } = rules;
-        this.crashWeight = Math.log(guiltyCrashRate / innocentCrashRate);
-        this.answerWeight = Math.log((1 - guiltyCrashRate) / (1 - innocentCrashRate));
+        const { harmfulCrashRate, harmlessCrashRate, likelihoodRatio, countedAnswers } = rules;
+        this.crashWeight = Math.log(harmfulCrashRate / harmlessCrashRate);
+        this.answerWeight = Math.log((1 - harmfulCrashRate) / (1 - harmlessCrashRate));
         this.limit = Math.log(likelihoodRatio);
-        this.minSuspicion = this.answerWeight * countedAnswers;
+        this.minLogRatio = this.answerWeight * countedAnswers;
     }
 
     /** `firstHold`: duration of the first quarantine in milliseconds. */
-    static create(rules: PromptPartRules, firstHold: number): SequentialTest {
-        return new SequentialTest(rules, firstHold);
+    static create(rules: PromptPartRules, firstHold: number): CrashLikelihood {
+        return new CrashLikelihood(rules, firstHold);
     }
 
     /** Evaluates observations, which may be in any order. */
-    evaluate(observations: readonly Observation[]): TestResult {
-        const state: TestState = {
-            suspicion: 0,
-            convictions: 0,
+    evaluate(observations: readonly Observation[]): PartLikelihood {
+        const state: LikelihoodState = {
+            logRatio: 0,
+            quarantineCount: 0,
             quarantinedUntil: -Infinity,
             lastCrashAt: -Infinity,
             requests: new Set(),
@@ -74,37 +74,37 @@
                 this.addCrash(state, observation);
             }
         }
-        const { suspicion, convictions, quarantinedUntil } = state;
-        return { suspicion, convictions, quarantinedUntil };
+        const { logRatio, quarantineCount, quarantinedUntil } = state;
+        return { logRatio, quarantineCount, quarantinedUntil };
     }
 
-    private addAnswer(state: TestState): void {
-        state.suspicion = Math.max(this.minSuspicion, state.suspicion + this.answerWeight);
-        if (state.suspicion <= 0) {
-            state.convictions = 0;
+    private addAnswer(state: LikelihoodState): void {
+        state.logRatio = Math.max(this.minLogRatio, state.logRatio + this.answerWeight);
+        if (state.logRatio <= 0) {
+            state.quarantineCount = 0;
             state.quarantinedUntil = -Infinity;
         }
     }
 
-    private addCrash(state: TestState, crash: ObservedCrash): void {
+    private addCrash(state: LikelihoodState, crash: ObservedCrash): void {
         const { at, request } = crash;
         if (at - state.lastCrashAt < this.rules.simultaneous) {
             return;
         }
         state.lastCrashAt = at;
-        state.suspicion += this.weightOf(crash, request !== undefined && state.requests.has(request));
+        state.logRatio += this.weightOf(crash, request !== undefined && state.requests.has(request));
         if (request !== undefined) {
             state.requests.add(request);
         }
-        if (state.suspicion >= this.limit && at > state.quarantinedUntil) {
-            state.quarantinedUntil = at + this.firstHold * growthFactor ** state.convictions;
-            state.convictions += 1;
+        if (state.logRatio >= this.limit && at > state.quarantinedUntil) {
+            state.quarantinedUntil = at + this.firstHold * quarantineGrowthFactor ** state.quarantineCount;
+            state.quarantineCount += 1;
         }
     }
 
     private weightOf({ phase, share }: ObservedCrash, isRepeated: boolean): number {
-        const { lateWeight, repeatedWeight, innocentCrashRate } = this.rules;
-        const rarity = share === undefined ? 1 : Math.min(1, Math.log(share) / Math.log(innocentCrashRate));
+        const { lateWeight, repeatedWeight, harmlessCrashRate } = this.rules;
+        const rarity = share === undefined ? 1 : Math.min(1, Math.log(share) / Math.log(harmlessCrashRate));
         return this.crashWeight * rarity * (phase === "early" ? 1 : lateWeight) * (isRepeated ? repeatedWeight : 1);
     }
 }
--- a/packages/basilpaddle/src/node/coordination/quarantine/promptPartSuspect.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/promptPartSuspect.ts
@@ -6,8 +6,8 @@
     type QuarantineRules,
 } from "../../protocol/index.js";
 import type { KnownCrash } from "./crashHistory.js";
+import { CrashLikelihood, type PartLikelihood } from "./crashLikelihood.js";
 import { isPromptPartName } from "./promptPart.js";
-import { SequentialTest, type TestResult } from "./sequentialTest.js";
 import { type Culprits, Suspect } from "./suspect.js";
 
 type PartCrash = KnownCrash & Pick<Crash, "request" | "share">;
@@ -23,11 +23,11 @@
     private clearedAt = -Infinity;
     private lastChangeAt = -Infinity;
     private wasSuspected = false;
-    private readonly test: SequentialTest;
+    private readonly likelihood: CrashLikelihood;
 
     private constructor(digest: string, { promptParts, firstHold }: QuarantineRules) {
         super(digest);
-        this.test = SequentialTest.create(promptParts, firstHold);
+        this.likelihood = CrashLikelihood.create(promptParts, firstHold);
     }
 
     static create(digest: string, rules: QuarantineRules): PromptPartSuspect {
@@ -51,16 +51,16 @@
     }
 
     override isSuspected(culprits: Culprits): boolean {
-        return this.evaluate(culprits).suspicion > 0;
+        return this.evaluate(culprits).logRatio > 0;
     }
 
     override quarantinedUntil(culprits: Culprits): number | undefined {
-        const { convictions, quarantinedUntil } = this.evaluate(culprits);
-        return convictions === 0 ? undefined : quarantinedUntil;
+        const { quarantineCount, quarantinedUntil } = this.evaluate(culprits);
+        return quarantineCount === 0 ? undefined : quarantinedUntil;
     }
 
     override attributedServers(culprits: Culprits): readonly string[] {
-        return this.evaluate(culprits).convictions === 0
+        return this.evaluate(culprits).quarantineCount === 0
             ? []
             : this.countedCrashes(culprits).map(({ server }) => server);
     }
@@ -87,10 +87,10 @@
     }
 
     /** The answers that were begun between older crashes may be forgotten, so that these don't count. */
-    private evaluate(culprits: Culprits): TestResult {
+    private evaluate(culprits: Culprits): PartLikelihood {
         const since = this.begun.size < maxRecordedAnswers ? -Infinity : Math.min(...this.begun.values());
         const crashes = this.countedCrashes(culprits).filter(({ at }) => at >= since);
-        return this.test.evaluate([
+        return this.likelihood.evaluate([
             ...crashes.map(crash => ({ kind: "crash", ...crash, request: crash.request, share: crash.share }) as const),
             ...[...this.begun.values()].map(at => ({ kind: "begun", at }) as const),
         ]);
--- a/packages/basilpaddle/src/node/coordination/quarantine/quarantine.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/quarantine.ts
@@ -21,7 +21,7 @@
 };
 
 /** A quarantined request, or part of prompts. */
-export type QuarantinedRequest = QuarantineStatus & { readonly digest: string; };
+export type QuarantineEntry = QuarantineStatus & { readonly digest: string; };
 
 /**
  * Records which requests and parts of prompts backend servers crashed on, and decides which of them are quarantined. Every daemon
@@ -72,7 +72,7 @@
     }
 
     /** All requests and parts that are quarantined now. */
-    quarantined(now: number): readonly QuarantinedRequest[] {
+    quarantined(now: number): readonly QuarantineEntry[] {
         return [...this.suspects.keys()].flatMap(digest => {
             const status = this.currentStatus(digest, now);
             return status === undefined ? [] : [{ digest, ...status }];
--- a/packages/basilpaddle/src/node/coordination/quarantine/quarantinedRequests.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/quarantinedRequests.ts
@@ -5,7 +5,7 @@
 import { BegunAnswers } from "./begunAnswers.js";
 import { PartShares } from "./partShares.js";
 import { isPromptPartName } from "./promptPart.js";
-import { Quarantine, type QuarantinedRequest, type QuarantineStatus } from "./quarantine.js";
+import { Quarantine, type QuarantineEntry, type QuarantineStatus } from "./quarantine.js";
 
 /** Number of fully answered requests that are remembered, and how long an answer clears a request of crashes. */
 const answeredCacheSize = 1_024;
@@ -79,7 +79,7 @@
 
     /** Records that a backend server crashed while it read a prompt with these parts, or began to answer it, and publishes it. */
     addPartCrash(parts: readonly string[], crash: Crash): void {
-        // Rare parts come late in a prompt; if two are guilty by the same crashes, these are attributed to the rarer one.
+        // Rare parts come late in a prompt; if two are quarantined for the same crashes, these are attributed to the rarer one.
         for (const digest of [...parts].reverse()) {
             this.mergeAndPublish({
                 digest,
@@ -130,7 +130,7 @@
     }
 
     /** All requests that are quarantined now. */
-    quarantined(): readonly QuarantinedRequest[] {
+    quarantined(): readonly QuarantineEntry[] {
         return this.quarantine.quarantined(this.now());
     }
 
--- a/packages/basilpaddle/src/node/protocol/crash.ts
+++ b/packages/basilpaddle/src/node/protocol/crash.ts
@@ -14,14 +14,14 @@
  * `simultaneous` count as one.
  */
 export const promptPartRulesSchema = z.object({
-    /** Fraction of the runs with a guilty part under which the engine crashes, at least. */
-    guiltyCrashRate: z.number().positive().lt(1).default(0.4),
+    /** Fraction of the runs with a harmful part under which the engine crashes, at least. */
+    harmfulCrashRate: z.number().positive().lt(1).default(0.4),
     /**
-     * Fraction of the runs with another part that are hit early by a crash, at most; while many engines crash, hardly more are. A crash
+     * Fraction of the runs with a harmless part that are hit early by a crash, at most; while many engines crash, hardly more are. A crash
      * under a part that a larger share of the begun streams holds weighs less: some request with it is on most engines.
      */
-    innocentCrashRate: z.number().positive().lt(1).default(0.1),
-    /** How many times as likely the observations must be with a guilty part as with an innocent one. */
+    harmlessCrashRate: z.number().positive().lt(1).default(0.1),
+    /** How many times as likely the observations must be with a harmful part as with a harmless one. */
     likelihoodRatio: z.number().gt(1).default(15),
     /**
      * Number of answers, begun before the crashes, that speak for a part. More aren't counted: its content may crash only the
@@ -39,8 +39,8 @@
     simultaneous: z.number().min(0).default(20),
     /** Milliseconds of writing after which an answer has begun. */
     begunAfter: z.number().min(0).default(250),
-}).refine(({ guiltyCrashRate, innocentCrashRate }) => guiltyCrashRate > innocentCrashRate, {
-    error: "guiltyCrashRate has to be above innocentCrashRate",
+}).refine(({ harmfulCrashRate, harmlessCrashRate }) => harmfulCrashRate > harmlessCrashRate, {
+    error: "harmfulCrashRate has to be above harmlessCrashRate",
 });
 
 /** When a part of prompts is quarantined. */
--- a/simulation/promptParts/__tests__/partSimulation.spec.ts
+++ b/simulation/promptParts/__tests__/partSimulation.spec.ts
@@ -4,11 +4,11 @@
 import { ways } from "../ways.js";
 
 const seeds = [1, 2, 3, 4, 5];
-/** Engines that may end under one part, requests with it that may come late, and the share of sound ones that must go on. */
+/** Engines that may end under one part, requests with it that may come late, and the share of harmless ones that must go on. */
 const maxCrashes = 8;
 const maxLate = 3;
 const minBegun = 0.9;
-/** Difference that is noise in the share of the sound requests that begin. */
+/** Difference that is noise in the share of the harmless requests that begin. */
 const noise = 0.01;
 
 function simulate(day: string, way: keyof typeof ways): PartOutcome[] {
@@ -18,7 +18,7 @@
 const meanBegun = (outcomes: readonly PartOutcome[]): number =>
     outcomes.reduce((sum, { begun }) => sum + begun, 0) / outcomes.length;
 
-// Guards against parts of prompts that crash one engine after the other, and against sound requests that are refused for them.
+// Guards against parts of prompts that crash one engine after the other, and against harmless requests that are refused for them.
 describe("emulated days with a part of prompts that crashes engines", function() {
     this.timeout(30_000);
 
@@ -26,7 +26,7 @@
         const day of [
             "usual",
             "slow",
-            "markedFirst",
+            "poisonFirst",
             "twoParts",
             "sometimes",
             "afterTwoEvents",
@@ -34,9 +34,9 @@
             "besideOthers",
         ]
     ) {
-        it(`end few engines, and sound requests go on: ${day}`, () => {
+        it(`end few engines, and harmless requests go on: ${day}`, () => {
             for (const { crashes, late, begun } of simulate(day, "sequential")) {
-                expect(crashes).to.be.within(1, maxCrashes * partDays[day]!.markedParts);
+                expect(crashes).to.be.within(1, maxCrashes * partDays[day]!.poisonParts);
                 expect(late).to.be.at.most(maxLate);
                 expect(begun).to.be.at.least(minBegun);
             }
@@ -44,14 +44,14 @@
     }
 });
 
-// Guards against parts that are held back because engines crash of another cause.
+// Guards against parts that are quarantined because engines crash of another cause.
 describe("emulated days on which engines crash of another cause", function() {
     this.timeout(30_000);
 
     for (const day of ["noneSingle", "noneThird", "noneRolling", "noneAll"]) {
-        it(`hold back no part, and as many requests begin as without: ${day}`, () => {
+        it(`quarantine no part, and as many requests begin as without: ${day}`, () => {
             const outcomes = simulate(day, "sequential");
-            expect(outcomes.map(({ innocents }) => innocents)).to.deep.equal(seeds.map(() => 0));
+            expect(outcomes.map(({ wronglyQuarantined }) => wronglyQuarantined)).to.deep.equal(seeds.map(() => 0));
             expect(meanBegun(outcomes)).to.be.at.least(meanBegun(simulate(day, "wholeRequests")) - noise);
         });
     }
--- a/simulation/promptParts/main.ts
+++ b/simulation/promptParts/main.ts
@@ -14,7 +14,14 @@
     .strict()
     .parse();
 
-const measures: readonly (keyof PartOutcome)[] = ["crashes", "reached", "late", "begun", "innocents", "messages"];
+const measures: readonly (keyof PartOutcome)[] = [
+    "crashes",
+    "reached",
+    "late",
+    "begun",
+    "wronglyQuarantined",
+    "messages",
+];
 const cell = (text: string): string => text.padStart(10);
 
 console.log(
--- a/simulation/promptParts/partSimulation.ts
+++ b/simulation/promptParts/partSimulation.ts
@@ -1,5 +1,5 @@
 import { SeededRandomness } from "../../packages/basilpaddle/src/node/utils/index.js";
-import { dayLength, markedFrom, markedUntil, type PartDay } from "./day.js";
+import { dayLength, type PartDay, poisonFrom, poisonUntil } from "./day.js";
 import { EventClock } from "./eventClock.js";
 import type { PartRequest, Way } from "./ways.js";
 
@@ -14,21 +14,21 @@
 const singleIntervalMilliseconds = 1_500;
 const groupIntervalMilliseconds = 8_000;
 const rollingMilliseconds = 800;
-/** Milliseconds after the fifth crash after which marked requests count as late, and from which sound ones are compared. */
+/** Milliseconds after the fifth crash after which poison requests count as late, and from which harmless ones are compared. */
 const lateMilliseconds = 3_000;
 const recoveredMilliseconds = 6_000;
 const fifth = 5;
 
 /** Results of a day. */
 export type PartOutcome = {
-    /** Engines that ended under marked requests, and marked requests that reached engines, in all and late. */
+    /** Engines that ended under poison requests, and poison requests that reached engines, in all and late. */
     readonly crashes: number;
     readonly reached: number;
     readonly late: number;
-    /** Share of the sound requests that began at the first attempt, from six seconds after the fifth crash on, or in all. */
+    /** Share of the harmless requests that began at the first attempt, from six seconds after the fifth crash on, or in all. */
     readonly begun: number;
-    /** Sound parts that some gateway held back at any time. */
-    readonly innocents: number;
+    /** Harmless parts that some gateway quarantined at any time. */
+    readonly wronglyQuarantined: number;
     /** Messages per second between gateways and a directory. */
     readonly messages: number;
 };
@@ -37,17 +37,17 @@
     readonly request: PartRequest;
     readonly gateway: number;
     readonly firstAt: number;
-    readonly isMarked: boolean;
+    readonly isPoison: boolean;
 };
 
-/** Emulates the streams of a day, with the engines' crashes, beside one way to hold parts back. */
+/** Emulates the streams of a day, with the engines' crashes, beside one way to quarantine parts. */
 class PartSimulation {
     private readonly random: SeededRandomness;
     private readonly engines = new Map<string, Set<Run>>();
-    private readonly innocents = new Set<string>();
+    private readonly wronglyQuarantined = new Set<string>();
     private readonly crashTimes: number[] = [];
     private readonly reachedAt: number[] = [];
-    private readonly sound: { readonly at: number; readonly begun: boolean; }[] = [];
+    private readonly harmless: { readonly at: number; readonly begun: boolean; }[] = [];
     private startedEngines = 0;
     private created = 0;
 
@@ -65,71 +65,71 @@
         for (let engine = 0; engine < day.engines; engine++) {
             this.startEngine();
         }
-        this.repeat(1_000 / day.soundPerSecond, () => this.send(false, 1));
-        this.repeat(200, () => this.noteInnocents());
+        this.repeat(1_000 / day.harmlessPerSecond, () => this.send(false, 1));
+        this.repeat(200, () => this.noteWronglyQuarantined());
         this.scheduleOtherCrashes();
-        if (day.markedPerSecond > 0) {
-            clock.after(markedFrom, () => this.repeat(1_000 / day.markedPerSecond, () => this.sendMarked()));
+        if (day.poisonPerSecond > 0) {
+            clock.after(poisonFrom, () => this.repeat(1_000 / day.poisonPerSecond, () => this.sendPoison()));
         }
         clock.runUntil(dayLength);
         const fifthAt = this.crashTimes[fifth - 1] ?? Infinity;
-        const from = day.markedPerSecond === 0 ? 0 : Math.min(fifthAt, markedUntil) + recoveredMilliseconds;
-        const compared = this.sound.filter(({ at }) => at > from);
+        const from = day.poisonPerSecond === 0 ? 0 : Math.min(fifthAt, poisonUntil) + recoveredMilliseconds;
+        const compared = this.harmless.filter(({ at }) => at > from);
         return {
             crashes: this.crashTimes.length,
             reached: this.reachedAt.length,
             late: this.reachedAt.filter(at => at > fifthAt + lateMilliseconds).length,
             begun: compared.filter(({ begun }) => begun).length / Math.max(1, compared.length),
-            innocents: this.innocents.size,
+            wronglyQuarantined: this.wronglyQuarantined.size,
             messages: this.way.messages / (dayLength / 1_000),
         };
     }
 
-    private sendMarked(): void {
-        if (this.clock.monotonic() < markedUntil) {
+    private sendPoison(): void {
+        if (this.clock.monotonic() < poisonUntil) {
             this.send(true, this.day.attempts);
         }
     }
 
-    private createRequest(isMarked: boolean): PartRequest {
+    private createRequest(isPoison: boolean): PartRequest {
         const { day, random } = this;
         this.created += 1;
         const shared = `first${random.integer(1, day.firstParts)}`;
-        const marked = `marked${random.integer(1, day.markedParts)}`;
-        const parts = isMarked
-            ? (day.markedFirst ? [marked, shared] : [shared, marked])
+        const poison = `poison${random.integer(1, day.poisonParts)}`;
+        const parts = isPoison
+            ? (day.poisonFirst ? [poison, shared] : [shared, poison])
             : [shared, `session${random.integer(1, day.sessions)}`];
         return { attempt: `a${this.created}`, digest: `d${this.created}`, parts: parts.map(part => `part:${part}`) };
     }
 
-    private send(isMarked: boolean, attempts: number, request = this.createRequest(isMarked)): void {
+    private send(isPoison: boolean, attempts: number, request = this.createRequest(isPoison)): void {
         const gateway = this.random.integer(0, this.day.gateways - 1);
         if (this.way.mayRun(gateway, request)) {
-            this.clock.after(prefillMilliseconds, () => this.start(request, gateway, isMarked, attempts));
+            this.clock.after(prefillMilliseconds, () => this.start(request, gateway, isPoison, attempts));
         }
-        else if (!isMarked) {
-            this.sound.push({ at: this.clock.monotonic(), begun: false });
+        else if (!isPoison) {
+            this.harmless.push({ at: this.clock.monotonic(), begun: false });
         }
     }
 
-    private start(request: PartRequest, gateway: number, isMarked: boolean, attempts: number): void {
+    private start(request: PartRequest, gateway: number, isPoison: boolean, attempts: number): void {
         const names = [...this.engines.keys()];
         const engine = names[this.random.integer(0, names.length - 1)];
         if (engine === undefined || !this.way.mayRun(gateway, request)) {
-            if (!isMarked) {
-                this.sound.push({ at: this.clock.monotonic(), begun: false });
+            if (!isPoison) {
+                this.harmless.push({ at: this.clock.monotonic(), begun: false });
             }
             return;
         }
         const { clock, day } = this;
         const firstAfter = this.between(firstEventMilliseconds);
-        const run = { request, gateway, firstAt: clock.monotonic() + firstAfter, isMarked };
+        const run = { request, gateway, firstAt: clock.monotonic() + firstAfter, isPoison };
         const runs = this.engines.get(engine)!;
         runs.add(run);
-        if (isMarked) {
+        if (isPoison) {
             this.reachedAt.push(clock.monotonic());
         }
-        const crashes = isMarked && this.random.fraction() < day.crashRate;
+        const crashes = isPoison && this.random.fraction() < day.crashRate;
         if (crashes) {
             clock.after(
                 firstAfter + eventMilliseconds * day.eventsBefore,
@@ -138,8 +138,8 @@
             return;
         }
         clock.after(firstAfter, () => {
-            if (!isMarked) {
-                this.sound.push({ at: clock.monotonic(), begun: runs.has(run) });
+            if (!isPoison) {
+                this.harmless.push({ at: clock.monotonic(), begun: runs.has(run) });
             }
         });
         clock.after(firstAfter + begunMilliseconds, () => {
@@ -167,8 +167,8 @@
         }
         this.engines.delete(engine);
         const now = this.clock.monotonic();
-        for (const { request, gateway, firstAt, isMarked } of runs) {
-            const phase = firstAt > now || isMarked && this.day.eventsBefore === 0 ? "early" : "late";
+        for (const { request, gateway, firstAt, isPoison } of runs) {
+            const phase = firstAt > now || isPoison && this.day.eventsBefore === 0 ? "early" : "late";
             const hadBegun = now >= firstAt + begunMilliseconds;
             this.way.recordCrash(gateway, request, { server: engine, phase, hadBegun });
         }
@@ -195,9 +195,9 @@
         }
     }
 
-    private noteInnocents(): void {
-        this.way.heldBack().filter(name => /^part:(first|session)/.test(name)).forEach(name =>
-            this.innocents.add(name)
+    private noteWronglyQuarantined(): void {
+        this.way.quarantined().filter(name => /^part:(first|session)/.test(name)).forEach(name =>
+            this.wronglyQuarantined.add(name)
         );
     }
 
--- a/simulation/promptParts/ways.ts
+++ b/simulation/promptParts/ways.ts
@@ -26,8 +26,8 @@
     abstract recordCrash(gateway: number, request: PartRequest, crash: PartCrash): void;
     abstract recordBegun(gateway: number, request: PartRequest): void;
 
-    /** Parts that any gateway holds back now. */
-    abstract heldBack(): readonly string[];
+    /** Parts that any gateway quarantines now. */
+    abstract quarantined(): readonly string[];
 
     /** Calls `deliver` for each gateway, as if a directory had passed something on. */
     protected broadcast(deliver: (gateway: number) => void): void {
@@ -73,7 +73,7 @@
         this.copies[gateway]!.recordBegun(parts, attempt);
     }
 
-    override heldBack(): readonly string[] {
+    override quarantined(): readonly string[] {
         return this.copies.flatMap(copy => copy.quarantined().map(({ digest }) => digest));
     }
 
@@ -99,7 +99,7 @@
 /** Number of crashes under different requests that have to share a part. */
 const intersectionCrashes = 3;
 
-/** Holds back the parts that the last crashes share and on which no answer has begun since; every begun answer is told to all. */
+/** Quarantines the parts that the last crashes share and on which no answer has begun since; every begun answer is told to all. */
 export class IntersectionWay extends Way {
     private readonly crashes: { readonly at: number; readonly digest: string; readonly parts: readonly string[]; }[][];
     private readonly begunAt: Map<string, number>[];
@@ -115,7 +115,7 @@
     }
 
     override mayRun(gateway: number, { parts }: PartRequest): boolean {
-        const held = this.heldBackAt(gateway);
+        const held = this.quarantinedAt(gateway);
         return !parts.some(part => held.includes(part));
     }
 
@@ -131,11 +131,11 @@
         this.broadcast(gateway => parts.forEach(part => this.begunAt[gateway]!.set(part, at)));
     }
 
-    override heldBack(): readonly string[] {
-        return this.crashes.flatMap((_, gateway) => this.heldBackAt(gateway));
+    override quarantined(): readonly string[] {
+        return this.crashes.flatMap((_, gateway) => this.quarantinedAt(gateway));
     }
 
-    private heldBackAt(gateway: number): readonly string[] {
+    private quarantinedAt(gateway: number): readonly string[] {
         const known = this.crashes[gateway]!;
         return [...new Set(known.flatMap(({ parts }) => parts))].filter(part => {
             const begunAt = this.begunAt[gateway]!.get(part) ?? -Infinity;
--- a/soak/__tests__/soak.spec.ts
+++ b/soak/__tests__/soak.spec.ts
@@ -51,7 +51,7 @@
     });
 
     it("keeps every invariant while engines crash under a part of prompts", async () => {
-        const faults = [{ kind: "markedPrompts", at: 500, lasts: 500, pick: 0.2 }] as const;
+        const faults = [{ kind: "poisonPrompts", at: 500, lasts: 500, pick: 0.2 }] as const;
         const report = await runSoak({ ...createPlan(1, { seconds: shortSeconds, versions: false }), faults });
         await expectNoViolation(report);
         const holdsPart = (log: string): boolean => log.includes("a part of prompts is held back");
--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -14,7 +14,7 @@
 } from "../platform/src/standins/wire.js";
 import { Relay } from "../playground/harness/relay.js";
 import type { Invariants } from "./invariants.js";
-import { eventCount, eventText, isMarkedPart, isPoison, plainText } from "./texts.js";
+import { eventCount, eventText, isPoison, isPoisonPart, plainText } from "./texts.js";
 
 /** Simulated processing times: prefill of a prompt, a plain request, and the interval between two streamed events. */
 const prefillMilliseconds = 30;
@@ -62,7 +62,7 @@
     readonly invariants: Invariants;
     /** The prompts' KV caches that are kept, by handle; shared by all engines, which fetch caches from each other. */
     readonly caches: Map<string, KeptCache>;
-    /** Called when it starts to run a poison request, or one with a marked part, which must crash it. */
+    /** Called when it starts to run a poison request, or one with a poison part, which must crash it. */
     readonly onPoisonRequest: (backend: Backend) => void;
 };
 
@@ -258,8 +258,8 @@
 
     private async serve(received: ReceivedRequest, response: http.ServerResponse, body: string): Promise<void> {
         const { attempt, instance, promptParts } = received;
-        const markedPart = this.service === "pool" ? promptParts.find(isMarkedPart) : undefined;
-        const poison = isPoison(body) ? body : markedPart;
+        const poisonPart = this.service === "pool" ? promptParts.find(isPoisonPart) : undefined;
+        const poison = isPoison(body) ? body : poisonPart;
         if (this.limit !== undefined) {
             setLimit(response, this.limit);
             response.once("finish", () => this.options.invariants.limitTold(this.id, attempt, performance.now()));
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -87,12 +87,12 @@
         kind: RouteKind,
         path = `${routePrefixes[kind]}x`,
         body?: string,
-        markedPart?: string,
+        poisonPart?: string,
     ): Promise<SoakRequest> {
         this.createdRequests += 1;
         const attempt = `a${this.createdRequests}`;
         const request = this.invariants.requestSent(attempt, kind, gateway.name, performance.now(), freeKey);
-        const parts = promptParts(attempt, markedPart);
+        const parts = promptParts(attempt, poisonPart);
         const end = await this.exchange(gateway, request, path, undefined, body, undefined, parts);
         this.invariants.requestEnded(request, end, performance.now());
         return request;
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -7,7 +7,7 @@
 import type { Member } from "./member.js";
 import type { Operator } from "./operator.js";
 import { type Fault, type FaultKind, plannedKinds } from "./plan.js";
-import { markedPart, poisonBody } from "./texts.js";
+import { poisonBody, poisonPart } from "./texts.js";
 
 /** Longest time for which all directories are down together. */
 const maxOutageMilliseconds = 2_000;
@@ -22,8 +22,8 @@
 /** Interval between two copies of a poison request, and the time it is sent beyond the fault's duration: past the third crash. */
 const poisonIntervalMilliseconds = 250;
 const poisonExtraMilliseconds = 6_000;
-/** Interval between two prompts with a marked part. */
-const markedIntervalMilliseconds = 150;
+/** Interval between two prompts with a poison part. */
+const poisonPromptIntervalMilliseconds = 150;
 /** Delay between a stop and the next start of a process. */
 const restartDelayMilliseconds = 300;
 
@@ -109,7 +109,7 @@
             changeSeeds: () => this.changeSeeds(fault),
             crashBackend: () => this.crashBackend(fault),
             deadlyRequests: () => this.sendPoisonRequests(fault),
-            markedPrompts: () => this.sendMarkedPrompts(fault),
+            poisonPrompts: () => this.sendPoisonPrompts(fault),
             darkenBackend: () => this.impairBackend(fault, backend => backend.relay.stallAll(), healRelay),
             slowBackend: () =>
                 this.impairBackend(fault, backend => (backend.slowdownFactor = backendSlowdownFactor), restoreSpeed),
@@ -296,9 +296,9 @@
         await Promise.all(pendingRequests);
     }
 
-    /** Sends prompts with a marked part, no two alike, to all gateways in turn; each engine that starts to write on one crashes. */
-    private async sendMarkedPrompts(fault: Fault): Promise<void> {
-        const part = markedPart(Math.round(fault.at));
+    /** Sends prompts with a poison part, no two alike, to all gateways in turn; each engine that starts to write on one crashes. */
+    private async sendPoisonPrompts(fault: Fault): Promise<void> {
+        const part = poisonPart(Math.round(fault.at));
         this.recordFault(fault, part);
         const endsAt = performance.now() + fault.lasts + poisonExtraMilliseconds;
         const pendingRequests: Promise<unknown>[] = [];
@@ -306,8 +306,8 @@
             const kind = count % 2 === 0 ? "once" : "resumable";
             const gateway = this.deployment.gateways[count % this.deployment.gateways.length]!;
             const path = `${routePrefixes[kind]}x`;
-            pendingRequests.push(this.callers.sendRequest(gateway, kind, path, `marked ${fault.at} ${count}`, part));
-            await pause(markedIntervalMilliseconds);
+            pendingRequests.push(this.callers.sendRequest(gateway, kind, path, `poison ${fault.at} ${count}`, part));
+            await pause(poisonPromptIntervalMilliseconds);
         }
         await Promise.all(pendingRequests);
     }
--- a/soak/invariants.ts
+++ b/soak/invariants.ts
@@ -20,7 +20,7 @@
     "killAll",
     "crashBackend",
     "deadlyRequests",
-    "markedPrompts",
+    "poisonPrompts",
     "slowBackend",
     "lapseHandles",
     "loseAnswers",
@@ -209,7 +209,7 @@
 
     private isOtherwiseDisturbed(from: number, to: number): boolean {
         const otherFaults = this.disturbances.filter(({ what }) =>
-            what !== "deadlyRequests" && what !== "markedPrompts"
+            what !== "deadlyRequests" && what !== "poisonPrompts"
         );
         return otherFaults.some(span => span.from <= to && span.to + aftereffectMilliseconds >= from);
     }
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -41,7 +41,7 @@
 export type FaultKind =
     | typeof faultKinds[number]
     | "limitBackend"
-    | "markedPrompts"
+    | "poisonPrompts"
     | "partitionGateways"
     | "leaveBackends"
     | "replaceVersion";
@@ -153,7 +153,7 @@
     const hasUnplannedFaults = remainder !== 0 && remainder !== partitionOnlyRemainder;
     if (size.departures !== false) {
         faults.push(...createDepartures(seed, length, hasUnplannedFaults));
-        faults.push(...(hasUnplannedFaults ? [createMarkedPrompts(seed, length)] : []));
+        faults.push(...(hasUnplannedFaults ? [createPoisonPrompts(seed, length)] : []));
     }
     if (seed % plannedOnlySeedInterval !== 0) {
         faults.push(...createPartitions(seed, length));
@@ -192,10 +192,10 @@
 }
 
 /** Prompts with a part that crashes engines arrive beside the other faults, which are the same as without them. */
-function createMarkedPrompts(seed: number, length: number): Fault {
+function createPoisonPrompts(seed: number, length: number): Fault {
     const random = SeededRandomness.create(-4_000_000 - seed);
     return {
-        kind: "markedPrompts",
+        kind: "poisonPrompts",
         at: random.integer(0, Math.floor(length / 2)),
         lasts: random.integer(minDurationMilliseconds, maxDurationMilliseconds),
         pick: random.fraction(),
--- a/soak/texts.ts
+++ b/soak/texts.ts
@@ -48,22 +48,22 @@
 }
 
 /** Prefix of a prompt's part that crashes each engine that begins to write on it. */
-const markedPartPrefix = "bad";
+const poisonPartPrefix = "bad";
 /** Number of first parts that prompts share. */
 const sharedPartCount = 3;
 
-/** Identifiers of a prompt's parts: a shared one, perhaps a marked one, and the request's own. */
-export function promptParts(attempt: string, markedPart?: string): string[] {
+/** Identifiers of a prompt's parts: a shared one, perhaps a poison one, and the request's own. */
+export function promptParts(attempt: string, poisonPart?: string): string[] {
     const number = Math.floor(hashToFraction(attempt) * sharedPartCount);
-    return [`5a${number}`, ...markedPart === undefined ? [] : [markedPart], Buffer.from(attempt).toString("hex")];
+    return [`5a${number}`, ...poisonPart === undefined ? [] : [poisonPart], Buffer.from(attempt).toString("hex")];
 }
 
 /** Identifier of a part that crashes engines. */
-export function markedPart(number: number): string {
-    return `${markedPartPrefix}${number}`;
+export function poisonPart(number: number): string {
+    return `${poisonPartPrefix}${number}`;
 }
 
 /** Whether a part of a prompt crashes engines. */
-export function isMarkedPart(part: string): boolean {
-    return part.startsWith(markedPartPrefix);
+export function isPoisonPart(part: string): boolean {
+    return part.startsWith(poisonPartPrefix);
 }
