refactor(placement): the order of the queue and the admission to it are modules of their own

Cause: PlacementQueue held the order of waiting requests, the refusals and the dispatch in 396 lines, and a second order couldn't be added. Change: QueueOrder is an abstract class with today's order as TargetOrder; QueueAdmission decides what may wait.

--- a/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
@@ -8,9 +8,11 @@
 import { type EnginePair, EnginePool, type LeastLoadedEngine, type PlacementTuning } from "./enginePool.js";
 import { placedDecision, type Placement } from "./placement.js";
 import { PlacementForecast } from "./placementForecast.js";
-import { noEngineRefusal, tooLateRefusal, versionGoneRefusal } from "./placementRefusals.js";
+import { QueueAdmission } from "./queueAdmission.js";
+import { type QueueOrder, TargetOrder } from "./queueOrder.js";
 import { RunRejections } from "./runRejections.js";
 import type { TypicalRequest } from "./stagePlan.js";
+import { arrivingRequest, type WaitingRequest } from "./waitingRequest.js";
 
 /** Minimum time between two reviews of the queue. */
 const reviewIntervalMilliseconds = 25;
@@ -23,37 +25,8 @@
 const overtakingMilliseconds = 50;
 /** Number of requests that don't fit after which a dispatch stops; it bounds the time for a long queue. */
 const maxSkipped = 6;
-/** How much later a request sorts for each step of its priority number. */
-const priorityStepMilliseconds = 60;
-/** Margin by which the forecast must be earlier than the caller's timeout for a request to stay in the queue. */
-const timeoutMarginMilliseconds = 250;
-/**
- * How long a request waits while no engine is known: after a restart of all directories the engines' heartbeats arrive
- * again within about a second, and a caller that is refused at once would use its only retry before that.
- */
-const unknownPoolTimeoutMilliseconds = 1_800;
 /** How long a placement is kept if its gateway never reports its end. */
 const maxPlacementMilliseconds = 60_000;
-/** Sort key offset that moves requests that can't meet their target behind all that still can. */
-const lateKeyOffset = 1e9;
-
-/** A request in the queue. */
-type WaitingRequest = {
-    readonly request: PlacementRequest;
-    readonly arrivedAt: number;
-    readonly targetAt: number;
-    readonly timeoutAt: number;
-    late: boolean;
-    sortKey: number;
-};
-
-/** Forecast for a pool at one point in time. */
-type PoolForecast = {
-    /** Tokens of KV cache that may be allocated in total. */
-    readonly capacity: number;
-    /** Expected milliseconds until a request's first event, with the given number of tokens queued ahead of it. */
-    readonly firstEventIn: (request: PlacementRequest, ahead: number) => number;
-};
 
 /**
  * Places requests at the engines of one pool, and decides which of them wait and which are refused. It uses no sockets or
@@ -70,10 +43,13 @@
     private readonly placements = new Map<string, Placement>();
     private readonly forecast = PlacementForecast.create();
     private readonly rejections = RunRejections.create();
-    private queue: WaitingRequest[] = [];
+    private readonly admission: QueueAdmission;
+    private order: QueueOrder = TargetOrder.create();
     private reviewedAt = 0;
 
-    private constructor(private readonly pool: EnginePool) {}
+    private constructor(private readonly pool: EnginePool) {
+        this.admission = QueueAdmission.create(pool, this.forecast);
+    }
 
     /** `limitOf`: requests per second that an engine takes from all gateways; undefined if it names no limit. */
     static create(tuning: PlacementTuning, limitOf?: (engine: string) => number | undefined): PlacementQueue {
@@ -85,6 +61,12 @@
         this.pool.setEngines(announced, rule);
     }
 
+    /** Replaces the order of the queue; waiting requests keep waiting. */
+    setOrder(order: QueueOrder): void {
+        this.order.requests().forEach(waiting => order.add(waiting));
+        this.order = order;
+    }
+
     /** Changes the fraction of each engine that this instance may allocate. */
     setShare(share: number): void {
         this.pool.setShare(share);
@@ -101,20 +83,12 @@
         if (existing !== undefined) {
             return [placedDecision(existing)];
         }
-        if (this.queue.some(waiting => waiting.request.attempt === request.attempt)) {
+        if (this.order.requests().some(waiting => waiting.request.attempt === request.attempt)) {
             return [];
         }
-        const waiting: WaitingRequest = {
-            request,
-            arrivedAt: now,
-            targetAt: now + request.targetWithin,
-            timeoutAt: now + request.patienceWithin,
-            late: false,
-            sortKey: now + request.targetWithin + request.priority * priorityStepMilliseconds
-                - (request.resumed ? lateKeyOffset : 0),
-        };
-        this.enqueue(waiting);
-        return [...this.dispatch(now), ...this.refuseOnArrival(waiting, now)];
+        const waiting = arrivingRequest(request, now);
+        this.order.add(waiting);
+        return [...this.dispatch(now), ...this.admission.refuseOnArrival(waiting, this.order, now)];
     }
 
     /** Reviews the queue and expires old placements; to be called every `reviewIntervalMilliseconds` while requests wait. */
@@ -128,12 +102,12 @@
                 this.removePlacement(attempt, now);
             }
         }
-        return [...this.dispatch(now), ...this.reorder(now)];
+        return [...this.dispatch(now), ...this.admission.review(this.order, now)];
     }
 
     /** Removes a request whose caller disconnected from the queue, or releases its placement. */
     withdraw(attempt: string, now: number): PlacementDecision[] {
-        this.queue = this.queue.filter(waiting => waiting.request.attempt !== attempt);
+        this.order.removeWhere(waiting => waiting.request.attempt === attempt);
         return this.release(attempt, {}, now);
     }
 
@@ -198,13 +172,13 @@
 
     /** Removes the queued requests and the placements of a gateway that has disconnected. */
     dropGateway(gateway: string, now: number): PlacementDecision[] {
-        this.queue = this.queue.filter(waiting => waiting.request.gateway !== gateway);
+        this.order.removeWhere(waiting => waiting.request.gateway === gateway);
         return this.reconcile(gateway, [], 0, now);
     }
 
     /** Gateways with a placement or a queued request. */
     gateways(): readonly string[] {
-        const names = [...this.placements.values(), ...this.queue].map(({ request }) => request.gateway);
+        const names = [...this.placements.values(), ...this.order.requests()].map(({ request }) => request.gateway);
         return [...new Set(names)];
     }
 
@@ -216,23 +190,19 @@
     /** Numbers of queued requests and of placements, and the allocated tokens by engine, for metrics and tests. */
     counts(): { readonly waiting: number; readonly active: number; readonly allocated: ReadonlyMap<string, number>; } {
         return {
-            waiting: this.queue.length,
+            waiting: this.order.requests().length,
             active: this.placements.size,
             allocated: this.pool.allocatedTokensByEngine(),
         };
     }
 
-    private enqueue(waiting: WaitingRequest): void {
-        const at = this.queue.findIndex(other => other.sortKey > waiting.sortKey);
-        this.queue.splice(at < 0 ? this.queue.length : at, 0, waiting);
-    }
-
     private dispatch(now: number): PlacementDecision[] {
         const decisions: PlacementDecision[] = [];
         const reserved = new Set<string>();
+        const requests = this.order.requests();
         let skipped = 0;
-        for (let position = 0; position < this.queue.length && skipped < maxSkipped;) {
-            const waiting = this.queue[position]!;
+        for (let position = 0; position < requests.length && skipped < maxSkipped;) {
+            const waiting = requests[position]!;
             const pair = this.pool.bestPair(waiting.request, now, reserved);
             if (pair === undefined) {
                 this.reserveEngine(waiting, reserved, now);
@@ -240,11 +210,12 @@
                 position += 1;
                 continue;
             }
-            this.queue.splice(position, 1);
+            this.order.remove(waiting);
             if (this.isTooLate(waiting, pair, now)) {
-                this.requeueAsLate(waiting);
+                this.order.moveBack(waiting);
                 continue;
             }
+            this.order.recordPlaced(waiting);
             const readingWithin = Math.round(this.forecast.expectedPrefillTime(pair.prefillTime));
             const placement = { ...pair, request: waiting.request, placedAt: now, readingWithin, isPrefilled: false };
             this.allocate(placement, now);
@@ -285,100 +256,12 @@
      * every answer is slightly late although the capacity suffices.
      */
     private isTooLate(waiting: WaitingRequest, pair: EnginePair, now: number): boolean {
-        if (waiting.late || waiting.request.resumed || this.queue.every(({ late }) => late)) {
+        if (waiting.late || waiting.request.resumed || !this.order.hasOnTimeRivals(waiting)) {
             return false;
         }
         return now + this.forecast.firstEventDelay(pair.prefillTime) > waiting.targetAt;
     }
 
-    private requeueAsLate(waiting: WaitingRequest): void {
-        waiting.late = true;
-        waiting.sortKey += lateKeyOffset;
-        this.enqueue(waiting);
-    }
-
-    /** Refuses a new request that can't be served before its caller's timeout. */
-    private refuseOnArrival(arrived: WaitingRequest, now: number): PlacementDecision[] {
-        const position = this.queue.indexOf(arrived);
-        if (position < 0) {
-            return [];
-        }
-        if (this.isVersionGone(arrived, now)) {
-            this.queue.splice(position, 1);
-            return [versionGoneRefusal(arrived.request)];
-        }
-        const ahead = this.queue.slice(0, position).reduce((sum, { request }) => sum + request.cacheTokens, 0);
-        const poolForecast = this.forecastPool(now);
-        const firstEventIn = poolForecast.firstEventIn(arrived.request, ahead);
-        if (this.mayWait(arrived, firstEventIn, poolForecast.capacity, now)) {
-            return [];
-        }
-        this.queue.splice(position, 1);
-        return [this.refusal(arrived, firstEventIn, poolForecast.capacity, now)];
-    }
-
-    /** Moves requests that can't meet their target behind the others; refuses those that can't be served before the timeout. */
-    private reorder(now: number): PlacementDecision[] {
-        const refused: PlacementDecision[] = [];
-        const remaining: WaitingRequest[] = [];
-        const tooLate: WaitingRequest[] = [];
-        const poolForecast = this.forecastPool(now);
-        let ahead = 0;
-        for (const waiting of this.queue) {
-            const { request } = waiting;
-            const firstEventIn = poolForecast.firstEventIn(request, ahead);
-            if (this.isVersionGone(waiting, now)) {
-                refused.push(versionGoneRefusal(request));
-            }
-            else if (!this.mayWait(waiting, firstEventIn, poolForecast.capacity, now)) {
-                refused.push(this.refusal(waiting, firstEventIn, poolForecast.capacity, now));
-            }
-            else if (!waiting.late && !request.resumed && now + firstEventIn > waiting.targetAt) {
-                tooLate.push(waiting);
-            }
-            else {
-                remaining.push(waiting);
-                ahead += request.cacheTokens;
-            }
-        }
-        this.queue = remaining;
-        tooLate.forEach(waiting => this.requeueAsLate(waiting));
-        return refused;
-    }
-
-    /** Forecast for the pool: computed once for the whole queue, since a burst queues hundreds of requests. */
-    private forecastPool(now: number): PoolForecast {
-        const freeTokens = this.pool.freeTokens(now);
-        const capacity = this.pool.capacity(now);
-        const prefill = this.pool.prefillForecast(now);
-        const firstEventIn = (request: PlacementRequest, ahead: number): number => {
-            return this.forecast.expectedWait(ahead + request.cacheTokens - freeTokens, capacity)
-                + this.forecast.firstEventDelay(prefill(request.promptTokens));
-        };
-        return { capacity, firstEventIn };
-    }
-
-    /** Whether no engine can run the request because its version isn't served any more, as far as the pool's engines are known. */
-    private isVersionGone({ request, arrivedAt }: WaitingRequest, now: number): boolean {
-        const mayBecomeKnown = this.pool.capacity(now) === 0 && !this.pool.isAbandoned()
-            && now - arrivedAt < unknownPoolTimeoutMilliseconds;
-        return request.version !== undefined && !mayBecomeKnown && !this.pool.hasVersion(request.version);
-    }
-
-    private mayWait(waiting: WaitingRequest, firstEventIn: number, capacity: number, now: number): boolean {
-        const waitsForEngines = capacity === 0 && !this.pool.isAbandoned()
-            && now - waiting.arrivedAt < unknownPoolTimeoutMilliseconds;
-        return waiting.request.resumed || waitsForEngines
-            || now + firstEventIn + timeoutMarginMilliseconds <= waiting.timeoutAt;
-    }
-
-    private refusal(waiting: WaitingRequest, firstEventIn: number, capacity: number, now: number): PlacementDecision {
-        const tooLateBy = Math.max(0, now + firstEventIn + timeoutMarginMilliseconds - waiting.timeoutAt);
-        return capacity === 0
-            ? noEngineRefusal(waiting.request)
-            : tooLateRefusal(waiting.request, firstEventIn, tooLateBy);
-    }
-
     private allocate(placement: Placement, now: number): void {
         const { request } = placement;
         this.placements.set(request.attempt, placement);
