feat(placement): order by priority in pools with several priorities

Cause: the queue sorts by target, and a request that misses its target waits behind all others whatever its priority. The priority with the shortest target was late first and was refused most. Change: where the routes of a service and the organisations have several priorities, the queue is ordered by priority, within it by turns of the organisations, and within those by target. What misses its target stays in its priority. The leader and local placement use the same order; gateways name the organisation to it.

--- a/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
@@ -8,6 +8,7 @@
 import { type EnginePair, EnginePool, type LeastLoadedEngine, type PlacementTuning } from "./enginePool.js";
 import { placedDecision, type Placement } from "./placement.js";
 import { PlacementForecast } from "./placementForecast.js";
+import { PriorityOrder } from "./priorityOrder.js";
 import { QueueAdmission } from "./queueAdmission.js";
 import { type QueueOrder, TargetOrder } from "./queueOrder.js";
 import { RunRejections } from "./runRejections.js";
@@ -61,10 +62,13 @@
         this.pool.setEngines(announced, rule);
     }
 
-    /** Replaces the order of the queue; waiting requests keep waiting. */
-    setOrder(order: QueueOrder): void {
-        this.order.requests().forEach(waiting => order.add(waiting));
-        this.order = order;
+    /** Sets whether requests of several priorities compete in the pool; waiting requests keep waiting. */
+    setPrioritised(isPrioritised: boolean): void {
+        if (isPrioritised !== this.order instanceof PriorityOrder) {
+            const order = isPrioritised ? PriorityOrder.create(0) : TargetOrder.create();
+            this.order.requests().forEach(waiting => order.add(waiting));
+            this.order = order;
+        }
     }
 
     /** Changes the fraction of each engine that this instance may allocate. */
--- a/packages/basilpaddle/src/node/coordination/gateway/routeTable.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/routeTable.ts
@@ -1,5 +1,6 @@
 import type { ServiceRule, Traffic, TrafficOrganisation, TrafficRoute } from "../../protocol/index.js";
 import { hashToFraction } from "../../utils/index.js";
+import { hasSeveralPriorities } from "./effectivePriorities.js";
 
 /** The key that a caller sends with its request. */
 export type CallerCredentials = { readonly kind: "none" | "malformed"; } | {
@@ -19,10 +20,13 @@
 export class RouteTable {
     private readonly byHost = new Map<string, TrafficRoute[]>();
     private readonly services: ReadonlyMap<string, ServiceRule>;
+    private readonly prioritisedServices: ReadonlySet<string>;
     private readonly organisationByKey: ReadonlyMap<string, TrafficOrganisation> | undefined;
 
     private constructor(readonly traffic: Traffic) {
         this.services = new Map(traffic.services.map(service => [service.name, service]));
+        const names = traffic.services.map(service => service.name);
+        this.prioritisedServices = new Set(names.filter(name => hasSeveralPriorities(traffic, name)));
         this.organisationByKey = traffic.organisations
             && new Map(
                 traffic.organisations.flatMap(organisation => organisation.keys.map(key => [key, organisation])),
@@ -71,6 +75,11 @@
         return undefined;
     }
 
+    /** Whether requests of different priorities compete for a service's capacity. */
+    hasSeveralPriorities(service: string): boolean {
+        return this.prioritisedServices.has(service);
+    }
+
     /** The rule of a service; undefined if the configuration doesn't have it. */
     service(name: string): ServiceRule | undefined {
         return this.services.get(name);
--- a/packages/basilpaddle/src/node/daemon/directory/placementService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/placementService.ts
@@ -1,4 +1,5 @@
 import {
+    hasSeveralPriorities,
     type InstanceTable,
     leaderPlacementTuning,
     PlacementQueue,
@@ -158,10 +159,12 @@
         this.poolsOutdated = false;
         const { instances, traffic, limitOf } = this.options;
         const allInstances = instances.all();
-        for (const service of traffic()?.services ?? []) {
+        const current = traffic();
+        for (const service of current?.services ?? []) {
             if (service.engine !== undefined) {
                 const pool = this.pools.get(service.name) ?? PlacementQueue.create(leaderPlacementTuning, limitOf);
                 this.pools.set(service.name, pool);
+                pool.setPrioritised(hasSeveralPriorities(current, service.name));
                 pool.setEngines(allInstances.filter(instance => instance.service === service.name), service.engine);
             }
         }
--- a/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
@@ -41,6 +41,8 @@
     readonly retryAllowance: RetryAllowance;
     /** Number of gateways of the deployment. */
     readonly gateways: () => number;
+    /** Whether requests of different priorities compete for a service's backend servers. @default never */
+    readonly hasSeveralPriorities?: (service: string) => boolean;
 };
 
 /** Result of sending a request to one backend server; `via`: the gateway that relayed it, if one did. */
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -132,11 +132,14 @@
             metrics,
         });
         this.store.add(() => this.streamVersions.close());
+        const hasSeveralPriorities = (service: string): boolean =>
+            this.routes.table()?.hasSeveralPriorities(service) ?? false;
         this.placementClient = PlacementClient.create({
             name: settings.name,
             watcher: this.watcher,
             instances: this.instances,
             engineRule: service => this.routes.table()?.service(service)?.engine,
+            hasSeveralPriorities,
             limitOf: engine => this.serverAdmission.limitOf(engine),
             calls: () => paths.mayReportFailures() ? this.tally.takeCounts(clock.monotonic()) : [],
             clock,
@@ -173,6 +176,7 @@
             admission: this.serverAdmission,
             retryAllowance: this.retries,
             gateways: () => this.watcher.gateways(),
+            hasSeveralPriorities,
         };
     }
 
--- a/packages/basilpaddle/src/node/daemon/gateway/placementClient.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementClient.ts
@@ -52,6 +52,8 @@
     readonly watcher: DirectoryWatcher;
     readonly instances: InstanceTable;
     readonly engineRule: (service: string) => EngineRule | undefined;
+    /** Whether requests of different priorities compete for a service's engines. @default never */
+    readonly hasSeveralPriorities?: (service: string) => boolean;
     /** Requests per second that an engine takes from all gateways together; undefined if it names no limit. @default none */
     readonly limitOf?: (engine: string) => number | undefined;
     /** Outcomes of calls to plain services since the previous call of this function. */
@@ -248,6 +250,7 @@
             this.localPools.set(service, pool);
         }
         const now = this.options.clock.monotonic();
+        pool.setPrioritised(this.options.hasSeveralPriorities?.(service) ?? false);
         pool.setShare(1 / this.options.watcher.gateways());
         pool.setEngines(this.options.instances.all().filter(instance => instance.service === service), rule);
         const grantsOfService = [...this.activeGrants.values()].filter(({ demand: request }) =>
--- a/packages/basilpaddle/src/node/daemon/gateway/placementRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementRequest.ts
@@ -16,7 +16,8 @@
 
 /**
  * Builds a placement request: the KV cache for the prompt and the answer, the target, and how long the caller will wait.
- * `stream`: whether it continues a stream, and the software version that has to run it.
+ * `stream`: whether it continues a stream, and the software version that has to run it. `isPrioritised`: whether requests
+ * of different priorities compete for the service's engines.
  */
 export function placementRequest(
     request: CallerRequest,
@@ -25,6 +26,7 @@
     avoid: readonly string[],
     linkStalls: LinkStalls = [],
     stream: { readonly resumed: boolean; readonly version: string | undefined; } = newStream,
+    isPrioritised = false,
 ): PlacementRequest {
     const { metadata, route } = request;
     const answer = Math.min(
@@ -47,6 +49,7 @@
         avoid: [...avoid],
         resumed: stream.resumed || request.hasAnswerBegun(),
         ...stream.version === undefined ? {} : { version: stream.version },
+        ...isPrioritised ? { organisation: request.identity.organisation?.name } : {},
         ...linkStalls.length === 0 ? {} : { linkStalls },
     };
 }
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -135,10 +135,15 @@
         this.roundCount += 1;
         const askedAt = this.now();
         const grantOrRefusal = await placementClient.requestPlacement(
-            placementRequest(request, this.service.name, this.gateway, this.avoid, this.options.links.stalls(askedAt), {
-                resumed: this.binding.resumesStream,
-                version: this.binding.version,
-            }),
+            placementRequest(
+                request,
+                this.service.name,
+                this.gateway,
+                this.avoid,
+                this.options.links.stalls(askedAt),
+                { resumed: this.binding.resumesStream, version: this.binding.version },
+                this.options.hasSeveralPriorities?.(this.service.name),
+            ),
             request.disconnected.signal,
         );
         if (grantOrRefusal === undefined) {
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -145,6 +145,8 @@
     resumed: z.boolean(),
     /** Software version of the engines that may run it. @default any */
     version: z.string().max(200).optional(),
+    /** Organisation that sent it, in pools with several priorities. @default unknown */
+    organisation: identifier.optional(),
     /** Stall rates of the gateway's links. @default no stalls */
     linkStalls: linkStallsSchema.optional(),
 });
