feat(placement): prompts of a pool with several priorities wait to be placed, not in the engines' queues

Cause: the leader placed a request as soon as a decode engine had room, however long the prompts queued at the prefill engines. Change: in such pools a prefill engine takes no further prompt while its pending ones take longer than 150 ms, a decode engine reads one prompt at a time, and the forecast counts the prompts ahead.

--- a/packages/basilpaddle/src/node/coordination/gateway/engineLoad.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/engineLoad.ts
@@ -10,6 +10,11 @@
 const prefillOverheadMilliseconds = 10;
 /** Weight of one prefill in the moving average of the time per token. */
 const tokenTimeWeight = 0.1;
+/**
+ * Expected time for its pending prefills from which on a prefill engine takes no further prompt, if the backlog is bounded: long
+ * enough that it has work until the next prompt arrives.
+ */
+const maxBacklogMilliseconds = 150;
 /** A prefill that takes longer than expected by this factor was delayed by something else; it isn't averaged. */
 const outlierFactor = 4;
 /** Score penalty of a full engine over an empty one: larger batches take longer for each token. */
@@ -187,6 +192,20 @@
         return Math.max(0, this.prefillingSince + totalWork - now, this.prefills.size > 0 ? totalWork / 2 : 0);
     }
 
+    /** Whether the time for its pending prefills is within the bound of a bounded backlog. */
+    acceptsPrompt(now: number): boolean {
+        return this.queueDelay(now) <= maxBacklogMilliseconds;
+    }
+
+    hasNoPrefills(): boolean {
+        return this.prefills.size === 0;
+    }
+
+    /** Prompt tokens that it reads in a millisecond. */
+    prefillRate(): number {
+        return 1 / this.millisecondsPerToken;
+    }
+
     /** Expected milliseconds until a new prefill is complete, after the pending ones and those that others assigned. */
     prefillDelay(tokens: number, now: number): number {
         return (this.queueDelay(now) + this.prefillTime(tokens)) * this.currentDelayFactor(now);
--- a/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
@@ -77,6 +77,7 @@
     private readonly engines = new Map<string, EngineLoad>();
     private rule: EngineRule | undefined;
     private share: number;
+    private boundsPrefillBacklog = false;
 
     private constructor(
         private readonly tuning: PlacementTuning,
@@ -118,6 +119,11 @@
         this.share = share;
     }
 
+    /** Sets whether prompts wait to be placed rather than in a long queue of a prefill engine, which ignores priorities. */
+    boundPrefillBacklog(isBounded: boolean): void {
+        this.boundsPrefillBacklog = isBounded;
+    }
+
     engine(id: string): EngineLoad | undefined {
         return this.engines.get(id);
     }
@@ -148,18 +154,21 @@
                 + this.randomPenalty(request, engine);
             return { engine, time: 0, score };
         });
-        const separatePair = bestSeparatePair(bestPerGroup(prefills), bestPerGroup(scoredDecodes));
-        const combinedEngine = lowestScore(scoredDecodes.map(({ engine, score }) => {
-            const time = engine.decodePrefillDelay(request.promptTokens, now);
-            return {
-                engine,
-                time,
-                score: score + time + (prefills.length === 0 ? 0 : decodePrefillPenaltyMilliseconds),
-            };
-        }))!;
-        return separatePair === undefined || combinedEngine.score < separatePair.score
-            ? { prefill: undefined, decode: combinedEngine.engine.id, prefillTime: combinedEngine.time }
-            : separatePair.pair;
+        const separatePair = bestSeparatePair(
+            bestPerGroup(prefills.filter(({ engine }) => !this.boundsPrefillBacklog || engine.acceptsPrompt(now))),
+            bestPerGroup(scoredDecodes),
+        );
+        const mayQueueAtDecode = prefills.length === 0 || !this.boundsPrefillBacklog;
+        const combinedEngine = lowestScore(
+            scoredDecodes.filter(({ engine }) => mayQueueAtDecode || engine.hasNoPrefills()).map(scored => {
+                const time = scored.engine.decodePrefillDelay(request.promptTokens, now);
+                const score = scored.score + time + (prefills.length === 0 ? 0 : decodePrefillPenaltyMilliseconds);
+                return { engine: scored.engine, time, score };
+            }),
+        );
+        return combinedEngine === undefined || separatePair !== undefined && separatePair.score <= combinedEngine.score
+            ? separatePair?.pair
+            : { prefill: undefined, decode: combinedEngine.engine.id, prefillTime: combinedEngine.time };
     }
 
     /** The decode engine with the fewest allocated tokens that isn't reserved for another request; undefined if there is none. */
@@ -216,6 +225,14 @@
         return prefills.length === 0 ? promptTokens * defaultPrefillMillisecondsPerToken : totalWork / prefills.length;
     }
 
+    /** Prompt tokens that all prefill engines read in a millisecond; infinite if prompts don't wait for them to be placed. */
+    prefillRate(now: number): number {
+        const engines = this.boundsPrefillBacklog ? this.healthyEngines("prefill", anyRequest, now) : [];
+        return engines.length === 0
+            ? Number.POSITIVE_INFINITY
+            : engines.reduce((sum, engine) => sum + engine.prefillRate(), 0);
+    }
+
     /** Tokens of KV cache that may be allocated in total. */
     capacity(now: number): number {
         return this.usable("decode", anyRequest, now).length * this.engineCapacity().tokens;
--- a/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
@@ -64,6 +64,7 @@
 
     /** Sets whether requests of several priorities compete in the pool; waiting requests keep waiting. */
     setPrioritised(isPrioritised: boolean): void {
+        this.pool.boundPrefillBacklog(isPrioritised);
         if (isPrioritised !== this.order instanceof PriorityOrder) {
             const order = isPrioritised ? PriorityOrder.create(0) : TargetOrder.create();
             this.order.requests().forEach(waiting => order.add(waiting));
--- a/packages/basilpaddle/src/node/coordination/gateway/queueAdmission.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/queueAdmission.ts
@@ -91,8 +91,12 @@
         const freeTokens = this.pool.freeTokens(now);
         const capacity = this.pool.capacity(now);
         const prefill = this.pool.prefillForecast(now);
+        const prefillRate = this.pool.prefillRate(now);
         const firstEventIn = (request: PlacementRequest, ahead: number): number => {
-            return this.forecast.expectedWait(ahead + request.cacheTokens - freeTokens, capacity)
+            const cacheWait = this.forecast.expectedWait(ahead + request.cacheTokens - freeTokens, capacity);
+            // The prompts ahead are taken to be as large a part of their runs as this one.
+            const prefillWait = ahead * request.promptTokens / Math.max(1, request.cacheTokens) / prefillRate;
+            return Math.max(cacheWait, prefillWait)
                 + this.forecast.firstEventDelay(prefill(request.promptTokens));
         };
         return { capacity, firstEventIn };
