feat(gateway): runs and prefills of a pool with several priorities carry Request-Priority

Cause: engines admit urgent requests first and preempt the least urgent ones, but weren't told the priority. Result: the header is absent elsewhere, and a caller's own value is still dropped.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamExchange.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamExchange.spec.ts
@@ -19,9 +19,10 @@
 /** Engines whose prefills succeed and whose runs are all lost, and an allowance with a number of retries. */
 class LosingEngines {
     readonly sent: ("prefill" | "run")[] = [];
+    readonly priorities: RunMetadata["priority"][] = [];
     private retriesLeft: number;
 
-    constructor(retries: number) {
+    constructor(retries: number, private readonly hasSeveralPriorities = false) {
         this.retriesLeft = retries;
     }
 
@@ -51,6 +52,7 @@
                 },
             },
             gateways: () => 1,
+            hasSeveralPriorities: () => this.hasSeveralPriorities,
         } as unknown as ExchangeOptions;
         const placements = {
             requestPlacement: () =>
@@ -69,6 +71,7 @@
             keyHeaders: new Set(),
             runHeaders: (run: RunMetadata) => {
                 this.sent.push(run.prefillOnly === true ? "prefill" : "run");
+                this.priorities.push(run.priority);
                 return {};
             },
             parseAnswer: () => ({ attempt: undefined, sealed: true, notRun: false, instance: undefined }),
@@ -99,4 +102,16 @@
         );
         expect(withTwoRetries.sent).to.deep.equal(["prefill", "run", "prefill", "run"]);
     });
+
+    // Guards against engines that preempt urgent runs first, and against a header in deployments that didn't have it.
+    it("carries its priority to the engines of a pool with several priorities only", async () => {
+        const route = { kind: "streaming", attempts: 2, resumable: true, prompts: true, priority: 3 } as const;
+        const prioritised = new LosingEngines(1, true);
+        await prioritised.serve(createRequest(route));
+        expect(prioritised.priorities).to.deep.equal([3, 3]);
+
+        const others = new LosingEngines(1);
+        await others.serve(createRequest(route));
+        expect(others.priorities).to.deep.equal([undefined, undefined]);
+    });
 });
--- a/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
@@ -73,7 +73,7 @@
         request: CallerRequest,
         server: ServerAnnouncement,
         service: ServiceRule,
-        metadata: Omit<RunMetadata, "attempt" | "deadlineWithin" | "instance" | "organisation">,
+        metadata: Omit<RunMetadata, "attempt" | "deadlineWithin" | "instance" | "organisation" | "priority">,
         signal: AbortSignal,
     ): Promise<SendResult> {
         const { wire, paths, gateways, instances, metrics } = this.options;
@@ -88,6 +88,7 @@
             deadlineWithin: Math.max(1, Math.floor(request.remainingTime())),
             instance: serverName(server),
             organisation: request.identity.organisation?.name,
+            priority: this.isPrioritised(service) ? request.priority : undefined,
         });
         const replacedNames = new Set([
             ...wire.systemHeaders,
@@ -113,6 +114,10 @@
         return { ...sent, via: result.via };
     }
 
+    private isPrioritised({ name, engine }: ServiceRule): boolean {
+        return engine !== undefined && this.options.hasSeveralPriorities?.(name) === true;
+    }
+
     private classify(request: CallerRequest, server: ServerAnnouncement, answer: BackendAnswer): SendOutcome {
         const metadata = this.options.wire.parseAnswer(answer.status, answer.headers);
         if (metadata.attempt !== undefined && metadata.attempt !== request.metadata.attempt) {
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayWire.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayWire.ts
@@ -41,6 +41,8 @@
     readonly resumeAfter?: string;
     /** Name of the organisation that holds the caller's key. */
     readonly organisation?: string | undefined;
+    /** Priority of the request, 0 being the highest; set if requests of different priorities compete for the service. */
+    readonly priority?: number | undefined;
 };
 
 /** Metadata in the head of a backend server's answer. */
