refactor(allowance): the spreading of retries has a class of its own

Each priority of an organisation needs its own spread of retries. RetrySpread has the calculation that AllowanceLedger had; no decision changes.

--- a/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
@@ -1,5 +1,6 @@
 import { LRUCache } from "lru-cache";
 import type { Allowance, ChargeDecision } from "../../protocol/index.js";
+import { RetrySpread } from "./retrySpread.js";
 import { TokenBucket } from "./tokenBucket.js";
 
 /** Maximum number of organisations with an account; the least recently used one is forgotten, as if it had spent nothing. */
@@ -10,23 +11,13 @@
 const nearLimitHoldMilliseconds = 5_000;
 /** How long after a refusal an allowance counts as used up. */
 const usedUpMilliseconds = 6_000;
-/**
- * Longest Retry-After, unless the allowance is used up for longer. Later retries are spread anew from the earliest time on, so that
- * callers don't all return at the end.
- */
-const maxRetryAfterMilliseconds = 8_000;
-/** Minimum time over which retries are spread. */
-const minSpreadMilliseconds = 2_000;
-/** Distance of two retries, as a fraction of that time, if one request uses up more than all of it: no two coincide. */
-const goldenFraction = 0.618;
 const millisecondsInSecond = 1_000;
 
 /** What one organisation has left, and when its refused callers were told to retry. */
 type Account = {
     readonly bucket: TokenBucket;
     allowance: Allowance;
-    /** Latest time at which a refused caller was told to retry. */
-    lastRetryAt: number;
+    readonly retries: RetrySpread;
     /** Until when the organisation counts as near its limit. */
     nearUntil: number;
     lastRefusalAt: number;
@@ -103,13 +94,19 @@
         let account = this.accounts.get(organisation);
         if (account === undefined) {
             const bucket = TokenBucket.create(allowance, allowance.burst * this.initialFraction, now);
-            account = { bucket, allowance, lastRetryAt: 0, nearUntil: 0, lastRefusalAt: Number.NEGATIVE_INFINITY };
+            account = {
+                bucket,
+                allowance,
+                retries: RetrySpread.create(),
+                nearUntil: 0,
+                lastRefusalAt: Number.NEGATIVE_INFINITY,
+            };
             this.accounts.set(organisation, account);
         }
         else if (account.allowance !== allowance) {
             account.bucket.setRules(allowance, now);
             account.allowance = allowance;
-            account.lastRetryAt = 0;
+            account.retries.reset();
         }
         return account;
     }
@@ -117,16 +114,8 @@
     /** Milliseconds until a refused caller may retry: callers are spread one after the other at the rate of the allowance. */
     private nextRetry(account: Account, cost: number, now: number): number {
         const earliest = now + account.bucket.timeUntil(0, now);
-        const spread = Math.max(minSpreadMilliseconds, now + maxRetryAfterMilliseconds - earliest);
         const step = cost / account.allowance.rate * millisecondsInSecond;
-        const lastOffset = Math.max(0, account.lastRetryAt - earliest);
-        const offset = step > spread
-            ? (lastOffset + goldenFraction * spread) % spread
-            : lastOffset + step > spread
-            ? 0
-            : lastOffset + step;
-        account.lastRetryAt = earliest + offset;
-        return account.lastRetryAt - now;
+        return account.retries.next(earliest, step, now);
     }
 
     private updateNear(organisation: string, account: Account, now: number): void {
