feat(allowance): reserve the rest of an allowance for an organisation's higher priorities

An organisation's allowance was spent first come, first served: beyond it, requests of its highest priority were refused as often as all others. PriorityReserve learns from charges and reports what each priority asks for and refuses lower ones while the level isn't above a reserve for those above them. Charges carry an optional rank, reports the units of each rank; messages without them stay readable.

--- a/packages/basilpaddle/src/node/coordination/allowance/allowanceCharge.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/allowanceCharge.ts
@@ -6,6 +6,8 @@
     readonly allowance: Allowance;
     /** In the allowance's unit. */
     readonly cost: number;
+    /** Priority of the request, 0 (the highest) to 9. @default not known: nothing is reserved for or from it */
+    readonly rank?: number;
     /** Identifier of the attempt, by which the times to come back are spread. */
     readonly attempt: string;
 };
--- a/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
@@ -1,5 +1,6 @@
 import { LRUCache } from "lru-cache";
-import type { Allowance, ChargeDecision } from "../../protocol/index.js";
+import type { Allowance, ChargeDecision, RankUnits } from "../../protocol/index.js";
+import { defaultFloor, PriorityReserve } from "./priorityReserve.js";
 import { RetrySpread } from "./retrySpread.js";
 import { TokenBucket } from "./tokenBucket.js";
 
@@ -16,8 +17,11 @@
 /** What one organisation has left, and when its refused callers were told to retry. */
 type Account = {
     readonly bucket: TokenBucket;
+    readonly reserve: PriorityReserve;
     allowance: Allowance;
+    /** Retries after the bucket was empty, and by rank those after the rest was reserved for higher priorities. */
     readonly retries: RetrySpread;
+    readonly reservedRetries: Map<number, RetrySpread>;
     /** Until when the organisation counts as near its limit. */
     nearUntil: number;
     lastRefusalAt: number;
@@ -33,34 +37,50 @@
     private readonly near = new Set<string>();
     private newlyLimited = false;
 
-    /** `initialFraction`: the fraction of its burst that each organisation starts with. */
-    private constructor(private readonly initialFraction: number) {}
+    private constructor(private readonly initialFraction: number, private readonly floor: number) {}
 
-    static create(initialFraction: number): AllowanceLedger {
-        return new AllowanceLedger(initialFraction);
+    /**
+     * `initialFraction`: the fraction of its burst that each organisation starts with. `floor`: the fraction of its rate that its
+     * lower priorities share in any case.
+     */
+    static create(initialFraction: number, floor = defaultFloor): AllowanceLedger {
+        return new AllowanceLedger(initialFraction, floor);
     }
 
     /**
      * Charges a request, or refuses it with the time at which it is to come back. It is admitted while any unit is left, so
-     * that an organisation's long requests aren't refused more often than its short ones.
+     * that an organisation's long requests aren't refused more often than its short ones. One with a rank leaves what is
+     * reserved for higher priorities.
      */
-    charge(organisation: string, allowance: Allowance, cost: number, now: number): ChargeDecision {
+    charge(organisation: string, allowance: Allowance, cost: number, now: number, rank?: number): ChargeDecision {
         const account = this.account(organisation, allowance, now);
-        const granted = account.bucket.takeIfAnyLeft(cost, now);
-        if (granted) {
-            return { granted };
+        const { bucket, reserve } = account;
+        const outcome = reserve.decide(rank, cost, bucket, now, () => bucket.takeIfAnyLeft(cost, now));
+        if (outcome === "granted") {
+            return { granted: true };
         }
+        // Also if units are left: without a leader, the shares of an organisation in excess must not be overdrawn.
         account.lastRefusalAt = now;
-        return { granted, comeBackIn: this.nextRetry(account, cost, now) };
+        return rank !== undefined && outcome === "reserved"
+            ? { granted: false, comeBackIn: this.nextReservedRetry(account, rank, cost, now), reserved: true }
+            : { granted: false, comeBackIn: this.nextRetry(account, cost, now) };
     }
 
     /**
      * Records units that a gateway has spent without asking; a negative number is a refund. Only this brings an organisation near
-     * its limit: gateways that ask before each of its requests anyway don't have to be notified.
+     * its limit: gateways that ask before each of its requests anyway don't have to be notified. `byRank`: the units of each
+     * priority, if known.
      */
-    recordSpent(organisation: string, allowance: Allowance, units: number, now: number): void {
+    recordSpent(
+        organisation: string,
+        allowance: Allowance,
+        units: number,
+        now: number,
+        byRank: readonly RankUnits[] = [],
+    ): void {
         const account = this.account(organisation, allowance, now);
         account.bucket.spend(units, now);
+        byRank.forEach(spent => account.reserve.record(spent.rank, spent.units, account.bucket, now));
         this.updateNear(organisation, account, now);
     }
 
@@ -96,8 +116,10 @@
             const bucket = TokenBucket.create(allowance, allowance.burst * this.initialFraction, now);
             account = {
                 bucket,
+                reserve: PriorityReserve.create(this.floor),
                 allowance,
                 retries: RetrySpread.create(),
+                reservedRetries: new Map(),
                 nearUntil: 0,
                 lastRefusalAt: Number.NEGATIVE_INFINITY,
             };
@@ -107,6 +129,7 @@
             account.bucket.setRules(allowance, now);
             account.allowance = allowance;
             account.retries.reset();
+            account.reservedRetries.clear();
         }
         return account;
     }
@@ -118,6 +141,16 @@
         return account.retries.next(earliest, step, now);
     }
 
+    /** Milliseconds until a request refused for higher priorities may retry: at the rate that these leave to its own. */
+    private nextReservedRetry(account: Account, rank: number, cost: number, now: number): number {
+        const { bucket, reserve, reservedRetries } = account;
+        const retries = reservedRetries.get(rank) ?? RetrySpread.create();
+        reservedRetries.set(rank, retries);
+        const earliest = now + Math.max(bucket.timeUntil(0, now), reserve.timeUntilOpen(rank, bucket, now));
+        const step = cost / reserve.rateFor(rank, bucket, now) * millisecondsInSecond;
+        return retries.next(earliest, step, now);
+    }
+
     private updateNear(organisation: string, account: Account, now: number): void {
         if (!this.near.has(organisation) && this.isNear(account, now)) {
             this.near.add(organisation);
--- a/packages/basilpaddle/src/node/coordination/allowance/leaderAllowances.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/leaderAllowances.ts
@@ -8,12 +8,21 @@
 /** Units are reported once they reach this fraction of the gateway's equal share of the allowance. */
 const reportedFraction = 0.1;
 
+/** What was spent of one allowance. */
+type Spent = {
+    units: number;
+    /** The units of requests whose rank is known; bounds a report to one number for each rank. */
+    readonly byRank: Map<number, number>;
+};
+/** What was spent since the last report, and from how many units on it is reported. */
+type Unreported = Spent & { readonly threshold: number; };
+
 /**
  * The leader keeps the allowances; while none answers, each gateway admits its equal share. The implementations
  * differ in the requests for which the leader is asked before they are admitted.
  */
 export abstract class LeaderAllowances extends OrganisationAllowances {
-    private readonly unreported = new Map<string, { units: number; readonly threshold: number; }>();
+    private readonly unreported = new Map<string, Unreported>();
     private cancelReport: (() => void) | undefined;
     private lastReportAt = Number.NEGATIVE_INFINITY;
 
@@ -38,11 +47,13 @@
         this.ownShare.refund(charge, this.now());
         const unreported = this.unreported.get(charge.organisation);
         if (unreported !== undefined && unreported.units >= charge.cost) {
-            unreported.units -= charge.cost;
+            addUnits(unreported, charge.rank, -charge.cost);
             return;
         }
+        const refund: Spent = { units: 0, byRank: new Map() };
+        addUnits(refund, charge.rank, -charge.cost);
         // Immediately: near the limit, the next request would be refused for lack of this refund.
-        this.options.leader.recordSpent([{ organisation: charge.organisation, units: -charge.cost }]);
+        this.options.leader.recordSpent([spentOf(charge.organisation, refund)]);
     }
 
     override close(): void {
@@ -52,22 +63,22 @@
     /** Charges a request at the leader, now or afterwards; undefined if no leader answers. */
     private chargeLeader(charge: AllowanceCharge): Promise<ChargeDecision | undefined> {
         const { leader } = this.options;
-        const { organisation, cost } = charge;
+        const { organisation, cost, rank } = charge;
         if (!leader.isAvailable()) {
             return Promise.resolve(undefined);
         }
         if (this.mustAsk(charge)) {
-            return leader.charge(organisation, cost);
+            return leader.charge(organisation, cost, rank);
         }
         this.recordSpent(charge, cost);
         return Promise.resolve({ granted: true });
     }
 
-    private recordSpent({ organisation, allowance }: AllowanceCharge, units: number): void {
+    private recordSpent({ organisation, allowance, rank }: AllowanceCharge, units: number): void {
         const gateways = Math.max(1, this.options.gateways());
         const threshold = reportedFraction * (allowance.burst + allowance.rate) / gateways;
-        const account = this.unreported.get(organisation) ?? { units: 0, threshold };
-        account.units += units;
+        const account = this.unreported.get(organisation) ?? { units: 0, byRank: new Map(), threshold };
+        addUnits(account, rank, units);
         this.unreported.set(organisation, account);
         if (Math.abs(account.units) >= threshold && this.cancelReport === undefined) {
             this.scheduleReport(
@@ -85,9 +96,9 @@
         this.cancelReport = undefined;
         this.lastReportAt = this.now();
         const spent: SpentUnits[] = [];
-        this.unreported.forEach(({ units, threshold }, organisation) => {
-            if (Math.abs(units) >= threshold) {
-                spent.push({ organisation, units });
+        this.unreported.forEach((unreported, organisation) => {
+            if (Math.abs(unreported.units) >= unreported.threshold) {
+                spent.push(spentOf(organisation, unreported));
                 this.unreported.delete(organisation);
             }
         });
@@ -95,6 +106,18 @@
     }
 }
 
+function addUnits(spent: Spent, rank: number | undefined, units: number): void {
+    spent.units += units;
+    if (rank !== undefined) {
+        spent.byRank.set(rank, (spent.byRank.get(rank) ?? 0) + units);
+    }
+}
+
+function spentOf(organisation: string, { units, byRank }: Spent): SpentUnits {
+    const ranks = [...byRank].map(([rank, rankUnits]) => ({ rank, units: rankUnits }));
+    return { organisation, units, ...ranks.length === 0 ? {} : { byRank: ranks } };
+}
+
 /**
  * The leader is asked before a request that costs at least this fraction of the burst. Otherwise organisations whose burst is a
  * few requests, of which a deployment may have thousands, would come near their limit with each request, and every gateway would
--- a/packages/basilpaddle/src/node/coordination/allowance/organisationAllowances.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/organisationAllowances.ts
@@ -1,17 +1,25 @@
-import type { ChargeDecision } from "../../protocol/index.js";
+import type { ChargeDecision, RankUnits } from "../../protocol/index.js";
 import type { Clock } from "../../utils/index.js";
 import type { AllowanceCharge } from "./allowanceCharge.js";
 import { EqualShare } from "./equalShare.js";
 
-/** Units that were spent without asking the leader, by organisation; negative if more was refunded. */
-export type SpentUnits = { readonly organisation: string; readonly units: number; };
+/** Units that were spent without asking the leader, by organisation and, if known, priority; negative if more was refunded. */
+export type SpentUnits = {
+    readonly organisation: string;
+    readonly units: number;
+    readonly byRank?: RankUnits[];
+};
 
 /** The leader's side of the allowances, as a gateway reaches it. */
 export type AllowanceLeader = {
     /** Whether a leader is believed to answer. */
     readonly isAvailable: () => boolean;
     /** Charges a request; undefined if no leader answers. */
-    readonly charge: (organisation: string, cost: number) => Promise<ChargeDecision | undefined>;
+    readonly charge: (
+        organisation: string,
+        cost: number,
+        rank: number | undefined,
+    ) => Promise<ChargeDecision | undefined>;
     /** Reports what was spent without asking. */
     readonly recordSpent: (spent: readonly SpentUnits[]) => void;
     /** Whether the organisation is near its limit, according to the leader. */
--- a/packages/basilpaddle/src/node/coordination/allowance/tokenBucket.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/tokenBucket.ts
@@ -20,6 +20,16 @@
         return new TokenBucket(rules, level, now);
     }
 
+    /** Units per second that flow in. */
+    get rate(): number {
+        return this.rules.rate;
+    }
+
+    /** Units that the full bucket holds. */
+    get burst(): number {
+        return this.rules.burst;
+    }
+
     /** Units in the bucket; negative while it is overdrawn. */
     level(now: number): number {
         const { rate, burst } = this.rules;
--- a/packages/basilpaddle/src/node/daemon/directory/allowanceService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/allowanceService.ts
@@ -13,6 +13,9 @@
 const minChangeIntervalMilliseconds = 1_000;
 const maxLoggedOrganisations = 4;
 
+type ChargeMessage = Extract<AllowanceMessage, { kind: "charge"; }>;
+type SpentMessage = Extract<AllowanceMessage, { kind: "spent"; }>;
+
 /** Organisations near their limit, and the number of the last change. */
 export type AllowanceLimits = LimitedOrganisations & { readonly change: number; };
 
@@ -49,7 +52,7 @@
     handle(message: AllowanceMessage): AllowanceReply | undefined {
         const now = this.options.clock.monotonic();
         const reply = message.kind === "charge"
-            ? this.charge(message.organisation, message.cost, now)
+            ? this.charge(message, now)
             : this.recordSpent(message.spent, now);
         if (this.ledger.hasNewlyLimited()) {
             this.review();
@@ -89,19 +92,19 @@
         metrics.gauge("basilpaddle_organisations_near_limit", this.current.near.length);
     }
 
-    private charge(organisation: string, cost: number, now: number): AllowanceReply {
+    private charge({ organisation, cost, rank }: ChargeMessage, now: number): AllowanceReply {
         const allowance = this.allowance(organisation);
         const decision = allowance === undefined
             ? { granted: true } as const
-            : this.ledger.charge(organisation, allowance, cost, now);
+            : this.ledger.charge(organisation, allowance, cost, now, rank);
         return { kind: "charged", decision };
     }
 
-    private recordSpent(spent: Extract<AllowanceMessage, { kind: "spent"; }>["spent"], now: number): undefined {
-        for (const { organisation, units } of spent) {
+    private recordSpent(spent: SpentMessage["spent"], now: number): undefined {
+        for (const { organisation, units, byRank } of spent) {
             const allowance = this.allowance(organisation);
             if (allowance !== undefined) {
-                this.ledger.recordSpent(organisation, allowance, units, now);
+                this.ledger.recordSpent(organisation, allowance, units, now, byRank);
             }
         }
         return undefined;
--- a/packages/basilpaddle/src/node/daemon/gateway/allowanceAdmission.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/allowanceAdmission.ts
@@ -1,4 +1,4 @@
-import type { AllowanceCharge, OrganisationAllowances } from "../../coordination/index.js";
+import { type AllowanceCharge, type OrganisationAllowances, rankOf } from "../../coordination/index.js";
 import type { Metrics } from "../../utils/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 
@@ -26,7 +26,8 @@
         const decision = await this.allowances.admit(charge);
         if (!decision.granted) {
             this.count("refused", charge);
-            request.refuseOverAllowance(decision.comeBackIn);
+            this.metrics.count("basilpaddle_allowance_refusals_total", { rank: String(charge.rank) });
+            request.refuseOverAllowance(decision.comeBackIn, decision.reserved === true);
             return [];
         }
         this.count("charged", charge);
@@ -52,7 +53,7 @@
     if (organisation === undefined || allowance === undefined) {
         return undefined;
     }
-    const charge = { organisation: organisation.name, allowance, attempt };
+    const charge = { organisation: organisation.name, allowance, attempt, rank: rankOf(request.priority) };
     if (allowance.unit === "requests") {
         return { ...charge, cost: 1 };
     }
--- a/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
@@ -218,9 +218,14 @@
         this.end("refused", cause);
     }
 
-    /** Refuses the request, which has not run and never will, because its organisation has used up its allowance. */
-    refuseOverAllowance(retryAfterMilliseconds: number): void {
-        const cause = "the organisation's allowance is used up";
+    /**
+     * Refuses the request, which has not run and never will, because its organisation has used up its allowance, or `isReserved`:
+     * has used up what isn't reserved for higher priorities.
+     */
+    refuseOverAllowance(retryAfterMilliseconds: number, isReserved = false): void {
+        const cause = isReserved
+            ? "the rest of the organisation's allowance is reserved for higher priorities"
+            : "the organisation's allowance is used up";
         this.sendOwnAnswer(429, cause, retryAfter(retryAfterMilliseconds));
         this.end("overAllowance", cause);
     }
--- a/packages/basilpaddle/src/node/daemon/gateway/placementClient.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementClient.ts
@@ -161,7 +161,7 @@
         const { name, watcher } = this.options;
         return {
             isAvailable: () => watcher.leader() !== undefined && this.leader.isAvailable(),
-            charge: (organisation, cost) => this.leader.charge(organisation, cost),
+            charge: (organisation, cost, rank) => this.leader.charge(organisation, cost, rank),
             recordSpent: spent => this.leader.send({ kind: "spent", gateway: name, spent: [...spent] }),
             isNearLimit: organisation => watcher.isNearLimit(organisation),
             hasUsedUp: organisation => watcher.hasUsedUp(organisation),
--- a/packages/basilpaddle/src/node/daemon/gateway/placementLeader.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementLeader.ts
@@ -84,11 +84,11 @@
     }
 
     /** Charges a request to its organisation; undefined if no leader answers. */
-    async charge(organisation: string, cost: number): Promise<ChargeDecision | undefined> {
+    async charge(organisation: string, cost: number, rank: number | undefined): Promise<ChargeDecision | undefined> {
         const { watcher, name, clock } = this.options;
         const leader = watcher.leader();
         const askedAt = clock.monotonic();
-        const message = { kind: "charge", gateway: name, organisation, cost } as const;
+        const message = { kind: "charge", gateway: name, organisation, cost, rank } as const;
         const answer = await this.requestAny(leader, message, this.timeout.timeout(askedAt));
         const reply = allowanceReplySchema.safeParse(answer).data;
         if (reply?.kind === "charged") {
