--- a/simulation/allowances/__tests__/allowanceSimulation.spec.ts
+++ b/simulation/allowances/__tests__/allowanceSimulation.spec.ts
@@ -26,6 +26,16 @@
         expect(excess).to.be.at.most(admissibleExcess);
     });
 
+    // Guards against an organisation whose lower priorities spend what its highest one needs, at 63 gateways.
+    it("go to the highest priority first when one organisation sends 7.5 times its usual in three priorities", async () => {
+        const unnamed = await simulateAllowances(allowanceDays["busy, priorities unnamed"]!, "reported", seed);
+        const { excess, ...named } = await simulateAllowances(allowanceDays["busy, priorities"]!, "reported", seed);
+        expect(excess).to.be.at.most(admissibleExcess);
+        expect(unnamed.refusedHighest).to.be.above(0.4);
+        expect(named.refusedHighest).to.be.below(unnamed.refusedHighest / 2);
+        expect(named.refusedLowest).to.be.above(unnamed.refusedLowest);
+    });
+
     it("cost few messages compared with asking for every request", async () => {
         const day = { ...allowanceDays.calm!, burstSeconds: 8 };
         const reported = await simulateAllowances(day, "reported", seed);
--- a/simulation/allowances/allowanceSimulation.ts
+++ b/simulation/allowances/allowanceSimulation.ts
@@ -21,6 +21,12 @@
     readonly excess: number;
     /** Units that one bucket for all gateways would have admitted and that were refused, as a fraction of those admitted. */
     readonly refusedUnder: number;
+    /**
+     * Refused requests of the highest and of the lowest priority of the busy organisation while it is busy, or of all organisations
+     * if none is, as a fraction of them.
+     */
+    readonly refusedHighest: number;
+    readonly refusedLowest: number;
     /** Milliseconds that decisions took. */
     readonly p50: number;
     readonly p99: number;
@@ -87,9 +93,9 @@
         return this.pushed.usedUp.includes(organisation);
     }
 
-    charge(organisation: string, cost: number): ChargeDecision | undefined {
+    charge(organisation: string, cost: number, rank: number | undefined): ChargeDecision | undefined {
         this.messages += 2;
-        const reply = this.service.handle({ kind: "charge", gateway: "", organisation, cost });
+        const reply = this.service.handle({ kind: "charge", gateway: "", organisation, cost, rank });
         return reply?.kind === "charged" ? reply.decision : undefined;
     }
 
@@ -139,6 +145,7 @@
     const admitted: Admission[] = [];
     const referenceUnits = new Array<number>(day.organisations).fill(0);
     const delays: number[] = [];
+    const ranks = (day.priorities?.shares ?? [1]).map(() => ({ sent: 0, refused: 0 }));
 
     const arrive = async (): Promise<void> => {
         const organisation = pickOrganisation(organisations, day, clock.monotonic(), random);
@@ -146,10 +153,16 @@
         const cost = sampleCost(day, random);
         const gateway = day.oneGateway ? home : random.integer(0, day.gateways - 1);
         const at = clock.monotonic();
+        const rank = pickRank(day, random);
         referenceUnits[organisation]! += reference[organisation]!.takeIfAnyLeft(cost, at) ? cost : 0;
-        const charge = { organisation: name, allowance, cost, attempt: String(delays.length) };
+        const named = day.priorities?.named === true ? { rank } : {};
+        const charge = { organisation: name, allowance, cost, attempt: String(delays.length), ...named };
         const decision = await gateways[gateway]!.admit(charge);
         delays.push(clock.monotonic() - at);
+        if (day.busy === undefined || isBusy(day.busy, organisation, at)) {
+            ranks[rank]!.sent += 1;
+            ranks[rank]!.refused += decision.granted ? 0 : 1;
+        }
         if (decision.granted) {
             admitted.push({ organisation, at, cost });
         }
@@ -170,6 +183,8 @@
     return {
         excess: Math.max(...organisations.map(({ allowance }, number) => excessOf(admitted, number, allowance))),
         refusedUnder: refusedUnder(admitted, referenceUnits),
+        refusedHighest: ranks[0]!.refused / Math.max(1, ranks[0]!.sent),
+        refusedLowest: ranks.at(-1)!.refused / Math.max(1, ranks.at(-1)!.sent),
         ...percentiles(delays),
         leaderMessages: leader.messages / day.length,
         gatewayMessages: Math.max(...sentMessages) / day.length,
@@ -193,7 +208,7 @@
             isAvailable: () => clock.monotonic() >= silentUntil,
             isNearLimit: organisation => leader.isNearLimit(organisation),
             hasUsedUp: organisation => leader.hasUsedUp(organisation),
-            charge: async (organisation, cost) => {
+            charge: async (organisation, cost, rank) => {
                 sentMessages[gateway]! += 1;
                 await wait(oneWayMilliseconds + serviceMilliseconds);
                 if (!leader.reaches(gateway)) {
@@ -201,7 +216,7 @@
                     silentUntil = clock.monotonic() + probeMilliseconds;
                     return undefined;
                 }
-                const decision = leader.charge(organisation, cost);
+                const decision = leader.charge(organisation, cost, rank);
                 await wait(oneWayMilliseconds);
                 return decision;
             },
@@ -237,9 +252,21 @@
 
 function weightOf({ weight }: Organisation, rank: number, day: AllowanceDay, now: number): number {
     const { busy } = day;
+    return weight * (busy !== undefined && isBusy(busy, rank, now) ? busy.factor : 1);
+}
+
+function isBusy(busy: NonNullable<AllowanceDay["busy"]>, rank: number, now: number): boolean {
     const seconds = now / millisecondsInSecond;
-    const isBusy = busy !== undefined && busy.rank === rank + 1 && busy.from <= seconds && seconds < busy.until;
-    return weight * (isBusy ? busy.factor : 1);
+    return busy.rank === rank + 1 && busy.from <= seconds && seconds < busy.until;
+}
+
+/** Draws the priority of a request. A day without priorities draws nothing, so that its requests stay the same. */
+function pickRank({ priorities }: AllowanceDay, random: Randomness): number {
+    if (priorities === undefined) {
+        return 0;
+    }
+    let position = random.fraction();
+    return Math.max(0, priorities.shares.findIndex(share => (position -= share) < 0));
 }
 
 function totalRate(organisations: readonly Organisation[], day: AllowanceDay, now: number): number {
--- a/simulation/allowances/day.ts
+++ b/simulation/allowances/day.ts
@@ -22,6 +22,8 @@
     burst: z.object({ from: z.number(), until: z.number(), factor: z.number() }).optional(),
     /** One organisation, by its rank, sends this many times its usual. */
     busy: z.object({ rank: z.int().min(1), from: z.number(), until: z.number(), factor: z.number() }).optional(),
+    /** Fraction of the requests of each priority, the highest first, and whether charges name it; without, all have one. */
+    priorities: z.object({ shares: z.array(z.number().min(0)).min(1).max(10), named: z.boolean() }).optional(),
     /** The leader is lost, and another one starts without its memory at the end. */
     leaderLost: z.object({ from: z.number(), until: z.number() }).optional(),
     /** This fraction of the gateways doesn't reach the leader. */
@@ -43,6 +45,7 @@
     length: 30,
     oneGateway: false,
 } as const;
+const priorities = { shares: [0.25, 0.35, 0.4], named: true };
 const busy = { rank: 3, from: 8, until: 20, factor: 7.5 } as const;
 
 /** Bundled days by name. */
@@ -53,6 +56,17 @@
     "busy, one gateway": { ...pool, busy, oneGateway: true },
     "busy, leader lost": { ...pool, busy, leaderLost: { from: 11, until: 15 } },
     "busy, cut off": { ...pool, busy, cutOff: { fraction: 0.2, from: 10, until: 18 } },
+    "busy, priorities unnamed": { ...pool, busy, priorities: { ...priorities, named: false } },
+    "busy, priorities": { ...pool, busy, priorities },
+    "busy, unnamed, leader lost": {
+        ...pool,
+        busy,
+        priorities: { ...priorities, named: false },
+        leaderLost: { from: 11, until: 15 },
+    },
+    "busy, named, leader lost": { ...pool, busy, priorities, leaderLost: { from: 11, until: 15 } },
+    "calm, priorities unnamed": { ...pool, priorities: { ...priorities, named: false } },
+    "calm, priorities": { ...pool, priorities },
     "calm, leader lost": { ...pool, leaderLost: { from: 11, until: 15 } },
     "360 gateways, busy": { ...pool, gateways: 360, requestRate: 200, busy },
     "24,000 organisations": { ...pool, gateways: 360, organisations: 24_000, requestRate: 400, length: 15 },
--- a/simulation/allowances/main.ts
+++ b/simulation/allowances/main.ts
@@ -22,6 +22,8 @@
 const measures: readonly (keyof AllowanceOutcome)[] = [
     "excess",
     "refusedUnder",
+    "refusedHighest",
+    "refusedLowest",
     "p50",
     "p99",
     "leaderMessages",
@@ -35,7 +37,7 @@
     return `${meanOf(values).toFixed(3)} ±${range.toFixed(3)}`.padStart(16);
 }
 
-console.log(["day".padEnd(24), "policy".padEnd(10), ...measures.map(measure => measure.padStart(16))].join(""));
+console.log(["day".padEnd(28), "policy".padEnd(10), ...measures.map(measure => measure.padStart(16))].join(""));
 for (const name of options.days) {
     const day = allowanceDays[name];
     if (day === undefined) {
@@ -47,7 +49,7 @@
             outcomes.push(await simulateAllowances(day, policy, seed));
         }
         console.log(
-            [name.padEnd(24), policy.padEnd(10), ...measures.map(measure => column(outcomes, measure))].join(""),
+            [name.padEnd(28), policy.padEnd(10), ...measures.map(measure => column(outcomes, measure))].join(""),
         );
     }
 }
