fix(allowance): requests that cost next to nothing leave no reserve to higher priorities

Cause: an organisation's calls to plain services cost a few hundred tokens of its allowance and its streams several thousand. Held back below a reserve of streams, many calls were refused for the room of one stream. Change: a request that costs less than a tenth of the largest recent one is decided by the bucket alone. Result: a test with the lowest priority at a twentieth of the others' cost: refused less than 1 in 20, the highest too; it failed before.

--- a/packages/basilpaddle/src/node/coordination/allowance/priorityReserve.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/priorityReserve.ts
@@ -9,6 +9,8 @@
 /** A priority without requests for this long is forgotten: its demand has decayed to less than a hundredth. */
 const forgetMilliseconds = 10_000;
 const maxReserveFraction = 0.5;
+/** A request that costs less than this fraction of the largest one leaves no reserve: refusing it would free next to nothing. */
+const cheapFraction = 0.1;
 /** Least fraction of the rate at which a lower priority's retries are spread, so that their times stay finite. */
 const minRetryRateFraction = 0.05;
 const millisecondsInSecond = 1_000;
@@ -68,7 +70,8 @@
         }
         const level = bucket.level(now);
         const reserve = this.reserve(rank, bucket, now);
-        const isReserved = level <= reserve * this.reservedFraction(rank, bucket, now) && reserve > 0;
+        const isCheap = cost < cheapFraction * this.largest(now);
+        const isReserved = !isCheap && level <= reserve * this.reservedFraction(rank, bucket, now) && reserve > 0;
         const outcome = isReserved ? "reserved" : take() ? "granted" : "empty";
         this.record(rank, cost, bucket, now);
         if (outcome === "granted") {
