feat(losses): requests that gave way are counted by the priority that displaced them

Cause: numbers in causes are replaced, so that the priority in "gave way to rank 0" would be lost. Change: that number is kept. Result: basilpaddle losses lists "gave way to rank N" for each N apart from "no room in time".

--- a/packages/basilpaddle/src/node/cli/__tests__/lossSummary.spec.ts
+++ b/packages/basilpaddle/src/node/cli/__tests__/lossSummary.spec.ts
@@ -57,6 +57,18 @@
         expect(losses.find(({ cause }) => cause.includes("RESET"))?.servers).to.deep.equal([{ id: "d", count: 1 }]);
     });
 
+    // Guards against one count for requests that lost to a higher priority and for those that nobody could have served.
+    it("tells requests that gave way from those without room, and by the priority that they gave way to", () => {
+        const refused = (cause: string): object => ({ end: "refused", cause, milliseconds: 5, path: ["refused 5"] });
+        const causes = ["gave way to rank 0", "gave way to rank 0", "gave way to rank 12", "no room in time"];
+        const { losses } = summarise(...causes.map(refused));
+        expect(losses.map(({ cause, count }) => `${count} ${cause}`)).to.have.members([
+            "2 refused: gave way to rank 0",
+            "1 refused: gave way to rank 12",
+            "1 refused: no room in time",
+        ]);
+    });
+
     it("counts quarantined requests under one cause", () => {
         const cause = "backend servers ended under this request; it is held back";
         const quarantined = {
--- a/packages/basilpaddle/src/node/cli/lossSummary.ts
+++ b/packages/basilpaddle/src/node/cli/lossSummary.ts
@@ -199,9 +199,12 @@
     }
 }
 
-/** Replaces the numbers in a cause, so that causes that differ only in numbers are counted together. */
+/**
+ * Replaces the numbers in a cause, so that causes that differ only in numbers are counted together. The priority that
+ * displaced a request is kept: it tells an operator whose requests took the capacity.
+ */
 function withoutNumbers(cause: string): string {
-    return cause.replace(/\d+(\.\d+)?/g, "N");
+    return cause.replace(/(?<!gave way to rank \d*)\d+(\.\d+)?/g, "N");
 }
 
 function sliceStart(at: number, slice: number): string {
