feat(placement): refusals under shortage name their cause, retries are spread, low priorities keep a floor

Cause: in a pool with several priorities a refusal didn't tell whether a higher priority took the room; retries came back before the backlog was served, all at once; a low priority could get nothing; and admission at the edge of a burst alternated between admitting and evicting. The setting shortage.floor is the share of placements of each waiting lower priority. Each refusal is logged; placements, refusals and waiting requests are counted by rank. PlacementRequest has an optional deadlineWithin, by which the retry is bounded.

--- a/packages/basilpaddle/src/node/coordination/gateway/index.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/index.ts
@@ -12,6 +12,7 @@
 export * from "./pathMonitor.js";
 export * from "./placementQueue.js";
 export * from "./priorityOrder.js";
+export * from "./queueObserver.js";
 export * from "./queueOrder.js";
 export * from "./relayPeers.js";
 export * from "./relayRegistry.js";
--- a/packages/basilpaddle/src/node/coordination/gateway/placementForecast.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementForecast.ts
@@ -60,6 +60,11 @@
         return capacity === 0 ? Number.POSITIVE_INFINITY : Math.max(0, tokens) * this.meanAllocationTime / capacity;
     }
 
+    /** Tokens of KV cache that runs free in a millisecond in a pool of the given capacity, while it is full. */
+    tokensFreedPerMillisecond(capacity: number): number {
+        return capacity / Math.max(1, this.meanAllocationTime);
+    }
+
     /** Expected milliseconds of a prefill, corrected by the recent ratio of actual to expected time. */
     expectedPrefillTime(prefillTime: number): number {
         return prefillTime * this.delayFactor;
--- a/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
@@ -8,8 +8,10 @@
 import { type EnginePair, EnginePool, type LeastLoadedEngine, type PlacementTuning } from "./enginePool.js";
 import { placedDecision, type Placement } from "./placement.js";
 import { PlacementForecast } from "./placementForecast.js";
+import { PriorityAdmission } from "./priorityAdmission.js";
 import { PriorityOrder } from "./priorityOrder.js";
-import { QueueAdmission } from "./queueAdmission.js";
+import { type QueueAdmission, TargetAdmission } from "./queueAdmission.js";
+import { maxRank, type QueueObserver, SilentQueueObserver } from "./queueObserver.js";
 import { type QueueOrder, TargetOrder } from "./queueOrder.js";
 import { RunRejections } from "./runRejections.js";
 import type { TypicalRequest } from "./stagePlan.js";
@@ -44,17 +46,24 @@
     private readonly placements = new Map<string, Placement>();
     private readonly forecast = PlacementForecast.create();
     private readonly rejections = RunRejections.create();
-    private readonly admission: QueueAdmission;
+    private admission: QueueAdmission;
     private order: QueueOrder = TargetOrder.create();
     private reviewedAt = 0;
 
-    private constructor(private readonly pool: EnginePool) {
-        this.admission = QueueAdmission.create(pool, this.forecast);
+    private constructor(private readonly pool: EnginePool, private readonly observer: QueueObserver) {
+        this.admission = TargetAdmission.create({ pool, forecast: this.forecast, observer });
     }
 
-    /** `limitOf`: requests per second that an engine takes from all gateways; undefined if it names no limit. */
-    static create(tuning: PlacementTuning, limitOf?: (engine: string) => number | undefined): PlacementQueue {
-        return new PlacementQueue(EnginePool.create(tuning, limitOf));
+    /**
+     * `limitOf`: requests per second that an engine takes from all gateways; undefined if it names no limit. `observer`:
+     * receives the decisions.
+     */
+    static create(
+        tuning: PlacementTuning,
+        limitOf?: (engine: string) => number | undefined,
+        observer: QueueObserver = SilentQueueObserver.create(),
+    ): PlacementQueue {
+        return new PlacementQueue(EnginePool.create(tuning, limitOf), observer);
     }
 
     /** Replaces the announcements of the pool's engines and the rule that applies to all of them. */
@@ -62,12 +71,17 @@
         this.pool.setEngines(announced, rule);
     }
 
-    /** Sets whether requests of several priorities compete in the pool; waiting requests keep waiting. */
-    setPrioritised(isPrioritised: boolean): void {
+    /**
+     * Sets whether requests of several priorities compete in the pool; waiting requests keep waiting. `floor`: the share of
+     * placements that each waiting priority then gets at least, 0 to 0.5.
+     */
+    setPrioritised(isPrioritised: boolean, floor: number): void {
         if (isPrioritised !== this.order instanceof PriorityOrder) {
-            const order = isPrioritised ? PriorityOrder.create(0) : TargetOrder.create();
+            const order = isPrioritised ? PriorityOrder.create(floor) : TargetOrder.create();
             this.order.requests().forEach(waiting => order.add(waiting));
             this.order = order;
+            const { pool, forecast, observer } = this;
+            this.admission = (isPrioritised ? PriorityAdmission : TargetAdmission).create({ pool, forecast, observer });
         }
     }
 
@@ -200,6 +214,19 @@
         };
     }
 
+    /** Numbers of queued requests by priority, the last one including all above it; empty if the pool has only one. */
+    waitingByPriority(): ReadonlyMap<number, number> {
+        if (!(this.order instanceof PriorityOrder)) {
+            return new Map();
+        }
+        const counts = new Map(Array.from({ length: maxRank + 1 }, (_, priority) => [priority, 0]));
+        for (const { request } of this.order.requests()) {
+            const priority = Math.min(maxRank, request.priority);
+            counts.set(priority, counts.get(priority)! + 1);
+        }
+        return counts;
+    }
+
     private dispatch(now: number): PlacementDecision[] {
         const decisions: PlacementDecision[] = [];
         const reserved = new Set<string>();
@@ -220,6 +247,7 @@
                 continue;
             }
             this.order.recordPlaced(waiting);
+            this.admission.recordPlaced(waiting.request);
             const readingWithin = Math.round(this.forecast.expectedPrefillTime(pair.prefillTime));
             const placement = { ...pair, request: waiting.request, placedAt: now, readingWithin, isPrefilled: false };
             this.allocate(placement, now);
--- a/packages/basilpaddle/src/node/coordination/gateway/placementRefusals.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementRefusals.ts
@@ -24,6 +24,20 @@
     return { kind: "refused", attempt, reason, comeBackIn };
 }
 
+/** Refuses a request that can't be served before its caller leaves, because those of a higher priority are ahead of it. */
+export function displacedRefusal(
+    { attempt }: PlacementRequest,
+    priority: number,
+    comeBackIn: number,
+): PlacementDecision {
+    return { kind: "refused", attempt, reason: `gave way to rank ${priority}`, comeBackIn };
+}
+
+/** Refuses a request that can't be served before its caller leaves, whatever its priority. */
+export function noRoomRefusal({ attempt }: PlacementRequest, comeBackIn: number): PlacementDecision {
+    return { kind: "refused", attempt, reason: "no room in time", comeBackIn };
+}
+
 /** Refuses a request that only engines of one software version may run, since none of that version is left. */
 export function versionGoneRefusal({ attempt, version = "" }: PlacementRequest): PlacementDecision {
     const reason = `no engine of version ${version} is left`;
--- /dev/null
+++ b/packages/basilpaddle/src/node/coordination/gateway/priorityAdmission.ts
@@ -0,0 +1,100 @@
+import type { PlacementRequest } from "../../protocol/index.js";
+import { hashToFraction } from "../../utils/index.js";
+import { displacedRefusal, noRoomRefusal } from "./placementRefusals.js";
+import { QueueAdmission, type QueueAdmissionOptions, type Refusal, type RefusedWait } from "./queueAdmission.js";
+import { RetryPromises } from "./retryPromises.js";
+import { TokensAhead } from "./tokensAhead.js";
+import type { WaitingRequest } from "./waitingRequest.js";
+
+/**
+ * Fraction of the time left within which a forecast must be for a priority to be admitted again after one of its requests
+ * was evicted. Without it requests are admitted and evicted in turns at the end of a burst.
+ */
+const readmissionFraction = 0.8;
+/** Fraction of its time left that a caller waits at most before it retries. */
+const maxRetryFraction = 1 / 3;
+
+/** Admission where requests of several priorities compete. */
+export class PriorityAdmission extends QueueAdmission {
+    private readonly evictedPriorities = new Set<number>();
+    private readonly promises = RetryPromises.create();
+    /** Tokens placed so far, by priority. */
+    private readonly placed = TokensAhead.create();
+    /** The same at the arrival of each waiting request. */
+    private readonly placedAtArrival = new WeakMap<WaitingRequest, TokensAhead>();
+
+    static create(options: QueueAdmissionOptions): PriorityAdmission {
+        return new PriorityAdmission(options);
+    }
+
+    override recordPlaced(request: PlacementRequest): void {
+        super.recordPlaced(request);
+        this.placed.add(request);
+    }
+
+    protected override mayEnter({ waiting, firstEventIn, poolForecast, now }: RefusedWait): boolean {
+        const { priority, resumed } = waiting.request;
+        if (!this.mayWait(waiting, firstEventIn, poolForecast.capacity, now)) {
+            return false;
+        }
+        this.placedAtArrival.set(waiting, this.placed.plus(this.placed, () => false));
+        const hasRoomAgain = firstEventIn <= readmissionFraction * this.timeLeft(waiting, now);
+        if (hasRoomAgain) {
+            this.evictedPriorities.delete(priority);
+        }
+        return resumed || poolForecast.capacity === 0 || !this.evictedPriorities.has(priority);
+    }
+
+    protected override refuseLate(wait: RefusedWait): Refusal {
+        const { request } = wait.waiting;
+        const retryIn = this.retryIn(wait);
+        const gaveWayTo = this.displacingPriority(wait);
+        return gaveWayTo === undefined
+            ? { decision: noRoomRefusal(request, retryIn), cause: "noRoom" }
+            : { decision: displacedRefusal(request, gaveWayTo, retryIn), cause: "gaveWay", gaveWayTo };
+    }
+
+    protected override recordEviction({ request }: WaitingRequest): void {
+        this.evictedPriorities.add(request.priority);
+    }
+
+    /**
+     * The higher priority with the most tokens ahead of a request or placed while it waited; undefined if the request would be
+     * too late without those priorities as well.
+     */
+    private displacingPriority({ waiting, ahead, poolForecast, now }: RefusedWait): number | undefined {
+        const { request } = waiting;
+        const placedBefore = this.placedAtArrival.get(waiting);
+        let displaced = 0;
+        let displacing: { readonly priority: number; readonly tokens: number; } | undefined;
+        for (const priority of new Set([...ahead.priorities(), ...this.placed.priorities()])) {
+            const placedSince = placedBefore === undefined ? 0 : this.placed.of(priority) - placedBefore.of(priority);
+            const tokens = ahead.of(priority) + placedSince;
+            if (priority < request.priority && tokens > 0) {
+                displaced += tokens;
+                displacing = displacing === undefined || tokens > displacing.tokens ? { priority, tokens } : displacing;
+            }
+        }
+        const firstEventIn = poolForecast.firstEventIn(request, ahead.total - displaced);
+        return this.mayWait(waiting, firstEventIn, poolForecast.capacity, now) ? displacing?.priority : undefined;
+    }
+
+    /** Milliseconds after which a refused request shall retry. */
+    private retryIn({ waiting, ahead, poolForecast, now }: RefusedWait): number {
+        const { request, arrivedAt } = waiting;
+        const { forecast, pool } = this.options;
+        const timeLeft = arrivedAt + (request.deadlineWithin ?? request.patienceWithin) - now;
+        const tokens = ahead.total + request.cacheTokens - pool.freeTokens(now);
+        const retryAt = this.promises.promise(
+            {
+                tokens: request.cacheTokens,
+                earliest: now + forecast.expectedWait(tokens, poolForecast.capacity),
+                latest: now + Math.max(0, timeLeft) * maxRetryFraction,
+                spread: hashToFraction(request.attempt),
+            },
+            forecast.tokensFreedPerMillisecond(poolForecast.capacity),
+            now,
+        );
+        return retryAt - now;
+    }
+}
--- a/packages/basilpaddle/src/node/coordination/gateway/queueAdmission.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/queueAdmission.ts
@@ -2,9 +2,18 @@
 import type { EnginePool } from "./enginePool.js";
 import type { PlacementForecast } from "./placementForecast.js";
 import { noEngineRefusal, tooLateRefusal, versionGoneRefusal } from "./placementRefusals.js";
+import type { QueueObserver, RefusalCause } from "./queueObserver.js";
 import type { QueueOrder } from "./queueOrder.js";
+import { TokensAhead } from "./tokensAhead.js";
 import type { WaitingRequest } from "./waitingRequest.js";
 
+/** Dependencies of the admission to a queue. */
+export type QueueAdmissionOptions = {
+    readonly pool: EnginePool;
+    readonly forecast: PlacementForecast;
+    readonly observer: QueueObserver;
+};
+
 /** Margin by which the forecast must be earlier than the caller's timeout for a request to stay in the queue. */
 const timeoutMarginMilliseconds = 250;
 /**
@@ -14,20 +23,33 @@
 const unknownPoolTimeoutMilliseconds = 1_800;
 
 /** Forecast for a pool at one point in time. */
-type PoolForecast = {
+export type PoolForecast = {
     /** Tokens of KV cache that may be allocated in total. */
     readonly capacity: number;
     /** Expected milliseconds until a request's first event, with the given number of tokens queued ahead of it. */
     readonly firstEventIn: (request: PlacementRequest, ahead: number) => number;
 };
 
-/** Decides which requests may wait in a placement queue, and refuses those that can't be served before their caller leaves. */
-export class QueueAdmission {
-    private constructor(private readonly pool: EnginePool, private readonly forecast: PlacementForecast) {}
+/** What was known of a waiting request when it was refused. */
+export type RefusedWait = {
+    readonly waiting: WaitingRequest;
+    readonly ahead: TokensAhead;
+    readonly firstEventIn: number;
+    readonly poolForecast: PoolForecast;
+    readonly now: number;
+};
 
-    static create(pool: EnginePool, forecast: PlacementForecast): QueueAdmission {
-        return new QueueAdmission(pool, forecast);
-    }
+/** A refusal with its cause. */
+export type Refusal = {
+    readonly decision: PlacementDecision;
+    readonly cause: RefusalCause;
+    /** The priority that displaced the request. */
+    readonly gaveWayTo?: number | undefined;
+};
+
+/** Decides which requests may wait in a placement queue, and refuses those that can't be served before their caller leaves. */
+export abstract class QueueAdmission {
+    protected constructor(protected readonly options: QueueAdmissionOptions) {}
 
     /** Refuses a new request that can't be served before its caller's timeout. */
     refuseOnArrival(arrived: WaitingRequest, order: QueueOrder, now: number): PlacementDecision[] {
@@ -36,18 +58,19 @@
         if (position < 0) {
             return [];
         }
-        if (this.isVersionGone(arrived, now)) {
-            order.remove(arrived);
-            return [versionGoneRefusal(arrived.request)];
+        const ahead = TokensAhead.create();
+        for (let index = 0; index < position; index++) {
+            ahead.add(requests[index]!.request);
         }
-        const ahead = requests.slice(0, position).reduce((sum, { request }) => sum + request.cacheTokens, 0);
         const poolForecast = this.forecastPool(now);
-        const firstEventIn = poolForecast.firstEventIn(arrived.request, ahead);
-        if (this.mayWait(arrived, firstEventIn, poolForecast.capacity, now)) {
+        const firstEventIn = poolForecast.firstEventIn(arrived.request, ahead.total);
+        const wait = { waiting: arrived, ahead, firstEventIn, poolForecast, now };
+        const isVersionGone = this.isVersionGone(arrived, now);
+        if (!isVersionGone && this.mayEnter(wait)) {
             return [];
         }
         order.remove(arrived);
-        return [this.refusal(arrived, firstEventIn, poolForecast.capacity, now)];
+        return [this.refuse(wait, isVersionGone)];
     }
 
     /** Moves requests that can't meet their target behind the others; refuses those that can't be served before the timeout. */
@@ -55,67 +78,112 @@
         const decisions: PlacementDecision[] = [];
         const refused = new Set<WaitingRequest>();
         const tooLate: WaitingRequest[] = [];
-        const lateTokens = new Map<number, number>();
+        const lateTokens = TokensAhead.create();
         const poolForecast = this.forecastPool(now);
-        let ahead = 0;
+        const ahead = TokensAhead.create();
         for (const waiting of order.requests()) {
             const { request } = waiting;
-            let tokensAhead = ahead;
-            for (const [priority, tokens] of lateTokens) {
-                tokensAhead += order.staysAheadWhenLate(priority, waiting) ? tokens : 0;
-            }
-            const firstEventIn = poolForecast.firstEventIn(request, tokensAhead);
-            if (this.isVersionGone(waiting, now)) {
+            const stillAhead = lateTokens.tokensWhere(priority => order.staysAheadWhenLate(priority, waiting));
+            const firstEventIn = poolForecast.firstEventIn(request, ahead.total + stillAhead);
+            const isVersionGone = this.isVersionGone(waiting, now);
+            if (isVersionGone || !this.mayWait(waiting, firstEventIn, poolForecast.capacity, now)) {
                 refused.add(waiting);
-                decisions.push(versionGoneRefusal(request));
-            }
-            else if (!this.mayWait(waiting, firstEventIn, poolForecast.capacity, now)) {
-                refused.add(waiting);
-                decisions.push(this.refusal(waiting, firstEventIn, poolForecast.capacity, now));
+                const aheadOfIt = ahead.plus(lateTokens, priority => order.staysAheadWhenLate(priority, waiting));
+                const wait = { waiting, ahead: aheadOfIt, firstEventIn, poolForecast, now };
+                decisions.push(this.refuse(wait, isVersionGone));
+                this.recordEviction(waiting);
             }
             else if (!waiting.late && !request.resumed && now + firstEventIn > waiting.targetAt) {
                 tooLate.push(waiting);
-                lateTokens.set(request.priority, (lateTokens.get(request.priority) ?? 0) + request.cacheTokens);
+                lateTokens.add(request);
             }
             else {
-                ahead += request.cacheTokens;
+                ahead.add(request);
             }
         }
-        order.removeWhere(waiting => refused.has(waiting));
+        if (refused.size > 0) {
+            order.removeWhere(waiting => refused.has(waiting));
+        }
         tooLate.forEach(waiting => order.moveBack(waiting));
         return decisions;
     }
 
+    /** Records a placement. */
+    recordPlaced(request: PlacementRequest): void {
+        this.options.observer.placed(request);
+    }
+
+    /** Whether a new request may enter the queue. */
+    protected abstract mayEnter(wait: RefusedWait): boolean;
+
+    /** Refuses a request that would be served too late. */
+    protected abstract refuseLate(wait: RefusedWait): Refusal;
+
+    /** Records that a request that waited was refused. */
+    protected abstract recordEviction(waiting: WaitingRequest): void;
+
+    /** Whether a request's first event would come before its caller's timeout, or it waits whatever the forecast is. */
+    protected mayWait(waiting: WaitingRequest, firstEventIn: number, capacity: number, now: number): boolean {
+        const waitsForEngines = capacity === 0 && !this.options.pool.isAbandoned()
+            && now - waiting.arrivedAt < unknownPoolTimeoutMilliseconds;
+        return waiting.request.resumed || waitsForEngines
+            || now + firstEventIn + timeoutMarginMilliseconds <= waiting.timeoutAt;
+    }
+
+    /** Milliseconds that a request's first event may still take, from now. */
+    protected timeLeft({ timeoutAt }: WaitingRequest, now: number): number {
+        return timeoutAt - now - timeoutMarginMilliseconds;
+    }
+
+    private refuse(wait: RefusedWait, isVersionGone: boolean): PlacementDecision {
+        const { request } = wait.waiting;
+        const refusal: Refusal = isVersionGone
+            ? { decision: versionGoneRefusal(request), cause: "versionGone" }
+            : wait.poolForecast.capacity === 0
+            ? { decision: noEngineRefusal(request), cause: "noEngine" }
+            : this.refuseLate(wait);
+        const { ahead, firstEventIn } = wait;
+        const { cause, gaveWayTo } = refusal;
+        this.options.observer.refused({ request, cause, gaveWayTo, tokensAhead: ahead.total, firstEventIn });
+        return refusal.decision;
+    }
+
     /** Forecast for the pool: computed once for the whole queue, since a burst queues hundreds of requests. */
     private forecastPool(now: number): PoolForecast {
-        const freeTokens = this.pool.freeTokens(now);
-        const capacity = this.pool.capacity(now);
-        const prefill = this.pool.prefillForecast(now);
+        const { pool, forecast } = this.options;
+        const freeTokens = pool.freeTokens(now);
+        const capacity = pool.capacity(now);
+        const prefill = pool.prefillForecast(now);
         const firstEventIn = (request: PlacementRequest, ahead: number): number => {
-            return this.forecast.expectedWait(ahead + request.cacheTokens - freeTokens, capacity)
-                + this.forecast.firstEventDelay(prefill(request.promptTokens));
+            return forecast.expectedWait(ahead + request.cacheTokens - freeTokens, capacity)
+                + forecast.firstEventDelay(prefill(request.promptTokens));
         };
         return { capacity, firstEventIn };
     }
 
     /** Whether no engine can run the request because its version isn't served any more, as far as the pool's engines are known. */
     private isVersionGone({ request, arrivedAt }: WaitingRequest, now: number): boolean {
-        const mayBecomeKnown = this.pool.capacity(now) === 0 && !this.pool.isAbandoned()
+        const { pool } = this.options;
+        const mayBecomeKnown = pool.capacity(now) === 0 && !pool.isAbandoned()
             && now - arrivedAt < unknownPoolTimeoutMilliseconds;
-        return request.version !== undefined && !mayBecomeKnown && !this.pool.hasVersion(request.version);
+        return request.version !== undefined && !mayBecomeKnown && !pool.hasVersion(request.version);
     }
+}
 
-    private mayWait(waiting: WaitingRequest, firstEventIn: number, capacity: number, now: number): boolean {
-        const waitsForEngines = capacity === 0 && !this.pool.isAbandoned()
-            && now - waiting.arrivedAt < unknownPoolTimeoutMilliseconds;
-        return waiting.request.resumed || waitsForEngines
-            || now + firstEventIn + timeoutMarginMilliseconds <= waiting.timeoutAt;
+/** Admission where all requests have one priority. */
+export class TargetAdmission extends QueueAdmission {
+    static create(options: QueueAdmissionOptions): TargetAdmission {
+        return new TargetAdmission(options);
+    }
+
+    protected override mayEnter({ waiting, firstEventIn, poolForecast, now }: RefusedWait): boolean {
+        return this.mayWait(waiting, firstEventIn, poolForecast.capacity, now);
     }
 
-    private refusal(waiting: WaitingRequest, firstEventIn: number, capacity: number, now: number): PlacementDecision {
+    protected override refuseLate({ waiting, firstEventIn, now }: RefusedWait): Refusal {
         const tooLateBy = Math.max(0, now + firstEventIn + timeoutMarginMilliseconds - waiting.timeoutAt);
-        return capacity === 0
-            ? noEngineRefusal(waiting.request)
-            : tooLateRefusal(waiting.request, firstEventIn, tooLateBy);
+        return { decision: tooLateRefusal(waiting.request, firstEventIn, tooLateBy), cause: "noRoom" };
     }
+
+    protected override recordEviction(): void {}
 }
--- /dev/null
+++ b/packages/basilpaddle/src/node/coordination/gateway/queueObserver.ts
@@ -0,0 +1,71 @@
+import type { PlacementRequest } from "../../protocol/index.js";
+import type { Logger, Metrics } from "../../utils/index.js";
+
+/** Highest priority number in labels and log lines; all above it are counted together. */
+export const maxRank = 9;
+
+/** Why a placement queue refused a request. */
+export type RefusalCause = "gaveWay" | "noRoom" | "noEngine" | "versionGone";
+
+/** A refusal with what was known when it was decided. */
+export type QueueRefusal = {
+    readonly request: PlacementRequest;
+    readonly cause: RefusalCause;
+    /** The priority that displaced it. */
+    readonly gaveWayTo?: number | undefined;
+    /** Tokens of KV cache of the requests ahead of it. */
+    readonly tokensAhead: number;
+    /** Forecast milliseconds until its first event; infinite without engines. */
+    readonly firstEventIn: number;
+};
+
+/** Receives what a placement queue decided, for logs and metrics. */
+export abstract class QueueObserver {
+    abstract placed(request: PlacementRequest): void;
+    abstract refused(refusal: QueueRefusal): void;
+}
+
+/** Discards everything. */
+export class SilentQueueObserver extends QueueObserver {
+    static create(): SilentQueueObserver {
+        return new SilentQueueObserver();
+    }
+
+    override placed(): void {}
+
+    override refused(): void {}
+}
+
+/** Counts placements and refusals by priority, and logs each refusal. */
+export class QueueRecorder extends QueueObserver {
+    private constructor(private readonly logger: Logger, private readonly metrics: Metrics) {
+        super();
+    }
+
+    static create(logger: Logger, metrics: Metrics): QueueRecorder {
+        return new QueueRecorder(logger, metrics);
+    }
+
+    override placed({ service, priority }: PlacementRequest): void {
+        this.metrics.count("basilpaddle_placements_total", { service, rank: rankLabel(priority) });
+    }
+
+    override refused({ request, cause, gaveWayTo, tokensAhead, firstEventIn }: QueueRefusal): void {
+        const { service, priority, attempt } = request;
+        this.metrics.count("basilpaddle_placements_refused_total", { service, rank: rankLabel(priority), cause });
+        this.logger.info("placement refused", {
+            request: attempt,
+            service,
+            rank: priority,
+            cause,
+            gaveWayTo,
+            tokensAhead,
+            firstEventIn: Number.isFinite(firstEventIn) ? Math.round(firstEventIn) : undefined,
+        });
+    }
+}
+
+/** The label of a priority in metrics. */
+export function rankLabel(priority: number): string {
+    return String(Math.min(maxRank, priority));
+}
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -9,7 +9,7 @@
 } from "../../protocol/index.js";
 import { FolderDisk } from "../../state/index.js";
 import { type Network, TcpNetwork, TcpServer } from "../../transport/index.js";
-import { DisposableStore, type Metrics, type Randomness } from "../../utils/index.js";
+import { DisposableStore, type Metrics, type Randomness, SilentMetrics } from "../../utils/index.js";
 import { BackendConnections, DirectOpener } from "../backends/index.js";
 import type { RoutingOptions } from "../routingOptions.js";
 import { noLimits } from "./allowanceService.js";
@@ -32,6 +32,8 @@
 /** Settings and dependencies of a directory. */
 export type DirectoryDaemonOptions = RoutingOptions<DirectorySettings, DirectoryWire> & {
     readonly randomness: Randomness;
+    /** @default discarded */
+    readonly metrics?: Metrics;
 };
 
 /**
@@ -327,7 +329,7 @@
     }
 
     private startLeading(): void {
-        const { clock, logger, wire, settings } = this.options;
+        const { clock, logger, wire, settings, metrics = SilentMetrics.create() } = this.options;
         const term = this.group.replicaStatus()?.term ?? 0;
         this.leading?.close();
         this.leading = LeaderServices.create({
@@ -340,6 +342,7 @@
             onChanged: () => this.membership.watches.notifyWatchers(),
             clock,
             logger,
+            metrics,
         }, term);
         this.membership.watches.notifyWatchers();
         logger.info("became leader: placing runs and ordering stage changes", { term });
--- a/packages/basilpaddle/src/node/daemon/directory/leaderServices.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/leaderServices.ts
@@ -21,6 +21,7 @@
     readonly onChanged: () => void;
     readonly clock: Clock;
     readonly logger: Logger;
+    readonly metrics: Metrics;
 };
 
 /** What a directory does for all gateways while it leads; created anew for each term. */
@@ -39,6 +40,7 @@
         this.placement = PlacementService.create({
             ...options,
             repeats: settings.repeats,
+            floor: settings.shortage.floor,
             limitOf: server => this.serverLimits.limitOf(server),
             onServerCalls: calls => this.outlierDetector.addCalls(calls, clock.monotonic()),
         }, term);
@@ -109,6 +111,7 @@
 
     /** Updates the gauges of a leader. */
     measure(metrics: Metrics): void {
+        this.placement.measure(metrics);
         this.allowances.measure(metrics);
         this.serverLimits.measure(metrics);
     }
--- a/packages/basilpaddle/src/node/daemon/directory/placementService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/placementService.ts
@@ -3,19 +3,22 @@
     type InstanceTable,
     leaderPlacementTuning,
     PlacementQueue,
+    QueueRecorder,
+    rankLabel,
     type RetryBudgetRules,
     SharedRetryBudget,
     type TypicalRequest,
 } from "../../coordination/index.js";
-import type {
-    PlacementDecision,
-    PlacementMessage,
-    PlacementReply,
-    ServerAnnouncement,
-    ServerCalls,
-    Traffic,
+import {
+    defaultShortageFloor,
+    type PlacementDecision,
+    type PlacementMessage,
+    type PlacementReply,
+    type ServerAnnouncement,
+    type ServerCalls,
+    type Traffic,
 } from "../../protocol/index.js";
-import type { Clock, Logger } from "../../utils/index.js";
+import { type Clock, type Logger, type Metrics, SilentMetrics } from "../../utils/index.js";
 
 /**
  * How long a placement request waits for its decision before it is answered with `waiting`; the gateway then sends it again.
@@ -35,6 +38,8 @@
     readonly traffic: () => Traffic | undefined;
     /** Requests per second that an engine takes from all gateways together; undefined if it names no limit. @default none */
     readonly limitOf?: (engine: string) => number | undefined;
+    /** Share of placements that each waiting priority gets at least. @default 0.1 */
+    readonly floor?: number;
     /** Called with a gateway's statistics of its calls to plain services. */
     readonly onServerCalls: (calls: readonly ServerCalls[]) => void;
     /** Called with an incarnation that a gateway reports as ended. */
@@ -43,6 +48,8 @@
     readonly repeats?: RetryBudgetRules | undefined;
     readonly clock: Clock;
     readonly logger: Logger;
+    /** @default discarded */
+    readonly metrics?: Metrics;
 };
 
 /** Places runs on engines for all gateways while this directory leads, with one `PlacementQueue` per service. */
@@ -52,6 +59,7 @@
     private readonly decisionCallbacks = new Map<string, DecisionCallback>();
     private readonly sharedRetryBudgets = new Map<string, SharedRetryBudget>();
     private readonly startedAt: number;
+    private readonly recorder: QueueRecorder;
     private cancelTick: (() => void) | undefined;
     private closed = false;
     /** Whether engines or rules have changed since they were last applied to the pools. */
@@ -59,6 +67,7 @@
 
     private constructor(private readonly options: PlacementServiceOptions, private readonly term: number) {
         this.startedAt = options.clock.monotonic();
+        this.recorder = QueueRecorder.create(options.logger, options.metrics ?? SilentMetrics.create());
         this.scheduleTick();
     }
 
@@ -144,11 +153,18 @@
         };
     }
 
+    /** Sets the numbers of waiting requests by priority. */
+    measure(metrics: Metrics): void {
+        this.setWaitingGauges(metrics, waiting => waiting);
+    }
+
     /** Stops the service; pending requests receive no decision. */
     close(): void {
         this.closed = true;
         this.cancelTick?.();
         this.decisionCallbacks.clear();
+        // The directory may go on without leading, and its metrics would keep the last values.
+        this.setWaitingGauges(this.options.metrics, () => 0);
     }
 
     /** Applies changed engines and rules to the pools. */
@@ -157,14 +173,15 @@
             return;
         }
         this.poolsOutdated = false;
-        const { instances, traffic, limitOf } = this.options;
+        const { instances, traffic, limitOf, floor = defaultShortageFloor } = this.options;
         const allInstances = instances.all();
         const current = traffic();
         for (const service of current?.services ?? []) {
             if (service.engine !== undefined) {
-                const pool = this.pools.get(service.name) ?? PlacementQueue.create(leaderPlacementTuning, limitOf);
+                const pool = this.pools.get(service.name)
+                    ?? PlacementQueue.create(leaderPlacementTuning, limitOf, this.recorder);
                 this.pools.set(service.name, pool);
-                pool.setPrioritised(hasSeveralPriorities(current, service.name));
+                pool.setPrioritised(hasSeveralPriorities(current, service.name), floor);
                 pool.setEngines(allInstances.filter(instance => instance.service === service.name), service.engine);
             }
         }
@@ -227,6 +244,15 @@
         }
     }
 
+    private setWaitingGauges(metrics: Metrics | undefined, valueOf: (waiting: number) => number): void {
+        for (const [service, pool] of this.pools) {
+            for (const [priority, waiting] of pool.waitingByPriority()) {
+                const labels = { service, rank: rankLabel(priority) };
+                metrics?.gauge("basilpaddle_placements_waiting", valueOf(waiting), labels);
+            }
+        }
+    }
+
     private poolOfAttempt(attempt: string): PlacementQueue | undefined {
         return this.pools.get(this.serviceOfAttempt.get(attempt) ?? "");
     }
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -140,10 +140,12 @@
             instances: this.instances,
             engineRule: service => this.routes.table()?.service(service)?.engine,
             hasSeveralPriorities,
+            floor: settings.shortage.floor,
             limitOf: engine => this.serverAdmission.limitOf(engine),
             calls: () => paths.mayReportFailures() ? this.tally.takeCounts(clock.monotonic()) : [],
             clock,
             logger,
+            metrics,
         });
         this.store.add(() => this.placementClient.close());
         const allowances = ReportedAllowances.create({
--- a/packages/basilpaddle/src/node/daemon/gateway/placementClient.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementClient.ts
@@ -5,15 +5,17 @@
     type LimitLeader,
     localPlacementTuning,
     PlacementQueue,
+    QueueRecorder,
 } from "../../coordination/index.js";
 import {
+    defaultShortageFloor,
     type EngineRule,
     type PlacementDecision,
     type PlacementOutcome,
     type PlacementRequest,
     type ServerCalls,
 } from "../../protocol/index.js";
-import type { Clock, Logger } from "../../utils/index.js";
+import { type Clock, type Logger, type Metrics, SilentMetrics } from "../../utils/index.js";
 import { PlacementLeader } from "./placementLeader.js";
 
 /** How long a request waits for a local placement before the leader is asked again. */
@@ -54,12 +56,16 @@
     readonly engineRule: (service: string) => EngineRule | undefined;
     /** Whether requests of different priorities compete for a service's engines. @default never */
     readonly hasSeveralPriorities?: (service: string) => boolean;
+    /** Share of placements that each waiting priority gets at least. @default 0.1 */
+    readonly floor?: number;
     /** Requests per second that an engine takes from all gateways together; undefined if it names no limit. @default none */
     readonly limitOf?: (engine: string) => number | undefined;
     /** Outcomes of calls to plain services since the previous call of this function. */
     readonly calls: () => readonly ServerCalls[];
     readonly clock: Clock;
     readonly logger: Logger;
+    /** @default discarded */
+    readonly metrics?: Metrics;
 };
 
 /**
@@ -77,9 +83,11 @@
     private hasReportedGrants = false;
 
     private readonly startedAt: number;
+    private readonly recorder: QueueRecorder;
 
     private constructor(private readonly options: PlacementClientOptions) {
-        const { name, watcher, clock, logger } = options;
+        const { name, watcher, clock, logger, metrics = SilentMetrics.create() } = options;
+        this.recorder = QueueRecorder.create(logger, metrics);
         this.startedAt = clock.monotonic();
         this.leader = PlacementLeader.create({
             name,
@@ -113,6 +121,9 @@
                 ...request,
                 targetWithin: request.targetWithin - elapsed,
                 patienceWithin: request.patienceWithin - elapsed,
+                ...request.deadlineWithin === undefined
+                    ? {}
+                    : { deadlineWithin: request.deadlineWithin - elapsed },
             };
             if (this.mayAwaitFirstLeader() && elapsed < firstLeaderTimeoutMilliseconds) {
                 await new Promise<void>(resolve => clock.after(firstLeaderPollMilliseconds, resolve));
@@ -240,17 +251,18 @@
     }
 
     private localPool(service: string): PlacementQueue | undefined {
-        const rule = this.options.engineRule(service);
+        const { engineRule, hasSeveralPriorities, floor = defaultShortageFloor, limitOf } = this.options;
+        const rule = engineRule(service);
         if (rule === undefined) {
             return undefined;
         }
         let pool = this.localPools.get(service);
         if (pool === undefined) {
-            pool = PlacementQueue.create({ ...localPlacementTuning, share: 1 }, this.options.limitOf);
+            pool = PlacementQueue.create({ ...localPlacementTuning, share: 1 }, limitOf, this.recorder);
             this.localPools.set(service, pool);
         }
         const now = this.options.clock.monotonic();
-        pool.setPrioritised(this.options.hasSeveralPriorities?.(service) ?? false);
+        pool.setPrioritised(hasSeveralPriorities?.(service) ?? false, floor);
         pool.setShare(1 / this.options.watcher.gateways());
         pool.setEngines(this.options.instances.all().filter(instance => instance.service === service), rule);
         const grantsOfService = [...this.activeGrants.values()].filter(({ demand: request }) =>
--- a/packages/basilpaddle/src/node/daemon/gateway/placementRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementRequest.ts
@@ -49,7 +49,9 @@
         avoid: [...avoid],
         resumed: stream.resumed || request.hasAnswerBegun(),
         ...stream.version === undefined ? {} : { version: stream.version },
-        ...isPrioritised ? { organisation: request.identity.organisation?.name } : {},
+        ...isPrioritised
+            ? { organisation: request.identity.organisation?.name, deadlineWithin: request.remainingTime() }
+            : {},
         ...linkStalls.length === 0 ? {} : { linkStalls },
     };
 }
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -147,6 +147,8 @@
     version: z.string().max(200).optional(),
     /** Organisation that sent it, in pools with several priorities. @default unknown */
     organisation: identifier.optional(),
+    /** Milliseconds left until the caller's deadline, in pools with several priorities. @default `patienceWithin` */
+    deadlineWithin: z.number().optional(),
     /** Stall rates of the gateway's links. @default no stalls */
     linkStalls: linkStallsSchema.optional(),
 });
--- a/packages/basilpaddle/src/node/protocol/gatewaySettings.ts
+++ b/packages/basilpaddle/src/node/protocol/gatewaySettings.ts
@@ -37,6 +37,15 @@
 /** Retry budget over all gateways: `ratio` of the requests plus `slack` retries in each window (seconds). */
 const retryBudgetSchema = z.object({ ratio: z.number().min(0), window: seconds, slack: z.number().min(0) });
 
+/** Share of placements that each waiting lower priority gets at least, if the settings state none. */
+export const defaultShortageFloor = 0.1;
+
+/** Placement while requests of several priorities wait for the engines of one service. */
+const shortageSchema = z.strictObject({
+    /** Share of placements that each waiting priority below the highest one gets at least; with 0 it may get none. */
+    floor: z.number().min(0).max(0.5).default(defaultShortageFloor),
+});
+
 /** Settings of a gateway, which serves callers' requests and has no durable state. */
 export const gatewaySettingsSchema = z.object({
     role: z.literal("gateway"),
@@ -51,6 +60,8 @@
      */
     relayPort: z.int().min(0).max(65_535).optional(),
     repeats: retryBudgetSchema,
+    /** The same as in directories' settings; for local placement. */
+    shortage: shortageSchema.prefault({}),
     /** Time in seconds for finishing requests in progress after the daemon received a stop signal. */
     shutdownTime: seconds,
 });
@@ -76,6 +87,8 @@
     orderLease: milliseconds,
     /** The same as in gateways' settings. The leader lends a part of the slack to gateways. @default nothing is lent */
     repeats: retryBudgetSchema.optional(),
+    /** How the leader places runs while requests of several priorities wait. */
+    shortage: shortageSchema.prefault({}),
     /** Time in seconds for finishing requests in progress after the daemon received a stop signal. */
     shutdownTime: seconds,
 });
