--- a/packages/basilpaddle/src/node/coordination/allowance/__tests__/leaderAllowances.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/__tests__/leaderAllowances.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { ManualClock } from "../../../../../../../simulation/manualClock.js";
-import type { Allowance, ChargeDecision } from "../../../protocol/index.js";
+import { type Allowance, allowanceMessageSchema, type ChargeDecision } from "../../../protocol/index.js";
 import type { AllowanceCharge } from "../allowanceCharge.js";
 import { ReportedAllowances } from "../leaderAllowances.js";
 import type { SpentUnits } from "../organisationAllowances.js";
@@ -89,6 +89,33 @@
         expect(reported).to.deep.equal([]);
     });
 
+    // Guards against a leader that doesn't learn the priorities of requests for which it isn't asked.
+    it("report what was spent of each priority, with one number for each", async () => {
+        for (let number = 0; number < 40; number++) {
+            await allowances.admit({ ...charge(20), rank: number % 4 === 0 ? 0 : 9 });
+        }
+        await clock.advance(100);
+        allowances.refund({ ...charge(20), rank: 9 });
+        expect(reported).to.deep.equal([
+            { organisation: "a", units: 800, byRank: [{ rank: 0, units: 200 }, { rank: 9, units: 600 }] },
+            { organisation: "a", units: -20, byRank: [{ rank: 9, units: -20 }] },
+        ]);
+        expect(allowanceMessageSchema.safeParse({ kind: "spent", gateway: "g", spent: reported }).success).to.equal(
+            true,
+        );
+    });
+
+    it("are understood by a leader from gateways that state no priority", () => {
+        const messages = [
+            { kind: "charge", gateway: "g", organisation: "a", cost: 1 },
+            { kind: "spent", gateway: "g", spent: [{ organisation: "a", units: 1 }] },
+        ];
+        expect(messages.map(message => allowanceMessageSchema.parse(message))).to.deep.equal(messages);
+        const eleven = Array.from({ length: 11 }, () => ({ rank: 1, units: 1 }));
+        const tooLong = { kind: "spent", gateway: "g", spent: [{ organisation: "a", units: 11, byRank: eleven }] };
+        expect(allowanceMessageSchema.safeParse(tooLong).success).to.equal(false);
+    });
+
     it("report a refund immediately", async () => {
         await admitted(200);
         await clock.advance(100);
--- a/packages/basilpaddle/src/node/coordination/allowance/__tests__/priorityReserve.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/__tests__/priorityReserve.spec.ts
@@ -80,6 +80,17 @@
         }
     });
 
+    // Guards against a leader that learns the priorities only of requests for which it is asked.
+    it("is learned from what gateways spent without asking, and shrinks with refunds", () => {
+        const ledger = AllowanceLedger.create(1);
+        ledger.recordSpent("a", allowance, 600, 0, [{ rank: 0, units: 600 }]);
+        ledger.recordSpent("b", allowance, 600, 0);
+        expect(ledger.charge("a", allowance, 1, 0, 1)).to.deep.include({ granted: false, reserved: true });
+        expect(ledger.charge("b", allowance, 1, 0, 1).granted).to.equal(true);
+        ledger.recordSpent("a", allowance, -500, 0, [{ rank: 0, units: -500 }]);
+        expect(ledger.charge("a", allowance, 1, 0, 1).granted).to.equal(true);
+    });
+
     // Guards against refused callers that all return at the same time, or before the level that they wait for.
     it("tells refused requests to return one after the other from the time at which their level is reached", () => {
         const ledger = AllowanceLedger.create(1);
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/fakeRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/fakeRequest.ts
@@ -1,11 +1,11 @@
 import * as http from "node:http";
 import * as net from "node:net";
 import { route } from "../../../coordination/gateway/__tests__/fakes.js";
-import type { TrafficRoute } from "../../../protocol/index.js";
+import type { TrafficOrganisation, TrafficRoute } from "../../../protocol/index.js";
 import { CallerRequest } from "../callerRequest.js";
 
-/** A caller's request on a route, with an answer that goes nowhere. */
-export function createRequest(routeFields: Partial<TrafficRoute>): CallerRequest {
+/** A caller's request on a route, with an answer that goes nowhere; `organisation`: the holder of its key. */
+export function createRequest(routeFields: Partial<TrafficRoute>, organisation?: TrafficOrganisation): CallerRequest {
     const incoming = new http.IncomingMessage(new net.Socket());
     return CallerRequest.create({
         incoming,
@@ -19,7 +19,7 @@
             tokens: { kind: "notStated" },
         },
         route: route(routeFields),
-        identity: { organisation: undefined, keysInForce: false },
+        identity: { organisation, keysInForce: organisation !== undefined },
         body: undefined,
         arrivedAt: 0,
         now: () => 0,
--- a/packages/basilpaddle/src/node/daemon/gateway/allowanceAdmission.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/allowanceAdmission.ts
@@ -26,7 +26,7 @@
         const decision = await this.allowances.admit(charge);
         if (!decision.granted) {
             this.count("refused", charge);
-            this.metrics.count("basilpaddle_allowance_refusals_total", { rank: String(charge.rank) });
+            this.metrics.count("basilpaddle_allowance_refusals_total", { rank: String(rankOf(request.priority)) });
             request.refuseOverAllowance(decision.comeBackIn, decision.reserved === true);
             return [];
         }
