fix(allowance): what gateways report together doesn't make single requests look cheap

Cause: reports name the units of many requests at once; taken for the largest request, they made nearly every other one cheap, and nothing was reserved. Change: only costs that a request was decided with are compared.

--- a/packages/basilpaddle/src/node/coordination/allowance/priorityReserve.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/priorityReserve.ts
@@ -35,6 +35,25 @@
     floorAt: number;
 };
 
+/** The largest of recent values, which decay. */
+class DecayingMaximum {
+    private value = 0;
+    private recordedAt = Number.NEGATIVE_INFINITY;
+
+    static create(): DecayingMaximum {
+        return new DecayingMaximum();
+    }
+
+    record(value: number, now: number): void {
+        this.value = Math.max(this.at(now), value);
+        this.recordedAt = now;
+    }
+
+    at(now: number): number {
+        return this.value * decayOf(now - this.recordedAt);
+    }
+}
+
 /**
  * Reserves the rest of one organisation's bucket for its higher priorities: a lower one may take only while the level is above
  * what those above it have recently asked for in the time in which the bucket refills that, and one request that may overdraw
@@ -43,9 +62,10 @@
 export class PriorityReserve {
     /** Demand by rank, in ascending order. */
     private demands: RankDemand[] = [];
-    /** Largest cost of a recent request, decayed, as of `largestAt`. */
-    private largestCost = 0;
-    private largestAt = Number.NEGATIVE_INFINITY;
+    /** Largest recent cost, also of what was reported of several requests together. */
+    private readonly largest = DecayingMaximum.create();
+    /** Largest recent cost of one request. */
+    private readonly largestRequest = DecayingMaximum.create();
 
     private constructor(private readonly floor: number) {}
 
@@ -70,7 +90,8 @@
         }
         const level = bucket.level(now);
         const reserve = this.reserve(rank, bucket, now);
-        const isCheap = cost < cheapFraction * this.largest(now);
+        const isCheap = cost < cheapFraction * this.largestRequest.at(now);
+        this.largestRequest.record(cost, now);
         const isReserved = !isCheap && level <= reserve * this.reservedFraction(rank, bucket, now) && reserve > 0;
         const outcome = isReserved ? "reserved" : take() ? "granted" : "empty";
         this.record(rank, cost, bucket, now);
@@ -94,8 +115,7 @@
         // More than the rate can't be used for long; without this bound a short excess would be reserved for much longer.
         demand.units = Math.min(bucket.rate * decaySeconds, unitsOf(demand, now) + units);
         demand.at = now;
-        this.largestCost = Math.max(this.largest(now), Math.min(units, bucket.burst));
-        this.largestAt = now;
+        this.largest.record(Math.min(units, bucket.burst), now);
     }
 
     /** Units that a request of this rank has to leave; 0 for the highest one that has sent requests. */
@@ -107,7 +127,7 @@
         const units = this.higherUnits(rank, bucket, now);
         const secondsToRefill = units / bucket.rate;
         const presence = Math.max(...higher.map(({ at }) => decayOf(now - at)));
-        const needed = units / decaySeconds * secondsToRefill + presence * this.largest(now);
+        const needed = units / decaySeconds * secondsToRefill + presence * this.largest.at(now);
         return Math.min(bucket.burst * maxReserveFraction, needed);
     }
 
@@ -156,10 +176,6 @@
         return Math.min(bucket.rate * decaySeconds, units);
     }
 
-    private largest(now: number): number {
-        return this.largestCost * decayOf(now - this.largestAt);
-    }
-
     /** The lower ranks share the floor equally. */
     private floorFraction(rank: number, now: number): number {
         return this.higher(rank, now).length === 0 ? 0 : this.floor / Math.max(1, this.demands.length - 1);
