feat(backends): a sender may prevent a request just before its first byte is written

Between the call and its first byte a request waits for a connection to be opened or to become free, and its sender had no say any more. `BackendCall.maySend` is asked at the last moment; a request that it prevents fails as not sent (`SEND_PREVENTED`), its connection stays open, and neither the path nor a relay is examined for it. Without it nothing changes.

--- a/packages/basilpaddle/src/node/daemon/backends/__tests__/backendConnections.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/__tests__/backendConnections.spec.ts
@@ -2,7 +2,7 @@
 import * as net from "node:net";
 import type { ServerAnnouncement } from "../../../protocol/index.js";
 import { createSilentLogger } from "../../../utils/index.js";
-import { BackendConnections, isAnswer, readWholeBody } from "../index.js";
+import { BackendConnections, isAnswer, readWholeBody, sendPreventedCode } from "../index.js";
 
 /** Starts a server that reads a request and then calls `onRequest` with the connection. */
 async function startServer(
@@ -72,4 +72,45 @@
         expect(await connections.call(call, 10, 1)).to.include({ kind: "notSent" });
         await connections.close();
     });
+
+    // Guards against a request that is sent though the reason for it has gone while it waited for a connection, and against closing the
+    // connection of each request that isn't sent.
+    it("write nothing of a request that its sender prevents, and keep the connection", async () => {
+        let received = "";
+        let closed = 0;
+        const server = net.createServer(socket => {
+            socket.once("close", () => {
+                closed += 1;
+            });
+            socket.on("data", chunk => {
+                received += chunk.toString();
+                socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            });
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const announced = { id: "i", address: `127.0.0.1:${(server.address() as net.AddressInfo).port}` };
+        const connections = BackendConnections.create(createSilentLogger());
+        const call = (path: string, maySend: boolean): ReturnType<BackendConnections["call"]> =>
+            connections.call(
+                {
+                    server: announced as ServerAnnouncement,
+                    method: "POST",
+                    path,
+                    headers: [],
+                    body: Buffer.from("x"),
+                    signal: AbortSignal.timeout(5_000),
+                    maySend: () => maySend,
+                },
+                1,
+                1,
+            );
+        expect(await call("/prevented", false)).to.deep.equal({ kind: "notSent", cause: sendPreventedCode });
+        expect(isAnswer(await call("/sent", true))).to.equal(true);
+        expect(await call("/prevented", false)).to.deep.equal({ kind: "notSent", cause: sendPreventedCode });
+        expect(isAnswer(await call("/sent", true))).to.equal(true);
+        expect(received.match(/POST \/\w+/g)).to.deep.equal(["POST /sent", "POST /sent"]);
+        expect(closed).to.equal(0);
+        await connections.close();
+        server.close();
+    });
 });
--- a/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
@@ -1,10 +1,11 @@
 import type { Socket } from "node:net";
 import type { Readable } from "node:stream";
-import { type buildConnector, Pool } from "undici";
+import type { buildConnector, Pool } from "undici";
 import type { ServerAnnouncement } from "../../protocol/index.js";
 import { ConnectionFailure } from "../../transport/index.js";
 import type { Logger } from "../../utils/index.js";
 import { type ConnectionOpener, DirectOpener } from "./connectionOpener.js";
+import { GatedPool, type SendGate } from "./gatedPool.js";
 
 /** How long an idle connection is kept if the backend server announces no keep-alive time of its own. */
 const keepAliveTimeoutMilliseconds = 8_000;
@@ -64,7 +65,7 @@
     | { readonly kind: "broken"; readonly cause: string; readonly wasReset: boolean; };
 
 /** One HTTP call to a backend server. */
-export type BackendCall = {
+export type BackendCall = SendGate & {
     readonly server: ServerAnnouncement;
     readonly method: string;
     readonly path: string;
@@ -107,7 +108,7 @@
             Math.max(2, Math.floor(limit * sharedConnectionFraction / Math.max(1, gateways))),
         );
         try {
-            const answer = await pool.request({
+            const request: Parameters<Pool["request"]>[0] & SendGate = {
                 method: call.method as "GET",
                 path: call.path,
                 headers: [...call.headers],
@@ -117,7 +118,9 @@
                 // This system enforces all timeouts itself: undici's own would abort a stream between two events.
                 headersTimeout: 0,
                 bodyTimeout: 0,
-            });
+                maySend: call.maySend,
+            };
+            const answer = await pool.request(request);
             const rawHeaders = (answer.headers as unknown as readonly string[]).map(String);
             const headers = headersByName(rawHeaders);
             const framed = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined
@@ -167,7 +170,7 @@
             entry.usedAt = performance.now();
             return entry.pool;
         }
-        const pool = new Pool(`http://${server.address}`, {
+        const pool = new GatedPool(`http://${server.address}`, {
             connections,
             pipelining: 1,
             keepAliveTimeout: keepAliveTimeoutMilliseconds,
--- a/packages/basilpaddle/src/node/daemon/backends/index.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/index.ts
@@ -2,3 +2,4 @@
 export * from "./backendConnections.js";
 export * from "./connectionOpener.js";
 export * from "./engineCall.js";
+export * from "./gatedPool.js";
--- a/packages/basilpaddle/src/node/daemon/gateway/serverPath.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serverPath.ts
@@ -8,6 +8,7 @@
     type CallFailure,
     type ConnectionOpener,
     isAnswer,
+    sendPreventedCode,
 } from "../backends/index.js";
 import { relayFailureCode, relayTimeoutCode } from "./tunnelOpener.js";
 
@@ -64,6 +65,9 @@
 
     private async isLostOnPath({ server }: BackendCall, failure: CallFailure): Promise<boolean> {
         if (failure.kind === "notSent") {
+            if (failure.cause === sendPreventedCode) {
+                return false;
+            }
             const isRelaysFault = failure.cause === relayFailureCode || failure.cause === relayTimeoutCode;
             return isRelaysFault || !await this.monitor.confirm(server.id);
         }
