fix(gateway): no request is sent after its caller left while the event loop lagged

Cause: the age of a request began when it was read, and the end of its caller's connection was seen only when the event loop came to it. After a lag of a second, requests were sent whose callers had left 0.4 s before, and requests whose time had passed unread.

Change: `LoopLag` tells from the ticks of a 20 ms timer whether the loop lags (by more than 100 ms) and since when a request that is read may have waited, for at most 2 s; that is the begin of its age, and so of its target, patience and deadline. While the loop lags, a request that was read and each send wait two turns of the loop, in which ends of connections are read, and a request whose connection became ready after a lag isn't written but waits again. Requests whose callers have left aren't sent; those whose time is over are refused with 503, as not run. On a loop that doesn't lag nothing is waited for, and ages begin when requests are read. Metrics: `basilpaddle_event_loop_lag_milliseconds`, `basilpaddle_requests_unsent_for_loop_lag_total`. The log line of a request moves to `logRequest.ts` and says how long it waited unread.

--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/backendSender.spec.ts
@@ -0,0 +1,110 @@
+import { expect } from "chai";
+import * as net from "node:net";
+import { announced } from "../../../coordination/gateway/__tests__/fakes.js";
+import { InstanceTable } from "../../../coordination/index.js";
+import { createSilentLogger, SilentMetrics, SystemClock } from "../../../utils/index.js";
+import { type BackendCall, BackendConnections } from "../../backends/index.js";
+import { BackendSender, type ExchangeOptions, type SendResult } from "../backendSender.js";
+import type { CallerRequest } from "../callerRequest.js";
+import { LoopMonitor } from "../loopMonitor.js";
+import { createRequest } from "./fakeRequest.js";
+
+const service = { name: "pool", healthPath: "/health", connectionLimit: 10 };
+
+function blockEventLoop(milliseconds: number): void {
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
+}
+
+describe("sending a request to a backend server", () => {
+    let server: net.Server;
+    let connections: BackendConnections;
+    let calls: BackendCall[];
+    let received: string;
+    let stop: () => void;
+    let send: (request: CallerRequest) => Promise<SendResult>;
+
+    beforeEach(async () => {
+        calls = [];
+        received = "";
+        server = net.createServer(socket => {
+            socket.on("data", chunk => {
+                received += chunk.toString();
+                socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            });
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        connections = BackendConnections.create(createSilentLogger());
+        const clock = SystemClock.create();
+        const loop = LoopMonitor.create(clock);
+        stop = loop.start();
+        await new Promise(resolve => setTimeout(resolve, 60));
+        const target = announced({ id: "s", address: `127.0.0.1:${(server.address() as net.AddressInfo).port}` });
+        const instances = InstanceTable.create();
+        instances.apply(target);
+        const options = {
+            wire: {
+                systemHeaders: [],
+                keyHeaders: [],
+                runHeaders: () => ({}),
+                parseAnswer: () => ({ sealed: true, notRun: false }),
+            },
+            paths: {
+                call: (call: BackendCall) => {
+                    calls.push(call);
+                    return connections.call(call, 10, 1);
+                },
+            },
+            instances,
+            admission: { observeAnswer: () => undefined },
+            metrics: SilentMetrics.create(),
+            clock,
+            gateways: () => 1,
+            loop,
+        } as unknown as ExchangeOptions;
+        const signal = AbortSignal.timeout(5_000);
+        send = request => {
+            request.incoming.url = "/a";
+            return BackendSender.create(options).send(request, target, service, {}, signal);
+        };
+    });
+
+    afterEach(async () => {
+        stop();
+        await connections.close();
+        server.close();
+    });
+
+    // Guards against a delay or a second call for requests of a gateway that doesn't lag.
+    it("begins at once and calls once while the event loop doesn't lag", async () => {
+        const sent = send(createRequest({}));
+        expect(calls).to.have.length(1);
+        expect((await sent).kind).to.equal("answer");
+        expect(calls).to.have.length(1);
+        expect(received.match(/^GET/gm)).to.have.length(1);
+    });
+
+    // Guards against a request that is sent because its connection was ready before the end of its caller's was read.
+    it("sends nothing if the caller left while the event loop lagged and the connection was opened", async () => {
+        const request = createRequest({});
+        const sent = send(request);
+        blockEventLoop(300);
+        request.incoming.socket.destroy();
+        expect(await sent).to.include({ kind: "notRun", lostOnPath: true });
+        expect(received).to.equal("");
+        expect(request.mayHaveRun()).to.equal(false);
+    });
+
+    it("sends a request whose caller stays, once, after the lag", async () => {
+        const sent = send(createRequest({}));
+        blockEventLoop(300);
+        expect((await sent).kind).to.equal("answer");
+        expect(calls).to.have.length(2);
+        expect(received.match(/^GET/gm)).to.have.length(1);
+    });
+
+    it("sends nothing if the time was over when the event loop had lagged", async () => {
+        blockEventLoop(300);
+        expect(await send(createRequest({ timeout: 1_000 }, 1_000))).to.include({ kind: "notRun", unreachable: true });
+        expect(calls).to.have.length(0);
+    });
+});
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/fakeRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/fakeRequest.ts
@@ -4,8 +4,8 @@
 import type { TrafficRoute } from "../../../protocol/index.js";
 import { CallerRequest } from "../callerRequest.js";
 
-/** A caller's request on a route, with an answer that goes nowhere. */
-export function createRequest(routeFields: Partial<TrafficRoute>): CallerRequest {
+/** A caller's request on a route, with an answer that goes nowhere, so many milliseconds after its arrival. */
+export function createRequest(routeFields: Partial<TrafficRoute>, age = 0): CallerRequest {
     const incoming = new http.IncomingMessage(new net.Socket());
     return CallerRequest.create({
         incoming,
@@ -22,6 +22,6 @@
         identity: { organisation: undefined, keysInForce: false },
         body: undefined,
         arrivedAt: 0,
-        now: () => 0,
+        now: () => age,
     });
 }
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/serviceExchange.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/serviceExchange.spec.ts
@@ -5,6 +5,7 @@
 import { CallTally, InstanceTable, LinkQuality, ServerChoice } from "../../../coordination/index.js";
 import { createSilentLogger, RecordedMetrics } from "../../../utils/index.js";
 import type { ExchangeOptions } from "../backendSender.js";
+import { LoopMonitor } from "../loopMonitor.js";
 import { ServiceExchange } from "../serviceExchange.js";
 import { createRequest } from "./fakeRequest.js";
 
@@ -49,6 +50,7 @@
             crashes: { quarantineStatus: () => undefined, reportLostRun: () => Promise.resolve() },
             retryAllowance: { recordRequest: () => undefined, takeRetry: () => Promise.resolve(true) },
             gateways: () => 1,
+            loop: LoopMonitor.create(new ManualClock()),
         } as unknown as ExchangeOptions;
         const request = createRequest({ kind: "safe", attempts: 2 });
         await ServiceExchange.create(options, request, service).run();
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamExchange.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamExchange.spec.ts
@@ -8,6 +8,7 @@
 import type { ExchangeOptions } from "../backendSender.js";
 import type { CallerRequest } from "../callerRequest.js";
 import type { GatewayWire, RunMetadata } from "../gatewayWire.js";
+import { LoopMonitor } from "../loopMonitor.js";
 import type { PlacementClient } from "../placementClient.js";
 import type { RoutedResult } from "../serverPaths.js";
 import { StreamExchange } from "../streamExchange.js";
@@ -51,6 +52,7 @@
                 },
             },
             gateways: () => 1,
+            loop: LoopMonitor.create(new ManualClock()),
         } as unknown as ExchangeOptions;
         const placements = {
             requestPlacement: () =>
--- a/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
@@ -8,12 +8,14 @@
 } from "../../coordination/index.js";
 import { type ServerAnnouncement, serverName, type ServiceRule } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
-import { type BackendAnswer, discard, drain, isAnswer } from "../backends/index.js";
+import { type BackendAnswer, discard, drain, isAnswer, sendPreventedCode } from "../backends/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 import type { AnswerMetadata, GatewayWire, RunMetadata } from "./gatewayWire.js";
+import type { LoopMonitor } from "./loopMonitor.js";
+import { countUnsent, overdueCause } from "./refuseOverdue.js";
 import type { RetryAllowance } from "./retryAllowance.js";
 import type { PathFailure } from "./serverPath.js";
-import type { ServerPaths } from "./serverPaths.js";
+import type { RoutedResult, ServerPaths } from "./serverPaths.js";
 
 const misdirectedStatus = 421;
 const minFailureStatus = 400;
@@ -41,6 +43,8 @@
     readonly retryAllowance: RetryAllowance;
     /** Number of gateways of the deployment. */
     readonly gateways: () => number;
+    /** Measures the lag of the event loop; to be asked before each send. */
+    readonly loop: LoopMonitor;
 };
 
 /** Result of sending a request to one backend server; `via`: the gateway that relayed it, if one did. */
@@ -58,6 +62,9 @@
 /** Whether the failure lies with the path to the backend server, not with the server. */
 type LossOnPath = { readonly lostOnPath: boolean; };
 
+/** What a send states of its run, apart from what follows from the request and the server. */
+type SendMetadata = Omit<RunMetadata, "attempt" | "deadlineWithin" | "instance" | "organisation">;
+
 /** Sends requests to backend servers and classifies the results: which attempt an answer belongs to, and whether the request ran. */
 export class BackendSender {
     private constructor(private readonly options: ExchangeOptions) {}
@@ -71,15 +78,57 @@
         request: CallerRequest,
         server: ServerAnnouncement,
         service: ServiceRule,
-        metadata: Omit<RunMetadata, "attempt" | "deadlineWithin" | "instance" | "organisation">,
+        metadata: SendMetadata,
         signal: AbortSignal,
     ): Promise<SendResult> {
-        const { wire, paths, gateways, instances, metrics } = this.options;
+        const { instances, metrics, loop } = this.options;
         if (!instances.acceptsWork(server.id)) {
             // It was chosen, or a run was placed there, before it was known to leave.
             metrics.count("basilpaddle_sends_to_leaving_servers_prevented_total", { service: service.name });
             return { kind: "notRun", cause: "the backend server leaves", unreachable: true, lostOnPath: false };
         }
+        let result: RoutedResult;
+        do {
+            const obstacle = loop.isLagging() ? await this.obstacle(request, signal) : undefined;
+            if (obstacle !== undefined) {
+                return { kind: "notRun", cause: obstacle, unreachable: true, lostOnPath: true };
+            }
+            result = await this.call(request, server, service, metadata, signal);
+        } while (wasPrevented(result));
+        const sent = isAnswer(result) ? this.classify(request, server, result) : failureResult(result);
+        if (sent.kind !== "notRun" && metadata.prefillOnly !== true) {
+            request.recordRun();
+        }
+        return { ...sent, via: result.via };
+    }
+
+    /**
+     * Why a request mustn't be sent any more while the event loop lags; undefined if it may be. Its caller's connection may have ended, or
+     * its time may have passed, in what is still unprocessed.
+     */
+    private async obstacle(request: CallerRequest, signal: AbortSignal): Promise<string | undefined> {
+        const { loop, metrics } = this.options;
+        await loop.processPending(() => request.checkDisconnected());
+        if (request.checkDisconnected()) {
+            countUnsent(metrics, "callerGone");
+            return "the caller disconnected";
+        }
+        if (request.remainingTime() <= 0 || signal.aborted) {
+            countUnsent(metrics, "timeOver");
+            return overdueCause;
+        }
+        return undefined;
+    }
+
+    private call(
+        request: CallerRequest,
+        server: ServerAnnouncement,
+        service: ServiceRule,
+        metadata: SendMetadata,
+        signal: AbortSignal,
+    ): Promise<RoutedResult> {
+        const { wire, paths, gateways, loop, clock } = this.options;
+        const readyAt = clock.monotonic();
         const runHeaders = wire.runHeaders({
             ...metadata,
             attempt: request.metadata.attempt,
@@ -92,7 +141,7 @@
             ...request.identity.keysInForce ? wire.keyHeaders : [],
             ...Object.keys(runHeaders).map(name => name.toLowerCase()),
         ]);
-        const result = await paths.call(
+        return paths.call(
             {
                 server,
                 method: request.method,
@@ -100,15 +149,11 @@
                 headers: [...request.headers(replacedNames), ...Object.entries(runHeaders).flat()],
                 body: request.body,
                 signal,
+                maySend: () => !loop.hasLaggedSince(readyAt),
             },
             service.connectionLimit,
             gateways(),
         );
-        const sent = isAnswer(result) ? this.classify(request, server, result) : failureResult(result);
-        if (sent.kind !== "notRun" && metadata.prefillOnly !== true) {
-            request.recordRun();
-        }
-        return { ...sent, via: result.via };
     }
 
     private classify(request: CallerRequest, server: ServerAnnouncement, answer: BackendAnswer): SendOutcome {
@@ -159,6 +204,11 @@
     }
 }
 
+/** Whether the event loop lagged between the call and its first byte, which wasn't written for that reason. */
+function wasPrevented(result: RoutedResult): boolean {
+    return !isAnswer(result) && result.kind === "notSent" && result.cause === sendPreventedCode;
+}
+
 /** The relay of a send, for the log. */
 export function viaRelay({ via }: SendResult): string {
     return via === undefined ? "" : ` via ${via}`;
--- a/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
@@ -44,12 +44,13 @@
         readonly identity: CallerIdentity,
         readonly body: Buffer | undefined,
         readonly arrivedAt: number,
+        /** Milliseconds for which it may have waited unread since it arrived. */
+        readonly unreadFor: number,
         private readonly now: () => number,
     ) {
         response.once("close", () => {
             if (!response.writableFinished) {
-                this.disconnected.abort();
-                this.end("callerGone", "the caller closed its connection");
+                this.recordDisconnect();
             }
         });
     }
@@ -62,10 +63,12 @@
         readonly identity: CallerIdentity;
         readonly body: Buffer | undefined;
         readonly arrivedAt: number;
+        /** @default 0 */
+        readonly unreadFor?: number;
         readonly now: () => number;
     }): CallerRequest {
-        const { incoming, response, metadata, route, identity, body, arrivedAt, now } = options;
-        return new CallerRequest(incoming, response, metadata, route, identity, body, arrivedAt, now);
+        const { incoming, response, metadata, route, identity, body, arrivedAt, unreadFor = 0, now } = options;
+        return new CallerRequest(incoming, response, metadata, route, identity, body, arrivedAt, unreadFor, now);
     }
 
     /** Identifier of the attempt, for logs and for the scheduler; empty if the caller sent none. */
@@ -110,7 +113,7 @@
         return this.deadline - this.now();
     }
 
-    /** Milliseconds since it arrived. */
+    /** Milliseconds since it arrived, at the earliest time at which that may have been. */
     age(): number {
         return this.now() - this.arrivedAt;
     }
@@ -119,6 +122,18 @@
         return this.disconnected.signal.aborted;
     }
 
+    /**
+     * Whether its caller has disconnected, by the state of the connection itself, whose end is known a turn of the event loop before it is
+     * reported. A caller that has closed its side alone counts as disconnected: the server closes the other side at once.
+     */
+    checkDisconnected(): boolean {
+        const { socket } = this.incoming;
+        if (!this.response.writableEnded && (socket.destroyed || socket.readableEnded)) {
+            this.recordDisconnect();
+        }
+        return this.isDisconnected();
+    }
+
     /** Records that a backend server may have run it. */
     recordRun(): void {
         this.hasReachedServer = true;
@@ -244,6 +259,11 @@
         }
     }
 
+    private recordDisconnect(): void {
+        this.disconnected.abort();
+        this.end("callerGone", "the caller closed its connection");
+    }
+
     private end(end: RequestEnd, cause: string): void {
         if (this.endState === undefined) {
             this.endState = end;
--- a/packages/basilpaddle/src/node/daemon/gateway/callerServer.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerServer.ts
@@ -23,6 +23,8 @@
 export type CallerServerOptions = {
     readonly address: { readonly host: string; readonly port: number; };
     readonly handler: (incoming: http.IncomingMessage, response: http.ServerResponse) => void;
+    /** Called with each connection that is accepted. */
+    readonly onConnection?: (socket: Socket) => void;
     readonly logger: Logger;
 };
 
@@ -48,6 +50,9 @@
         const callerServer = new CallerServer(server, options);
         callerServer.setLimits(initialLimits);
         server.on("request", (incoming, response) => callerServer.receive(incoming, response));
+        if (options.onConnection !== undefined) {
+            server.on("connection", options.onConnection);
+        }
         server.on(
             "clientError",
             (error: NodeJS.ErrnoException, socket) => callerServer.rejectMalformed(error, socket as Socket),
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -6,7 +6,6 @@
     DirectoryWatcher,
     InstanceTable,
     LinkQuality,
-    loggedPromptParts,
     QuarantinedRequests,
     ReportedAllowances,
     type RouteTable,
@@ -25,8 +24,11 @@
 import { CurrentRoutes } from "./currentRoutes.js";
 import type { GatewayWire } from "./gatewayWire.js";
 import { headerBytes } from "./headers.js";
+import { logRequest } from "./logRequest.js";
+import { LoopMonitor } from "./loopMonitor.js";
 import { PlacementClient } from "./placementClient.js";
 import { serveReadiness } from "./readinessServer.js";
+import { refuseOverdue } from "./refuseOverdue.js";
 import { Relaying } from "./relaying.js";
 import { RetryAllowance } from "./retryAllowance.js";
 import { ServiceExchange } from "./serviceExchange.js";
@@ -65,11 +67,14 @@
     private readonly serverAdmission: ServerAdmission;
     private readonly exchangeOptions: ExchangeOptions;
     private readonly streamVersions: StreamVersions;
+    private readonly loop: LoopMonitor;
     private callerServer!: CallerServer;
     private shuttingDown = false;
 
     private constructor(private readonly options: GatewayDaemonOptions) {
         const { settings, wire, clock, logger, metrics } = options;
+        this.loop = LoopMonitor.create(clock);
+        this.store.add(this.loop.start());
         this.retries = RetryAllowance.create({
             rules: settings.repeats,
             clock,
@@ -173,6 +178,7 @@
             admission: this.serverAdmission,
             retryAllowance: this.retries,
             gateways: () => this.watcher.gateways(),
+            loop: this.loop,
         };
     }
 
@@ -225,6 +231,7 @@
         this.quarantinedRequests.measure(metrics);
         this.serverAdmission.measure(metrics);
         this.relaying.paths.measure(metrics);
+        this.loop.measure(metrics);
     }
 
     private async open(): Promise<void> {
@@ -232,6 +239,7 @@
         this.callerServer = await CallerServer.create({
             address: settings.callers,
             handler: (incoming, response) => void this.receive(incoming, response),
+            onConnection: socket => this.loop.recordConnection(socket),
             logger,
         });
         this.store.add(() => this.callerServer.closeAll());
@@ -257,9 +265,8 @@
 
     private async receive(incoming: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         const { clock, logger } = this.options;
-        const arrivedAt = clock.monotonic();
         try {
-            await this.serve(incoming, response, arrivedAt);
+            await this.serve(incoming, response, clock.monotonic());
         }
         catch (error) {
             logger.error("a request failed by a fault of this daemon", { error, target: incoming.url });
@@ -275,9 +282,10 @@
     private async serve(
         incoming: http.IncomingMessage,
         response: http.ServerResponse,
-        arrivedAt: number,
+        readAt: number,
     ): Promise<void> {
         const { wire, clock } = this.options;
+        const arrivedAt = this.loop.earliestArrival(incoming.socket, readAt);
         const { deadlineWithin } = wire.parseCaller(incoming.headers);
         const table = this.routes.table() ?? await this.routes.waitForFirst(deadlineWithin);
         if (table === undefined) {
@@ -318,6 +326,7 @@
             identity,
             body: body.length === 0 ? undefined : body,
             arrivedAt,
+            unreadFor: readAt - arrivedAt,
             now: () => clock.monotonic(),
         });
         await this.answer(request, table, route);
@@ -329,8 +338,11 @@
             request.fail(500, "the route's service is missing from the configuration");
             return;
         }
-        const path = await this.allowanceAdmission.serve(request, () => this.exchange(request, service));
-        this.logRequest(request, path, table.traffic.version);
+        const isOver = this.loop.isLagging() && await refuseOverdue(this.loop, request, this.options.metrics);
+        const path = isOver
+            ? []
+            : await this.allowanceAdmission.serve(request, () => this.exchange(request, service));
+        logRequest(this.options, request, path, table.traffic.version);
     }
 
     private async exchange(request: CallerRequest, service: ServiceRule): Promise<readonly string[]> {
@@ -349,27 +361,6 @@
         return exchange.trace();
     }
 
-    private logRequest(request: CallerRequest, path: readonly string[], version: number): void {
-        const { logger, metrics } = this.options;
-        const outcome = request.outcome();
-        const milliseconds = Math.round(request.age());
-        const { route } = request;
-        const labels = { kind: route.kind, outcome: outcome?.end ?? "open" };
-        metrics.count("basilpaddle_requests_total", labels);
-        metrics.observe("basilpaddle_request_milliseconds", milliseconds, labels);
-        logger.info("request", {
-            request: request.attempt,
-            content: request.digest,
-            promptParts: loggedPromptParts(request.promptParts),
-            route: route.name,
-            organisation: request.identity.organisation?.name,
-            configuration: version,
-            ...outcome,
-            milliseconds,
-            path,
-        });
-    }
-
     /** Answers a request that can't be routed with an error, and discards the rest of its body. */
     private refuseRequest(
         incoming: http.IncomingMessage,
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/gateway/loopMonitor.ts
@@ -0,0 +1,93 @@
+import type { Socket } from "node:net";
+import { createHistogram } from "node:perf_hooks";
+import type { Clock, Metrics } from "../../utils/index.js";
+import { lagThresholdMilliseconds, LoopLag, tickMilliseconds } from "./loopLag.js";
+
+/**
+ * Turns of the event loop after which the end of a connection is known that the operating system held before them: the first one reads
+ * what its caller sent, the second one its end.
+ */
+const minTurns = 2;
+/** Limit of the turns that a send waits for, so that a gateway which is always slow still sends. */
+const maxTurns = 6;
+/** A turn shorter than this bounds how long the end of a connection that was read too late can have been held. */
+const shortTurnMilliseconds = 250;
+const microsecondsPerMillisecond = 1_000;
+const reportedPercentiles = [50, 99];
+
+/** Measures the lag of this process's event loop, and waits for what the operating system holds to be processed if it lags. */
+export class LoopMonitor {
+    private readonly lag = LoopLag.create();
+    private readonly lateness = createHistogram();
+    /** Connections that were accepted late, and the earliest time at which they may have been opened. */
+    private readonly lateConnections = new WeakMap<
+        Socket,
+        { readonly acceptedAt: number; readonly openedAt: number; }
+    >();
+
+    private constructor(private readonly clock: Clock) {}
+
+    static create(clock: Clock): LoopMonitor {
+        return new LoopMonitor(clock);
+    }
+
+    /** Starts to measure; the returned function stops it. Before, the event loop counts as not lagging. */
+    start(): () => void {
+        const timer = setInterval(() => this.tick(), tickMilliseconds);
+        timer.unref();
+        return () => clearInterval(timer);
+    }
+
+    /** Records that a connection was accepted. */
+    recordConnection(socket: Socket): void {
+        const acceptedAt = this.clock.monotonic();
+        const openedAt = this.lag.earliestTime(acceptedAt);
+        if (openedAt < acceptedAt) {
+            this.lateConnections.set(socket, { acceptedAt, openedAt });
+        }
+    }
+
+    /** The earliest time at which a request may have arrived that is read at `readAt`: that time itself unless the event loop lags. */
+    earliestArrival(socket: Socket, readAt: number): number {
+        return this.lag.earliestArrival(readAt, this.lateConnections.get(socket));
+    }
+
+    isLagging(): boolean {
+        return this.lag.isLagging(this.clock.monotonic());
+    }
+
+    /** Whether the event loop has lagged since a moment for so long that ends of connections may be unprocessed. */
+    hasLaggedSince(moment: number): boolean {
+        const now = this.clock.monotonic();
+        return now - moment > lagThresholdMilliseconds && this.lag.isLagging(now);
+    }
+
+    /**
+     * Waits until the ends of connections that the operating system held at the call are processed; until `isOver` at most. If the loop
+     * is slow meanwhile, it waits for a short turn, in which no end can have been held for long.
+     */
+    async processPending(isOver: () => boolean): Promise<void> {
+        for (let turn = 1; turn <= maxTurns && !isOver(); turn++) {
+            const startedAt = this.clock.monotonic();
+            await new Promise<void>(resolve => setImmediate(resolve));
+            if (turn >= minTurns && this.clock.monotonic() - startedAt < shortTurnMilliseconds) {
+                return;
+            }
+        }
+    }
+
+    /** Sets the gauges of the lag since the last call. */
+    measure(metrics: Metrics): void {
+        reportedPercentiles.forEach(percentile => {
+            const microseconds = this.lateness.count === 0 ? 0 : this.lateness.percentile(percentile);
+            const labels = { quantile: String(percentile / 100) };
+            metrics.gauge("basilpaddle_event_loop_lag_milliseconds", microseconds / microsecondsPerMillisecond, labels);
+        });
+        this.lateness.reset();
+    }
+
+    private tick(): void {
+        const lateness = this.lag.recordTick(this.clock.monotonic());
+        this.lateness.record(Math.max(1, Math.round(lateness * microsecondsPerMillisecond)));
+    }
+}
--- a/packages/basilpaddle/src/node/daemon/gateway/placementRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementRequest.ts
@@ -1,4 +1,4 @@
-import type { LinkStalls, PlacementRequest } from "../../protocol/index.js";
+import type { LinkStalls, PlacementRequest, TrafficRoute } from "../../protocol/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 
 /** How long a caller waits for the first event, as a multiple of its target, and the minimum of that time. */
@@ -12,6 +12,11 @@
 /** Expected length of an answer, as a fraction of its token limit, if the caller gives no estimate. */
 const expectedAnswerFraction = 0.6;
 
+/** Milliseconds for which a caller waits for the first event of a stream. */
+export function firstEventTimeout({ target }: Pick<TrafficRoute, "target">): number {
+    return Math.max(minFirstEventTimeoutMilliseconds, firstEventTimeoutFactor * target);
+}
+
 const newStream = { resumed: false, version: undefined };
 
 /**
@@ -33,7 +38,7 @@
     );
     const timeout = request.hasAnswerBegun()
         ? nextEventTimeoutMilliseconds
-        : Math.max(minFirstEventTimeoutMilliseconds, firstEventTimeoutFactor * route.target) - request.age();
+        : firstEventTimeout(route) - request.age();
     return {
         attempt: request.attempt,
         gateway: gateway.name,
