--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/loopLag.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/loopLag.spec.ts
@@ -55,6 +55,28 @@
     });
 });
 
+describe("the monitor of an event loop", () => {
+    it("reports the lag since the last report, and none before it is started", async () => {
+        const gauges = new Map<string, number>();
+        const metrics = new class extends SilentMetrics {
+            override gauge(_name?: string, value = 0, labels: { readonly quantile?: string; } = {}): void {
+                gauges.set(labels.quantile ?? "", value);
+            }
+        }();
+        const loop = LoopMonitor.create(SystemClock.create());
+        loop.measure(metrics);
+        expect([...gauges]).to.deep.equal([["0.5", 0], ["0.99", 0]]);
+        const stop = loop.start();
+        await new Promise(resolve => setTimeout(resolve, 30));
+        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 300);
+        await new Promise(resolve => setTimeout(resolve, 1));
+        expect(loop.isLagging()).to.equal(true);
+        stop();
+        loop.measure(metrics);
+        expect(gauges.get("0.99")).to.be.within(250, 1_000);
+    });
+});
+
 describe("a request that waited unread", () => {
     async function isRefused(request: CallerRequest): Promise<boolean> {
         return refuseOverdue(LoopMonitor.create(SystemClock.create()), request, SilentMetrics.create());
