--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/fakeRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/fakeRequest.ts
@@ -4,8 +4,12 @@
 import type { TrafficOrganisation, TrafficRoute } from "../../../protocol/index.js";
 import { CallerRequest } from "../callerRequest.js";
 
-/** A caller's request on a route, with an answer that goes nowhere; `organisation`: the holder of its key. */
-export function createRequest(routeFields: Partial<TrafficRoute>, organisation?: TrafficOrganisation): CallerRequest {
+/** A caller's request on a route, with an answer that goes nowhere; `organisation`: the holder of its key, `age`: milliseconds since its arrival. */
+export function createRequest(
+    routeFields: Partial<TrafficRoute>,
+    organisation?: TrafficOrganisation,
+    age = 0,
+): CallerRequest {
     const incoming = new http.IncomingMessage(new net.Socket());
     return CallerRequest.create({
         incoming,
@@ -22,6 +26,6 @@
         identity: { organisation, keysInForce: organisation !== undefined },
         body: undefined,
         arrivedAt: 0,
-        now: () => 0,
+        now: () => age,
     });
 }
