fix(gateway): bound heads, framing and unread bodies of backend servers' answers

Cause: undici bounds the headers of an answer, but reads a status line, interim answers, empty lines, chunk extensions and a head at one byte a second until the request's time is over; its timeout of a head would also limit the time until the first byte. Rejections were read to an end that may never come, after the request had ended, and empty lines after an answer kept their connection in use. Change: AnswerGuard counts what the parser reads on a connection, and undici's diagnostics channels tell it what that was. The head must be complete within `answers.headTime` of its first byte. Bodies that are read whole or discarded have bounds of their own. Each has a setting, one log line with the first 64 bytes, and basilpaddle_answer_bounds_exceeded_total.

--- a/packages/basilpaddle/src/node/daemon/backends/__tests__/backendConnections.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/__tests__/backendConnections.spec.ts
@@ -2,7 +2,7 @@
 import * as net from "node:net";
 import type { ServerAnnouncement } from "../../../protocol/index.js";
 import { createSilentLogger } from "../../../utils/index.js";
-import { BackendConnections, isAnswer, readWholeBody } from "../index.js";
+import { AnswerLimits, BackendConnections, isAnswer, readWholeBody } from "../index.js";
 
 /** Starts a server that reads a request and then calls `onRequest` with the connection. */
 async function startServer(
@@ -31,8 +31,9 @@
     const connections = BackendConnections.create(createSilentLogger());
     const signal = AbortSignal.timeout(5_000);
     const call = { server: announced, method: "GET", path: "/", headers: [], body: undefined, signal };
+    const bound = { server: announced, limits: AnswerLimits.createDefault(), bound: "bodyBytes" } as const;
     const answer = await connections.call(call, 10, 1);
-    const body = isAnswer(answer) ? await readWholeBody(answer, 1_000) : undefined;
+    const body = isAnswer(answer) ? await readWholeBody(answer, bound) : undefined;
     await connections.close();
     server.close();
     return body?.toString();
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/backends/answerLimits.ts
@@ -0,0 +1,74 @@
+import {
+    type AnswerBound,
+    type AnswerBounds,
+    answerBoundsSchema,
+    type ServerAnnouncement,
+} from "../../protocol/index.js";
+import { createSilentLogger, type Logger, type Metrics, SilentMetrics } from "../../utils/index.js";
+
+/** Number of received bytes that are logged when a bound is exceeded. */
+const loggedBytes = 64;
+
+/** The failure of an answer that exceeds a bound. */
+export class BoundExceeded extends Error {
+    private constructor(readonly bound: AnswerBound, readonly code: string, message: string) {
+        super(message);
+    }
+
+    static create(bound: AnswerBound, limit: number): BoundExceeded {
+        const code = `ANSWER_${bound.replace(/[A-Z]/g, letter => `_${letter}`).toUpperCase()}`;
+        return new BoundExceeded(bound, code, `the answer exceeds ${bound} ${limit}`);
+    }
+}
+
+/** Dependencies of `AnswerLimits`. */
+export type AnswerLimitsOptions = {
+    readonly bounds: AnswerBounds;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+};
+
+/** The bounds of backend servers' answers, and what is logged and counted when one is exceeded. */
+export class AnswerLimits {
+    private constructor(private readonly options: AnswerLimitsOptions) {}
+
+    static create(options: AnswerLimitsOptions): AnswerLimits {
+        return new AnswerLimits(options);
+    }
+
+    /** The default bounds, without logs and metrics. */
+    static createDefault(): AnswerLimits {
+        return new AnswerLimits({
+            bounds: answerBoundsSchema.parse({}),
+            logger: createSilentLogger(),
+            metrics: SilentMetrics.create(),
+        });
+    }
+
+    get bounds(): AnswerBounds {
+        return this.options.bounds;
+    }
+
+    /** Logs and counts an answer beyond a bound; `bytes`: what was received first of it. Returns the error to fail it with. */
+    exceeded(server: Pick<ServerAnnouncement, "id" | "address">, bound: AnswerBound, bytes: Buffer): BoundExceeded {
+        const { bounds, logger, metrics } = this.options;
+        const limit = bound === "afterAnswer" ? 0 : bounds[bound];
+        metrics.count("basilpaddle_answer_bounds_exceeded_total", { bound });
+        logger.warn("a backend server sent more than an answer may have", {
+            server: server.id,
+            address: server.address,
+            bound,
+            limit,
+            bytes: escapeBytes(bytes),
+        });
+        return BoundExceeded.create(bound, limit);
+    }
+}
+
+/** The first bytes as text in which all but printable ASCII is escaped. */
+export function escapeBytes(bytes: Buffer): string {
+    return [...bytes.subarray(0, loggedBytes)].map(byte => {
+        const isPrintable = byte >= 0x20 && byte < 0x7f && byte !== 0x5c;
+        return isPrintable ? String.fromCharCode(byte) : `\\x${byte.toString(16).padStart(2, "0")}`;
+    }).join("");
+}
--- a/packages/basilpaddle/src/node/daemon/backends/answers.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/answers.ts
@@ -1,23 +1,50 @@
+import type { AnswerBound, ServerAnnouncement } from "../../protocol/index.js";
+import type { AnswerLimits } from "./answerLimits.js";
 import type { BackendAnswer } from "./backendConnections.js";
 
-/** Reads the whole body of an answer; undefined if it was cut short or exceeds the limit in bytes. */
-export async function readWholeBody(answer: BackendAnswer, limit: number): Promise<Buffer | undefined> {
+/** Number of received bytes that are kept for the log. */
+const keptBytes = 64;
+
+/** Whose answer is read, and by which bound. */
+export type BodyBound = {
+    readonly server: Pick<ServerAnnouncement, "id" | "address">;
+    readonly limits: AnswerLimits;
+    readonly bound: Extract<AnswerBound, "bodyBytes" | "shortBodyBytes" | "unreadBytes">;
+};
+
+/** Reads the whole body of an answer; undefined if it was cut short, or exceeds the bound, which closes its connection. */
+export async function readWholeBody(answer: BackendAnswer, body: BodyBound): Promise<Buffer | undefined> {
     const chunks: Buffer[] = [];
+    const isWhole = await readChunks(answer, body, chunk => chunks.push(chunk));
+    return isWhole ? Buffer.concat(chunks) : undefined;
+}
+
+/** Passes on the chunks of a body; false if it was cut short or exceeds the bound. */
+async function readChunks(
+    answer: BackendAnswer,
+    { server, limits, bound }: BodyBound,
+    onChunk: (chunk: Buffer) => void,
+): Promise<boolean> {
     let size = 0;
+    let first: Buffer = Buffer.alloc(0);
     try {
         for await (const chunk of answer.body as AsyncIterable<Buffer>) {
+            if (first.length < keptBytes) {
+                first = Buffer.concat([first, chunk.subarray(0, keptBytes - first.length)]);
+            }
             size += chunk.length;
-            if (size > limit) {
-                return undefined;
+            if (size > limits.bounds[bound]) {
+                limits.exceeded(server, bound, first);
+                return false;
             }
-            chunks.push(chunk);
+            onChunk(chunk);
         }
     }
     catch {
         // Callers treat an incomplete body like a broken connection.
-        return undefined;
+        return false;
     }
-    return Buffer.concat(chunks);
+    return true;
 }
 
 /** Abandons an answer and closes its connection, whose further data can't be trusted. */
@@ -26,8 +53,9 @@
     answer.body.destroy();
 }
 
-/** Reads and discards a short body so that its connection can be reused. */
-export function drain(answer: BackendAnswer): void {
-    answer.body.on("error", () => undefined);
-    answer.body.resume();
+/** Reads and discards a short body so that its connection can be reused; closes the connection of a long or slow one. */
+export function drain(answer: BackendAnswer, body: Omit<BodyBound, "bound">): void {
+    const timer = setTimeout(() => discard(answer), body.limits.bounds.headTime);
+    timer.unref();
+    void readChunks(answer, { ...body, bound: "unreadBytes" }, () => undefined).then(() => clearTimeout(timer));
 }
--- a/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
@@ -4,6 +4,8 @@
 import type { ServerAnnouncement } from "../../protocol/index.js";
 import { ConnectionFailure } from "../../transport/index.js";
 import type { Logger } from "../../utils/index.js";
+import { AnswerGuard } from "./answerGuard.js";
+import { AnswerLimits } from "./answerLimits.js";
 import { type ConnectionOpener, DirectOpener } from "./connectionOpener.js";
 
 /** How long an idle connection is kept if the backend server announces no keep-alive time of its own. */
@@ -90,15 +92,27 @@
     private closedSocketsBytes = 0;
     private readonly idleSweep: NodeJS.Timeout;
 
-    private constructor(private readonly logger: Logger, private readonly opener: ConnectionOpener) {
+    private constructor(
+        private readonly logger: Logger,
+        private readonly opener: ConnectionOpener,
+        /** Bounds of the answers. */
+        readonly answers: AnswerLimits,
+    ) {
         super();
         this.idleSweep = setInterval(() => this.closeIdle(), idleTimeoutMilliseconds / 4);
         this.idleSweep.unref();
     }
 
-    /** `opener`: opens the connections. @default directly, from an address that the operating system chooses */
-    static create(logger: Logger, opener: ConnectionOpener = DirectOpener.create()): BackendConnections {
-        return new BackendConnections(logger, opener);
+    /**
+     * `opener`: opens the connections. @default directly, from an address that the operating system chooses
+     * `answers`: bounds of the answers. @default the default bounds
+     */
+    static create(
+        logger: Logger,
+        opener: ConnectionOpener = DirectOpener.create(),
+        answers: AnswerLimits = AnswerLimits.createDefault(),
+    ): BackendConnections {
+        return new BackendConnections(logger, opener, answers);
     }
 
     override async call(call: BackendCall, limit: number, gateways: number): Promise<BackendAnswer | CallFailure> {
@@ -170,6 +184,7 @@
         const pool = new Pool(`http://${server.address}`, {
             connections,
             pipelining: 1,
+            maxHeaderSize: this.answers.bounds.headBytes,
             keepAliveTimeout: keepAliveTimeoutMilliseconds,
             keepAliveTimeoutThreshold: keepAliveMarginMilliseconds,
             connect: connectorFor(server => this.open(server), server),
@@ -185,6 +200,10 @@
             this.sockets.delete(socket);
             this.closedSocketsBytes += socket.bytesRead;
         });
+        AnswerGuard.attach(socket, {
+            ...this.answers.bounds,
+            onExceeded: (bound, bytes) => this.answers.exceeded(server, bound, bytes),
+        });
         return socket;
     }
 
--- a/packages/basilpaddle/src/node/daemon/backends/index.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/index.ts
@@ -1,3 +1,5 @@
+export * from "./answerGuard.js";
+export * from "./answerLimits.js";
 export * from "./answers.js";
 export * from "./backendConnections.js";
 export * from "./connectionOpener.js";
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -9,8 +9,8 @@
 } from "../../protocol/index.js";
 import { FolderDisk } from "../../state/index.js";
 import { type Network, TcpNetwork, TcpServer } from "../../transport/index.js";
-import { DisposableStore, type Metrics, type Randomness } from "../../utils/index.js";
-import { BackendConnections, DirectOpener } from "../backends/index.js";
+import { DisposableStore, type Metrics, type Randomness, SilentMetrics } from "../../utils/index.js";
+import { AnswerLimits, BackendConnections, DirectOpener } from "../backends/index.js";
 import type { RoutingOptions } from "../routingOptions.js";
 import { noLimits } from "./allowanceService.js";
 import { BackendServerCalls } from "./backendServerCalls.js";
@@ -32,6 +32,8 @@
 /** Settings and dependencies of a directory. */
 export type DirectoryDaemonOptions = RoutingOptions<DirectorySettings, DirectoryWire> & {
     readonly randomness: Randomness;
+    /** @default no metrics */
+    readonly metrics?: Metrics;
 };
 
 /**
@@ -62,7 +64,7 @@
         private readonly restartCache: RestartCache,
     ) {
         super();
-        const { settings, clock, randomness } = options;
+        const { settings, clock, randomness, logger } = options;
         this.name = `${settings.host}:${settings.peerPort}`;
         this.store.add(() => restartCache.close());
         restartCache.setSource(() => this.restartState());
@@ -72,7 +74,9 @@
             clock,
             logger: options.logger,
         });
-        this.connections = BackendConnections.create(options.logger, DirectOpener.create(settings.bindHost));
+        const { answers: bounds } = settings;
+        const answers = AnswerLimits.create({ bounds, logger, metrics: options.metrics ?? SilentMetrics.create() });
+        this.connections = BackendConnections.create(logger, DirectOpener.create(settings.bindHost), answers);
         this.store.add(() => this.connections.close());
         this.streams = StreamRegistry.create({
             instances: () => this.membership.instances,
--- a/packages/basilpaddle/src/node/daemon/directory/stageOrders.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/stageOrders.ts
@@ -176,7 +176,7 @@
             1,
         );
         if (isAnswer(result)) {
-            drain(result);
+            drain(result, { server: engine, limits: connections.answers });
             return wire.parseOrderOutcome(result.status);
         }
         logger.warn("an order got no answer; the engine may still execute it", { engine: engine.id, ...result });
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/serverPaths.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/serverPaths.spec.ts
@@ -6,7 +6,7 @@
 import type { Relay } from "../../../protocol/index.js";
 import { encodeFrame, readFrame } from "../../../transport/index.js";
 import { createSilentLogger, SeededRandomness, SilentMetrics, SystemClock } from "../../../utils/index.js";
-import { isAnswer, readWholeBody } from "../../backends/index.js";
+import { AnswerLimits, isAnswer, readWholeBody } from "../../backends/index.js";
 import { ServerPaths } from "../serverPaths.js";
 
 const answerHead = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
@@ -95,7 +95,12 @@
         await call();
         expect(opened).to.be.above(1);
         tunnel!.write("lf");
-        const body = isAnswer(answer) ? await readWholeBody(answer, 100) : undefined;
+        const bound = {
+            server: announced({ id: "s" }),
+            limits: AnswerLimits.createDefault(),
+            bound: "bodyBytes",
+        } as const;
+        const body = isAnswer(answer) ? await readWholeBody(answer, bound) : undefined;
         expect(body?.toString()).to.equal("half");
     });
 
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/serviceExchange.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/serviceExchange.spec.ts
@@ -4,6 +4,7 @@
 import { announced } from "../../../coordination/gateway/__tests__/fakes.js";
 import { CallTally, InstanceTable, LinkQuality, ServerChoice } from "../../../coordination/index.js";
 import { createSilentLogger, RecordedMetrics } from "../../../utils/index.js";
+import { AnswerLimits } from "../../backends/index.js";
 import type { ExchangeOptions } from "../backendSender.js";
 import { ServiceExchange } from "../serviceExchange.js";
 import { createRequest } from "./fakeRequest.js";
@@ -32,6 +33,7 @@
                 },
                 hasNoPath: () => calls > 0,
             },
+            answers: AnswerLimits.createDefault(),
             instances,
             choice: ServerChoice.create("a"),
             tally: CallTally.create(),
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamExchange.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamExchange.spec.ts
@@ -4,7 +4,7 @@
 import { announced, rule } from "../../../coordination/gateway/__tests__/fakes.js";
 import { InstanceTable, LinkQuality } from "../../../coordination/index.js";
 import { createSilentLogger, RecordedMetrics } from "../../../utils/index.js";
-import type { BackendCall } from "../../backends/index.js";
+import { AnswerLimits, type BackendCall } from "../../backends/index.js";
 import type { ExchangeOptions } from "../backendSender.js";
 import type { CallerRequest } from "../callerRequest.js";
 import type { GatewayWire, RunMetadata } from "../gatewayWire.js";
@@ -36,6 +36,7 @@
                 hasNoPath: () => false,
                 isLostOnPath: () => Promise.resolve(false),
             },
+            answers: AnswerLimits.createDefault(),
             instances,
             links: LinkQuality.create(),
             clock: new ManualClock(),
--- a/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
@@ -8,7 +8,7 @@
 } from "../../coordination/index.js";
 import { type ServerAnnouncement, serverName, type ServiceRule } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
-import { type BackendAnswer, discard, drain, isAnswer } from "../backends/index.js";
+import { type AnswerLimits, type BackendAnswer, discard, drain, isAnswer } from "../backends/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 import type { AnswerMetadata, GatewayWire, RunMetadata } from "./gatewayWire.js";
 import type { RetryAllowance } from "./retryAllowance.js";
@@ -22,6 +22,8 @@
 export type ExchangeOptions = {
     readonly wire: GatewayWire;
     readonly paths: ServerPaths;
+    /** Bounds of backend servers' answers. */
+    readonly answers: AnswerLimits;
     readonly instances: InstanceTable;
     readonly choice: ServerChoice;
     /** Tally of calls to plain services, which is reported to the leader. */
@@ -138,7 +140,7 @@
         }
         this.observeLimit(server, answer.status, metadata);
         if (metadata.notRun) {
-            drain(answer);
+            drain(answer, { server, limits: this.options.answers });
             return {
                 kind: "notRun",
                 cause: `turned away with ${answer.status}`,
--- a/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
@@ -3,7 +3,7 @@
 import { type BackendAnswer, discard, readWholeBody } from "../backends/index.js";
 import type { BackendSender, ExchangeOptions } from "./backendSender.js";
 import type { CallerRequest } from "./callerRequest.js";
-import { maxShortAnswerBytes, type PrefilledPrompt } from "./prefilledPrompt.js";
+import type { PrefilledPrompt } from "./prefilledPrompt.js";
 import type { RunEnd } from "./runEnd.js";
 import { guaranteesNotRun } from "./statuses.js";
 import type { StreamBinding } from "./streamBinding.js";
@@ -91,8 +91,8 @@
 
     /** Forwards the engine's error, unless the answer has begun or the status would guarantee that the request didn't run. */
     private async forwardFailure(answer: BackendAnswer): Promise<RunEnd> {
-        const { request } = this.options;
-        const body = await readWholeBody(answer, maxShortAnswerBytes);
+        const { request, exchange: { answers } } = this.options;
+        const body = await readWholeBody(answer, { server: this.engine, limits: answers, bound: "shortBodyBytes" });
         const { status } = answer;
         if (body === undefined || guaranteesNotRun(status) || request.hasAnswerBegun()) {
             return { kind: "lost", cause: `the engine answered ${status}` };
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -161,6 +161,7 @@
         this.exchangeOptions = {
             wire,
             paths,
+            answers: this.relaying.answers,
             instances: this.instances,
             choice: ServerChoice.create(settings.failureDomain, this.links, () => this.watcher.ejected()),
             tally: this.tally,
--- a/packages/basilpaddle/src/node/daemon/gateway/prefilledPrompt.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/prefilledPrompt.ts
@@ -4,8 +4,6 @@
 import type { CallerRequest } from "./callerRequest.js";
 import { TimeLimit } from "./timeLimit.js";
 
-/** Largest answer of a prefill, or of a failed run. */
-export const maxShortAnswerBytes = 1024 * 1024;
 /** Timeout of the call that frees a prompt's KV cache. */
 const freeTimeoutMilliseconds = 1_200;
 
@@ -52,7 +50,8 @@
     try {
         const sent = await sender.send(request, engine, service, { prefillOnly: true }, limit.signal);
         const isAnswered = sent.kind === "answer" && sent.answer.status === 200;
-        const body = isAnswered ? await readWholeBody(sent.answer, maxShortAnswerBytes) : undefined;
+        const bound = { server: engine, limits: options.answers, bound: "shortBodyBytes" } as const;
+        const body = isAnswered ? await readWholeBody(sent.answer, bound) : undefined;
         const handle = isAnswered ? options.wire.parsePrefill(body?.toString("utf8") ?? "") : undefined;
         return { sent, handle };
     }
@@ -84,7 +83,7 @@
     };
     void options.paths.call(call, service.connectionLimit, options.gateways()).then(result => {
         if (isAnswer(result)) {
-            drain(result);
+            drain(result, { server: prompt.engine, limits: options.answers });
         }
         else {
             options.logger.warn("failed to free a prompt's KV cache; it will expire", {
--- a/packages/basilpaddle/src/node/daemon/gateway/relaying.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/relaying.ts
@@ -1,7 +1,7 @@
 import { type DirectoryWatcher, type InstanceTable, RelayPeers } from "../../coordination/index.js";
 import type { GatewaySettings } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics, Randomness } from "../../utils/index.js";
-import { DirectOpener } from "../backends/index.js";
+import { AnswerLimits, DirectOpener } from "../backends/index.js";
 import { RelayServer } from "./relayServer.js";
 import { ServerPaths } from "./serverPaths.js";
 
@@ -19,13 +19,17 @@
 /** This gateway's paths to backend servers, and its part in those of other gateways, for which it relays. */
 export class Relaying {
     readonly paths: ServerPaths;
+    /** Bounds of backend servers' answers. */
+    readonly answers: AnswerLimits;
     private relays: RelayPeers | undefined;
     private server: RelayServer | undefined;
     private shuttingDown = false;
 
     private constructor(private readonly options: RelayingOptions) {
+        this.answers = AnswerLimits.create({ ...options, bounds: options.settings.answers });
         this.paths = ServerPaths.create({
             ...options,
+            answers: this.answers,
             localAddress: options.settings.bindHost,
             relays: () => this.relays,
             onChanged: () => this.relays?.registerNow(),
--- a/packages/basilpaddle/src/node/daemon/gateway/serverPath.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serverPath.ts
@@ -2,6 +2,7 @@
 import type { ServerAnnouncement } from "../../protocol/index.js";
 import { ConnectionFailure, connectTimeoutCode } from "../../transport/index.js";
 import {
+    type AnswerLimits,
     type BackendAnswer,
     type BackendCall,
     BackendConnections,
@@ -20,6 +21,8 @@
 /** Dependencies of a path. */
 export type ServerPathOptions = Omit<PathMonitorOptions, "probe" | "receivedBytes"> & {
     readonly opener: ConnectionOpener;
+    /** @default the default bounds */
+    readonly answers?: AnswerLimits;
 };
 
 /** A way by which this gateway reaches backend servers, with its connections and what is known of its state. */
@@ -28,8 +31,8 @@
     readonly monitor: PathMonitor;
 
     private constructor(options: ServerPathOptions) {
-        const { opener, logger } = options;
-        this.connections = BackendConnections.create(logger, opener);
+        const { opener, logger, answers } = options;
+        this.connections = BackendConnections.create(logger, opener, answers);
         this.monitor = PathMonitor.create({
             ...options,
             probe: server => probe(opener, server),
--- a/packages/basilpaddle/src/node/daemon/gateway/serverPaths.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serverPaths.ts
@@ -2,7 +2,14 @@
 import type { Relay, ServerAnnouncement } from "../../protocol/index.js";
 import { type ListenStatus, probeListening } from "../../transport/index.js";
 import type { Metrics } from "../../utils/index.js";
-import { type BackendAnswer, type BackendCall, BackendCaller, DirectOpener, isAnswer } from "../backends/index.js";
+import {
+    type AnswerLimits,
+    type BackendAnswer,
+    type BackendCall,
+    BackendCaller,
+    DirectOpener,
+    isAnswer,
+} from "../backends/index.js";
 import { type PathFailure, ServerPath } from "./serverPath.js";
 import { TunnelOpener } from "./tunnelOpener.js";
 
@@ -19,6 +26,8 @@
 /** Dependencies of the paths. */
 export type ServerPathsOptions = Pick<PathMonitorOptions, "clock" | "randomness" | "logger" | "metrics"> & {
     readonly localAddress: string | undefined;
+    /** @default the default bounds */
+    readonly answers?: AnswerLimits;
     readonly instances: InstanceTable;
     readonly relays: () => RelayPeers | undefined;
     /** Called when this gateway doesn't reach backend servers itself any more, or does so again. */
--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -10,8 +10,6 @@
 import { guaranteesNotRun } from "./statuses.js";
 import { TimeLimit } from "./timeLimit.js";
 
-/** Largest answer that is buffered before it is forwarded. */
-const maxAnswerBytes = 16 * 1024 * 1024;
 /** Limit of backend servers that are tried in turn, including those that reject the request. */
 const maxRounds = 4;
 /** Timeout of one backend server, as a multiple of the target, if the request may be retried at another one. */
@@ -256,7 +254,7 @@
             discard(answer);
             return [{ kind: "next", mayHaveRun: true, cause: "the answer has no seal" }, "failed"];
         }
-        const body = await readWholeBody(answer, maxAnswerBytes);
+        const body = await readWholeBody(answer, { server, limits: this.options.answers, bound: "bodyBytes" });
         // Without a length, the regular end of an answer and that of its server look the same.
         if (body === undefined || !answer.framed && await this.options.crashes.hasEnded(server)) {
             const lostOnPath = await this.options.paths.isLostOnPath(server.id);
--- a/packages/basilpaddle/src/node/daemon/start/routingStart.ts
+++ b/packages/basilpaddle/src/node/daemon/start/routingStart.ts
@@ -131,7 +131,7 @@
     protected override async openDaemon(seeds: () => readonly string[]): Promise<QuarantinedRequests> {
         const { settings, wire, clock, logger, metrics } = this;
         const randomness = HostRandomness.create(settings.name);
-        const daemon = await DirectoryDaemon.create({ settings, seeds, wire, clock, randomness, logger });
+        const daemon = await DirectoryDaemon.create({ settings, seeds, wire, clock, randomness, logger, metrics });
         this.daemon = daemon;
         this.store.add(metrics.onCollect(() => daemon.measure(metrics)));
         return daemon.quarantinedRequests;
--- a/packages/basilpaddle/src/node/protocol/gatewaySettings.ts
+++ b/packages/basilpaddle/src/node/protocol/gatewaySettings.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import { logLevels } from "../utils/index.js";
+import { answerBoundsSchema } from "./answerBounds.js";
 import { quarantineRulesSchema } from "./crash.js";
 
 const endpoint = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, "an endpoint has the form IP:PORT").transform(text => {
@@ -32,6 +33,8 @@
     log: z.strictObject({ level: z.enum(logLevels).default("info") }).prefault({}),
     /** When a request is quarantined because backend servers crashed while running it. */
     holds: quarantineRulesSchema.prefault({}),
+    /** Bounds of what backend servers send. */
+    answers: answerBoundsSchema.prefault({}),
 };
 
 /** Retry budget over all gateways: `ratio` of the requests plus `slack` retries in each window (seconds). */
--- a/packages/basilpaddle/src/node/protocol/index.ts
+++ b/packages/basilpaddle/src/node/protocol/index.ts
@@ -1,4 +1,5 @@
 export * from "./allowance.js";
+export * from "./answerBounds.js";
 export * from "./backend.js";
 export * from "./caller.js";
 export * from "./command.js";
