fix(gateway): bound comments between the events of a stream, and split events in linear time

Cause: each comment, empty line and unknown field counted as an event and as progress, so that an engine that sends nothing else kept its stream open until the request's time was over. An event in small chunks was copied and searched again for each. Change: EventSplitter examines each byte once, copies what it holds into one buffer, and bounds an event (`eventBytes`) and what is between two events (`commentBytes`). The run counts as lost, as with a broken connection, and may be resumed.

--- a/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
@@ -102,7 +102,7 @@
     }
 
     private async stream(answer: BackendAnswer, signal: AbortSignal): Promise<RunEnd> {
-        const { exchange: { links, clock, crashes }, request, relay, binding, steps } = this.options;
+        const { exchange: { links, clock, crashes, answers }, request, relay, binding, steps } = this.options;
         if (!await binding.awaitReport()) {
             discard(answer);
             return { kind: "lost", cause: "directories may take the stream for one of another version" };
@@ -117,6 +117,9 @@
             steps.push(`pause ${Math.round(stallDetector.longest())}`);
         }
         if (end.kind === "broken") {
+            if (end.exceeded !== undefined) {
+                answers.exceeded(this.engine, end.exceeded.bound, end.exceeded.bytes);
+            }
             return { kind: "lost", cause: end.cause };
         }
         // Without a length, the regular end of an answer and that of its engine look the same.
--- a/packages/basilpaddle/src/node/daemon/gateway/streamRelay.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamRelay.ts
@@ -1,23 +1,27 @@
 import { type BackendAnswer, discard } from "../backends/index.js";
 import type { CallerRequest } from "./callerRequest.js";
-import { type CompleteEvent, EventSplitter } from "./eventSplitter.js";
+import { type CompleteEvent, EventBoundExceeded, type EventBounds, EventSplitter } from "./eventSplitter.js";
 
 /** How forwarding the events of one run ended. */
 export type RelayEnd =
     | { readonly kind: "whole"; }
     /** The stream was cut off, or sent events out of order. */
-    | { readonly kind: "broken"; readonly cause: string; };
+    | { readonly kind: "broken"; readonly cause: string; readonly exceeded?: EventBoundExceeded | undefined; };
 
 /** Forwards the events of one answer, which may come from several consecutive runs. */
 export class StreamRelay {
     private lastEventNumber: number | undefined;
     private eventCount = 0;
 
-    private constructor(private readonly request: CallerRequest, private readonly onFirstEvent: () => void) {}
+    private constructor(
+        private readonly request: CallerRequest,
+        private readonly bounds: EventBounds,
+        private readonly onFirstEvent: () => void,
+    ) {}
 
-    /** `onFirstEvent`: called on the first event of the answer. */
-    static create(request: CallerRequest, onFirstEvent: () => void): StreamRelay {
-        return new StreamRelay(request, onFirstEvent);
+    /** `bounds`: bounds of events and comments. `onFirstEvent`: called on the first event of the answer. */
+    static create(request: CallerRequest, bounds: EventBounds, onFirstEvent: () => void): StreamRelay {
+        return new StreamRelay(request, bounds, onFirstEvent);
     }
 
     /** Number of the last numbered event that was forwarded to the caller; undefined before the first. */
@@ -44,7 +48,7 @@
         if (!request.hasAnswerBegun()) {
             request.beginStream(answer);
         }
-        const splitter = EventSplitter.create();
+        const splitter = EventSplitter.create(this.bounds);
         const idleTimeout = IdleTimeout.create(answer, idleTimeoutMilliseconds);
         try {
             for await (const chunk of answer.body as AsyncIterable<Buffer>) {
@@ -61,7 +65,8 @@
         catch (error) {
             discard(answer);
             const cause = idleTimeout.timedOut ? "the engine stopped sending" : String((error as Error).message);
-            return { kind: "broken", cause: signal.aborted ? "the request timed out" : cause };
+            const exceeded = error instanceof EventBoundExceeded ? error : undefined;
+            return { kind: "broken", cause: signal.aborted ? "the request timed out" : cause, exceeded };
         }
         finally {
             idleTimeout.clear();
