fix(directory): reject calls of backend servers that are endless, long or not UTF-8 at once

Cause: a body over the limit was read to its end, for as long as the client sent it (25 s in the test), a heartbeat of a megabyte was accepted, and bytes that aren't UTF-8 were replaced, so that they named a service that nobody announced. Change: calls other than that of a configuration have at most 64 KiB; a longer body is answered at once and its connection closed; bytes that aren't UTF-8 are a finding.

--- a/packages/basilpaddle/src/node/daemon/directory/callServer.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/callServer.ts
@@ -1,10 +1,13 @@
+import { isUtf8 } from "node:buffer";
 import * as http from "node:http";
 import type { Finding } from "../../protocol/index.js";
 import { DisposableStore, type Logger } from "../../utils/index.js";
 import type { DirectoryCall, DirectoryWire } from "./directoryWire.js";
 
 /** Large enough for a configuration of some thousands of routes. */
-const maxBodyBytes = 8 * 1024 * 1024;
+const maxDocumentBytes = 8 * 1024 * 1024;
+/** Large enough for any call of a backend server, which names its models in its heartbeats. */
+const maxCallBytes = 64 * 1024;
 /** Time limit for receiving a whole request. */
 const receiveTimeoutMilliseconds = 10_000;
 /** How long an idle connection stays open: several heartbeat intervals. */
@@ -70,11 +73,16 @@
         const path = (request.url ?? "").split("?", 1)[0]!;
         try {
             const call = this.wire.parseCall(request.method ?? "", path);
-            const body = await readBody(request);
-            const result = body === undefined
-                ? { kind: "invalid" as const, findings: [bodyTooLarge] }
-                : await this.handler.handle(call, body);
-            this.reply(response, result);
+            const body = await readBody(request, call.kind === "storeConfiguration" ? maxDocumentBytes : maxCallBytes);
+            if (typeof body === "string") {
+                this.reply(response, await this.handler.handle(call, body));
+                return;
+            }
+            this.logger.warn("rejected the body of a call", { path, cause: body.cause });
+            // The rest of the body isn't read.
+            response.shouldKeepAlive = false;
+            response.once("finish", () => request.destroy());
+            this.reply(response, { kind: "invalid", findings: [body] });
         }
         catch (error) {
             this.logger.error("handling a request failed", { method: request.method, path, error });
@@ -108,20 +116,25 @@
     }
 }
 
-const bodyTooLarge: Finding = { file: "body", place: "", cause: `the body is larger than ${maxBodyBytes} bytes` };
+function bodyFinding(cause: string): Finding {
+    return { file: "body", place: "", cause };
+}
 
 /**
- * Reads the whole body; undefined if it exceeds the limit. Rejects if the connection breaks before its end. A body over the
- * limit is still read to its end, but not stored.
+ * Reads the whole body; a finding if it exceeds the limit in bytes, or isn't UTF-8: with replaced characters it could name
+ * another server. Rejects if the connection breaks before its end.
  */
-async function readBody(request: http.IncomingMessage): Promise<string | undefined> {
+async function readBody(request: http.IncomingMessage, limit: number): Promise<string | Finding> {
     const chunks: Buffer[] = [];
     let size = 0;
-    for await (const chunk of request as AsyncIterable<Buffer>) {
+    // The response is still to be sent when the limit is exceeded.
+    for await (const chunk of request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
         size += chunk.length;
-        if (size <= maxBodyBytes) {
-            chunks.push(chunk);
+        if (size > limit) {
+            return bodyFinding(`the body is larger than ${limit} bytes`);
         }
+        chunks.push(chunk);
     }
-    return size > maxBodyBytes ? undefined : Buffer.concat(chunks).toString("utf8");
+    const bytes = Buffer.concat(chunks);
+    return isUtf8(bytes) ? bytes.toString("utf8") : bodyFinding("the body isn't UTF-8");
 }
