fix(entry): bound heads and framing of engines' and services' answers at entry daemons

Cause: the clients of entry daemons read a head at one byte a second, a status line, empty lines or a chunk extension without an end until the call's time was over, a minute for a prefill. Change: AnswerGuard moves to transport, and guards the connections of HttpEngine and ServiceConnections as well.

--- a/packages/basilpaddle/src/node/coordination/engine/engineLimits.ts
+++ b/packages/basilpaddle/src/node/coordination/engine/engineLimits.ts
@@ -14,6 +14,12 @@
     readonly answerBytes: number;
     /** Bytes of a stream that are buffered for the caller before reading from the engine pauses. @default 262144 */
     readonly waitingBytes: number;
+    /** Maximum size of the head of an answer. @default 16384 */
+    readonly headBytes: number;
+    /** Timeout of a head, from its first byte until it is complete. @default 3000 */
+    readonly headTime: number;
+    /** Maximum size of chunk lengths, chunk extensions and trailers without a byte of the body among them. @default 16384 */
+    readonly framingBytes: number;
 };
 
 const defaultLimits: EngineLimits = {
@@ -24,6 +30,9 @@
     keepAlive: 1_000,
     answerBytes: 4_194_304,
     waitingBytes: 262_144,
+    headBytes: 16_384,
+    headTime: 3_000,
+    framingBytes: 16_384,
 };
 
 /** Applies the defaults and freezes the result. */
--- a/packages/basilpaddle/src/node/coordination/engine/httpEngine.ts
+++ b/packages/basilpaddle/src/node/coordination/engine/httpEngine.ts
@@ -17,6 +17,7 @@
     type PrefillAnswer,
     prefillAnswerSchema,
 } from "../../protocol/index.js";
+import { guardedConnector } from "../../transport/index.js";
 import { type Clock, SystemClock } from "../../utils/index.js";
 import { DecodeCall } from "./decodeCall.js";
 import { Engine, type EngineFailure } from "./engine.js";
@@ -154,6 +155,7 @@
         // By default, undici ends a prefill or an idle stream after five minutes; EngineLimits apply instead.
         headersTimeout: 0,
         bodyTimeout: 0,
-        connect: { timeout: limits.connect },
+        maxHeaderSize: limits.headBytes,
+        connect: guardedConnector(limits.connect, limits),
     });
 }
--- a/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
@@ -2,9 +2,8 @@
 import type { Readable } from "node:stream";
 import { type buildConnector, Pool } from "undici";
 import type { ServerAnnouncement } from "../../protocol/index.js";
-import { ConnectionFailure } from "../../transport/index.js";
+import { AnswerGuard, ConnectionFailure } from "../../transport/index.js";
 import type { Logger } from "../../utils/index.js";
-import { AnswerGuard } from "./answerGuard.js";
 import { AnswerLimits } from "./answerLimits.js";
 import { type ConnectionOpener, DirectOpener } from "./connectionOpener.js";
 
--- a/packages/basilpaddle/src/node/daemon/backends/index.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/index.ts
@@ -1,4 +1,3 @@
-export * from "./answerGuard.js";
 export * from "./answerLimits.js";
 export * from "./answers.js";
 export * from "./backendConnections.js";
--- a/packages/basilpaddle/src/node/daemon/entry/services/serviceConnections.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/services/serviceConnections.ts
@@ -1,5 +1,6 @@
 import { Agent, Client, type Dispatcher } from "undici";
 import type { Announcement, View } from "../../../protocol/index.js";
+import { guardedConnector } from "../../../transport/index.js";
 import type { Randomness } from "../../../utils/index.js";
 
 const connectTimeoutMilliseconds = 1_000;
@@ -8,6 +9,8 @@
 const maxConnectionsPerInstance = 64;
 /** Undici's default timeouts would end long or idle streams; each call has its own timeout. */
 const noTimeouts = { headersTimeout: 0, bodyTimeout: 0 };
+/** Bounds of answers apart from their bodies, in bytes and milliseconds. */
+const answerBounds = { headBytes: 16_384, headTime: 3_000, framingBytes: 16_384 };
 const connectErrorCodes = new Set([
     "ECONNREFUSED",
     "EHOSTUNREACH",
@@ -26,7 +29,7 @@
     /** For idempotent calls. */
     readonly shared: Dispatcher = new Agent({
         ...noTimeouts,
-        connect: { timeout: connectTimeoutMilliseconds },
+        connect: guardedConnector(connectTimeoutMilliseconds, answerBounds),
         connections: maxConnectionsPerInstance,
         keepAliveTimeout: keepAliveTimeoutMilliseconds,
         keepAliveMaxTimeout: keepAliveTimeoutMilliseconds,
@@ -75,7 +78,7 @@
     createDedicated(instance: Announcement): Dispatcher {
         return new Client(instance.url, {
             ...noTimeouts,
-            connect: { timeout: connectTimeoutMilliseconds },
+            connect: guardedConnector(connectTimeoutMilliseconds, answerBounds),
             pipelining: 1,
         });
     }
--- a/packages/basilpaddle/src/node/daemon/backends/answerGuard.ts
+++ b/packages/basilpaddle/src/node/transport/answerGuard.ts
@@ -1,13 +1,14 @@
 import { subscribe } from "node:diagnostics_channel";
 import type { Socket } from "node:net";
 import type { DiagnosticsChannel } from "undici";
-import type { AnswerBound } from "../../protocol/index.js";
-import type { BoundExceeded } from "./answerLimits.js";
 
 /** Number of received bytes that are kept for the log. */
 const keptBytes = 64;
 const minFinalStatus = 200;
 
+/** A bound of what a server sends on a connection; `afterAnswer`: bytes while no answer is awaited. */
+export type ConnectionBound = "headBytes" | "headTime" | "framingBytes" | "afterAnswer";
+
 /** Bounds of one connection. */
 export type AnswerGuardOptions = {
     readonly headBytes: number;
@@ -15,7 +16,7 @@
     readonly headTime: number;
     readonly framingBytes: number;
     /** Reports a bound that is exceeded, with the first bytes; returns the error that the connection is destroyed with. */
-    readonly onExceeded: (bound: AnswerBound, bytes: Buffer) => BoundExceeded;
+    readonly onExceeded: (bound: ConnectionBound, bytes: Buffer) => Error;
 };
 
 /** Guards by socket, and by the request in progress. undici reports its requests on channels of the whole process. */
@@ -112,7 +113,7 @@
         });
     }
 
-    private exceed(bound: AnswerBound, bytes: Buffer): false {
+    private exceed(bound: ConnectionBound, bytes: Buffer): false {
         const error = this.options.onExceeded(bound, Buffer.from(bytes.subarray(0, keptBytes)));
         this.stopTimer();
         // Without an error, undici would take the end of the connection for that of an answer without a length.
