--- a/packages/basilpaddle/src/node/daemon/backends/index.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/index.ts
@@ -1,3 +1,4 @@
+export * from "./answerLimits.js";
 export * from "./answers.js";
 export * from "./backendConnections.js";
 export * from "./connectionOpener.js";
--- a/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
@@ -8,7 +8,7 @@
 } from "../../coordination/index.js";
 import { type ServerAnnouncement, serverName, type ServiceRule } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
-import { type BackendAnswer, discard, drain, isAnswer, sendPreventedCode } from "../backends/index.js";
+import { type AnswerLimits, type BackendAnswer, discard, drain, isAnswer, sendPreventedCode } from "../backends/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 import type { AnswerMetadata, GatewayWire, RunMetadata } from "./gatewayWire.js";
 import type { LoopMonitor } from "./loopMonitor.js";
@@ -24,6 +24,8 @@
 export type ExchangeOptions = {
     readonly wire: GatewayWire;
     readonly paths: ServerPaths;
+    /** Bounds of backend servers' answers. */
+    readonly answers: AnswerLimits;
     readonly instances: InstanceTable;
     readonly choice: ServerChoice;
     /** Tally of calls to plain services, which is reported to the leader. */
@@ -190,7 +192,7 @@
         }
         this.observeLimit(server, answer.status, metadata);
         if (metadata.notRun) {
-            drain(answer);
+            drain(answer, { server, limits: this.options.answers });
             return {
                 kind: "notRun",
                 cause: `turned away with ${answer.status}`,
--- a/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
@@ -3,7 +3,7 @@
 import { type BackendAnswer, discard, readWholeBody } from "../backends/index.js";
 import type { BackendSender, ExchangeOptions } from "./backendSender.js";
 import type { CallerRequest } from "./callerRequest.js";
-import { maxShortAnswerBytes, type PrefilledPrompt } from "./prefilledPrompt.js";
+import type { PrefilledPrompt } from "./prefilledPrompt.js";
 import type { RunEnd } from "./runEnd.js";
 import { guaranteesNotRun } from "./statuses.js";
 import type { StreamBinding } from "./streamBinding.js";
@@ -91,8 +91,8 @@
 
     /** Forwards the engine's error, unless the answer has begun or the status would guarantee that the request didn't run. */
     private async forwardFailure(answer: BackendAnswer): Promise<RunEnd> {
-        const { request } = this.options;
-        const body = await readWholeBody(answer, maxShortAnswerBytes);
+        const { request, exchange: { answers } } = this.options;
+        const body = await readWholeBody(answer, { server: this.engine, limits: answers, bound: "shortBodyBytes" });
         const { status } = answer;
         if (body === undefined || guaranteesNotRun(status) || request.hasAnswerBegun()) {
             return { kind: "lost", cause: `the engine answered ${status}` };
@@ -102,7 +102,7 @@
     }
 
     private async stream(answer: BackendAnswer, signal: AbortSignal): Promise<RunEnd> {
-        const { exchange: { links, clock, crashes }, request, relay, binding, steps } = this.options;
+        const { exchange: { links, clock, crashes, answers }, request, relay, binding, steps } = this.options;
         if (!await binding.awaitReport()) {
             discard(answer);
             return { kind: "lost", cause: "directories may take the stream for one of another version" };
@@ -117,6 +117,9 @@
             steps.push(`pause ${Math.round(stallDetector.longest())}`);
         }
         if (end.kind === "broken") {
+            if (end.exceeded !== undefined) {
+                answers.exceeded(this.engine, end.exceeded.bound, end.exceeded.bytes);
+            }
             return { kind: "lost", cause: end.cause };
         }
         // Without a length, the regular end of an answer and that of its engine look the same.
