feat(placement): large and late requests of high priority get an engine in bounded time

Cause: an engine is reserved only for a request that can still meet its target. Where priorities compete, smaller requests of lower priorities overtook a large or late one of the highest until it was refused, and several large ones could reserve most of a small pool. Change: EngineReservations is an abstract class; with several priorities a request of more than twice the mean is overtaken for a quarter of its target at most, late requests get a reservation as well, and at most one engine in ten, but always one, is reserved.

--- a/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
@@ -221,6 +221,11 @@
         return this.usable("decode", anyRequest, now).length * this.engineCapacity().tokens;
     }
 
+    /** Number of decode engines that may receive a request. */
+    usableDecodeEngines(now: number): number {
+        return this.usable("decode", anyRequest, now).length;
+    }
+
     /** Whether no request can be placed because all decode engines that are known leave. */
     isAbandoned(): boolean {
         const decodes = [...this.engines.values()].filter(({ announced }) => announced.stage === "decode");
--- a/packages/basilpaddle/src/node/coordination/gateway/placementForecast.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementForecast.ts
@@ -44,6 +44,11 @@
         return this.runs < minRuns ? undefined : this.meanRequest;
     }
 
+    /** Mean tokens of KV cache of a request in the pool; undefined until a run has ended. */
+    meanCacheTokens(): number | undefined {
+        return this.meanRequest?.cacheTokens;
+    }
+
     /** Records the expected and the actual duration of a prefill, in milliseconds. */
     recordPrefill(expected: number, actual: number): void {
         if (expected > 0) {
--- a/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
@@ -5,7 +5,8 @@
     PlacementRequest,
     ServerAnnouncement,
 } from "../../protocol/index.js";
-import { type EnginePair, EnginePool, type LeastLoadedEngine, type PlacementTuning } from "./enginePool.js";
+import { type EnginePair, EnginePool, type PlacementTuning } from "./enginePool.js";
+import { type EngineReservations, PriorityReservations, TargetReservations } from "./engineReservations.js";
 import { placedDecision, type Placement } from "./placement.js";
 import { PlacementForecast } from "./placementForecast.js";
 import { PriorityAdmission } from "./priorityAdmission.js";
@@ -19,13 +20,6 @@
 
 /** Minimum time between two reviews of the queue. */
 const reviewIntervalMilliseconds = 25;
-/**
- * How long a request that doesn't fit may be overtaken at all engines. After that the least loaded engine is reserved for
- * it: otherwise small requests would use all room that is freed, and large ones would starve. Only one engine is reserved,
- * since delaying all requests until the large one fits would leave room at the other engines unused. It is reserved only
- * if the request can then meet its target: see `isWorthReserving`.
- */
-const overtakingMilliseconds = 50;
 /** Number of requests that don't fit after which a dispatch stops; it bounds the time for a long queue. */
 const maxSkipped = 6;
 /** How long a placement is kept if its gateway never reports its end. */
@@ -47,11 +41,14 @@
     private readonly forecast = PlacementForecast.create();
     private readonly rejections = RunRejections.create();
     private admission: QueueAdmission;
+    private reservations: EngineReservations;
     private order: QueueOrder = TargetOrder.create();
     private reviewedAt = 0;
 
     private constructor(private readonly pool: EnginePool, private readonly observer: QueueObserver) {
-        this.admission = TargetAdmission.create({ pool, forecast: this.forecast, observer });
+        const { forecast } = this;
+        this.admission = TargetAdmission.create({ pool, forecast, observer });
+        this.reservations = TargetReservations.create({ pool, forecast });
     }
 
     /**
@@ -82,6 +79,7 @@
             this.order = order;
             const { pool, forecast, observer } = this;
             this.admission = (isPrioritised ? PriorityAdmission : TargetAdmission).create({ pool, forecast, observer });
+            this.reservations = (isPrioritised ? PriorityReservations : TargetReservations).create({ pool, forecast });
         }
     }
 
@@ -236,7 +234,7 @@
             const waiting = requests[position]!;
             const pair = this.pool.bestPair(waiting.request, now, reserved);
             if (pair === undefined) {
-                this.reserveEngine(waiting, reserved, now);
+                this.reservations.reserve(waiting, reserved, now);
                 skipped += 1;
                 position += 1;
                 continue;
@@ -257,31 +255,6 @@
         return decisions;
     }
 
-    /** Reserves an engine for a request that has waited for room, if it can still meet its target. */
-    private reserveEngine(waiting: WaitingRequest, reserved: Set<string>, now: number): void {
-        if (waiting.late || now - waiting.arrivedAt < overtakingMilliseconds) {
-            return;
-        }
-        const engine = this.pool.leastLoaded(waiting.request, now, reserved);
-        if (engine !== undefined && this.isWorthReserving(waiting, engine, now)) {
-            reserved.add(engine.id);
-        }
-    }
-
-    /**
-     * Whether a request will meet its target once enough KV cache has been freed at the engine. In a burst most large
-     * requests won't, and room reserved for them would stay unused while small requests wait that could meet theirs.
-     */
-    private isWorthReserving(
-        { request, targetAt }: WaitingRequest,
-        engine: LeastLoadedEngine,
-        now: number,
-    ): boolean {
-        const wait = this.forecast.expectedWait(engine.missingTokens, engine.capacityTokens);
-        const prefill = this.pool.prefillForecast(now)(request.promptTokens);
-        return now + wait + this.forecast.firstEventDelay(prefill) <= targetAt;
-    }
-
     /**
      * Whether a request would miss its target even if placed now, while others wait that can still meet theirs. Without
      * this check the queue of a burst persists: each placement goes to the request that is just missing its target, and
