fix(allowance): a report of many small requests no longer counts as one large request

The reserve keeps the largest cost of a recent request, since one that is admitted may overdraw the level by it. Units that gateways reported, the sum of many requests, counted as such a cost, and reserved up to half of the burst after each large report. Only single requests count now. The test of a report of 400 units failed before: a request of the middle priority was refused at a level of 200 that nobody above it needed. A refund is subtracted whole, no longer decayed twice.

--- a/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
@@ -80,7 +80,7 @@
     ): void {
         const account = this.account(organisation, allowance, now);
         account.bucket.spend(units, now);
-        byRank.forEach(spent => account.reserve.record(spent.rank, spent.units, account.bucket, now));
+        byRank.forEach(spent => account.reserve.recordUnits(spent.rank, spent.units, account.bucket, now));
         this.updateNear(organisation, account, now);
     }
 
--- a/packages/basilpaddle/src/node/coordination/allowance/equalShare.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/equalShare.ts
@@ -66,7 +66,7 @@
         const { bucket, reserve } = this.account(charge, now);
         bucket.spend(Math.min(charge.cost, Math.max(0, bucket.level(now))), now);
         if (charge.rank !== undefined) {
-            reserve.record(charge.rank, charge.cost, bucket, now);
+            reserve.recordRequest(charge.rank, charge.cost, bucket, now);
         }
     }
 
@@ -75,7 +75,7 @@
         const { bucket, reserve } = this.account(charge, now);
         bucket.spend(-charge.cost, now);
         if (charge.rank !== undefined) {
-            reserve.record(charge.rank, -charge.cost, bucket, now);
+            reserve.recordUnits(charge.rank, -charge.cost, bucket, now);
         }
     }
 
--- a/packages/basilpaddle/src/node/coordination/allowance/priorityReserve.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/priorityReserve.ts
@@ -70,20 +70,27 @@
         const reserve = this.reserve(rank, bucket, now);
         const isReserved = level <= reserve * this.reservedFraction(rank, bucket, now) && reserve > 0;
         const outcome = isReserved ? "reserved" : take() ? "granted" : "empty";
-        this.record(rank, cost, bucket, now);
+        this.recordRequest(rank, cost, bucket, now);
         if (outcome === "granted") {
             this.chargeFloor(rank, cost, level > reserve, bucket, now);
         }
         return outcome;
     }
 
-    /** Learns from units that were spent without a decision of this reserve; a negative number is a refund. */
-    record(rank: number, units: number, bucket: TokenBucket, now: number): void {
+    /** Learns from a request on which something else has decided. */
+    recordRequest(rank: number, cost: number, bucket: TokenBucket, now: number): void {
+        this.recordUnits(rank, cost, bucket, now);
+        this.largestCost = Math.max(this.largest(now), Math.min(cost, bucket.burst));
+        this.largestAt = now;
+    }
+
+    /** Learns from the sum of several requests on which something else has decided; a negative number is a refund. */
+    recordUnits(rank: number, units: number, bucket: TokenBucket, now: number): void {
         this.forgetOld(now);
         const known = this.demands.find(demand => demand.rank === rank);
         if (units < 0) {
             if (known !== undefined) {
-                known.units = Math.max(0, known.units + units * decayOf(now - known.at));
+                known.units = Math.max(0, known.units + units);
             }
             return;
         }
@@ -91,8 +98,6 @@
         // More than the rate can't be used for long; without this bound a short excess would be reserved for much longer.
         demand.units = Math.min(bucket.rate * decaySeconds, unitsOf(demand, now) + units);
         demand.at = now;
-        this.largestCost = Math.max(this.largest(now), Math.min(units, bucket.burst));
-        this.largestAt = now;
     }
 
     /** Units that a request of this rank has to leave; 0 for the highest one that has sent requests. */
