--- a/simulation/allowances/day.ts
+++ b/simulation/allowances/day.ts
@@ -18,6 +18,8 @@
     length: z.number().positive(),
     /** Whether all callers of an organisation come in at one gateway. */
     oneGateway: z.boolean(),
+    /** The n-th gateway receives a fraction of the requests proportional to 1/n to this power. @default all the same */
+    gatewayExponent: z.number().min(0).optional(),
     /** Every organisation sends this many times its usual. */
     burst: z.object({ from: z.number(), until: z.number(), factor: z.number() }).optional(),
     /** One organisation, by its rank, sends this many times its usual. */
