--- a/packages/basilpaddle/src/node/coordination/allowance/organisationAllowances.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/organisationAllowances.ts
@@ -33,6 +33,8 @@
     readonly leader: AllowanceLeader;
     /** Upper bound of the number of gateways that share the allowances. */
     readonly gateways: () => number;
+    /** Fraction of an organisation's rate that its lower priorities share in any case. @default 0.1 */
+    readonly floor?: number;
     readonly clock: Clock;
 };
 
@@ -42,7 +44,7 @@
     protected readonly ownShare: EqualShare;
 
     protected constructor(protected readonly options: AllowanceOptions) {
-        this.ownShare = EqualShare.create(options.gateways, options.clock.monotonic());
+        this.ownShare = EqualShare.create(options.gateways, options.clock.monotonic(), options.floor);
     }
 
     /** Charges a request once, or refuses it with the milliseconds after which it may come back. */
--- a/packages/basilpaddle/src/node/daemon/directory/allowanceService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/allowanceService.ts
@@ -27,6 +27,8 @@
     readonly traffic: () => Traffic | undefined;
     /** Whether no other directory has led before, so that nothing has been spent. */
     readonly firstLeader: boolean;
+    /** Fraction of an organisation's rate that its lower priorities share in any case. @default 0.1 */
+    readonly floor?: number;
     /** Called when gateways have to learn of a change of the organisations near their limit. */
     readonly onLimitsChanged: () => void;
     readonly clock: Clock;
@@ -41,7 +43,7 @@
     private allowancesOf: { readonly traffic: Traffic; readonly byName: ReadonlyMap<string, Allowance>; } | undefined;
 
     private constructor(private readonly options: AllowanceServiceOptions) {
-        this.ledger = AllowanceLedger.create(options.firstLeader ? 1 : initialBurstFraction);
+        this.ledger = AllowanceLedger.create(options.firstLeader ? 1 : initialBurstFraction, options.floor);
     }
 
     static create(options: AllowanceServiceOptions): AllowanceService {
