test(allowance): both forms of a gateway's share at 6.6 times the usual load in three priorities

Only the strict form was covered with several priorities. Both refuse the highest less than 1 in 20, 0.4 and more without ranks, and grant no larger sum than without ranks.

--- a/packages/basilpaddle/src/node/coordination/allowance/__tests__/priorityReserve.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/__tests__/priorityReserve.spec.ts
@@ -5,7 +5,7 @@
 import { EqualShare } from "../equalShare.js";
 import { PriorityReserve } from "../priorityReserve.js";
 import { TokenBucket } from "../tokenBucket.js";
-import { allowance, outcomes, rankedLoad, type RankedRequest } from "./rankedLoad.js";
+import { allowance, outcomes, rankedLoad, type RankedRequest, type RankOutcome } from "./rankedLoad.js";
 
 const { rate, burst } = allowance;
 const shares = [0.25, 0.35, 0.4];
@@ -211,21 +211,29 @@
     });
 
     // Guards against a share without a leader that higher and lower priorities overdraw together.
-    it("holds in a gateway's share, which the strict form never overdraws", () => {
-        const share = EqualShare.create(() => 1, 0);
-        const load = rankedLoad(shares, 6.6, 60, 20);
-        const [highest, middle, lowest] = outcomes(
-            load,
-            ({ at, rank, cost }) => {
-                const charge = { organisation: "a", allowance, cost, rank, attempt: String(at) };
-                return share.admitStrictly(charge, at);
-            },
-            0,
-            60,
-        );
-        expect(highest!.refused).to.be.below(1 / 20);
-        expect(lowest!.refused).to.be.above(0.5);
-        const sum = highest!.unitsPerSecond + middle!.unitsPerSecond + lowest!.unitsPerSecond;
-        expect(sum).to.be.at.most(1.05 * rate);
-    });
+    for (const method of ["admit", "admitStrictly"] as const) {
+        it(`holds in a gateway's share at 6.6 times the usual load, and grants no larger sum there: ${method}`, () => {
+            const load = rankedLoad(shares, 6.6, 60, 20);
+            const play = (ranked: boolean): RankOutcome[] => {
+                const share = EqualShare.create(() => 1, 0);
+                return outcomes(
+                    load,
+                    ({ at, rank, cost }) => {
+                        const charge = { organisation: "a", allowance, cost, attempt: String(at) };
+                        return share[method](ranked ? { ...charge, rank } : charge, at);
+                    },
+                    0,
+                    60,
+                );
+            };
+            const unitsOf = (ranks: readonly RankOutcome[]): number => {
+                return ranks.reduce((sum, { unitsPerSecond }) => sum + unitsPerSecond, 0);
+            };
+            const [ranked, unranked] = [play(true), play(false)];
+            expect(unranked[0]!.refused).to.be.above(0.4);
+            expect(ranked[0]!.refused).to.be.below(1 / 20);
+            expect(ranked[2]!.refused).to.be.above(0.5);
+            expect(unitsOf(ranked)).to.be.at.most(unitsOf(unranked));
+        });
+    }
 });
