--- a/packages/basilpaddle/src/node/coordination/allowance/__tests__/priorityReserve.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/__tests__/priorityReserve.spec.ts
@@ -5,7 +5,7 @@
 import { EqualShare } from "../equalShare.js";
 import { PriorityReserve } from "../priorityReserve.js";
 import { TokenBucket } from "../tokenBucket.js";
-import { allowance, outcomes, rankedLoad, type RankedRequest } from "./rankedLoad.js";
+import { allowance, outcomes, rankedLoad, type RankedRequest, type RankOutcome } from "./rankedLoad.js";
 
 const { rate, burst } = allowance;
 const shares = [0.25, 0.35, 0.4];
@@ -93,14 +93,22 @@
     // Guards against a leader that learns the priorities only of requests for which it is asked.
     it("is learned from what gateways spent without asking, and shrinks with refunds", () => {
         const ledger = AllowanceLedger.create(1);
-        ledger.recordSpent("a", allowance, 600, 0, [{ rank: 0, units: 600 }]);
-        ledger.recordSpent("b", allowance, 600, 0);
+        ledger.recordSpent("a", allowance, 900, 0, [{ rank: 0, units: 900 }]);
+        ledger.recordSpent("b", allowance, 900, 0);
         expect(ledger.charge("a", allowance, 1, 0, 1)).to.deep.include({ granted: false, reserved: true });
         expect(ledger.charge("b", allowance, 1, 0, 1).granted).to.equal(true);
         ledger.recordSpent("a", allowance, -500, 0, [{ rank: 0, units: -500 }]);
         expect(ledger.charge("a", allowance, 1, 0, 1).granted).to.equal(true);
     });
 
+    // Guards against the sum of many small requests, as gateways report it, that counts as one large request.
+    it("leaves little for the highest priority after a report of 400 units by a gateway, which were many requests", () => {
+        const ledger = AllowanceLedger.create(1);
+        ledger.recordSpent("a", allowance, 400, 0, [{ rank: 0, units: 400 }]);
+        ledger.recordSpent("a", allowance, 400, 0, [{ rank: 1, units: 400 }]);
+        expect(ledger.charge("a", allowance, 1, 0, 1).granted).to.equal(true);
+    });
+
     // Guards against refused callers that all return at the same time, or before the level that they wait for.
     it("tells refused requests to return one after the other from the time at which their level is reached", () => {
         const ledger = AllowanceLedger.create(1);
@@ -159,10 +167,10 @@
         const bucket = TokenBucket.create(allowance, burst, 0);
         const reserve = PriorityReserve.create(0.1);
         for (let number = 0; number < 1_000; number++) {
-            reserve.record(number % 10, 1, bucket, number);
+            reserve.recordUnits(number % 10, 1, bucket, number);
         }
         expect(reserve.size).to.equal(10);
-        reserve.record(3, 1, bucket, 20_000);
+        reserve.recordUnits(3, 1, bucket, 20_000);
         expect(reserve.size).to.equal(1);
     });
 
@@ -213,21 +221,29 @@
     });
 
     // Guards against a share without a leader that higher and lower priorities overdraw together.
-    it("holds in a gateway's share, which the strict form never overdraws", () => {
-        const share = EqualShare.create(() => 1, 0);
-        const load = rankedLoad(shares, 6.6, 60, 20);
-        const [highest, middle, lowest] = outcomes(
-            load,
-            ({ at, rank, cost }) => {
-                const charge = { organisation: "a", allowance, cost, rank, attempt: String(at) };
-                return share.admitStrictly(charge, at);
-            },
-            0,
-            60,
-        );
-        expect(highest!.refused).to.be.below(1 / 20);
-        expect(lowest!.refused).to.be.above(0.5);
-        const sum = highest!.unitsPerSecond + middle!.unitsPerSecond + lowest!.unitsPerSecond;
-        expect(sum).to.be.at.most(1.05 * rate);
-    });
+    for (const method of ["admit", "admitStrictly"] as const) {
+        it(`holds in a gateway's share at 6.6 times the usual load, and grants no larger sum there: ${method}`, () => {
+            const load = rankedLoad(shares, 6.6, 60, 20);
+            const play = (ranked: boolean): RankOutcome[] => {
+                const share = EqualShare.create(() => 1, 0);
+                return outcomes(
+                    load,
+                    ({ at, rank, cost }) => {
+                        const charge = { organisation: "a", allowance, cost, attempt: String(at) };
+                        return share[method](ranked ? { ...charge, rank } : charge, at);
+                    },
+                    0,
+                    60,
+                );
+            };
+            const unitsOf = (ranks: readonly RankOutcome[]): number => {
+                return ranks.reduce((sum, { unitsPerSecond }) => sum + unitsPerSecond, 0);
+            };
+            const [ranked, unranked] = [play(true), play(false)];
+            expect(unranked[0]!.refused).to.be.above(0.4);
+            expect(ranked[0]!.refused).to.be.below(1 / 20);
+            expect(ranked[2]!.refused).to.be.above(0.5);
+            expect(unitsOf(ranked)).to.be.at.most(unitsOf(unranked));
+        });
+    }
 });
--- a/packages/basilpaddle/src/node/coordination/allowance/priorityReserve.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/priorityReserve.ts
@@ -35,25 +35,6 @@
     floorAt: number;
 };
 
-/** The largest of recent values, which decay. */
-class DecayingMaximum {
-    private value = 0;
-    private recordedAt = Number.NEGATIVE_INFINITY;
-
-    static create(): DecayingMaximum {
-        return new DecayingMaximum();
-    }
-
-    record(value: number, now: number): void {
-        this.value = Math.max(this.at(now), value);
-        this.recordedAt = now;
-    }
-
-    at(now: number): number {
-        return this.value * decayOf(now - this.recordedAt);
-    }
-}
-
 /**
  * Reserves the rest of one organisation's bucket for its higher priorities: a lower one may take only while the level is above
  * what those above it have recently asked for in the time in which the bucket refills that, and one request that may overdraw
@@ -62,10 +43,9 @@
 export class PriorityReserve {
     /** Demand by rank, in ascending order. */
     private demands: RankDemand[] = [];
-    /** Largest recent cost, also of what was reported of several requests together. */
-    private readonly largest = DecayingMaximum.create();
-    /** Largest recent cost of one request. */
-    private readonly largestRequest = DecayingMaximum.create();
+    /** Largest cost of a recent request, decayed, as of `largestAt`. */
+    private largestCost = 0;
+    private largestAt = Number.NEGATIVE_INFINITY;
 
     private constructor(private readonly floor: number) {}
 
@@ -90,24 +70,30 @@
         }
         const level = bucket.level(now);
         const reserve = this.reserve(rank, bucket, now);
-        const isCheap = cost < cheapFraction * this.largestRequest.at(now);
-        this.largestRequest.record(cost, now);
+        const isCheap = cost < cheapFraction * this.largest(now);
         const isReserved = !isCheap && level <= reserve * this.reservedFraction(rank, bucket, now) && reserve > 0;
         const outcome = isReserved ? "reserved" : take() ? "granted" : "empty";
-        this.record(rank, cost, bucket, now);
+        this.recordRequest(rank, cost, bucket, now);
         if (outcome === "granted") {
             this.chargeFloor(rank, cost, level > reserve, bucket, now);
         }
         return outcome;
     }
 
-    /** Learns from units that were spent without a decision of this reserve; a negative number is a refund. */
-    record(rank: number, units: number, bucket: TokenBucket, now: number): void {
+    /** Learns from a request on which something else has decided. */
+    recordRequest(rank: number, cost: number, bucket: TokenBucket, now: number): void {
+        this.recordUnits(rank, cost, bucket, now);
+        this.largestCost = Math.max(this.largest(now), Math.min(cost, bucket.burst));
+        this.largestAt = now;
+    }
+
+    /** Learns from the sum of several requests on which something else has decided; a negative number is a refund. */
+    recordUnits(rank: number, units: number, bucket: TokenBucket, now: number): void {
         this.forgetOld(now);
         const known = this.demands.find(demand => demand.rank === rank);
         if (units < 0) {
             if (known !== undefined) {
-                known.units = Math.max(0, known.units + units * decayOf(now - known.at));
+                known.units = Math.max(0, known.units + units);
             }
             return;
         }
@@ -115,7 +101,6 @@
         // More than the rate can't be used for long; without this bound a short excess would be reserved for much longer.
         demand.units = Math.min(bucket.rate * decaySeconds, unitsOf(demand, now) + units);
         demand.at = now;
-        this.largest.record(Math.min(units, bucket.burst), now);
     }
 
     /** Units that a request of this rank has to leave; 0 for the highest one that has sent requests. */
@@ -127,7 +112,7 @@
         const units = this.higherUnits(rank, bucket, now);
         const secondsToRefill = units / bucket.rate;
         const presence = Math.max(...higher.map(({ at }) => decayOf(now - at)));
-        const needed = units / decaySeconds * secondsToRefill + presence * this.largest.at(now);
+        const needed = units / decaySeconds * secondsToRefill + presence * this.largest(now);
         return Math.min(bucket.burst * maxReserveFraction, needed);
     }
 
@@ -176,6 +161,10 @@
         return Math.min(bucket.rate * decaySeconds, units);
     }
 
+    private largest(now: number): number {
+        return this.largestCost * decayOf(now - this.largestAt);
+    }
+
     /** The lower ranks share the floor equally. */
     private floorFraction(rank: number, now: number): number {
         return this.higher(rank, now).length === 0 ? 0 : this.floor / Math.max(1, this.demands.length - 1);
