feat(allowance): the floor of the settings also holds for allowances

Cause: the share that a lower priority keeps was a setting for engines and a constant for allowances. Change: directories and gateways pass shortage.floor to both.

--- a/packages/basilpaddle/src/node/daemon/directory/leaderServices.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/leaderServices.ts
@@ -44,7 +44,8 @@
             limitOf: server => this.serverLimits.limitOf(server),
             onServerCalls: calls => this.outlierDetector.addCalls(calls, clock.monotonic()),
         }, term);
-        this.allowances = AllowanceService.create({ ...options, firstLeader, onLimitsChanged: onChanged });
+        const { floor } = settings.shortage;
+        this.allowances = AllowanceService.create({ ...options, floor, firstLeader, onLimitsChanged: onChanged });
         this.stageOrders = StageOrders.create({
             ...options,
             typicalRequest: service => this.placement.typicalRequest(service),
--- a/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
@@ -8,7 +8,14 @@
 } from "../../coordination/index.js";
 import { type ServerAnnouncement, serverName, type ServiceRule } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
-import { type AnswerLimits, type BackendAnswer, discard, drain, isAnswer, sendPreventedCode } from "../backends/index.js";
+import {
+    type AnswerLimits,
+    type BackendAnswer,
+    discard,
+    drain,
+    isAnswer,
+    sendPreventedCode,
+} from "../backends/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 import type { AnswerMetadata, GatewayWire, RunMetadata } from "./gatewayWire.js";
 import type { LoopMonitor } from "./loopMonitor.js";
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -154,6 +154,7 @@
         });
         this.store.add(() => this.placementClient.close());
         const allowances = ReportedAllowances.create({
+            floor: settings.shortage.floor,
             leader: this.placementClient.allowanceLeader(),
             gateways: () => this.watcher.highestRecentGateways(),
             clock,
