test(placement): the leader chooses the order of a queue by the configuration

Cause: no test covered the choice from the traffic configuration to the queue of a service. Change: a service with routes of two priorities and one without are given the same two requests. Result: the first places by priority, the second by target.

--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/placementService.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/placementService.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { ManualClock } from "../../../../../../../simulation/manualClock.js";
-import { engines, poolTraffic, typicalPlacementRequest } from "../../../coordination/gateway/__tests__/fakes.js";
+import { engines, poolTraffic, route, typicalPlacementRequest } from "../../../coordination/gateway/__tests__/fakes.js";
 import { InstanceTable } from "../../../coordination/index.js";
 import type { ServerAnnouncement } from "../../../protocol/index.js";
 import { createSilentLogger } from "../../../utils/index.js";
@@ -16,10 +16,10 @@
     }
 }
 
-function createPlacementService(instances: InstanceTable): PlacementService {
+function createPlacementService(instances: InstanceTable, traffic = poolTraffic): PlacementService {
     return PlacementService.create({
         instances,
-        traffic: () => poolTraffic,
+        traffic: () => traffic,
         onServerCalls: () => undefined,
         onIncarnationEnded: () => undefined,
         clock: new ManualClock(),
@@ -69,4 +69,32 @@
         expect(instances.reads).to.equal(1);
         service.close();
     });
+
+    // Guards against a leader that orders a queue by target although the configuration has several priorities, or the reverse.
+    it("orders the queue of a service by priority if its routes have several", async () => {
+        const routes = [0, 1].map(priority => {
+            return route({ name: `r-${priority}`, priority, targets: [{ service: "pool", weight: 1 }] });
+        });
+        for (const [traffic, first] of [[{ ...poolTraffic, routes }, "high"], [poolTraffic, "low"]] as const) {
+            const instances = new CountedInstances();
+            engines(1, 1).forEach(engine => instances.apply(engine));
+            const service = createPlacementService(instances, traffic);
+            for (let number = 0; number < 9; number++) {
+                await decodeEngine(service, `held-${number}`);
+            }
+            const placedAttempts: string[] = [];
+            for (const [attempt, priority, targetWithin] of [["low", 1, 3_000], ["high", 0, 8_000]] as const) {
+                const demand = typicalPlacementRequest(attempt, { priority, targetWithin, patienceWithin: 9_000 });
+                void service.handle({ kind: "place", demand }).then(reply => {
+                    if (reply?.kind === "decided" && reply.decision.kind === "placed") {
+                        placedAttempts.push(attempt);
+                    }
+                });
+            }
+            await service.handle({ kind: "release", attempt: "held-0", end: {} });
+            await new Promise(resolve => setImmediate(resolve));
+            expect(placedAttempts).to.deep.equal([first]);
+            service.close();
+        }
+    });
 });
