--- a/simulation/places/daySimulation.ts
+++ b/simulation/places/daySimulation.ts
@@ -12,7 +12,8 @@
 import { hashToFraction } from "../../packages/basilpaddle/src/node/utils/index.js";
 import type { Day } from "./day.js";
 import { Fleet } from "./fleet.js";
-import { outcomeOf, type PoolOutcome } from "./outcome.js";
+import { type CallResult, outcomeOf, type PoolOutcome } from "./outcome.js";
+import type { PriorityMix } from "./priorityMix.js";
 import { type EmulatedRequest, generateRequests } from "./workload.js";
 
 const tickMilliseconds = 5;
@@ -60,7 +61,12 @@
     private rejectedRunCount = 0;
     private wastedTokens = 0;
 
-    private constructor(private readonly day: Day, seed: number, tuning: Partial<PlacementTuning>) {
+    private constructor(
+        private readonly day: Day,
+        seed: number,
+        tuning: Partial<PlacementTuning>,
+        private readonly mix: PriorityMix | undefined,
+    ) {
         const { pool, workload } = day;
         const { gateways } = pool;
         const defaultTuning = gateways === undefined
@@ -70,6 +76,9 @@
             { length: gateways ?? 1 },
             () => PlacementQueue.create({ ...defaultTuning, ...tuning }),
         );
+        if (mix !== undefined) {
+            this.placementQueues.forEach(queue => queue.setPrioritised(mix.isPrioritised, mix.floor));
+        }
         const { cacheTokens, slots, handleLife } = pool.figures;
         this.fleet = Fleet.create(day, seed, {
             at: (time, act) => this.schedule(time, act),
@@ -85,9 +94,9 @@
         );
     }
 
-    /** Creates the simulation and schedules all requests and engine faults. */
-    static create(day: Day, seed: number, tuning: Partial<PlacementTuning> = {}): DaySimulation {
-        return new DaySimulation(day, seed, tuning);
+    /** Creates the simulation and schedules all requests and engine faults. `mix`: priorities of the requests. @default one */
+    static create(day: Day, seed: number, tuning: Partial<PlacementTuning> = {}, mix?: PriorityMix): DaySimulation {
+        return new DaySimulation(day, seed, tuning, mix);
     }
 
     /** Simulates the whole day and the deadline of its last request after it. */
@@ -120,6 +129,11 @@
         };
     }
 
+    /** Results of all requests so far. */
+    results(): readonly CallResult[] {
+        return [...this.calls.values()];
+    }
+
     /** Outcome of all requests so far. */
     outcome(): PoolOutcome {
         const waste = {
@@ -155,7 +169,8 @@
     }
 
     private placementRequest({ request, retries, avoid }: Call, now: number): PlacementRequest {
-        const { target } = this.day.workload;
+        const kind = this.mix?.kindOf(request);
+        const target = kind?.target ?? this.day.workload.target;
         return {
             attempt: `${request.name}#${retries}`,
             gateway: "gateway",
@@ -169,6 +184,13 @@
             patienceWithin: Math.min(request.at + deadlineMilliseconds - now, firstEventTimeoutFactor * target),
             avoid: [...avoid],
             resumed: false,
+            ...kind === undefined
+                ? {}
+                : {
+                    priority: kind.priority,
+                    organisation: kind.organisation,
+                    deadlineWithin: request.at + deadlineMilliseconds - now,
+                },
         };
     }
 
