fix(gateway): the waits of a send are bounded on a loop that is always slow

A send waited for up to six turns again whenever the loop had lagged for 100 ms before its first byte. Where every turn is that slow, it could begin again without end until its time was over. It now begins again only if the last wait is 250 ms ago, and twice at most; a wait is four turns at most. The bound of half a second holds as before: 250 ms for the last turn and 250 ms until the first byte. The new test, a request on a loop with turns of 300 ms, also passes on the code before, which wrote at once there; it guards against such a loop without end.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/backendSender.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/backendSender.spec.ts
@@ -107,4 +107,17 @@
         expect(await send(createRequest({ timeout: 1_000 }, 1_000))).to.include({ kind: "notRun", unreachable: true });
         expect(calls).to.have.length(0);
     });
+
+    // Guards against a gateway that never sends anything while it is overloaded: each send waited for a short turn.
+    it("sends a request although each turn of the event loop is slow", async function() {
+        this.timeout(20_000);
+        // Leaves an idle connection, which is examined for a turn before it is used again.
+        await send(createRequest({}));
+        const slowing = setInterval(() => blockEventLoop(300), 1);
+        await new Promise(resolve => setTimeout(resolve, 1));
+        const sent = await send(createRequest({}));
+        clearInterval(slowing);
+        expect(sent.kind).to.equal("answer");
+        expect(calls.length).to.be.at.most(4);
+    });
 });
--- a/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
@@ -19,6 +19,8 @@
 
 const misdirectedStatus = 421;
 const minFailureStatus = 400;
+/** How often a send begins again because the event loop lagged before its first byte: a gateway that is always slow still sends. */
+const maxPreventedSends = 2;
 
 /** Options shared by all exchanges. */
 export type ExchangeOptions = {
@@ -88,12 +90,14 @@
             return { kind: "notRun", cause: "the backend server leaves", unreachable: true, lostOnPath: false };
         }
         let result: RoutedResult;
+        let sends = 0;
         do {
             const obstacle = loop.isLagging() ? await this.obstacle(request, signal) : undefined;
             if (obstacle !== undefined) {
                 return { kind: "notRun", cause: obstacle, unreachable: true, lostOnPath: true };
             }
-            result = await this.call(request, server, service, metadata, signal);
+            sends += 1;
+            result = await this.call(request, server, service, metadata, signal, sends <= maxPreventedSends);
         } while (wasPrevented(result));
         const sent = isAnswer(result) ? this.classify(request, server, result) : failureResult(result);
         if (sent.kind !== "notRun" && metadata.prefillOnly !== true) {
@@ -126,6 +130,7 @@
         service: ServiceRule,
         metadata: SendMetadata,
         signal: AbortSignal,
+        mayBePrevented: boolean,
     ): Promise<RoutedResult> {
         const { wire, paths, gateways, loop, clock } = this.options;
         const readyAt = clock.monotonic();
@@ -149,7 +154,7 @@
                 headers: [...request.headers(replacedNames), ...Object.entries(runHeaders).flat()],
                 body: request.body,
                 signal,
-                maySend: () => !loop.hasLaggedSince(readyAt),
+                maySend: mayBePrevented ? () => !loop.hasLaggedSince(readyAt) : undefined,
             },
             service.connectionLimit,
             gateways(),
--- a/packages/basilpaddle/src/node/daemon/gateway/loopMonitor.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/loopMonitor.ts
@@ -1,7 +1,7 @@
 import type { Socket } from "node:net";
 import { createHistogram } from "node:perf_hooks";
 import type { Clock, Metrics } from "../../utils/index.js";
-import { lagThresholdMilliseconds, LoopLag, tickMilliseconds } from "./loopLag.js";
+import { LoopLag, tickMilliseconds } from "./loopLag.js";
 
 /**
  * Turns of the event loop after which the end of a connection is known that the operating system held before them: the first one reads
@@ -9,9 +9,12 @@
  */
 const minTurns = 2;
 /** Limit of the turns that a send waits for, so that a gateway which is always slow still sends. */
-const maxTurns = 6;
-/** A turn shorter than this bounds how long the end of a connection that was read too late can have been held. */
-const shortTurnMilliseconds = 250;
+const maxTurns = 4;
+/**
+ * An end of a connection that isn't read is no older than the last turn, and the time until the first byte is written. Each of the two is
+ * kept below this, so that nothing is sent later than half a second after the end.
+ */
+const maxUnprocessedMilliseconds = 250;
 const microsecondsPerMillisecond = 1_000;
 const reportedPercentiles = [50, 99];
 
@@ -59,7 +62,7 @@
     /** Whether the event loop has lagged since a moment for so long that ends of connections may be unprocessed. */
     hasLaggedSince(moment: number): boolean {
         const now = this.clock.monotonic();
-        return now - moment > lagThresholdMilliseconds && this.lag.isLagging(now);
+        return now - moment > maxUnprocessedMilliseconds && this.lag.isLagging(now);
     }
 
     /**
@@ -70,7 +73,7 @@
         for (let turn = 1; turn <= maxTurns && !isOver(); turn++) {
             const startedAt = this.clock.monotonic();
             await new Promise<void>(resolve => setImmediate(resolve));
-            if (turn >= minTurns && this.clock.monotonic() - startedAt < shortTurnMilliseconds) {
+            if (turn >= minTurns && this.clock.monotonic() - startedAt < maxUnprocessedMilliseconds) {
                 return;
             }
         }
