--- a/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
@@ -26,6 +26,8 @@
 
 const misdirectedStatus = 421;
 const minFailureStatus = 400;
+/** How often a send begins again because the event loop lagged before its first byte: a gateway that is always slow still sends. */
+const maxPreventedSends = 2;
 
 /** Options shared by all exchanges. */
 export type ExchangeOptions = {
@@ -94,6 +96,7 @@
     ): Promise<SendResult> {
         const { instances, metrics, loop } = this.options;
         let result: RoutedResult;
+        let sends = 0;
         do {
             const obstacle = loop.isLagging() ? await this.obstacle(request, signal) : undefined;
             if (obstacle !== undefined) {
@@ -104,7 +107,8 @@
                 metrics.count("basilpaddle_sends_to_leaving_servers_prevented_total", { service: service.name });
                 return { kind: "notRun", cause: "the backend server leaves", unreachable: true, lostOnPath: false };
             }
-            result = await this.call(request, server, service, metadata, signal);
+            sends += 1;
+            result = await this.call(request, server, service, metadata, signal, sends <= maxPreventedSends);
         } while (wasPrevented(result));
         const sent = isAnswer(result) ? this.classify(request, server, result) : failureResult(result);
         if (sent.kind !== "notRun" && metadata.prefillOnly !== true) {
@@ -137,6 +141,7 @@
         service: ServiceRule,
         metadata: SendMetadata,
         signal: AbortSignal,
+        mayBePrevented: boolean,
     ): Promise<RoutedResult> {
         const { wire, paths, gateways, loop, clock } = this.options;
         const readyAt = clock.monotonic();
@@ -161,7 +166,7 @@
                 headers: [...request.headers(replacedNames), ...Object.entries(runHeaders).flat()],
                 body: request.body,
                 signal,
-                maySend: () => !loop.hasLaggedSince(readyAt),
+                maySend: mayBePrevented ? () => !loop.hasLaggedSince(readyAt) : undefined,
             },
             service.connectionLimit,
             gateways(),
