fix(gateway): forward whole events before the one that exceeds a bound

Cause: the splitter threw before it returned the events that the same chunk had completed, so that a stream broke off without events that had arrived whole. Change: EventSplitter.push yields each event as it is found.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/eventSplitter.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/eventSplitter.spec.ts
@@ -16,7 +16,9 @@
     const events: string[] = [];
     for (let offset = 0; offset < bytes.length; offset += size) {
         try {
-            splitter.push(bytes.subarray(offset, offset + size)).forEach(event => events.push(event.bytes.toString()));
+            for (const event of splitter.push(bytes.subarray(offset, offset + size))) {
+                events.push(event.bytes.toString());
+            }
         }
         catch (error) {
             if (!(error instanceof EventBoundExceeded)) {
@@ -36,13 +38,7 @@
     it("finds the same events and the same bound, whatever the chunks", () => {
         fc.assert(
             fc.property(stream, fc.integer({ min: 1, max: 40 }), (bytes, size) => {
-                const single = split(bytes, 1);
-                const chunked = split(bytes, size);
-                expect(chunked.bound).to.equal(single.bound);
-                expect(single.events.slice(0, chunked.events.length)).to.deep.equal(chunked.events);
-                if (single.bound === undefined) {
-                    expect(chunked).to.deep.equal(single);
-                }
+                expect(split(bytes, size)).to.deep.equal(split(bytes, 1));
             }),
             { seed: 4_711, numRuns: 300 },
         );
@@ -60,9 +56,9 @@
         const chunk = Buffer.from("data: 0123456789");
         const startedAt = performance.now();
         for (let sent = 0; sent + chunk.length < 1_048_576; sent += chunk.length) {
-            splitter.push(chunk);
+            splitter.push(chunk).next();
         }
-        expect(splitter.push(Buffer.from("\n\n"))).to.have.length(1);
+        expect([...splitter.push(Buffer.from("\n\n"))]).to.have.length(1);
         expect(performance.now() - startedAt).to.be.below(1_000);
     });
 });
--- a/packages/basilpaddle/src/node/daemon/gateway/eventSplitter.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/eventSplitter.ts
@@ -42,18 +42,19 @@
         return new EventSplitter(bounds);
     }
 
-    /** Adds the next bytes and returns the events that they complete. Throws an `EventBoundExceeded`. */
-    push(chunk: Buffer): CompleteEvent[] {
-        const events: CompleteEvent[] = [];
+    /**
+     * Adds the next bytes and yields the events that they complete; iterate to the end. Throws an `EventBoundExceeded` after the
+     * events before what exceeds the bound.
+     */
+    *push(chunk: Buffer): Generator<CompleteEvent, void> {
         let start = 0;
         for (let end = this.eventEnd(chunk, start); end > start; end = this.eventEnd(chunk, start)) {
-            events.push(this.complete(chunk.subarray(start, end)));
+            yield this.complete(chunk.subarray(start, end));
             start = end;
         }
         if (start < chunk.length) {
             this.hold(chunk.subarray(start));
         }
-        return events;
     }
 
     /** Number of buffered bytes of an incomplete event. */
