feat(cost): learn the speed of each engine from the writing of its runs

Only the prefill time per prompt token was learned; a decode engine at a third of its speed looked like any other one. Gateways now report the events of each run and the time that they took, once a second with their placements and at the release. The leader keeps the latest reports of each incarnation and compares engines by the median time per event, converted to the same number of runs. Invalid values are dropped and don't discard the release that carries them. The prefill time per token moves to the same class, unchanged. Placement doesn't use the speeds yet.

--- /dev/null
+++ b/packages/basilpaddle/src/node/coordination/cost/index.ts
@@ -0,0 +1,3 @@
+export * from "./engineSpeed.js";
+export * from "./poolSpeeds.js";
+export * from "./writingMeter.js";
--- a/packages/basilpaddle/src/node/coordination/gateway/engineLoad.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/engineLoad.ts
@@ -1,17 +1,12 @@
 import { type PlacementRequest, type ServerAnnouncement, softwareVersionOf } from "../../protocol/index.js";
+import { EngineSpeed } from "../cost/index.js";
 
 const millisecondsInSecond = 1_000;
 
-/** Prefill time per prompt token assumed until an engine has completed prefills. */
-export const defaultPrefillMillisecondsPerToken = 0.035;
 /** Factor by which a prefill takes longer on a decode engine, which interleaves it with decoding. */
 const decodePrefillFactor = 2.2;
 /** Duration of a prefill in addition to the time for its tokens. */
 const prefillOverheadMilliseconds = 10;
-/** Weight of one prefill in the moving average of the time per token. */
-const tokenTimeWeight = 0.1;
-/** A prefill that takes longer than expected by this factor was delayed by something else; it isn't averaged. */
-const outlierFactor = 4;
 /** Score penalty of a full engine over an empty one: larger batches take longer for each token. */
 const loadPenaltyMilliseconds = 60;
 /** Score penalty of an engine pair in two failure domains: transfers between domains take twice as long and cost more. */
@@ -52,11 +47,11 @@
 export class EngineLoad {
     /** Allocated tokens of KV cache. */
     allocatedTokens = 0;
+    readonly speed = EngineSpeed.create();
     private readonly allocations = new Map<string, number>();
     private readonly prefills = new Map<string, PendingPrefill>();
     private prefillTokens = 0;
     private prefillingSince = 0;
-    private millisecondsPerToken = defaultPrefillMillisecondsPerToken;
     private consecutiveFailures = 0;
     private pausedUntil = 0;
     private delayFactor = minDelayFactor;
@@ -74,6 +69,11 @@
         return this.announced.id;
     }
 
+    /** Number of runs for which KV cache is allocated. */
+    get runs(): number {
+        return this.allocations.size;
+    }
+
     /** Version of its software; empty if it reports none. */
     get version(): string {
         return softwareVersionOf(this.announced);
@@ -159,9 +159,7 @@
             && prefill.tokens > 0
         ) {
             const observed = Math.max(0, now - prefill.addedAt - prefillOverheadMilliseconds) / prefill.tokens;
-            if (observed < outlierFactor * this.millisecondsPerToken) {
-                this.millisecondsPerToken += tokenTimeWeight * (observed - this.millisecondsPerToken);
-            }
+            this.speed.recordPrefill(observed);
         }
         if (prefill !== undefined) {
             this.updateDelayFactor(prefill.expectedMilliseconds, now - prefill.addedAt, now);
@@ -182,7 +180,7 @@
 
     /** Expected milliseconds until the pending prefills are complete. */
     queueDelay(now: number): number {
-        const totalWork = this.prefillTokens * this.millisecondsPerToken
+        const totalWork = this.prefillTokens * this.speed.prefillMillisecondsPerToken
             + this.prefills.size * prefillOverheadMilliseconds;
         return Math.max(0, this.prefillingSince + totalWork - now, this.prefills.size > 0 ? totalWork / 2 : 0);
     }
@@ -194,7 +192,7 @@
 
     /** Expected milliseconds of a prefill, without the time in the queue. */
     prefillTime(tokens: number): number {
-        return tokens * this.millisecondsPerToken + prefillOverheadMilliseconds;
+        return tokens * this.speed.prefillMillisecondsPerToken + prefillOverheadMilliseconds;
     }
 
     /** Expected milliseconds until a decode engine completes a prefill itself: at about half the speed, after its pending ones. */
--- a/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
@@ -1,6 +1,7 @@
-import type { EngineRule, PlacementRequest, ServerAnnouncement } from "../../protocol/index.js";
+import type { EngineRule, PlacementRequest, RunWriting, ServerAnnouncement } from "../../protocol/index.js";
 import { hashToFraction } from "../../utils/index.js";
-import { defaultPrefillMillisecondsPerToken, type EngineCapacity, EngineLoad } from "./engineLoad.js";
+import { defaultPrefillMillisecondsPerToken, PoolSpeeds } from "../cost/index.js";
+import { type EngineCapacity, EngineLoad } from "./engineLoad.js";
 import { stallRateOf } from "./linkQuality.js";
 
 /** Tokens of one block of KV cache: engines allocate whole blocks. */
@@ -75,6 +76,7 @@
 /** Tracks the load of one pool's engines and selects engines for requests. */
 export class EnginePool {
     private readonly engines = new Map<string, EngineLoad>();
+    private readonly speeds = PoolSpeeds.create();
     private rule: EngineRule | undefined;
     private share: number;
 
@@ -102,6 +104,7 @@
                 this.engines.delete(id);
             }
         }
+        this.speeds.retain(announcedIds);
         for (const engine of announced) {
             const known = this.engines.get(engine.id);
             if (known === undefined) {
@@ -184,6 +187,14 @@
         this.engines.get(pair.prefill ?? pair.decode)?.addPrefill(request.attempt, request.promptTokens, now);
     }
 
+    /** Records the writing of a run that is still allocated. Unknown engines and invalid values are ignored. */
+    recordWriting(id: string | undefined, writing: RunWriting | undefined, now: number): void {
+        const engine = this.engines.get(id ?? "");
+        if (engine !== undefined && writing !== undefined) {
+            this.speeds.recordWriting(engine.id, engine.speed, writing, engine.runs, now);
+        }
+    }
+
     /** Records that a request is about to be sent to its engines, for those that name a limit. */
     recordSends({ prefill, decode }: EnginePair, now: number): void {
         for (const id of prefill === undefined ? [decode] : [prefill, decode]) {
--- a/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
@@ -149,13 +149,13 @@
 
     /** Releases the placement of a run that has ended, and records its outcome. */
     release(attempt: string, end: PlacementOutcome, now: number): PlacementDecision[] {
+        this.pool.recordWriting(this.placements.get(attempt)?.decode, end.writing, now);
         const placement = this.removePlacement(attempt, now);
         if (end.failed !== undefined) {
             this.pool.engine(end.failed)?.recordFailure(now);
         }
         else if (end.turnedAwayBy !== undefined) {
-            const faultyEngine = this.rejections.recordRejection(end.readBy, end.turnedAwayBy, now);
-            this.pool.engine(faultyEngine)?.recordRejection(now);
+            this.pool.engine(this.rejections.recordRejection(end.readBy, end.turnedAwayBy, now))?.recordRejection(now);
         }
         else if (placement !== undefined) {
             this.forecast.recordRun({
@@ -168,6 +168,11 @@
         return this.dispatch(now);
     }
 
+    /** Records the writing of a run at an engine, by which the engine's speed is learned. */
+    recordWriting(engine: string, writing: PlacementOutcome["writing"], now: number): void {
+        this.pool.recordWriting(engine, writing, now);
+    }
+
     /**
      * Compares the placements with those that a gateway reports. Adds the reported ones that this instance doesn't know, such
      * as those of a previous leader, and releases unreported ones older than `grace` milliseconds.
@@ -380,9 +385,8 @@
     }
 
     private allocate(placement: Placement, now: number): void {
-        const { request } = placement;
-        this.placements.set(request.attempt, placement);
-        this.pool.allocate(placement, request, now);
+        this.placements.set(placement.request.attempt, placement);
+        this.pool.allocate(placement, placement.request, now);
     }
 
     private removePlacement(attempt: string, now: number): Placement | undefined {
--- a/packages/basilpaddle/src/node/coordination/index.ts
+++ b/packages/basilpaddle/src/node/coordination/index.ts
@@ -1,6 +1,7 @@
 export * from "./agreement/index.js";
 export * from "./allowance/index.js";
 export * from "./controlClient.js";
+export * from "./cost/index.js";
 export * from "./engine/index.js";
 export * from "./gateway/index.js";
 export * from "./limits/index.js";
--- a/packages/basilpaddle/src/node/daemon/directory/placementService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/placementService.ts
@@ -208,6 +208,7 @@
         for (const [service, pool] of this.pools) {
             const reported = message.held.filter(({ demand }) => demand.service === service);
             reported.forEach(({ demand }) => this.serviceOfAttempt.set(demand.attempt, service));
+            reported.forEach(({ decode, writing }) => pool.recordWriting(decode, writing, now));
             this.deliverDecisions(pool.reconcile(message.gateway, reported, placementsGraceMilliseconds, now));
         }
     }
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/placementClient.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/placementClient.spec.ts
@@ -89,6 +89,28 @@
         await until(() => directories.all[0]!.placementMessages.some(placing => placing.kind === "holdings"));
     });
 
+    it("reports the writing of a run while it lasts and with its release, each part once", async () => {
+        await placements.requestPlacement(typicalPlacementRequest("one"), neverAborted);
+        const reports = [{ events: 20, milliseconds: 900 }, undefined, { events: 5, milliseconds: 210 }];
+        placements.observeWriting("one", () => reports.shift());
+        const messages = directories.all[0]!.placementMessages;
+        await until(() => messages.filter(message => message.kind === "holdings").length >= 2);
+        placements.release("one", {});
+        await until(() => messages.some(message => message.kind === "release"));
+        const writings = messages.flatMap(message => {
+            return message.kind === "holdings"
+                ? message.held.map(({ writing }) => writing)
+                : message.kind === "release"
+                ? [message.end.writing]
+                : [];
+        });
+        expect(writings.slice(0, 3)).to.deep.equal([
+            { events: 20, milliseconds: 900 },
+            undefined,
+            { events: 5, milliseconds: 210 },
+        ]);
+    });
+
     it("borrows retries only from a leader that answers", async () => {
         expect(await placements.borrowRetry("pool")).to.equal(true);
         directories.all[0]!.frozen = true;
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamExchange.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamExchange.spec.ts
@@ -57,6 +57,7 @@
                 Promise.resolve({ kind: "placed", attempt: "a", prefill: "prefill", decode: "decode", by: "leader" }),
             release: () => undefined,
             prefillCompleted: () => undefined,
+            observeWriting: () => undefined,
         } as unknown as PlacementClient;
         const versions = { begin: () => undefined } as unknown as StreamVersions;
         const gateway = { name: "g", failureDomain: "a" };
--- a/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
@@ -1,5 +1,5 @@
-import { StallDetector } from "../../coordination/index.js";
-import type { ServerAnnouncement, ServiceRule } from "../../protocol/index.js";
+import { StallDetector, WritingMeter } from "../../coordination/index.js";
+import type { RunWriting, ServerAnnouncement, ServiceRule } from "../../protocol/index.js";
 import { type BackendAnswer, discard, readWholeBody } from "../backends/index.js";
 import type { BackendSender, ExchangeOptions } from "./backendSender.js";
 import type { CallerRequest } from "./callerRequest.js";
@@ -32,6 +32,7 @@
 export class EngineRun {
     private writingSince: number | undefined;
     private hadBegun = false;
+    private readonly meter = WritingMeter.create();
 
     private constructor(
         private readonly options: EngineRunOptions,
@@ -50,6 +51,11 @@
         return this.hadBegun;
     }
 
+    /** Its writing since the previous report; undefined if there was none. */
+    takeReport(): RunWriting | undefined {
+        return this.meter.takeReport();
+    }
+
     /** Sends the run and forwards its events. `prompt`: the KV cache to fetch; undefined if the engine runs the prefill. */
     async execute(prompt: PrefilledPrompt | undefined): Promise<RunEnd> {
         const { exchange, sender, request, service, relay, binding } = this.options;
@@ -108,9 +114,10 @@
             return { kind: "lost", cause: "directories may take the stream for one of another version" };
         }
         const stallDetector = StallDetector.create();
-        const onBytes = (): void => {
+        const onBytes = (events: number): void => {
             links.countEvent(this.engine, stallDetector.recordEvent(clock.monotonic()), clock.monotonic());
             this.recordWriting(clock.monotonic());
+            this.meter.recordEvents(events, clock.monotonic());
         };
         const end = await relay.forward(answer, this.mayResume ? idleLimitMilliseconds : undefined, signal, onBytes);
         if (stallDetector.longest() > (request.route.gap ?? Number.POSITIVE_INFINITY)) {
--- a/packages/basilpaddle/src/node/daemon/gateway/placementClient.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementClient.ts
@@ -11,6 +11,7 @@
     type PlacementDecision,
     type PlacementOutcome,
     type PlacementRequest,
+    type RunWriting,
     type ServerCalls,
 } from "../../protocol/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
@@ -43,7 +44,8 @@
 /** A granted or refused placement; undefined if the caller disconnected in the meantime. */
 export type PlacementResult = PlacementGrant | Extract<PlacementDecision, { kind: "refused"; }> | undefined;
 
-type ActiveGrant = { readonly demand: PlacementRequest; readonly decode: string; };
+type GrantReport = { readonly demand: PlacementRequest; readonly decode: string; readonly writing?: RunWriting; };
+type ActiveGrant = GrantReport & { readonly takeReport: () => RunWriting | undefined; };
 type DecisionCallback = (decision: PlacementDecision) => void;
 
 /** Dependencies of the placement client. */
@@ -138,8 +140,18 @@
         this.localPools.forEach(pool => pool.prefillCompleted(attempt, this.options.clock.monotonic()));
     }
 
-    /** Releases a placement. */
-    release(attempt: string, end: PlacementOutcome): void {
+    /** Sets the function that returns the writing of an attempt's run since its previous report. */
+    observeWriting(attempt: string, takeReport: () => RunWriting | undefined): void {
+        const grant = this.activeGrants.get(attempt);
+        if (grant !== undefined) {
+            this.activeGrants.set(attempt, { ...grant, takeReport });
+        }
+    }
+
+    /** Releases a placement, and reports the writing of its run. */
+    release(attempt: string, outcome: PlacementOutcome): void {
+        const writing = this.activeGrants.get(attempt)?.takeReport();
+        const end = writing === undefined ? outcome : { ...outcome, writing };
         this.activeGrants.delete(attempt);
         this.leader.send({ kind: "release", attempt, end });
         const now = this.options.clock.monotonic();
@@ -191,7 +203,11 @@
         if (decision.kind === "refused") {
             return decision;
         }
-        this.activeGrants.set(request.attempt, { demand: request, decode: decision.decode });
+        this.activeGrants.set(request.attempt, {
+            demand: request,
+            decode: decision.decode,
+            takeReport: () => undefined,
+        });
         return { ...decision, by };
     }
 
@@ -272,7 +288,15 @@
 
     private reportGrants(): void {
         if (this.activeGrants.size > 0 || this.hasReportedGrants) {
-            this.leader.send({ kind: "holdings", gateway: this.options.name, held: [...this.activeGrants.values()] });
+            const held = [...this.activeGrants.values()].map(({ takeReport, ...grant }): GrantReport => {
+                const writing = takeReport();
+                return writing === undefined ? grant : { ...grant, writing };
+            });
+            this.leader.send({ kind: "holdings", gateway: this.options.name, held });
+            const now = this.options.clock.monotonic();
+            held.forEach(({ demand, decode, writing }) => {
+                this.localPools.get(demand.service)?.recordWriting(decode, writing, now);
+            });
         }
         this.hasReportedGrants = this.activeGrants.size > 0;
     }
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -242,6 +242,7 @@
         const startedAt = this.now();
         const eventsBefore = this.relay.events();
         const run = EngineRun.create(this.runOptions, decode, this.canResume());
+        this.placementClient.observeWriting(this.request.attempt, () => run.takeReport());
         const end = await run.execute(this.prompt);
         if (end.kind !== "turnedAway") {
             this.prompt = undefined;
--- a/packages/basilpaddle/src/node/daemon/gateway/streamRelay.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamRelay.ts
@@ -32,13 +32,14 @@
 
     /**
      * Forwards a run's events as they arrive. `idleTimeoutMilliseconds`: time without a byte after which the run is aborted;
-     * undefined if the run can't be resumed elsewhere. `onBytes`: called for each chunk that is received.
+     * undefined if the run can't be resumed elsewhere. `onBytes`: called for each chunk that is received, with the
+     * number of events that it completes.
      */
     async forward(
         answer: BackendAnswer,
         idleTimeoutMilliseconds: number | undefined,
         signal: AbortSignal,
-        onBytes: () => void,
+        onBytes: (events: number) => void,
     ): Promise<RelayEnd> {
         const { request } = this;
         if (!request.hasAnswerBegun()) {
@@ -49,8 +50,9 @@
         try {
             for await (const chunk of answer.body as AsyncIterable<Buffer>) {
                 idleTimeout.recordBytes();
-                onBytes();
-                for (const event of splitter.push(chunk)) {
+                const events = splitter.push(chunk);
+                onBytes(events.length);
+                for (const event of events) {
                     await this.forwardEvent(event);
                 }
                 if (request.isDisconnected()) {
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -171,6 +171,12 @@
     }),
 ]);
 
+/**
+ * Writing of a run since its gateway's previous report: the events, and the milliseconds in which they arrived. The receiver
+ * checks the values: a message with invalid ones still releases its placement.
+ */
+export const runWritingSchema = z.object({ events: z.number(), milliseconds: z.number() });
+
 /** Outcome of a placed run, as far as engines caused it. */
 export const placementOutcomeSchema = z.object({
     /** Engine on which the run failed, if any. */
@@ -179,8 +185,12 @@
     turnedAwayBy: identifier.optional(),
     /** Engine that had completed the prefill of a rejected run. */
     readBy: identifier.optional(),
+    /** Its writing at the decode engine. @default unknown */
+    writing: runWritingSchema.optional().catch(undefined),
 });
 
+/** Writing of a run since its gateway's previous report. */
+export type RunWriting = z.infer<typeof runWritingSchema>;
 /** Outcome of a placed run, as far as engines caused it. */
 export type PlacementOutcome = z.infer<typeof placementOutcomeSchema>;
 
@@ -210,7 +220,12 @@
     z.object({
         kind: z.literal("holdings"),
         gateway: identifier,
-        held: z.array(z.object({ demand: placementRequestSchema, decode: identifier })),
+        held: z.array(z.object({
+            demand: placementRequestSchema,
+            decode: identifier,
+            /** Its writing since the previous report. @default unknown */
+            writing: runWritingSchema.optional().catch(undefined),
+        })),
     }),
 ]);
 
