--- a/simulation/places/day.ts
+++ b/simulation/places/day.ts
@@ -36,6 +36,8 @@
     figures: engineFiguresSchema,
     /** Slowdown factor of every third engine, as the hosts of one pool differ. */
     slowThird: z.number().min(1),
+    /** Speeds of the engines, by turns; they multiply those of `slowThird`. @default all 1 */
+    speeds: z.array(z.number().positive()).min(1).optional(),
     /** Gateways that decide locally, each within its share of every engine. @default a leader decides for all */
     gateways: z.int().positive().optional(),
 });
--- a/simulation/places/daySimulation.ts
+++ b/simulation/places/daySimulation.ts
@@ -23,6 +23,8 @@
 /** Upper limit of a delay before a retry, as a fraction of the time left until the deadline. */
 const maxRetryAfterFraction = 1 / 3;
 const deadlineMilliseconds = 14_000;
+/** Interval at which gateways report the writing of their runs. */
+const reportIntervalMilliseconds = 1_000;
 /** How a gateway handles a rejected run; the same values as in the gateway's exchange. */
 const freshHandleFraction = 0.7;
 const maxFailuresBeforeLocalPrefill = 2;
@@ -55,6 +57,8 @@
     private readonly placementQueues: readonly PlacementQueue[];
     private readonly fleet: Fleet;
     private readonly calls = new Map<string, Call>();
+    /** Runs by attempt; `reportedAt` is infinite before the first event. */
+    private readonly runs = new Map<string, { readonly name: string; readonly decode: string; reportedAt: number; }>();
     /** Scheduled callbacks, sorted by time. */
     private readonly events: { readonly at: number; readonly act: (now: number) => void; }[] = [];
     private rejectedRunCount = 0;
@@ -107,9 +111,24 @@
         this.fleet.decodeEngines().forEach(engine => {
             engine.advance(tickMilliseconds).forEach(({ name, kind }) => this.onProgress(name, kind, now));
         });
+        this.reportWriting(now);
         this.placementQueues.forEach(queue => this.handleDecisions(queue.review(now), now));
     }
 
+    /** Reports each run once per interval, a part of the runs in each tick. */
+    private reportWriting(now: number): void {
+        for (const [attempt, run] of this.runs) {
+            const milliseconds = now - run.reportedAt;
+            const events = milliseconds < reportIntervalMilliseconds
+                ? 0
+                : this.fleet.decode(run.decode)?.takeEvents(run.name) ?? 0;
+            if (events > 0) {
+                run.reportedAt = now;
+                this.placementQueueOf(attempt).recordWriting(run.decode, { events, milliseconds }, now);
+            }
+        }
+    }
+
     /** Number of waiting requests and of placements of all placement queues, and the most tokens allocated at one engine by one queue. */
     status(): { readonly waiting: number; readonly active: number; readonly maxAllocatedTokens: number; } {
         const statuses = this.placementQueues.map(queue => queue.counts());
@@ -239,6 +258,7 @@
         }
         if (engine.tryStart(name, promptTokens, answerTokens, tokensToPrefill)) {
             this.recordUnusedPrefill(tokensToPrefill > 0 ? call : undefined);
+            this.runs.set(decision.attempt, { name, decode: decision.decode, reportedAt: Number.POSITIVE_INFINITY });
             return;
         }
         this.rejectedRunCount += 1;
@@ -271,6 +291,7 @@
         call.ended = true;
         this.wastedTokens += call.request.promptTokens;
         const attempt = `${name}#${call.retries}`;
+        this.runs.delete(attempt);
         this.handleDecisions(this.placementQueueOf(attempt).release(attempt, {}, now), now);
     }
 
@@ -287,10 +308,15 @@
         const attempt = `${name}#${call.retries}`;
         if (kind === "first") {
             call.firstAt = now + roundTripMilliseconds / 2;
+            const run = this.runs.get(attempt);
+            if (run !== undefined) {
+                run.reportedAt = now;
+            }
             this.placementQueueOf(attempt).prefillCompleted(attempt, now);
             return;
         }
         call.ended = true;
+        this.runs.delete(attempt);
         this.handleDecisions(this.placementQueueOf(attempt).release(attempt, {}, now), now);
     }
 
--- a/simulation/places/engines.ts
+++ b/simulation/places/engines.ts
@@ -26,6 +26,8 @@
     remainingSteps: number;
     /** Remaining steps at which the first event is sent. */
     readonly firstAt: number;
+    /** Remaining steps at the last report of its writing. */
+    reportedSteps: number;
     hasFirstEvent: boolean;
 };
 
@@ -52,7 +54,14 @@
         }
         const remainingSteps = answerTokens + this.prefillStepCount(tokensToPrefill);
         const firstAt = Math.max(0, answerTokens - this.figures.eventTokens);
-        this.runs.push({ name, tokens: promptTokens, remainingSteps, firstAt, hasFirstEvent: false });
+        this.runs.push({
+            name,
+            tokens: promptTokens,
+            remainingSteps,
+            firstAt,
+            reportedSteps: firstAt,
+            hasFirstEvent: false,
+        });
         return true;
     }
 
@@ -77,6 +86,18 @@
         return progress;
     }
 
+    /** Events of a run since the previous call; 0 if it isn't running. */
+    takeEvents(name: string): number {
+        const run = this.runs.find(one => one.name === name);
+        if (run === undefined || !run.hasFirstEvent) {
+            return 0;
+        }
+        const { eventTokens } = this.figures;
+        const events = Math.max(0, Math.floor((run.reportedSteps - run.remainingSteps) / eventTokens));
+        run.reportedSteps -= events * eventTokens;
+        return events;
+    }
+
     /** Discards all runs and returns their names. */
     crash(): string[] {
         const lost = [...this.runs, ...this.preempted].map(({ name }) => name);
--- a/simulation/places/fleet.ts
+++ b/simulation/places/fleet.ts
@@ -75,8 +75,8 @@
     }
 
     private add(id: string, number: number, stage: Stage): void {
-        const { figures, slowThird } = this.pool;
-        const slowness = number % 3 === 2 ? slowThird : 1;
+        const { figures, slowThird, speeds = [1] } = this.pool;
+        const slowness = (number % 3 === 2 ? slowThird : 1) / speeds[number % speeds.length]!;
         if (stage === "prefill") {
             this.prefills.set(id, new EmulatedPrefill(figures, slowness));
         }
