feat(cost): place runs by expected completion at engines of uneven speed

Decode engines were ordered by allocated tokens alone, so that a slow engine got as many runs as a fast one and kept them 2.4 times as long. While the observed speeds of a pool's engines differ by 1.5 times or more (until 1.3), the leader scores them by the expected end of the run and the delay it adds to the runs beside it. An engine gets no run whose pauses or end would exceed the route's limits, and one of unknown speed at most a quarter more than its share. The room of an engine stays what its KV cache bears. Local placement is unchanged: a gateway doesn't know the load of others.

--- a/packages/basilpaddle/src/node/coordination/cost/engineSpeed.ts
+++ b/packages/basilpaddle/src/node/coordination/cost/engineSpeed.ts
@@ -19,10 +19,17 @@
 const maxAgeMilliseconds = 10_000;
 /** Fewer intervals between events than this are noise. */
 const minEvents = 3;
+const quartile = 0.25;
 /** Bounds of a valid report: gateways report every second, and no engine writes more than one event in ten microseconds. */
 const maxWritingMilliseconds = 60_000;
 const minEventMilliseconds = 0.01;
 
+/**
+ * Milliseconds per event of an engine: the median of the reports, which ignores single streams that were preempted or delayed
+ * on a link, and the quartiles, between which it is by the evidence.
+ */
+export type EventTime = { readonly median: number; readonly low: number; readonly high: number; };
+
 /** One report of a run: the time per event, and the number of runs at the engine. */
 export type WritingSample = { readonly at: number; readonly eventTime: number; readonly runs: number; };
 
@@ -61,17 +68,23 @@
     }
 
     /**
-     * Median milliseconds per event, converted to an empty engine; undefined if too little was observed recently. The median
-     * ignores single streams that were preempted or delayed on a link. `growth`: relative growth of the time with each run.
+     * Milliseconds per event, converted to an empty engine; undefined if too little was observed recently. `growth`: relative
+     * growth of the time with each run.
      */
-    eventTime(growth: number, now: number): number | undefined {
+    eventTime(growth: number, now: number): EventTime | undefined {
         const valid = this.samples.filter(({ at }) => now - at <= maxAgeMilliseconds);
         if (valid.length < minSamples) {
             return undefined;
         }
         const recent = valid.filter(({ at }) => now - at <= windowMilliseconds);
         const used = recent.length >= minSamples ? recent : valid.slice(-minSamples);
-        return medianOf(used.map(({ eventTime, runs }) => eventTime * Math.exp(-growth * runs)));
+        const times = used.map(({ eventTime, runs }) => eventTime * Math.exp(-growth * runs))
+            .sort((one, other) => one - other);
+        return {
+            median: medianOf(times),
+            low: times[Math.floor(quartile * times.length)]!,
+            high: times[times.length - 1 - Math.floor(quartile * times.length)]!,
+        };
     }
 }
 
--- a/packages/basilpaddle/src/node/coordination/cost/poolSpeeds.ts
+++ b/packages/basilpaddle/src/node/coordination/cost/poolSpeeds.ts
@@ -1,11 +1,11 @@
 import type { RunWriting } from "../../protocol/index.js";
-import { type EngineSpeed, medianOf } from "./engineSpeed.js";
+import { type EngineSpeed, type EventTime, medianOf } from "./engineSpeed.js";
 
 /** Ratio of the fastest to the slowest engine from which on speeds are taken into account, and below which no longer. */
 const unevenRatio = 1.5;
 const evenRatio = 1.3;
 /** Time for which computed speeds are used: computing them for 1,000 engines takes longer than a placement. */
-const refreshMilliseconds = 50;
+const refreshMilliseconds = 200;
 /** An engine of unknown speed gets at most this many times the mean share. */
 const maxUnknownShare = 1.25;
 /** Relative speeds are limited to this range, so that a wrong report can't move all runs to one engine. */
@@ -84,7 +84,7 @@
 
     private compute(now: number): RelativeSpeeds {
         const growth = this.growth();
-        const times = new Map<string, number>();
+        const times = new Map<string, EventTime>();
         for (const [id, speed] of this.engines) {
             const time = speed.eventTime(growth, now);
             if (time !== undefined) {
@@ -93,14 +93,15 @@
         }
         if (times.size === 0) {
             this.uneven = false;
-            return { isUneven: false, speeds: times, unknownSpeed: 1, meanSpeed: 1, eventTime: undefined, growth };
+            return { isUneven: false, speeds: new Map(), unknownSpeed: 1, meanSpeed: 1, eventTime: undefined, growth };
         }
         const values = [...times.values()];
-        const ratio = Math.max(...values) / Math.min(...values);
+        // Quartiles rather than medians: among many equal engines under load, some median is always far off.
+        const ratio = Math.max(...values.map(({ low }) => low)) / Math.min(...values.map(({ high }) => high));
         this.uneven = ratio >= (this.uneven ? evenRatio : unevenRatio);
-        const eventTime = medianOf(values);
-        const speeds = new Map([...times].map(([id, time]) => {
-            return [id, Math.min(maxSpeed, Math.max(minSpeed, eventTime / time))] as const;
+        const eventTime = medianOf(values.map(({ median }) => median));
+        const speeds = new Map([...times].map(([id, { median }]) => {
+            return [id, Math.min(maxSpeed, Math.max(minSpeed, eventTime / median))] as const;
         }));
         const meanSpeed = [...speeds.values()].reduce((sum, speed) => sum + speed, 0) / speeds.size;
         const unknownSpeed = Math.min(1, maxUnknownShare * meanSpeed);
--- a/packages/basilpaddle/src/node/coordination/gateway/engineLoad.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/engineLoad.ts
@@ -32,9 +32,15 @@
 const delayFactorWeight = 0.3;
 const delayHalfLifeMilliseconds = 2_000;
 
+/** Runs that have written as much as expected are taken to write this fraction more. */
+const minRemainingFraction = 0.1;
+
 /** KV cache tokens and slots of one engine that may be allocated. */
 export type EngineCapacity = { readonly tokens: number; readonly slots: number; };
 
+/** A run for which KV cache is allocated. */
+type Allocation = { readonly tokens: number; readonly answerTokens: number; readonly addedAt: number; };
+
 /** A prefill that is queued or running. */
 type PendingPrefill = {
     readonly tokens: number;
@@ -48,7 +54,10 @@
     /** Allocated tokens of KV cache. */
     allocatedTokens = 0;
     readonly speed = EngineSpeed.create();
-    private readonly allocations = new Map<string, number>();
+    private readonly allocations = new Map<string, Allocation>();
+    /** Sums of the expected answer tokens and of the start times of all runs. */
+    private answerTokens = 0;
+    private startTimes = 0;
     private readonly prefills = new Map<string, PendingPrefill>();
     private prefillTokens = 0;
     private prefillingSince = 0;
@@ -126,21 +135,33 @@
         return this.announced.failureDomain === decode.announced.failureDomain ? 0 : crossDomainPenaltyMilliseconds;
     }
 
-    /** Allocates KV cache for a run. */
-    addRun(attempt: string, tokens: number): void {
-        this.allocations.set(attempt, tokens);
+    /** Allocates KV cache for a run. `answerTokens`: the part of it that the run is expected to write. */
+    addRun(attempt: string, tokens: number, answerTokens: number, now: number): void {
+        this.removeRun(attempt);
+        this.allocations.set(attempt, { tokens, answerTokens, addedAt: now });
+        this.answerTokens += answerTokens;
+        this.startTimes += now;
         this.allocatedTokens += tokens;
     }
 
     /** Frees a run's KV cache. */
     removeRun(attempt: string): void {
-        const tokens = this.allocations.get(attempt);
-        if (tokens !== undefined) {
+        const run = this.allocations.get(attempt);
+        if (run !== undefined) {
             this.allocations.delete(attempt);
-            this.allocatedTokens = this.allocations.size === 0 ? 0 : this.allocatedTokens - tokens;
+            const isEmpty = this.allocations.size === 0;
+            this.allocatedTokens = isEmpty ? 0 : this.allocatedTokens - run.tokens;
+            this.answerTokens = isEmpty ? 0 : this.answerTokens - run.answerTokens;
+            this.startTimes = isEmpty ? 0 : this.startTimes - run.addedAt;
         }
     }
 
+    /** Expected tokens that the runs have still to write, at the given milliseconds per token. */
+    remainingTokens(now: number, tokenTime: number): number {
+        const written = (this.allocations.size * now - this.startTimes) / tokenTime;
+        return Math.max(this.answerTokens * minRemainingFraction, this.answerTokens - written);
+    }
+
     /** Records a prefill assigned to the engine. */
     addPrefill(attempt: string, tokens: number, now: number): void {
         const expectedMilliseconds = this.queueDelay(now) + this.prefillTime(tokens);
--- a/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
@@ -1,8 +1,12 @@
 import type { EngineRule, PlacementRequest, RunWriting, ServerAnnouncement } from "../../protocol/index.js";
 import { hashToFraction } from "../../utils/index.js";
-import { defaultPrefillMillisecondsPerToken, PoolSpeeds } from "../cost/index.js";
+import { CompletionScore, defaultPrefillMillisecondsPerToken, type EngineScore } from "../cost/index.js";
+import { bestPerGroup, bestSeparatePair, type EnginePair, lowestScore } from "./engineCandidates.js";
 import { type EngineCapacity, EngineLoad } from "./engineLoad.js";
 import { stallRateOf } from "./linkQuality.js";
+import { UnevenEngines } from "./unevenEngines.js";
+
+export type { EnginePair } from "./engineCandidates.js";
 
 /** Tokens of one block of KV cache: engines allocate whole blocks. */
 const blockTokens = 16;
@@ -41,6 +45,11 @@
      * @default 0
      */
     readonly farWeight?: number;
+    /**
+     * Score of decode engines whose speeds differ much. It isn't used for local placement: a gateway doesn't know how many
+     * runs of others an engine has, and takes a loaded engine for a slow one. @default the speeds have no effect
+     */
+    readonly unevenScore?: EngineScore;
 };
 
 /**
@@ -49,7 +58,12 @@
  * streams cross a link when it begins to lose packets. A run is allocated the cache that it needs at its end; on average it
  * uses only half of the part for its answer, so slightly more than the whole cache can be allocated without preemptions.
  */
-export const leaderPlacementTuning: PlacementTuning = { fill: 1.1, share: 1, farWeight: 30 };
+export const leaderPlacementTuning: PlacementTuning = {
+    fill: 1.1,
+    share: 1,
+    farWeight: 30,
+    unevenScore: CompletionScore.create(),
+};
 
 /**
  * Tuning of local placement by a gateway, without its share. It leaves a margin, since the allocations of all gateways
@@ -57,18 +71,13 @@
  */
 export const localPlacementTuning: Omit<PlacementTuning, "share"> = { fill: 0.9, scatter: 100 };
 
-/** The engines of one request: for prefill, undefined if the decode engine runs it itself, and for decode. */
-export type EnginePair = {
-    readonly prefill: string | undefined;
-    readonly decode: string;
-    /** Expected milliseconds from now until the prefill is complete. */
-    readonly prefillTime: number;
-};
-
 /** The decode engine that is expected to be the first with room for a request. */
 export type LeastLoadedEngine = {
     readonly id: string;
-    /** Tokens of KV cache that must be freed before the request fits, and those that may be allocated in total. */
+    /**
+     * Tokens of KV cache that must be freed before the request fits, and those that may be allocated in total; among engines
+     * of uneven speed, those that an engine of mean speed would free in the same time.
+     */
     readonly missingTokens: number;
     readonly capacityTokens: number;
 };
@@ -76,7 +85,7 @@
 /** Tracks the load of one pool's engines and selects engines for requests. */
 export class EnginePool {
     private readonly engines = new Map<string, EngineLoad>();
-    private readonly speeds = PoolSpeeds.create();
+    private readonly uneven: UnevenEngines;
     private rule: EngineRule | undefined;
     private share: number;
 
@@ -85,6 +94,7 @@
         private readonly limitOf: (engine: string) => number | undefined,
     ) {
         this.share = tuning.share;
+        this.uneven = UnevenEngines.create(tuning.unevenScore);
     }
 
     /** `limitOf`: requests per second that an engine takes from all gateways; undefined if it names no limit. */
@@ -104,7 +114,7 @@
                 this.engines.delete(id);
             }
         }
-        this.speeds.retain(announcedIds);
+        this.uneven.retain(announcedIds);
         for (const engine of announced) {
             const known = this.engines.get(engine.id);
             if (known === undefined) {
@@ -128,8 +138,11 @@
     /** The best engines for a request; undefined if no decode engine that isn't reserved for another request has room. */
     bestPair(request: PlacementRequest, now: number, reserved: ReadonlySet<string>): EnginePair | undefined {
         const capacity = this.engineCapacity();
-        const decodes = this.usable("decode", request, now).filter(engine => {
-            return engine.hasRoom(request, capacity) && !reserved.has(engine.id) && this.isWithinLimit(engine, now);
+        const speeds = this.uneven.effective(capacity.tokens, now);
+        const usableDecodes = this.usable("decode", request, now);
+        const decodes = usableDecodes.filter(engine => {
+            return engine.hasRoom(request, capacity) && !reserved.has(engine.id) && this.isWithinLimit(engine, now)
+                && (speeds === undefined || speeds.isFastEnough(engine, request));
         });
         if (decodes.length === 0) {
             return undefined;
@@ -142,12 +155,14 @@
                 * lostPacketDelayMilliseconds;
             return { engine, time, score: time + stallDelay + this.randomPenalty(request, engine) };
         });
-        const scoredDecodes = decodes.map(engine => {
+        const loadPenalties = speeds?.penalties(decodes, usableDecodes, request, now)
+            ?? decodes.map(engine => engine.loadPenalty(capacity));
+        const scoredDecodes = decodes.map((engine, position) => {
             const { failureDomain } = engine.announced;
             const domainPenalty = failureDomain === request.failureDomain ? 0 : this.tuning.farWeight ?? 0;
             const lateAnswerPenalty = lateAnswerPenaltyMilliseconds
                 * lateProbability(stallRateOf(request.linkStalls, failureDomain));
-            const score = engine.loadPenalty(capacity) + domainPenalty + lateAnswerPenalty
+            const score = loadPenalties[position]! + domainPenalty + lateAnswerPenalty
                 + this.randomPenalty(request, engine);
             return { engine, time: 0, score };
         });
@@ -168,22 +183,34 @@
     /** The decode engine with the fewest allocated tokens that isn't reserved for another request; undefined if there is none. */
     leastLoaded(request: PlacementRequest, now: number, reserved: ReadonlySet<string>): LeastLoadedEngine | undefined {
         const engines = this.usable("decode", request, now).filter(engine => !reserved.has(engine.id));
-        const engine = lowestScore(engines.map(candidate => ({ engine: candidate, score: candidate.allocatedTokens })))
+        const { tokens } = this.engineCapacity();
+        const speeds = this.uneven.effective(tokens, now);
+        const shareOf = (engine: EngineLoad): number => speeds?.shareOf(engine) ?? 1;
+        // Of equal engines, the least loaded one is the first with room; a fast one frees as much in less time.
+        const scoreOf = (engine: EngineLoad): number =>
+            speeds === undefined
+                ? engine.allocatedTokens
+                : (engine.allocatedTokens + request.cacheTokens - tokens) / shareOf(engine);
+        const engine = lowestScore(engines.map(candidate => ({ engine: candidate, score: scoreOf(candidate) })))
             ?.engine;
         if (engine === undefined) {
             return undefined;
         }
-        const { tokens } = this.engineCapacity();
         return {
             id: engine.id,
             missingTokens: engine.allocatedTokens + request.cacheTokens - tokens,
-            capacityTokens: tokens,
+            capacityTokens: tokens * shareOf(engine),
         };
     }
 
     /** Records the KV cache and the prefill of a request at its engines. */
     allocate(pair: EnginePair, request: PlacementRequest, now: number): void {
-        this.engines.get(pair.decode)?.addRun(request.attempt, roundUpToBlocks(request.cacheTokens));
+        this.engines.get(pair.decode)?.addRun(
+            request.attempt,
+            roundUpToBlocks(request.cacheTokens),
+            Math.max(0, request.cacheTokens - request.promptTokens),
+            now,
+        );
         this.engines.get(pair.prefill ?? pair.decode)?.addPrefill(request.attempt, request.promptTokens, now);
     }
 
@@ -191,7 +218,15 @@
     recordWriting(id: string | undefined, writing: RunWriting | undefined, now: number): void {
         const engine = this.engines.get(id ?? "");
         if (engine !== undefined && writing !== undefined) {
-            this.speeds.recordWriting(engine.id, engine.speed, writing, engine.runs, now);
+            this.uneven.recordWriting(engine, writing, now);
+        }
+    }
+
+    /** Records a successful run. `answerEvents`: events of its complete answer, if they are known. */
+    recordRun(decode: string, request: PlacementRequest, answerEvents: number | undefined): void {
+        this.engines.get(decode)?.recordSuccess();
+        if (answerEvents !== undefined) {
+            this.uneven.recordAnswer(request, answerEvents);
         }
     }
 
@@ -326,58 +361,6 @@
     return request.version === undefined || request.version === version;
 }
 
-type ScoredEngine = { readonly engine: EngineLoad; readonly score: number; };
-type Candidate = ScoredEngine & { readonly time: number; };
-
-function lowestScore<T extends ScoredEngine>(candidates: readonly T[]): T | undefined {
-    let lowest: T | undefined;
-    for (const candidate of candidates) {
-        if (lowest === undefined || candidate.score < lowest.score) {
-            lowest = candidate;
-        }
-    }
-    return lowest;
-}
-
-/**
- * The best candidate of each failure domain and software version. Only these can be part of the best pair, since the transfer
- * penalty is the same for all engines of a domain. Comparing all pairs of 78 engines saturated the leader's processor in a burst,
- * and it lost the leadership.
- */
-function bestPerGroup(candidates: readonly Candidate[]): readonly Candidate[] {
-    const best = new Map<string, Candidate>();
-    for (const candidate of candidates) {
-        const { version, announced } = candidate.engine;
-        const group = `${announced.failureDomain} ${version}`;
-        const known = best.get(group);
-        if (known === undefined || candidate.score < known.score) {
-            best.set(group, candidate);
-        }
-    }
-    return [...best.values()];
-}
-
-/** The best pair of a prefill and a decode engine: of the same version, since no version reads the KV cache of another one. */
-function bestSeparatePair(
-    prefills: readonly Candidate[],
-    decodes: readonly Candidate[],
-): { readonly pair: EnginePair; readonly score: number; } | undefined {
-    let best: { readonly pair: EnginePair; readonly score: number; } | undefined;
-    for (const decode of decodes) {
-        for (const prefill of prefills) {
-            if (prefill.engine.version !== decode.engine.version) {
-                continue;
-            }
-            const score = decode.score + prefill.score + prefill.engine.domainPenalty(decode.engine);
-            if (best === undefined || score < best.score) {
-                const pair = { prefill: prefill.engine.id, decode: decode.engine.id, prefillTime: prefill.time };
-                best = { pair, score };
-            }
-        }
-    }
-    return best;
-}
-
 function roundUpToBlocks(tokens: number): number {
     return Math.ceil(tokens / blockTokens) * blockTokens;
 }
--- a/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
@@ -163,7 +163,7 @@
                 allocationTime: now - placement.placedAt,
                 cacheTokens: placement.request.cacheTokens,
             });
-            this.pool.engine(placement.decode)?.recordSuccess();
+            this.pool.recordRun(placement.decode, placement.request, end.answerEvents);
         }
         return this.dispatch(now);
     }
--- a/packages/basilpaddle/src/node/daemon/gateway/placementClient.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementClient.ts
@@ -293,10 +293,6 @@
                 return writing === undefined ? grant : { ...grant, writing };
             });
             this.leader.send({ kind: "holdings", gateway: this.options.name, held });
-            const now = this.options.clock.monotonic();
-            held.forEach(({ demand, decode, writing }) => {
-                this.localPools.get(demand.service)?.recordWriting(decode, writing, now);
-            });
         }
         this.hasReportedGrants = this.activeGrants.size > 0;
     }
--- a/packages/basilpaddle/src/node/daemon/gateway/placementRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementRequest.ts
@@ -48,5 +48,7 @@
         resumed: stream.resumed || request.hasAnswerBegun(),
         ...stream.version === undefined ? {} : { version: stream.version },
         ...linkStalls.length === 0 ? {} : { linkStalls },
+        ...route.gap === undefined ? {} : { gap: route.gap },
+        finishWithin: request.remainingTime(),
     };
 }
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -257,6 +257,7 @@
         }
         switch (end.kind) {
             case "done":
+                return eventsBefore === 0 ? { answerEvents: this.relay.events() } : {};
             case "failureGiven":
                 return {};
             case "turnedAway":
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -147,6 +147,10 @@
     version: z.string().max(200).optional(),
     /** Stall rates of the gateway's links. @default no stalls */
     linkStalls: linkStallsSchema.optional(),
+    /** Milliseconds between two events from which on the answer is late. @default no limit */
+    gap: z.number().min(0).optional(),
+    /** Milliseconds left until the answer must be complete. @default no limit */
+    finishWithin: z.number().optional(),
 });
 
 /** The engines granted to a run, or the reason for a refusal. */
@@ -187,6 +191,8 @@
     readBy: identifier.optional(),
     /** Its writing at the decode engine. @default unknown */
     writing: runWritingSchema.optional().catch(undefined),
+    /** Events of its answer, if that was complete and written by this run alone. @default unknown */
+    answerEvents: z.number().optional().catch(undefined),
 });
 
 /** Writing of a run since its gateway's previous report. */
--- a/simulation/experiment/experiment.ts
+++ b/simulation/experiment/experiment.ts
@@ -15,6 +15,7 @@
     "late",
     "unserved",
     "lost",
+    "finish",
     "readAgain",
     "turnedAway",
     "longPrompts",
--- a/simulation/experiment/taskRunner.ts
+++ b/simulation/experiment/taskRunner.ts
@@ -2,6 +2,7 @@
 import type { Day } from "../places/day.js";
 import { simulateDay } from "../places/daySimulation.js";
 import type { PoolOutcome } from "../places/outcome.js";
+import { unevenScore } from "../places/unevenScores.js";
 import type { Variant } from "./variant.js";
 
 /** The simulation of one day under one variant with one seed. */
@@ -62,7 +63,8 @@
 
 /** Runs one task in the current thread. */
 export function runTask({ day, variant, seed }: Task): PoolOutcome {
-    return simulateDay(day, seed, variant.tuning);
+    const { unevenScore: score, ...tuning } = variant.tuning;
+    return simulateDay(day, seed, score === undefined ? tuning : { ...tuning, unevenScore: unevenScore(score) });
 }
 
 function requestOutcome(thread: Worker, task: Task): Promise<PoolOutcome> {
--- a/simulation/experiment/variant.ts
+++ b/simulation/experiment/variant.ts
@@ -2,12 +2,15 @@
 import { z } from "zod";
 import type { Finding } from "../../packages/basilpaddle/src/node/protocol/index.js";
 import { readJsonFile } from "../jsonFile.js";
+import { unevenScoreNames } from "../places/unevenScores.js";
 
 /** Overrides of the placement tuning; omitted parameters keep the product's defaults. */
 export const tuningSchema = z.strictObject({
     fill: z.number().positive().optional(),
     scatter: z.number().min(0).optional(),
     farWeight: z.number().min(0).optional(),
+    /** Score of decode engines whose speeds differ much. */
+    unevenScore: z.enum(unevenScoreNames).optional(),
 });
 
 /** The variants of an experiment; the first one is the baseline of the comparisons. */
--- a/simulation/places/day.ts
+++ b/simulation/places/day.ts
@@ -64,6 +64,8 @@
     guessSpread: z.number().min(0),
     /** Milliseconds from the first attempt within which the first event is in time. */
     target: z.number().positive(),
+    /** Milliseconds between two events from which on the answer is late. @default no limit */
+    gap: z.number().positive().optional(),
 });
 
 const span = { at: milliseconds, lasts: milliseconds, part };
--- a/simulation/places/daySimulation.ts
+++ b/simulation/places/daySimulation.ts
@@ -37,6 +37,7 @@
     readonly request: EmulatedRequest;
     retries: number;
     firstAt: number | undefined;
+    endAt: number | undefined;
     ended: boolean;
     /** Whether its engine crashed during the run. */
     lost: boolean;
@@ -159,6 +160,7 @@
                 request,
                 retries: 0,
                 firstAt: undefined,
+                endAt: undefined,
                 ended: false,
                 lost: false,
                 prefilledAt: undefined,
@@ -174,7 +176,7 @@
     }
 
     private placementRequest({ request, retries, avoid }: Call, now: number): PlacementRequest {
-        const { target } = this.day.workload;
+        const { target, gap } = this.day.workload;
         return {
             attempt: `${request.name}#${retries}`,
             gateway: "gateway",
@@ -188,6 +190,8 @@
             patienceWithin: Math.min(request.at + deadlineMilliseconds - now, firstEventTimeoutFactor * target),
             avoid: [...avoid],
             resumed: false,
+            finishWithin: request.at + deadlineMilliseconds - now,
+            ...gap === undefined ? {} : { gap },
         };
     }
 
@@ -316,8 +320,10 @@
             return;
         }
         call.ended = true;
+        call.endAt = now + roundTripMilliseconds / 2;
         this.runs.delete(attempt);
-        this.handleDecisions(this.placementQueueOf(attempt).release(attempt, {}, now), now);
+        const answerEvents = Math.ceil(call.request.answerTokens / this.day.pool.figures.eventTokens);
+        this.handleDecisions(this.placementQueueOf(attempt).release(attempt, { answerEvents }, now), now);
     }
 
     private schedule(at: number, act: (now: number) => void): void {
--- a/simulation/places/outcome.ts
+++ b/simulation/places/outcome.ts
@@ -13,6 +13,8 @@
     readonly worth: number;
     /** The same fraction, as the mean of the two worst windows of two seconds by arrival time. */
     readonly worstWindows: number;
+    /** Mean seconds from the first attempt to the end of the answer, of the requests that were served to their end. */
+    readonly finish: number;
     /** Tokens that were computed again or whose result wasn't used, relative to all prompt tokens. */
     readonly readAgain: number;
     /** Runs that engines rejected, per request. */
@@ -27,6 +29,8 @@
 export type CallResult = {
     readonly request: EmulatedRequest;
     readonly firstAt: number | undefined;
+    /** When its answer was complete; undefined if it wasn't. */
+    readonly endAt: number | undefined;
     /** Whether its engine crashed during the run, before or after the first event. */
     readonly lost: boolean;
 };
@@ -37,6 +41,7 @@
 const lateWorthFraction = 0.2;
 /** Length of the windows for `worstWindows`, and how many of the worst are averaged. */
 const windowMilliseconds = 2_000;
+const millisecondsInSecond = 1_000;
 const worstWindowCount = 2;
 
 /** Summarises the results of a day. */
@@ -63,6 +68,7 @@
         const groups = [sorted.slice(0, first), sorted.slice(first, second), sorted.slice(second)];
         return groups.map(group => fraction(group.filter(isInTime), group)) as [number, number, number];
     };
+    const finishTimes = calls.flatMap(({ request, endAt }) => endAt === undefined ? [] : [endAt - request.at]);
     const promptTokens = calls.reduce((sum, { request }) => sum + request.promptTokens, 0);
     return {
         requests: calls.length,
@@ -72,6 +78,8 @@
         lost: fraction(calls.filter(({ lost }) => lost), calls),
         worth: earned(calls),
         worstWindows: worstWindows(calls, workload.length, earned),
+        finish: finishTimes.reduce((sum, time) => sum + time, 0) / Math.max(1, finishTimes.length)
+            / millisecondsInSecond,
         readAgain: waste.wastedPromptTokens / Math.max(1, promptTokens),
         turnedAway: waste.turnedAway / Math.max(1, calls.length),
         bySize: fractionsInTime(({ request }) => request.answerTokens, [1 / 3, 2 / 3]),
