--- a/packages/basilpaddle/src/node/coordination/gateway/engineLoad.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/engineLoad.ts
@@ -1,22 +1,17 @@
 import { type PlacementRequest, type ServerAnnouncement, softwareVersionOf } from "../../protocol/index.js";
+import { EngineSpeed } from "../cost/index.js";
 
 const millisecondsInSecond = 1_000;
 
-/** Prefill time per prompt token assumed until an engine has completed prefills. */
-export const defaultPrefillMillisecondsPerToken = 0.035;
 /** Factor by which a prefill takes longer on a decode engine, which interleaves it with decoding. */
 const decodePrefillFactor = 2.2;
 /** Duration of a prefill in addition to the time for its tokens. */
 const prefillOverheadMilliseconds = 10;
-/** Weight of one prefill in the moving average of the time per token. */
-const tokenTimeWeight = 0.1;
 /**
  * Expected time for its pending prefills from which on a prefill engine takes no further prompt, if the backlog is bounded: long
  * enough that it has work until the next prompt arrives.
  */
 const maxBacklogMilliseconds = 150;
-/** A prefill that takes longer than expected by this factor was delayed by something else; it isn't averaged. */
-const outlierFactor = 4;
 /** Score penalty of a full engine over an empty one: larger batches take longer for each token. */
 const loadPenaltyMilliseconds = 60;
 /** Score penalty of an engine pair in two failure domains: transfers between domains take twice as long and cost more. */
@@ -42,9 +37,15 @@
 const delayFactorWeight = 0.3;
 const delayHalfLifeMilliseconds = 2_000;
 
+/** Runs that have written as much as expected are taken to write this fraction more. */
+const minRemainingFraction = 0.1;
+
 /** KV cache tokens and slots of one engine that may be allocated. */
 export type EngineCapacity = { readonly tokens: number; readonly slots: number; };
 
+/** A run for which KV cache is allocated. */
+type Allocation = { readonly tokens: number; readonly answerTokens: number; readonly addedAt: number; };
+
 /** A prefill that is queued or running. */
 type PendingPrefill = {
     readonly tokens: number;
@@ -57,11 +58,14 @@
 export class EngineLoad {
     /** Allocated tokens of KV cache. */
     allocatedTokens = 0;
-    private readonly allocations = new Map<string, number>();
+    readonly speed = EngineSpeed.create();
+    private readonly allocations = new Map<string, Allocation>();
+    /** Sums of the expected answer tokens and of the start times of all runs. */
+    private answerTokens = 0;
+    private startTimes = 0;
     private readonly prefills = new Map<string, PendingPrefill>();
     private prefillTokens = 0;
     private prefillingSince = 0;
-    private millisecondsPerToken = defaultPrefillMillisecondsPerToken;
     private consecutiveFailures = 0;
     private pausedUntil = 0;
     private delayFactor = minDelayFactor;
@@ -79,6 +83,11 @@
         return this.announced.id;
     }
 
+    /** Number of runs for which KV cache is allocated. */
+    get runs(): number {
+        return this.allocations.size;
+    }
+
     /** Version of its software; empty if it reports none. */
     get version(): string {
         return softwareVersionOf(this.announced);
@@ -131,21 +140,33 @@
         return this.announced.failureDomain === decode.announced.failureDomain ? 0 : crossDomainPenaltyMilliseconds;
     }
 
-    /** Allocates KV cache for a run. */
-    addRun(attempt: string, tokens: number): void {
-        this.allocations.set(attempt, tokens);
+    /** Allocates KV cache for a run. `answerTokens`: the part of it that the run is expected to write. */
+    addRun(attempt: string, tokens: number, answerTokens: number, now: number): void {
+        this.removeRun(attempt);
+        this.allocations.set(attempt, { tokens, answerTokens, addedAt: now });
+        this.answerTokens += answerTokens;
+        this.startTimes += now;
         this.allocatedTokens += tokens;
     }
 
     /** Frees a run's KV cache. */
     removeRun(attempt: string): void {
-        const tokens = this.allocations.get(attempt);
-        if (tokens !== undefined) {
+        const run = this.allocations.get(attempt);
+        if (run !== undefined) {
             this.allocations.delete(attempt);
-            this.allocatedTokens = this.allocations.size === 0 ? 0 : this.allocatedTokens - tokens;
+            const isEmpty = this.allocations.size === 0;
+            this.allocatedTokens = isEmpty ? 0 : this.allocatedTokens - run.tokens;
+            this.answerTokens = isEmpty ? 0 : this.answerTokens - run.answerTokens;
+            this.startTimes = isEmpty ? 0 : this.startTimes - run.addedAt;
         }
     }
 
+    /** Expected tokens that the runs have still to write, at the given milliseconds per token. */
+    remainingTokens(now: number, tokenTime: number): number {
+        const written = (this.allocations.size * now - this.startTimes) / tokenTime;
+        return Math.max(this.answerTokens * minRemainingFraction, this.answerTokens - written);
+    }
+
     /** Records a prefill assigned to the engine. */
     addPrefill(attempt: string, tokens: number, now: number): void {
         const expectedMilliseconds = this.queueDelay(now) + this.prefillTime(tokens);
@@ -164,9 +185,7 @@
             && prefill.tokens > 0
         ) {
             const observed = Math.max(0, now - prefill.addedAt - prefillOverheadMilliseconds) / prefill.tokens;
-            if (observed < outlierFactor * this.millisecondsPerToken) {
-                this.millisecondsPerToken += tokenTimeWeight * (observed - this.millisecondsPerToken);
-            }
+            this.speed.recordPrefill(observed);
         }
         if (prefill !== undefined) {
             this.updateDelayFactor(prefill.expectedMilliseconds, now - prefill.addedAt, now);
@@ -187,7 +206,7 @@
 
     /** Expected milliseconds until the pending prefills are complete. */
     queueDelay(now: number): number {
-        const totalWork = this.prefillTokens * this.millisecondsPerToken
+        const totalWork = this.prefillTokens * this.speed.prefillMillisecondsPerToken
             + this.prefills.size * prefillOverheadMilliseconds;
         return Math.max(0, this.prefillingSince + totalWork - now, this.prefills.size > 0 ? totalWork / 2 : 0);
     }
@@ -203,7 +222,7 @@
 
     /** Prompt tokens that it reads in a millisecond. */
     prefillRate(): number {
-        return 1 / this.millisecondsPerToken;
+        return 1 / this.speed.prefillMillisecondsPerToken;
     }
 
     /** Expected milliseconds until a new prefill is complete, after the pending ones and those that others assigned. */
@@ -213,7 +232,7 @@
 
     /** Expected milliseconds of a prefill, without the time in the queue. */
     prefillTime(tokens: number): number {
-        return tokens * this.millisecondsPerToken + prefillOverheadMilliseconds;
+        return tokens * this.speed.prefillMillisecondsPerToken + prefillOverheadMilliseconds;
     }
 
     /** Expected milliseconds until a decode engine completes a prefill itself: at about half the speed, after its pending ones. */
--- a/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
@@ -140,13 +140,13 @@
 
     /** Releases the placement of a run that has ended, and records its outcome. */
     release(attempt: string, end: PlacementOutcome, now: number): PlacementDecision[] {
+        this.pool.recordWriting(this.placements.get(attempt)?.decode, end.writing, now);
         const placement = this.removePlacement(attempt, now);
         if (end.failed !== undefined) {
             this.pool.engine(end.failed)?.recordFailure(now);
         }
         else if (end.turnedAwayBy !== undefined) {
-            const faultyEngine = this.rejections.recordRejection(end.readBy, end.turnedAwayBy, now);
-            this.pool.engine(faultyEngine)?.recordRejection(now);
+            this.pool.engine(this.rejections.recordRejection(end.readBy, end.turnedAwayBy, now))?.recordRejection(now);
         }
         else if (placement !== undefined) {
             this.forecast.recordRun({
@@ -154,11 +154,16 @@
                 allocationTime: now - placement.placedAt,
                 cacheTokens: placement.request.cacheTokens,
             });
-            this.pool.engine(placement.decode)?.recordSuccess();
+            this.pool.recordRun(placement.decode, placement.request, end.answerEvents);
         }
         return this.dispatch(now);
     }
 
+    /** Records the writing of a run at an engine, by which the engine's speed is learned. */
+    recordWriting(engine: string, writing: PlacementOutcome["writing"], now: number): void {
+        this.pool.recordWriting(engine, writing, now);
+    }
+
     /**
      * Compares the placements with those that a gateway reports. Adds the reported ones that this instance doesn't know, such
      * as those of a previous leader, and releases unreported ones older than `grace` milliseconds.
@@ -269,9 +274,8 @@
     }
 
     private allocate(placement: Placement, now: number): void {
-        const { request } = placement;
-        this.placements.set(request.attempt, placement);
-        this.pool.allocate(placement, request, now);
+        this.placements.set(placement.request.attempt, placement);
+        this.pool.allocate(placement, placement.request, now);
     }
 
     private removePlacement(attempt: string, now: number): Placement | undefined {
--- a/packages/basilpaddle/src/node/daemon/gateway/placementRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementRequest.ts
@@ -58,5 +58,7 @@
             ? { organisation: request.identity.organisation?.name, deadlineWithin: request.remainingTime() }
             : {},
         ...linkStalls.length === 0 ? {} : { linkStalls },
+        ...route.gap === undefined ? {} : { gap: route.gap },
+        finishWithin: request.remainingTime(),
     };
 }
--- a/packages/basilpaddle/src/node/daemon/gateway/streamRelay.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamRelay.ts
@@ -36,13 +36,14 @@
 
     /**
      * Forwards a run's events as they arrive. `idleTimeoutMilliseconds`: time without a byte after which the run is aborted;
-     * undefined if the run can't be resumed elsewhere. `onBytes`: called for each chunk that is received.
+     * undefined if the run can't be resumed elsewhere. `onBytes`: called for each chunk that is received, with the
+     * number of events that it completes.
      */
     async forward(
         answer: BackendAnswer,
         idleTimeoutMilliseconds: number | undefined,
         signal: AbortSignal,
-        onBytes: () => void,
+        onBytes: (events: number) => void,
     ): Promise<RelayEnd> {
         const { request } = this;
         if (!request.hasAnswerBegun()) {
@@ -53,9 +54,15 @@
         try {
             for await (const chunk of answer.body as AsyncIterable<Buffer>) {
                 idleTimeout.recordBytes();
-                onBytes();
-                for (const event of splitter.push(chunk)) {
-                    await this.forwardEvent(event);
+                let events = 0;
+                try {
+                    for (const event of splitter.push(chunk)) {
+                        events += 1;
+                        await this.forwardEvent(event);
+                    }
+                }
+                finally {
+                    onBytes(events);
                 }
                 if (request.isDisconnected()) {
                     break;
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -151,6 +151,10 @@
     deadlineWithin: z.number().optional(),
     /** Stall rates of the gateway's links. @default no stalls */
     linkStalls: linkStallsSchema.optional(),
+    /** Milliseconds between two events from which on the answer is late. @default no limit */
+    gap: z.number().min(0).optional(),
+    /** Milliseconds left until the answer must be complete. @default no limit */
+    finishWithin: z.number().optional(),
 });
 
 /** The engines granted to a run, or the reason for a refusal. */
@@ -175,6 +179,12 @@
     }),
 ]);
 
+/**
+ * Writing of a run since its gateway's previous report: the events, and the milliseconds in which they arrived. The receiver
+ * checks the values: a message with invalid ones still releases its placement.
+ */
+export const runWritingSchema = z.object({ events: z.number(), milliseconds: z.number() });
+
 /** Outcome of a placed run, as far as engines caused it. */
 export const placementOutcomeSchema = z.object({
     /** Engine on which the run failed, if any. */
@@ -183,8 +193,14 @@
     turnedAwayBy: identifier.optional(),
     /** Engine that had completed the prefill of a rejected run. */
     readBy: identifier.optional(),
+    /** Its writing at the decode engine. @default unknown */
+    writing: runWritingSchema.optional().catch(undefined),
+    /** Events of its answer, if that was complete and written by this run alone. @default unknown */
+    answerEvents: z.number().optional().catch(undefined),
 });
 
+/** Writing of a run since its gateway's previous report. */
+export type RunWriting = z.infer<typeof runWritingSchema>;
 /** Outcome of a placed run, as far as engines caused it. */
 export type PlacementOutcome = z.infer<typeof placementOutcomeSchema>;
 
@@ -214,7 +230,12 @@
     z.object({
         kind: z.literal("holdings"),
         gateway: identifier,
-        held: z.array(z.object({ demand: placementRequestSchema, decode: identifier })),
+        held: z.array(z.object({
+            demand: placementRequestSchema,
+            decode: identifier,
+            /** Its writing since the previous report. @default unknown */
+            writing: runWritingSchema.optional().catch(undefined),
+        })),
     }),
 ]);
 
--- a/simulation/places/day.ts
+++ b/simulation/places/day.ts
@@ -36,6 +36,8 @@
     figures: engineFiguresSchema,
     /** Slowdown factor of every third engine, as the hosts of one pool differ. */
     slowThird: z.number().min(1),
+    /** Speeds of the engines, by turns; they multiply those of `slowThird`. @default all 1 */
+    speeds: z.array(z.number().positive()).min(1).optional(),
     /** Gateways that decide locally, each within its share of every engine. @default a leader decides for all */
     gateways: z.int().positive().optional(),
 });
@@ -62,6 +64,8 @@
     guessSpread: z.number().min(0),
     /** Milliseconds from the first attempt within which the first event is in time. */
     target: z.number().positive(),
+    /** Milliseconds between two events from which on the answer is late. @default no limit */
+    gap: z.number().positive().optional(),
 });
 
 const span = { at: milliseconds, lasts: milliseconds, part };
--- a/simulation/places/daySimulation.ts
+++ b/simulation/places/daySimulation.ts
@@ -24,6 +24,8 @@
 /** Upper limit of a delay before a retry, as a fraction of the time left until the deadline. */
 const maxRetryAfterFraction = 1 / 3;
 const deadlineMilliseconds = 14_000;
+/** Interval at which gateways report the writing of their runs. */
+const reportIntervalMilliseconds = 1_000;
 /** How a gateway handles a rejected run; the same values as in the gateway's exchange. */
 const freshHandleFraction = 0.7;
 const maxFailuresBeforeLocalPrefill = 2;
@@ -36,6 +38,7 @@
     readonly request: EmulatedRequest;
     retries: number;
     firstAt: number | undefined;
+    endAt: number | undefined;
     ended: boolean;
     /** Whether its engine crashed during the run. */
     lost: boolean;
@@ -56,6 +59,8 @@
     private readonly placementQueues: readonly PlacementQueue[];
     private readonly fleet: Fleet;
     private readonly calls = new Map<string, Call>();
+    /** Runs by attempt; `reportedAt` is infinite before the first event. */
+    private readonly runs = new Map<string, { readonly name: string; readonly decode: string; reportedAt: number; }>();
     /** Scheduled callbacks, sorted by time. */
     private readonly events: { readonly at: number; readonly act: (now: number) => void; }[] = [];
     private rejectedRunCount = 0;
@@ -116,9 +121,24 @@
         this.fleet.decodeEngines().forEach(engine => {
             engine.advance(tickMilliseconds).forEach(({ name, kind }) => this.onProgress(name, kind, now));
         });
+        this.reportWriting(now);
         this.placementQueues.forEach(queue => this.handleDecisions(queue.review(now), now));
     }
 
+    /** Reports each run once per interval, a part of the runs in each tick. */
+    private reportWriting(now: number): void {
+        for (const [attempt, run] of this.runs) {
+            const milliseconds = now - run.reportedAt;
+            const events = milliseconds < reportIntervalMilliseconds
+                ? 0
+                : this.fleet.decode(run.decode)?.takeEvents(run.name) ?? 0;
+            if (events > 0) {
+                run.reportedAt = now;
+                this.placementQueueOf(attempt).recordWriting(run.decode, { events, milliseconds }, now);
+            }
+        }
+    }
+
     /** Number of waiting requests and of placements of all placement queues, and the most tokens allocated at one engine by one queue. */
     status(): { readonly waiting: number; readonly active: number; readonly maxAllocatedTokens: number; } {
         const statuses = this.placementQueues.map(queue => queue.counts());
@@ -154,6 +174,7 @@
                 request,
                 retries: 0,
                 firstAt: undefined,
+                endAt: undefined,
                 ended: false,
                 lost: false,
                 prefilledAt: undefined,
@@ -169,6 +190,7 @@
     }
 
     private placementRequest({ request, retries, avoid }: Call, now: number): PlacementRequest {
+        const { gap } = this.day.workload;
         const kind = this.mix?.kindOf(request);
         const target = kind?.target ?? this.day.workload.target;
         return {
@@ -191,6 +213,8 @@
                     organisation: kind.organisation,
                     deadlineWithin: request.at + deadlineMilliseconds - now,
                 },
+            finishWithin: request.at + deadlineMilliseconds - now,
+            ...gap === undefined ? {} : { gap },
         };
     }
 
@@ -261,6 +285,7 @@
         }
         if (engine.tryStart(name, promptTokens, answerTokens, tokensToPrefill)) {
             this.recordUnusedPrefill(tokensToPrefill > 0 ? call : undefined);
+            this.runs.set(decision.attempt, { name, decode: decision.decode, reportedAt: Number.POSITIVE_INFINITY });
             return;
         }
         this.rejectedRunCount += 1;
@@ -293,6 +318,7 @@
         call.ended = true;
         this.wastedTokens += call.request.promptTokens;
         const attempt = `${name}#${call.retries}`;
+        this.runs.delete(attempt);
         this.handleDecisions(this.placementQueueOf(attempt).release(attempt, {}, now), now);
     }
 
@@ -309,11 +335,18 @@
         const attempt = `${name}#${call.retries}`;
         if (kind === "first") {
             call.firstAt = now + roundTripMilliseconds / 2;
+            const run = this.runs.get(attempt);
+            if (run !== undefined) {
+                run.reportedAt = now;
+            }
             this.placementQueueOf(attempt).prefillCompleted(attempt, now);
             return;
         }
         call.ended = true;
-        this.handleDecisions(this.placementQueueOf(attempt).release(attempt, {}, now), now);
+        call.endAt = now + roundTripMilliseconds / 2;
+        this.runs.delete(attempt);
+        const answerEvents = Math.ceil(call.request.answerTokens / this.day.pool.figures.eventTokens);
+        this.handleDecisions(this.placementQueueOf(attempt).release(attempt, { answerEvents }, now), now);
     }
 
     private schedule(at: number, act: (now: number) => void): void {
