fix(gateway): prefills that a gateway placed alone aren't aborted by a forecast that knows only its own

What callers saw: while no leader answered, half of the prefills failed, their prompts were read for nothing, the retry allowance was used up, and 175 of some 1,290 logged stream requests of three gateways were refused for that. Cause: the timeout of a prefill is three times the forecast of its placement, and a gateway that places alone forecasts from the prefills that it placed itself. With the prompts of sixty others ahead, prefills that would have succeeded were aborted and sent again, which lengthened the queues further.

--- a/packages/basilpaddle/src/node/daemon/gateway/placementClient.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementClient.ts
@@ -221,7 +221,8 @@
             decode: decision.decode,
             takeReport: () => undefined,
         });
-        return { ...decision, by };
+        // This gateway's forecast alone doesn't include the prefills that others have placed; by it, prefills would be aborted too soon.
+        return { ...decision, ...by === "alone" ? { readingWithin: undefined } : {}, by };
     }
 
     private mayAwaitFirstLeader(): boolean {
