fix(gateway): the log names only received bytes of an event that exceeds its bound

What was wrong: the buffer of an incomplete event is larger than what it holds and not initialised; the first bytes that the log line names could be freed memory, with keys or prompts of other requests. Change: only the bytes that the buffer holds. Found in review.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/eventSplitter.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/eventSplitter.spec.ts
@@ -61,4 +61,20 @@
         expect([...splitter.push(Buffer.from("\n\n"))]).to.have.length(1);
         expect(performance.now() - startedAt).to.be.below(1_000);
     });
+
+    // Guards against a log line with bytes of freed memory, which may be those of another request.
+    it("names only received bytes of an event that exceeds its bound", () => {
+        const splitter = EventSplitter.create(bounds);
+        const push = (text: string): unknown => [...splitter.push(Buffer.from(text))];
+        push("data: aaaa");
+        push("b");
+        try {
+            push("c".repeat(bounds.eventBytes));
+            expect.fail("the bound holds");
+        }
+        catch (error) {
+            expect(error).to.be.instanceOf(EventBoundExceeded);
+            expect((error as EventBoundExceeded).bytes.toString()).to.equal("data: aaaab");
+        }
+    });
 });
--- a/packages/basilpaddle/src/node/daemon/gateway/eventSplitter.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/eventSplitter.ts
@@ -79,7 +79,8 @@
     private checkSize(bytes: Buffer): void {
         const { eventBytes } = this.bounds;
         if (this.size + bytes.length > eventBytes) {
-            throw EventBoundExceeded.create("eventBytes", this.size > 0 ? this.held : bytes, eventBytes);
+            const seen = this.size > 0 ? this.held.subarray(0, this.size) : bytes;
+            throw EventBoundExceeded.create("eventBytes", seen, eventBytes);
         }
     }
 
