fix(placement): an eviction counts for two seconds

What was wrong: a priority that had been evicted once refused requests until one of them waited with a forecast within 0.8 of its limit, if need be hours later, and said that there was no room in time. Change: an eviction is forgotten after two seconds.

--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/priorityAdmission.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/priorityAdmission.spec.ts
@@ -72,6 +72,16 @@
         expect(refused(send(queue, "again", 1, 34, atLimit))).to.deep.equal([]);
     });
 
+    // Guards against an eviction that has requests refused long afterwards, although they would be served in time.
+    it("go on for two seconds at most", () => {
+        const queue = fullQueue();
+        send(queue, "low", 1, 0, { priority: 2, patienceWithin: 1_500 });
+        send(queue, "high", 3, 10, { priority: 0, patienceWithin: 5_000 });
+        expect(refused(queue.review(30))).to.deep.equal(["low-0"]);
+        queue.withdraw("high-0", 31);
+        expect(refused(send(queue, "later", 1, 2_040, { priority: 2, patienceWithin: 1_600 }))).to.deep.equal([]);
+    });
+
     // Load: 40 requests of one priority at once to a pool that serves 2.5 a second. Guards against a second burst of retries.
     it("spread the retries over time, within a third of the time that callers have left", () => {
         const decisions = send(fullQueue(), "low", 40, 0, {
--- a/packages/basilpaddle/src/node/coordination/gateway/priorityAdmission.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/priorityAdmission.ts
@@ -11,12 +11,15 @@
  * was evicted. Without it requests are admitted and evicted in turns at the end of a burst.
  */
 const readmissionFraction = 0.8;
+/** How long an eviction counts: a burst's end that lasts longer has had time to show in the forecast. */
+const evictionMilliseconds = 2_000;
 /** Fraction of its time left that a caller waits at most before it retries. */
 const maxRetryFraction = 1 / 3;
 
 /** Admission where requests of several priorities compete. */
 export class PriorityAdmission extends QueueAdmission {
-    private readonly evictedPriorities = new Set<number>();
+    /** Time of each priority's last eviction. */
+    private readonly evictedAt = new Map<number, number>();
     private readonly promises = RetryPromises.create();
     /** Tokens placed so far, by priority. */
     private readonly placed = TokensAhead.create();
@@ -37,12 +40,13 @@
         if (!this.mayWait(waiting, firstEventIn, poolForecast.capacity, now)) {
             return false;
         }
-        this.placedAtArrival.set(waiting, this.placed.plus(this.placed, () => false));
+        this.placedAtArrival.set(waiting, this.placed.copy());
         const hasRoomAgain = firstEventIn <= readmissionFraction * this.timeLeft(waiting, now);
         if (hasRoomAgain) {
-            this.evictedPriorities.delete(priority);
+            this.evictedAt.delete(priority);
         }
-        return resumed || poolForecast.capacity === 0 || !this.evictedPriorities.has(priority);
+        const evictedAt = this.evictedAt.get(priority) ?? Number.NEGATIVE_INFINITY;
+        return resumed || poolForecast.capacity === 0 || now - evictedAt >= evictionMilliseconds;
     }
 
     protected override refuseLate(wait: RefusedWait): Refusal {
@@ -54,8 +58,8 @@
             : { decision: displacedRefusal(request, gaveWayTo, retryIn), cause: "gaveWay", gaveWayTo };
     }
 
-    protected override recordEviction({ request }: WaitingRequest): void {
-        this.evictedPriorities.add(request.priority);
+    protected override recordEviction({ request }: WaitingRequest, now: number): void {
+        this.evictedAt.set(request.priority, now);
     }
 
     /**
--- a/packages/basilpaddle/src/node/coordination/gateway/queueAdmission.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/queueAdmission.ts
@@ -91,7 +91,7 @@
                 const aheadOfIt = ahead.plus(lateTokens, priority => order.staysAheadWhenLate(priority, waiting));
                 const wait = { waiting, ahead: aheadOfIt, firstEventIn, poolForecast, now };
                 decisions.push(this.refuse(wait, isVersionGone));
-                this.recordEviction(waiting);
+                this.recordEviction(waiting, now);
             }
             else if (!waiting.late && !request.resumed && now + firstEventIn > waiting.targetAt) {
                 tooLate.push(waiting);
@@ -120,7 +120,7 @@
     protected abstract refuseLate(wait: RefusedWait): Refusal;
 
     /** Records that a request that waited was refused. */
-    protected abstract recordEviction(waiting: WaitingRequest): void;
+    protected abstract recordEviction(waiting: WaitingRequest, now: number): void;
 
     /** Whether a request's first event would come before its caller's timeout, or it waits whatever the forecast is. */
     protected mayWait(waiting: WaitingRequest, firstEventIn: number, capacity: number, now: number): boolean {
--- a/packages/basilpaddle/src/node/coordination/gateway/tokensAhead.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/tokensAhead.ts
@@ -36,6 +36,10 @@
         return sum;
     }
 
+    copy(): TokensAhead {
+        return this.plus(TokensAhead.create(), () => true);
+    }
+
     /** A copy that includes the requests of other ones' priorities for which the condition holds. */
     plus(other: TokensAhead, condition: (priority: number) => boolean): TokensAhead {
         const sum = TokensAhead.create();
