fix(cost): the time left for a whole answer shrinks while a request waits

What was wrong: engines were excluded by the time that a request had left when it was asked for, however long it had waited at its gateway and in the queue. Change: both subtract the wait.

--- a/packages/basilpaddle/src/node/coordination/gateway/engineReservations.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/engineReservations.ts
@@ -1,6 +1,6 @@
 import type { EnginePool, LeastLoadedEngine } from "./enginePool.js";
 import type { PlacementForecast } from "./placementForecast.js";
-import type { WaitingRequest } from "./waitingRequest.js";
+import { requestAt, type WaitingRequest } from "./waitingRequest.js";
 
 /**
  * How long a request that doesn't fit may be overtaken at all engines. After that the least loaded engine is reserved for
@@ -25,7 +25,7 @@
         if (!this.mayReserve(waiting, reserved.size, now)) {
             return;
         }
-        const engine = this.options.pool.leastLoaded(waiting.request, now, reserved);
+        const engine = this.options.pool.leastLoaded(requestAt(waiting, now), now, reserved);
         if (engine !== undefined && this.firstEventAt(waiting, engine, now) <= this.latestFirstEvent(waiting)) {
             reserved.add(engine.id);
         }
--- a/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
@@ -16,7 +16,7 @@
 import { type QueueOrder, TargetOrder } from "./queueOrder.js";
 import { RunRejections } from "./runRejections.js";
 import type { TypicalRequest } from "./stagePlan.js";
-import { arrivingRequest, type WaitingRequest } from "./waitingRequest.js";
+import { arrivingRequest, requestAt, type WaitingRequest } from "./waitingRequest.js";
 
 /** Minimum time between two reviews of the queue. */
 const reviewIntervalMilliseconds = 25;
@@ -238,7 +238,7 @@
         let skipped = 0;
         for (let position = 0; position < requests.length && skipped < maxSkipped;) {
             const waiting = requests[position]!;
-            const pair = this.pool.bestPair(waiting.request, now, reserved);
+            const pair = this.pool.bestPair(requestAt(waiting, now), now, reserved);
             if (pair === undefined) {
                 this.reservations.reserve(waiting, reserved, now);
                 skipped += 1;
--- a/packages/basilpaddle/src/node/coordination/gateway/waitingRequest.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/waitingRequest.ts
@@ -24,6 +24,12 @@
     };
 }
 
+/** The request with the time that it has left now for its whole answer. */
+export function requestAt({ request, arrivedAt }: WaitingRequest, now: number): PlacementRequest {
+    const { finishWithin } = request;
+    return finishWithin === undefined ? request : { ...request, finishWithin: finishWithin - (now - arrivedAt) };
+}
+
 /** Inserts a request behind those with the same or a smaller key. */
 export function insertByKey(requests: WaitingRequest[], waiting: WaitingRequest): void {
     const at = requests.findIndex(other => other.sortKey > waiting.sortKey);
--- a/packages/basilpaddle/src/node/daemon/gateway/placementClient.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementClient.ts
@@ -126,6 +126,7 @@
                 ...request.deadlineWithin === undefined
                     ? {}
                     : { deadlineWithin: request.deadlineWithin - elapsed },
+                ...request.finishWithin === undefined ? {} : { finishWithin: request.finishWithin - elapsed },
             };
             if (this.mayAwaitFirstLeader() && elapsed < firstLeaderTimeoutMilliseconds) {
                 await new Promise<void>(resolve => clock.after(firstLeaderPollMilliseconds, resolve));
