test(directory): prompts of runs that hold an engine have been read before the next one is placed

The test of the order by priority placed nine requests whose prompts were never read. Since prompts wait to be placed while a prefill engine is busy, the third one waited for ever: the test timed out on the merged code. It reports each prompt as read now; what it expects is unchanged.

--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/placementService.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/placementService.spec.ts
@@ -81,6 +81,7 @@
             const service = createPlacementService(instances, traffic);
             for (let number = 0; number < 9; number++) {
                 await decodeEngine(service, `held-${number}`);
+                await service.handle({ kind: "prefilled", attempt: `held-${number}` });
             }
             const placedAttempts: string[] = [];
             for (const [attempt, priority, targetWithin] of [["low", 1, 3_000], ["high", 0, 8_000]] as const) {
