fix(cost): speeds are learned beside the right number of runs and of whole answers, and slow engines aren't reserved

What was wrong: a new leader recorded the first reports before it had added the reported runs, and took the time of an event for that of an empty engine; the events of the rest of a resumed stream were reported as a whole answer; an engine too slow for a request could be reserved for it; an invalid gap or finishWithin rejected a whole message. Change: order, condition and filter. Found in review.

--- a/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
@@ -191,9 +191,11 @@
 
     /** The decode engine with the fewest allocated tokens that isn't reserved for another request; undefined if there is none. */
     leastLoaded(request: PlacementRequest, now: number, reserved: ReadonlySet<string>): LeastLoadedEngine | undefined {
-        const engines = this.usable("decode", request, now).filter(engine => !reserved.has(engine.id));
         const { tokens } = this.engineCapacity();
         const speeds = this.uneven.effective(tokens, now);
+        const engines = this.usable("decode", request, now).filter(engine =>
+            !reserved.has(engine.id) && (speeds === undefined || speeds.isFastEnough(engine, request))
+        );
         const shareOf = (engine: EngineLoad): number => speeds?.shareOf(engine) ?? 1;
         // Of equal engines, the least loaded one is the first with room; a fast one frees as much in less time.
         const scoreOf = (engine: EngineLoad): number =>
--- a/packages/basilpaddle/src/node/daemon/directory/placementService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/placementService.ts
@@ -228,8 +228,9 @@
         for (const [service, pool] of this.pools) {
             const reported = message.held.filter(({ demand }) => demand.service === service);
             reported.forEach(({ demand }) => this.serviceOfAttempt.set(demand.attempt, service));
-            reported.forEach(({ decode, writing }) => pool.recordWriting(decode, writing, now));
             this.deliverDecisions(pool.reconcile(message.gateway, reported, placementsGraceMilliseconds, now));
+            // After the runs have been added: the time of an event is converted by their number.
+            reported.forEach(({ decode, writing }) => pool.recordWriting(decode, writing, now));
         }
     }
 
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -262,7 +262,7 @@
         }
         switch (end.kind) {
             case "done":
-                return eventsBefore === 0 ? { answerEvents: this.relay.events() } : {};
+                return eventsBefore === 0 && !this.binding.resumesStream ? { answerEvents: this.relay.events() } : {};
             case "failureGiven":
                 return {};
             case "turnedAway":
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -152,9 +152,9 @@
     /** Stall rates of the gateway's links. @default no stalls */
     linkStalls: linkStallsSchema.optional(),
     /** Milliseconds between two events from which on the answer is late. @default no limit */
-    gap: z.number().min(0).optional(),
+    gap: z.number().min(0).optional().catch(undefined),
     /** Milliseconds left until the answer must be complete. @default no limit */
-    finishWithin: z.number().optional(),
+    finishWithin: z.number().optional().catch(undefined),
 });
 
 /** The engines granted to a run, or the reason for a refusal. */
