--- a/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
@@ -42,6 +42,7 @@
     private readonly rejections = RunRejections.create();
     private admission: QueueAdmission;
     private reservations: EngineReservations;
+    private hadSeveralPriorities = false;
     private order: QueueOrder = TargetOrder.create();
     private reviewedAt = 0;
 
@@ -74,6 +75,7 @@
      */
     setPrioritised(isPrioritised: boolean, floor: number): void {
         this.pool.boundPrefillBacklog(isPrioritised);
+        this.hadSeveralPriorities ||= isPrioritised;
         if (isPrioritised !== this.order instanceof PriorityOrder) {
             const order = isPrioritised ? PriorityOrder.create(floor) : TargetOrder.create();
             this.order.requests().forEach(waiting => order.add(waiting));
@@ -218,13 +220,13 @@
         };
     }
 
-    /** Numbers of queued requests by priority, the last one including all above it; empty if the pool has only one. */
+    /** Numbers of queued requests by priority, the last one including all above it; empty if the pool never had several. */
     waitingByPriority(): ReadonlyMap<number, number> {
-        if (!(this.order instanceof PriorityOrder)) {
+        if (!this.hadSeveralPriorities) {
             return new Map();
         }
         const counts = new Map(Array.from({ length: maxRank + 1 }, (_, priority) => [priority, 0]));
-        for (const { request } of this.order.requests()) {
+        for (const { request } of this.order instanceof PriorityOrder ? this.order.requests() : []) {
             const priority = Math.min(maxRank, request.priority);
             counts.set(priority, counts.get(priority)! + 1);
         }
