refactor: one copy of two constants, texts that a newcomer stumbled on, pages in line with the settings

From the read-through of the whole difference: the module of EventTokens has its name, the share of unknown engines and the assumed tokens of an event stand once, the floor of allowances is documented as the setting it is, and what an aborted send says names its own time limit. Types, linter and the specs concerned pass.

--- a/packages/basilpaddle/src/node/coordination/allowance/priorityReserve.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/priorityReserve.ts
@@ -20,7 +20,7 @@
     return Math.min(priority, rankCount - 1);
 }
 
-/** How a request ends at a bucket: granted, refused since the rest is reserved for higher priorities, or for lack of units. */
+/** How a request ends at a bucket: granted, refused because the level is within the reserve for higher priorities (also if it is empty), or for lack of units. */
 export type ReserveOutcome = "granted" | "reserved" | "empty";
 
 /** What one priority has asked for, and what it may take below its reserve. */
--- a/packages/basilpaddle/src/node/coordination/cost/engineSpeed.ts
+++ b/packages/basilpaddle/src/node/coordination/cost/engineSpeed.ts
@@ -26,7 +26,7 @@
 
 /**
  * Milliseconds per event of an engine: the median of the reports, which ignores single streams that were preempted or delayed
- * on a link, and the quartiles, between which it is by the evidence.
+ * on a link, and their quartiles, as the range in which it probably is.
  */
 export type EventTime = { readonly median: number; readonly low: number; readonly high: number; };
 
--- a/packages/basilpaddle/src/node/coordination/cost/answerTokens.ts
+++ b/packages/basilpaddle/src/node/coordination/cost/eventTokens.ts
@@ -1,5 +1,5 @@
 /** Tokens of one event assumed until answers are known: engines write 11 or 13 of them at once. */
-const assumedEventTokens = 12;
+export const assumedEventTokens = 12;
 /** Weight of one answer in the moving average. */
 const answerWeight = 0.05;
 /** Answers after which the average is used. */
--- a/packages/basilpaddle/src/node/coordination/cost/poolSpeeds.ts
+++ b/packages/basilpaddle/src/node/coordination/cost/poolSpeeds.ts
@@ -7,7 +7,7 @@
 /** Time for which computed speeds are used: computing them for 1,000 engines takes longer than a placement. */
 const refreshMilliseconds = 200;
 /** An engine of unknown speed gets at most this many times the mean share. */
-const maxUnknownShare = 1.25;
+export const maxUnknownShare = 1.25;
 /** Relative speeds are limited to this range, so that a wrong report can't move all runs to one engine. */
 const minSpeed = 0.1;
 const maxSpeed = 10;
--- a/packages/basilpaddle/src/node/coordination/gateway/unevenEngines.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/unevenEngines.ts
@@ -1,7 +1,9 @@
 import type { PlacementRequest, RunWriting } from "../../protocol/index.js";
 import {
+    assumedEventTokens,
     type EngineScore,
     EventTokens,
+    maxUnknownShare,
     PoolSpeeds,
     type RelativeSpeeds,
     type ScoredLoad,
@@ -12,14 +14,8 @@
 
 /** Fraction of a route's gap that the expected time between two events may take: single pauses are longer. */
 const maxGapFraction = 0.8;
-/**
- * Share of the runs that an engine of unknown speed gets, relative to its share among equal engines, and the penalty beyond
- * it: more runs are placed there only if no other engine has room.
- */
-const maxUnknownShare = 1.25;
+/** Score penalty of an engine of unknown speed beyond its share: more runs are placed there only if no other engine has room. */
 const unknownSharePenaltyMilliseconds = 10_000;
-/** Tokens of one event assumed until answers are known, for scores only. */
-const assumedEventTokens = 12;
 
 /** Placement at decode engines whose observed speeds differ much; without such a difference it has no effect. */
 export class UnevenEngines {
--- a/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
@@ -128,11 +128,11 @@
             countUnsent(metrics, "callerGone");
             return "the caller disconnected";
         }
-        if (request.remainingTime() <= 0 || signal.aborted) {
+        if (request.remainingTime() <= 0) {
             countUnsent(metrics, "timeOver");
             return overdueCause;
         }
-        return undefined;
+        return signal.aborted ? "the time limit of this send passed while the event loop lagged" : undefined;
     }
 
     private call(
--- a/packages/basilpaddle/src/node/daemon/gateway/loopLag.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/loopLag.ts
@@ -27,7 +27,7 @@
     }
 
     /**
-     * Whether what the operating system held before `now` may be unprocessed for that reason. A connection that is accepted in one turn of
+     * Whether the event loop has lagged so recently that what the operating system held before `now` may be unprocessed. A connection that is accepted in one turn of
      * the event loop is read in the next one and its end is seen in the one after that.
      */
     isLagging(now: number): boolean {
--- a/packages/basilpaddle/src/node/daemon/gateway/loopMonitor.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/loopMonitor.ts
@@ -11,8 +11,8 @@
 /** Limit of the turns that a send waits for, so that a gateway which is always slow still sends. */
 const maxTurns = 4;
 /**
- * An end of a connection that isn't read is no older than the last turn, and the time until the first byte is written. Each of the two is
- * kept below this, so that nothing is sent later than half a second after the end.
+ * Limit of the last turn before a send, and of the time from then until the first byte is written. The unread end of a connection is no
+ * older than both together.
  */
 const maxUnprocessedMilliseconds = 250;
 const microsecondsPerMillisecond = 1_000;
--- a/packages/basilpaddle/src/node/protocol/allowance.ts
+++ b/packages/basilpaddle/src/node/protocol/allowance.ts
@@ -11,7 +11,7 @@
     z.object({
         granted: z.literal(false),
         comeBackIn: z.number().min(0),
-        /** Whether units are left but reserved for higher priorities. @default false */
+        /** Whether it is refused because higher priorities have a reserve, whether or not units are left. @default false */
         reserved: z.boolean().optional(),
     }),
 ]);
--- a/packages/basilpaddle/src/node/protocol/gatewaySettings.ts
+++ b/packages/basilpaddle/src/node/protocol/gatewaySettings.ts
@@ -45,7 +45,10 @@
 
 /** Placement while requests of several priorities wait for the engines of one service. */
 const shortageSchema = z.strictObject({
-    /** Share of placements that each waiting priority below the highest one gets at least; with 0 it may get none. */
+    /**
+     * Share of placements that each waiting priority below the highest one gets at least, and of an organisation's rate that its
+     * lower priorities share; with 0 they may get none.
+     */
     floor: z.number().min(0).max(0.5).default(defaultShortageFloor),
 });
 
