--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -36,9 +36,6 @@
 const newConnectionProbability = 0.3;
 const maxIdleConnections = 4;
 const readinessIntervalMilliseconds = 300;
-/** Interval of the further requests to a crowded gateway, and the share of all requests that it gets meanwhile. */
-const crowdIntervalMilliseconds = 16;
-const crowdShare = 0.95;
 
 /** Callers of all gateways: each request goes to a gateway that a load balancer would choose. */
 export class Callers {
@@ -47,8 +44,6 @@
     private rotation: readonly Member[] = [];
     private createdRequests = 0;
     private sendTimer: NodeJS.Timeout | undefined;
-    private crowdTimer: NodeJS.Timeout | undefined;
-    private crowdedGateway: Member | undefined;
     private readinessTimer: NodeJS.Timeout | undefined;
 
     private constructor(
@@ -82,7 +77,6 @@
     async stop(): Promise<void> {
         clearInterval(this.sendTimer);
         clearInterval(this.readinessTimer);
-        this.crowd(undefined);
         await Promise.all(this.openRequests);
         this.agents.forEach(agent => agent.destroy());
     }
@@ -98,9 +92,6 @@
         this.createdRequests += 1;
         const attempt = `a${this.createdRequests}`;
         const request = this.invariants.requestSent(attempt, kind, gateway.name, performance.now(), freeKey);
-        if (poisonPart !== undefined) {
-            this.invariants.poison.requestSent(attempt);
-        }
         const parts = promptParts(attempt, poisonPart);
         const end = await this.exchange(gateway, request, path, undefined, body, undefined, parts);
         this.invariants.requestEnded(request, end, performance.now());
@@ -115,20 +106,8 @@
         this.rotation = readyGateways.length > 0 ? readyGateways : [...gateways];
     }
 
-    /** Sends most requests to one gateway until it is called again, on new connections and more of them. */
-    crowd(gateway: Member | undefined): void {
-        clearInterval(this.crowdTimer);
-        this.crowdedGateway = gateway;
-        if (gateway !== undefined) {
-            this.crowdTimer = setInterval(() => this.sendRandomRequest(gateway), crowdIntervalMilliseconds);
-        }
-    }
-
-    private sendRandomRequest(crowded = this.crowdedGateway): void {
-        const drawn = this.rotation[this.random.integer(0, this.rotation.length - 1)]!;
-        const isCrowded = crowded !== undefined && this.rotation.includes(crowded)
-            && this.random.fraction() < crowdShare;
-        const gateway = isCrowded ? crowded : drawn;
+    private sendRandomRequest(): void {
+        const gateway = this.rotation[this.random.integer(0, this.rotation.length - 1)]!;
         const kind = routeKinds[this.random.integer(0, routeKinds.length - 1)]!;
         const abandonAfter = this.random.fraction() < abandonProbability
             ? this.random.integer(1, maxAbandonMilliseconds)
@@ -204,9 +183,7 @@
                 ...this.deployment.callerAddressOf(gateway),
                 path,
                 method: kind === "safe" ? "GET" : "POST",
-                agent: this.crowdedGateway === gateway || this.random.fraction() < newConnectionProbability
-                    ? false
-                    : this.agent(gateway),
+                agent: this.random.fraction() < newConnectionProbability ? false : this.agent(gateway),
                 headers: {
                     Host: routeHost,
                     ...callerHeaders(attempt, deadlineMilliseconds, request.key.key, parts),
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,7 +1,6 @@
 import { partitionKinds, pause } from "../playground/harness/index.js";
 import type { Backend } from "./backend.js";
 import { BackendDepartures, pickByFraction } from "./backendDepartures.js";
-import { healRelay, restoreHandles, restoreResponses, restoreSpeed } from "./backendRepairs.js";
 import { type Callers, routePrefixes } from "./callers.js";
 import type { SoakDeployment } from "./deployment.js";
 import type { Invariants } from "./invariants.js";
@@ -23,8 +22,6 @@
 /** Interval between two copies of a poison request, and the time it is sent beyond the fault's duration: past the third crash. */
 const poisonIntervalMilliseconds = 250;
 const poisonExtraMilliseconds = 6_000;
-/** Share of the poison parts under which every request crashes its engine. */
-const alwaysPoisonShare = 0.6;
 /** Interval between two prompts with a poison part. */
 const poisonPromptIntervalMilliseconds = 150;
 /** Delay between a stop and the next start of a process. */
@@ -113,8 +110,6 @@
             crashBackend: () => this.crashBackend(fault),
             deadlyRequests: () => this.sendPoisonRequests(fault),
             poisonPrompts: () => this.sendPoisonPrompts(fault),
-            omitLengths: () => this.omitLengths(fault),
-            crowdGateway: () => this.crowdGateway(fault, gateway),
             darkenBackend: () => this.impairBackend(fault, backend => backend.relay.stallAll(), healRelay),
             slowBackend: () =>
                 this.impairBackend(fault, backend => (backend.slowdownFactor = backendSlowdownFactor), restoreSpeed),
@@ -303,7 +298,7 @@
 
     /** Sends prompts with a poison part, no two alike, to all gateways in turn; each engine that starts to write on one crashes. */
     private async sendPoisonPrompts(fault: Fault): Promise<void> {
-        const part = poisonPart(Math.round(fault.at), fault.pick < alwaysPoisonShare);
+        const part = poisonPart(Math.round(fault.at));
         this.recordFault(fault, part);
         const endsAt = performance.now() + fault.lasts + poisonExtraMilliseconds;
         const pendingRequests: Promise<unknown>[] = [];
@@ -317,24 +312,6 @@
         await Promise.all(pendingRequests);
     }
 
-    /** Lets all backend servers answer without length, and some streams end within an event. */
-    private async omitLengths(fault: Fault): Promise<void> {
-        this.recordFault(fault, "all backend servers");
-        this.deployment.backends.forEach(backend => (backend.omitsLength = true));
-        await pause(fault.lasts);
-        this.deployment.backends.forEach(backend => (backend.omitsLength = false));
-    }
-
-    /** Sends most requests to one gateway, on new connections and three times as many. */
-    private async crowdGateway(fault: Fault, gateway: Member): Promise<void> {
-        this.recordFault(fault, gateway.name);
-        const end = this.invariants.crowded(performance.now());
-        this.callers.crowd(gateway);
-        await pause(fault.lasts);
-        this.callers.crowd(undefined);
-        end(performance.now());
-    }
-
     private async impairBackend(
         fault: Fault,
         impair: (backend: Backend) => unknown,
@@ -388,3 +365,19 @@
         this.report(`${String(at).padStart(6)} ${kind} ${targetName} for ${lasts} ms`);
     }
 }
+
+function healRelay(backend: Backend): void {
+    backend.relay.heal();
+}
+
+function restoreSpeed(backend: Backend): void {
+    backend.slowdownFactor = 1;
+}
+
+function restoreHandles(backend: Backend): void {
+    backend.expiresHandles = false;
+}
+
+function restoreResponses(backend: Backend): void {
+    backend.dropsResponses = false;
+}
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -23,12 +23,6 @@
         type: "boolean",
         describe: "whether they have several software versions, and callers resume streams; as departures by default",
     })
-    .option("unframed", { type: "boolean", default: false, describe: "whether answers have no length for a while" })
-    .option("crowds", {
-        type: "boolean",
-        default: false,
-        describe: "whether most connections come to one gateway for a while",
-    })
     .option("logs", { type: "string", default: "target/soak", describe: "folder for the logs of failed runs" })
     .strict()
     .parse();
@@ -40,11 +34,9 @@
 }
 
 const first = options.first ?? Math.floor(Date.now() / 1_000) % 1_000_000;
-const { seconds, gateways, directories, departures, versions, unframed, crowds } = options;
+const { seconds, gateways, directories, departures, versions } = options;
 const size = {
     departures,
-    unframed,
-    crowds,
     ...versions === undefined ? {} : { versions },
     ...seconds === undefined ? {} : { seconds },
     ...gateways === undefined ? {} : { gateways },
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -42,8 +42,6 @@
     | typeof faultKinds[number]
     | "limitBackend"
     | "poisonPrompts"
-    | "omitLengths"
-    | "crowdGateway"
     | "partitionGateways"
     | "leaveBackends"
     | "replaceVersion";
@@ -60,7 +58,6 @@
     "limitBackend",
     "leaveBackends",
     "replaceVersion",
-    "crowdGateway",
 ]);
 /** Planned operations that a plan draws from. */
 const drawnPlannedKinds = faultKinds.filter(kind => plannedKinds.has(kind));
@@ -98,10 +95,6 @@
     readonly departures?: boolean;
     /** Whether they have several software versions, and callers resume streams. @default `departures` */
     readonly versions?: boolean;
-    /** Whether answers have neither length nor chunks for a while, beside other faults. @default false */
-    readonly unframed?: boolean;
-    /** Whether most connections come to one gateway for a while. @default false */
-    readonly crowds?: boolean;
 };
 
 const defaultSeconds = 14;
@@ -160,7 +153,7 @@
     const hasUnplannedFaults = remainder !== 0 && remainder !== partitionOnlyRemainder;
     if (size.departures !== false) {
         faults.push(...createDepartures(seed, length, hasUnplannedFaults));
-        faults.push(...createTroubledTraffic(seed, length, hasUnplannedFaults, size));
+        faults.push(...(hasUnplannedFaults ? [createPoisonPrompts(seed, length)] : []));
     }
     if (seed % plannedOnlySeedInterval !== 0) {
         faults.push(...createPartitions(seed, length));
@@ -198,24 +191,15 @@
     return beside ? [departures, kill("killDirectory", 0), kill("killGateway", random.fraction())] : [departures];
 }
 
-/**
- * Where a plan has unplanned faults, prompts with a part that crashes engines arrive; if asked for, answers have no length, and most
- * connections come to one gateway for a while. The other faults are the same as without them.
- */
-function createTroubledTraffic(seed: number, length: number, beside: boolean, size: PlanSize): Fault[] {
+/** Prompts with a part that crashes engines arrive beside the other faults, which are the same as without them. */
+function createPoisonPrompts(seed: number, length: number): Fault {
     const random = SeededRandomness.create(-4_000_000 - seed);
-    const isPlanned = {
-        poisonPrompts: beside,
-        omitLengths: beside && size.unframed === true,
-        crowdGateway: size.crowds === true,
-    };
-    const kinds = ["poisonPrompts", "omitLengths", "crowdGateway"] as const;
-    return kinds.map(kind => ({
-        kind,
+    return {
+        kind: "poisonPrompts",
         at: random.integer(0, Math.floor(length / 2)),
         lasts: random.integer(minDurationMilliseconds, maxDurationMilliseconds),
         pick: random.fraction(),
-    })).filter(({ kind }) => isPlanned[kind]);
+    };
 }
 
 /** Gateways are partitioned from all backend servers twice beside the other faults, which are the same as without it. */
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -7,7 +7,6 @@
 import type { Member } from "./member.js";
 import { Operator } from "./operator.js";
 import type { SoakPlan } from "./plan.js";
-import type { PoisonReport } from "./poisonRecord.js";
 import type { Violation } from "./soakRequest.js";
 
 /** Time limit for each recovery step after the last fault, such as a gateway serving one kind of request again. */
@@ -29,8 +28,6 @@
     readonly cuts: Readonly<Record<string, number>>;
     /** Numbers of streams that callers resumed, of those that were answered whole, and of those with events of two versions. */
     readonly streams: { readonly resumed: number; readonly continued: number; readonly mixed: number; };
-    /** What was seen of prompts with poison parts. */
-    readonly poison: PoisonReport;
     /** The injected faults, in order. */
     readonly faults: readonly string[];
     /** The output of the daemon processes, by name. */
@@ -109,8 +106,7 @@
             continued: resumptions.filter(({ end }) => end?.kind === "answered" && end.status === 200).length,
             mixed: violations.filter(({ invariant }) => invariant === "one version").length,
         };
-        const poison = invariants.poisonReport();
-        return { seed: plan.seed, violations, requests: requests.size, ends, cuts, streams, poison, faults, logs };
+        return { seed: plan.seed, violations, requests: requests.size, ends, cuts, streams, faults, logs };
     }
 
     /** Waits until every gateway serves every kind of request. */
--- a/soak/texts.ts
+++ b/soak/texts.ts
@@ -47,11 +47,8 @@
     return body.startsWith(poisonPrefix);
 }
 
-/** Prefixes of a prompt's part that crashes each engine that begins to write on it, and of one that does so under some requests. */
+/** Prefix of a prompt's part that crashes each engine that begins to write on it. */
 const poisonPartPrefix = "bad";
-const partialPoisonPartPrefix = "0bad";
-/** Share of the requests with such a part that crash their engine. */
-const partialCrashShare = 0.6;
 /** Number of first parts that prompts share. */
 const sharedPartCount = 3;
 
@@ -61,26 +58,12 @@
     return [`5a${number}`, ...poisonPart === undefined ? [] : [poisonPart], Buffer.from(attempt).toString("hex")];
 }
 
-/** Identifier of a part that crashes engines, always or under some requests. */
-export function poisonPart(number: number, always: boolean): string {
-    return `${always ? poisonPartPrefix : partialPoisonPartPrefix}${number}`;
+/** Identifier of a part that crashes engines. */
+export function poisonPart(number: number): string {
+    return `${poisonPartPrefix}${number}`;
 }
 
 /** Whether a part of a prompt crashes engines. */
 export function isPoisonPart(part: string): boolean {
-    return part.startsWith(poisonPartPrefix) || part.startsWith(partialPoisonPartPrefix);
-}
-
-/** Whether the part crashes the engine that begins to write the answer to this attempt. */
-export function crashesUnder(part: string, attempt: string): boolean {
-    return part.startsWith(poisonPartPrefix) || hashToFraction(`${part} ${attempt}`) < partialCrashShare;
-}
-
-/** Share of the streams without length that end within an event. */
-const brokenEventShare = 0.15;
-
-/** Number of the event within which an attempt's stream without length ends; undefined if it ends as it should. */
-export function brokenEvent(attempt: string): number | undefined {
-    const fraction = hashToFraction(`broken ${attempt}`);
-    return fraction < brokenEventShare ? 1 + Math.floor(fraction / brokenEventShare * minEvents) : undefined;
+    return part.startsWith(poisonPartPrefix);
 }
