feat(placement): speeds of engines are taken into account only where the settings ask for it

What was wrong: placement by speed was on for every directory, by what it observed alone; deployments that had not asked for it could be placed differently, and the pinned decisions of "strained" had to leave it out. Change: placement.bySpeed of directories, false unless set; the platform's settings set it. The test of pinned decisions uses the default again, with the digests of before: strained failed without this change and passes.

--- a/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
@@ -58,10 +58,11 @@
  * streams cross a link when it begins to lose packets. A run is allocated the cache that it needs at its end; on average it
  * uses only half of the part for its answer, so slightly more than the whole cache can be allocated without preemptions.
  */
-export const leaderPlacementTuning: PlacementTuning = {
-    fill: 1.1,
-    share: 1,
-    farWeight: 30,
+export const leaderPlacementTuning: PlacementTuning = { fill: 1.1, share: 1, farWeight: 30 };
+
+/** Tuning of a leader that also takes the observed speeds of engines into account, where they differ much. */
+export const speedPlacementTuning: PlacementTuning = {
+    ...leaderPlacementTuning,
     unevenScore: CompletionScore.create(),
 };
 
--- a/packages/basilpaddle/src/node/coordination/gateway/index.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/index.ts
@@ -5,7 +5,12 @@
 export * from "./describeServers.js";
 export * from "./directoryWatcher.js";
 export * from "./effectivePriorities.js";
-export { leaderPlacementTuning, localPlacementTuning, type PlacementTuning } from "./enginePool.js";
+export {
+    leaderPlacementTuning,
+    localPlacementTuning,
+    type PlacementTuning,
+    speedPlacementTuning,
+} from "./enginePool.js";
 export * from "./instanceTable.js";
 export * from "./linkQuality.js";
 export * from "./outlierDetector.js";
--- a/packages/basilpaddle/src/node/daemon/directory/leaderServices.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/leaderServices.ts
@@ -41,6 +41,7 @@
             ...options,
             repeats: settings.repeats,
             floor: settings.shortage.floor,
+            bySpeed: settings.placement.bySpeed,
             limitOf: server => this.serverLimits.limitOf(server),
             onServerCalls: calls => this.outlierDetector.addCalls(calls, clock.monotonic()),
         }, term);
--- a/packages/basilpaddle/src/node/daemon/directory/placementService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/placementService.ts
@@ -7,6 +7,7 @@
     rankLabel,
     type RetryBudgetRules,
     SharedRetryBudget,
+    speedPlacementTuning,
     type TypicalRequest,
 } from "../../coordination/index.js";
 import {
@@ -40,6 +41,8 @@
     readonly limitOf?: (engine: string) => number | undefined;
     /** Share of placements that each waiting priority gets at least. @default 0.1 */
     readonly floor?: number;
+    /** Whether the observed speeds of engines are taken into account. @default false */
+    readonly bySpeed?: boolean;
     /** Called with a gateway's statistics of its calls to plain services. */
     readonly onServerCalls: (calls: readonly ServerCalls[]) => void;
     /** Called with an incarnation that a gateway reports as ended. */
@@ -173,13 +176,14 @@
             return;
         }
         this.poolsOutdated = false;
-        const { instances, traffic, limitOf, floor = defaultShortageFloor } = this.options;
+        const { instances, traffic, limitOf, floor = defaultShortageFloor, bySpeed = false } = this.options;
+        const tuning = bySpeed ? speedPlacementTuning : leaderPlacementTuning;
         const allInstances = instances.all();
         const current = traffic();
         for (const service of current?.services ?? []) {
             if (service.engine !== undefined) {
                 const pool = this.pools.get(service.name)
-                    ?? PlacementQueue.create(leaderPlacementTuning, limitOf, this.recorder);
+                    ?? PlacementQueue.create(tuning, limitOf, this.recorder);
                 this.pools.set(service.name, pool);
                 pool.setPrioritised(hasSeveralPriorities(current, service.name), floor);
                 pool.setEngines(allInstances.filter(instance => instance.service === service.name), service.engine);
--- a/packages/basilpaddle/src/node/protocol/gatewaySettings.ts
+++ b/packages/basilpaddle/src/node/protocol/gatewaySettings.ts
@@ -52,6 +52,12 @@
     floor: z.number().min(0).max(0.5).default(defaultShortageFloor),
 });
 
+/** Placement of runs by the leader. */
+const placementSchema = z.strictObject({
+    /** Whether engines whose observed speeds differ by 1.5 times or more get runs by their speed; else all count as equal. */
+    bySpeed: z.boolean().default(false),
+});
+
 /** Settings of a gateway, which serves callers' requests and has no durable state. */
 export const gatewaySettingsSchema = z.object({
     role: z.literal("gateway"),
@@ -95,6 +101,7 @@
     repeats: retryBudgetSchema.optional(),
     /** How the leader places runs while requests of several priorities wait. */
     shortage: shortageSchema.prefault({}),
+    placement: placementSchema.prefault({}),
     /** Time in seconds for finishing requests in progress after the daemon received a stop signal. */
     shutdownTime: seconds,
 });
--- a/simulation/places/__tests__/sameDecisions.spec.ts
+++ b/simulation/places/__tests__/sameDecisions.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { createHash } from "node:crypto";
-import { leaderPlacementTuning, PlacementQueue } from "../../../packages/basilpaddle/src/node/coordination/index.js";
+import { PlacementQueue } from "../../../packages/basilpaddle/src/node/coordination/index.js";
 import { bundledDay } from "../day.js";
 import { simulateDay } from "../daySimulation.js";
 
@@ -21,7 +21,7 @@
         };
     }
     try {
-        simulateDay(bundledDay(day), seed, { ...leaderPlacementTuning, unevenScore: undefined });
+        simulateDay(bundledDay(day), seed);
     }
     finally {
         originals.forEach(([method, original]) => prototype[method] = original);
@@ -29,9 +29,9 @@
     return hash.digest("hex").slice(0, 16);
 }
 
-// Load: the bundled days "celeste" and "strained", whose requests have one priority; the engines' speeds aren't used, since those of
-// "strained" differ enough to be taken into account. Guards against a change for several priorities that alters placement elsewhere.
-// A change that is meant to alter it replaces the digests.
+// Load: the bundled days "celeste" and "strained", whose requests have one priority; the engines of "strained" differ by 1.6 times. Guards
+// against placement for several priorities or by speed that alters decisions where nothing asks for it. A change that is meant to
+// alter them replaces the digests.
 describe("the decisions of an emulated day with one priority", () => {
     const digests = [["celeste", "44c934d31b6badba"], ["strained", "886686aca2be7840"]] as const;
     for (const [day, digest] of digests) {
--- a/simulation/places/cost.ts
+++ b/simulation/places/cost.ts
@@ -1,7 +1,7 @@
 // Measures the wall-clock time spent in the placement code, by load and pool size.
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
-import { PlacementQueue } from "../../packages/basilpaddle/src/node/coordination/index.js";
+import { PlacementQueue, speedPlacementTuning } from "../../packages/basilpaddle/src/node/coordination/index.js";
 import { bundledDay } from "./day.js";
 import { simulateDay } from "./daySimulation.js";
 
@@ -30,6 +30,7 @@
     .option("engines", { type: "number", array: true, default: [78, 156, 312, 624], describe: "pool sizes" })
     .option("loads", { type: "number", array: true, default: [1, 2, 3], describe: "multiples of the usual load" })
     .option("speeds", { type: "number", array: true, default: [1], describe: "speeds of the engines, by turns" })
+    .option("by-speed", { type: "boolean", default: false, describe: "whether the speeds are taken into account" })
     .strict()
     .parse();
 
@@ -44,7 +45,8 @@
         const rate = workload.rate * sizeFactor * loadFactor;
         spentMilliseconds = 0;
         const length = simulatedSeconds * millisecondsInSecond;
-        simulateDay({ ...day, pool: resized, workload: { ...workload, rate, length, bursts: [] } }, 1);
+        const measuredDay = { ...day, pool: resized, workload: { ...workload, rate, length, bursts: [] } };
+        simulateDay(measuredDay, 1, options.bySpeed ? speedPlacementTuning : {});
         const row = [
             engines,
             loadFactor,
