fix(placement): a leader counts the runs at engines that it hears of after gateways have reported them

What callers saw: a directory that leads with an old cache, or right after a restart, knew some engines only once their heartbeats arrived; the runs that gateways had reported there were forgotten, and the engine was filled again: rejected runs, preempted streams. Change: runs of a new engine are allocated when it is added.

--- a/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/enginePool.ts
@@ -107,9 +107,10 @@
         return new EnginePool(tuning, limitOf);
     }
 
-    /** Replaces the announcements of the pool's engines and the rule that applies to all of them. */
-    setEngines(announced: readonly ServerAnnouncement[], rule: EngineRule): void {
+    /** Replaces the announcements of the pool's engines and the rule that applies to all of them; returns the engines that are new. */
+    setEngines(announced: readonly ServerAnnouncement[], rule: EngineRule): readonly string[] {
         this.rule = rule;
+        const added: string[] = [];
         const announcedIds = new Set(announced.map(engine => engine.id));
         for (const id of this.engines.keys()) {
             if (!announcedIds.has(id)) {
@@ -121,11 +122,13 @@
             const known = this.engines.get(engine.id);
             if (known === undefined) {
                 this.engines.set(engine.id, EngineLoad.create(engine));
+                added.push(engine.id);
             }
             else {
                 known.announced = engine;
             }
         }
+        return added;
     }
 
     /** Changes the fraction of each engine that this instance may allocate. */
@@ -217,12 +220,7 @@
 
     /** Records the KV cache and the prefill of a request at its engines. */
     allocate(pair: EnginePair, request: PlacementRequest, now: number): void {
-        this.engines.get(pair.decode)?.addRun(
-            request.attempt,
-            roundUpToBlocks(request.cacheTokens),
-            Math.max(0, request.cacheTokens - request.promptTokens),
-            now,
-        );
+        this.allocateRun(pair.decode, request, now);
         this.engines.get(pair.prefill ?? pair.decode)?.addPrefill(request.attempt, request.promptTokens, now);
     }
 
@@ -242,6 +240,12 @@
         }
     }
 
+    /** Records the KV cache of a request at its decode engine, since `now`. */
+    allocateRun(decode: string, { attempt, cacheTokens, promptTokens }: PlacementRequest, now: number): void {
+        const answerTokens = Math.max(0, cacheTokens - promptTokens);
+        this.engines.get(decode)?.addRun(attempt, roundUpToBlocks(cacheTokens), answerTokens, now);
+    }
+
     /** Records that a request is about to be sent to its engines, for those that name a limit. */
     recordSends({ prefill, decode }: EnginePair, now: number): void {
         for (const id of prefill === undefined ? [decode] : [prefill, decode]) {
--- a/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
@@ -66,7 +66,10 @@
 
     /** Replaces the announcements of the pool's engines and the rule that applies to all of them. */
     setEngines(announced: readonly ServerAnnouncement[], rule: EngineRule): void {
-        this.pool.setEngines(announced, rule);
+        const added = new Set(this.pool.setEngines(announced, rule));
+        // Gateways may have reported runs at an engine that this instance hears of only now.
+        const runs = added.size === 0 ? [] : [...this.placements.values()].filter(({ decode }) => added.has(decode));
+        runs.forEach(({ decode, request, placedAt }) => this.pool.allocateRun(decode, request, placedAt));
     }
 
     /**
