fix(placement): prompts of reported runs aren't counted as unread

What was wrong: a new leader recorded a prefill for each run that gateways reported, and kept it until the run's end: forecasts at decode engines that run prefills doubled, and in pools with several priorities such an engine got no prompt at all. Change: only the KV cache of a reported run is recorded.

--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/placementQueue.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/placementQueue.spec.ts
@@ -106,6 +106,16 @@
         expect((decision as Extract<PlacementDecision, { kind: "refused"; }>).comeBackIn).to.be.above(0);
     });
 
+    // Guards against forecasts that are late, and prompts kept waiting, for prompts which a new leader takes for unread.
+    it("takes the prompts of reported runs for read", () => {
+        const [queue, unreported] = [createQueue(0, 1), createQueue(0, 1)];
+        const held = [{ demand: typicalPlacementRequest("held"), decode: "decode-0" }];
+        queue.reconcile("gateway", held, 0, 0);
+        expect(queue.enqueueRequest(typicalPlacementRequest("next"), 0)[0]).to.deep.equal(
+            unreported.enqueueRequest(typicalPlacementRequest("next"), 0)[0],
+        );
+    });
+
     it("moves requests that can't meet their target behind those that still can", () => {
         const queue = createQueue(1, 1);
         for (let number = 0; number < 8; number++) {
--- a/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
@@ -280,7 +280,12 @@
 
     private allocate(placement: Placement, now: number): void {
         this.placements.set(placement.request.attempt, placement);
-        this.pool.allocate(placement, placement.request, now);
+        if (placement.isPrefilled) {
+            this.pool.allocateRun(placement.decode, placement.request, now);
+        }
+        else {
+            this.pool.allocate(placement, placement.request, now);
+        }
     }
 
     private removePlacement(attempt: string, now: number): Placement | undefined {
