test(cost): five faults found in review have tests

Each new test failed with its mend taken out: a slow engine kept for a request that must not run there (nothing was placed), an invalid gap (the message was rejected), the speed of an engine learned before its runs were added (0 tokens in place of 12,336), the rest of a resumed stream reported as an answer (2 events in place of none), and waiting requests by rank that stay after the second priority has gone.

--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/unevenPlacement.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/unevenPlacement.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import * as fc from "fast-check";
-import type { PlacementDecision, PlacementRequest } from "../../../protocol/index.js";
+import { type PlacementDecision, type PlacementRequest, placementRequestSchema } from "../../../protocol/index.js";
 import { CompletionScore, completionTime, EventTokens, type ScoredLoad } from "../../cost/index.js";
 import { PlacementQueue } from "../placementQueue.js";
 import { engines, rule, typicalPlacementRequest } from "./fakes.js";
@@ -104,6 +104,22 @@
         expect(runs["decode-1"]).to.be.at.least(6);
     });
 
+    // Guards against an engine that is kept for a request which it is too slow for, while others wait for its room.
+    it("keeps no slow engine for a request that must not run there", () => {
+        const queue = createQueue(2);
+        report(queue, [0.15, 1], 1_000);
+        runsByEngine(queue, 8, 1_100, { gap: 300 });
+        queue.enqueueRequest(typicalPlacementRequest("waiting", { gap: 300, targetWithin: 5_000 }), 1_100);
+        const [decision] = queue.enqueueRequest(typicalPlacementRequest("any", { targetWithin: 9_000 }), 1_200);
+        expect(decision).to.include({ kind: "placed", decode: "decode-0" });
+    });
+
+    // Guards against a request, or a report of all placements, that is dropped for one invalid optional value.
+    it("ignores invalid limits of a request", () => {
+        const request = { ...typicalPlacementRequest("one"), gap: "300", finishWithin: Number.NaN };
+        expect(placementRequestSchema.parse(request)).to.include({ gap: undefined, finishWithin: undefined });
+    });
+
     it("places as among equal engines if a new leader has no reports yet", () => {
         const withoutReports = runsByEngine(createQueue(3), 12, 0);
         const queue = createQueue(3);
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/placementService.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/placementService.spec.ts
@@ -1,9 +1,9 @@
 import { expect } from "chai";
 import { ManualClock } from "../../../../../../../simulation/manualClock.js";
 import { engines, poolTraffic, route, typicalPlacementRequest } from "../../../coordination/gateway/__tests__/fakes.js";
-import { InstanceTable } from "../../../coordination/index.js";
-import type { ServerAnnouncement } from "../../../protocol/index.js";
-import { createSilentLogger } from "../../../utils/index.js";
+import { InstanceTable, PlacementQueue } from "../../../coordination/index.js";
+import type { ServerAnnouncement, Traffic } from "../../../protocol/index.js";
+import { createSilentLogger, RecordedMetrics } from "../../../utils/index.js";
 import { PlacementService } from "../placementService.js";
 
 /** Counts how often the list of all backend servers is read. */
@@ -16,10 +16,10 @@
     }
 }
 
-function createPlacementService(instances: InstanceTable, traffic = poolTraffic): PlacementService {
+function createPlacementService(instances: InstanceTable, traffic = (): Traffic => poolTraffic): PlacementService {
     return PlacementService.create({
         instances,
-        traffic: () => traffic,
+        traffic,
         onServerCalls: () => undefined,
         onIncarnationEnded: () => undefined,
         clock: new ManualClock(),
@@ -78,7 +78,7 @@
         for (const [traffic, first] of [[{ ...poolTraffic, routes }, "high"], [poolTraffic, "low"]] as const) {
             const instances = new CountedInstances();
             engines(1, 1).forEach(engine => instances.apply(engine));
-            const service = createPlacementService(instances, traffic);
+            const service = createPlacementService(instances, () => traffic);
             for (let number = 0; number < 9; number++) {
                 await decodeEngine(service, `held-${number}`);
                 await service.handle({ kind: "prefilled", attempt: `held-${number}` });
@@ -98,4 +98,48 @@
             service.close();
         }
     });
+
+    // Guards against a new leader that takes the time of an event beside other runs for that of an empty engine.
+    it("learns the speed of an engine beside the runs that are reported with it", async () => {
+        const instances = InstanceTable.create();
+        engines(1, 1).forEach(engine => instances.apply(engine));
+        const service = createPlacementService(instances);
+        const held = ["a", "b", "c"].map(attempt => ({
+            demand: typicalPlacementRequest(attempt),
+            decode: "decode-0",
+            writing: { events: 20, milliseconds: 800 },
+        }));
+        const tokens: (number | undefined)[] = [];
+        const { recordWriting } = PlacementQueue.prototype;
+        PlacementQueue.prototype.recordWriting = function(): void {
+            tokens.push(this.counts().allocated.get("decode-0"));
+        };
+        await service.handle({ kind: "holdings", gateway: "gateway", held });
+        PlacementQueue.prototype.recordWriting = recordWriting;
+        expect(tokens).to.deep.equal([12_336, 12_336, 12_336]);
+        service.close();
+    });
+
+    // Guards against a metric that shows waiting requests for ever after a service has lost its second priority.
+    it("reports no waiting request by priority once a service has one priority", async () => {
+        const routes = [0, 1].map(priority => {
+            return route({ name: `r-${priority}`, priority, targets: [{ service: "pool", weight: 1 }] });
+        });
+        let traffic = { ...poolTraffic, routes };
+        const instances = InstanceTable.create();
+        engines(1, 1).forEach(engine => instances.apply(engine));
+        const service = createPlacementService(instances, () => traffic);
+        const metrics = RecordedMetrics.create();
+        for (let number = 0; number < 9; number++) {
+            void service.handle({ kind: "place", demand: typicalPlacementRequest(`a-${number}`) });
+        }
+        service.measure(metrics);
+        expect(metrics.text()).to.match(/placements_waiting\{rank="1",service="pool"\} [1-9]/);
+        traffic = { ...poolTraffic, routes: routes.slice(0, 1) };
+        service.markPoolsOutdated();
+        await service.handle({ kind: "probe", gateway: "gateway" });
+        service.measure(metrics);
+        expect(metrics.text()).to.match(/placements_waiting\{rank="1",service="pool"\} 0/);
+        service.close();
+    });
 });
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamExchange.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamExchange.spec.ts
@@ -3,6 +3,7 @@
 import { ManualClock } from "../../../../../../../simulation/manualClock.js";
 import { announced, rule } from "../../../coordination/gateway/__tests__/fakes.js";
 import { InstanceTable, LinkQuality } from "../../../coordination/index.js";
+import type { PlacementOutcome } from "../../../protocol/index.js";
 import { createSilentLogger, RecordedMetrics } from "../../../utils/index.js";
 import { AnswerLimits, type BackendCall } from "../../backends/index.js";
 import type { ExchangeOptions } from "../backendSender.js";
@@ -23,7 +24,10 @@
     readonly priorities: RunMetadata["priority"][] = [];
     private retriesLeft: number;
 
-    constructor(retries: number, private readonly hasSeveralPriorities = false) {
+    readonly outcomes: PlacementOutcome[] = [];
+
+    /** `events`: the events of the only run that isn't lost. */
+    constructor(retries: number, private readonly hasSeveralPriorities = false, private readonly events = "") {
         this.retriesLeft = retries;
     }
 
@@ -45,7 +49,12 @@
             logger: createSilentLogger(),
             metrics: RecordedMetrics.create(),
             admission: { admit: () => Promise.resolve(true), observeAnswer: () => undefined },
-            crashes: { quarantineStatus: () => undefined, reportLostRun: () => Promise.resolve() },
+            crashes: {
+                quarantineStatus: () => undefined,
+                reportLostRun: () => Promise.resolve(),
+                reportAnswered: () => undefined,
+                reportBegun: () => undefined,
+            },
             retryAllowance: {
                 recordRequest: () => undefined,
                 takeRetry: () => Promise.resolve(this.retriesLeft > 0 && this.retriesLeft-- > 0),
@@ -60,11 +69,15 @@
         const placements = {
             requestPlacement: () =>
                 Promise.resolve({ kind: "placed", attempt: "a", prefill: "prefill", decode: "decode", by: "leader" }),
-            release: () => undefined,
+            release: (_attempt: string, outcome: PlacementOutcome) => this.outcomes.push(outcome),
             prefillCompleted: () => undefined,
             observeWriting: () => undefined,
         } as unknown as PlacementClient;
-        const versions = { begin: () => undefined } as unknown as StreamVersions;
+        const origin = { kind: "known", version: "", source: "own" };
+        const versions = {
+            begin: () => undefined,
+            resolve: () => Promise.resolve(origin),
+        } as unknown as StreamVersions;
         const gateway = { name: "g", failureDomain: "a" };
         await StreamExchange.create(options, placements, gateway, request, service, versions).run();
     }
@@ -85,8 +98,9 @@
     }
 
     private answer(call: BackendCall): RoutedResult {
-        return call.server.id === "prefill"
-            ? { status: 200, rawHeaders: [], headers: {}, body: Readable.from([Buffer.from("{}")]), framed: true }
+        const body = call.server.id === "prefill" ? "{}" : this.events;
+        return body !== ""
+            ? { status: 200, rawHeaders: [], headers: {}, body: Readable.from([Buffer.from(body)]), framed: true }
             : { kind: "broken", cause: "reset", wasReset: true, lostOnPath: false };
     }
 }
@@ -118,4 +132,16 @@
         await others.serve(createRequest(route));
         expect(others.priorities).to.deep.equal([undefined, undefined]);
     });
+
+    // Guards against estimates of answers that are learned from the rest of a stream which another run began.
+    it("tells the length of its answer only if this run wrote all of it", async () => {
+        const lengths = [undefined, "first"].map(async resumes => {
+            const engine = new LosingEngines(0, false, "id: 1\n\nid: 2\n\n");
+            const request = createRequest({ kind: "streaming", timeout: 10_000, resumable: true, prompts: true });
+            Object.assign(request.metadata, { resumes });
+            await engine.serve(request);
+            return engine.outcomes.map(({ answerEvents }) => answerEvents);
+        });
+        expect(await Promise.all(lengths)).to.deep.equal([[2], [undefined]]);
+    });
 });
