Revert "fix(gateway): prefills that a gateway placed alone aren't aborted by a forecast that knows only its own"

A failed try. It changed the seconds without a leader on every deployment, and nothing switched it on. What remains: a gateway that places alone doesn't know the prompts of the others; room would have to be reserved at the engine first.

--- a/packages/basilpaddle/src/node/daemon/gateway/placementClient.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementClient.ts
@@ -222,8 +222,7 @@
             decode: decision.decode,
             takeReport: () => undefined,
         });
-        // This gateway's forecast alone doesn't include the prefills that others have placed; by it, prefills would be aborted too soon.
-        return { ...decision, ...by === "alone" ? { readingWithin: undefined } : {}, by };
+        return { ...decision, by };
     }
 
     private mayAwaitFirstLeader(): boolean {
