--- a/packages/basilpaddle/src/node/daemon/directory/callServer.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/callServer.ts
@@ -13,9 +13,6 @@
 /** How long an idle connection stays open: several heartbeat intervals. */
 const keepAliveTimeoutMilliseconds = 15_000;
 
-/** How long the rest of a rejected body is read: after a reset its sender wouldn't see the answer. */
-const discardMilliseconds = 300;
-
 /** Result of a call, before it is written as an HTTP response. */
 export type CallResponse =
     | { readonly kind: "done"; }
@@ -82,8 +79,9 @@
                 return;
             }
             this.logger.warn("rejected the body of a call", { path, cause: body.cause });
+            // The rest of the body isn't read.
             response.shouldKeepAlive = false;
-            this.discardRest(request);
+            response.once("finish", () => request.destroy());
             this.reply(response, { kind: "invalid", findings: [body] });
         }
         catch (error) {
@@ -92,12 +90,6 @@
         }
     }
 
-    private discardRest(request: http.IncomingMessage): void {
-        const timer = setTimeout(() => request.destroy(), discardMilliseconds);
-        request.once("close", () => clearTimeout(timer));
-        request.resume();
-    }
-
     private reply(response: http.ServerResponse, outcome: CallResponse): void {
         if (response.headersSent || response.destroyed) {
             return;
