test(placement): the time that a request has waited is subtracted from what it has left, shown through the queue

The new one fails without it: the request was placed at an engine of half the speed six seconds after its arrival.

--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/unevenPlacement.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/unevenPlacement.spec.ts
@@ -114,6 +114,27 @@
         expect(decision).to.include({ kind: "placed", decode: "decode-0" });
     });
 
+    // Guards against answers that end after their caller's deadline, since the time that a request has waited isn't subtracted.
+    it("places no request that has waited for 6 s at an engine that would end it too late", () => {
+        const queue = createQueue(2);
+        for (let number = 0; number < 25; number++) {
+            queue.enqueueRequest(typicalPlacementRequest(`known-${number}`), 0);
+            queue.release(`known-${number}`, { answerEvents: 75 }, 0);
+        }
+        const engineOf = new Map<string, string>();
+        for (let number = 0; number < 16; number++) {
+            const [decision] = queue.enqueueRequest(typicalPlacementRequest(`r-${number}`), 0);
+            engineOf.set(decision!.attempt, decision?.kind === "placed" ? decision.decode : "");
+        }
+        const waiting = { finishWithin: 10_000, targetWithin: 60_000, patienceWithin: 60_000 };
+        queue.enqueueRequest(typicalPlacementRequest("waiting", waiting), 0);
+        report(queue, [0.5, 1], 5_900);
+        const endRunAt = (engine: string): PlacementDecision[] =>
+            queue.release([...engineOf].find(([, decode]) => decode === engine)![0], {}, 6_000);
+        expect(endRunAt("decode-0")).to.deep.equal([]);
+        expect(endRunAt("decode-1")[0]).to.include({ attempt: "waiting", decode: "decode-1" });
+    });
+
     // Guards against a request, or a report of all placements, that is dropped for one invalid optional value.
     it("ignores invalid limits of a request", () => {
         const request = { ...typicalPlacementRequest("one"), gap: "300", finishWithin: Number.NaN };
