feat(allowance): logs tell who granted what to an organisation, and `basilpaddle allowances` adds it up

Now each line of a request has its charge: units, granted or refused, by whom (the leader, with its term; this gateway, which reports afterwards; its own share, whole or strict), how long that took, and whether it was refunded. `basilpaddle allowances` finds from these lines the span in which most of each organisation ran, and what decided on its requests. A charge's answer states the leader's term; older gateways pass over it, and from older leaders it is missing.

No decision changes. The test of a gateway near its limit expects what decided besides the leader's decision.

--- a/packages/basilpaddle/src/node/cli/logCommands.ts
+++ b/packages/basilpaddle/src/node/cli/logCommands.ts
@@ -52,4 +52,19 @@
                 }),
         async args => setExitCode(await (await import("./commands/losses.js")).run(args)),
     );
+    parser.command(
+        "allowances <files..>",
+        "Show from log files in which span most of each organisation's allowance ran, and what granted it",
+        nested =>
+            withJson(nested)
+                .positional("files", {
+                    type: "string",
+                    array: true,
+                    demandOption: true,
+                    describe: "log files of gateways",
+                })
+                .option("window", { type: "number", default: 8_000, describe: "length of the span in milliseconds" })
+                .option("organisation", { type: "string", describe: "only this organisation" }),
+        async args => setExitCode(await (await import("./commands/allowances.js")).run(args)),
+    );
 }
--- a/packages/basilpaddle/src/node/coordination/allowance/__tests__/leaderAllowances.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/__tests__/leaderAllowances.spec.ts
@@ -76,7 +76,7 @@
     it("ask the leader near the limit", async () => {
         near = true;
         leaderDecision = { granted: false, comeBackIn: 700 };
-        expect(await allowances.admit(charge(200))).to.deep.equal(leaderDecision);
+        expect(await allowances.admit(charge(200))).to.deep.equal({ ...leaderDecision, by: "leader" });
         expect(asked).to.equal(1);
         expect(reported).to.deep.equal([]);
     });
--- a/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
@@ -105,6 +105,11 @@
         return { near: [...this.near], usedUp };
     }
 
+    /** Units that an organisation has left; negative while it is overdrawn, undefined without an account. */
+    level(organisation: string, now: number): number | undefined {
+        return this.accounts.peek(organisation)?.bucket.level(now);
+    }
+
     /** Number of organisations with an account. */
     get size(): number {
         return this.accounts.size;
--- a/packages/basilpaddle/src/node/coordination/allowance/leaderAllowances.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/leaderAllowances.ts
@@ -1,6 +1,10 @@
-import type { ChargeDecision } from "../../protocol/index.js";
 import type { AllowanceCharge } from "./allowanceCharge.js";
-import { type AllowanceOptions, OrganisationAllowances, type SpentUnits } from "./organisationAllowances.js";
+import {
+    type AllowanceDecision,
+    type AllowanceOptions,
+    OrganisationAllowances,
+    type SpentUnits,
+} from "./organisationAllowances.js";
 
 /** Interval between two reports, multiplied by the number of gateways: bounds the reports that the leader receives from all. */
 const reportIntervalPerGatewayMilliseconds = 1.5;
@@ -29,13 +33,13 @@
     /** Whether the leader is asked before the request is admitted. */
     protected abstract mustAsk(charge: AllowanceCharge): boolean;
 
-    override async admit(charge: AllowanceCharge): Promise<ChargeDecision> {
+    override async admit(charge: AllowanceCharge): Promise<AllowanceDecision> {
         const decision = await this.chargeLeader(charge);
         const now = this.now();
         if (decision === undefined) {
             return this.options.leader.hasUsedUp(charge.organisation)
-                ? this.ownShare.admitStrictly(charge, now)
-                : this.ownShare.admit(charge, now);
+                ? { ...this.ownShare.admitStrictly(charge, now), by: "strictShare" }
+                : { ...this.ownShare.admit(charge, now), by: "share" };
         }
         if (decision.granted) {
             this.ownShare.recordSpent(charge, now);
@@ -61,17 +65,18 @@
     }
 
     /** Charges a request at the leader, now or afterwards; undefined if no leader answers. */
-    private chargeLeader(charge: AllowanceCharge): Promise<ChargeDecision | undefined> {
+    private async chargeLeader(charge: AllowanceCharge): Promise<AllowanceDecision | undefined> {
         const { leader } = this.options;
         const { organisation, cost, rank } = charge;
         if (!leader.isAvailable()) {
-            return Promise.resolve(undefined);
+            return undefined;
         }
         if (this.mustAsk(charge)) {
-            return leader.charge(organisation, cost, rank);
+            const decision = await leader.charge(organisation, cost, rank);
+            return decision && { ...decision, by: "leader" };
         }
         this.recordSpent(charge, cost);
-        return Promise.resolve({ granted: true });
+        return { granted: true, by: "reported" };
     }
 
     private recordSpent({ organisation, allowance, rank }: AllowanceCharge, units: number): void {
--- a/packages/basilpaddle/src/node/coordination/allowance/organisationAllowances.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/organisationAllowances.ts
@@ -10,6 +10,21 @@
     readonly byRank?: RankUnits[];
 };
 
+/**
+ * What decided on a request: the leader that was asked, this gateway, which reports what it spent, or this gateway's own share, whole or
+ * in its strict form.
+ */
+export type AllowanceGrantor = "leader" | "reported" | "share" | "strictShare";
+
+/** A leader's decision on a charge. */
+export type LeaderDecision = ChargeDecision & {
+    /** Its term; undefined if it doesn't state one. */
+    readonly term?: number | undefined;
+};
+
+/** A decision on a charge, and what decided. */
+export type AllowanceDecision = LeaderDecision & { readonly by: AllowanceGrantor; };
+
 /** The leader's side of the allowances, as a gateway reaches it. */
 export type AllowanceLeader = {
     /** Whether a leader is believed to answer. */
@@ -19,7 +34,7 @@
         organisation: string,
         cost: number,
         rank: number | undefined,
-    ) => Promise<ChargeDecision | undefined>;
+    ) => Promise<LeaderDecision | undefined>;
     /** Reports what was spent without asking. */
     readonly recordSpent: (spent: readonly SpentUnits[]) => void;
     /** Whether the organisation is near its limit, according to the leader. */
@@ -48,7 +63,7 @@
     }
 
     /** Charges a request once, or refuses it with the milliseconds after which it may come back. */
-    abstract admit(charge: AllowanceCharge): Promise<ChargeDecision>;
+    abstract admit(charge: AllowanceCharge): Promise<AllowanceDecision>;
 
     /** Refunds the cost of an admitted request that no backend server has run. */
     abstract refund(charge: AllowanceCharge): void;
--- a/packages/basilpaddle/src/node/daemon/directory/allowanceService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/allowanceService.ts
@@ -1,6 +1,7 @@
 import { AllowanceLedger, type LimitedOrganisations } from "../../coordination/index.js";
 import type { Allowance, AllowanceMessage, AllowanceReply, Traffic } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
+import { AllowanceTally } from "./allowanceTally.js";
 
 /**
  * Fraction of its burst that each organisation starts with under a new leader, which doesn't know what was spent under the
@@ -25,6 +26,8 @@
 /** Inputs and dependencies of `AllowanceService`. */
 export type AllowanceServiceOptions = {
     readonly traffic: () => Traffic | undefined;
+    /** Term of the leadership, for logs. */
+    readonly term: number;
     /** Whether no other directory has led before, so that nothing has been spent. */
     readonly firstLeader: boolean;
     /** Fraction of an organisation's rate that its lower priorities share in any case. @default 0.1 */
@@ -38,12 +41,14 @@
 /** Keeps the allowances of all organisations for all gateways while this directory leads. */
 export class AllowanceService {
     private readonly ledger: AllowanceLedger;
+    private readonly tally: AllowanceTally;
     private current = noLimits;
     private changedAt = Number.NEGATIVE_INFINITY;
     private allowancesOf: { readonly traffic: Traffic; readonly byName: ReadonlyMap<string, Allowance>; } | undefined;
 
     private constructor(private readonly options: AllowanceServiceOptions) {
         this.ledger = AllowanceLedger.create(options.firstLeader ? 1 : initialBurstFraction, options.floor);
+        this.tally = AllowanceTally.create(options, organisation => this.ledger.level(organisation, this.now()));
     }
 
     static create(options: AllowanceServiceOptions): AllowanceService {
@@ -52,7 +57,7 @@
 
     /** Handles a message from a gateway; undefined for messages that have no reply. */
     handle(message: AllowanceMessage): AllowanceReply | undefined {
-        const now = this.options.clock.monotonic();
+        const now = this.now();
         const reply = message.kind === "charge"
             ? this.charge(message, now)
             : this.recordSpent(message.spent, now);
@@ -69,7 +74,8 @@
 
     /** Looks for organisations that came near their limit or are far from it again; to be called periodically. */
     review(): void {
-        const now = this.options.clock.monotonic();
+        const now = this.now();
+        this.tally.review(now);
         const isUrgent = this.ledger.hasNewlyLimited();
         if (!isUrgent && now - this.changedAt < minChangeIntervalMilliseconds) {
             return;
@@ -94,12 +100,17 @@
         metrics.gauge("basilpaddle_organisations_near_limit", this.current.near.length);
     }
 
+    private now(): number {
+        return this.options.clock.monotonic();
+    }
+
     private charge({ organisation, cost, rank }: ChargeMessage, now: number): AllowanceReply {
         const allowance = this.allowance(organisation);
         const decision = allowance === undefined
             ? { granted: true } as const
             : this.ledger.charge(organisation, allowance, cost, now, rank);
-        return { kind: "charged", decision };
+        this.tally.recordCharge(organisation, cost, decision);
+        return { kind: "charged", decision, term: this.options.term };
     }
 
     private recordSpent(spent: SpentMessage["spent"], now: number): undefined {
@@ -107,6 +118,7 @@
             const allowance = this.allowance(organisation);
             if (allowance !== undefined) {
                 this.ledger.recordSpent(organisation, allowance, units, now, byRank);
+                this.tally.recordSpent(organisation, units);
             }
         }
         return undefined;
--- a/packages/basilpaddle/src/node/daemon/directory/leaderServices.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/leaderServices.ts
@@ -46,7 +46,7 @@
             onServerCalls: calls => this.outlierDetector.addCalls(calls, clock.monotonic()),
         }, term);
         const { floor } = settings.shortage;
-        this.allowances = AllowanceService.create({ ...options, floor, firstLeader, onLimitsChanged: onChanged });
+        this.allowances = AllowanceService.create({ ...options, term, floor, firstLeader, onLimitsChanged: onChanged });
         this.stageOrders = StageOrders.create({
             ...options,
             typicalRequest: service => this.placement.typicalRequest(service),
--- a/packages/basilpaddle/src/node/daemon/gateway/allowanceAdmission.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/allowanceAdmission.ts
@@ -23,7 +23,10 @@
             request.reject("the token counts aren't two numbers");
             return [];
         }
-        const decision = await this.allowances.admit(charge);
+        const askedAt = request.age();
+        const { by, term, ...decision } = await this.allowances.admit(charge);
+        const within = Math.round(request.age() - askedAt);
+        request.charge = { units: charge.cost, granted: decision.granted, by, term, within };
         if (!decision.granted) {
             this.count("refused", charge);
             this.metrics.count("basilpaddle_allowance_refusals_total", { rank: String(rankOf(request.priority)) });
@@ -35,6 +38,7 @@
         if (!request.mayHaveRun()) {
             this.count("refunded", charge);
             this.allowances.refund(charge);
+            request.charge = { ...request.charge, refunded: true };
         }
         return path;
     }
--- a/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
@@ -1,5 +1,5 @@
 import type * as http from "node:http";
-import { type CallerIdentity, digestOf, promptPartName } from "../../coordination/index.js";
+import { type AllowanceGrantor, type CallerIdentity, digestOf, promptPartName } from "../../coordination/index.js";
 import type { CallerLimits, TrafficRoute } from "../../protocol/index.js";
 import type { BackendAnswer } from "../backends/index.js";
 import type { CallerMetadata } from "./gatewayWire.js";
@@ -26,9 +26,24 @@
     | "brokenOff"
     | "callerGone";
 
+/** How a request was charged to its organisation's allowance, for logs. */
+export type RecordedCharge = {
+    /** In the allowance's unit. */
+    readonly units: number;
+    readonly granted: boolean;
+    readonly by: AllowanceGrantor;
+    readonly term?: number | undefined;
+    /** Milliseconds that the decision took. */
+    readonly within: number;
+    /** Whether its units were returned, since no backend server may have run it. */
+    readonly refunded?: boolean;
+};
+
 /** One caller's request with its complete body and its metadata; writes the answer to it. */
 export class CallerRequest {
     readonly disconnected = new AbortController();
+    /** How it was charged; undefined if its organisation has no allowance. */
+    charge: RecordedCharge | undefined;
     private endState: RequestEnd | undefined;
     private cause = "";
     private cachedDigest: string | undefined;
--- a/packages/basilpaddle/src/node/daemon/gateway/logRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/logRequest.ts
@@ -21,6 +21,7 @@
         promptParts: loggedPromptParts(request.promptParts),
         route: route.name,
         organisation: request.identity.organisation?.name,
+        charge: request.charge,
         configuration: version,
         ...outcome,
         milliseconds,
--- a/packages/basilpaddle/src/node/daemon/gateway/placementLeader.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementLeader.ts
@@ -1,9 +1,8 @@
-import type { DirectoryWatcher } from "../../coordination/index.js";
+import type { DirectoryWatcher, LeaderDecision } from "../../coordination/index.js";
 import {
     type Admission,
     admissionReplySchema,
     allowanceReplySchema,
-    type ChargeDecision,
     type LeaderMessage,
     type LimitObservation,
     type PlacementMessage,
@@ -84,7 +83,7 @@
     }
 
     /** Charges a request to its organisation; undefined if no leader answers. */
-    async charge(organisation: string, cost: number, rank: number | undefined): Promise<ChargeDecision | undefined> {
+    async charge(organisation: string, cost: number, rank: number | undefined): Promise<LeaderDecision | undefined> {
         const { watcher, name, clock } = this.options;
         const leader = watcher.leader();
         const askedAt = clock.monotonic();
@@ -92,7 +91,7 @@
         const answer = await this.requestAny(leader, message, this.timeout.timeout(askedAt));
         const reply = allowanceReplySchema.safeParse(answer).data;
         if (reply?.kind === "charged") {
-            return reply.decision;
+            return { ...reply.decision, term: reply.term };
         }
         this.recordNoAnswer(leader, reply?.kind ?? "none");
         return undefined;
--- a/packages/basilpaddle/src/node/protocol/allowance.ts
+++ b/packages/basilpaddle/src/node/protocol/allowance.ts
@@ -45,7 +45,12 @@
 
 /** Reply of the leading directory to a charge; other directories reply with the leader that they know. */
 export const allowanceReplySchema = z.discriminatedUnion("kind", [
-    z.object({ kind: z.literal("charged"), decision: chargeDecisionSchema }),
+    z.object({
+        kind: z.literal("charged"),
+        decision: chargeDecisionSchema,
+        /** Term of the leader, for logs. @default not known */
+        term: z.int().min(0).optional(),
+    }),
     z.object({ kind: z.literal("elsewhere"), leader: z.string().optional() }),
 ]);
 
--- a/simulation/allowances/allowanceSimulation.ts
+++ b/simulation/allowances/allowanceSimulation.ts
@@ -107,6 +107,7 @@
     private createService(firstLeader: boolean): AllowanceService {
         return AllowanceService.create({
             traffic: () => this.traffic,
+            term: 1,
             firstLeader,
             onLimitsChanged: () => this.push(),
             clock: this.clock,
--- a/simulation/allowances/policies.ts
+++ b/simulation/allowances/policies.ts
@@ -1,11 +1,11 @@
 import {
     type AllowanceCharge,
+    type AllowanceDecision,
     type AllowanceOptions,
     LeaderAllowances,
     OrganisationAllowances,
     ReportedAllowances,
 } from "../../packages/basilpaddle/src/node/coordination/index.js";
-import type { ChargeDecision } from "../../packages/basilpaddle/src/node/protocol/index.js";
 
 /** Each gateway admits an equal share of each allowance; costs no message. */
 class EqualShares extends OrganisationAllowances {
@@ -13,8 +13,8 @@
         return new EqualShares(options);
     }
 
-    override admit(charge: AllowanceCharge): Promise<ChargeDecision> {
-        return Promise.resolve(this.ownShare.admit(charge, this.now()));
+    override admit(charge: AllowanceCharge): Promise<AllowanceDecision> {
+        return Promise.resolve({ ...this.ownShare.admit(charge, this.now()), by: "share" });
     }
 
     override refund(charge: AllowanceCharge): void {
