--- a/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
@@ -30,6 +30,9 @@
 /** Organisations near their limit, for whose requests gateways have to ask, and those of them that have used it up. */
 export type LimitedOrganisations = { readonly near: readonly string[]; readonly usedUp: readonly string[]; };
 
+/** Units that an organisation has left, negative while it is overdrawn, and what flows in each second up to the burst. */
+export type AllowanceState = { readonly level: number; readonly rate: number; readonly burst: number; };
+
 /** The allowances of all organisations, as the leader keeps them for all gateways. */
 export class AllowanceLedger {
     private readonly accounts = new LRUCache<string, Account>({ max: maxAccounts });
@@ -105,9 +108,10 @@
         return { near: [...this.near], usedUp };
     }
 
-    /** Units that an organisation has left; negative while it is overdrawn, undefined without an account. */
-    level(organisation: string, now: number): number | undefined {
-        return this.accounts.peek(organisation)?.bucket.level(now);
+    /** What an organisation has left; undefined without an account. */
+    state(organisation: string, now: number): AllowanceState | undefined {
+        const bucket = this.accounts.peek(organisation)?.bucket;
+        return bucket && { level: Math.round(bucket.level(now)), rate: bucket.rate, burst: bucket.burst };
     }
 
     /** Number of organisations with an account. */
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/allowanceTally.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/allowanceTally.spec.ts
@@ -8,7 +8,7 @@
         const logger: Logger = Object.assign(createSilentLogger(), {
             info: (_message: string, facts: unknown) => written.push(facts),
         });
-        const tally = AllowanceTally.create({ term: 4, logger }, () => -12.4);
+        const tally = AllowanceTally.create({ term: 4, logger }, () => ({ level: -12, rate: 1, burst: 2 }));
         tally.recordSpent("far from its limit", 100);
         tally.recordCharge("a", 30, { granted: true });
         tally.recordCharge("a", 40, { granted: false, comeBackIn: 1 });
@@ -20,8 +20,26 @@
         expect(written).to.deep.equal([{
             term: 4,
             organisations: [
-                { organisation: "b", granted: 0, refused: 0, reported: 500, refunded: 200, level: -12 },
-                { organisation: "a", granted: 30, refused: 40, reported: 0, refunded: 0, level: -12 },
+                {
+                    organisation: "b",
+                    granted: 0,
+                    refused: 0,
+                    reported: 500,
+                    refunded: 200,
+                    level: -12,
+                    rate: 1,
+                    burst: 2,
+                },
+                {
+                    organisation: "a",
+                    granted: 30,
+                    refused: 40,
+                    reported: 0,
+                    refunded: 0,
+                    level: -12,
+                    rate: 1,
+                    burst: 2,
+                },
             ],
             omitted: 0,
         }]);
--- a/packages/basilpaddle/src/node/daemon/directory/allowanceService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/allowanceService.ts
@@ -48,7 +48,7 @@
 
     private constructor(private readonly options: AllowanceServiceOptions) {
         this.ledger = AllowanceLedger.create(options.firstLeader ? 1 : initialBurstFraction, options.floor);
-        this.tally = AllowanceTally.create(options, organisation => this.ledger.level(organisation, this.now()));
+        this.tally = AllowanceTally.create(options, organisation => this.ledger.state(organisation, this.now()));
     }
 
     static create(options: AllowanceServiceOptions): AllowanceService {
--- a/packages/basilpaddle/src/node/daemon/directory/allowanceTally.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/allowanceTally.ts
@@ -1,3 +1,4 @@
+import type { AllowanceState } from "../../coordination/index.js";
 import type { ChargeDecision } from "../../protocol/index.js";
 import type { Logger } from "../../utils/index.js";
 
@@ -24,15 +25,15 @@
 
     private constructor(
         private readonly options: { readonly term: number; readonly logger: Logger; },
-        private readonly level: (organisation: string) => number | undefined,
+        private readonly state: (organisation: string) => AllowanceState | undefined,
     ) {}
 
-    /** `term`: the term of the leadership. `level`: what an organisation has left. */
+    /** `term`: the term of the leadership. `state`: what an organisation has left. */
     static create(
         options: { readonly term: number; readonly logger: Logger; },
-        level: (organisation: string) => number | undefined,
+        state: (organisation: string) => AllowanceState | undefined,
     ): AllowanceTally {
-        return new AllowanceTally(options, level);
+        return new AllowanceTally(options, state);
     }
 
     /** Records the decision on a request of a gateway that asked. */
@@ -61,7 +62,7 @@
             term: this.options.term,
             organisations: limited.slice(0, maxLoggedOrganisations).map(units => ({
                 ...units,
-                level: Math.round(this.level(units.organisation) ?? 0),
+                ...this.state(units.organisation),
             })),
             omitted: Math.max(0, limited.length - maxLoggedOrganisations),
         });
