--- a/simulation/allowances/allowanceSimulation.ts
+++ b/simulation/allowances/allowanceSimulation.ts
@@ -54,6 +54,12 @@
 };
 type Admission = { readonly organisation: number; readonly at: number; readonly cost: number; };
 
+type SimulatedGateway = {
+    readonly allowances: OrganisationAllowances;
+    /** Asks the leader for a placement, and finds out that none answers; reports of what was spent have no answer. */
+    readonly requestPlacement: () => Promise<void>;
+};
+
 /** The leader, and what each gateway knows of it. */
 class SimulatedLeader {
     messages = 0;
@@ -80,9 +86,10 @@
         return !isLost && !isCutOff;
     }
 
-    /** Loses its memory, as its successor starts. */
+    /** Its successor starts: without its memory, and without having named organisations near their limit. */
     restart(): void {
         this.service = this.createService(false);
+        this.pushed = noLimits;
     }
 
     isNearLimit(organisation: string): boolean {
@@ -158,7 +165,7 @@
         referenceUnits[organisation]! += reference[organisation]!.takeIfAnyLeft(cost, at) ? cost : 0;
         const named = day.priorities?.named === true ? { rank } : {};
         const charge = { organisation: name, allowance, cost, attempt: String(delays.length), ...named };
-        const decision = await gateways[gateway]!.admit(charge);
+        const decision = await gateways[gateway]!.allowances.admit(charge);
         delays.push(clock.monotonic() - at);
         if (day.busy === undefined || isBusy(day.busy, organisation, at)) {
             ranks[rank]!.sent += 1;
@@ -166,6 +173,7 @@
         }
         if (decision.granted) {
             admitted.push({ organisation, at, cost });
+            void gateways[gateway]!.requestPlacement();
         }
     };
     const scheduleArrival = (): void => {
@@ -180,7 +188,7 @@
         clock.after(day.leaderLost.until * millisecondsInSecond - 1, () => leader.restart());
     }
     await clock.advance(day.length * millisecondsInSecond);
-    gateways.forEach(gateway => gateway.close());
+    gateways.forEach(({ allowances }) => allowances.close());
     return {
         excess: Math.max(...organisations.map(({ allowance }, number) => excessOf(admitted, number, allowance))),
         refusedUnder: refusedUnder(admitted, referenceUnits),
@@ -199,10 +207,10 @@
     leader: SimulatedLeader,
     clock: ManualClock,
     sentMessages: number[],
-): OrganisationAllowances {
+): SimulatedGateway {
     let silentUntil = 0;
     const wait = (milliseconds: number): Promise<void> => new Promise(resolve => clock.after(milliseconds, resolve));
-    return policies[policy].create({
+    const allowances = policies[policy].create({
         gateways: () => day.gateways,
         clock,
         leader: {
@@ -228,12 +236,18 @@
                         leader.recordSpent(spent);
                     }
                 });
-                if (!leader.reaches(gateway)) {
-                    silentUntil = clock.monotonic() + probeMilliseconds;
-                }
             },
         },
     });
+    return {
+        allowances,
+        requestPlacement: async () => {
+            if (clock.monotonic() >= silentUntil && !leader.reaches(gateway)) {
+                await wait(answerTimeoutMilliseconds);
+                silentUntil = clock.monotonic() + probeMilliseconds;
+            }
+        },
+    };
 }
 
 function createOrganisations(day: AllowanceDay, random: Randomness): Organisation[] {
