--- a/simulation/allowances/__tests__/allowanceSimulation.spec.ts
+++ b/simulation/allowances/__tests__/allowanceSimulation.spec.ts
@@ -46,6 +46,21 @@
         expect(excess).to.be.at.most(admissibleExcess);
     });
 
+    // Guards against units that several of these grant at once: a leader, the one before it, and gateways that don't reach it.
+    const overlaps = [
+        "busy, half cut off",
+        "12 gateways, busy, leader lost twice",
+        "12 gateways, leader lost twice as it gets busy",
+        "12 gateways, busy, leader late",
+        "12 gateways, half cut off as it gets busy",
+    ];
+    for (const name of overlaps) {
+        it(`aren't exceeded on the day "${name}"`, async () => {
+            const { excess } = await simulateAllowances(allowanceDays[name]!, "reported", seed);
+            expect(excess).to.be.at.most(admissibleExcess);
+        });
+    }
+
     it("cost few messages compared with asking for every request", async () => {
         const day = { ...allowanceDays.calm!, burstSeconds: 8 };
         const reported = await simulateAllowances(day, "reported", seed);
--- a/simulation/allowances/allowanceSimulation.ts
+++ b/simulation/allowances/allowanceSimulation.ts
@@ -80,12 +80,23 @@
     reaches(gateway: number): boolean {
         const { leaderLost, cutOff, gateways } = this.day;
         const seconds = this.clock.monotonic() / millisecondsInSecond;
-        const isLost = leaderLost !== undefined && leaderLost.from <= seconds && seconds < leaderLost.until;
+        const isLost = (leaderLost ?? []).some(({ from, until }) => from <= seconds && seconds < until);
         const isCutOff = cutOff !== undefined && gateway < cutOff.fraction * gateways
             && cutOff.from <= seconds && seconds < cutOff.until;
         return !isLost && !isCutOff;
     }
 
+    /** Milliseconds until it handles a message that arrives now. */
+    delay(): number {
+        const { leaderLate } = this.day;
+        const now = this.clock.monotonic();
+        const seconds = now / millisecondsInSecond;
+        if (leaderLate === undefined || seconds < leaderLate.from || seconds >= leaderLate.until) {
+            return 0;
+        }
+        return Math.max(0, leaderLate.stopped - now % leaderLate.period);
+    }
+
     /** Its successor starts: without its memory, and without having named organisations near their limit. */
     restart(): void {
         this.service = this.createService(false);
@@ -184,9 +195,7 @@
         });
     };
     scheduleArrival();
-    if (day.leaderLost !== undefined) {
-        clock.after(day.leaderLost.until * millisecondsInSecond - 1, () => leader.restart());
-    }
+    day.leaderLost?.forEach(({ until }) => clock.after(until * millisecondsInSecond - 1, () => leader.restart()));
     await clock.advance(day.length * millisecondsInSecond);
     gateways.forEach(({ allowances }) => allowances.close());
     return {
@@ -210,6 +219,30 @@
 ): SimulatedGateway {
     let silentUntil = 0;
     const wait = (milliseconds: number): Promise<void> => new Promise(resolve => clock.after(milliseconds, resolve));
+    /** Has the leader handle a message; undefined without an answer in time, after which the leader counts as silent for a while. */
+    const exchange = async <Answer>(handle: () => Answer, hasAnswer = true): Promise<Answer | undefined> => {
+        let answer: Answer | undefined;
+        const answered = (async () => {
+            await wait(oneWayMilliseconds + serviceMilliseconds);
+            await wait(leader.delay());
+            if (!leader.reaches(gateway)) {
+                return new Promise<never>(() => undefined);
+            }
+            answer = handle();
+            await wait(oneWayMilliseconds);
+        })();
+        if (!hasAnswer) {
+            return undefined;
+        }
+        const isAnswered = await Promise.race([
+            answered.then(() => true),
+            wait(answerTimeoutMilliseconds).then(() => false),
+        ]);
+        if (!isAnswered) {
+            silentUntil = clock.monotonic() + probeMilliseconds;
+        }
+        return isAnswered ? answer : undefined;
+    };
     const allowances = policies[policy].create({
         gateways: () => day.gateways,
         clock,
@@ -219,32 +252,19 @@
             hasUsedUp: organisation => leader.hasUsedUp(organisation),
             charge: async (organisation, cost, rank) => {
                 sentMessages[gateway]! += 1;
-                await wait(oneWayMilliseconds + serviceMilliseconds);
-                if (!leader.reaches(gateway)) {
-                    await wait(answerTimeoutMilliseconds);
-                    silentUntil = clock.monotonic() + probeMilliseconds;
-                    return undefined;
-                }
-                const decision = leader.charge(organisation, cost, rank);
-                await wait(oneWayMilliseconds);
-                return decision;
+                return exchange(() => leader.charge(organisation, cost, rank));
             },
             recordSpent: spent => {
                 sentMessages[gateway]! += 1;
-                clock.after(oneWayMilliseconds, () => {
-                    if (leader.reaches(gateway)) {
-                        leader.recordSpent(spent);
-                    }
-                });
+                void exchange(() => leader.recordSpent(spent), false);
             },
         },
     });
     return {
         allowances,
         requestPlacement: async () => {
-            if (clock.monotonic() >= silentUntil && !leader.reaches(gateway)) {
-                await wait(answerTimeoutMilliseconds);
-                silentUntil = clock.monotonic() + probeMilliseconds;
+            if (clock.monotonic() >= silentUntil) {
+                await exchange(() => true);
             }
         },
     };
--- a/simulation/allowances/day.ts
+++ b/simulation/allowances/day.ts
@@ -26,8 +26,10 @@
     busy: z.object({ rank: z.int().min(1), from: z.number(), until: z.number(), factor: z.number() }).optional(),
     /** Fraction of the requests of each priority, the highest first, and whether charges name it; without, all have one. */
     priorities: z.object({ shares: z.array(z.number().min(0)).min(1).max(10), named: z.boolean() }).optional(),
-    /** The leader is lost, and another one starts without its memory at the end. */
-    leaderLost: z.object({ from: z.number(), until: z.number() }).optional(),
+    /** Each time the leader is lost, and another one starts without its memory at the end. */
+    leaderLost: z.array(z.object({ from: z.number(), until: z.number() })).optional(),
+    /** The leader stops for a part of each period, in milliseconds, and then handles what has arrived. */
+    leaderLate: z.object({ from: z.number(), until: z.number(), period: z.number(), stopped: z.number() }).optional(),
     /** This fraction of the gateways doesn't reach the leader. */
     cutOff: z.object({ fraction: z.number(), from: z.number(), until: z.number() }).optional(),
 });
@@ -47,6 +49,9 @@
     length: 30,
     oneGateway: false,
 } as const;
+/** Few gateways, whose shares are many requests. */
+const fewGateways = { ...pool, gateways: 12, requestRate: 200, meanCost: 1_000 } as const;
+const lostTwice = [{ from: 11, until: 12.5 }, { from: 15, until: 16.5 }];
 const priorities = { shares: [0.25, 0.35, 0.4], named: true };
 const busy = { rank: 3, from: 8, until: 20, factor: 7.5 } as const;
 
@@ -56,7 +61,27 @@
     "burst": { ...pool, burst: { from: 10, until: 14, factor: 2.2 } },
     "busy": { ...pool, busy },
     "busy, one gateway": { ...pool, busy, oneGateway: true },
-    "busy, leader lost": { ...pool, busy, leaderLost: { from: 11, until: 15 } },
+    "busy, leader lost": { ...pool, busy, leaderLost: [{ from: 11, until: 15 }] },
+    "busy, leader lost twice": { ...pool, busy, leaderLost: lostTwice },
+    "12 gateways, busy, leader lost twice": { ...fewGateways, busy, leaderLost: lostTwice },
+    "12 gateways, leader lost twice as it gets busy": {
+        ...fewGateways,
+        busy: { ...busy, from: 12.5 },
+        burstSeconds: 4,
+        leaderLost: lostTwice,
+    },
+    "12 gateways, busy, leader late": {
+        ...fewGateways,
+        busy,
+        leaderLate: { from: 10, until: 19, period: 950, stopped: 450 },
+    },
+    "12 gateways, half cut off as it gets busy": {
+        ...fewGateways,
+        busy: { ...busy, from: 10 },
+        cutOff: { fraction: 0.5, from: 9, until: 17 },
+    },
+    "busy, leader late": { ...pool, busy, leaderLate: { from: 10, until: 19, period: 950, stopped: 450 } },
+    "busy, half cut off": { ...pool, busy, cutOff: { fraction: 0.5, from: 9, until: 17 } },
     "busy, cut off": { ...pool, busy, cutOff: { fraction: 0.2, from: 10, until: 18 } },
     "busy, priorities unnamed": { ...pool, busy, priorities: { ...priorities, named: false } },
     "busy, priorities": { ...pool, busy, priorities },
@@ -64,12 +89,12 @@
         ...pool,
         busy,
         priorities: { ...priorities, named: false },
-        leaderLost: { from: 11, until: 15 },
+        leaderLost: [{ from: 11, until: 15 }],
     },
-    "busy, named, leader lost": { ...pool, busy, priorities, leaderLost: { from: 11, until: 15 } },
+    "busy, named, leader lost": { ...pool, busy, priorities, leaderLost: [{ from: 11, until: 15 }] },
     "calm, priorities unnamed": { ...pool, priorities: { ...priorities, named: false } },
     "calm, priorities": { ...pool, priorities },
-    "calm, leader lost": { ...pool, leaderLost: { from: 11, until: 15 } },
+    "calm, leader lost": { ...pool, leaderLost: [{ from: 11, until: 15 }] },
     "360 gateways, busy": { ...pool, gateways: 360, requestRate: 200, busy },
     "24,000 organisations": { ...pool, gateways: 360, organisations: 24_000, requestRate: 400, length: 15 },
 };
