fix(allowance): leaders, shares and refunds keep one account of an organisation's units

What callers see: an organisation gets more than its allowance (QUOTA) while leaders change or answer late, or gateways don't reach them. Cause: several grant the same units at once. A new leader began with half a burst, whatever was granted before; each gateway's share held its part of burst and rate beside what the leader granted, and was told to nobody; gateways admitted without a bound what they took for far from its limit; refunds went to leaders that had charged nothing, and shares got back more than they gave. Class: a sum over all gateways that nobody keeps.

Now each unit has one that may grant it: - A new leader begins empty; units flow in from the start of its term. - A gateway takes requests unasked from its share alone, whose part of the burst (0.45 together) the leader has left of an organisation far from its limit. Under another leader, and near the limit, the share is empty; charges bring an organisation near its limit, too. Without a leader it grows from the time at which that was lost. - What a share granted is reported to the leader that answers again, which may have been slow. - The leader sets the shares of gateways aside that it hasn't heard of for 1.2 s: their part of the rate, and what they hold. - A request is returned to what granted it, as far as that took it, and to no other leader.

--- a/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
@@ -1,5 +1,6 @@
 import { LRUCache } from "lru-cache";
 import type { Allowance, ChargeDecision, RankUnits } from "../../protocol/index.js";
+import { sharedBurstFraction } from "./equalShare.js";
 import { defaultFloor, PriorityReserve } from "./priorityReserve.js";
 import { RetrySpread } from "./retrySpread.js";
 import { TokenBucket } from "./tokenBucket.js";
@@ -10,6 +11,10 @@
 const nearLimitFraction = 0.45;
 const farFromLimitFraction = 0.75;
 const nearLimitHoldMilliseconds = 5_000;
+/** Charges that cost at least this fraction of the burst don't bring an organisation near its limit: gateways ask before them anyway. */
+const askedBurstFraction = 0.25;
+/** Least fraction of a rate that is left while gateways' shares of it are set aside, so that times to come back stay finite. */
+const minRateFraction = 0.02;
 /** How long after a refusal an allowance counts as used up. */
 const usedUpMilliseconds = 6_000;
 const millisecondsInSecond = 1_000;
@@ -19,6 +24,8 @@
     readonly bucket: TokenBucket;
     readonly reserve: PriorityReserve;
     allowance: Allowance;
+    /** Fraction of the rate that flows in. */
+    rateFraction: number;
     /** Retries after the bucket was empty, and by rank those after the rest was reserved for higher priorities. */
     readonly retries: RetrySpread;
     readonly reservedRetries: Map<number, RetrySpread>;
@@ -40,14 +47,36 @@
     private readonly near = new Set<string>();
     private newlyLimited = false;
 
-    private constructor(private readonly initialFraction: number, private readonly floor: number) {}
+    private rateFraction = 1;
+
+    private constructor(
+        private readonly initialFraction: number,
+        private readonly floor: number,
+        private readonly startedAt: number | undefined,
+    ) {}
 
     /**
      * `initialFraction`: the fraction of its burst that each organisation starts with. `floor`: the fraction of its rate that its
-     * lower priorities share in any case.
+     * lower priorities share in any case. `startedAt`: since when units flow in; by default since an organisation's first request.
+     */
+    static create(initialFraction: number, floor = defaultFloor, startedAt?: number): AllowanceLedger {
+        return new AllowanceLedger(initialFraction, floor, startedAt);
+    }
+
+    /**
+     * Sets the shares of gateways aside that can't be reached, since these spend them on their own. `fraction`: of all gateways.
+     * `newly`: the fraction that has been out of reach for `since` milliseconds without its shares being set aside.
      */
-    static create(initialFraction: number, floor = defaultFloor): AllowanceLedger {
-        return new AllowanceLedger(initialFraction, floor);
+    setAside(fraction: number, newly: number, since: number, now: number): void {
+        this.rateFraction = Math.max(minRateFraction, 1 - fraction);
+        if (newly > 0) {
+            this.accounts.forEach((account, organisation) => {
+                const { rate, burst } = account.allowance;
+                const held = this.isNear(account, now) ? 0 : burst * sharedBurstFraction;
+                account.bucket.spend(newly * (held + rate * since / millisecondsInSecond), now);
+                this.updateNear(organisation, account, now);
+            });
+        }
     }
 
     /**
@@ -59,6 +88,9 @@
         const account = this.account(organisation, allowance, now);
         const { bucket, reserve } = account;
         const outcome = reserve.decide(rank, cost, bucket, now, () => bucket.takeIfAnyLeft(cost, now));
+        if (cost < allowance.burst * askedBurstFraction) {
+            this.updateNear(organisation, account, now);
+        }
         if (outcome === "granted") {
             return { granted: true };
         }
@@ -70,8 +102,7 @@
     }
 
     /**
-     * Records units that a gateway has spent without asking; a negative number is a refund. Only this brings an organisation near
-     * its limit: gateways that ask before each of its requests anyway don't have to be notified. `byRank`: the units of each
+     * Records units that a gateway has spent without asking; a negative number is a refund. `byRank`: the units of each
      * priority, if known.
      */
     recordSpent(
@@ -122,11 +153,13 @@
     private account(organisation: string, allowance: Allowance, now: number): Account {
         let account = this.accounts.get(organisation);
         if (account === undefined) {
-            const bucket = TokenBucket.create(allowance, allowance.burst * this.initialFraction, now);
+            const rules = { rate: allowance.rate * this.rateFraction, burst: allowance.burst };
+            const bucket = TokenBucket.create(rules, allowance.burst * this.initialFraction, this.startedAt ?? now);
             account = {
                 bucket,
                 reserve: PriorityReserve.create(this.floor),
                 allowance,
+                rateFraction: this.rateFraction,
                 retries: RetrySpread.create(),
                 reservedRetries: new Map(),
                 nearUntil: 0,
@@ -134,11 +167,14 @@
             };
             this.accounts.set(organisation, account);
         }
-        else if (account.allowance !== allowance) {
-            account.bucket.setRules(allowance, now);
-            account.allowance = allowance;
-            account.retries.reset();
-            account.reservedRetries.clear();
+        else if (account.allowance !== allowance || account.rateFraction !== this.rateFraction) {
+            account.bucket.setRules({ rate: allowance.rate * this.rateFraction, burst: allowance.burst }, now);
+            account.rateFraction = this.rateFraction;
+            if (account.allowance !== allowance) {
+                account.allowance = allowance;
+                account.retries.reset();
+                account.reservedRetries.clear();
+            }
         }
         return account;
     }
--- a/packages/basilpaddle/src/node/coordination/allowance/equalShare.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/equalShare.ts
@@ -9,21 +9,36 @@
 const maxAccounts = 32_768;
 /** Seconds of the rate by which the burst of a share is larger: a share of the burst alone is less than one long prompt. */
 const extraBurstSeconds = 1;
+const millisecondsInSecond = 1_000;
+/**
+ * Fraction of the burst that all shares together hold when the leader is lost: what it has left of an organisation that isn't near
+ * its limit.
+ */
+export const sharedBurstFraction = 0.45;
 
 type Account = {
     readonly bucket: TokenBucket;
     readonly reserve: PriorityReserve;
     allowance: Allowance;
     gateways: number;
+    /** Whether a leader answered at its last request, and whether the organisation was near its limit then. */
+    inTouch: boolean;
+    near: boolean;
 };
 
-/** One gateway's equal share of the allowances, which it may spend without asking the leader. */
+/** A decision of a gateway's own share, and the units that it took from the share, which may be less than the cost. */
+export type ShareDecision = { readonly decision: ChargeDecision; readonly units: number; };
+
+/**
+ * One gateway's equal share of the allowances. While a leader answers, requests are taken from it without asking; while none does,
+ * nothing else is left to spend. It is empty for an organisation near its limit when the leader is lost.
+ */
 export class EqualShare {
     private readonly accounts = new LRUCache<string, Account>({ max: maxAccounts });
 
     private constructor(
         private readonly gateways: () => number,
-        private readonly startedAt: number,
+        private emptyAt: number,
         private readonly floor: number,
     ) {}
 
@@ -36,46 +51,59 @@
         return new EqualShare(gateways, startedAt, floor);
     }
 
-    /** Charges a request, or refuses it; one that costs more than the share is admitted when the share is full. */
-    admit(charge: AllowanceCharge, now: number): ChargeDecision {
-        const account = this.account(charge, now);
-        return decide(account, charge, now, () => account.bucket.take(charge.cost, now));
+    /** Empties all shares: a new leader doesn't know what was spent under the one before it. */
+    empty(now: number): void {
+        this.accounts.clear();
+        this.emptyAt = now;
     }
 
     /**
-     * Charges a request of an organisation that has used up its allowance, so that all shares together are never
-     * overdrawn. A request that costs more than is left of the share uses it up, and is admitted with the probability of their
-     * ratio.
+     * Takes a request from the share while a leader answers; returns false and takes nothing if too little is left, near the limit,
+     * or if the leader has to be asked (`mustAsk`).
      */
-    admitStrictly(charge: AllowanceCharge, now: number): ChargeDecision {
-        const { cost, attempt } = charge;
+    takeUnasked(charge: AllowanceCharge, near: boolean, mustAsk: boolean, now: number): boolean {
         const account = this.account(charge, now);
-        return decide(account, charge, now, () => {
-            const left = Math.max(0, account.bucket.level(now));
-            account.bucket.spend(Math.min(cost, left), now);
-            return left >= cost || hashToFraction(attempt) * cost < left;
-        });
+        account.inTouch = true;
+        account.near = near;
+        limitLevel(account, now, now);
+        if (charge.rank !== undefined) {
+            account.reserve.recordRequest(charge.rank, charge.cost, account.bucket, now);
+        }
+        const isEnough = !near && !mustAsk && account.bucket.level(now) >= charge.cost;
+        if (isEnough) {
+            account.bucket.spend(charge.cost, now);
+        }
+        return isEnough;
     }
 
     /**
-     * Records a request that was admitted while a leader answered, but never overdraws the share. When the leader fails, an
-     * organisation that has just used up its allowance then has little left in these shares, and one whose callers use few
-     * gateways isn't in debt there.
+     * Charges a request while no leader answers. An organisation that has used up its allowance never overdraws its shares: a request
+     * that costs more than is left uses the share up, and is admitted with the probability of their ratio. Another organisation's
+     * request is admitted whatever it costs if the share holds what it may hold while a leader answers. `lostAt`: when the leader was
+     * lost.
      */
-    recordSpent(charge: AllowanceCharge, now: number): void {
-        const { bucket, reserve } = this.account(charge, now);
-        bucket.spend(Math.min(charge.cost, Math.max(0, bucket.level(now))), now);
-        if (charge.rank !== undefined) {
-            reserve.recordRequest(charge.rank, charge.cost, bucket, now);
+    admit(charge: AllowanceCharge, usedUp: boolean, lostAt: number, now: number): ShareDecision {
+        const account = this.account(charge, now);
+        if (account.inTouch) {
+            account.inTouch = false;
+            account.near ||= usedUp;
+            limitLevel(account, lostAt, now);
         }
+        let units = 0;
+        const decision = decide(account, charge, now, () => {
+            const taken = usedUp ? takeStrictly(account, charge, now) : takeOnce(account, charge, now);
+            units = taken.units;
+            return taken.granted;
+        });
+        return { decision, units };
     }
 
-    /** Returns the cost of a request that didn't run. */
-    refund(charge: AllowanceCharge, now: number): void {
+    /** Returns units that a request that didn't run took from the share. */
+    refund(charge: AllowanceCharge, units: number, now: number): void {
         const { bucket, reserve } = this.account(charge, now);
-        bucket.spend(-charge.cost, now);
+        bucket.spend(-units, now);
         if (charge.rank !== undefined) {
-            reserve.recordUnits(charge.rank, -charge.cost, bucket, now);
+            reserve.recordUnits(charge.rank, -units, bucket, now);
         }
     }
 
@@ -83,9 +111,9 @@
         const gateways = Math.max(1, this.gateways());
         let account = this.accounts.get(organisation);
         if (account === undefined) {
-            const rules = shareOf(allowance, gateways);
-            const bucket = TokenBucket.create(rules, 0, this.startedAt);
-            account = { bucket, reserve: PriorityReserve.create(this.floor), allowance, gateways };
+            const bucket = TokenBucket.create(shareOf(allowance, gateways), 0, this.emptyAt);
+            const reserve = PriorityReserve.create(this.floor);
+            account = { bucket, reserve, allowance, gateways, inTouch: true, near: false };
             this.accounts.set(organisation, account);
         }
         else if (account.allowance !== allowance || account.gateways !== gateways) {
@@ -97,6 +125,36 @@
     }
 }
 
+/** A share's part of what a leader has left of the burst of an organisation that isn't near its limit. */
+function heldUnits({ allowance, gateways }: Account): number {
+    return allowance.burst * sharedBurstFraction / gateways;
+}
+
+/** Drops what the share has gained beyond that while a leader answered, until `until`. */
+function limitLevel(account: Account, until: number, now: number): void {
+    const { bucket, near } = account;
+    const gained = bucket.rate * Math.max(0, now - until) / millisecondsInSecond;
+    const most = gained + (near ? 0 : heldUnits(account));
+    bucket.spend(Math.max(0, bucket.level(now) - most), now);
+}
+
+type Taken = { readonly granted: boolean; readonly units: number; };
+
+function takeStrictly({ bucket }: Account, { cost, attempt }: AllowanceCharge, now: number): Taken {
+    const left = Math.max(0, bucket.level(now));
+    const units = Math.min(cost, left);
+    bucket.spend(units, now);
+    return { granted: left >= cost || hashToFraction(attempt) * cost < left, units };
+}
+
+function takeOnce(account: Account, { cost }: AllowanceCharge, now: number): Taken {
+    if (account.bucket.level(now) < Math.min(cost, heldUnits(account))) {
+        return { granted: false, units: 0 };
+    }
+    account.bucket.spend(cost, now);
+    return { granted: true, units: cost };
+}
+
 function decide(
     { bucket, reserve }: Account,
     charge: AllowanceCharge,
--- a/packages/basilpaddle/src/node/coordination/allowance/index.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/index.ts
@@ -1,5 +1,6 @@
 export type { AllowanceCharge } from "./allowanceCharge.js";
 export * from "./allowanceLedger.js";
+export { sharedBurstFraction } from "./equalShare.js";
 export * from "./leaderAllowances.js";
 export * from "./organisationAllowances.js";
 export { rankOf } from "./priorityReserve.js";
--- a/packages/basilpaddle/src/node/coordination/allowance/leaderAllowances.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/leaderAllowances.ts
@@ -27,43 +27,66 @@
  */
 export abstract class LeaderAllowances extends OrganisationAllowances {
     private readonly unreported = new Map<string, Unreported>();
+    /** What own shares have granted since the leader answered last. */
+    private readonly unreportedShares = new Map<string, Spent>();
     private cancelReport: (() => void) | undefined;
     private lastReportAt = Number.NEGATIVE_INFINITY;
-
-    /** Whether the leader is asked before the request is admitted. */
+    private leaderName: string | undefined;
+    private epoch = 0;
+    /** Since when no leader has answered; undefined while one does. */
+    private lostAt: number | undefined = this.now();
+    /** Whether the last charge wasn't answered: until one is, the leader is asked before each request. */
+    private hasFailed = false;
+
+    /** Whether the leader is asked before the request is admitted, however much the own share holds. */
     protected abstract mustAsk(charge: AllowanceCharge): boolean;
 
     override async admit(charge: AllowanceCharge): Promise<AllowanceDecision> {
+        this.followLeader();
         const decision = await this.chargeLeader(charge);
-        const now = this.now();
-        if (decision === undefined) {
-            return this.options.leader.hasUsedUp(charge.organisation)
-                ? { ...this.ownShare.admitStrictly(charge, now), by: "strictShare" }
-                : { ...this.ownShare.admit(charge, now), by: "share" };
-        }
-        if (decision.granted) {
-            this.ownShare.recordSpent(charge, now);
-        }
-        return decision;
+        return decision ?? this.chargeShare(charge);
     }
 
-    override refund(charge: AllowanceCharge): void {
-        this.ownShare.refund(charge, this.now());
-        const unreported = this.unreported.get(charge.organisation);
-        if (unreported !== undefined && unreported.units >= charge.cost) {
-            addUnits(unreported, charge.rank, -charge.cost);
+    override refund(charge: AllowanceCharge, { by, epoch, units }: AllowanceDecision): void {
+        this.followLeader();
+        if (epoch !== this.epoch) {
             return;
         }
-        const refund: Spent = { units: 0, byRank: new Map() };
-        addUnits(refund, charge.rank, -charge.cost);
-        // Immediately: near the limit, the next request would be refused for lack of this refund.
-        this.options.leader.recordSpent([spentOf(charge.organisation, refund)]);
+        if (by !== "leader") {
+            this.ownShare.refund(charge, units, this.now());
+        }
+        const { organisation, rank } = charge;
+        const unreported = (by === "share" ? this.unreportedShares : this.unreported).get(organisation);
+        if (unreported !== undefined && unreported.units >= units) {
+            addUnits(unreported, rank, -units);
+        }
+        else if (by !== "share") {
+            const refund: Spent = { units: 0, byRank: new Map() };
+            addUnits(refund, rank, -units);
+            // Immediately: near the limit, the next request would be refused for lack of this refund.
+            this.options.leader.recordSpent([spentOf(organisation, refund)]);
+        }
     }
 
     override close(): void {
         this.cancelReport?.();
     }
 
+    /** Begins anew with each leader: it has no part in what was spent under the one before it. */
+    private followLeader(): void {
+        const name = this.options.leader.name();
+        if (name === undefined || name === this.leaderName) {
+            return;
+        }
+        if (this.leaderName !== undefined) {
+            this.unreported.clear();
+            this.unreportedShares.clear();
+            this.ownShare.empty(this.now());
+        }
+        this.leaderName = name;
+        this.epoch += 1;
+    }
+
     /** Charges a request at the leader, now or afterwards; undefined if no leader answers. */
     private async chargeLeader(charge: AllowanceCharge): Promise<AllowanceDecision | undefined> {
         const { leader } = this.options;
@@ -71,12 +94,46 @@
         if (!leader.isAvailable()) {
             return undefined;
         }
-        if (this.mustAsk(charge)) {
-            const decision = await leader.charge(organisation, cost, rank);
-            return decision && { ...decision, by: "leader" };
+        const { epoch } = this;
+        if (!this.hasFailed) {
+            this.lostAt = undefined;
+            const isNear = leader.isNearLimit(organisation);
+            const isEnough = this.ownShare.takeUnasked(charge, isNear, this.mustAsk(charge), this.now());
+            if (isEnough) {
+                this.recordSpent(charge, cost);
+                return { granted: true, by: "reported", epoch, units: cost };
+            }
+        }
+        const decision = await leader.charge(organisation, cost, rank);
+        this.hasFailed = decision === undefined;
+        if (decision !== undefined) {
+            this.reportShares();
+        }
+        return decision && { ...decision, by: "leader", epoch, units: cost };
+    }
+
+    private chargeShare(charge: AllowanceCharge): AllowanceDecision {
+        const { organisation, rank } = charge;
+        const now = this.now();
+        const { leader } = this.options;
+        this.lostAt ??= leader.silentSince() ?? now;
+        const isUsedUp = leader.hasUsedUp(organisation);
+        const { decision, units } = this.ownShare.admit(charge, isUsedUp, this.lostAt, now);
+        if (units > 0) {
+            const shared = this.unreportedShares.get(organisation) ?? { units: 0, byRank: new Map() };
+            addUnits(shared, rank, units);
+            this.unreportedShares.set(organisation, shared);
+        }
+        return { ...decision, by: "share", epoch: this.epoch, units };
+    }
+
+    /** Tells the leader that answers again what own shares granted meanwhile: it may have been slow, and have granted all to others. */
+    private reportShares(): void {
+        const spent = [...this.unreportedShares].map(([organisation, units]) => spentOf(organisation, units));
+        this.unreportedShares.clear();
+        if (spent.length > 0) {
+            this.options.leader.recordSpent(spent.map(shared => ({ ...shared, shared: true })));
         }
-        this.recordSpent(charge, cost);
-        return { granted: true, by: "reported" };
     }
 
     private recordSpent({ organisation, allowance, rank }: AllowanceCharge, units: number): void {
@@ -130,13 +187,13 @@
  */
 const askedBurstFraction = 0.25;
 
-/** Admits first and reports afterwards, but asks the leader before large requests, and near the limit before all. */
+/** Admits what its share holds first and reports afterwards, but asks the leader before large requests, and near the limit before all. */
 export class ReportedAllowances extends LeaderAllowances {
     static create(options: AllowanceOptions): ReportedAllowances {
         return new ReportedAllowances(options);
     }
 
-    protected override mustAsk({ organisation, allowance, cost }: AllowanceCharge): boolean {
-        return cost >= allowance.burst * askedBurstFraction || this.options.leader.isNearLimit(organisation);
+    protected override mustAsk({ allowance, cost }: AllowanceCharge): boolean {
+        return cost >= allowance.burst * askedBurstFraction;
     }
 }
--- a/packages/basilpaddle/src/node/coordination/allowance/organisationAllowances.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/organisationAllowances.ts
@@ -8,13 +8,15 @@
     readonly organisation: string;
     readonly units: number;
     readonly byRank?: RankUnits[];
+    /** Whether they were taken from the gateway's own share, while the leader didn't answer it. @default false */
+    readonly shared?: boolean;
 };
 
 /**
- * What decided on a request: the leader that was asked, this gateway, which reports what it spent, or this gateway's own share, whole or
- * in its strict form.
+ * What decided on a request: the leader that was asked, this gateway, which reports to the leader what it spent, or this gateway's own
+ * share, without a leader.
  */
-export type AllowanceGrantor = "leader" | "reported" | "share" | "strictShare";
+export type AllowanceGrantor = "leader" | "reported" | "share";
 
 /** A leader's decision on a charge. */
 export type LeaderDecision = ChargeDecision & {
@@ -23,12 +25,22 @@
 };
 
 /** A decision on a charge, and what decided. */
-export type AllowanceDecision = LeaderDecision & { readonly by: AllowanceGrantor; };
+export type AllowanceDecision = LeaderDecision & {
+    readonly by: AllowanceGrantor;
+    /** Number of leaders that the gateway had known by then: units are returned to the leader that counted them alone. */
+    readonly epoch: number;
+    /** Units that it took from what decided. */
+    readonly units: number;
+};
 
 /** The leader's side of the allowances, as a gateway reaches it. */
 export type AllowanceLeader = {
     /** Whether a leader is believed to answer. */
     readonly isAvailable: () => boolean;
+    /** Since when no leader has answered; undefined if one does, or if that isn't known. */
+    readonly silentSince: () => number | undefined;
+    /** Name of the leader; undefined while none is known. */
+    readonly name: () => string | undefined;
     /** Charges a request; undefined if no leader answers. */
     readonly charge: (
         organisation: string,
@@ -65,8 +77,8 @@
     /** Charges a request once, or refuses it with the milliseconds after which it may come back. */
     abstract admit(charge: AllowanceCharge): Promise<AllowanceDecision>;
 
-    /** Refunds the cost of an admitted request that no backend server has run. */
-    abstract refund(charge: AllowanceCharge): void;
+    /** Refunds an admitted request that no backend server has run to what granted it. */
+    abstract refund(charge: AllowanceCharge, decision: AllowanceDecision): void;
 
     /** Stops periodic reports. */
     abstract close(): void;
--- a/packages/basilpaddle/src/node/daemon/directory/allowanceService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/allowanceService.ts
@@ -1,18 +1,15 @@
-import { AllowanceLedger, type LimitedOrganisations } from "../../coordination/index.js";
+import { AllowanceLedger, type LimitedOrganisations, sharedBurstFraction } from "../../coordination/index.js";
 import type { Allowance, AllowanceMessage, AllowanceReply, Traffic } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
 import { AllowanceTally } from "./allowanceTally.js";
+import type { GatewayPresence } from "./gatewayPresence.js";
 
-/**
- * Fraction of its burst that each organisation starts with under a new leader, which doesn't know what was spent under the
- * previous one.
- */
-const initialBurstFraction = 0.5;
 /** Maximum number of organisations whose names are sent to every gateway. */
 const maxNearLimit = 1_000;
 /** Minimum interval between two changes that can wait: all but an organisation that comes near its limit. */
 const minChangeIntervalMilliseconds = 1_000;
 const maxLoggedOrganisations = 4;
+const millisecondsInSecond = 1_000;
 
 type ChargeMessage = Extract<AllowanceMessage, { kind: "charge"; }>;
 type SpentMessage = Extract<AllowanceMessage, { kind: "spent"; }>;
@@ -32,6 +29,8 @@
     readonly firstLeader: boolean;
     /** Fraction of an organisation's rate that its lower priorities share in any case. @default 0.1 */
     readonly floor?: number;
+    /** When each gateway was last heard of. */
+    readonly presence: GatewayPresence;
     /** Called when gateways have to learn of a change of the organisations near their limit. */
     readonly onLimitsChanged: () => void;
     readonly clock: Clock;
@@ -44,10 +43,12 @@
     private readonly tally: AllowanceTally;
     private current = noLimits;
     private changedAt = Number.NEGATIVE_INFINITY;
+    private absentGateways = 0;
     private allowancesOf: { readonly traffic: Traffic; readonly byName: ReadonlyMap<string, Allowance>; } | undefined;
 
     private constructor(private readonly options: AllowanceServiceOptions) {
-        this.ledger = AllowanceLedger.create(options.firstLeader ? 1 : initialBurstFraction, options.floor);
+        // A new leader doesn't know what was spent before: its predecessors may have granted the whole burst.
+        this.ledger = AllowanceLedger.create(options.firstLeader ? 1 : 0, options.floor, this.now());
         this.tally = AllowanceTally.create(options, organisation => this.ledger.state(organisation, this.now()));
     }
 
@@ -58,9 +59,10 @@
     /** Handles a message from a gateway; undefined for messages that have no reply. */
     handle(message: AllowanceMessage): AllowanceReply | undefined {
         const now = this.now();
+        this.options.presence.record(message.gateway, now);
         const reply = message.kind === "charge"
             ? this.charge(message, now)
-            : this.recordSpent(message.spent, now);
+            : this.recordSpent(message, now);
         if (this.ledger.hasNewlyLimited()) {
             this.review();
         }
@@ -76,6 +78,7 @@
     review(): void {
         const now = this.now();
         this.tally.review(now);
+        this.setAside(now);
         const isUrgent = this.ledger.hasNewlyLimited();
         if (!isUrgent && now - this.changedAt < minChangeIntervalMilliseconds) {
             return;
@@ -113,10 +116,23 @@
         return { kind: "charged", decision, term: this.options.term };
     }
 
-    private recordSpent(spent: SpentMessage["spent"], now: number): undefined {
-        for (const { organisation, units, byRank } of spent) {
+    /** Sets aside what gateways may spend on their own that aren't heard of. */
+    private setAside(now: number): void {
+        const { known, absent, newly, since } = this.options.presence.review(now);
+        const all = Math.max(1, known);
+        this.ledger.setAside(absent / all, newly / all, since, now);
+        if (absent !== this.absentGateways) {
+            this.absentGateways = absent;
+            this.options.logger.info("the shares of gateways that aren't heard of are set aside", { absent, known });
+        }
+    }
+
+    private recordSpent({ gateway, spent }: SpentMessage, now: number): undefined {
+        const setAsideFor = this.options.presence.setAsideFor(gateway, now);
+        for (const { organisation, units: spentUnits, byRank, shared } of spent) {
             const allowance = this.allowance(organisation);
             if (allowance !== undefined) {
+                const units = shared === true ? this.beyondShare(allowance, spentUnits, setAsideFor) : spentUnits;
                 this.ledger.recordSpent(organisation, allowance, units, now, byRank);
                 this.tally.recordSpent(organisation, units);
             }
@@ -124,6 +140,13 @@
         return undefined;
     }
 
+    /** What a gateway's share granted beyond what was set aside for it meanwhile. */
+    private beyondShare({ rate, burst }: Allowance, units: number, setAsideFor: number): number {
+        const { known } = this.options.presence;
+        const share = (rate * setAsideFor / millisecondsInSecond + burst * sharedBurstFraction) / Math.max(1, known);
+        return setAsideFor > 0 ? Math.max(0, units - share) : units;
+    }
+
     private allowance(organisation: string): Allowance | undefined {
         const traffic = this.options.traffic();
         if (traffic !== undefined && this.allowancesOf?.traffic !== traffic) {
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -339,6 +339,7 @@
             wire,
             instances: this.membership.instances,
             traffic: () => this.currentTraffic(),
+            presence: this.membership.watches.presence,
             connections: this.connections,
             onIncarnationEnded: instance => this.membership.markEnded(instance),
             onChanged: () => this.membership.watches.notifyWatchers(),
--- a/packages/basilpaddle/src/node/daemon/directory/leaderServices.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/leaderServices.ts
@@ -4,6 +4,7 @@
 import type { BackendConnections } from "../backends/index.js";
 import { type AllowanceLimits, AllowanceService } from "./allowanceService.js";
 import type { DirectoryWire } from "./directoryWire.js";
+import type { GatewayPresence } from "./gatewayPresence.js";
 import { PlacementService } from "./placementService.js";
 import { ServerLimitService } from "./serverLimitService.js";
 import { StageOrders } from "./stageOrders.js";
@@ -14,6 +15,8 @@
     readonly wire: DirectoryWire;
     readonly instances: InstanceTable;
     readonly traffic: () => Traffic | undefined;
+    /** When each gateway was last heard of. */
+    readonly presence: GatewayPresence;
     readonly connections: BackendConnections;
     /** Called with an incarnation that a gateway reports as ended. */
     readonly onIncarnationEnded: (instance: string) => void;
--- a/packages/basilpaddle/src/node/daemon/directory/watchService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/watchService.ts
@@ -4,6 +4,7 @@
 import type { StoredDocument } from "../../state/index.js";
 import type { Clock } from "../../utils/index.js";
 import type { AllowanceLimits } from "./allowanceService.js";
+import { GatewayPresence } from "./gatewayPresence.js";
 import type { PublishedLimits } from "./serverLimitService.js";
 
 /** How long a watch is held open while nothing changes. */
@@ -53,6 +54,8 @@
     private readonly pendingWatches = new Set<() => void>();
     /** When each gateway last sent a watch. */
     private readonly gateways = new Map<string, number>();
+    /** When each gateway was last heard of, by watches and by its messages to the leader. */
+    readonly presence = GatewayPresence.create();
     private packedDocument: PackedDocument | undefined;
     /** When each watcher last received an update. */
     private readonly lastUpdateAt = new LRUCache<string, number>({ max: maxWatchers });
@@ -71,6 +74,7 @@
         const { clock } = this.options;
         if (!watch.observer) {
             this.gateways.set(watch.gateway, clock.monotonic());
+            this.presence.record(watch.gateway, clock.monotonic());
         }
         const hasChanged = this.hasUpdates(watch) || await this.waitForChange();
         const isFirstWatch = watch.incarnation !== this.options.incarnation;
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/allowanceAdmission.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/allowanceAdmission.spec.ts
@@ -14,6 +14,8 @@
         const allowances = ReportedAllowances.create({
             leader: {
                 isAvailable: () => true,
+                silentSince: () => undefined,
+                name: () => "leader",
                 charge: (_organisation, _cost, rank) => {
                     ranks.push(rank);
                     return Promise.resolve({ granted: false, comeBackIn: 100, reserved: rank !== 0 });
--- a/packages/basilpaddle/src/node/daemon/gateway/allowanceAdmission.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/allowanceAdmission.ts
@@ -24,7 +24,8 @@
             return [];
         }
         const askedAt = request.age();
-        const { by, term, ...decision } = await this.allowances.admit(charge);
+        const decision = await this.allowances.admit(charge);
+        const { by, term } = decision;
         const within = Math.round(request.age() - askedAt);
         request.charge = { units: charge.cost, granted: decision.granted, by, term, within };
         if (!decision.granted) {
@@ -37,7 +38,7 @@
         const path = await run();
         if (!request.mayHaveRun()) {
             this.count("refunded", charge);
-            this.allowances.refund(charge);
+            this.allowances.refund(charge, decision);
             request.charge = { ...request.charge, refunded: true };
         }
         return path;
--- a/packages/basilpaddle/src/node/daemon/gateway/placementClient.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementClient.ts
@@ -187,6 +187,8 @@
         const { name, watcher } = this.options;
         return {
             isAvailable: () => watcher.leader() !== undefined && this.leader.isAvailable(),
+            silentSince: () => this.leader.silentSince(),
+            name: () => watcher.leader(),
             charge: (organisation, cost, rank) => this.leader.charge(organisation, cost, rank),
             recordSpent: spent => this.leader.send({ kind: "spent", gateway: name, spent: [...spent] }),
             isNearLimit: organisation => watcher.isNearLimit(organisation),
--- a/packages/basilpaddle/src/node/daemon/gateway/placementLeader.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementLeader.ts
@@ -38,6 +38,7 @@
 export class PlacementLeader {
     private readonly timeout = LeaderTimeout.create();
     private unresponsive = false;
+    private unresponsiveSince = 0;
     private unresponsiveName: string | undefined;
     private isProbing = false;
 
@@ -53,6 +54,11 @@
         return !this.unresponsive || (leader !== undefined && leader !== this.unresponsiveName);
     }
 
+    /** Since when the leader hasn't answered; undefined while requests may be sent to it. */
+    silentSince(): number | undefined {
+        return this.isAvailable() ? undefined : this.unresponsiveSince;
+    }
+
     /** Requests a placement; undefined if no leader answers. */
     async requestPlacement(placementRequest: PlacementRequest): Promise<LeaderAnswer | undefined> {
         const { watcher, clock } = this.options;
@@ -171,6 +177,7 @@
         this.unresponsiveName = leader;
         if (!this.unresponsive) {
             this.unresponsive = true;
+            this.unresponsiveSince = this.options.clock.monotonic();
             this.options.logger.warn("the placement leader doesn't answer; placing locally", { asked: leader, answer });
         }
     }
--- a/packages/basilpaddle/src/node/protocol/allowance.ts
+++ b/packages/basilpaddle/src/node/protocol/allowance.ts
@@ -39,6 +39,8 @@
             units: z.number(),
             /** The units of each priority, as far as known. @default none */
             byRank: z.array(rankUnitsSchema).max(rankCount).optional(),
+            /** Whether the gateway's own share granted them while the leader didn't answer it. @default false */
+            shared: z.boolean().optional(),
         })),
     }),
 ]);
