refactor(allowance): one place for two fractions that have to agree, and names that say what they are

The fraction of the burst from which on an organisation is near its limit, and the part of the burst that shares hold of one that isn't, are the same number for one reason; so are the two that say before which requests a leader is asked. Each stood twice. The time of a decision in the log line of a request is `milliseconds`, as elsewhere. No decision changes.

--- a/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
@@ -1,19 +1,16 @@
 import { LRUCache } from "lru-cache";
 import type { Allowance, ChargeDecision, RankUnits } from "../../protocol/index.js";
-import { sharedBurstFraction } from "./equalShare.js";
+import { askedBurstFraction, nearLimitFraction } from "./nearLimit.js";
 import { defaultFloor, PriorityReserve } from "./priorityReserve.js";
 import { RetrySpread } from "./retrySpread.js";
 import { TokenBucket } from "./tokenBucket.js";
 
 /** Maximum number of organisations with an account; the least recently used one is forgotten, as if it had spent nothing. */
 const maxAccounts = 32_768;
-/** An organisation is near its limit from the first of these fractions of its burst, until above the second for a while. */
-const nearLimitFraction = 0.45;
+/** An organisation stays near its limit until it has been above this fraction of its burst for a while. */
 const farFromLimitFraction = 0.75;
 const nearLimitHoldMilliseconds = 5_000;
-/** Charges that cost at least this fraction of the burst don't bring an organisation near its limit: gateways ask before them anyway. */
-const askedBurstFraction = 0.25;
-/** Least fraction of a rate that is left while gateways' shares of it are set aside, so that times to come back stay finite. */
+/** Least fraction of a rate that is left while gateways' shares of it are withheld, so that times to come back stay finite. */
 const minRateFraction = 0.02;
 /** How long after a refusal an allowance counts as used up. */
 const usedUpMilliseconds = 6_000;
@@ -64,16 +61,16 @@
     }
 
     /**
-     * Sets the shares of gateways aside that can't be reached, since these spend them on their own. `fraction`: of all gateways.
-     * `newly`: the fraction that has been out of reach for `since` milliseconds without its shares being set aside.
+     * Withholds the shares of absent gateways, which these spend on their own. `absent`: the fraction of all gateways. `newlyAbsent`:
+     * the fraction that has been silent for `silentFor` milliseconds without its shares being withheld.
      */
-    setAside(fraction: number, newly: number, since: number, now: number): void {
-        this.rateFraction = Math.max(minRateFraction, 1 - fraction);
-        if (newly > 0) {
+    withholdShares(absent: number, newlyAbsent: number, silentFor: number, now: number): void {
+        this.rateFraction = Math.max(minRateFraction, 1 - absent);
+        if (newlyAbsent > 0) {
             this.accounts.forEach((account, organisation) => {
                 const { rate, burst } = account.allowance;
-                const held = this.isNear(account, now) ? 0 : burst * sharedBurstFraction;
-                account.bucket.spend(newly * (held + rate * since / millisecondsInSecond), now);
+                const held = this.isNear(account, now) ? 0 : burst * nearLimitFraction;
+                account.bucket.spend(newlyAbsent * (held + rate * silentFor / millisecondsInSecond), now);
                 this.updateNear(organisation, account, now);
             });
         }
@@ -88,6 +85,7 @@
         const account = this.account(organisation, allowance, now);
         const { bucket, reserve } = account;
         const outcome = reserve.decide(rank, cost, bucket, now, () => bucket.takeIfAnyLeft(cost, now));
+        // Before larger requests gateways ask in any case, and needn't be notified.
         if (cost < allowance.burst * askedBurstFraction) {
             this.updateNear(organisation, account, now);
         }
--- a/packages/basilpaddle/src/node/coordination/allowance/equalShare.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/equalShare.ts
@@ -2,6 +2,7 @@
 import type { Allowance, ChargeDecision } from "../../protocol/index.js";
 import { hashToFraction } from "../../utils/index.js";
 import type { AllowanceCharge } from "./allowanceCharge.js";
+import { nearLimitFraction } from "./nearLimit.js";
 import { defaultFloor, PriorityReserve } from "./priorityReserve.js";
 import { type BucketRules, TokenBucket } from "./tokenBucket.js";
 
@@ -10,19 +11,14 @@
 /** Seconds of the rate by which the burst of a share is larger: a share of the burst alone is less than one long prompt. */
 const extraBurstSeconds = 1;
 const millisecondsInSecond = 1_000;
-/**
- * Fraction of the burst that all shares together hold when the leader is lost: what it has left of an organisation that isn't near
- * its limit.
- */
-export const sharedBurstFraction = 0.45;
 
 type Account = {
     readonly bucket: TokenBucket;
     readonly reserve: PriorityReserve;
     allowance: Allowance;
     gateways: number;
-    /** Whether a leader answered at its last request, and whether the organisation was near its limit then. */
-    inTouch: boolean;
+    /** Whether a leader was believed to answer at the last request, and whether the organisation was near its limit then. */
+    leaderAnswered: boolean;
     near: boolean;
 };
 
@@ -63,7 +59,7 @@
      */
     takeUnasked(charge: AllowanceCharge, near: boolean, mustAsk: boolean, now: number): boolean {
         const account = this.account(charge, now);
-        account.inTouch = true;
+        account.leaderAnswered = true;
         account.near = near;
         limitLevel(account, now, now);
         if (charge.rank !== undefined) {
@@ -84,8 +80,8 @@
      */
     admit(charge: AllowanceCharge, usedUp: boolean, lostAt: number, now: number): ShareDecision {
         const account = this.account(charge, now);
-        if (account.inTouch) {
-            account.inTouch = false;
+        if (account.leaderAnswered) {
+            account.leaderAnswered = false;
             account.near ||= usedUp;
             limitLevel(account, lostAt, now);
         }
@@ -113,7 +109,7 @@
         if (account === undefined) {
             const bucket = TokenBucket.create(shareOf(allowance, gateways), 0, this.emptyAt);
             const reserve = PriorityReserve.create(this.floor);
-            account = { bucket, reserve, allowance, gateways, inTouch: true, near: false };
+            account = { bucket, reserve, allowance, gateways, leaderAnswered: true, near: false };
             this.accounts.set(organisation, account);
         }
         else if (account.allowance !== allowance || account.gateways !== gateways) {
@@ -127,7 +123,7 @@
 
 /** A share's part of what a leader has left of the burst of an organisation that isn't near its limit. */
 function heldUnits({ allowance, gateways }: Account): number {
-    return allowance.burst * sharedBurstFraction / gateways;
+    return allowance.burst * nearLimitFraction / gateways;
 }
 
 /** Drops what the share has gained beyond that while a leader answered, until `until`. */
--- a/packages/basilpaddle/src/node/coordination/allowance/leaderAllowances.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/leaderAllowances.ts
@@ -1,4 +1,5 @@
 import type { AllowanceCharge } from "./allowanceCharge.js";
+import { askedBurstFraction } from "./nearLimit.js";
 import {
     type AllowanceDecision,
     type AllowanceOptions,
@@ -180,13 +181,6 @@
     return { organisation, units, ...ranks.length === 0 ? {} : { byRank: ranks } };
 }
 
-/**
- * The leader is asked before a request that costs at least this fraction of the burst. Otherwise organisations whose burst is a
- * few requests, of which a deployment may have thousands, would come near their limit with each request, and every gateway would
- * be notified each time.
- */
-const askedBurstFraction = 0.25;
-
 /** Admits what its share holds first and reports afterwards, but asks the leader before large requests, and near the limit before all. */
 export class ReportedAllowances extends LeaderAllowances {
     static create(options: AllowanceOptions): ReportedAllowances {
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/gatewayPresence.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/gatewayPresence.spec.ts
@@ -8,25 +8,25 @@
         const presence = GatewayPresence.create();
         ["a", "b", "c", "d"].forEach(gateway => presence.record(gateway, 0));
         ["a", "b", "c"].forEach(gateway => presence.record(gateway, 1_000));
-        expect(presence.review(1_199)).to.deep.include({ known: 4, absent: 0, newly: 0 });
-        expect(presence.review(1_200)).to.deep.include({ known: 4, absent: 1, newly: 1 });
+        expect(presence.review(1_199)).to.deep.include({ known: 4, absent: 0, newlyAbsent: 0 });
+        expect(presence.review(1_200)).to.deep.include({ known: 4, absent: 1, newlyAbsent: 1 });
         ["a", "b", "c"].forEach(gateway => presence.record(gateway, 2_000));
-        expect(presence.review(2_000)).to.deep.include({ absent: 1, newly: 0 });
+        expect(presence.review(2_000)).to.deep.include({ absent: 1, newlyAbsent: 0 });
         presence.record("d", 3_000);
-        expect(presence.setAsideFor("d", 3_100)).to.equal(3_000);
-        expect(presence.setAsideFor("a", 3_100)).to.equal(0);
-        expect(presence.setAsideFor("d", 5_100)).to.equal(0);
+        expect(presence.withheldFor("d", 3_100)).to.equal(3_000);
+        expect(presence.withheldFor("a", 3_100)).to.equal(0);
+        expect(presence.withheldFor("d", 5_100)).to.equal(0);
     });
 
-    it("sets aside the rate of absent gateways, and what they may have spent before they counted as absent", () => {
+    it("withholds the rate of absent gateways, and what they may have spent before they counted as absent", () => {
         const allowance = { unit: "tokens", rate: 1_000, burst: 1_000, defaultCost: 0 } as const;
         const ledger = AllowanceLedger.create(1);
         ledger.charge("o", allowance, 0, 0);
-        ledger.setAside(0.5, 0.5, 1_200, 0);
+        ledger.withholdShares(0.5, 0.5, 1_200, 0);
         expect(ledger.state("o", 0)?.level).to.equal(1_000 - 225 - 600);
         ledger.charge("o", allowance, 175, 0);
         expect(ledger.state("o", 1_000)?.level).to.equal(500);
-        ledger.setAside(0, 0, 1_200, 1_000);
+        ledger.withholdShares(0, 0, 1_200, 1_000);
         ledger.charge("o", allowance, 500, 1_000);
         expect(ledger.state("o", 1_500)?.level).to.equal(500);
     });
--- a/packages/basilpaddle/src/node/daemon/directory/allowanceService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/allowanceService.ts
@@ -1,4 +1,4 @@
-import { AllowanceLedger, type LimitedOrganisations, sharedBurstFraction } from "../../coordination/index.js";
+import { AllowanceLedger, type LimitedOrganisations, nearLimitFraction } from "../../coordination/index.js";
 import type { Allowance, AllowanceMessage, AllowanceReply, Traffic } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
 import { AllowanceTally } from "./allowanceTally.js";
@@ -78,7 +78,7 @@
     review(): void {
         const now = this.now();
         this.tally.review(now);
-        this.setAside(now);
+        this.withholdShares(now);
         const isUrgent = this.ledger.hasNewlyLimited();
         if (!isUrgent && now - this.changedAt < minChangeIntervalMilliseconds) {
             return;
@@ -116,23 +116,23 @@
         return { kind: "charged", decision, term: this.options.term };
     }
 
-    /** Sets aside what gateways may spend on their own that aren't heard of. */
-    private setAside(now: number): void {
-        const { known, absent, newly, since } = this.options.presence.review(now);
+    /** Withholds what absent gateways may spend on their own. */
+    private withholdShares(now: number): void {
+        const { known, absent, newlyAbsent, silentFor } = this.options.presence.review(now);
         const all = Math.max(1, known);
-        this.ledger.setAside(absent / all, newly / all, since, now);
+        this.ledger.withholdShares(absent / all, newlyAbsent / all, silentFor, now);
         if (absent !== this.absentGateways) {
             this.absentGateways = absent;
-            this.options.logger.info("the shares of gateways that aren't heard of are set aside", { absent, known });
+            this.options.logger.info("the shares of absent gateways are withheld", { absent, known });
         }
     }
 
     private recordSpent({ gateway, spent }: SpentMessage, now: number): undefined {
-        const setAsideFor = this.options.presence.setAsideFor(gateway, now);
+        const withheldFor = this.options.presence.withheldFor(gateway, now);
         for (const { organisation, units: spentUnits, byRank, shared } of spent) {
             const allowance = this.allowance(organisation);
             if (allowance !== undefined) {
-                const units = shared === true ? this.beyondShare(allowance, spentUnits, setAsideFor) : spentUnits;
+                const units = shared === true ? this.unitsBeyondShare(allowance, spentUnits, withheldFor) : spentUnits;
                 this.ledger.recordSpent(organisation, allowance, units, now, byRank);
                 this.tally.recordSpent(organisation, units);
             }
@@ -140,11 +140,11 @@
         return undefined;
     }
 
-    /** What a gateway's share granted beyond what was set aside for it meanwhile. */
-    private beyondShare({ rate, burst }: Allowance, units: number, setAsideFor: number): number {
+    /** What a gateway's share granted beyond what was withheld for it meanwhile. */
+    private unitsBeyondShare({ rate, burst }: Allowance, units: number, withheldFor: number): number {
         const { known } = this.options.presence;
-        const share = (rate * setAsideFor / millisecondsInSecond + burst * sharedBurstFraction) / Math.max(1, known);
-        return setAsideFor > 0 ? Math.max(0, units - share) : units;
+        const share = (rate * withheldFor / millisecondsInSecond + burst * nearLimitFraction) / Math.max(1, known);
+        return withheldFor > 0 ? Math.max(0, units - share) : units;
     }
 
     private allowance(organisation: string): Allowance | undefined {
--- a/packages/basilpaddle/src/node/daemon/directory/gatewayPresence.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/gatewayPresence.ts
@@ -22,9 +22,9 @@
 export type Absence = {
     readonly known: number;
     readonly absent: number;
-    readonly newly: number;
-    /** Milliseconds for which the latter have been silent. */
-    readonly since: number;
+    readonly newlyAbsent: number;
+    /** Milliseconds for which the latter have been silent, at least. */
+    readonly silentFor: number;
 };
 
 /** When a directory last heard of each gateway, whether it leads or not. */
@@ -62,7 +62,7 @@
 
     /** The gateways that are absent now; to be called periodically, by the leader alone. */
     review(now: number): Absence {
-        let [absent, newly] = [0, 0];
+        let [absent, newlyAbsent] = [0, 0];
         for (const [gateway, presence] of this.gateways) {
             const silentFor = now - presence.heardAt;
             if (silentFor >= forgetAfterMilliseconds) {
@@ -70,15 +70,15 @@
             }
             else if (silentFor >= absentAfterMilliseconds) {
                 absent += 1;
-                newly += presence.counted ? 0 : 1;
+                newlyAbsent += presence.counted ? 0 : 1;
                 presence.counted = true;
             }
         }
-        return { known: this.gateways.size, absent, newly, since: absentAfterMilliseconds };
+        return { known: this.gateways.size, absent, newlyAbsent, silentFor: absentAfterMilliseconds };
     }
 
-    /** Milliseconds for which shares of a gateway were set aside that has just returned; 0 for any other. */
-    setAsideFor(gateway: string, now: number): number {
+    /** Milliseconds for which the share of a gateway that has just returned was withheld; 0 for any other. */
+    withheldFor(gateway: string, now: number): number {
         const presence = this.gateways.get(gateway);
         return presence !== undefined && now - presence.returnedAt < reportMilliseconds ? presence.silentFor : 0;
     }
--- a/packages/basilpaddle/src/node/daemon/gateway/allowanceAdmission.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/allowanceAdmission.ts
@@ -26,8 +26,8 @@
         const askedAt = request.age();
         const decision = await this.allowances.admit(charge);
         const { by, term } = decision;
-        const within = Math.round(request.age() - askedAt);
-        request.charge = { units: charge.cost, granted: decision.granted, by, term, within };
+        const milliseconds = Math.round(request.age() - askedAt);
+        request.charge = { units: charge.cost, granted: decision.granted, by, term, milliseconds };
         if (!decision.granted) {
             this.count("refused", charge);
             this.metrics.count("basilpaddle_allowance_refusals_total", { rank: String(rankOf(request.priority)) });
--- a/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
@@ -34,7 +34,7 @@
     readonly by: AllowanceGrantor;
     readonly term?: number | undefined;
     /** Milliseconds that the decision took. */
-    readonly within: number;
+    readonly milliseconds: number;
     /** Whether its units were returned, since no backend server may have run it. */
     readonly refunded?: boolean;
 };
