refactor(protocol): one schema of identifiers

It is one now, so that whatever is checked where it is decoded is what every reader of the published value checks. No behaviour changes.

--- a/packages/basilpaddle/src/node/protocol/allowance.ts
+++ b/packages/basilpaddle/src/node/protocol/allowance.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
+import { identifierSchema } from "./identity.js";
 
-const organisationName = z.string().min(1).max(200);
+const organisationName = identifierSchema;
 /** Number of priorities that are told apart: ranks 0 to 9. */
 export const rankCount = 10;
 const rankSchema = z.int().min(0).max(rankCount - 1);
--- a/packages/basilpaddle/src/node/protocol/backend.ts
+++ b/packages/basilpaddle/src/node/protocol/backend.ts
@@ -1,6 +1,5 @@
 import { z } from "zod";
-
-const identifier = z.string().min(1).max(200);
+import { identifierSchema } from "./identity.js";
 
 /** Path for messages of backend servers, on the `backends` address of any entry daemon: POST with JSON bodies. */
 export const backendMessagePath = "/backends/v1/word";
@@ -8,17 +7,23 @@
 /** Description of a backend server. An announcement with a higher incarnation replaces all earlier ones. */
 export const announcementSchema = z.object({
     /** Unchanged across restarts of the server. */
-    id: identifier,
+    id: identifierSchema,
     /** Increases with every start of the server. */
     incarnation: z.int().min(0),
     /** Base URL of its HTTP interface, such as `http://127.0.0.9:8000`. */
     url: z.url({ protocol: /^http$/ }),
-    failureDomain: identifier,
+    failureDomain: identifierSchema,
     /** `service` is a plain service; the other two are engines. */
     role: z.enum(["prefill", "decode", "service"]),
     /** The pool of an engine, or the name of the plain service. */
-    pool: identifier,
-    models: z.array(z.object({ name: identifier, version: identifier, adapters: z.array(identifier).default([]) }))
+    pool: identifierSchema,
+    models: z.array(
+        z.object({
+            name: identifierSchema,
+            version: identifierSchema,
+            adapters: z.array(identifierSchema).default([]),
+        }),
+    )
         .default([]),
     /** Number of requests that it runs concurrently. */
     slots: z.int().min(1).default(1),
@@ -37,12 +42,12 @@
 
 /** Load of an engine as reported by itself. Reports arrive with a delay. */
 export const loadReportSchema = z.object({
-    id: identifier,
+    id: identifierSchema,
     incarnation: z.int().min(0),
     /** Incremented with each report of one incarnation; a late report with a lower number is dropped. */
     sequence: z.int().min(0),
     /** Identifiers of attempts that occupy a slot or memory. */
-    active: z.array(identifier),
+    active: z.array(identifierSchema),
     /** Prompt tokens still to be computed. */
     queuedTokens: z.int().min(0).default(0),
     /** Recently measured milliseconds per prompt token, or between two tokens of an answer. */
@@ -59,11 +64,11 @@
     z.object({ kind: z.literal("announce"), announcement: announcementSchema, load: loadReportSchema.optional() }),
     z.object({
         kind: z.literal("renew"),
-        id: identifier,
+        id: identifierSchema,
         incarnation: z.int().min(0),
         load: loadReportSchema.optional(),
     }),
-    z.object({ kind: z.literal("leave"), id: identifier, incarnation: z.int().min(0) }),
+    z.object({ kind: z.literal("leave"), id: identifierSchema, incarnation: z.int().min(0) }),
 ]);
 
 /** Answer to a message of a backend server. */
--- a/packages/basilpaddle/src/node/protocol/crash.ts
+++ b/packages/basilpaddle/src/node/protocol/crash.ts
@@ -1,6 +1,6 @@
 import { z } from "zod";
+import { identifierSchema } from "./identity.js";
 
-const identifier = z.string().min(1).max(200);
 const milliseconds = z.number().min(0);
 
 /** Maximum number of crashes that are stored and reported for one request. */
@@ -83,12 +83,12 @@
 /** A crash of a backend server while it was running a request. */
 export const crashSchema = z.object({
     /** The incarnation that crashed. */
-    server: identifier,
+    server: identifierSchema,
     phase: z.enum(crashPhases),
     /** Milliseconds since the crash. An age rather than a timestamp, since the clocks of hosts differ. */
     age: milliseconds,
     /** In the record of a part of prompts: digest of the request that ran. @default not known */
-    request: identifier.optional(),
+    request: identifierSchema.optional(),
     /**
      * In the record of a part of prompts: share of the newest begun streams whose prompts hold it, at the daemon that reports the
      * crash. @default small
@@ -99,14 +99,14 @@
 /** An answer that a backend server began to write. */
 export const begunAnswerSchema = z.object({
     /** Identifier of the attempt. */
-    attempt: identifier,
+    attempt: identifierSchema,
     age: milliseconds,
 });
 
 /** Crash history of a request that backend servers crashed while running, or of a part of prompts. */
 export const crashRecordSchema = z.object({
     /** Digest of the request, as computed by `digestOf`, or the part's name, as computed by `promptPartName`. */
-    digest: identifier,
+    digest: identifierSchema,
     crashes: z.array(crashSchema).max(maxRecordedCrashes),
     /** Milliseconds since it was answered completely or released by an operator; earlier crashes don't count. */
     clearedAge: milliseconds.optional(),
--- a/packages/basilpaddle/src/node/protocol/engine.ts
+++ b/packages/basilpaddle/src/node/protocol/engine.ts
@@ -1,6 +1,5 @@
 import { z } from "zod";
-
-const identifier = z.string().min(1).max(200);
+import { identifierSchema } from "./identity.js";
 
 /** Paths of an engine's HTTP interface, relative to its announced `url`. */
 export const enginePath = {
@@ -18,10 +17,10 @@
 
 /** Generation parameters of a run on an engine. */
 export const generationSchema = z.object({
-    model: identifier,
+    model: identifierSchema,
     /** Version to run; any warm version if omitted. Must be the same for prefill and decode of one attempt. */
-    version: identifier.optional(),
-    adapter: identifier.optional(),
+    version: identifierSchema.optional(),
+    adapter: identifierSchema.optional(),
     /** The whole prompt as text; the entry daemon joins chat messages. */
     prompt: z.string(),
     /** Maximum number of answer tokens. */
@@ -33,11 +32,11 @@
 });
 
 /** POST /engine/v1/prefill */
-export const prefillRequestSchema = z.object({ attempt: identifier, generation: generationSchema });
+export const prefillRequestSchema = z.object({ attempt: identifierSchema, generation: generationSchema });
 /** Answer to a prefill, sent when it has completed. The result may be evicted within a second. */
 export const prefillAnswerSchema = z.object({
     /** Identifies the exported KV cache on that engine. */
-    handle: identifier,
+    handle: identifierSchema,
     promptTokens: z.int().min(0),
     /** Prompt tokens reused from the prefix cache. */
     reusedTokens: z.int().min(0).default(0),
@@ -46,15 +45,15 @@
 
 /** POST /engine/v1/import: the decode engine fetches the KV cache from the prefill engine. */
 export const importRequestSchema = z.object({
-    attempt: identifier,
-    source: z.object({ url: z.url(), handle: identifier }),
+    attempt: identifierSchema,
+    source: z.object({ url: z.url(), handle: identifierSchema }),
     generation: generationSchema,
 });
 /** Answer to an import, sent when the cache is transferred and a slot reserved. */
 export const importAnswerSchema = z.object({ bytes: z.int().min(0) });
 
 /** POST /engine/v1/decode: answers with one JSON object per line. Offset 0 starts decoding; a higher offset resumes it. */
-export const decodeRequestSchema = z.object({ attempt: identifier, offset: z.int().min(0).default(0) });
+export const decodeRequestSchema = z.object({ attempt: identifierSchema, offset: z.int().min(0).default(0) });
 /** A line of the decode stream. */
 export const decodeLineSchema = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("token"), offset: z.int().min(0), text: z.string() }),
@@ -63,18 +62,23 @@
 ]);
 
 /** POST /engine/v1/cancel: releases all resources allocated to the attempt; idempotent. */
-export const cancelRequestSchema = z.object({ attempt: identifier });
+export const cancelRequestSchema = z.object({ attempt: identifierSchema });
 /** `released` is also true if the engine never knew the attempt. */
 export const cancelAnswerSchema = z.object({ released: z.boolean() });
 
 /** An order to an engine. */
 export const orderSchema = z.discriminatedUnion("action", [
-    z.object({ action: z.literal("load"), model: identifier, version: identifier, adapters: z.array(identifier) }),
-    z.object({ action: z.literal("unload"), model: identifier, version: identifier }),
+    z.object({
+        action: z.literal("load"),
+        model: identifierSchema,
+        version: identifierSchema,
+        adapters: z.array(identifierSchema),
+    }),
+    z.object({ action: z.literal("unload"), model: identifierSchema, version: identifierSchema }),
     z.object({ action: z.literal("changeRole"), role: z.enum(["prefill", "decode"]) }),
 ]);
 /** POST /engine/v1/order */
-export const orderRequestSchema = z.object({ orderId: identifier, fence: z.int().min(0), order: orderSchema });
+export const orderRequestSchema = z.object({ orderId: identifierSchema, fence: z.int().min(0), order: orderSchema });
 /** `refused`: the fencing token is older than one that the engine has seen, or the order can't be executed. */
 export const orderAnswerSchema = z.object({
     outcome: z.enum(["done", "started", "refused"]),
@@ -84,19 +88,19 @@
 
 /** GET /engine/v1/state: role, models and active attempts of an engine, read before the first order of a new lease holder. */
 export const engineStateSchema = z.object({
-    id: identifier,
+    id: identifierSchema,
     incarnation: z.int().min(0),
     role: z.enum(["prefill", "decode"]),
     models: z.array(z.object({
-        name: identifier,
-        version: identifier,
-        adapters: z.array(identifier).default([]),
+        name: identifierSchema,
+        version: identifierSchema,
+        adapters: z.array(identifierSchema).default([]),
         phase: z.enum(["loading", "warm", "unloading"]),
         /** Adapters being loaded for a warm version, which continues to serve requests. */
-        loadingAdapters: z.array(identifier).default([]),
+        loadingAdapters: z.array(identifierSchema).default([]),
     })),
     highestFence: z.int().min(0),
-    active: z.array(identifier),
+    active: z.array(identifierSchema),
 });
 
 /** Body of an answer with status 409, 429 or 503: the engine didn't run the request and has allocated nothing to it. */
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -1,11 +1,11 @@
 import { z } from "zod";
 import { type AllowanceMessage, allowanceMessageSchema } from "./allowance.js";
 import { crashRecordSchema, crashReportSchema } from "./crash.js";
+import { identifierSchema } from "./identity.js";
 import { relayRegistrationSchema } from "./relay.js";
 import { limitObservationSchema, type ServerLimitMessage, serverLimitMessageSchema } from "./serverLimit.js";
 import { originQuerySchema, originReportSchema } from "./streamOrigin.js";
 
-const identifier = z.string().min(1).max(200);
 /**
  * Compressed text of a configuration. Without compression, the text of a thousand routes is 220 KB, which takes a third of a
  * second to transfer on a small host's link.
@@ -23,12 +23,12 @@
 /** Announcement of a backend server, as forwarded by a directory. */
 export const serverAnnouncementSchema = z.object({
     /** Identifier of this incarnation; it changes at each restart of the server. */
-    id: identifier,
+    id: identifierSchema,
     /** Name of the backend server on the wire, if several incarnations share it. @default id */
-    name: identifier.optional(),
+    name: identifierSchema.optional(),
     /** Start time in Unix milliseconds, if the server reports it. */
     startedAt: z.int().min(0).optional(),
-    service: identifier,
+    service: identifierSchema,
     /** "IP:PORT". Another incarnation may reuse the address, even one of a different service. */
     address: z.string(),
     failureDomain: z.string(),
@@ -51,7 +51,7 @@
 /** Long poll of a gateway at a directory for changes since its cursor; left open until there are any. */
 export const watchRequestSchema = z.object({
     kind: z.literal("watch"),
-    gateway: identifier,
+    gateway: identifierSchema,
     /** Version of the gateway's configuration; -1 if it has none. */
     version: z.int(),
     /** Incarnation of the directory that `cursor` refers to. */
@@ -74,7 +74,7 @@
 export const departureReportSchema = z.object({
     kind: z.literal("departure"),
     /** Name of the backend server on the wire. */
-    name: identifier,
+    name: identifierSchema,
     /** What is known of the incarnation that leaves; absent if the sender knows none. */
     server: serverAnnouncementSchema.optional(),
 });
@@ -101,11 +101,11 @@
     /** Number of gateways that this directory knows: active within the last seconds, or known before its restart. */
     gateways: z.int().min(0),
     /** Backend servers of plain services ejected based on all gateways' call reports. Sent by the leader only. @default none */
-    ejected: z.array(identifier).optional(),
+    ejected: z.array(identifierSchema).optional(),
     /** Organisations near their limit, for whose requests the leader has to be asked. Sent by the leader only. @default none */
-    nearLimit: z.array(identifier).optional(),
+    nearLimit: z.array(identifierSchema).optional(),
     /** Those of them that have used up their allowance. */
-    usedUp: z.array(identifier).optional(),
+    usedUp: z.array(identifierSchema).optional(),
     /** Number of the last change of these two lists. @default 0, and none */
     limitCursor: z.int().min(0).optional(),
     /** Limits that backend servers name, and those that ended a moment ago. Sent by the leader only. @default none */
@@ -127,9 +127,9 @@
 
 /** Request for placement of a run on engines of a pool. */
 export const placementRequestSchema = z.object({
-    attempt: identifier,
-    gateway: identifier,
-    service: identifier,
+    attempt: identifierSchema,
+    gateway: identifierSchema,
+    service: identifierSchema,
     failureDomain: z.string(),
     /** Prompt tokens, and the expected number of KV cache tokens that the run will occupy. */
     promptTokens: z.int().min(0),
@@ -140,13 +140,13 @@
     targetWithin: z.number(),
     patienceWithin: z.number(),
     /** Engines to exclude because an earlier run of this request failed on them. */
-    avoid: z.array(identifier),
+    avoid: z.array(identifierSchema),
     /** True if it continues an interrupted run whose caller has received a part of the answer; placed before all new runs. */
     resumed: z.boolean(),
     /** Software version of the engines that may run it. @default any */
     version: z.string().max(200).optional(),
     /** Organisation that sent it, in pools with several priorities. @default unknown */
-    organisation: identifier.optional(),
+    organisation: identifierSchema.optional(),
     /** Milliseconds left until the caller's deadline, in pools with several priorities. @default `patienceWithin` */
     deadlineWithin: z.number().optional(),
     /** Stall rates of the gateway's links. @default no stalls */
@@ -161,17 +161,17 @@
 export const placementDecisionSchema = z.discriminatedUnion("kind", [
     z.object({
         kind: z.literal("placed"),
-        attempt: identifier,
+        attempt: identifierSchema,
         /** Omitted if no prefill engine is ready: the decode engine then performs the prefill itself. */
-        prefill: identifier.optional(),
-        decode: identifier,
+        prefill: identifierSchema.optional(),
+        decode: identifierSchema,
         /** Expected milliseconds until the prefill completes, including its queue; omitted if no estimate is available. */
         readingWithin: z.number().optional(),
     }),
     /** The run can't be served in time; `comeBackIn` is the retry delay in milliseconds. */
     z.object({
         kind: z.literal("refused"),
-        attempt: identifier,
+        attempt: identifierSchema,
         reason: z.string(),
         comeBackIn: z.number(),
         /** Whether no engine of the demanded software version is left. @default false */
@@ -188,11 +188,11 @@
 /** Outcome of a placed run, as far as engines caused it. */
 export const placementOutcomeSchema = z.object({
     /** Engine on which the run failed, if any. */
-    failed: identifier.optional(),
+    failed: identifierSchema.optional(),
     /** Engine that rejected the run, if any. */
-    turnedAwayBy: identifier.optional(),
+    turnedAwayBy: identifierSchema.optional(),
     /** Engine that had completed the prefill of a rejected run. */
-    readBy: identifier.optional(),
+    readBy: identifierSchema.optional(),
     /** Its writing at the decode engine. @default unknown */
     writing: runWritingSchema.optional().catch(undefined),
     /** Events of its answer, if that was complete and written by this run alone. @default unknown */
@@ -206,8 +206,8 @@
 
 /** Results of one gateway's calls to one backend server of a plain service since its previous report. */
 export const serverCallsSchema = z.object({
-    id: identifier,
-    service: identifier,
+    id: identifierSchema,
+    service: identifierSchema,
     answered: z.int().min(0),
     /** Calls that failed, were interrupted, were rejected, or have been open for much longer than usual. */
     failed: z.int().min(0),
@@ -216,23 +216,23 @@
 /** Message of a gateway to the leading directory: requests and releases placements, or lists its current ones. */
 export const placementMessageSchema = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("place"), demand: placementRequestSchema }),
-    z.object({ kind: z.literal("withdraw"), attempt: identifier }),
-    z.object({ kind: z.literal("prefilled"), attempt: identifier }),
-    z.object({ kind: z.literal("release"), attempt: identifier, end: placementOutcomeSchema }),
+    z.object({ kind: z.literal("withdraw"), attempt: identifierSchema }),
+    z.object({ kind: z.literal("prefilled"), attempt: identifierSchema }),
+    z.object({ kind: z.literal("release"), attempt: identifierSchema, end: placementOutcomeSchema }),
     /** Borrows one retry from the service's budget beyond the gateway's own share. */
-    z.object({ kind: z.literal("borrow"), gateway: identifier, service: identifier }),
+    z.object({ kind: z.literal("borrow"), gateway: identifierSchema, service: identifierSchema }),
     /** Checks that the directory responds and is the leader. A gateway whose request got no answer sends it until it gets one. */
-    z.object({ kind: z.literal("probe"), gateway: identifier }),
+    z.object({ kind: z.literal("probe"), gateway: identifierSchema }),
     /** Reports the results of calls to plain services. */
     z.object({ kind: z.literal("calls"), calls: z.array(serverCallsSchema) }),
     /** Another incarnation answered at the address of this one, which has therefore ended without an announcement. */
-    z.object({ kind: z.literal("ended"), instance: identifier }),
+    z.object({ kind: z.literal("ended"), instance: identifierSchema }),
     z.object({
         kind: z.literal("holdings"),
-        gateway: identifier,
+        gateway: identifierSchema,
         held: z.array(z.object({
             demand: placementRequestSchema,
-            decode: identifier,
+            decode: identifierSchema,
             /** Its writing since the previous report. @default unknown */
             writing: runWritingSchema.optional().catch(undefined),
         })),
--- a/packages/basilpaddle/src/node/protocol/index.ts
+++ b/packages/basilpaddle/src/node/protocol/index.ts
@@ -9,6 +9,7 @@
 export * from "./finding.js";
 export * from "./gateway.js";
 export * from "./gatewaySettings.js";
+export * from "./identity.js";
 export * from "./packing.js";
 export * from "./peer.js";
 export * from "./prefix.js";
--- a/packages/basilpaddle/src/node/protocol/relay.ts
+++ b/packages/basilpaddle/src/node/protocol/relay.ts
@@ -1,10 +1,9 @@
 import { z } from "zod";
-
-const identifier = z.string().min(1).max(200);
+import { identifierSchema } from "./identity.js";
 
 /** A gateway through which others reach backend servers while their own links to all of them fail. */
 export const relaySchema = z.object({
-    gateway: identifier,
+    gateway: identifierSchema,
     failureDomain: z.string(),
     /** "IP:PORT" at which it accepts tunnels. */
     address: z.string(),
@@ -22,7 +21,7 @@
 export const relayListSchema = z.object({ relays: z.array(relaySchema) });
 
 /** First frame on a connection to a relay: asks for a tunnel to a backend server's incarnation. */
-export const tunnelRequestSchema = z.object({ server: identifier });
+export const tunnelRequestSchema = z.object({ server: identifierSchema });
 
 /** Reply of a relay; after `open`, bytes are forwarded in both directions. */
 export const tunnelReplySchema = z.discriminatedUnion("kind", [
--- a/packages/basilpaddle/src/node/protocol/serverLimit.ts
+++ b/packages/basilpaddle/src/node/protocol/serverLimit.ts
@@ -1,10 +1,9 @@
 import { z } from "zod";
-
-const incarnation = z.string().min(1).max(200);
+import { identifierSchema } from "./identity.js";
 
 /** Requests per second that a backend server takes from all gateways together, as its last answer named it. */
 export const limitObservationSchema = z.object({
-    server: incarnation,
+    server: identifierSchema,
     /** Absent: it names no limit any more. */
     limit: z.number().min(0).optional(),
     /** Milliseconds since the answer. */
--- a/packages/basilpaddle/src/node/protocol/streamOrigin.ts
+++ b/packages/basilpaddle/src/node/protocol/streamOrigin.ts
@@ -1,6 +1,6 @@
 import { z } from "zod";
+import { identifierSchema } from "./identity.js";
 
-const identifier = z.string().min(1).max(200);
 const milliseconds = z.number().min(0);
 
 /** Maximum number of origins in one report. */
@@ -8,9 +8,9 @@
 
 /** The software version that a stream is bound to before its first event: only engines of that version may continue it. */
 export const streamOriginSchema = z.object({
-    service: identifier,
+    service: identifierSchema,
     /** The caller's attempt that the first event was sent in. */
-    attempt: identifier,
+    attempt: identifierSchema,
     /** Software version of its engine; empty if that announces none. */
     version: z.string().max(200),
     /**
@@ -34,9 +34,9 @@
 /** Query of a gateway to every directory: where a stream began, and which versions a service had. */
 export const originQuerySchema = z.object({
     kind: z.literal("origin"),
-    service: identifier,
+    service: identifierSchema,
     /** The attempt that began the stream; absent if the caller doesn't name it. */
-    attempt: identifier.optional(),
+    attempt: identifierSchema.optional(),
     /** Milliseconds within which the stream must have begun. */
     within: milliseconds,
 });
@@ -57,7 +57,7 @@
     /** Milliseconds before the time of storing for which all versions are known. */
     coversLast: milliseconds,
     /** Versions, with milliseconds since each was last seen. */
-    seen: z.array(z.object({ service: identifier, version: z.string(), age: milliseconds })),
+    seen: z.array(z.object({ service: identifierSchema, version: z.string(), age: milliseconds })),
 });
 
 /** The software version that began a stream. */
--- a/packages/basilpaddle/src/node/protocol/traffic.ts
+++ b/packages/basilpaddle/src/node/protocol/traffic.ts
@@ -1,7 +1,8 @@
 import { z } from "zod";
 import type { Finding } from "./finding.js";
+import { identifierSchema } from "./identity.js";
 
-const name = z.string().min(1).max(200);
+const name = identifierSchema;
 const milliseconds = z.number().positive();
 
 /** How requests may be run: `safe` may run more than once, `unsafe` at most once, `streaming` is answered as events. */
