fix(directory): a heartbeat's address that no host has is refused, and no failed call ends a directory

Cause, in three layers: addresses were checked by their form alone, so that the sender counted as an engine; a call could reject, since the pool of connections was made outside the try that turns failures into results; an order to change a stage ran without anyone who awaits it, and an unhandled rejection ends the daemon.

Why it works: one schema of a host's address is asked where heartbeats are decoded and where announcements are exchanged, so nothing of such a program is stored, counted or published; a call to a server whose address can't be used is one of which nothing was sent; an order's error is logged. A gateway releases a placement also if using it throws.

--- a/packages/basilpaddle/src/node/daemon/backends/__tests__/backendConnections.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/__tests__/backendConnections.spec.ts
@@ -63,6 +63,18 @@
         expect(body).to.equal("all of it");
     });
 
+    // Guards against an address that no URL can have, and whose error nobody awaits.
+    it("report a server whose address is invalid as not reached", async () => {
+        const { server, announced } = await startServer(() => undefined);
+        const connections = BackendConnections.create(createSilentLogger());
+        const invalid = { ...announced, address: "127.0.0.1:99999" };
+        const signal = AbortSignal.timeout(5_000);
+        const call = { server: invalid, method: "GET", path: "/", headers: [], body: undefined, signal };
+        expect(await connections.call(call, 10, 1)).to.include({ kind: "notSent" });
+        await connections.close();
+        server.close();
+    });
+
     it("distinguish a server that received nothing from one that may have run the request", async () => {
         const { server, announced } = await startServer(socket => socket.resetAndDestroy());
         const connections = BackendConnections.create(createSilentLogger());
--- a/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
@@ -78,7 +78,7 @@
 
 /** Calls backend servers. */
 export abstract class BackendCaller {
-    /** Sends a request and returns the head of the answer. `limit`: connections that all gateways together may open to the server. */
+    /** Sends a request and returns the head of the answer; never rejects. `limit`: connections that all gateways together may open to the server. */
     abstract call(call: BackendCall, limit: number, gateways: number): Promise<BackendAnswer | CallFailure>;
 
     /** Closes the connections to an incarnation that has ended or is idle; calls in progress can finish. */
@@ -116,10 +116,14 @@
     }
 
     override async call(call: BackendCall, limit: number, gateways: number): Promise<BackendAnswer | CallFailure> {
-        const pool = this.pool(
-            call.server,
-            Math.max(2, Math.floor(limit * sharedConnectionFraction / Math.max(1, gateways))),
-        );
+        let pool: Pool;
+        try {
+            const connections = Math.floor(limit * sharedConnectionFraction / Math.max(1, gateways));
+            pool = this.pool(call.server, Math.max(2, connections));
+        }
+        catch (error) {
+            return { kind: "notSent", cause: (error as Error).message };
+        }
         try {
             const request: Parameters<Pool["request"]>[0] & SendGate = {
                 method: call.method as "GET",
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/stageOrders.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/stageOrders.spec.ts
@@ -10,10 +10,19 @@
 /** Prompts long enough that the plan calls for two more prefill engines. */
 const longPrompts = { prefillTime: 400, allocationTime: 2_000, cacheTokens: 12_000 };
 
-type Scenario = { readonly prefill: number; readonly queuedRequests: (now: number) => number; };
+type Scenario = {
+    readonly prefill: number;
+    readonly queuedRequests: (now: number) => number;
+    readonly call?: () => Promise<unknown>;
+};
+
+const failToConnect = async (): Promise<unknown> => ({ kind: "notRun", cause: "no connection", unreachable: true });
 
 /** The orders issued within the given time, each as engine, stage and whether the order was still open. */
-async function ordersIssuedWithin(milliseconds: number, { prefill, queuedRequests }: Scenario): Promise<string[]> {
+async function ordersIssuedWithin(
+    milliseconds: number,
+    { prefill, queuedRequests, call = failToConnect }: Scenario,
+): Promise<string[]> {
     const clock = new ManualClock();
     const instances = InstanceTable.create();
     engines(prefill, 10).forEach(engine => instances.apply(engine));
@@ -26,9 +35,7 @@
         queuedRequests: () => queuedRequests(clock.monotonic()),
         onOrdered: ({ id }, stage, within) => ordered.push(`${id} ${stage} ${within > 0}`),
         wire: { order: () => ({ method: "POST", path: "/", headers: {} }) } as unknown as DirectoryWire,
-        connections: {
-            call: async () => ({ kind: "notRun", cause: "no connection", unreachable: true }),
-        } as unknown as BackendConnections,
+        connections: { call } as unknown as BackendConnections,
         clock,
         logger: createSilentLogger(),
         lease: 500,
@@ -56,6 +63,19 @@
         expect(await ordersIssuedWithin(25_000, { prefill: 3, queuedRequests })).to.deep.equal([]);
     });
 
+    // Guards against a directory that the failed order to one engine terminates.
+    it("survive an error of a call", async () => {
+        const unhandled: unknown[] = [];
+        const listeners = process.rawListeners("unhandledRejection") as NodeJS.UnhandledRejectionListener[];
+        process.removeAllListeners("unhandledRejection").on("unhandledRejection", error => unhandled.push(error));
+        const call = (): Promise<never> => Promise.reject(new TypeError("Invalid URL"));
+        await ordersIssuedWithin(5_000, { prefill: 0, queuedRequests: () => 3, call });
+        await new Promise(resolve => setImmediate(resolve));
+        process.removeAllListeners("unhandledRejection");
+        listeners.forEach(listener => process.on("unhandledRejection", listener));
+        expect(unhandled).to.deep.equal([]);
+    });
+
     it("assign one engine to prefill immediately if there is none", async () => {
         const [first] = await ordersIssuedWithin(5_000, { prefill: 0, queuedRequests: () => 3 });
         expect(first).to.match(/ prefill true$/);
--- a/packages/basilpaddle/src/node/daemon/directory/stageOrders.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/stageOrders.ts
@@ -1,6 +1,6 @@
 import { type InstanceTable, planStages, type StageChange, type TypicalRequest } from "../../coordination/index.js";
 import type { ServerAnnouncement, Traffic } from "../../protocol/index.js";
-import type { Clock, Logger } from "../../utils/index.js";
+import { type Clock, type Logger, runInBackground } from "../../utils/index.js";
 import { type BackendConnections, drain, isAnswer } from "../backends/index.js";
 import type { DirectoryWire, StageOrderOutcome } from "./directoryWire.js";
 
@@ -110,7 +110,10 @@
             }
             if (changes.length > 0 && this.isDue(service.name, engines, changes, now)) {
                 this.cooldownUntil = now + cooldownMilliseconds;
-                changes.forEach(change => void this.order(change));
+                changes.forEach(change => {
+                    const { engine: { id: engine }, stage } = change;
+                    runInBackground(this.order(change), this.options.logger, "an order failed", { engine, stage });
+                });
             }
         }
     }
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -159,7 +159,13 @@
             return;
         }
         this.steps.push(`placed ${grantOrRefusal.by} ${Math.round(this.now() - askedAt)}`);
-        placementClient.release(grantOrRefusal.attempt, await this.useGrant(grantOrRefusal));
+        let outcome: PlacementOutcome = {};
+        try {
+            outcome = await this.useGrant(grantOrRefusal);
+        }
+        finally {
+            placementClient.release(grantOrRefusal.attempt, outcome);
+        }
     }
 
     /** Uses a placement for the prefill and the run; returns what to report on its release. */
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -1,7 +1,7 @@
 import { z } from "zod";
 import { type AllowanceMessage, allowanceMessageSchema } from "./allowance.js";
 import { crashRecordSchema, crashReportSchema } from "./crash.js";
-import { identifierSchema } from "./identity.js";
+import { hostAddressSchema, identifierSchema } from "./identity.js";
 import { relayRegistrationSchema } from "./relay.js";
 import { limitObservationSchema, type ServerLimitMessage, serverLimitMessageSchema } from "./serverLimit.js";
 import { originQuerySchema, originReportSchema } from "./streamOrigin.js";
@@ -29,8 +29,11 @@
     /** Start time in Unix milliseconds, if the server reports it. */
     startedAt: z.int().min(0).optional(),
     service: identifierSchema,
-    /** "IP:PORT". Another incarnation may reuse the address, even one of a different service. */
-    address: z.string(),
+    /**
+     * "IP:PORT". Another incarnation may reuse the address, even one of a different service. Empty if an end was reported by the
+     * identifier alone.
+     */
+    address: z.union([hostAddressSchema, z.literal("")]),
     failureDomain: z.string(),
     /** Number of requests that it runs concurrently. */
     slots: z.int().min(0),
--- a/packages/basilpaddle/src/node/utils/index.ts
+++ b/packages/basilpaddle/src/node/utils/index.ts
@@ -1,3 +1,4 @@
+export * from "./background.js";
 export * from "./clock.js";
 export * from "./disposables.js";
 export * from "./fraction.js";
