fix(directory): a leave call's name is checked, and one entry that can't be read costs its reader no others

Cause: leave calls were the only ones of servers whose name wasn't checked before it was published, and readers refused a whole update for one entry. Nothing was logged.

Why it works: names and incarnations of leave calls are checked by the schema that readers use. Lists of an update are read entry by entry, and so is what a directory keeps across a restart: a daemon of this version also reads what one of the version before published. What is left out, and an update that can't be read, are logged.

--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/directoryWatcher.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/directoryWatcher.spec.ts
@@ -1,7 +1,9 @@
 import { expect } from "chai";
+import type { ServerAnnouncement } from "../../../protocol/index.js";
 import { createSilentLogger, SystemClock } from "../../../utils/index.js";
 import { DirectoryWatcher } from "../directoryWatcher.js";
 import { FakeDirectories, until } from "./fakeDirectories.js";
+import { announced } from "./fakes.js";
 
 const names = ["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"];
 
@@ -9,10 +11,12 @@
     let directories: FakeDirectories;
     let watcher: DirectoryWatcher | undefined;
     let documents: number[];
+    let received: ServerAnnouncement[];
 
     beforeEach(() => {
         directories = FakeDirectories.create(names);
         documents = [];
+        received = [];
     });
 
     afterEach(() => watcher?.close());
@@ -26,7 +30,7 @@
             network: directories,
             clock: SystemClock.create(),
             logger: createSilentLogger(),
-            onAnnounced: () => undefined,
+            onAnnounced: server => received.push(server),
             onCrashes: () => undefined,
             knownCrashes: () => [],
             onDocument: version => documents.push(version),
@@ -44,6 +48,17 @@
         await until(() => created.reachesMajority());
     });
 
+    // Guards against a gateway that loses everything a directory reports for a single entry that it can't read.
+    it("applies the rest of an update with an entry that can't be read", async () => {
+        const sound = announced({ id: "sound", address: "127.0.0.1:80" });
+        const unreadable = ["127.0.0.1:99999", "x".repeat(500)].map(address => ({ ...sound, id: address, address }));
+        directories.all[0]!.announced = [{ ...sound, id: "" }, ...unreadable, sound];
+        directories.all[0]!.version = 5;
+        watch(names.slice(0, 1));
+        await until(() => documents.includes(5));
+        expect(new Set(received.map(({ id }) => id))).to.deep.equal(new Set(["sound"]));
+    });
+
     it("never applies an older configuration, whichever directory sends it", async () => {
         directories.all[0]!.version = 5;
         directories.all[1]!.version = 3;
--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/fakeDirectories.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/fakeDirectories.ts
@@ -1,5 +1,11 @@
 import { type Either, Left, Right } from "purify-ts";
-import { packText, type PlacementMessage, type WatchRequest, type WatchUpdate } from "../../../protocol/index.js";
+import {
+    packText,
+    type PlacementMessage,
+    type ServerAnnouncement,
+    type WatchRequest,
+    type WatchUpdate,
+} from "../../../protocol/index.js";
 import { Link, type LinkFailure, Network } from "../../../transport/index.js";
 
 /** How long a fake directory holds a watch request without changes open. */
@@ -15,6 +21,7 @@
     frozen = false;
     readonly placementMessages: PlacementMessage[] = [];
     documentsSent = 0;
+    announced: ServerAnnouncement[] = [];
 
     constructor(readonly name: string, private readonly members: () => readonly string[]) {}
 
@@ -45,7 +52,7 @@
             cursor: 0,
             version: this.version,
             ...newer ? { document: { version: this.version, packed: packText(`v${this.version}`) } } : {},
-            announced: [],
+            announced: this.announced,
             members: [...this.members()],
             failureDomain: this.failureDomain,
             ...this.leader === undefined ? {} : { leader: this.leader },
--- a/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
@@ -5,13 +5,14 @@
     type ServerAnnouncement,
     unpackText,
     type WatchUpdate,
-    watchUpdateSchema,
 } from "../../protocol/index.js";
 import { type Link, type Network, parseAddress } from "../../transport/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
 import { CrashReports } from "./crashReports.js";
 import { describeServers } from "./describeServers.js";
 import { GatewayCount } from "./gatewayCount.js";
+import { createWatchedDirectory, type KnownDirectory, type WatchedDirectory } from "./watchedDirectory.js";
+import { readUpdate } from "./watchUpdates.js";
 
 /** Timeout of a watch request: a directory holds it open for up to a second. */
 const watchTimeoutMilliseconds = 2_200;
@@ -57,33 +58,6 @@
     readonly onDirectoryReached?: (directory: KnownDirectory) => void;
 };
 
-/** A directory that is known here, and whether it answered its last watch request. */
-export type KnownDirectory = { readonly name: string; readonly link: Link; readonly reached: boolean; };
-
-/** The tracked state of one directory. */
-type WatchedDirectory = {
-    readonly name: string;
-    readonly link: Link;
-    incarnation: string;
-    cursor: number;
-    crashCursor: number;
-    limitCursor: number;
-    serverLimitCursor: number;
-    failureDomain: string | undefined;
-    /** Whether it has answered a watch, or one has failed. */
-    asked: boolean;
-    reached: boolean;
-    gateways: number;
-    gatewaysSettled: boolean;
-    /** Version of the newest configuration that it announced. */
-    version: number;
-    members: readonly string[];
-    leader: string | undefined;
-    ejected: readonly string[];
-    nearLimit: ReadonlySet<string>;
-    lastListedAt: number;
-};
-
 /**
  * Watches all directories of the deployment in parallel, and discovers them from the member lists of those that it reaches.
  * Each directory sends the announcements that it received itself, and all departures that it knows: they travel a single hop, and
@@ -211,26 +185,7 @@
             if (address === undefined || name === this.options.name) {
                 continue;
             }
-            const directory: WatchedDirectory = {
-                name,
-                link: this.options.network.link(address),
-                incarnation: "",
-                cursor: 0,
-                crashCursor: 0,
-                limitCursor: 0,
-                serverLimitCursor: 0,
-                failureDomain: undefined,
-                asked: false,
-                reached: false,
-                gateways: 0,
-                gatewaysSettled: false,
-                version: -1,
-                members: [],
-                leader: undefined,
-                ejected: [],
-                nearLimit: new Set(),
-                lastListedAt: now,
-            };
+            const directory = createWatchedDirectory(name, this.options.network.link(address), now);
             this.directories.set(name, directory);
             void this.watchUntilForgotten(directory);
         }
@@ -292,8 +247,10 @@
             wantsDocument,
             observer,
         }, watchTimeoutMilliseconds);
-        const parsed = watchUpdateSchema.safeParse(answer.toMaybe().extract());
-        return parsed.success ? parsed.data : undefined;
+        return answer.caseOf({
+            Left: () => undefined,
+            Right: received => readUpdate(received, directory, this.options.logger),
+        });
     }
 
     private applyUpdate(directory: WatchedDirectory, update: WatchUpdate): void {
--- a/packages/basilpaddle/src/node/coordination/gateway/index.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/index.ts
@@ -25,3 +25,4 @@
 export * from "./serverChoice.js";
 export * from "./serviceRetryBudget.js";
 export * from "./stagePlan.js";
+export type { KnownDirectory } from "./watchedDirectory.js";
--- a/packages/basilpaddle/src/node/daemon/directory/backendServerCalls.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/backendServerCalls.ts
@@ -1,13 +1,16 @@
 import { type Either, Left, Right } from "purify-ts";
+import { z } from "zod";
 import {
     type Finding,
     findingsFromZodError,
+    identifierSchema,
+    incarnationOf,
     type ServerAnnouncement,
     serverAnnouncementSchema,
 } from "../../protocol/index.js";
 import type { Logger } from "../../utils/index.js";
 import type { CallResponse } from "./callServer.js";
-import type { DirectoryWire } from "./directoryWire.js";
+import type { Departure, DirectoryWire } from "./directoryWire.js";
 import type { ServerMembership } from "./serverMembership.js";
 
 /** Only the first findings of a rejected call are logged. */
@@ -41,7 +44,11 @@
     /** Handles a backend server's call that it leaves. */
     leave(name: string, body: string): Promise<CallResponse> {
         const { wire, membership } = this.options;
-        return this.applyCall(name, wire.parseDeparture(name, body), departure => membership.leave(departure));
+        return this.applyCall(
+            name,
+            wire.parseDeparture(name, body).chain(validateDeparture),
+            departure => membership.leave(departure),
+        );
     }
 
     /** Applies a valid call. An invalid one is rejected: it may come from another program and identifies no usable server. */
@@ -71,3 +78,10 @@
     const parsed = serverAnnouncementSchema.safeParse(announced);
     return parsed.success ? Right(parsed.data) : Left(findingsFromZodError("announcement", parsed.error));
 }
+
+/** Validates the name and incarnation of a leave call, which are published like those of an announcement. */
+function validateDeparture(departure: Departure): Either<readonly Finding[], Departure> {
+    const { name, startedAt } = departure;
+    const parsed = z.array(identifierSchema).safeParse([name, incarnationOf(name, startedAt)]);
+    return parsed.success ? Right(departure) : Left(findingsFromZodError("leave call", parsed.error));
+}
--- a/packages/basilpaddle/src/node/daemon/directory/restartCache.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/restartCache.ts
@@ -4,6 +4,7 @@
 import {
     type CrashRecord,
     crashRecordSchema,
+    readableItems,
     type ServerAnnouncement,
     serverAnnouncementSchema,
     type StoredVersionHistory,
@@ -29,13 +30,13 @@
     /** Number of connected gateways. */
     gateways: z.int().min(0),
     /** Crash histories of requests. */
-    crashes: z.array(crashRecordSchema).default([]),
+    crashes: readableItems(crashRecordSchema).default([]),
     /** Software versions of engines. */
     versions: storedVersionHistorySchema.optional(),
     /** Wall clock time in Unix milliseconds. */
     writtenAt: z.number(),
 });
-const serversSchema = z.array(serverAnnouncementSchema);
+const serversSchema = readableItems(serverAnnouncementSchema);
 
 /** State that is kept across a restart. */
 export type RestartState = {
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -2,6 +2,7 @@
 import { type AllowanceMessage, allowanceMessageSchema } from "./allowance.js";
 import { crashRecordSchema, crashReportSchema } from "./crash.js";
 import { hostAddressSchema, identifierSchema } from "./identity.js";
+import { readableItems } from "./readableItems.js";
 import { relayRegistrationSchema } from "./relay.js";
 import { limitObservationSchema, type ServerLimitMessage, serverLimitMessageSchema } from "./serverLimit.js";
 import { originQuerySchema, originReportSchema } from "./streamOrigin.js";
@@ -95,7 +96,7 @@
     /** Version of the latest configuration that this directory knows; -1 if it knows none. */
     version: z.int(),
     document: z.object({ version: z.int(), packed: packedSchema }).optional(),
-    announced: z.array(serverAnnouncementSchema),
+    announced: readableItems(serverAnnouncementSchema),
     /** Names of the voting directories, and of their leader, as known to this directory. */
     members: z.array(z.string()),
     /** Failure domain of this directory. */
@@ -104,22 +105,22 @@
     /** Number of gateways that this directory knows: active within the last seconds, or known before its restart. */
     gateways: z.int().min(0),
     /** Backend servers of plain services ejected based on all gateways' call reports. Sent by the leader only. @default none */
-    ejected: z.array(identifierSchema).optional(),
+    ejected: readableItems(identifierSchema).optional(),
     /** Organisations near their limit, for whose requests the leader has to be asked. Sent by the leader only. @default none */
-    nearLimit: z.array(identifierSchema).optional(),
+    nearLimit: readableItems(identifierSchema).optional(),
     /** Those of them that have used up their allowance. */
-    usedUp: z.array(identifierSchema).optional(),
+    usedUp: readableItems(identifierSchema).optional(),
     /** Number of the last change of these two lists. @default 0, and none */
     limitCursor: z.int().min(0).optional(),
     /** Limits that backend servers name, and those that ended a moment ago. Sent by the leader only. @default none */
-    serverLimits: z.array(limitObservationSchema).optional(),
+    serverLimits: readableItems(limitObservationSchema).optional(),
     /** Number of the last change of `serverLimits`. @default 0, and none */
     serverLimitCursor: z.int().min(0).optional(),
     /** Whether `gateways` is reliable: every existing gateway has had time to connect. @default false */
     gatewaysSettled: z.boolean().optional(),
     /** Number up to which crash histories are included, and the histories that changed since. @default 0, and none */
     crashCursor: z.int().min(0).optional(),
-    crashes: z.array(crashRecordSchema).optional(),
+    crashes: readableItems(crashRecordSchema).optional(),
 });
 
 /** A configuration, compressed, with the version that its author assigned. */
--- a/packages/basilpaddle/src/node/protocol/index.ts
+++ b/packages/basilpaddle/src/node/protocol/index.ts
@@ -13,6 +13,7 @@
 export * from "./packing.js";
 export * from "./peer.js";
 export * from "./prefix.js";
+export * from "./readableItems.js";
 export * from "./refusal.js";
 export * from "./relay.js";
 export * from "./scheduling.js";
