fix(transport): bytes that are no frame at a relay's port don't end its gateway

A program that connects to a gateway's relay port and sends a frame whose body is no CBOR ended the gateway with an uncaught error, and with it all of its callers' requests.

Cause: the frame was decoded in a listener of the socket, whose error nobody catches. Evidence: the test failed before with "Unexpected break stop code outside of an indefinite-length item", thrown from the listener. Now such a frame is none, as one over the limit already was, and the connection is closed; an error in accepting a tunnel is logged and ends that tunnel alone.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/relayServer.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/relayServer.spec.ts
@@ -88,6 +88,15 @@
         await once(upstream, "close");
     });
 
+    // Guards against a gateway that the bytes of another program on its relay port terminate.
+    it("closes a connection whose first frame can't be decoded", async () => {
+        const stray = net.connect(relay.port(), "127.0.0.1");
+        stray.write(Buffer.from([0, 0, 0, 1, 0xff]));
+        stray.resume();
+        await once(stray, "close");
+        await open();
+    });
+
     it("tells a server that accepts no connection from a reason of its own", async () => {
         expect(await failure("unknown")).to.equal("NO_RELAY");
         server.close();
--- a/packages/basilpaddle/src/node/daemon/gateway/relayServer.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/relayServer.ts
@@ -2,7 +2,7 @@
 import type { InstanceTable } from "../../coordination/index.js";
 import { type TunnelReply, tunnelRequestSchema } from "../../protocol/index.js";
 import { ConnectionFailure, encodeFrame, joinSockets, readFrame } from "../../transport/index.js";
-import type { Logger, Metrics } from "../../utils/index.js";
+import { type Logger, type Metrics, runInBackground } from "../../utils/index.js";
 import type { ConnectionOpener } from "../backends/index.js";
 import { Tunnel } from "./tunnel.js";
 
@@ -36,7 +36,7 @@
     private closing = false;
 
     private constructor(private readonly server: net.Server, private readonly options: RelayServerOptions) {
-        server.on("connection", socket => void this.accept(socket));
+        server.on("connection", socket => runInBackground(this.accept(socket), options.logger, "a tunnel failed"));
     }
 
     static async create(options: RelayServerOptions): Promise<RelayServer> {
--- a/packages/basilpaddle/src/node/transport/frame.ts
+++ b/packages/basilpaddle/src/node/transport/frame.ts
@@ -24,7 +24,7 @@
 
 /**
  * Reads one frame of a connection and leaves the bytes after it to be read by others; resolves to undefined if the connection
- * ends before or the frame is over the limit.
+ * ends before, the frame is over the limit or it can't be decoded.
  */
 export function readFrame(socket: Socket): Promise<unknown> {
     return new Promise(resolve => {
@@ -49,7 +49,7 @@
             }
             const body = socket.read(bodyBytes) as Buffer | undefined;
             if (body) {
-                settle(encoder.decode(body));
+                settle(decodeBody(body));
             }
         };
         socket.on("readable", readMore);
@@ -57,6 +57,17 @@
     });
 }
 
+/** The value of a frame's body; undefined if it is no CBOR. */
+function decodeBody(body: Buffer): unknown {
+    try {
+        return encoder.decode(body);
+    }
+    catch {
+        // Anybody can connect: the sender is answered like one that sends no frame.
+        return undefined;
+    }
+}
+
 /** Decodes the frames of a byte stream. */
 export class FrameReader {
     private chunks: Buffer[] = [];
