--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/callerRequest.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/callerRequest.spec.ts
@@ -20,10 +20,14 @@
 };
 
 /** Everything that a caller receives until the connection ends. */
-async function answerOf(act: (request: CallerRequest) => void, head = "GET / HTTP/1.1"): Promise<string> {
+async function answerOf(
+    act: (request: CallerRequest) => void,
+    head = "GET / HTTP/1.1",
+    attempt = "a",
+): Promise<string> {
     const server = http.createServer((incoming, response) => {
         const metadata = {
-            attempt: "a",
+            attempt,
             deadlineWithin: undefined,
             promptTokens: 0,
             maxTokens: 1,
@@ -87,6 +91,21 @@
         expect(answer).not.to.match(/\r\n0\r\n\r\n$/);
     });
 
+    // Guards against a caller whose attempt no other daemon can read, so that its gateway takes the leader for unresponsive.
+    it("bears an attempt that other daemons can read, whatever its caller sent", async () => {
+        for (const sent of ["", "a".repeat(201)]) {
+            await answerOf(
+                request => {
+                    expect(request.attempt.length).to.be.within(1, 200);
+                    expect(request.attempt).to.equal(request.attempt);
+                    request.refuse(1, "full");
+                },
+                "GET / HTTP/1.1",
+                sent,
+            );
+        }
+    });
+
     it("that is refused receives a Retry-After header in seconds", async () => {
         const answer = await answerOf(request => request.refuse(1_250, "full"));
         expect(answer).to.match(/^HTTP\/1\.1 503 /).and.to.contain("Retry-After: 1.25\r\n");
--- a/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
@@ -1,6 +1,7 @@
+import { randomUUID } from "node:crypto";
 import type * as http from "node:http";
 import { type AllowanceGrantor, type CallerIdentity, digestOf, promptPartName } from "../../coordination/index.js";
-import type { CallerLimits, TrafficRoute } from "../../protocol/index.js";
+import { type CallerLimits, identifierSchema, type TrafficRoute } from "../../protocol/index.js";
 import type { BackendAnswer } from "../backends/index.js";
 import type { CallerMetadata } from "./gatewayWire.js";
 import { endToEndHeaders } from "./headers.js";
@@ -46,6 +47,7 @@
     charge: RecordedCharge | undefined;
     private endState: RequestEnd | undefined;
     private cause = "";
+    private cachedAttempt: string | undefined;
     private cachedDigest: string | undefined;
     private cachedPromptParts: readonly string[] | undefined;
     private hasReachedServer = false;
@@ -86,9 +88,10 @@
         return new CallerRequest(incoming, response, metadata, route, identity, body, arrivedAt, unreadFor, now);
     }
 
-    /** Identifier of the attempt, for logs and for the scheduler; empty if the caller sent none. */
+    /** Identifier of the attempt, for logs and other daemons: the caller's, or another one if that can't be exchanged. */
     get attempt(): string {
-        return this.metadata.attempt ?? "";
+        this.cachedAttempt ??= identifierSchema.safeParse(this.metadata.attempt).data ?? randomUUID();
+        return this.cachedAttempt;
     }
 
     get method(): string {
