fix(gateway): a stream is broken off for its caller unless it was finished

Cause: such a stream was passed on without a length too, so that only the connection's end marked its own. The end of the shutdown closed it regularly; where the gateway reset it instead, a caller that judges by the message still saw a complete one: Node's client finishes such a message at a reset.

Callers of HTTP/1.0 can't read chunks and get a stream with its length once it is whole. A plain answer that ends with its connection keeps that form, since a length would claim that it is whole, and is reset where the gateway itself cuts it.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/callerServer.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/callerServer.spec.ts
@@ -1,6 +1,9 @@
 import { expect } from "chai";
+import { once } from "node:events";
+import * as net from "node:net";
 import { createSilentLogger } from "../../../utils/index.js";
 import { sendLate } from "../../__tests__/lateRequest.js";
+import { endWithConnection } from "../answerEnd.js";
 import { CallerServer } from "../callerServer.js";
 
 describe("the server of callers", () => {
@@ -19,4 +22,23 @@
         server.closeAll();
         expect(handled).to.equal(0);
     });
+
+    // Guards against the part of an answer without a length that looks whole, since a gateway at its end closes the connection regularly.
+    it("resets the connection of an answer that would end with it when it closes", async () => {
+        const server = await CallerServer.create({
+            address: { host: "127.0.0.1", port: 0 },
+            handler: (_incoming, response) => {
+                endWithConnection(response);
+                response.end(Buffer.alloc(16_000_000));
+            },
+            logger: createSilentLogger(),
+        });
+        const socket = net.connect(server.port(), "127.0.0.1");
+        socket.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        await once(socket, "readable");
+        server.closeAll();
+        socket.resume();
+        const [error] = await once(socket, "error") as [NodeJS.ErrnoException];
+        expect(error.code).to.equal("ECONNRESET");
+    });
 });
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/gateway/answerEnd.ts
@@ -0,0 +1,19 @@
+import type * as http from "node:http";
+
+/** Answers whose end is that of their connection. */
+const endedByConnection = new WeakSet<http.ServerResponse>();
+
+/** Marks the end of an answer by that of its connection, as its backend server did: to be called before its head is sent. */
+export function endWithConnection(response: http.ServerResponse): void {
+    endedByConnection.add(response);
+    response.useChunkedEncodingByDefault = false;
+    response.shouldKeepAlive = false;
+}
+
+/** Ends an answer that isn't whole so that its caller can tell: its connection closes without the end of the answer. */
+export function breakOff(response: http.ServerResponse): void {
+    if (endedByConnection.has(response)) {
+        response.socket?.resetAndDestroy();
+    }
+    response.destroy();
+}
--- a/packages/basilpaddle/src/node/daemon/gateway/callerServer.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerServer.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import type { CallerLimits } from "../../protocol/index.js";
 import type { Logger } from "../../utils/index.js";
+import { breakOff } from "./answerEnd.js";
 
 /** Limits until the first configuration is received. */
 const initialLimits: CallerLimits = {
@@ -103,8 +104,9 @@
         this.server.closeIdleConnections();
     }
 
-    /** Closes every connection. */
+    /** Closes every connection, and breaks off the answers that are being sent. */
     closeAll(): void {
+        this.openResponses.forEach(breakOff);
         this.server.close();
         this.server.closeAllConnections();
     }
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -17,6 +17,7 @@
 import { DisposableStore, HostRandomness, type Metrics } from "../../utils/index.js";
 import type { RoutingOptions } from "../routingOptions.js";
 import { AllowanceAdmission } from "./allowanceAdmission.js";
+import { breakOff } from "./answerEnd.js";
 import type { ExchangeOptions } from "./backendSender.js";
 import { CallerRequest, readBody, writeOwnAnswer } from "./callerRequest.js";
 import { CallerServer } from "./callerServer.js";
@@ -279,7 +280,7 @@
         catch (error) {
             logger.error("a request failed by a fault of this daemon", { error, target: incoming.url });
             if (response.headersSent) {
-                response.destroy();
+                breakOff(response);
             }
             else {
                 writeOwnAnswer(response, 500, "internal error of the gateway");
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamedAnswer.ts
@@ -0,0 +1,66 @@
+import type * as http from "node:http";
+
+/** Bytes of an answer that are held until it is whole. */
+const maxHeldBytes = 16 * 1024 * 1024;
+
+/** Where a streamed answer is written; its caller can tell one that is finished from one that isn't. */
+export abstract class StreamedAnswer {
+    /** Begins an answer in the form that its caller can read. */
+    static create(response: http.ServerResponse, status: number, headers: readonly string[]): StreamedAnswer {
+        const { httpVersionMajor, httpVersionMinor } = response.req;
+        const readsChunks = httpVersionMajor > 1 || httpVersionMinor >= 1;
+        return readsChunks ? new ChunkedAnswer(response, status, headers) : new HeldAnswer(response, status, headers);
+    }
+
+    /** Writes bytes of the body; false if the caller's connection accepts no more for now. Throws if too much would be held. */
+    abstract write(bytes: Buffer): boolean;
+
+    /** Ends the answer as a whole one. */
+    abstract finish(): void;
+}
+
+/** Sends each part as it comes, in chunks: whatever ends this process, the last chunk is missing then. */
+class ChunkedAnswer extends StreamedAnswer {
+    constructor(private readonly response: http.ServerResponse, status: number, headers: readonly string[]) {
+        super();
+        response.writeHead(status, [...headers]);
+        response.flushHeaders();
+    }
+
+    override write(bytes: Buffer): boolean {
+        return this.response.write(bytes);
+    }
+
+    override finish(): void {
+        this.response.end();
+    }
+}
+
+/** Sends the answer with its length once it is whole: to a caller of HTTP/1.0, every end of the connection else looks like that of the answer. */
+class HeldAnswer extends StreamedAnswer {
+    private readonly parts: Buffer[] = [];
+    private bytes = 0;
+
+    constructor(
+        private readonly response: http.ServerResponse,
+        private readonly status: number,
+        private readonly headers: readonly string[],
+    ) {
+        super();
+    }
+
+    override write(bytes: Buffer): boolean {
+        this.bytes += bytes.length;
+        if (this.bytes > maxHeldBytes) {
+            throw new RangeError(`an answer to a caller of HTTP/1.0 exceeds ${maxHeldBytes} bytes`);
+        }
+        this.parts.push(bytes);
+        return true;
+    }
+
+    override finish(): void {
+        const body = Buffer.concat(this.parts);
+        this.response.writeHead(this.status, [...this.headers, "Content-Length", String(body.length)]);
+        this.response.end(body);
+    }
+}
