fix(gateway): an answer without a length that ends before its first event isn't whole

Another operator's clients got a 200 with an empty or short body, framed as whole, when a server stopped inside its answer's head. Heads that are cut were never taken for an answer here: 12 of them, cut at each byte, on new and on kept connections. The class does happen: an engine that names no length and closes at once.

Evidence: the test cuts such an answer at each byte and asks a caller that judges by the received message.

Why it works: a run that ends with its connection and has brought no event counts as lost, like one that ends within an event, and is resumed where the route allows it.

--- a/packages/basilpaddle/src/node/daemon/gateway/streamRelay.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamRelay.ts
@@ -49,6 +49,7 @@
         if (!request.hasAnswerBegun()) {
             request.beginStream(answer);
         }
+        const eventsBefore = this.eventCount;
         const splitter = EventSplitter.create(this.bounds);
         const idleTimeout = IdleTimeout.create(answer, idleTimeoutMilliseconds);
         try {
@@ -82,8 +83,11 @@
             discard(answer);
             return { kind: "broken", cause: "the caller disconnected" };
         }
-        return splitter.pending() > 0
-            ? { kind: "broken", cause: "the stream ended within an event" }
+        if (splitter.pending() > 0) {
+            return { kind: "broken", cause: "the stream ended within an event" };
+        }
+        return !answer.framed && this.eventCount === eventsBefore
+            ? { kind: "broken", cause: "the stream ended with its connection before an event" }
             : { kind: "whole" };
     }
 
