fix(gateway): a request that waits for a connection isn't sent to a server that leaves meanwhile

Cause: whether the server takes work was asked before the request was passed to the pool of connections, in which it may wait for seconds; the gate before the first byte only asked for the lag of the event loop.

Why it works: the table of servers tells whoever waits that an incarnation leaves, has ended or was replaced. The wait ends then, as long as no byte was written, and counts as not sent; the sender asks anew and returns that the server leaves, so the request goes to another one without a charge. The gate asks the table as well.

--- a/packages/basilpaddle/src/node/coordination/gateway/instanceTable.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/instanceTable.ts
@@ -2,6 +2,7 @@
 import type { ServerAnnouncement } from "../../protocol/index.js";
 import type { Metrics } from "../../utils/index.js";
 import { isLeaving, joinAnnouncements } from "./announcementOrder.js";
+import { DepartureListeners } from "./departureListeners.js";
 import { LatestIncarnations } from "./latestIncarnations.js";
 
 /** Number of ended incarnations to remember, so that a delayed heartbeat doesn't restore one of them. */
@@ -17,6 +18,7 @@
     private readonly byService = new Map<string, readonly ServerAnnouncement[]>();
     /** The incarnation that was announced last at each address. */
     private readonly latestAtAddress = new Map<string, string>();
+    private readonly departureListeners = DepartureListeners.create();
     /** Services whose last known backend server has left. */
     private readonly abandonedServices = new Set<string>();
     /** Number of announcements that changed nothing, since they were older than what was known. */
@@ -51,6 +53,9 @@
             this.latestAtAddress.set(joined.address, joined.id);
         }
         this.byService.clear();
+        if (isLeaving(joined)) {
+            this.departureListeners.notify(joined.id);
+        }
         return known === undefined || known.state !== joined.state || known.stage !== joined.stage;
     }
 
@@ -62,7 +67,9 @@
         }
         this.ended.set(id, true);
         this.byService.clear();
-        return this.instances.delete(id);
+        const hasEnded = this.instances.delete(id);
+        this.departureListeners.notify(id);
+        return hasEnded;
     }
 
     /** The announcement of an incarnation; undefined if it is unknown or has ended. */
@@ -92,6 +99,11 @@
         return instance !== undefined && !isLeaving(instance);
     }
 
+    /** Calls the listener once the incarnation accepts no work any more; the returned function removes it. */
+    onDeparture(id: string, listener: () => void): () => void {
+        return this.departureListeners.add(id, listener);
+    }
+
     /** Whether no backend server of the service is left because those that were known have said that they leave. */
     isAbandoned(service: string): boolean {
         const instances = [...this.instances.values()].filter(instance => instance.service === service);
--- a/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
@@ -6,7 +6,8 @@
 import type { Logger } from "../../utils/index.js";
 import { AnswerLimits } from "./answerLimits.js";
 import { type ConnectionOpener, DirectOpener } from "./connectionOpener.js";
-import { GatedPool, type SendGate } from "./gatedPool.js";
+import { ConnectionWait } from "./connectionWait.js";
+import { GatedPool, type SendGate, sendPreventedCode } from "./gatedPool.js";
 
 /** How long an idle connection is kept if the backend server announces no keep-alive time of its own. */
 const keepAliveTimeoutMilliseconds = 8_000;
@@ -124,18 +125,19 @@
         catch (error) {
             return { kind: "notSent", cause: (error as Error).message };
         }
+        const wait = ConnectionWait.create(call);
         try {
             const request: Parameters<Pool["request"]>[0] & SendGate = {
                 method: call.method as "GET",
                 path: call.path,
                 headers: [...call.headers],
                 body: call.body,
-                signal: call.signal,
+                signal: wait.signal,
                 responseHeaders: "raw",
                 // This system enforces all timeouts itself: undici's own would abort a stream between two events.
                 headersTimeout: 0,
                 bodyTimeout: 0,
-                maySend: call.maySend,
+                maySend: () => wait.end(),
             };
             const answer = await pool.request(request);
             const rawHeaders = (answer.headers as unknown as readonly string[]).map(String);
@@ -147,10 +149,16 @@
         catch (error) {
             const { code, message } = error as NodeJS.ErrnoException;
             const cause = typeof code === "string" ? code : message;
+            if (wait.wasEnded()) {
+                return { kind: "notSent", cause: sendPreventedCode };
+            }
             return error instanceof ConnectionFailure
                 ? { kind: "notSent", cause }
                 : { kind: "broken", cause, wasReset: !call.signal.aborted };
         }
+        finally {
+            wait.close();
+        }
     }
 
     override closeConnections(id: string): void {
--- a/packages/basilpaddle/src/node/daemon/backends/gatedPool.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/gatedPool.ts
@@ -4,8 +4,13 @@
 /** Code of a call of which nothing was sent since its sender prevented it at the last moment. */
 export const sendPreventedCode = "SEND_PREVENTED";
 
-/** Option of a request: asked just before its first byte is written to a connection; false prevents it. */
-export type SendGate = { readonly maySend?: (() => boolean) | undefined; };
+/** Options of a request that decide whether it is sent after its wait for a connection. */
+export type SendGate = {
+    /** Asked just before its first byte is written to a connection; false prevents it. @default always */
+    readonly maySend?: (() => boolean) | undefined;
+    /** Ends the wait for a connection; has no effect from the first byte on. @default the wait goes on */
+    readonly waitEnd?: AbortSignal | undefined;
+};
 
 /**
  * A connection pool that asks before it writes a request. A request waits for a connection between its dispatch and its first byte, and
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/backendSender.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/backendSender.spec.ts
@@ -1,7 +1,9 @@
 import { expect } from "chai";
 import * as net from "node:net";
+import { until } from "../../../../../../../playground/harness/wait.js";
 import { announced } from "../../../coordination/gateway/__tests__/fakes.js";
 import { InstanceTable } from "../../../coordination/index.js";
+import type { ServerAnnouncement } from "../../../protocol/index.js";
 import { createSilentLogger, SilentMetrics, SystemClock } from "../../../utils/index.js";
 import { type BackendCall, BackendConnections } from "../../backends/index.js";
 import { BackendSender, type ExchangeOptions, type SendResult } from "../backendSender.js";
@@ -21,6 +23,9 @@
     let calls: BackendCall[];
     let received: string;
     let stop: () => void;
+    let instances: InstanceTable;
+    let target: ServerAnnouncement;
+    let options: { -readonly [Name in keyof ExchangeOptions]: ExchangeOptions[Name]; };
     let send: (request: CallerRequest) => Promise<SendResult>;
 
     beforeEach(async () => {
@@ -29,6 +34,9 @@
         server = net.createServer(socket => {
             socket.on("data", chunk => {
                 received += chunk.toString();
+                if (chunk.toString().startsWith("GET /held")) {
+                    return;
+                }
                 socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
             });
         });
@@ -38,10 +46,10 @@
         const loop = LoopMonitor.create(clock);
         stop = loop.start();
         await new Promise(resolve => setTimeout(resolve, 60));
-        const target = announced({ id: "s", address: `127.0.0.1:${(server.address() as net.AddressInfo).port}` });
-        const instances = InstanceTable.create();
+        target = announced({ id: "s", address: `127.0.0.1:${(server.address() as net.AddressInfo).port}` });
+        instances = InstanceTable.create();
         instances.apply(target);
-        const options = {
+        options = {
             wire: {
                 systemHeaders: [],
                 keyHeaders: [],
@@ -60,7 +68,7 @@
             clock,
             gateways: () => 1,
             loop,
-        } as unknown as ExchangeOptions;
+        } as unknown as typeof options;
         const signal = AbortSignal.timeout(5_000);
         send = request => {
             request.incoming.url = "/a";
@@ -102,6 +110,29 @@
         expect(received.match(/^GET/gm)).to.have.length(1);
     });
 
+    // Guards against requests that wait in a gateway for a free connection to a server, and are sent there after it has said that it leaves.
+    it("ends the wait for a connection to a server that leaves, or ends, and sends nothing", async () => {
+        const later = { ...target, sequence: 2 };
+        for (const end of [() => instances.apply({ ...later, state: "draining" }), () => instances.end(target.id)]) {
+            const signal = AbortSignal.timeout(5_000);
+            const held = { server: target, method: "GET", path: "/held", headers: [], body: undefined, signal };
+            const holding = Array.from({ length: 9 }, () => connections.call(held, 10, 1));
+            await until("all connections are taken", async () => received.match(/^GET/gm)?.length === 9);
+            const sent = send(createRequest({}));
+            await new Promise(resolve => setTimeout(resolve, 20));
+            end();
+            expect(await sent).to.include({ kind: "notRun", unreachable: true, lostOnPath: false });
+            await connections.close();
+            await Promise.all(holding);
+            expect(received).not.to.contain("GET /a");
+            connections = BackendConnections.create(createSilentLogger());
+            received = "";
+            instances = InstanceTable.create();
+            instances.apply(target);
+            options.instances = instances;
+        }
+    });
+
     it("sends nothing if the time was over when the event loop had lagged", async () => {
         blockEventLoop(300);
         expect(await send(createRequest({ timeout: 1_000 }, undefined, 1_000))).to.include({
--- a/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
@@ -143,8 +143,10 @@
         signal: AbortSignal,
         mayBePrevented: boolean,
     ): Promise<RoutedResult> {
-        const { wire, paths, gateways, loop, clock } = this.options;
+        const { wire, paths, gateways, instances, loop, clock } = this.options;
         const readyAt = clock.monotonic();
+        const waitEnd = new AbortController();
+        const stopListening = instances.onDeparture(server.id, () => waitEnd.abort());
         const runHeaders = wire.runHeaders({
             ...metadata,
             attempt: request.metadata.attempt,
@@ -166,11 +168,15 @@
                 headers: [...request.headers(replacedNames), ...Object.entries(runHeaders).flat()],
                 body: request.body,
                 signal,
-                maySend: mayBePrevented ? () => !loop.hasLaggedSince(readyAt) : undefined,
+                maySend: () => {
+                    stopListening();
+                    return instances.acceptsWork(server.id) && !(mayBePrevented && loop.hasLaggedSince(readyAt));
+                },
+                waitEnd: waitEnd.signal,
             },
             service.connectionLimit,
             gateways(),
-        );
+        ).finally(stopListening);
     }
 
     private isPrioritised({ name, engine }: ServiceRule): boolean {
@@ -225,7 +231,7 @@
     }
 }
 
-/** Whether the event loop lagged between the call and its first byte, which wasn't written for that reason. */
+/** Whether the first byte wasn't written: the server accepts no work any more, or the event loop lagged since the call. */
 function wasPrevented(result: RoutedResult): boolean {
     return !isAnswer(result) && result.kind === "notSent" && result.cause === sendPreventedCode;
 }
