fix(gateway): a stopping gateway delivers finished answers to slow readers

Cause: the gateway stops listening then, and Node closes idle connections with it. It counts a connection as idle from the call of the answer's end on, whether or not its bytes have been sent.

Why it works: an answer is ended only when its last bytes are with the operating system, so that its connection isn't idle before; streams wait for the writes of their events. Short answers on connections without a backlog are ended at once as before.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/callerServer.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/callerServer.spec.ts
@@ -3,7 +3,7 @@
 import * as net from "node:net";
 import { createSilentLogger } from "../../../utils/index.js";
 import { sendLate } from "../../__tests__/lateRequest.js";
-import { endWithConnection } from "../answerEnd.js";
+import { endWhenSent, endWithConnection } from "../answerEnd.js";
 import { CallerServer } from "../callerServer.js";
 
 describe("the server of callers", () => {
@@ -23,6 +23,31 @@
         expect(handled).to.equal(0);
     });
 
+    // Guards against finished answers that a stopping gateway cuts because their callers read slowly.
+    it("delivers what a slow reader hasn't taken yet after it has stopped listening", async () => {
+        const body = Buffer.alloc(16_000_000);
+        const server = await CallerServer.create({
+            address: { host: "127.0.0.1", port: 0 },
+            handler: (_incoming, response) => {
+                response.writeHead(200, { "Content-Length": body.length });
+                endWhenSent(response, body);
+            },
+            logger: createSilentLogger(),
+        });
+        const socket = net.connect(server.port(), "127.0.0.1");
+        socket.write("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        await once(socket, "readable");
+        server.stopListening();
+        server.closeIdle();
+        let received = 0;
+        socket.on("data", (chunk: Buffer) => {
+            received += chunk.length;
+        });
+        await once(socket, "end");
+        expect(received).to.be.above(body.length);
+        server.closeAll();
+    });
+
     // Guards against the part of an answer without a length that looks whole, since a gateway at its end closes the connection regularly.
     it("resets the connection of an answer that would end with it when it closes", async () => {
         const server = await CallerServer.create({
--- a/packages/basilpaddle/src/node/daemon/gateway/answerEnd.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/answerEnd.ts
@@ -17,3 +17,16 @@
     }
     response.destroy();
 }
+
+/**
+ * Sends a whole body and ends the answer once it is with the operating system. Node takes a connection for idle from the call of `end` on,
+ * and a server that stops listening closes idle ones, with the bytes that a slow reader hasn't taken yet.
+ */
+export function endWhenSent(response: http.ServerResponse, body: Buffer): void {
+    if (body.length > response.writableHighWaterMark || response.writableLength > 0) {
+        response.write(body, () => response.end());
+    }
+    else {
+        response.end(body);
+    }
+}
--- a/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
@@ -3,7 +3,7 @@
 import { type AllowanceGrantor, type CallerIdentity, digestOf, promptPartName } from "../../coordination/index.js";
 import { type CallerLimits, identifierSchema, type TrafficRoute } from "../../protocol/index.js";
 import type { BackendAnswer } from "../backends/index.js";
-import { breakOff, endWithConnection } from "./answerEnd.js";
+import { breakOff, endWhenSent, endWithConnection } from "./answerEnd.js";
 import type { CallerMetadata } from "./gatewayWire.js";
 import { endToEndHeaders } from "./headers.js";
 import { StreamedAnswer } from "./streamedAnswer.js";
@@ -196,7 +196,12 @@
             endWithConnection(this.response);
         }
         this.response.writeHead(status, headers);
-        this.response.end(this.method === "HEAD" ? undefined : body);
+        if (this.method === "HEAD") {
+            this.response.end();
+        }
+        else {
+            endWhenSent(this.response, body);
+        }
         this.end(status < 400 ? "answered" : "failureGiven", `status ${status}`);
     }
 
--- a/packages/basilpaddle/src/node/daemon/gateway/streamedAnswer.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamedAnswer.ts
@@ -1,4 +1,5 @@
 import type * as http from "node:http";
+import { endWhenSent } from "./answerEnd.js";
 
 /** Bytes of an answer that are held until it is whole. */
 const maxHeldBytes = 16 * 1024 * 1024;
@@ -21,6 +22,13 @@
 
 /** Sends each part as it comes, in chunks: whatever ends this process, the last chunk is missing then. */
 class ChunkedAnswer extends StreamedAnswer {
+    private pendingWrites = 0;
+    private isFinished = false;
+    private readonly onWritten = (): void => {
+        this.pendingWrites -= 1;
+        this.endIfSent();
+    };
+
     constructor(private readonly response: http.ServerResponse, status: number, headers: readonly string[]) {
         super();
         response.writeHead(status, [...headers]);
@@ -28,11 +36,20 @@
     }
 
     override write(bytes: Buffer): boolean {
-        return this.response.write(bytes);
+        this.pendingWrites += 1;
+        return this.response.write(bytes, this.onWritten);
     }
 
     override finish(): void {
-        this.response.end();
+        this.isFinished = true;
+        this.endIfSent();
+    }
+
+    /** Ends the answer only once its events are with the operating system, like `endWhenSent`. */
+    private endIfSent(): void {
+        if (this.isFinished && this.pendingWrites === 0) {
+            this.response.end();
+        }
     }
 }
 
@@ -61,6 +78,6 @@
     override finish(): void {
         const body = Buffer.concat(this.parts);
         this.response.writeHead(this.status, [...this.headers, "Content-Length", String(body.length)]);
-        this.response.end(body);
+        endWhenSent(this.response, body);
     }
 }
