fix(gateway): an answer without a length isn't whole if its server has crashed and started again

Cause: the end of a connection was taken for that of the answer unless nothing listened at the address. Who listened wasn't asked, a refusal wasn't believed where no other server was reached either, and of an answer through a relay only the server was examined, not the relay.

Why it works: one check for streams and plain answers asks the way on which the answer came, and, after a pause in which a server can crash and start, which incarnation answers. A server that is only slow to answer counts as the same, so that answers of sound and busy servers stay whole. It replaces CrashDetector.hasEnded.

--- a/packages/basilpaddle/src/node/coordination/quarantine/crashDetector.ts
+++ b/packages/basilpaddle/src/node/coordination/quarantine/crashDetector.ts
@@ -82,11 +82,6 @@
         return undefined;
     }
 
-    /** Whether a server is known to have ended, or nothing listens at its address. */
-    async hasEnded(server: BackendIncarnation): Promise<boolean> {
-        return this.options.isLost(server.id) || await this.probe(server) === "no";
-    }
-
     /**
      * Reports a run that ended without a complete answer, and checks whether its server has crashed. `hadBegun`: whether
      * `reportBegun` was called for it.
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/gateway/answerEndCheck.ts
@@ -0,0 +1,74 @@
+import type { InstanceTable } from "../../coordination/index.js";
+import { type ServerAnnouncement, serverName, type ServiceRule } from "../../protocol/index.js";
+import { type AnswerLimits, drain, isAnswer } from "../backends/index.js";
+import type { GatewayWire } from "./gatewayWire.js";
+import type { ServerPaths } from "./serverPaths.js";
+
+/** Shortest time in which a backend server may crash, start again and listen at its address. */
+const minRestartMilliseconds = 250;
+/** Time limit of asking which incarnation listens; another one than the expected answers at once. */
+const identityTimeoutMilliseconds = 300;
+/** A kept connection to an incarnation that has ended may break under the first question. */
+const maxQuestions = 2;
+
+/** Dependencies of `AnswerEndCheck`. */
+export type AnswerEndCheckOptions = {
+    readonly wire: GatewayWire;
+    readonly paths: ServerPaths;
+    readonly instances: InstanceTable;
+    readonly answers: AnswerLimits;
+    readonly gateways: () => number;
+};
+
+/** An answer without a length, whose connection has ended in the regular way. */
+export type EndedAnswer = {
+    readonly server: ServerAnnouncement;
+    readonly service: ServiceRule;
+    /** The gateway that relayed it, if one did. */
+    readonly via: string | undefined;
+    /** Longest time in milliseconds in which nothing of it arrived. */
+    readonly pause: number;
+};
+
+/**
+ * Checks answers that end with their connection: the operating system of a server or a relay that crashes ends connections in the
+ * same way as a server does after its whole answer.
+ */
+export class AnswerEndCheck {
+    private constructor(private readonly options: AnswerEndCheckOptions) {}
+
+    static create(options: AnswerEndCheckOptions): AnswerEndCheck {
+        return new AnswerEndCheck(options);
+    }
+
+    /** Whether the server, or the relay, has ended as far as can be known, so that the answer may have been cut short. */
+    async mayBeCut(answer: EndedAnswer): Promise<boolean> {
+        const { server, via, pause } = answer;
+        if (this.options.instances.isLost(server.id) || !await this.options.paths.stillReaches(server, via)) {
+            return true;
+        }
+        // A crash that the network hid for a while: the next incarnation may listen by the time the connection ends here.
+        return pause >= minRestartMilliseconds && await this.isReplaced(answer);
+    }
+
+    /** Whether another incarnation answers at the server's address. A server that doesn't answer in time counts as the same. */
+    private async isReplaced({ server, service }: EndedAnswer): Promise<boolean> {
+        const { wire, paths, answers, gateways } = this.options;
+        const expected = serverName(server);
+        const { method, path, headers } = wire.statusCheck(expected, service.healthPath);
+        const signal = AbortSignal.timeout(identityTimeoutMilliseconds);
+        const call = { server, method, path, headers: Object.entries(headers).flat(), body: undefined, signal };
+        for (let question = 0; question < maxQuestions; question++) {
+            const answer = await paths.call(call, service.connectionLimit, gateways());
+            if (isAnswer(answer)) {
+                drain(answer, { server, limits: answers });
+                const { instance = expected } = wire.parseAnswer(answer.status, answer.headers);
+                return instance !== expected;
+            }
+            if (signal.aborted) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- a/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
@@ -16,6 +16,7 @@
     isAnswer,
     sendPreventedCode,
 } from "../backends/index.js";
+import type { AnswerEndCheck } from "./answerEndCheck.js";
 import type { CallerRequest } from "./callerRequest.js";
 import type { AnswerMetadata, GatewayWire, RunMetadata } from "./gatewayWire.js";
 import type { LoopMonitor } from "./loopMonitor.js";
@@ -46,6 +47,8 @@
     readonly metrics: Metrics;
     /** Reports to the leading directory that an incarnation has ended. */
     readonly reportEnded: (instance: string) => void;
+    /** Checks answers that end with their connection. */
+    readonly ends: AnswerEndCheck;
     /** Detects backend servers that crash while running a request. */
     readonly crashes: CrashDetector;
     /** Admits requests to backend servers that name a limit; to be asked before each send. */
--- a/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
@@ -87,7 +87,7 @@
                 discard(answer);
                 return { kind: "lost", cause: "the answer has no seal" };
             }
-            return await this.stream(answer, limit.signal);
+            return await this.stream(answer, sent.via, limit.signal);
         }
         finally {
             stopTimer?.();
@@ -107,15 +107,17 @@
         return { kind: "failureGiven" };
     }
 
-    private async stream(answer: BackendAnswer, signal: AbortSignal): Promise<RunEnd> {
-        const { exchange: { links, clock, crashes, answers }, request, relay, binding, steps } = this.options;
+    private async stream(answer: BackendAnswer, via: string | undefined, signal: AbortSignal): Promise<RunEnd> {
+        const { exchange: { links, clock, crashes, ends, answers }, request, relay, binding, steps } = this.options;
         if (!await binding.awaitReport()) {
             discard(answer);
             return { kind: "lost", cause: "directories may take the stream for one of another version" };
         }
         const stallDetector = StallDetector.create();
+        let receivedAt = clock.monotonic();
         const onBytes = (events: number): void => {
-            links.countEvent(this.engine, stallDetector.recordEvent(clock.monotonic()), clock.monotonic());
+            receivedAt = clock.monotonic();
+            links.countEvent(this.engine, stallDetector.recordEvent(receivedAt), receivedAt);
             this.recordWriting(clock.monotonic());
             this.meter.recordEvents(events, clock.monotonic());
         };
@@ -129,8 +131,9 @@
             }
             return { kind: "lost", cause: end.cause };
         }
-        // Without a length, the regular end of an answer and that of its engine look the same.
-        if (!answer.framed && await crashes.hasEnded(this.engine)) {
+        const pause = Math.max(stallDetector.longest(), clock.monotonic() - receivedAt);
+        const ended = { server: this.engine, service: this.options.service, via, pause };
+        if (!answer.framed && await ends.mayBeCut(ended)) {
             return { kind: "lost", cause: "the engine ended" };
         }
         request.finishStream();
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -18,6 +18,7 @@
 import type { RoutingOptions } from "../routingOptions.js";
 import { AllowanceAdmission } from "./allowanceAdmission.js";
 import { breakOff } from "./answerEnd.js";
+import { AnswerEndCheck } from "./answerEndCheck.js";
 import type { ExchangeOptions } from "./backendSender.js";
 import { CallerRequest, readBody, writeOwnAnswer } from "./callerRequest.js";
 import { CallerServer } from "./callerServer.js";
@@ -94,7 +95,8 @@
             metrics,
         });
         this.store.add(() => this.relaying.close());
-        const { paths } = this.relaying;
+        const { paths, answers } = this.relaying;
+        const gateways = (): number => this.watcher.gateways();
         this.quarantinedRequests = QuarantinedRequests.create({
             rules: settings.holds,
             publishRecords: records => this.watcher.report(records),
@@ -173,7 +175,7 @@
         this.exchangeOptions = {
             wire,
             paths,
-            answers: this.relaying.answers,
+            answers,
             instances: this.instances,
             choice: ServerChoice.create(settings.failureDomain, this.links, () => this.watcher.ejected()),
             tally: this.tally,
@@ -182,10 +184,11 @@
             logger,
             metrics,
             reportEnded: instance => this.placementClient.reportEnded(instance),
+            ends: AnswerEndCheck.create({ wire, paths, instances: this.instances, answers, gateways }),
             crashes: this.crashDetector,
             admission: this.serverAdmission,
             retryAllowance: this.retries,
-            gateways: () => this.watcher.gateways(),
+            gateways,
             hasSeveralPriorities,
             loop: this.loop,
         };
--- a/packages/basilpaddle/src/node/daemon/gateway/serverPaths.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serverPaths.ts
@@ -110,6 +110,16 @@
         [this.direct, ...this.relayed.values()].forEach(({ connections }) => connections.closeConnections(id));
     }
 
+    /** Whether the way by which an answer came still leads to its server, directly or through the gateway `via`, as far as can be known. */
+    async stillReaches(server: ServerAnnouncement, via: string | undefined): Promise<boolean> {
+        if (via === undefined) {
+            return await probeListening(server.address, this.options.localAddress) !== "no";
+        }
+        const relay = this.usableRelays().find(({ gateway }) => gateway === via);
+        return relay !== undefined && await TunnelOpener.create(relay, this.options.localAddress).open(server)
+                    .then(socket => socket.destroy(), () => undefined) !== undefined;
+    }
+
     /** Whether anything listens at a server's address; unknown if this gateway can't tell. */
     async listenStatusOf(address: string): Promise<ListenStatus> {
         const status = this.direct.isSound() ? await probeListening(address, this.options.localAddress) : "unknown";
--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -191,7 +191,7 @@
         const limit = TimeLimit.create(clock, this.serverTimeout(server), request.disconnected.signal);
         try {
             const sent = await this.sender.send(request, server, this.service, {}, limit.signal);
-            const [result, outcome] = await this.classify(server, sent);
+            const [result, outcome] = await this.classify(server, sent, startedAt);
             const milliseconds = clock.monotonic() - startedAt;
             choice.recordOutcome(
                 server,
@@ -230,7 +230,11 @@
             : request.remainingTime();
     }
 
-    private async classify(server: ServerAnnouncement, sent: SendResult): Promise<[ServerResult, CallOutcome]> {
+    private async classify(
+        server: ServerAnnouncement,
+        sent: SendResult,
+        startedAt: number,
+    ): Promise<[ServerResult, CallOutcome]> {
         this.mayHaveArrived ||= sent.kind !== "notRun" || !sent.unreachable;
         if (sent.kind === "notRun") {
             this.triedServers.add(server.id);
@@ -255,8 +259,13 @@
             return [{ kind: "next", mayHaveRun: true, cause: "the answer has no seal" }, "failed"];
         }
         const body = await readWholeBody(answer, { server, limits: this.options.answers, bound: "bodyBytes" });
-        // Without a length, the regular end of an answer and that of its server look the same.
-        if (body === undefined || !answer.framed && await this.options.crashes.hasEnded(server)) {
+        const ended = {
+            server,
+            service: this.service,
+            via: sent.via,
+            pause: this.options.clock.monotonic() - startedAt,
+        };
+        if (body === undefined || !answer.framed && await this.options.ends.mayBeCut(ended)) {
             const lostOnPath = await this.options.paths.isLostOnPath(server.id);
             this.reportPossibleCrash(server, lostOnPath);
             return [
