fix(allowance): a leader withholds the rate of absent gateways at once, not at the next request

An organisation without a request meanwhile got the whole rate until its next one, beside what gateways granted it whose absence the leader had noticed: units granted twice (QUOTA).

Cause: the fraction of the rate that flows in was only applied to an account when its organisation was charged next. The test failed before: 1,000 units were there after a second in place of 500. Now the rate changes for all accounts in the moment in which the leader notices the absence or the return.

--- a/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
+++ b/packages/basilpaddle/src/node/coordination/allowance/allowanceLedger.ts
@@ -21,8 +21,6 @@
     readonly bucket: TokenBucket;
     readonly reserve: PriorityReserve;
     allowance: Allowance;
-    /** Fraction of the rate that flows in. */
-    rateFraction: number;
     /** Retries after the bucket was empty, and by rank those after the rest was reserved for higher priorities. */
     readonly retries: RetrySpread;
     readonly reservedRetries: Map<number, RetrySpread>;
@@ -44,6 +42,7 @@
     private readonly near = new Set<string>();
     private newlyLimited = false;
 
+    /** Fraction of each rate that flows in. */
     private rateFraction = 1;
 
     private constructor(
@@ -65,10 +64,12 @@
      * the fraction that has been silent for `silentFor` milliseconds without its shares being withheld.
      */
     withholdShares(absent: number, newlyAbsent: number, silentFor: number, now: number): void {
-        this.rateFraction = Math.max(minRateFraction, 1 - absent);
-        if (newlyAbsent > 0) {
+        const rateFraction = Math.max(minRateFraction, 1 - absent);
+        if (newlyAbsent > 0 || rateFraction !== this.rateFraction) {
+            this.rateFraction = rateFraction;
             this.accounts.forEach((account, organisation) => {
                 const { rate, burst } = account.allowance;
+                this.applyRules(account, account.allowance, now);
                 const held = this.isNear(account, now) ? 0 : burst * nearLimitFraction;
                 account.bucket.spend(newlyAbsent * (held + rate * silentFor / millisecondsInSecond), now);
                 this.updateNear(organisation, account, now);
@@ -157,7 +158,6 @@
                 bucket,
                 reserve: PriorityReserve.create(this.floor),
                 allowance,
-                rateFraction: this.rateFraction,
                 retries: RetrySpread.create(),
                 reservedRetries: new Map(),
                 nearUntil: 0,
@@ -165,18 +165,19 @@
             };
             this.accounts.set(organisation, account);
         }
-        else if (account.allowance !== allowance || account.rateFraction !== this.rateFraction) {
-            account.bucket.setRules({ rate: allowance.rate * this.rateFraction, burst: allowance.burst }, now);
-            account.rateFraction = this.rateFraction;
-            if (account.allowance !== allowance) {
-                account.allowance = allowance;
-                account.retries.reset();
-                account.reservedRetries.clear();
-            }
+        else if (account.allowance !== allowance) {
+            this.applyRules(account, allowance, now);
+            account.allowance = allowance;
+            account.retries.reset();
+            account.reservedRetries.clear();
         }
         return account;
     }
 
+    private applyRules({ bucket }: Account, { rate, burst }: Allowance, now: number): void {
+        bucket.setRules({ rate: rate * this.rateFraction, burst }, now);
+    }
+
     /** Milliseconds until a refused caller may retry: callers are spread one after the other at the rate of the allowance. */
     private nextRetry(account: Account, cost: number, now: number): number {
         const earliest = now + account.bucket.timeUntil(0, now);
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/gatewayPresence.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/gatewayPresence.spec.ts
@@ -30,4 +30,13 @@
         ledger.charge("o", allowance, 500, 1_000);
         expect(ledger.state("o", 1_500)?.level).to.equal(500);
     });
+
+    // Guards against an organisation that gets the whole rate until its next request, beside what absent gateways grant it.
+    it("withholds the rate at once from an organisation without a request meanwhile", () => {
+        const allowance = { unit: "tokens", rate: 1_000, burst: 1_000, defaultCost: 0 } as const;
+        const ledger = AllowanceLedger.create(1);
+        ledger.charge("o", allowance, 1_000, 0);
+        ledger.withholdShares(0.5, 0, 1_200, 0);
+        expect(ledger.state("o", 1_000)?.level).to.equal(500);
+    });
 });
