fix(transport): a frame that is no message doesn't end the daemon that receives it

A program that sends a daemon's peer port a frame whose content isn't an object, such as an empty one, ended the directory or control daemon with an uncaught error.

Cause: the decoded value was used as a message in a listener of the socket without a look at its form. Evidence: the property over frames of any content failed before with "Cannot read properties of undefined (reading 'life')", uncaught. Now such a frame closes its connection, like one that can't be decoded.

--- a/packages/basilpaddle/src/node/transport/__tests__/tcpLink.spec.ts
+++ b/packages/basilpaddle/src/node/transport/__tests__/tcpLink.spec.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import * as fc from "fast-check";
 import { once } from "node:events";
 import * as net from "node:net";
 import { Worker } from "node:worker_threads";
@@ -184,4 +185,24 @@
         await closed;
         await server.close();
     });
+
+    // Guards against a daemon that one message of another program at its port terminates.
+    it("survives frames of any content", async () => {
+        const handler = (body: unknown): Promise<unknown> => Promise.resolve(body);
+        const server = await TcpServer.create({ host: "127.0.0.1", port: 0, logger, handler });
+        const port = server.port();
+        await fc.assert(
+            fc.asyncProperty(fc.oneof(fc.anything(), fc.constantFrom(undefined, "", 0)), async content => {
+                const socket = net.connect({ host: "127.0.0.1", port });
+                socket.on("error", () => undefined).resume();
+                socket.end(encodeFrame(content));
+                await once(socket, "close");
+            }),
+            { seed: 1, examples: [[undefined], ["text"], [{ id: {} }]] },
+        );
+        const link = TcpNetwork.create(logger).link({ host: "127.0.0.1", port });
+        expect((await link.request("sound", 2_000)).extract()).to.equal("sound");
+        link.close();
+        await server.close();
+    });
 });
--- a/packages/basilpaddle/src/node/transport/tcpLink.ts
+++ b/packages/basilpaddle/src/node/transport/tcpLink.ts
@@ -300,11 +300,19 @@
 
 function readFrames(reader: FrameReader, chunk: Buffer, socket: net.Socket, logger: Logger): Frame[] {
     try {
-        return reader.push(chunk) as Frame[];
+        const frames = reader.push(chunk);
+        if (frames.every(isFrame)) {
+            return frames;
+        }
+        logger.warn("received a frame that is no message; closing the connection");
     }
     catch (error) {
         logger.warn("received an invalid frame; closing the connection", { error });
-        socket.destroy();
-        return [];
     }
+    socket.destroy();
+    return [];
+}
+
+function isFrame(value: unknown): value is Frame {
+    return typeof value === "object" && Boolean(value);
 }
