fix(directory): a configuration that can't be unpacked ends no daemon that watches

A gateway or directory that got an unreadable configuration from a single directory ended with an uncaught error, and so would all others.

Cause: the watch of each directory runs as a task whose error nobody catches, and unpacking throws. Evidence: the test failed before with an unhandled "invalid block type". Now an update that can't be applied is logged and its directory counts as not reached, while the others' updates and configurations are applied.

--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/directoryWatcher.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/directoryWatcher.spec.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import type { ServerAnnouncement } from "../../../protocol/index.js";
+import { unhandledRejectionsIn } from "../../../utils/__tests__/unhandledRejections.js";
 import { createSilentLogger, SystemClock } from "../../../utils/index.js";
 import { DirectoryWatcher } from "../directoryWatcher.js";
 import { FakeDirectories, until } from "./fakeDirectories.js";
@@ -59,6 +60,18 @@
         expect(new Set(received.map(({ id }) => id))).to.deep.equal(new Set(["sound"]));
     });
 
+    // Guards against a daemon that the unreadable configuration of a single directory terminates.
+    it("goes on with the other directories if one sends a configuration that can't be unpacked", async () => {
+        directories.all[0]!.version = 7;
+        directories.all[0]!.pack = () => Buffer.from("no archive");
+        directories.all[1]!.version = 5;
+        const rejections = await unhandledRejectionsIn(async () => {
+            watch(names);
+            await until(() => documents.includes(5));
+        });
+        expect(rejections).to.deep.equal([]);
+    });
+
     it("never applies an older configuration, whichever directory sends it", async () => {
         directories.all[0]!.version = 5;
         directories.all[1]!.version = 3;
--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/fakeDirectories.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/fakeDirectories.ts
@@ -22,6 +22,8 @@
     readonly placementMessages: PlacementMessage[] = [];
     documentsSent = 0;
     announced: ServerAnnouncement[] = [];
+    /** Compresses the configuration that it sends. */
+    pack: (content: string) => Uint8Array = packText;
 
     constructor(readonly name: string, private readonly members: () => readonly string[]) {}
 
@@ -36,7 +38,7 @@
         }
         if (message.kind === "document") {
             this.documentsSent += 1;
-            return Right({ version: this.version, packed: packText(`v${this.version}`) });
+            return Right({ version: this.version, packed: this.pack(`v${this.version}`) });
         }
         return this.place(body as PlacementMessage, timeout);
     }
@@ -51,7 +53,7 @@
             incarnation: "one",
             cursor: 0,
             version: this.version,
-            ...newer ? { document: { version: this.version, packed: packText(`v${this.version}`) } } : {},
+            ...newer ? { document: { version: this.version, packed: this.pack(`v${this.version}`) } } : {},
             announced: this.announced,
             members: [...this.members()],
             failureDomain: this.failureDomain,
--- a/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
@@ -7,7 +7,7 @@
     type WatchUpdate,
 } from "../../protocol/index.js";
 import { type Link, type Network, parseAddress } from "../../transport/index.js";
-import type { Clock, Logger } from "../../utils/index.js";
+import { type Clock, type Logger, runInBackground } from "../../utils/index.js";
 import { CrashReports } from "./crashReports.js";
 import { describeServers } from "./describeServers.js";
 import { GatewayCount } from "./gatewayCount.js";
@@ -196,9 +196,8 @@
         while (!this.closed && this.isListed(directory)) {
             const update = await this.sendWatchRequest(directory);
             directory.asked = true;
-            if (update !== undefined) {
+            if (update !== undefined && this.tryToApply(directory, update)) {
                 backoff = initialBackoffMilliseconds;
-                this.applyUpdate(directory, update);
                 this.reviewFirstAnswers();
                 continue;
             }
@@ -253,6 +252,18 @@
         });
     }
 
+    /** Applies an update; false if that fails: what one directory sends must not end this daemon, nor its watch of the others. */
+    private tryToApply(directory: WatchedDirectory, update: WatchUpdate): boolean {
+        try {
+            this.applyUpdate(directory, update);
+            return true;
+        }
+        catch (error) {
+            this.options.logger.error("failed to apply a directory's update", { directory: directory.name, error });
+            return false;
+        }
+    }
+
     private applyUpdate(directory: WatchedDirectory, update: WatchUpdate): void {
         if (!directory.reached) {
             this.options.logger.info("a directory is reached", { directory: directory.name, version: update.version });
@@ -294,7 +305,11 @@
         else if (update.version > this.version && this.options.onDocument !== undefined) {
             this.options.clock.after(
                 documentGraceMilliseconds,
-                () => void this.fetchDocument(directory, update.version),
+                () => {
+                    const fields = { directory: directory.name, version: update.version };
+                    const fetching = this.fetchDocument(directory, update.version);
+                    runInBackground(fetching, this.options.logger, "failed to apply a newer configuration", fields);
+                },
             );
         }
     }
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/stageOrders.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/stageOrders.spec.ts
@@ -2,6 +2,7 @@
 import { ManualClock } from "../../../../../../../simulation/manualClock.js";
 import { engines, poolTraffic } from "../../../coordination/gateway/__tests__/fakes.js";
 import { InstanceTable } from "../../../coordination/index.js";
+import { unhandledRejectionsIn } from "../../../utils/__tests__/unhandledRejections.js";
 import { createSilentLogger } from "../../../utils/index.js";
 import type { BackendConnections } from "../../backends/index.js";
 import type { DirectoryWire } from "../directoryWire.js";
@@ -65,15 +66,9 @@
 
     // Guards against a directory that the failed order to one engine terminates.
     it("survive an error of a call", async () => {
-        const unhandled: unknown[] = [];
-        const listeners = process.rawListeners("unhandledRejection") as NodeJS.UnhandledRejectionListener[];
-        process.removeAllListeners("unhandledRejection").on("unhandledRejection", error => unhandled.push(error));
         const call = (): Promise<never> => Promise.reject(new TypeError("Invalid URL"));
-        await ordersIssuedWithin(5_000, { prefill: 0, queuedRequests: () => 3, call });
-        await new Promise(resolve => setImmediate(resolve));
-        process.removeAllListeners("unhandledRejection");
-        listeners.forEach(listener => process.on("unhandledRejection", listener));
-        expect(unhandled).to.deep.equal([]);
+        const issue = (): Promise<string[]> => ordersIssuedWithin(5_000, { prefill: 0, queuedRequests: () => 3, call });
+        expect(await unhandledRejectionsIn(issue)).to.deep.equal([]);
     });
 
     it("assign one engine to prefill immediately if there is none", async () => {
