--- a/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/directoryWatcher.ts
@@ -11,8 +11,8 @@
 import { CrashReports } from "./crashReports.js";
 import { describeServers } from "./describeServers.js";
 import { GatewayCount } from "./gatewayCount.js";
+import { readUpdate } from "./readUpdate.js";
 import { createWatchedDirectory, type KnownDirectory, type WatchedDirectory } from "./watchedDirectory.js";
-import { readUpdate } from "./watchUpdates.js";
 
 /** Timeout of a watch request: a directory holds it open for up to a second. */
 const watchTimeoutMilliseconds = 2_200;
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/publishedEntries.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/publishedEntries.spec.ts
@@ -3,7 +3,7 @@
 import { Right } from "purify-ts";
 import { ManualClock } from "../../../../../../../simulation/manualClock.js";
 import { announced } from "../../../coordination/gateway/__tests__/fakes.js";
-import { readUpdate } from "../../../coordination/gateway/watchUpdates.js";
+import { readUpdate } from "../../../coordination/gateway/readUpdate.js";
 import type { ServerAnnouncement, WatchUpdate } from "../../../protocol/index.js";
 import { encodeFrame, FrameReader } from "../../../transport/index.js";
 import { createSilentLogger } from "../../../utils/index.js";
