perf(gateway): a send listens to its signals itself in place of combining them

Each send of a gateway combined two signals by AbortSignal.any.

The wait forwards its caller's signal until the body of the answer has closed, so that a time limit ends a body as before. The test of waits passes unchanged.

--- a/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
@@ -140,6 +140,7 @@
                 maySend: () => wait.end(),
             };
             const answer = await pool.request(request);
+            answer.body.once("close", () => wait.close());
             const rawHeaders = (answer.headers as unknown as readonly string[]).map(String);
             const headers = headersByName(rawHeaders);
             const framed = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined
@@ -147,6 +148,7 @@
             return { status: answer.statusCode, rawHeaders, headers, body: answer.body, framed };
         }
         catch (error) {
+            wait.close();
             const { code, message } = error as NodeJS.ErrnoException;
             const cause = typeof code === "string" ? code : message;
             if (wait.wasEnded()) {
@@ -156,9 +158,6 @@
                 ? { kind: "notSent", cause }
                 : { kind: "broken", cause, wasReset: !call.signal.aborted };
         }
-        finally {
-            wait.close();
-        }
     }
 
     override closeConnections(id: string): void {
--- a/packages/basilpaddle/src/node/daemon/backends/connectionWait.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/connectionWait.ts
@@ -2,38 +2,48 @@
 
 /** The wait of one call for a connection, from its dispatch to its first byte. */
 export class ConnectionWait {
-    /** Aborts the call: whenever its caller does, and with the end of the wait until the first byte. */
-    readonly signal: AbortSignal;
-    private readonly prevention = new AbortController();
+    private readonly controller = new AbortController();
     private hasBegun = false;
+    private isPrevented = false;
+    private readonly abort = (): void => this.controller.abort();
     private readonly prevent = (): void => {
         if (!this.hasBegun) {
-            this.prevention.abort();
+            this.isPrevented = true;
+            this.abort();
         }
     };
 
-    private constructor(private readonly gate: SendGate, signal: AbortSignal) {
-        this.signal = gate.waitEnd === undefined ? signal : AbortSignal.any([signal, this.prevention.signal]);
-        gate.waitEnd?.addEventListener("abort", this.prevent);
+    private constructor(private readonly call: SendGate & { readonly signal: AbortSignal; }) {
+        call.signal.addEventListener("abort", this.abort);
+        call.waitEnd?.addEventListener("abort", this.prevent);
+        if (call.signal.aborted) {
+            this.abort();
+        }
     }
 
     static create(call: SendGate & { readonly signal: AbortSignal; }): ConnectionWait {
-        return new ConnectionWait(call, call.signal);
+        return new ConnectionWait(call);
+    }
+
+    /** Aborts the call: whenever its caller does, and with the end of the wait until the first byte. */
+    get signal(): AbortSignal {
+        return this.controller.signal;
     }
 
     /** A connection is free; returns whether the call may be sent on it. */
     end(): boolean {
-        this.hasBegun = this.gate.maySend?.() ?? true;
+        this.hasBegun = this.call.maySend?.() ?? true;
         return this.hasBegun;
     }
 
     /** Whether the wait was ended before the first byte. */
     wasEnded(): boolean {
-        return this.prevention.signal.aborted;
+        return this.isPrevented;
     }
 
-    /** Stops listening. */
+    /** Stops listening; to be called once the call has failed, or the body of its answer has closed. */
     close(): void {
-        this.gate.waitEnd?.removeEventListener("abort", this.prevent);
+        this.call.signal.removeEventListener("abort", this.abort);
+        this.call.waitEnd?.removeEventListener("abort", this.prevent);
     }
 }
