refactor(gateway): names and comments of waits and of the check of an answer's end

Read as a newcomer: ConnectionWait.end() asked whether to send and wasEnded() meant prevention, two senses of one word; "question" stood for the status check; a comment still said that an answer without a length is never forwarded as complete, though a stream gets its last chunk once its end was examined. No behaviour changes.

--- a/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
@@ -54,7 +54,7 @@
     readonly body: Readable;
     /**
      * Whether the answer itself indicates where it ends. One that is ended only by its connection may have been cut short
-     * undetectably, and must not be forwarded as one that is known to be complete.
+     * undetectably: its end is examined before it counts as complete, and if it is forwarded whole, it gets no length.
      */
     readonly framed: boolean;
 };
@@ -137,7 +137,7 @@
                 // This system enforces all timeouts itself: undici's own would abort a stream between two events.
                 headersTimeout: 0,
                 bodyTimeout: 0,
-                maySend: () => wait.end(),
+                maySend: () => wait.maySend(),
             };
             const answer = await pool.request(request);
             answer.body.once("close", () => wait.close());
@@ -151,7 +151,7 @@
             wait.close();
             const { code, message } = error as NodeJS.ErrnoException;
             const cause = typeof code === "string" ? code : message;
-            if (wait.wasEnded()) {
+            if (wait.wasPrevented()) {
                 return { kind: "notSent", cause: sendPreventedCode };
             }
             return error instanceof ConnectionFailure
--- a/packages/basilpaddle/src/node/daemon/backends/connectionWait.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/connectionWait.ts
@@ -30,14 +30,14 @@
         return this.controller.signal;
     }
 
-    /** A connection is free; returns whether the call may be sent on it. */
-    end(): boolean {
+    /** Whether the call may be sent on the connection that is free now; if so, the wait is over. */
+    maySend(): boolean {
         this.hasBegun = this.call.maySend?.() ?? true;
         return this.hasBegun;
     }
 
-    /** Whether the wait was ended before the first byte. */
-    wasEnded(): boolean {
+    /** Whether the wait was ended from outside before the first byte. */
+    wasPrevented(): boolean {
         return this.isPrevented;
     }
 
--- a/packages/basilpaddle/src/node/daemon/gateway/answerEndCheck.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/answerEndCheck.ts
@@ -8,8 +8,8 @@
 const minRestartMilliseconds = 250;
 /** Time limit of asking which incarnation listens; another one than the expected answers at once. */
 const identityTimeoutMilliseconds = 300;
-/** A kept connection to an incarnation that has ended may break under the first question. */
-const maxQuestions = 2;
+/** A kept connection to an incarnation that has ended may break under the first status check. */
+const maxIdentityChecks = 2;
 
 /** Dependencies of `AnswerEndCheck`. */
 export type AnswerEndCheckOptions = {
@@ -58,7 +58,7 @@
         const { method, path, headers } = wire.statusCheck(expected, service.healthPath);
         const signal = AbortSignal.timeout(identityTimeoutMilliseconds);
         const call = { server, method, path, headers: Object.entries(headers).flat(), body: undefined, signal };
-        for (let question = 0; question < maxQuestions; question++) {
+        for (let check = 0; check < maxIdentityChecks; check++) {
             const answer = await paths.call(call, service.connectionLimit, gateways());
             if (isAnswer(answer)) {
                 drain(answer, { server, limits: answers });
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayWire.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayWire.ts
@@ -88,7 +88,7 @@
     /** Parses the answer to a prefill; returns the handle of the KV cache, undefined if there is none. */
     abstract parsePrefill(body: string): string | undefined;
 
-    /** The call that asks a backend server whether it is healthy; another one than that of the name answers that it isn't meant. */
+    /** The status check of the backend server of that name; a server of another name rejects it. */
     abstract statusCheck(name: string, healthPath: string): EngineCall;
 
     /** The call that frees a prompt's unused KV cache. */
