feat(platform): logs, metrics and the command line name the code that runs

The first log line named a role and seeds only.

The build puts the package's version, a digest of the sources and the commit into the program itself, so that they can't differ from the code that runs. The digest stays the same in a copy without history, and over commits that change no source; the commit is left out where there is none.

--- a/packages/basilpaddle/src/node/cli/commands/daemon.ts
+++ b/packages/basilpaddle/src/node/cli/commands/daemon.ts
@@ -7,7 +7,7 @@
     startEntry,
 } from "../../daemon/start/index.js";
 import type { Settings } from "../../protocol/index.js";
-import { createLogger, type Logger } from "../../utils/index.js";
+import { createLogger, describeCode, type Logger } from "../../utils/index.js";
 import { type ExitCode, exitCodes } from "../exitCode.js";
 import { Output } from "../output.js";
 
@@ -32,6 +32,7 @@
 
 async function serve(settings: Settings): Promise<ExitCode> {
     const logger = createLogger(settings.name, settings.log.level);
+    logger.info("starting", { role: settings.role, ...describeCode() });
     const early = EarlyStopSignals.create();
     const daemon = await start(settings, logger);
     if (daemon === undefined) {
--- a/packages/basilpaddle/src/node/cli/main.ts
+++ b/packages/basilpaddle/src/node/cli/main.ts
@@ -1,4 +1,5 @@
 import yargs, { type Argv } from "yargs";
+import { describeCode } from "../utils/index.js";
 import { addConfigCommands } from "./configCommands.js";
 import { addDaemonCommands } from "./daemonCommands.js";
 import { type ExitCode, type ExitCodeCallback, exitCodeHelp, exitCodes } from "./exitCode.js";
@@ -28,7 +29,7 @@
         .recommendCommands()
         .help()
         .alias("help", "h")
-        .version(false)
+        .version(JSON.stringify(describeCode()))
         .wrap(100)
         .epilogue(exitCodeHelp)
         .exitProcess(false)
--- a/packages/basilpaddle/src/node/daemon/start/assembledDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/start/assembledDaemon.ts
@@ -2,6 +2,7 @@
     type Clock,
     DisposableStore,
     type Logger,
+    measureCode,
     type Randomness,
     RecordedMetrics,
     SystemClock,
@@ -27,6 +28,7 @@
 
     /** Opens all components. If one fails to open, those already open are closed and the error is rethrown. */
     async open(): Promise<void> {
+        measureCode(this.metrics);
         try {
             await this.openComponents();
         }
--- a/packages/basilpaddle/src/node/utils/index.ts
+++ b/packages/basilpaddle/src/node/utils/index.ts
@@ -1,5 +1,6 @@
 export * from "./background.js";
 export * from "./clock.js";
+export * from "./codeDescription.js";
 export * from "./disposables.js";
 export * from "./fraction.js";
 export * from "./jsonText.js";
