fix(gateway): streams begin only at versions that more than half of the directories know

What callers saw: while one gateway was out of step and engines of a new version joined, streams that had begun at these elsewhere were taken up there and went on at the old version, with nothing in the answer to show it.

Cause: who takes a stream up that no directory knows concludes that it began at the service's only version, if more than half of the directories know just one. That rested on "whoever began at another one has told more than half of them"; but the first event waited 0.1 s for that, and not at all where too few directories were reached. So one directory and two gateways on one side of a split began streams at a version of which the other two directories had never heard.

Why it works: a gateway tells all directories each version that it sees and uses it once more than half have it on their disks. Any later majority shares a directory with that one, and it names the version, so that the conclusion isn't drawn. The search looks back as much further as a confirmation may be old (10.5 minutes), so that a gateway that is cut off goes on with the versions that it knew. Directories also tell a starting gateway the versions of before, which it needn't record streams for any more.

--- a/packages/basilpaddle/src/node/coordination/streams/originResolver.ts
+++ b/packages/basilpaddle/src/node/coordination/streams/originResolver.ts
@@ -24,8 +24,8 @@
 
 /**
  * Asks all directories where a stream began. Whoever knows it is believed: the version of a stream never changes. If none does, more
- * than half of them have to agree that the service had one version alone: each directory of that half would know of the
- * stream otherwise, since the gateway that began a stream while it knew several versions has told more than half of them.
+ * than half of them have to agree that the service had one version alone. Streams begin only at versions that more than half of the directories
+ * knew shortly before: if it had begun at another one, some directory would be in both halves and name that version here.
  */
 export async function resolveOrigin(
     directories: readonly KnownDirectory[],
--- a/packages/basilpaddle/src/node/coordination/streams/versionHistory.ts
+++ b/packages/basilpaddle/src/node/coordination/streams/versionHistory.ts
@@ -1,7 +1,7 @@
 import { type ServerAnnouncement, softwareVersionOf, type StoredVersionHistory } from "../../protocol/index.js";
 
-/** How long versions that are no longer served are remembered, at least: longer than any caller waits for a stream. */
-export const versionMemoryMilliseconds = 600_000;
+/** How long versions that are no longer served are remembered, at least: longer than any origin is looked for. */
+export const versionMemoryMilliseconds = 1_260_000;
 
 /** Which software versions the engines of each service had recently, present ones and those that are gone. */
 export class VersionHistory {
@@ -25,6 +25,16 @@
         return added.some(isFurther => isFurther);
     }
 
+    /** Records that a version of a service is served, as another process says. */
+    record(service: string, version: string, now: number): void {
+        this.recordSeen(service, version, now);
+    }
+
+    /** Records that all versions since then are known, as others have told them. */
+    completeSince(knownSince: number): void {
+        this.knownSince = Math.min(this.knownSince, knownSince);
+    }
+
     /** Versions of a service that were seen within so many milliseconds. */
     versions(service: string, within: number, now: number): readonly string[] {
         const seen = [...this.seenAt.get(service) ?? []];
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -82,6 +82,7 @@
             instances: () => this.membership.instances,
             firstStart: settings.firstStart,
             restored: restartCache.versions(),
+            store: () => restartCache.flush(),
             clock,
             logger: options.logger,
         });
--- a/packages/basilpaddle/src/node/daemon/directory/streamRegistry.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/streamRegistry.ts
@@ -1,4 +1,4 @@
-import { type InstanceTable, StreamOrigins, VersionHistory } from "../../coordination/index.js";
+import { type InstanceTable, StreamOrigins, ToldVersions, VersionHistory } from "../../coordination/index.js";
 import type {
     OriginQuery,
     OriginReply,
@@ -16,6 +16,8 @@
     readonly firstStart: boolean;
     /** Versions known before a restart; undefined if there was none, or nothing is left of it. */
     readonly restored: StoredVersionHistory | undefined;
+    /** Stores the versions for a restart; returns whether that succeeded. */
+    readonly store: () => Promise<boolean>;
     readonly clock: Clock;
     readonly logger: Logger;
 };
@@ -24,6 +26,9 @@
 export class StreamRegistry {
     private readonly origins = StreamOrigins.create();
     private readonly versions: VersionHistory;
+    private readonly established = ToldVersions.create();
+    /** Services and versions that a restart doesn't forget. */
+    private readonly stored = new Set<string>();
 
     private constructor(private readonly options: StreamRegistryOptions) {
         const { firstStart, restored, clock } = options;
@@ -31,6 +36,7 @@
         this.versions = VersionHistory.create(firstStart ? Number.NEGATIVE_INFINITY : now);
         if (restored !== undefined) {
             this.versions.restore(restored, now);
+            this.recordStored(restored);
         }
     }
 
@@ -49,13 +55,50 @@
     }
 
     /** Handles a report or a query of a gateway. */
-    handle(message: OriginReport | OriginQuery): OriginsNoted | OriginReply {
-        const now = this.options.clock.monotonic();
+    async handle(message: OriginReport | OriginQuery): Promise<OriginsNoted | OriginReply> {
         if (message.kind === "origins") {
-            message.origins.forEach(origin => this.origins.record(origin, now));
-            return { kind: "noted" };
+            return this.note(message);
+        }
+        const { service, known, established = [] } = message;
+        if (known === undefined) {
+            return this.answerOrigin(message);
         }
-        const { service, attempt, within } = message;
+        const now = this.options.clock.monotonic();
+        known.forEach(version => this.versions.record(service, version, now));
+        this.established.record(service, established, now);
+        return this.answerVersions(service, known, message.within);
+    }
+
+    private note({ origins }: OriginReport): OriginsNoted {
+        const now = this.options.clock.monotonic();
+        origins.forEach(origin => {
+            this.origins.record(origin, now);
+            this.versions.record(origin.service, origin.version, now);
+        });
+        return { kind: "noted" };
+    }
+
+    /** Names a version only if it would be known after a restart, too. */
+    private async answerVersions(service: string, known: readonly string[], within: number): Promise<OriginReply> {
+        if (known.some(version => !this.stored.has(storedKey(service, version)))) {
+            const versions = this.storedVersions();
+            if (await this.options.store()) {
+                this.recordStored(versions);
+            }
+        }
+        const now = this.options.clock.monotonic();
+        this.review();
+        return {
+            kind: "origin",
+            versions: this.versions.versions(service, within, now)
+                .filter(version => this.stored.has(storedKey(service, version))),
+            complete: this.versions.covers(within, now),
+            established: [...this.established.current(service, now)],
+        };
+    }
+
+    private answerOrigin({ service, attempt, within }: OriginQuery): OriginReply {
+        const now = this.options.clock.monotonic();
         this.review();
         const found = attempt === undefined ? undefined : this.origins.find(service, attempt, now);
         const reply: OriginReply = {
@@ -77,4 +120,12 @@
     measure(metrics: Metrics): void {
         metrics.gauge("basilpaddle_stream_origins", this.origins.count());
     }
+
+    private recordStored({ seen }: StoredVersionHistory): void {
+        seen.forEach(({ service, version }) => this.stored.add(storedKey(service, version)));
+    }
+}
+
+function storedKey(service: string, version: string): string {
+    return JSON.stringify([service, version]);
 }
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -243,6 +243,7 @@
         this.quarantinedRequests.measure(metrics);
         this.serverAdmission.measure(metrics);
         this.relaying.paths.measure(metrics);
+        this.streamVersions.measure(metrics);
         this.loop.measure(metrics);
     }
 
--- a/packages/basilpaddle/src/node/daemon/gateway/streamBinding.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamBinding.ts
@@ -8,6 +8,24 @@
  * can't be resumed elsewhere if this gateway fails.
  */
 const originTimeoutMilliseconds = 100;
+/**
+ * How long a stream waits for more than half of the directories to know the version of the engine that it was placed on: a new stream, which can
+ * run elsewhere, and one that is resumed, which can't.
+ */
+const newVersionTimeoutMilliseconds = 100;
+const resumedVersionTimeoutMilliseconds = 1_000;
+
+/** Retry-After for a stream whose version isn't known: if this gateway reaches too few directories, and if none knows it. */
+const unreachedRetryAfterMilliseconds = 300;
+const unknownVersionRetryAfterMilliseconds = 1_000;
+
+/** Why a stream may not run at an engine, and the milliseconds until its caller should come back; undefined if it may run at another one. */
+export type EngineObjection = { readonly cause: string; readonly retryAfter: number | undefined; };
+
+/** Milliseconds until the caller of a stream whose version isn't known should come back. */
+export function retryAfterUnknown({ isReported }: Extract<ResolvedOrigin, { kind: "unknown"; }>): number {
+    return isReported ? unknownVersionRetryAfterMilliseconds : unreachedRetryAfterMilliseconds;
+}
 
 /** The software version that one stream is bound to: that of the first engine that is sent a run of it. */
 export class StreamBinding {
@@ -36,9 +54,28 @@
         return this.boundVersion;
     }
 
-    /** Whether an engine may run it. */
-    allows(engine: ServerAnnouncement): boolean {
-        return this.boundVersion === undefined || softwareVersionOf(engine) === this.boundVersion;
+    /** Engines that it can't begin at yet: too few directories know their versions to tell later where it began. */
+    enginesToAvoid(): readonly string[] {
+        return this.request.route.resumable ? this.versions.unusableEngines(this.service).map(({ id }) => id) : [];
+    }
+
+    /** Why it may not run at an engine that it was placed on; undefined if it may, which it waits for shortly. */
+    async objectionTo(engine: ServerAnnouncement): Promise<EngineObjection | undefined> {
+        const version = softwareVersionOf(engine);
+        if (this.boundVersion !== undefined && this.boundVersion !== version) {
+            return { cause: `the placed engine has version ${version}`, retryAfter: undefined };
+        }
+        if (!this.request.route.resumable || this.versions.mayBeginAt(engine)) {
+            return undefined;
+        }
+        const isNew = this.boundVersion === undefined;
+        const timeout = isNew ? newVersionTimeoutMilliseconds : resumedVersionTimeoutMilliseconds;
+        if (await this.versions.waitUntilUsable(this.service, version, timeout)) {
+            return undefined;
+        }
+        const cause = `too few directories know version ${version} of the placed engine`;
+        const canRunElsewhere = isNew && this.versions.hasUsableEngine(this.service);
+        return { cause, retryAfter: canRunElsewhere ? undefined : unreachedRetryAfterMilliseconds };
     }
 
     /** Finds the version that began the stream which the request resumes, and binds it to that. */
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -17,7 +17,7 @@
 import { noRetryLeft } from "./retryAllowance.js";
 import { type ReportSendOutcome, RetryCharges } from "./retryCharges.js";
 import type { RunEnd } from "./runEnd.js";
-import { StreamBinding } from "./streamBinding.js";
+import { type EngineObjection, retryAfterUnknown, StreamBinding } from "./streamBinding.js";
 import { StreamRelay } from "./streamRelay.js";
 import type { StreamVersions } from "./streamVersions.js";
 
@@ -30,9 +30,6 @@
 const minAnswerMilliseconds = 5;
 /** Number of engines that a prompt's KV cache is offered to before it is assumed to have expired. */
 const maxCacheOffers = 2;
-/** Retry-After for a stream whose version isn't known: if this gateway reaches too few directories, and if none knows it. */
-const unreachedRetryAfterMilliseconds = 300;
-const unknownVersionRetryAfterMilliseconds = 1_000;
 /** Number of failed connections to engines that aren't counted as rounds. */
 const maxUncountedConnectionFailures = 6;
 
@@ -121,10 +118,7 @@
             return;
         }
         this.steps.push(`resumes unknown ${this.since(startedAt)}`);
-        this.refuse(
-            origin.isReported ? unknownVersionRetryAfterMilliseconds : unreachedRetryAfterMilliseconds,
-            origin.cause,
-        );
+        this.refuse(retryAfterUnknown(origin), origin.cause);
     }
 
     private async runRound(): Promise<void> {
@@ -139,7 +133,7 @@
                 request,
                 this.service.name,
                 this.gateway,
-                this.avoid,
+                [...this.avoid, ...this.binding.enginesToAvoid()],
                 this.options.links.stalls(askedAt),
                 { resumed: this.binding.resumesStream, version: this.binding.version },
                 this.options.hasSeveralPriorities?.(this.service.name),
@@ -179,8 +173,9 @@
             this.retryElsewhere(lost, "a placed engine leaves, has ended or is unknown");
             return { failed: lost };
         }
-        if (!this.binding.allows(decode)) {
-            this.retryElsewhere(decode.id, `the placed engine has version ${softwareVersionOf(decode)}`);
+        const objection = await this.binding.objectionTo(decode);
+        if (objection !== undefined) {
+            this.decline(decode, objection);
             return {};
         }
         if (this.refuseIfQuarantined()) {
@@ -309,6 +304,17 @@
         return { turnedAwayBy: decode.id, readBy: prompt.engine.id };
     }
 
+    /** Excludes an engine that the stream may not run at, and refuses the request if that holds for all engines. */
+    private decline(engine: ServerAnnouncement, { cause, retryAfter }: EngineObjection): void {
+        this.steps.push(`declined ${engine.id}`);
+        if (retryAfter !== undefined) {
+            this.refuse(retryAfter, cause);
+        }
+        else {
+            this.retryElsewhere(engine.id, cause);
+        }
+    }
+
     /** Whether the stream may still begin at another version: its caller has received nothing of it. */
     private mayChangeVersion(): boolean {
         return !this.binding.resumesStream && this.relay.events() === 0 && this.roundCount < maxRounds;
--- a/packages/basilpaddle/src/node/daemon/gateway/streamVersions.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamVersions.ts
@@ -1,4 +1,6 @@
 import {
+    establishedBeforeMilliseconds,
+    EstablishedVersions,
     type KnownDirectory,
     OriginReporter,
     type ReportedOrigin,
@@ -6,8 +8,14 @@
     resolveOrigin,
     StreamOrigins,
     VersionHistory,
+    versionMemoryMilliseconds,
 } from "../../coordination/index.js";
-import { maxReportedOrigins, type ServerAnnouncement, type TrafficRoute } from "../../protocol/index.js";
+import {
+    maxReportedOrigins,
+    type ServerAnnouncement,
+    softwareVersionOf,
+    type TrafficRoute,
+} from "../../protocol/index.js";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 
@@ -33,18 +41,24 @@
  * Which software version began each stream. What two versions write doesn't fit together, and engines don't check it: a caller that
  * resumed its stream at another gateway would receive the rest from whichever engine is free.
  *
- * While a service has engines of several versions, a gateway tells more than half of the directories of each stream before its
- * first event is sent. While it has had only one for as long as a stream may last, nothing is recorded.
+ * Streams begin only at versions that more than half of the directories know. While a service has engines of several versions, a gateway also
+ * tells them of each stream, so that it can be resumed elsewhere. While a service has had only one for as long as somebody may look for a
+ * stream's origin, no stream is recorded.
  */
 export class StreamVersions {
     private readonly own = StreamOrigins.create();
     private readonly history: VersionHistory;
     private readonly reporter: OriginReporter;
+    private readonly established: EstablishedVersions;
     private closed = false;
 
     private constructor(private readonly options: StreamVersionsOptions) {
         this.history = VersionHistory.create(options.clock.monotonic());
         this.reporter = OriginReporter.create(options);
+        this.established = EstablishedVersions.create({
+            ...options,
+            onHistory: (service, versions, askedAt) => this.takeHistory(service, versions, askedAt),
+        });
         this.scheduleReview();
     }
 
@@ -57,11 +71,36 @@
      * recorded too: they began while there was no need.
      */
     observe(server: ServerAnnouncement): void {
+        if (server.stage !== undefined) {
+            this.established.observe(server.service, softwareVersionOf(server));
+        }
         if (this.history.observe([server], this.options.clock.monotonic())) {
             this.options.directories().forEach(directory => this.resend(directory));
         }
     }
 
+    /** Whether streams may begin at the version of an engine: more than half of the directories know it. */
+    mayBeginAt(engine: ServerAnnouncement): boolean {
+        return this.established.includes(engine.service, softwareVersionOf(engine));
+    }
+
+    /** Resolves with whether streams may begin at a version, after so many milliseconds at most. */
+    waitUntilUsable(service: string, version: string, timeout: number): Promise<boolean> {
+        return this.established.waitFor(service, version, timeout);
+    }
+
+    /** Engines of a service at whose versions no stream may begin yet. */
+    unusableEngines(service: string): readonly ServerAnnouncement[] {
+        return this.established.includesAll(service)
+            ? []
+            : this.enginesOf(service).filter(engine => !this.mayBeginAt(engine));
+    }
+
+    /** Whether a stream may begin at any decode engine of a service. */
+    hasUsableEngine(service: string): boolean {
+        return this.enginesOf(service).some(engine => engine.stage === "decode" && this.mayBeginAt(engine));
+    }
+
     /**
      * Records that a stream begins at a version, for as long as its caller may resume it. Returns the report to the directories;
      * undefined if they needn't know, because the service has had no other version for as long. `binding`: 1, or the number of
@@ -88,7 +127,8 @@
         const attempt = resumes === undefined || resumes === "" || resumes.length > maxAttemptLength
             ? undefined
             : resumes;
-        const within = streamLifetime(route, metadata.deadlineWithin);
+        const lifetime = streamLifetime(route, metadata.deadlineWithin);
+        const within = lifetime + establishedBeforeMilliseconds;
         const own = attempt === undefined ? undefined : this.own.find(service, attempt, clock.monotonic());
         const origin: ResolvedOrigin = own === undefined
             ? await resolveOrigin(
@@ -99,7 +139,7 @@
             : { kind: "known", source: "own", ...own };
         if (origin.kind === "known" && attempt !== undefined) {
             const { version, binding } = origin;
-            this.keepLonger({ service, attempt, version, binding, keepFor: within });
+            this.keepLonger({ service, attempt, version, binding, keepFor: lifetime });
         }
         const source = origin.kind === "known" ? origin.source : "unknown";
         metrics.count("basilpaddle_streams_resumed_total", { service, source });
@@ -114,12 +154,19 @@
 
     /** Sends the streams that began here to a directory that may not know them: it was restarted, or out of reach. */
     resend(directory: KnownDirectory): void {
+        this.established.directoryReached(directory);
         this.reporter.resend(directory, this.own.latest(maxReportedOrigins, this.options.clock.monotonic()));
     }
 
+    /** Sets the gauge of versions at which no stream may begin yet. */
+    measure(metrics: Metrics): void {
+        this.established.measure(metrics);
+    }
+
     /** Stops the periodic review, and reports under way. */
     close(): void {
         this.closed = true;
+        this.established.close();
         this.reporter.close();
     }
 
@@ -132,7 +179,9 @@
         }
     }
 
-    private hasHadOneVersion(service: string, within: number, now: number): boolean {
+    /** Whether no other version is named to somebody who looks for the origin of a stream that lasts so many milliseconds. */
+    private hasHadOneVersion(service: string, lifetime: number, now: number): boolean {
+        const within = lifetime + establishedBeforeMilliseconds;
         return this.history.covers(within, now) && this.history.versions(service, within, now).length === 1;
     }
 
@@ -141,10 +190,32 @@
         clock.after(reviewIntervalMilliseconds, () => {
             if (!this.closed) {
                 this.history.observe(servers(), clock.monotonic());
+                this.established.review(this.servedVersions());
                 this.scheduleReview();
             }
         });
     }
+
+    /** Takes over what directories know of the time before this gateway's start. */
+    private takeHistory(service: string, versions: readonly string[], askedAt: number): void {
+        if (!this.history.covers(versionMemoryMilliseconds, askedAt)) {
+            versions.forEach(version => this.history.record(service, version, askedAt));
+            this.history.completeSince(askedAt - versionMemoryMilliseconds);
+        }
+    }
+
+    private servedVersions(): ReadonlyMap<string, ReadonlySet<string>> {
+        const served = new Map<string, Set<string>>();
+        for (const engine of this.options.servers().filter(({ stage }) => stage !== undefined)) {
+            const versions = served.get(engine.service) ?? new Set();
+            served.set(engine.service, versions.add(softwareVersionOf(engine)));
+        }
+        return served;
+    }
+
+    private enginesOf(service: string): readonly ServerAnnouncement[] {
+        return this.options.servers().filter(server => server.service === service && server.stage !== undefined);
+    }
 }
 
 /** Milliseconds for which a stream's caller may still resume it. */
--- a/packages/basilpaddle/src/node/protocol/streamOrigin.ts
+++ b/packages/basilpaddle/src/node/protocol/streamOrigin.ts
@@ -6,6 +6,9 @@
 /** Maximum number of origins in one report. */
 export const maxReportedOrigins = 500;
 
+/** Maximum number of versions of a service that a query names. */
+export const maxVersionsPerQuery = 100;
+
 /** The software version that a stream is bound to before its first event: only engines of that version may continue it. */
 export const streamOriginSchema = z.object({
     service: identifierSchema,
@@ -31,6 +34,11 @@
 /** Reply to an origin report: it is recorded. */
 export const originsNotedSchema = z.object({ kind: z.literal("noted") });
 
+const softwareVersion = z.string().max(200);
+
+/** A software version that more than half of the directories knew, and milliseconds since then. */
+export const establishedVersionSchema = z.object({ version: softwareVersion, age: milliseconds });
+
 /** Query of a gateway to every directory: where a stream began, and which versions a service had. */
 export const originQuerySchema = z.object({
     kind: z.literal("origin"),
@@ -39,6 +47,10 @@
     attempt: identifierSchema.optional(),
     /** Milliseconds within which the stream must have begun. */
     within: milliseconds,
+    /** Versions that the gateway wants to use: the directory records them, and answers with those that it would know after a restart. */
+    known: z.array(softwareVersion).max(maxVersionsPerQuery).optional(),
+    /** Versions that more than half of the directories knew according to this gateway, for others that reach few directories. */
+    established: z.array(establishedVersionSchema).max(maxVersionsPerQuery).optional(),
 });
 
 /** Answer to an origin query. */
@@ -50,6 +62,8 @@
     versions: z.array(z.string()),
     /** Whether this directory knows all versions of that time. */
     complete: z.boolean(),
+    /** Versions that more than half of the directories knew, according to a gateway. */
+    established: z.array(establishedVersionSchema).optional(),
 });
 
 /** Which software versions the engines of each service had, as a directory keeps it across a restart. */
@@ -68,6 +82,8 @@
 export type OriginsNoted = z.infer<typeof originsNotedSchema>;
 /** Query of a gateway to every directory. */
 export type OriginQuery = z.infer<typeof originQuerySchema>;
+/** A software version that more than half of the directories knew. */
+export type EstablishedVersion = z.infer<typeof establishedVersionSchema>;
 /** Answer to an origin query. */
 export type OriginReply = z.infer<typeof originReplySchema>;
 /** Which software versions the engines of each service had, as a directory keeps it across a restart. */
