fix(directory): a version that had been forgotten is stored again before it is confirmed

A directory answers that it knows a version only once a restart wouldn't forget it. It kept in mind for good which versions it had stored, also those that its history had dropped after 21 minutes without them: one that came back then was confirmed before it was on the disk. Found by reading; no run shows it, since it takes a version that is away for that long and a power loss within the next 150 ms. Now what the history had dropped counts as not stored.

--- a/packages/basilpaddle/src/node/daemon/directory/streamRegistry.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/streamRegistry.ts
@@ -1,4 +1,10 @@
-import { type InstanceTable, StreamOrigins, ToldVersions, VersionHistory } from "../../coordination/index.js";
+import {
+    type InstanceTable,
+    StreamOrigins,
+    ToldVersions,
+    VersionHistory,
+    versionMemoryMilliseconds,
+} from "../../coordination/index.js";
 import type {
     OriginQuery,
     OriginReply,
@@ -64,6 +70,11 @@
             return this.answerOrigin(message);
         }
         const now = this.options.clock.monotonic();
+        // A version that had been forgotten is in no stored history any more.
+        const remembered = this.versions.versions(service, versionMemoryMilliseconds, now);
+        known.filter(version => !remembered.includes(version)).forEach(version =>
+            this.stored.delete(storedKey(service, version))
+        );
         known.forEach(version => this.versions.record(service, version, now));
         this.established.record(service, established, now);
         return this.answerVersions(service, known, message.within);
