--- a/scripts/ci/reporter.cjs
+++ b/scripts/ci/reporter.cjs
@@ -37,6 +37,8 @@
             if (process.env[reportVariable] !== undefined) {
                 writeFileSync(process.env[reportVariable], JSON.stringify(report));
             }
+            // Once nothing is open any more and mocha has set its exit code, the process ends without the runtime's cleanup, which may not end.
+            setImmediate(() => process.on("exit", () => process.exit()));
         });
     }
 }
