fix(streams): a version history isn't complete for longer than it remembers versions

A longer search is now answered as incomplete, and the request refused. The test failed before (expected true to equal false).

--- a/packages/basilpaddle/src/node/coordination/streams/__tests__/streams.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/streams/__tests__/streams.spec.ts
@@ -8,7 +8,7 @@
 import { OriginReporter } from "../originReporter.js";
 import { resolveOrigin } from "../originResolver.js";
 import { StreamOrigins } from "../streamOrigins.js";
-import { VersionHistory } from "../versionHistory.js";
+import { VersionHistory, versionMemoryMilliseconds } from "../versionHistory.js";
 
 const keepFor = 30_000;
 
@@ -90,6 +90,12 @@
         expect(restarted.covers(keepFor, 0)).to.equal(true);
         expect(restarted.versions("pool", keepFor, 0)).to.deep.equal(["v1"]);
     });
+
+    // Guards against a stream that lasts longer than versions are remembered and is taken for one of the version that is left.
+    it("is never complete for longer than it remembers versions", () => {
+        const history = VersionHistory.create(Number.NEGATIVE_INFINITY);
+        expect(history.covers(versionMemoryMilliseconds + 1, 0)).to.equal(false);
+    });
 });
 
 describe("the version that began a stream", () => {
--- a/packages/basilpaddle/src/node/coordination/streams/versionHistory.ts
+++ b/packages/basilpaddle/src/node/coordination/streams/versionHistory.ts
@@ -43,7 +43,7 @@
 
     /** Whether all versions of the last milliseconds are known. */
     covers(within: number, now: number): boolean {
-        return now - this.knownSince >= within;
+        return within <= versionMemoryMilliseconds && now - this.knownSince >= within;
     }
 
     /** The history to keep across a restart. */
