--- a/packages/basilpaddle/src/node/coordination/streams/toldVersions.ts
+++ b/packages/basilpaddle/src/node/coordination/streams/establishedVersionReports.ts
@@ -1,16 +1,16 @@
 import type { EstablishedVersion } from "../../protocol/index.js";
 import { establishedMilliseconds } from "./establishedVersions.js";
 
-/** Which versions more than half of the directories knew, as gateways have told a directory: for other gateways that reach only this one. */
-export class ToldVersions {
+/** Which versions were established, as gateways have reported to a directory: for other gateways that reach only this one. */
+export class EstablishedVersionReports {
     /** When it was so, by service and version. */
     private readonly establishedAt = new Map<string, Map<string, number>>();
 
-    static create(): ToldVersions {
-        return new ToldVersions();
+    static create(): EstablishedVersionReports {
+        return new EstablishedVersionReports();
     }
 
-    /** Records what a gateway told. */
+    /** Records what a gateway reports. */
     record(service: string, established: readonly EstablishedVersion[], now: number): void {
         const versions = this.establishedAt.get(service) ?? new Map<string, number>();
         this.establishedAt.set(service, versions);
--- a/packages/basilpaddle/src/node/coordination/streams/establishedVersions.ts
+++ b/packages/basilpaddle/src/node/coordination/streams/establishedVersions.ts
@@ -3,28 +3,28 @@
 import type { KnownDirectory } from "../gateway/index.js";
 import { versionMemoryMilliseconds } from "./versionHistory.js";
 
-/** How long a version may be used after more than half of the directories were last known to know it. */
+/** How long a version stays established after more than half of the directories last said that they know it. */
 export const establishedMilliseconds = 600_000;
-/** Time by which that may be misjudged: while a message was under way, or a process stood still. */
-const misjudgedMilliseconds = 30_000;
+/** Error of that time: messages under way, and processes that stood still. */
+const marginMilliseconds = 30_000;
 /**
  * Time before the beginning of a stream within which directories have known its version. Who concludes from what they know has to look back
  * as much further.
  */
-export const establishedBeforeMilliseconds = establishedMilliseconds + misjudgedMilliseconds;
-/** Interval of confirming a version that is established, and of asking again for one that isn't. */
-const confirmIntervalMilliseconds = 15_000;
+export const establishedBeforeMilliseconds = establishedMilliseconds + marginMilliseconds;
+/** Interval of asking again about a version that is established, and about one that isn't. */
+const refreshIntervalMilliseconds = 15_000;
 const retryIntervalMilliseconds = 250;
 const queryTimeoutMilliseconds = 400;
-/** How long a stream waits for a version at most while too few directories are reached. */
+/** How long to wait for a version at most while too few directories are reached. */
 const unreachedTimeoutMilliseconds = 60;
 
 /** What is known of one version of a service. */
 type VersionKnowledge = {
     /** When each directory, by its name, last said that it knows the version. */
     readonly knownAt: Map<string, number>;
-    /** When more than half of the directories knew it, according to another gateway. */
-    toldAt: number;
+    /** When it was established, as another gateway reported to a directory. */
+    reportedAt: number;
     askedAt: number;
 };
 
@@ -38,9 +38,9 @@
 };
 
 /**
- * The software versions that more than half of the directories know. A gateway begins streams at these alone. Who later has to find out at
- * which version a stream began asks more than half of the directories, too: one of them at least knows the version, even if
- * the gateway that began it could tell nobody of the stream itself.
+ * Keeps which software versions are established: more than half of the directories know them. A gateway begins streams at these alone. Who later
+ * has to find out at which version a stream began asks more than half of the directories, too: one of them at least knows the version, even
+ * if the gateway that began it could tell nobody of the stream itself.
  */
 export class EstablishedVersions {
     /** By service and version. */
@@ -54,18 +54,18 @@
         return new EstablishedVersions(options);
     }
 
-    /** Whether streams may begin at a version. */
+    /** Whether a version is established, so that streams may begin at it. */
     includes(service: string, version: string): boolean {
         const knowledge = this.services.get(service)?.get(version);
-        return knowledge !== undefined && this.isCurrent(knowledge);
+        return knowledge !== undefined && this.isEstablishedNow(knowledge);
     }
 
-    /** Whether streams may begin at each version of a service that is served. */
+    /** Whether all versions of a service are established. */
     includesAll(service: string): boolean {
-        return [...this.services.get(service)?.values() ?? []].every(knowledge => this.isCurrent(knowledge));
+        return [...this.services.get(service)?.values() ?? []].every(knowledge => this.isEstablishedNow(knowledge));
     }
 
-    /** Resolves with whether streams may begin at a version, after so many milliseconds at most. */
+    /** Resolves with whether a version is established, after so many milliseconds at most. */
     async waitFor(service: string, version: string, timeout: number): Promise<boolean> {
         this.observe(service, version);
         if (this.includes(service, version)) {
@@ -82,7 +82,7 @@
                     settle();
                 }
             };
-            const longest = this.reachesMajority() ? timeout : unreachedTimeoutMilliseconds;
+            const longest = this.reachesQuorum() ? timeout : unreachedTimeoutMilliseconds;
             const cancel = this.options.clock.after(Math.min(timeout, longest), settle);
             this.waiting.add(review);
         });
@@ -94,23 +94,25 @@
         this.services.set(service, versions);
         if (!versions.has(version)) {
             const never = Number.NEGATIVE_INFINITY;
-            versions.set(version, { knownAt: new Map(), toldAt: never, askedAt: never });
+            versions.set(version, { knownAt: new Map(), reportedAt: never, askedAt: never });
             this.ask(service, this.options.directories());
         }
     }
 
-    /** Asks for what has to be confirmed, and forgets versions that are neither served nor established. To be called a few times per second. */
+    /** Asks again where it is due, and forgets versions that are neither served nor established. To be called a few times per second. */
     review(servedVersions: ReadonlyMap<string, ReadonlySet<string>>): void {
         const now = this.options.clock.monotonic();
         for (const [service, versions] of this.services) {
             const served = servedVersions.get(service);
             for (const [version, knowledge] of versions) {
-                if (served?.has(version) !== true && !this.isCurrent(knowledge)) {
+                if (served?.has(version) !== true && !this.isEstablishedNow(knowledge)) {
                     versions.delete(version);
                 }
             }
             const isDue = [...versions].some(([version, knowledge]) => {
-                const interval = this.isCurrent(knowledge) ? confirmIntervalMilliseconds : retryIntervalMilliseconds;
+                const interval = this.isEstablishedNow(knowledge)
+                    ? refreshIntervalMilliseconds
+                    : retryIntervalMilliseconds;
                 return served?.has(version) === true && now - knowledge.askedAt >= interval;
             });
             if (isDue) {
@@ -124,11 +126,11 @@
         [...this.services.keys()].forEach(service => this.ask(service, [directory]));
     }
 
-    /** Sets the gauge of versions that are served here and at which no stream may begin yet. */
+    /** Sets the gauge of versions that are served here and aren't established. */
     measure(metrics: Metrics): void {
         for (const [service, versions] of this.services) {
-            const unconfirmed = [...versions.values()].filter(knowledge => !this.isCurrent(knowledge));
-            metrics.gauge("basilpaddle_unconfirmed_versions", unconfirmed.length, { service });
+            const unestablished = [...versions.values()].filter(knowledge => !this.isEstablishedNow(knowledge));
+            metrics.gauge("basilpaddle_unestablished_versions", unestablished.length, { service });
         }
     }
 
@@ -141,20 +143,20 @@
         const askedAt = this.options.clock.monotonic();
         const versions = this.services.get(service) ?? new Map<string, VersionKnowledge>();
         // A version that has left isn't told again: directories would take it for one that is served.
-        const known = [...versions.keys()].filter(version => served?.has(version) ?? true).slice(
+        const told = [...versions.keys()].filter(version => served?.has(version) ?? true).slice(
             0,
             maxVersionsPerQuery,
         );
-        known.forEach(version => versions.get(version)!.askedAt = askedAt);
+        told.forEach(version => versions.get(version)!.askedAt = askedAt);
         const established = [...versions].flatMap(([version, { knownAt }]) => {
-            const age = askedAt - this.agreedAt(knownAt);
+            const age = askedAt - this.quorumAt(knownAt);
             return age <= establishedMilliseconds ? [{ version, age }] : [];
         });
         const query: OriginQuery = {
             kind: "origin",
             service,
             within: versionMemoryMilliseconds,
-            known,
+            served: told,
             established: established.slice(0, maxVersionsPerQuery),
         };
         const replies: OriginReply[] = [];
@@ -176,7 +178,7 @@
         this.record(query.service, versions, directory.name, reply, askedAt);
         replies.push(reply);
         const complete = replies.filter(each => each.complete);
-        if (reply.complete && complete.length === this.majority()) {
+        if (reply.complete && complete.length === this.quorumSize()) {
             this.options.onHistory(query.service, complete.flatMap(each => each.versions), askedAt);
         }
         this.waiting.forEach(review => review());
@@ -189,14 +191,14 @@
         reply: OriginReply,
         askedAt: number,
     ): void {
-        const told = new Map((reply.established ?? []).map(({ version, age }) => [version, askedAt - age]));
+        const reported = new Map((reply.established ?? []).map(({ version, age }) => [version, askedAt - age]));
         for (const [version, knowledge] of versions) {
-            const wasCurrent = this.isCurrent(knowledge);
+            const wasEstablished = this.isEstablishedNow(knowledge);
             if (reply.versions.includes(version)) {
                 knowledge.knownAt.set(directory, askedAt);
             }
-            knowledge.toldAt = Math.max(knowledge.toldAt, told.get(version) ?? Number.NEGATIVE_INFINITY);
-            if (!wasCurrent && this.isCurrent(knowledge)) {
+            knowledge.reportedAt = Math.max(knowledge.reportedAt, reported.get(version) ?? Number.NEGATIVE_INFINITY);
+            if (!wasEstablished && this.isEstablishedNow(knowledge)) {
                 const by = [...knowledge.knownAt.keys()];
                 this.options.logger.info(
                     "more than half of the directories know a software version: streams may begin at it",
@@ -210,21 +212,21 @@
         }
     }
 
-    private isCurrent({ knownAt, toldAt }: VersionKnowledge): boolean {
-        return this.options.clock.monotonic() - Math.max(this.agreedAt(knownAt), toldAt) <= establishedMilliseconds;
+    private isEstablishedNow({ knownAt, reportedAt }: VersionKnowledge): boolean {
+        return this.options.clock.monotonic() - Math.max(this.quorumAt(knownAt), reportedAt) <= establishedMilliseconds;
     }
 
     /** The last time at which more than half of the directories knew a version; negative infinity if they never did. */
-    private agreedAt(knownAt: ReadonlyMap<string, number>): number {
+    private quorumAt(knownAt: ReadonlyMap<string, number>): number {
         const times = this.options.directories().map(({ name }) => knownAt.get(name) ?? Number.NEGATIVE_INFINITY);
-        return times.sort((one, other) => other - one)[this.majority() - 1] ?? Number.NEGATIVE_INFINITY;
+        return times.sort((one, other) => other - one)[this.quorumSize() - 1] ?? Number.NEGATIVE_INFINITY;
     }
 
-    private reachesMajority(): boolean {
-        return this.options.directories().filter(({ reached }) => reached).length >= this.majority();
+    private reachesQuorum(): boolean {
+        return this.options.directories().filter(({ reached }) => reached).length >= this.quorumSize();
     }
 
-    private majority(): number {
+    private quorumSize(): number {
         return Math.floor(this.options.directories().length / 2) + 1;
     }
 }
--- a/packages/basilpaddle/src/node/coordination/streams/versionHistory.ts
+++ b/packages/basilpaddle/src/node/coordination/streams/versionHistory.ts
@@ -21,15 +21,10 @@
      */
     observe(servers: readonly ServerAnnouncement[], now: number): boolean {
         const engines = servers.filter(({ stage }) => stage !== undefined);
-        const added = engines.map(server => this.recordSeen(server.service, softwareVersionOf(server), now));
+        const added = engines.map(server => this.record(server.service, softwareVersionOf(server), now));
         return added.some(isFurther => isFurther);
     }
 
-    /** Records that a version of a service is served, as another process says. */
-    record(service: string, version: string, now: number): void {
-        this.recordSeen(service, version, now);
-    }
-
     /** Records that all versions since then are known, as others have told them. */
     completeSince(knownSince: number): void {
         this.knownSince = Math.min(this.knownSince, knownSince);
@@ -61,11 +56,11 @@
      */
     restore({ coversLast, seen }: StoredVersionHistory, now: number): void {
         this.knownSince = Math.min(this.knownSince, now - coversLast);
-        seen.forEach(({ service, version, age }) => this.recordSeen(service, version, now - age));
+        seen.forEach(({ service, version, age }) => this.record(service, version, now - age));
     }
 
-    /** Records a version; returns whether it is new beside another one. */
-    private recordSeen(service: string, version: string, at: number): boolean {
+    /** Records that a version was served at a time; returns whether it is new beside another one. */
+    record(service: string, version: string, at: number): boolean {
         const versions = this.seenAt.get(service) ?? new Map<string, number>();
         const isFurther = versions.size > 0 && !versions.has(version);
         this.seenAt.set(service, versions);
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/streamRegistry.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/streamRegistry.spec.ts
@@ -18,7 +18,7 @@
             logger: createSilentLogger(),
         });
         const confirm = async (version: string): Promise<boolean> => {
-            const reply = await registry.handle({ kind: "origin", service: "pool", within: 1_000, known: [version] });
+            const reply = await registry.handle({ kind: "origin", service: "pool", within: 1_000, served: [version] });
             return "versions" in reply && reply.versions.includes(version);
         };
         expect([await confirm("v1"), await confirm("v1"), stores]).to.deep.equal([true, true, 1]);
--- a/packages/basilpaddle/src/node/daemon/directory/streamRegistry.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/streamRegistry.ts
@@ -1,7 +1,7 @@
 import {
+    EstablishedVersionReports,
     type InstanceTable,
     StreamOrigins,
-    ToldVersions,
     VersionHistory,
     versionMemoryMilliseconds,
 } from "../../coordination/index.js";
@@ -32,7 +32,7 @@
 export class StreamRegistry {
     private readonly origins = StreamOrigins.create();
     private readonly versions: VersionHistory;
-    private readonly established = ToldVersions.create();
+    private readonly established = EstablishedVersionReports.create();
     /** Services and versions that a restart doesn't forget. */
     private readonly stored = new Set<string>();
 
@@ -65,19 +65,19 @@
         if (message.kind === "origins") {
             return this.note(message);
         }
-        const { service, known, established = [] } = message;
-        if (known === undefined) {
+        const { service, served, established = [] } = message;
+        if (served === undefined) {
             return this.answerOrigin(message);
         }
         const now = this.options.clock.monotonic();
         // A version that had been forgotten is in no stored history any more.
         const remembered = this.versions.versions(service, versionMemoryMilliseconds, now);
-        known.filter(version => !remembered.includes(version)).forEach(version =>
+        served.filter(version => !remembered.includes(version)).forEach(version =>
             this.stored.delete(storedKey(service, version))
         );
-        known.forEach(version => this.versions.record(service, version, now));
+        served.forEach(version => this.versions.record(service, version, now));
         this.established.record(service, established, now);
-        return this.answerVersions(service, known, message.within);
+        return this.answerVersions(service, served, message.within);
     }
 
     private note({ origins }: OriginReport): OriginsNoted {
@@ -90,8 +90,8 @@
     }
 
     /** Names a version only if it would be known after a restart, too. */
-    private async answerVersions(service: string, known: readonly string[], within: number): Promise<OriginReply> {
-        if (known.some(version => !this.stored.has(storedKey(service, version)))) {
+    private async answerVersions(service: string, served: readonly string[], within: number): Promise<OriginReply> {
+        if (served.some(version => !this.stored.has(storedKey(service, version)))) {
             const versions = this.storedVersions();
             if (await this.options.store()) {
                 this.recordStored(versions);
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/establishedVersions.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/establishedVersions.spec.ts
@@ -114,7 +114,7 @@
 
     private async begin(at: number, pick: number): Promise<void> {
         const attempt = `a${this.streams.length}`;
-        const usable = [...this.served[count + at]!].filter(each => this.gateways[at]!.mayBeginAt(engines[each]!));
+        const usable = [...this.served[count + at]!].filter(each => this.gateways[at]!.isEstablished(engines[each]!));
         const chosen = usable[pick % usable.length];
         if (chosen !== undefined) {
             this.streams.push({ attempt, version: chosen, begunAt: this.clock.monotonic() });
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamExchange.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamExchange.spec.ts
@@ -77,8 +77,8 @@
         const versions = {
             begin: () => undefined,
             resolve: () => Promise.resolve(origin),
-            unusableEngines: () => [],
-            mayBeginAt: () => true,
+            unestablishedEngines: () => [],
+            isEstablished: () => true,
         } as unknown as StreamVersions;
         const gateway = { name: "g", failureDomain: "a" };
         await StreamExchange.create(options, placements, gateway, request, service, versions).run();
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamVersions.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/streamVersions.spec.ts
@@ -66,7 +66,7 @@
         versions.observe(engine("v2"));
         await clock.advance(10);
         history = { ...history, versions: ["v1", "v2"] };
-        expect([engine("v1"), engine("v2")].map(each => versions.mayBeginAt(each))).to.deep.equal([true, false]);
+        expect([engine("v1"), engine("v2")].map(each => versions.isEstablished(each))).to.deep.equal([true, false]);
     });
 
     // Guards against streams that can't be resumed because a second version has appeared since they began.
--- a/packages/basilpaddle/src/node/daemon/gateway/streamBinding.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamBinding.ts
@@ -56,7 +56,7 @@
 
     /** Engines that it can't begin at yet: too few directories know their versions to tell later where it began. */
     enginesToAvoid(): readonly string[] {
-        return this.request.route.resumable ? this.versions.unusableEngines(this.service).map(({ id }) => id) : [];
+        return this.request.route.resumable ? this.versions.unestablishedEngines(this.service).map(({ id }) => id) : [];
     }
 
     /** Why it may not run at an engine that it was placed on; undefined if it may, which it waits for shortly. */
@@ -65,16 +65,16 @@
         if (this.boundVersion !== undefined && this.boundVersion !== version) {
             return { cause: `the placed engine has version ${version}`, retryAfter: undefined };
         }
-        if (!this.request.route.resumable || this.versions.mayBeginAt(engine)) {
+        if (!this.request.route.resumable || this.versions.isEstablished(engine)) {
             return undefined;
         }
         const isNew = this.boundVersion === undefined;
         const timeout = isNew ? newVersionTimeoutMilliseconds : resumedVersionTimeoutMilliseconds;
-        if (await this.versions.waitUntilUsable(this.service, version, timeout)) {
+        if (await this.versions.waitUntilEstablished(this.service, version, timeout)) {
             return undefined;
         }
         const cause = `too few directories know version ${version} of the placed engine`;
-        const canRunElsewhere = isNew && this.versions.hasUsableEngine(this.service);
+        const canRunElsewhere = isNew && this.versions.hasEstablishedEngine(this.service);
         return { cause, retryAfter: canRunElsewhere ? undefined : unreachedRetryAfterMilliseconds };
     }
 
--- a/packages/basilpaddle/src/node/daemon/gateway/streamVersions.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamVersions.ts
@@ -79,26 +79,26 @@
         }
     }
 
-    /** Whether streams may begin at the version of an engine: more than half of the directories know it. */
-    mayBeginAt(engine: ServerAnnouncement): boolean {
+    /** Whether the version of an engine is established: more than half of the directories know it, and streams may begin at it. */
+    isEstablished(engine: ServerAnnouncement): boolean {
         return this.established.includes(engine.service, softwareVersionOf(engine));
     }
 
-    /** Resolves with whether streams may begin at a version, after so many milliseconds at most. */
-    waitUntilUsable(service: string, version: string, timeout: number): Promise<boolean> {
+    /** Resolves with whether a version is established, after so many milliseconds at most. */
+    waitUntilEstablished(service: string, version: string, timeout: number): Promise<boolean> {
         return this.established.waitFor(service, version, timeout);
     }
 
-    /** Engines of a service at whose versions no stream may begin yet. */
-    unusableEngines(service: string): readonly ServerAnnouncement[] {
+    /** Engines of a service whose versions aren't established. */
+    unestablishedEngines(service: string): readonly ServerAnnouncement[] {
         return this.established.includesAll(service)
             ? []
-            : this.enginesOf(service).filter(engine => !this.mayBeginAt(engine));
+            : this.enginesOf(service).filter(engine => !this.isEstablished(engine));
     }
 
-    /** Whether a stream may begin at any decode engine of a service. */
-    hasUsableEngine(service: string): boolean {
-        return this.enginesOf(service).some(engine => engine.stage === "decode" && this.mayBeginAt(engine));
+    /** Whether the version of any decode engine of a service is established. */
+    hasEstablishedEngine(service: string): boolean {
+        return this.enginesOf(service).some(engine => engine.stage === "decode" && this.isEstablished(engine));
     }
 
     /**
@@ -158,7 +158,7 @@
         this.reporter.resend(directory, this.own.latest(maxReportedOrigins, this.options.clock.monotonic()));
     }
 
-    /** Sets the gauge of versions at which no stream may begin yet. */
+    /** Sets the gauge of versions that aren't established. */
     measure(metrics: Metrics): void {
         this.established.measure(metrics);
     }
--- a/packages/basilpaddle/src/node/protocol/streamOrigin.ts
+++ b/packages/basilpaddle/src/node/protocol/streamOrigin.ts
@@ -36,7 +36,7 @@
 
 const softwareVersion = z.string().max(200);
 
-/** A software version that more than half of the directories knew, and milliseconds since then. */
+/** A software version that is established, which means that more than half of the directories knew it, and milliseconds since then. */
 export const establishedVersionSchema = z.object({ version: softwareVersion, age: milliseconds });
 
 /** Query of a gateway to every directory: where a stream began, and which versions a service had. */
@@ -47,9 +47,9 @@
     attempt: identifierSchema.optional(),
     /** Milliseconds within which the stream must have begun. */
     within: milliseconds,
-    /** Versions that the gateway wants to use: the directory records them, and answers with those that it would know after a restart. */
-    known: z.array(softwareVersion).max(maxVersionsPerQuery).optional(),
-    /** Versions that more than half of the directories knew according to this gateway, for others that reach few directories. */
+    /** Versions that the gateway sees served: the directory records them, and answers with those that it would know after a restart. */
+    served: z.array(softwareVersion).max(maxVersionsPerQuery).optional(),
+    /** Versions that are established for this gateway, for others that reach few directories. */
     established: z.array(establishedVersionSchema).max(maxVersionsPerQuery).optional(),
 });
 
@@ -62,7 +62,7 @@
     versions: z.array(z.string()),
     /** Whether this directory knows all versions of that time. */
     complete: z.boolean(),
-    /** Versions that more than half of the directories knew, according to a gateway. */
+    /** Versions that are established for a gateway. */
     established: z.array(establishedVersionSchema).optional(),
 });
 
@@ -82,7 +82,7 @@
 export type OriginsNoted = z.infer<typeof originsNotedSchema>;
 /** Query of a gateway to every directory. */
 export type OriginQuery = z.infer<typeof originQuerySchema>;
-/** A software version that more than half of the directories knew. */
+/** A software version that is established. */
 export type EstablishedVersion = z.infer<typeof establishedVersionSchema>;
 /** Answer to an origin query. */
 export type OriginReply = z.infer<typeof originReplySchema>;
