--- a/simulation/departures/memoryNetwork.ts
+++ b/simulation/departures/memoryNetwork.ts
@@ -13,6 +13,7 @@
 export class MemoryNetwork {
     private readonly handlers = new Map<string, Handler>();
     private readonly isolated = new Set<string>();
+    private isSeparated: (from: string, to: string) => boolean = () => false;
 
     private constructor(private readonly clock: ManualClock, private readonly randomness: Randomness) {}
 
@@ -40,6 +41,11 @@
         }
     }
 
+    /** Sets which processes are cut off from each other. Messages between them are lost. */
+    separate(isSeparated: (from: string, to: string) => boolean): void {
+        this.isSeparated = isSeparated;
+    }
+
     /** The network as one process uses it, until that process is stopped. */
     viewOf(address: string, isStopped: () => boolean): Network {
         return new MemoryNetworkView(this, address, isStopped);
@@ -84,7 +90,8 @@
     }
 
     private isIsolated(from: string, to: string): boolean {
-        return this.isolated.has(from) || this.isolated.has(to.split("/", 1)[0]!);
+        const target = to.split("/", 1)[0]!;
+        return this.isolated.has(from) || this.isolated.has(target) || this.isSeparated(from, target);
     }
 
     private travel(): Promise<void> {
--- a/simulation/versions/day.ts
+++ b/simulation/versions/day.ts
@@ -6,6 +6,8 @@
     "gatewayCut",
     "allKilled",
     "versionReplaced",
+    "release",
+    "split",
 ] as const;
 
 /** What happens on a day beside the streams. */
@@ -19,9 +21,16 @@
     /** Milliseconds in which streams begin. */
     readonly length: number;
     readonly trouble: Trouble;
+    /** Software versions at the beginning. */
+    readonly versions: readonly string[];
 };
 
+/** Days that begin with one version. */
+const beginsWithOne: ReadonlySet<Trouble> = new Set(["versionReplaced", "release", "split"]);
+
 /** A day with as many gateways, and directories and streams in proportion. */
 export function dayOfSize(gateways: number, trouble: Trouble): VersionDay {
-    return { gateways, directories: gateways > 50 ? 5 : 3, streamsPerSecond: 0.6 * gateways, length: 30_000, trouble };
+    const versions = beginsWithOne.has(trouble) ? ["v1"] : ["v1", "v2"];
+    const directories = gateways > 50 ? 5 : 3;
+    return { gateways, directories, streamsPerSecond: 0.6 * gateways, length: 30_000, trouble, versions };
 }
--- a/simulation/versions/versionSimulation.ts
+++ b/simulation/versions/versionSimulation.ts
@@ -13,11 +13,16 @@
 const electionMilliseconds = 600;
 const stepMilliseconds = 5;
 const reviewMilliseconds = 300;
+/** How long a split lasts, and how long it has lasted when a new version joins one side. */
+const splitMilliseconds = 5_000;
+const splitBeforeJoinMilliseconds = 400;
 
 /** What a day showed. */
 export type VersionOutcome = {
     readonly way: string;
+    /** Streams that began, and those that couldn't. */
     readonly begun: number;
+    readonly refused: number;
     readonly resumed: number;
     /** Resumed streams that continued, and those that did so at another version than the one that began them. */
     readonly continued: number;
@@ -44,7 +49,7 @@
 
 class VersionSimulation {
     private readonly delays: number[] = [];
-    private readonly counts = { begun: 0, resumed: 0, continued: 0, mixed: 0 };
+    private readonly counts = { begun: 0, refused: 0, resumed: 0, continued: 0, mixed: 0 };
     private readonly streams: Promise<void>[] = [];
 
     constructor(
@@ -70,6 +75,7 @@
             }
             await world.clock.advance(stepMilliseconds);
         }
+        way.close();
         return this.outcome();
     }
 
@@ -77,14 +83,22 @@
         const { world, way, counts } = this;
         const gateway = this.pickGateway();
         const { lives } = gateway;
-        const version = way.chooseVersion(gateway, attempt, world.versions);
+        const version = way.chooseVersion(gateway, attempt, world.versionsAt(gateway));
+        if (version === undefined) {
+            counts.refused += 1;
+            return;
+        }
         const sentAt = world.now();
         const recorded = way.begin(gateway, attempt, version);
         await this.pause(firstEventMilliseconds);
-        await recorded;
+        const mayBegin = await recorded;
         if (!gateway.isRunning || gateway.lives !== lives) {
             return;
         }
+        if (!mayBegin) {
+            counts.refused += 1;
+            return;
+        }
         counts.begun += 1;
         this.delays.push(world.now() - sentAt - firstEventMilliseconds);
         const breaksOff = world.random.fraction() < breakOffProbability;
@@ -101,16 +115,16 @@
 
     private async resume(attempt: string, version: string, before: EmulatedProcess): Promise<void> {
         const { world, way, counts } = this;
-        const isServed = world.versions.includes(version);
+        const isServed = world.processes.some(process => world.versionsAt(process).includes(version));
         counts.resumed += isServed ? 1 : 0;
         let last = before;
         for (let tries = 0; tries < 2; tries++) {
             const gateway = this.pickGateway(last);
             const resolved = await way.resolve(gateway, attempt);
             if (resolved !== undefined) {
-                const continues = world.versions.includes(resolved);
+                const continues = world.versionsAt(gateway).includes(resolved);
                 counts.mixed += continues && resolved !== version ? 1 : 0;
-                counts.continued += continues && isServed ? 1 : 0;
+                counts.continued += continues && resolved === version ? 1 : 0;
                 return;
             }
             last = gateway;
@@ -142,21 +156,43 @@
                 return;
             case "gatewayCut":
                 every(10_000, () => {
-                    world.setCut(world.gateways[0]!, true);
-                    world.clock.after(4_000, () => world.setCut(world.gateways[0]!, false));
+                    world.split([world.gateways[0]!]);
+                    world.clock.after(4_000, () => world.heal());
                 });
                 return;
             case "allKilled":
                 every(10_000, () => this.kill([...world.gateways, ...world.directories]));
                 return;
             case "versionReplaced":
-                world.versions = ["v1"];
                 every(10_000, number => {
-                    world.versions = number === 0 ? ["v1", "v2"] : ["v2"];
+                    if (number === 0) {
+                        world.join("v2", world.processes);
+                    }
+                    else {
+                        world.leave("v1", world.processes);
+                    }
                 });
+                return;
+            case "release":
+                every(10_000, number => world.join(`v${number + 2}`, world.processes));
+                return;
+            case "split":
+                every(10_000, number => this.joinBehindSplit(`v${number + 2}`));
         }
     }
 
+    /** An engine of a new version joins one side of a split: one directory, and two thirds of the gateways. */
+    private joinBehindSplit(version: string): void {
+        const { world } = this;
+        const minority = [world.directories[0]!, ...world.gateways.slice(Math.ceil(world.gateways.length / 3))];
+        world.split(minority);
+        world.clock.after(splitBeforeJoinMilliseconds, () => world.join(version, minority));
+        world.clock.after(splitMilliseconds, () => {
+            world.heal();
+            world.join(version, world.processes);
+        });
+    }
+
     private kill(processes: readonly EmulatedProcess[]): void {
         const { world, way } = this;
         for (const process of processes) {
--- a/simulation/versions/ways.ts
+++ b/simulation/versions/ways.ts
@@ -1,21 +1,9 @@
-import {
-    type KnownDirectory,
-    OriginReporter,
-    resolveOrigin,
-    StreamOrigins,
-    VersionHistory,
-} from "../../packages/basilpaddle/src/node/coordination/index.js";
-import type { OriginQuery, OriginReport, StreamOrigin } from "../../packages/basilpaddle/src/node/protocol/index.js";
-import { createSilentLogger, hashToFraction } from "../../packages/basilpaddle/src/node/utils/index.js";
+import type { ResolvedOrigin } from "../../packages/basilpaddle/src/node/coordination/index.js";
+import { hashToFraction } from "../../packages/basilpaddle/src/node/utils/index.js";
+import { VersionProcesses } from "./versionProcesses.js";
 import type { EmulatedProcess, World } from "./world.js";
 
-const service = "pool";
-/** Time for which a stream may be resumed. */
-const lifetimeMilliseconds = 30_000;
 const askTimeoutMilliseconds = 300;
-const ackTimeoutMilliseconds = 100;
-/** Time after which a gateway that is cut off notices it. */
-const noticeMilliseconds = 2_200;
 
 /** A way to know the version that began a stream. */
 export abstract class VersionWay {
@@ -23,13 +11,13 @@
 
     protected constructor(protected readonly world: World) {}
 
-    /** Chooses the version of a new stream. */
-    chooseVersion(_gateway: EmulatedProcess, _attempt: string, versions: readonly string[]): string {
-        return this.world.pick(versions)!;
+    /** Chooses the version of a new stream; undefined if it can't begin. */
+    chooseVersion(_gateway: EmulatedProcess, _attempt: string, versions: readonly string[]): string | undefined {
+        return this.world.pick(versions);
     }
 
-    /** Called as a run is sent; resolves when its first event may leave. */
-    abstract begin(gateway: EmulatedProcess, attempt: string, version: string): Promise<void>;
+    /** Called as a run is sent; resolves once its first event may leave, or with false if it may not. */
+    abstract begin(gateway: EmulatedProcess, attempt: string, version: string): Promise<boolean>;
 
     /** The version at which a resumed stream continues; undefined if it is refused. */
     abstract resolve(gateway: EmulatedProcess, attempt: string): Promise<string | undefined>;
@@ -42,8 +30,13 @@
         // Most ways keep no account of the versions.
     }
 
-    /** Largest number of streams that one process has recorded. */
+    /** Number of streams that one process has recorded, at most. */
     abstract records(): number;
+
+    /** Called at the end of a day. */
+    close(): void {
+        // Most ways run nothing by themselves.
+    }
 }
 
 /** The gateway that began a stream keeps its version, and all gateways are asked. */
@@ -60,9 +53,9 @@
         return way;
     }
 
-    override begin(gateway: EmulatedProcess, attempt: string, version: string): Promise<void> {
+    override begin(gateway: EmulatedProcess, attempt: string, version: string): Promise<boolean> {
         this.kept.get(gateway)!.set(attempt, version);
-        return Promise.resolve();
+        return Promise.resolve(true);
     }
 
     override async resolve(gateway: EmulatedProcess, attempt: string): Promise<string | undefined> {
@@ -98,12 +91,12 @@
         return way;
     }
 
-    override begin(gateway: EmulatedProcess, attempt: string, version: string): Promise<void> {
+    override begin(gateway: EmulatedProcess, attempt: string, version: string): Promise<boolean> {
         const { leader } = this.world;
-        if (leader?.isRunning === true && !gateway.isCut) {
+        if (leader?.isRunning === true && this.world.splitFor(gateway, leader) === undefined) {
             this.kept.get(leader)!.set(attempt, version);
         }
-        return Promise.resolve();
+        return Promise.resolve(true);
     }
 
     override async resolve(gateway: EmulatedProcess, attempt: string): Promise<string | undefined> {
@@ -123,9 +116,6 @@
 /** No record: the version is a function of the attempt and of the versions that a gateway knows. */
 export class FunctionOfAttempt extends VersionWay {
     override readonly name = "function of the attempt";
-    /** What gateways that are cut off know. */
-    private readonly stale = new Map<EmulatedProcess, readonly string[]>();
-
     static create(world: World): FunctionOfAttempt {
         return new FunctionOfAttempt(world);
     }
@@ -135,14 +125,12 @@
         return [...versions].sort((one, other) => score(one) - score(other))[0]!;
     }
 
-    override begin(): Promise<void> {
-        return Promise.resolve();
+    override begin(): Promise<boolean> {
+        return Promise.resolve(true);
     }
 
     override resolve(gateway: EmulatedProcess, attempt: string): Promise<string | undefined> {
-        const versions = gateway.isCut ? this.stale.get(gateway) : this.world.versions;
-        this.stale.set(gateway, versions ?? this.world.versions);
-        return Promise.resolve(this.chooseVersion(gateway, attempt, versions ?? this.world.versions));
+        return Promise.resolve(this.chooseVersion(gateway, attempt, this.world.versionsAt(gateway)));
     }
 
     override killed(): void {
@@ -154,119 +142,96 @@
     }
 }
 
-/** Gateways tell all directories, and wait for more than half of them: the product's own classes. */
-export class AskDirectories extends VersionWay {
-    override readonly name = "directories";
-    private readonly origins = new Map<EmulatedProcess, StreamOrigins>();
-    private readonly histories = new Map<EmulatedProcess, VersionHistory>();
-    private readonly reporters = new Map<EmulatedProcess, OriginReporter>();
-    private readonly cutSince = new Map<EmulatedProcess, number>();
+/** Directories are told of streams, and asked: the product's own classes. What each way adds to them is stated with it. */
+abstract class ProductWay extends VersionWay {
+    protected readonly processes = VersionProcesses.create(this.world);
 
-    static create(world: World): AskDirectories {
-        const way = new AskDirectories(world);
-        world.directories.forEach(directory => {
-            way.origins.set(directory, StreamOrigins.create());
-            way.histories.set(directory, VersionHistory.create(Number.NEGATIVE_INFINITY));
-            world.listen(directory, body => way.answer(directory, body as OriginReport | OriginQuery));
-        });
-        world.gateways.forEach(gateway => {
-            way.origins.set(gateway, StreamOrigins.create());
-            const directories = (): KnownDirectory[] => way.directoriesOf(gateway);
-            way.reporters.set(
-                gateway,
-                OriginReporter.create({ directories, clock: world.clock, logger: createSilentLogger() }),
-            );
-        });
-        return way;
-    }
-
-    override async begin(gateway: EmulatedProcess, attempt: string, version: string): Promise<void> {
-        const origin: StreamOrigin = { service, attempt, version, binding: 1, keepFor: lifetimeMilliseconds };
-        this.origins.get(gateway)!.record(origin, this.world.now());
-        await this.reporters.get(gateway)!.report(origin).acknowledged(ackTimeoutMilliseconds);
+    override async begin(gateway: EmulatedProcess, attempt: string, version: string): Promise<boolean> {
+        await this.processes.begin(gateway, attempt, version);
+        return true;
     }
 
     override async resolve(gateway: EmulatedProcess, attempt: string): Promise<string | undefined> {
-        const { clock } = this.world;
-        const own = this.origins.get(gateway)!.find(service, attempt, this.world.now());
-        if (own !== undefined) {
-            return own.version;
-        }
-        const query = { kind: "origin", service, attempt, within: lifetimeMilliseconds } as const;
-        const origin = await resolveOrigin(this.directoriesOf(gateway), query, clock);
-        return origin.kind === "known" ? origin.version : undefined;
+        const origin = await this.processes.resolve(gateway, attempt);
+        return origin.kind === "known" && this.trusts(gateway, origin) ? origin.version : undefined;
     }
 
     override killed(process: EmulatedProcess): void {
-        this.origins.set(process, StreamOrigins.create());
-        const { histories, world } = this;
-        const history = histories.get(process);
-        if (history !== undefined) {
-            const restarted = VersionHistory.create(world.now());
-            restarted.restore(history.stored(world.now()), world.now());
-            histories.set(process, restarted);
-        }
+        this.processes.restart(process);
     }
 
     override review(): void {
-        const { world } = this;
-        world.directories.filter(({ isRunning }) => isRunning).forEach(directory => {
-            this.histories.get(directory)!.observe(world.versions.map(announcementOf), world.now());
-        });
-        world.gateways.forEach(gateway => {
-            if (!gateway.isCut) {
-                this.cutSince.delete(gateway);
-            }
-            else if (!this.cutSince.has(gateway)) {
-                this.cutSince.set(gateway, world.now());
-            }
-        });
+        this.processes.review();
+    }
+
+    override close(): void {
+        this.processes.close();
     }
 
     override records(): number {
-        return Math.max(...[...this.origins.values()].map(origins => origins.count()));
+        return this.processes.records();
     }
 
-    private answer(directory: EmulatedProcess, message: OriginReport | OriginQuery): unknown {
-        const now = this.world.now();
-        const origins = this.origins.get(directory)!;
-        if (message.kind === "origins") {
-            message.origins.forEach(origin => origins.record(origin, now));
-            return { kind: "noted" };
-        }
-        const history = this.histories.get(directory)!;
-        const found = origins.find(service, message.attempt ?? "", now);
-        return {
-            kind: "origin",
-            ...found === undefined ? {} : { found },
-            versions: [...history.versions(service, message.within, now)],
-            complete: history.covers(message.within, now),
-        };
-    }
-
-    private directoriesOf(gateway: EmulatedProcess): KnownDirectory[] {
-        const { world } = this;
-        const isNoticed = world.now() - (this.cutSince.get(gateway) ?? world.now()) > noticeMilliseconds;
-        return world.directories.map(directory => {
-            return { name: directory.address, link: world.link(gateway, directory), reached: !isNoticed };
-        });
+    /** Whether the way goes by what was found. */
+    protected trusts(_gateway: EmulatedProcess, origin: ResolvedOrigin): boolean {
+        return origin.kind === "known";
     }
 }
 
-function announcementOf(softwareVersion: string) {
-    const state = "ready" as const;
-    const stage = "decode" as const;
-    return {
-        id: softwareVersion,
-        service,
-        address: "",
-        failureDomain: "",
-        slots: 1,
-        state,
-        stage,
-        softwareVersion,
-        sequence: 1,
-    };
+/** Streams begin at any version, 0.1 s after most directories were told at the latest. */
+export class ReportedOrigins extends ProductWay {
+    override readonly name = "reported, 0.1 s awaited";
+
+    static create(world: World): ReportedOrigins {
+        return new ReportedOrigins(world);
+    }
+}
+
+/** No first event leaves before more than half of the directories know of the stream. */
+export class ReportRequired extends ProductWay {
+    override readonly name = "reported, required";
+
+    static create(world: World): ReportRequired {
+        return new ReportRequired(world);
+    }
+
+    override begin(gateway: EmulatedProcess, attempt: string, version: string): Promise<boolean> {
+        return this.processes.begin(gateway, attempt, version);
+    }
+}
+
+/** Streams begin only at versions that more than half of the directories know. */
+export class EstablishedOnly extends ProductWay {
+    override readonly name = "established versions";
+
+    static create(world: World): EstablishedOnly {
+        return new EstablishedOnly(world);
+    }
+
+    override chooseVersion(
+        gateway: EmulatedProcess,
+        attempt: string,
+        versions: readonly string[],
+    ): string | undefined {
+        const established = versions.filter(version => this.processes.isEstablished(gateway, version));
+        return super.chooseVersion(gateway, attempt, established);
+    }
+}
+
+/** The only version counts as a stream's if all directories are reached. */
+export class AllDirectories extends ProductWay {
+    override readonly name = "only version by all";
+
+    static create(world: World): AllDirectories {
+        return new AllDirectories(world);
+    }
+
+    protected override trusts(gateway: EmulatedProcess, origin: ResolvedOrigin): boolean {
+        const reachesAll = this.world.directories.every(directory => {
+            return directory.isRunning && this.world.splitFor(gateway, directory) === undefined;
+        });
+        return reachesAll || origin.kind !== "known" || origin.source !== "onlyVersion";
+    }
 }
 
 async function ask(
@@ -284,5 +249,8 @@
     AskGateways,
     AskLeader,
     FunctionOfAttempt,
-    AskDirectories,
+    ReportedOrigins,
+    ReportRequired,
+    EstablishedOnly,
+    AllDirectories,
 ];
--- a/simulation/versions/world.ts
+++ b/simulation/versions/world.ts
@@ -7,7 +7,7 @@
 import type { VersionDay } from "./day.js";
 
 /** An emulated process: a gateway or a directory. Its state is lost when it is killed. */
-export type EmulatedProcess = { readonly address: string; isRunning: boolean; isCut: boolean; lives: number; };
+export type EmulatedProcess = { readonly address: string; isRunning: boolean; lives: number; };
 
 /** Counts of what one way to know versions costs. */
 export type Costs = { messages: number; bytes: number; };
@@ -20,22 +20,27 @@
     readonly directories: readonly EmulatedProcess[];
     /** The directory that leads; undefined during an election. */
     leader: EmulatedProcess | undefined;
-    /** Software versions of the engines that are present. */
-    versions: readonly string[] = ["v1", "v2"];
     readonly costs: Costs = { messages: 0, bytes: 0 };
     private readonly network: MemoryNetwork;
+    /** Software versions of the engines that each process knows as present. */
+    private readonly served = new Map<EmulatedProcess, Set<string>>();
+    /** Processes on the other side of a split, and since when there is one. */
+    private otherSide: ReadonlySet<string> = new Set();
+    private splitSince = 0;
 
     private constructor(day: VersionDay, seed: number) {
         this.random = SeededRandomness.create(seed);
         this.network = MemoryNetwork.create(this.clock, this.random);
         const processes = (count: number, subnet: number): EmulatedProcess[] => {
             return Array.from({ length: count }, (_, number) => {
-                return { address: `10.0.${subnet}.${number}:7000`, isRunning: true, isCut: false, lives: 1 };
+                return { address: `10.0.${subnet}.${number}:7000`, isRunning: true, lives: 1 };
             });
         };
         this.directories = processes(day.directories, 0);
         this.gateways = processes(day.gateways, 1);
         this.leader = this.directories[0];
+        this.processes.forEach(process => this.served.set(process, new Set(day.versions)));
+        this.network.separate((from, to) => this.otherSide.has(from) !== this.otherSide.has(to));
     }
 
     static create(day: VersionDay, seed: number): World {
@@ -55,10 +60,42 @@
         return new CountedLink(link, this.costs);
     }
 
-    /** Cuts a gateway off from all other processes, or connects it again. */
-    setCut(process: EmulatedProcess, isCut: boolean): void {
-        process.isCut = isCut;
-        this.network.setIsolated(process.address, isCut);
+    /** Gateways and directories. */
+    get processes(): readonly EmulatedProcess[] {
+        return [...this.gateways, ...this.directories];
+    }
+
+    /** Splits these processes from the others, and ends any split before. */
+    split(processes: readonly EmulatedProcess[]): void {
+        this.otherSide = new Set(processes.map(({ address }) => address));
+        this.splitSince = this.now();
+    }
+
+    /** Ends a split. */
+    heal(): void {
+        this.otherSide = new Set();
+    }
+
+    /** Milliseconds for which two processes have been split from each other; undefined if they aren't. */
+    splitFor(one: EmulatedProcess, other: EmulatedProcess): number | undefined {
+        return this.otherSide.has(one.address) === this.otherSide.has(other.address)
+            ? undefined
+            : this.now() - this.splitSince;
+    }
+
+    /** Software versions of the engines that a process knows as present. */
+    versionsAt(process: EmulatedProcess): readonly string[] {
+        return [...this.served.get(process) ?? []];
+    }
+
+    /** Lets processes know an engine of a version. */
+    join(version: string, processes: readonly EmulatedProcess[]): void {
+        processes.forEach(process => this.served.get(process)!.add(version));
+    }
+
+    /** Lets processes know that the last engine of a version has left. */
+    leave(version: string, processes: readonly EmulatedProcess[]): void {
+        processes.forEach(process => this.served.get(process)!.delete(version));
     }
 
     /** A random one of these; undefined if there is none. */
