feat(gateway): the log of a stop names each request that it cuts, how far it was and who closed it

What operators saw: "the shutdown aborted requests in progress" with a number and placeholders, and a line for each of these requests that says its caller had gone. Neither tells a request that came late from one that waited or ran. Cause: a gateway counted responses, and took the close that it caused itself for its caller's. Whether a server may be running it is known from its first byte on, not from its answer on.

--- a/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
@@ -114,8 +114,11 @@
             result = await this.call(request, server, service, metadata, signal, sends <= maxPreventedSends);
         } while (wasPrevented(result));
         const sent = isAnswer(result) ? this.classify(request, server, result) : failureResult(result);
-        if (sent.kind !== "notRun" && metadata.prefillOnly !== true) {
-            request.recordRun();
+        if (metadata.prefillOnly !== true) {
+            if (sent.kind !== "notRun") {
+                request.recordRun();
+            }
+            request.setBeingRun(false);
         }
         return { ...sent, via: result.via };
     }
@@ -173,7 +176,12 @@
                 signal,
                 maySend: () => {
                     stopListening();
-                    return instances.acceptsWork(server.id) && !(mayBePrevented && loop.hasLaggedSince(readyAt));
+                    const maySend = instances.acceptsWork(server.id)
+                        && !(mayBePrevented && loop.hasLaggedSince(readyAt));
+                    if (maySend && metadata.prefillOnly !== true) {
+                        request.setBeingRun(true);
+                    }
+                    return maySend;
                 },
                 waitEnd: waitEnd.signal,
             },
--- a/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
@@ -29,6 +29,19 @@
     | "brokenOff"
     | "callerGone";
 
+/** How far a request is, for logs and metrics. */
+export type RequestPhase =
+    /** Its body is being read. */
+    | "reading"
+    /** It waits, or a prefill runs, and no backend server has run it. */
+    | "waiting"
+    /** A backend server may run it or have run it, and nothing of an answer has been sent. */
+    | "running"
+    /** Its answer has begun. */
+    | "answering"
+    /** Its caller's connection hasn't taken the whole answer yet. */
+    | "delivering";
+
 /** How a request was charged to its organisation's allowance, for logs. */
 export type RecordedCharge = {
     /** In the allowance's unit. */
@@ -53,6 +66,7 @@
     private cachedDigest: string | undefined;
     private cachedPromptParts: readonly string[] | undefined;
     private hasReachedServer = false;
+    private isBeingRun = false;
     private stream: StreamedAnswer | undefined;
 
     private constructor(
@@ -159,9 +173,14 @@
         this.hasReachedServer = true;
     }
 
-    /** Whether a backend server may have run it. */
+    /** Records that it is being sent to a backend server to be run, and whether it still may be running there. */
+    setBeingRun(beingRun: boolean): void {
+        this.isBeingRun = beingRun;
+    }
+
+    /** Whether a backend server may have run it, or may run it now. */
     mayHaveRun(): boolean {
-        return this.hasReachedServer;
+        return this.hasReachedServer || this.isBeingRun;
     }
 
     /** Whether its answer has begun. */
@@ -169,6 +188,17 @@
         return this.stream !== undefined || this.response.headersSent;
     }
 
+    /** How far it is. */
+    phase(): RequestPhase {
+        if (this.endState !== undefined) {
+            return "delivering";
+        }
+        if (this.hasAnswerBegun()) {
+            return "answering";
+        }
+        return this.mayHaveRun() ? "running" : "waiting";
+    }
+
     /** The caller's headers as forwarded to a backend server, without those that only this system sets. */
     headers(reserved: ReadonlySet<string>): string[] {
         return endToEndHeaders(this.incoming.rawHeaders, reserved);
@@ -273,6 +303,11 @@
         this.end("invalid", cause);
     }
 
+    /** Records that its gateway ends before its answer does. */
+    recordCut(): void {
+        this.end(this.hasAnswerBegun() ? "brokenOff" : "failed", "the gateway shut down");
+    }
+
     private sendOwnAnswer(status: number, cause: string, headers: Record<string, string>): void {
         if (!this.isDisconnected()) {
             writeOwnAnswer(this.response, status, cause, headers);
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -28,6 +28,7 @@
 import { headerBytes } from "./headers.js";
 import { logRequest } from "./logRequest.js";
 import { LoopMonitor } from "./loopMonitor.js";
+import { type CutRequest, logCuts, OpenRequests } from "./openRequests.js";
 import { PlacementClient } from "./placementClient.js";
 import { serveReadiness } from "./readinessServer.js";
 import { refuseOverdue } from "./refuseOverdue.js";
@@ -70,6 +71,7 @@
     private readonly exchangeOptions: ExchangeOptions;
     private readonly streamVersions: StreamVersions;
     private readonly loop: LoopMonitor;
+    private readonly openRequests = OpenRequests.create();
     private callerServer!: CallerServer;
     private shuttingDown = false;
 
@@ -209,22 +211,23 @@
 
     /**
      * Shuts down: reports not ready, continues to serve until the balancer has noticed, closes callers' connections after
-     * their next response, and ends once no request is open or the shutdown time is up. Returns the number of requests
-     * that were cut off.
+     * their next response, and ends once no request is open or the shutdown time is up. Returns the requests that were
+     * cut off.
      */
-    async close(): Promise<number> {
-        const { clock, settings, logger } = this.options;
+    async close(): Promise<readonly CutRequest[]> {
+        const { clock, settings } = this.options;
         const startedAt = clock.monotonic();
         const deadline = startedAt + settings.shutdownTime - shutdownMarginMilliseconds;
         this.shuttingDown = true;
         this.relaying.beginShutdown();
         this.callerServer.closeAfterResponses();
         await closeGradually(this.callerServer, this.relaying, deadline, clock);
-        const unfinishedRequests = this.callerServer.openRequests();
-        logger.info("closing", { cut: unfinishedRequests, after: Math.round(clock.monotonic() - startedAt) });
+        const cut = this.openRequests.list(clock.monotonic());
+        logCuts(this.options, cut, clock.monotonic() - startedAt);
+        this.openRequests.recordCuts();
         this.callerServer.closeAll();
         await this.store.dispose();
-        return unfinishedRequests;
+        return cut;
     }
 
     /** Whether the balancer should send new requests here. */
@@ -279,7 +282,9 @@
     private async receive(incoming: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         const { clock, logger } = this.options;
         try {
-            await this.serve(incoming, response, clock.monotonic());
+            const readAt = clock.monotonic();
+            this.openRequests.add(response, this.options.wire.parseCaller(incoming.headers).attempt ?? "", readAt);
+            await this.serve(incoming, response, readAt);
         }
         catch (error) {
             logger.error("a request failed by a fault of this daemon", { error, target: incoming.url });
@@ -342,6 +347,7 @@
             unreadFor: readAt - arrivedAt,
             now: () => clock.monotonic(),
         });
+        this.openRequests.recordWhole(response, request);
         await this.answer(request, table, route);
     }
 
--- a/packages/basilpaddle/src/node/daemon/start/routingStart.ts
+++ b/packages/basilpaddle/src/node/daemon/start/routingStart.ts
@@ -81,13 +81,13 @@
     /** Opens the daemon itself; resolves with its copy of the quarantined requests. */
     protected abstract openDaemon(seeds: () => readonly string[]): Promise<QuarantinedRequests>;
 
-    /** Shuts the daemon down gracefully; resolves with the number of requests that were aborted. */
-    protected abstract closeDaemon(): Promise<number>;
+    /** Shuts the daemon down gracefully; resolves with the identifiers of the requests that were aborted. */
+    protected abstract closeDaemon(): Promise<readonly string[]>;
 
     private async shutDown(): Promise<ShutdownReport> {
-        const abortedCount = await this.closeDaemon();
+        const abortedRequests = await this.closeDaemon();
         await this.store.dispose();
-        return { abortedRequests: new Array<string>(abortedCount).fill("request") };
+        return { abortedRequests };
     }
 }
 
@@ -111,8 +111,9 @@
         return daemon.quarantinedRequests;
     }
 
-    protected override async closeDaemon(): Promise<number> {
-        return await this.daemon?.close() ?? 0;
+    protected override async closeDaemon(): Promise<readonly string[]> {
+        const cut = await this.daemon?.close() ?? [];
+        return cut.map(({ request }) => request);
     }
 }
 
@@ -137,8 +138,8 @@
         return daemon.quarantinedRequests;
     }
 
-    protected override async closeDaemon(): Promise<number> {
+    protected override async closeDaemon(): Promise<readonly string[]> {
         await this.daemon?.close();
-        return 0;
+        return [];
     }
 }
--- a/packages/basilpaddle/src/node/daemon/start/runningDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/start/runningDaemon.ts
@@ -1,6 +1,6 @@
 /** Outcome of a shutdown. */
 export type ShutdownReport = {
-    /** Identifiers of the aborted requests. A gateway knows only their number, and lists one placeholder for each. */
+    /** Identifiers of the aborted requests. */
     readonly abortedRequests: readonly string[];
 };
 
