--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -32,6 +32,7 @@
 import { PlacementClient } from "./placementClient.js";
 import { serveReadiness } from "./readinessServer.js";
 import { refuseOverdue } from "./refuseOverdue.js";
+import { refuseUnrouted } from "./refuseUnrouted.js";
 import { Relaying } from "./relaying.js";
 import { RetryAllowance } from "./retryAllowance.js";
 import { ServiceExchange } from "./serviceExchange.js";
@@ -308,28 +309,34 @@
         const table = this.routes.table() ?? await this.routes.waitForFirst(deadlineWithin);
         if (table === undefined) {
             const retryHeaders = { "Retry-After": String(unconfiguredRetryAfterSeconds) };
-            this.refuseRequest(incoming, response, 503, "no configuration received yet", retryHeaders);
+            refuseUnrouted(this.options, incoming, response, 503, "no configuration received yet", retryHeaders);
             return;
         }
         const limits = this.callerServer.currentLimits();
         if (headerBytes(incoming.rawHeaders, incoming.method ?? "", incoming.url ?? "") > limits.headerBytes) {
-            this.refuseRequest(incoming, response, 431, `the header is larger than ${limits.headerBytes} bytes`);
+            refuseUnrouted(
+                this.options,
+                incoming,
+                response,
+                431,
+                `the header is larger than ${limits.headerBytes} bytes`,
+            );
             return;
         }
         const route = table.match(incoming.headers.host ?? "", incoming.url ?? "");
         if (route === undefined) {
-            this.refuseRequest(incoming, response, 404, "no route matches the request");
+            refuseUnrouted(this.options, incoming, response, 404, "no route matches the request");
             return;
         }
         const identity = table.identify(route, wire.parseCredentials(incoming.headersDistinct));
         if (identity === undefined) {
-            this.refuseRequest(incoming, response, 401, "no valid key", wire.challenge);
+            refuseUnrouted(this.options, incoming, response, 401, "no valid key", wire.challenge);
             return;
         }
         const metadata = wire.parseCaller(incoming.headers);
         const body = await readBody(incoming, limits);
         if (body === "tooLarge") {
-            this.refuseRequest(incoming, response, 413, `the body is larger than ${limits.bodyBytes} bytes`);
+            refuseUnrouted(this.options, incoming, response, 413, `the body is larger than ${limits.bodyBytes} bytes`);
             return;
         }
         if (body === undefined) {
@@ -379,25 +386,4 @@
         await exchange.run();
         return exchange.trace();
     }
-
-    /** Answers a request that can't be routed with an error, and discards the rest of its body. */
-    private refuseRequest(
-        incoming: http.IncomingMessage,
-        response: http.ServerResponse,
-        status: number,
-        cause: string,
-        headers: Readonly<Record<string, string>> = {},
-    ): void {
-        const { logger, metrics, wire } = this.options;
-        const request = wire.parseCaller(incoming.headers).attempt;
-        metrics.count("basilpaddle_requests_turned_away_total", { status: String(status) });
-        logger.info("request turned away", { request, target: incoming.url, status, cause });
-        incoming.resume();
-        writeOwnAnswer(
-            response,
-            status,
-            cause,
-            status === 413 || status === 431 ? { ...headers, Connection: "close" } : headers,
-        );
-    }
 }
