fix(gateway): a stop leaves answers alone that are whole, and waits until their callers have taken them

What callers saw: part of a whole answer, or none of a refusal. At the end of the grace period, an answer that its caller hadn't taken yet was broken off at once, although the gateway then waits 200 ms for just that; and from the signal on, a refused request whose answer hadn't been taken 50 ms later. Cause: GracePeriod asked whether a server had been sent the request, and not whether it had ended. CallerRequest.endEarly of an ended request finds that its head was sent, and breaks the answer off. Evidence: "leaves a request alone that has been answered" in gracePeriod.spec.ts failed on the code before. Why it works: a request with an outcome is neither refused nor ended; closeAll breaks off what is left after the 200 ms, as before. Measured: gracePeriod.spec.ts passes.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/gracePeriod.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/gracePeriod.spec.ts
@@ -68,4 +68,18 @@
         expect(waiting.outcome()).to.include({ end: "refused" });
         expect(waiting.isDisconnected()).to.equal(true);
     });
+
+    // Guards against answers that are whole, and that the stop breaks off since their callers haven't taken them yet.
+    it("leaves a request alone that has been answered", async () => {
+        const refused = createRequest({ timeout: 10_000 });
+        refused.refuse(10, "no room");
+        const answered = createRequest({ timeout: 10_000 });
+        answered.recordSend(true);
+        answered.sendAnswer({ status: 200, rawHeaders: [], framed: true }, Buffer.from("whole"));
+        grace.begin(graceMilliseconds);
+        await clock.advance(graceMilliseconds);
+        expect(grace.refuse(refused)).to.equal(false);
+        [refused, answered].forEach(request => grace.end(request));
+        expect([refused, answered].map(request => request.isDisconnected())).to.deep.equal([false, false]);
+    });
 });
--- a/packages/basilpaddle/src/node/daemon/gateway/gracePeriod.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gracePeriod.ts
@@ -55,7 +55,7 @@
      */
     refuse(request: CallerRequest): boolean {
         if (
-            !this.hasBegun() || request.hasBeenSent()
+            !this.hasBegun() || request.outcome() !== undefined || request.hasBeenSent()
             || this.timeNeeded(request) <= this.endsAt - this.clock.monotonic()
         ) {
             return false;
@@ -64,9 +64,11 @@
         return true;
     }
 
-    /** Ends a request at the end of the period. */
+    /** Ends a request at the end of the period, unless it has been answered: then only its caller's connection has to take the answer. */
     end(request: CallerRequest): void {
-        request.endEarly(retryAfterOf(request), hasEnded);
+        if (request.outcome() === undefined) {
+            request.endEarly(retryAfterOf(request), hasEnded);
+        }
     }
 
     /** Milliseconds that a request must be given: its own limit at most. */
