fix(gateway): a stop closes a connection after the last request that was read on it

What callers saw: no answer to a request that a stopping gateway had read whole and passed on, on a connection on which it was sent before the answer to the one before. Cause: from the signal on, every open response closed its connection, also one that other requests wait behind, so that their answers had no connection any more. Why it works: only the last response of each connection closes it; one that is added takes that over from those whose head hasn't been sent. Open: a request that comes behind an answer whose head already said that its connection closes is still passed on. Its caller was told.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/callerServer.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/callerServer.spec.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { once } from "node:events";
+import type { ServerResponse } from "node:http";
 import * as net from "node:net";
 import { createSilentLogger } from "../../../utils/index.js";
 import { sendLate } from "../../__tests__/lateRequest.js";
@@ -66,4 +67,33 @@
         const [error] = await once(socket, "error") as [NodeJS.ErrnoException];
         expect(error.code).to.equal("ECONNRESET");
     });
+
+    // Guards against a request that was taken, and whose connection the answer to the one before it closes.
+    it("answers each request that was read on a connection before it closes that", async () => {
+        const responses: ServerResponse[] = [];
+        const server = await CallerServer.create({
+            address: { host: "127.0.0.1", port: 0 },
+            handler: (_incoming, response) => responses.push(response),
+            logger: createSilentLogger(),
+        });
+        const socket = net.connect(server.port(), "127.0.0.1");
+        const received: Buffer[] = [];
+        socket.on("data", (chunk: Buffer) => received.push(chunk));
+        const send = async (requests: number): Promise<void> => {
+            const before = responses.length;
+            socket.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".repeat(requests));
+            while (responses.length < before + requests) {
+                await new Promise(resolve => setImmediate(resolve));
+            }
+        };
+        await send(2);
+        server.closeAfterResponses();
+        await send(1);
+        responses.forEach(response => response.end("x"));
+        await once(socket, "close");
+        const text = Buffer.concat(received).toString();
+        expect(text.match(/HTTP\/1\.1 200 /g)).to.have.length(3);
+        expect(text.match(/Connection: close/g)).to.have.length(1);
+        server.closeAll();
+    });
 });
--- a/packages/basilpaddle/src/node/daemon/gateway/callerServer.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerServer.ts
@@ -89,14 +89,13 @@
         return this.openResponses.size;
     }
 
-    /** Closes each connection after its next response, which says so in its headers, also if its request came before. */
+    /**
+     * Closes each connection after the response to the last request that was read on it, which says so in its headers, also if its
+     * request came before.
+     */
     closeAfterResponses(): void {
         this.closing = true;
-        this.openResponses.forEach(response => {
-            if (!response.headersSent) {
-                response.shouldKeepAlive = false;
-            }
-        });
+        this.openResponses.forEach(response => this.closeAfter(response));
     }
 
     /** Stops accepting connections. */
@@ -116,6 +115,15 @@
         this.server.closeAllConnections();
     }
 
+    /** Closes a connection after this response, and not after those to requests that were read before on it. */
+    private closeAfter(last: http.ServerResponse): void {
+        this.openResponses.forEach(response => {
+            if (response.req.socket === last.req.socket && !response.headersSent) {
+                response.shouldKeepAlive = response !== last;
+            }
+        });
+    }
+
     private receive(incoming: http.IncomingMessage, response: http.ServerResponse): void {
         if (this.rejectedSockets.has(incoming.socket)) {
             incoming.socket.destroy();
@@ -128,7 +136,7 @@
         response.on("error", error => this.options.logger.debug("writing a response failed", { cause: error.message }));
         response.sendDate = false;
         if (this.closing) {
-            response.shouldKeepAlive = false;
+            this.closeAfter(response);
         }
         this.options.handler(incoming, response);
     }
