fix(gateway): a request that was refused while it waited for a connection isn't taken for one that ran

What callers saw: their organisation's allowance was charged for requests that a stop (or their own end) ended before the first byte to a server; at a stop these are answered 503, not run. Cause: a call that is aborted while it waits for a connection fails like one that was broken, so that the sender recorded a run after the refusal, and AllowanceAdmission returned nothing. Evidence: "knows that a request ended before its first byte hasn't run" in backendSender.spec.ts failed on the code before (mayHaveRun was true). Why it works: the sender is asked before the first byte of every call, so that a failed call of which none was written can't have run.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/backendSender.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/backendSender.spec.ts
@@ -133,6 +133,25 @@
         }
     });
 
+    // Guards against a charge for a request that was refused while it waited for a connection.
+    it("knows that a request ended before its first byte hasn't run", async () => {
+        const holder = new AbortController();
+        const { signal } = holder;
+        const held = { server: target, method: "GET", path: "/held", headers: [], body: undefined, signal };
+        const holding = Array.from({ length: 9 }, () => connections.call(held, 10, 1));
+        await until("all connections are taken", async () => received.match(/^GET/gm)?.length === 9);
+        const request = createRequest({});
+        const sent = BackendSender.create(options).send(request, target, service, {}, request.disconnected.signal);
+        await new Promise(resolve => setTimeout(resolve, 20));
+        request.endEarly(10, "the gateway shut down");
+        holder.abort();
+        await sent;
+        expect(request.outcome()).to.include({ end: "refused" });
+        expect(request.mayHaveRun()).to.equal(false);
+        expect(received).not.to.contain("GET /a");
+        await Promise.all(holding);
+    });
+
     it("sends nothing if the time was over when the event loop had lagged", async () => {
         blockEventLoop(300);
         expect(await send(createRequest({ timeout: 1_000 }, undefined, 1_000))).to.include({
--- a/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
@@ -121,7 +121,8 @@
         } while (wasPrevented(result));
         const sent = isAnswer(result) ? this.classify(request, server, result) : failureResult(result);
         if (metadata.prefillOnly !== true) {
-            if (sent.kind !== "notRun") {
+            // A call that failed before its first byte can't have run, also if it ended with its request.
+            if (sent.kind === "answer" || sent.kind === "unknown" && request.mayHaveRun()) {
                 request.recordRun();
             }
             request.recordSendEnd();
