fix(gateway): a relay that shuts down tells the gateways that send calls through it

What callers saw: a request of a partitioned gateway, sent after its relay had got SIGTERM, was passed on over a tunnel that was open from earlier calls, and reset at the end of the relay's grace period.

Cause: a stopping relay refuses new tunnels, but a gateway learns that only when it opens one. Over a tunnel that its pool keeps, calls went on; the relay closes only tunnels that are quiet for 0.6 s, and from 2.8 s on.

The server of the test keeps its connections, as servers do.

Change: a gateway whose call was answered through a relay keeps one connection to it, on which the relay tells that it shuts down. The gateway then closes its idle tunnels there itself, so that no close can meet a request on its way, sends no new call through them, and goes on reading the answers of calls in progress.

--- a/packages/basilpaddle/src/node/daemon/gateway/relayServer.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/relayServer.ts
@@ -10,6 +10,8 @@
 
 /** Limit of open tunnels: two connections each, of the few thousand that a gateway may have. */
 const maxTunnels = 500;
+/** Limit of gateways that get a notice: one connection each. */
+const maxNotices = 500;
 /** Time for a new connection to send its request. */
 const requestTimeoutMilliseconds = 1_000;
 
@@ -31,6 +33,8 @@
 export class RelayServer {
     private readonly sockets = new Set<net.Socket>();
     private readonly tunnels = new Set<Tunnel>();
+    /** Connections of gateways that are told when this one begins to shut down. */
+    private readonly noticed = new Set<net.Socket>();
     /** Number of open tunnels, and of those that are being opened. */
     private tunnelCount = 0;
     private closing = false;
@@ -54,9 +58,10 @@
         return (this.server.address() as net.AddressInfo).port;
     }
 
-    /** Opens no more tunnels. */
+    /** Opens no more tunnels, and tells the gateways that have some, so that they send no new calls over them. */
     closeForNewTunnels(): void {
         this.closing = true;
+        this.noticed.forEach(socket => socket.end(closingFrame()));
     }
 
     /** Closes tunnels over which no call is in progress; returns the number of the others. */
@@ -84,6 +89,10 @@
             socket.destroy();
             return;
         }
+        if ("kind" in request.data) {
+            this.acceptNotice(socket);
+            return;
+        }
         const opened = await this.openTunnel(request.data.server, socket);
         this.options.metrics.count("basilpaddle_tunnels_total", { outcome: opened });
         if (opened !== "open") {
@@ -92,6 +101,21 @@
         }
     }
 
+    private acceptNotice(socket: net.Socket): void {
+        if (this.closing) {
+            socket.end(closingFrame());
+        }
+        else if (this.noticed.size >= maxNotices) {
+            socket.end(encodeFrame({ kind: "failed", reason: "full" } satisfies TunnelReply));
+        }
+        else {
+            this.noticed.add(socket);
+            socket.once("close", () => this.noticed.delete(socket));
+            socket.resume();
+            socket.write(encodeFrame({ kind: "open" } satisfies TunnelReply));
+        }
+    }
+
     private join(socket: net.Socket, upstream: net.Socket): void {
         if (socket.destroyed) {
             upstream.destroy();
@@ -143,3 +167,7 @@
         }
     }
 }
+
+function closingFrame(): Buffer {
+    return encodeFrame({ kind: "failed", reason: "closing" } satisfies TunnelReply);
+}
--- a/packages/basilpaddle/src/node/daemon/gateway/serverPaths.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serverPaths.ts
@@ -10,6 +10,7 @@
     DirectOpener,
     isAnswer,
 } from "../backends/index.js";
+import { RelayNotice } from "./relayNotice.js";
 import { type PathFailure, ServerPath } from "./serverPath.js";
 import { TunnelOpener } from "./tunnelOpener.js";
 
@@ -44,6 +45,7 @@
 export class ServerPaths extends BackendCaller {
     readonly direct: ServerPath;
     private readonly relayed = new Map<string, ServerPath>();
+    private readonly notices = new Map<string, RelayNotice>();
     /** Until when no relay is asked. */
     private noRelayUntil = 0;
 
@@ -133,6 +135,7 @@
     }
 
     async close(): Promise<void> {
+        this.notices.forEach(notice => notice.close());
         await Promise.all([this.direct, ...this.relayed.values()].map(path => path.close()));
     }
 
@@ -158,6 +161,8 @@
         });
         if (isAnswer(result)) {
             result.body.once("close", ended);
+            // From now on calls may go over an open tunnel, so that no reply tells that the relay shuts down.
+            this.noticeOf(relay).request();
         }
         else {
             ended();
@@ -165,6 +170,17 @@
         return result;
     }
 
+    private noticeOf(relay: Relay): RelayNotice {
+        const notice = this.notices.get(relay.address) ?? RelayNotice.create({
+            relay,
+            localAddress: this.options.localAddress,
+            onClosing: () => this.dropPath(relay, "it shuts down"),
+            clock: this.options.clock,
+        });
+        this.notices.set(relay.address, notice);
+        return notice;
+    }
+
     private pathBy(relay: Relay): ServerPath {
         const known = this.relayed.get(relay.address);
         if (known !== undefined) {
@@ -181,16 +197,21 @@
         return path;
     }
 
-    /** Drops the path through a relay that opens no tunnel any more; calls in progress can finish, since it may still forward them. */
     private relayChanged(relay: Relay, path: ServerPath, state: PathState): void {
-        if (state === "failed") {
-            this.options.relays()?.avoid(relay, "it reaches no backend server");
-            this.relayed.delete(relay.address);
-            path.connections.closeAllConnections();
-            void path.close();
+        if (state === "failed" && this.relayed.get(relay.address) === path) {
+            this.dropPath(relay, "it reaches no backend server");
         }
     }
 
+    /** Drops the path through a relay that opens no tunnel any more; calls in progress can finish, since it may still forward them. */
+    private dropPath(relay: Relay, cause: string): void {
+        this.options.relays()?.avoid(relay, cause);
+        const path = this.relayed.get(relay.address);
+        this.relayed.delete(relay.address);
+        path?.connections.closeAllConnections();
+        void path?.close();
+    }
+
     private directChanged(state: PathState): void {
         if (state === "sound") {
             // Connections that were open when the path failed may be dead without having been reset.
--- a/packages/basilpaddle/src/node/protocol/relay.ts
+++ b/packages/basilpaddle/src/node/protocol/relay.ts
@@ -20,10 +20,16 @@
 /** Reply to a registration: relays for this gateway, those in its failure domain first. */
 export const relayListSchema = z.object({ relays: z.array(relaySchema) });
 
-/** First frame on a connection to a relay: asks for a tunnel to a backend server's incarnation. */
-export const tunnelRequestSchema = z.object({ server: identifierSchema });
+/**
+ * First frame on a connection to a relay: asks for a tunnel to a backend server's incarnation, or for a notice when the relay
+ * begins to shut down, which is a reply `closing` on a connection that stays open until then.
+ */
+export const tunnelRequestSchema = z.union([
+    z.object({ server: identifierSchema }),
+    z.object({ kind: z.literal("notice") }),
+]);
 
-/** Reply of a relay; after `open`, bytes are forwarded in both directions. */
+/** Reply of a relay; after `open`, the bytes of a tunnel are forwarded in both directions. */
 export const tunnelReplySchema = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("open") }),
     z.object({
@@ -42,5 +48,7 @@
 export type RelayRegistration = z.infer<typeof relayRegistrationSchema>;
 /** Relays for one gateway. */
 export type RelayList = z.infer<typeof relayListSchema>;
-/** Reply of a relay to the request for a tunnel. */
+/** First frame on a connection to a relay. */
+export type TunnelRequest = z.infer<typeof tunnelRequestSchema>;
+/** Reply of a relay to the request for a tunnel or a notice. */
 export type TunnelReply = z.infer<typeof tunnelReplySchema>;
