fix(directory): a directory that stops answers the calls it has read, and carries out none that it can't answer

What operators and backend servers saw: a configuration, a leave call or a heartbeat that a directory was carrying out when it got SIGTERM was applied, and its connection was reset without an answer. A call of which a part had arrived was reset too, so that its caller couldn't tell that nothing had been done.

Cause: the server for calls is the first thing that a directory closes, and closed every connection at once. The group, the disk and the peers, with which the call would have ended, close after it.

Change: the server stops listening; calls whose bodies aren't whole are refused (503, not carried out); those that are being carried out get a second, which is what their callers wait, and are then told that the outcome isn't known. Answers close their connections. It does so before the directory stops leading, while the group still commits.

--- a/packages/basilpaddle/src/node/daemon/directory/callServer.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/callServer.ts
@@ -12,6 +12,12 @@
 const receiveTimeoutMilliseconds = 10_000;
 /** How long an idle connection stays open: several heartbeat intervals. */
 const keepAliveTimeoutMilliseconds = 15_000;
+/** Time for the calls in progress when the server closes: their callers wait no longer. */
+const closeTimeoutMilliseconds = 1_000;
+
+/** Reasons that a server gives while it closes. */
+const notCarriedOut = "the directory shuts down; the call wasn't carried out";
+const outcomeUnknown = "the directory shuts down; the outcome of the call isn't known";
 
 /** Result of a call, before it is written as an HTTP response. */
 export type CallResponse =
@@ -31,6 +37,10 @@
 /** HTTP server for the calls of backend servers and operators. */
 export class CallServer {
     private readonly store = DisposableStore.create();
+    /** Calls without an answer yet; `handled`: their bodies are whole, and they may have been carried out. */
+    private readonly openCalls = new Map<http.ServerResponse, "receiving" | "handled">();
+    private closing = false;
+    private onCallsEnded = (): void => undefined;
 
     private constructor(
         private readonly handler: CallHandler,
@@ -55,25 +65,68 @@
             server.once("error", reject);
             server.listen(options.address.port, options.address.host, resolve);
         });
-        callServer.store.add(() => {
+        callServer.store.add(async () => {
             server.close();
+            await callServer.endCalls();
             server.closeAllConnections();
         });
         return callServer;
     }
 
-    /** Stops listening and closes every connection, active ones included. */
+    /**
+     * Stops listening, refuses calls that haven't been received whole, and waits a second at most for those that are being
+     * carried out. Every call gets an answer before its connection closes.
+     */
     close(): Promise<void> {
         return this.store.dispose();
     }
 
+    private async endCalls(): Promise<void> {
+        this.closing = true;
+        this.refuseCalls("receiving", notCarriedOut);
+        if (this.openCalls.size > 0) {
+            let timer: NodeJS.Timeout | undefined;
+            await new Promise<void>(resolve => {
+                this.onCallsEnded = resolve;
+                timer = setTimeout(resolve, closeTimeoutMilliseconds);
+            });
+            clearTimeout(timer);
+        }
+        this.refuseCalls("receiving", notCarriedOut);
+        this.refuseCalls("handled", outcomeUnknown);
+        // The answers are written to their connections.
+        await new Promise(setImmediate);
+    }
+
+    private refuseCalls(progress: "receiving" | "handled", reason: string): void {
+        const refused = [...this.openCalls].filter(([, state]) => state === progress).map(([response]) => response);
+        if (refused.length > 0) {
+            this.logger.warn("refused calls because of the shutdown", { calls: refused.length, reason });
+        }
+        refused.forEach(response => this.reply(response, { kind: "unavailable", reason }));
+    }
+
+    private endCall(response: http.ServerResponse): void {
+        this.openCalls.delete(response);
+        if (this.openCalls.size === 0) {
+            this.onCallsEnded();
+        }
+    }
+
     private async receive(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         request.on("error", error => this.logger.debug("reading a request failed", { error: error.message }));
         response.on("error", error => this.logger.debug("writing a response failed", { error: error.message }));
+        this.openCalls.set(response, "receiving");
+        response.once("close", () => this.endCall(response));
         const path = (request.url ?? "").split("?", 1)[0]!;
         try {
             const call = this.wire.parseCall(request.method ?? "", path);
             const body = await readBody(request, call.kind === "storeConfiguration" ? maxDocumentBytes : maxCallBytes);
+            if (this.closing) {
+                this.reply(response, { kind: "unavailable", reason: notCarriedOut });
+                return;
+            }
+            this.openCalls.set(response, "handled");
             if (typeof body === "string") {
                 this.reply(response, await this.handler.handle(call, body));
                 return;
@@ -85,6 +138,10 @@
             this.reply(response, { kind: "invalid", findings: [body] });
         }
         catch (error) {
+            if (this.closing && response.headersSent) {
+                this.logger.debug("the rest of a refused call isn't read", { path });
+                return;
+            }
             this.logger.error("handling a request failed", { method: request.method, path, error });
             this.reply(response, { kind: "unavailable", reason: "internal error while handling the call" });
         }
@@ -94,6 +151,7 @@
         if (response.headersSent || response.destroyed) {
             return;
         }
+        response.shouldKeepAlive &&= !this.closing;
         const [status, body] = this.statusAndBody(outcome);
         const bytes = Buffer.from(body);
         response.writeHead(status, { "Content-Type": "application/json", "Content-Length": bytes.length });
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -56,6 +56,7 @@
     private readonly streams: StreamRegistry;
     /** Defined while this directory leads. */
     private leading: LeaderServices | undefined;
+    private calls: CallServer | undefined;
 
     private constructor(
         private readonly options: DirectoryDaemonOptions,
@@ -156,8 +157,9 @@
         return daemon;
     }
 
-    /** Transfers leadership if this directory leads, and stops. */
+    /** Answers the calls in progress, transfers leadership if this directory leads, and stops. */
     async close(): Promise<void> {
+        await this.calls?.close();
         this.stopLeading();
         await this.store.dispose();
     }
@@ -216,8 +218,8 @@
         if (this.group.replicaStatus()?.leading === true) {
             this.startLeading();
         }
-        const calls = await CallServer.create({ address: settings.calls, handler: this, wire, logger });
-        this.store.add(() => calls.close());
+        this.calls = await CallServer.create({ address: settings.calls, handler: this, wire, logger });
+        this.store.add(() => this.calls?.close());
         this.schedulePeriodicChecks();
         logger.info("serving", { calls: settings.calls, peers: this.name });
     }
