fix(operators): a control or entry daemon that stops answers the operators' requests in progress

What operators saw: a change that was being applied when the daemon stopped was accepted by the group, and its connection was closed without an answer.

Cause: the operators' server closed every connection at once. A request that it had read was cut in the middle.

Change: the server stops listening, waits a second at most for the requests in progress, carries out no change that is whole only then, and answers the rest: not carried out (503), or that the outcome isn't known (504).

No run of a whole control daemon shows this path.

--- a/packages/basilpaddle/src/node/daemon/operators/__tests__/operatorServer.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/operators/__tests__/operatorServer.spec.ts
@@ -55,6 +55,51 @@
         return `http://127.0.0.1:${server.port()}`;
     }
 
+    // Guards against a change that is applied while its operator's connection is closed without an answer.
+    it("answers a change that is being applied while it closes", async () => {
+        let release!: () => void;
+        const released = new Promise<void>(resolve => {
+            release = resolve;
+        });
+        let started!: () => void;
+        const hasStarted = new Promise<void>(resolve => {
+            started = resolve;
+        });
+        const url = await serve({
+            name: "c1",
+            send: async () => {
+                started();
+                await released;
+                return Right({ kind: "operator", leading: true, answer: accepted });
+            },
+        });
+        const posted = post(`${url}/operator/v1/config`, change);
+        await hasStarted;
+        const closed = server!.close();
+        release();
+        expect(await posted).to.deep.include({ status: 200, answer: accepted });
+        await closed;
+    });
+
+    // Guards against an operator who can't tell whether a change was applied, and a shutdown that waits for it.
+    it("says that the outcome of a change isn't known if it takes too long while it closes", async () => {
+        let started!: () => void;
+        const hasStarted = new Promise<void>(resolve => {
+            started = resolve;
+        });
+        const url = await serve({
+            name: "c1",
+            send: () => {
+                started();
+                return new Promise(() => undefined);
+            },
+        });
+        const posted = post(`${url}/operator/v1/config`, change);
+        await hasStarted;
+        await server!.close();
+        expect(await posted).to.have.nested.include({ "status": 504, "answer.code": "undecided" });
+    });
+
     async function post(url: string, body: unknown): Promise<{ status: number; answer: OperatorAnswer; }> {
         const response = await fetch(url, {
             method: "POST",
--- a/packages/basilpaddle/src/node/daemon/operators/operatorServer.ts
+++ b/packages/basilpaddle/src/node/daemon/operators/operatorServer.ts
@@ -15,6 +15,8 @@
 const maxTimeoutMilliseconds = 120_000;
 /** Time within which an operator's request must be received completely. */
 const requestTimeoutMilliseconds = 30_000;
+/** Time for the requests in progress when the server closes. */
+const closeTimeoutMilliseconds = 1_000;
 const pathPrefix = "/operator/v1/";
 
 /** Options of an operators' server. */
@@ -43,6 +45,10 @@
 
 /** HTTP interface of a daemon for operators and for the platform's load balancer. */
 export class OperatorServer {
+    private readonly unanswered = new Map<http.ServerResponse, http.IncomingMessage>();
+    private closing = false;
+    private onAllAnswered = (): void => undefined;
+
     private constructor(private readonly server: http.Server, private readonly options: OperatorServerOptions) {
         server.on("request", (request: http.IncomingMessage, response: http.ServerResponse) => {
             void this.serve(request, response);
@@ -68,14 +74,42 @@
         return (this.server.address() as AddressInfo).port;
     }
 
-    /** Stops listening and closes all connections. */
+    /** Stops listening, waits a second at most for the requests in progress, and answers them all before it closes their connections. */
     async close(): Promise<void> {
+        this.closing = true;
         const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
+        await this.waitForAnswers();
+        this.unanswered.forEach((request, response) => {
+            const reply = request.complete
+                ? failure(504, "undecided", "the daemon shuts down; the outcome isn't known")
+                : shuttingDown;
+            this.write(request, response, reply);
+        });
+        // The answers are written to their connections.
+        await new Promise(setImmediate);
         this.server.closeAllConnections();
         await closed;
     }
 
+    private async waitForAnswers(): Promise<void> {
+        if (this.unanswered.size > 0) {
+            let timer: NodeJS.Timeout | undefined;
+            await new Promise<void>(resolve => {
+                this.onAllAnswered = resolve;
+                timer = setTimeout(resolve, closeTimeoutMilliseconds);
+            });
+            clearTimeout(timer);
+        }
+    }
+
     private async serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        this.unanswered.set(response, request);
+        response.once("close", () => {
+            this.unanswered.delete(response);
+            if (this.unanswered.size === 0) {
+                this.onAllAnswered();
+            }
+        });
         let reply: Reply;
         try {
             reply = await this.answer(request);
@@ -84,6 +118,14 @@
             this.options.logger.error("failed to handle an operator's request", { error, url: request.url });
             reply = failure(500, "badRequest", "internal error; see the log of this daemon");
         }
+        this.write(request, response, reply);
+    }
+
+    private write(request: http.IncomingMessage, response: http.ServerResponse, reply: Reply): void {
+        if (response.headersSent || response.destroyed) {
+            return;
+        }
+        response.shouldKeepAlive &&= !this.closing;
         const body = reply.type === "json" ? `${JSON.stringify(reply.body)}\n` : String(reply.body);
         response.writeHead(reply.status, {
             "content-type": contentTypes[reply.type],
@@ -158,6 +200,9 @@
         if (body.kind !== "read") {
             return failure(body.status, "badRequest", body.message);
         }
+        if (this.closing) {
+            return shuttingDown;
+        }
         if (name === "config") {
             return this.apply(body.value, timeout);
         }
@@ -228,6 +273,8 @@
     return { status, type: "json", body: { kind: "failure", code, message, findings } };
 }
 
+const shuttingDown = failure(503, "unreachable", "the daemon shuts down; the request wasn't carried out");
+
 function formatIssue(issue: { readonly path: readonly PropertyKey[]; readonly message: string; }): string {
     return `${issue.path.map(String).join(".")}: ${issue.message}`;
 }
