fix(gateway): all bodies that a gateway keeps share one account, so that many endless answers don't take its memory

What callers saw: one server that answers without an end took the memory of the gateway that had called it, by the sum of its answers, and the requests of all others on that machine with it.

Cause: each body has a bound (16 MiB), their sum had none. Class: a bound per thing and none for all.

Fix: HeldBytes counts the answers that are read whole (plain answers, an engine's error, a prefill's answer), whole answers that a caller has yet to take, and callers' bodies until their answers have ended. The limit is the new setting heldBytes: a sixth of the heap's limit unless set, at least twice the bound of one answer, so that one large answer has room alone. A caller's body without room is refused with 503 and Retry-After; it hasn't run. Pieces of a body are joined from time to time, since each one has a cost of its own that isn't counted.

The fixture of relaying.spec.ts gets the field `answers`, which its type requires; its check is unchanged.

--- a/packages/basilpaddle/src/node/daemon/backends/answerLimits.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/answerLimits.ts
@@ -5,6 +5,7 @@
     type ServerAnnouncement,
 } from "../../protocol/index.js";
 import { createSilentLogger, type Logger, type Metrics, SilentMetrics } from "../../utils/index.js";
+import { HeldBytes } from "./heldBytes.js";
 
 /** Number of received bytes that are logged when a bound is exceeded. */
 const loggedBytes = 64;
@@ -26,11 +27,18 @@
     readonly bounds: AnswerBounds;
     readonly logger: Logger;
     readonly metrics: Metrics;
+    /** Account of the bodies that are kept. @default one of its own */
+    readonly held?: HeldBytes;
 };
 
 /** The bounds of backend servers' answers, and what is logged and counted when one is exceeded. */
 export class AnswerLimits {
-    private constructor(private readonly options: AnswerLimitsOptions) {}
+    /** Account of the bodies that are kept. */
+    readonly held: HeldBytes;
+
+    private constructor(private readonly options: AnswerLimitsOptions) {
+        this.held = options.held ?? HeldBytes.createDefault();
+    }
 
     static create(options: AnswerLimitsOptions): AnswerLimits {
         return new AnswerLimits(options);
--- a/packages/basilpaddle/src/node/daemon/backends/answers.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/answers.ts
@@ -12,18 +12,45 @@
     readonly bound: Extract<AnswerBound, "bodyBytes" | "shortBodyBytes" | "unreadBytes">;
 };
 
-/** Reads the whole body of an answer; undefined if it was cut short, or exceeds the bound, which closes its connection. */
+/** Number of pieces of a body that are kept before they are joined: each one has a cost of its own, also if it is a single byte. */
+const maxPieces = 1_024;
+
+/**
+ * Reads the whole body of an answer; undefined if it was cut short, exceeds the bound, or gives way to others because all bodies
+ * together exceed theirs. Either bound closes its connection.
+ */
 export async function readWholeBody(answer: BackendAnswer, body: BodyBound): Promise<Buffer | undefined> {
-    const chunks: Buffer[] = [];
-    const isWhole = await readChunks(answer, body, chunk => chunks.push(chunk));
-    return isWhole ? Buffer.concat(chunks) : undefined;
+    const { server, limits } = body;
+    const holding = limits.held.hold({ server: server.id, address: server.address }, () => discard(answer));
+    let pieces: Buffer[] = [];
+    let joined: Buffer[] = [];
+    const keep = async (chunk: Buffer): Promise<boolean> => {
+        const mayKeep = holding.reserve(chunk.length);
+        if (mayKeep !== true && !await mayKeep) {
+            return false;
+        }
+        pieces.push(chunk);
+        if (pieces.length === maxPieces) {
+            joined.push(Buffer.concat(pieces));
+            pieces = [];
+        }
+        return true;
+    };
+    try {
+        const isWhole = await readChunks(answer, body, keep) && !holding.hasEnded();
+        return isWhole ? Buffer.concat([...joined, ...pieces]) : undefined;
+    }
+    finally {
+        joined = pieces = [];
+        holding.release();
+    }
 }
 
-/** Passes on the chunks of a body; false if it was cut short or exceeds the bound. */
+/** Passes on the chunks of a body; false if it was cut short, exceeds the bound, or `onChunk` takes no more of it. */
 async function readChunks(
     answer: BackendAnswer,
     { server, limits, bound }: BodyBound,
-    onChunk: (chunk: Buffer) => void,
+    onChunk: (chunk: Buffer) => Promise<boolean> | boolean,
 ): Promise<boolean> {
     let size = 0;
     let first: Buffer = Buffer.alloc(0);
@@ -37,7 +64,9 @@
                 limits.exceeded(server, bound, first);
                 return false;
             }
-            onChunk(chunk);
+            if (!await onChunk(chunk)) {
+                return false;
+            }
         }
     }
     catch {
@@ -57,5 +86,5 @@
 export function drain(answer: BackendAnswer, body: Omit<BodyBound, "bound">): void {
     const timer = setTimeout(() => discard(answer), body.limits.bounds.headTime);
     timer.unref();
-    void readChunks(answer, { ...body, bound: "unreadBytes" }, () => undefined).then(() => clearTimeout(timer));
+    void readChunks(answer, { ...body, bound: "unreadBytes" }, () => true).then(() => clearTimeout(timer));
 }
--- a/packages/basilpaddle/src/node/daemon/backends/index.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/index.ts
@@ -4,3 +4,4 @@
 export * from "./connectionOpener.js";
 export * from "./engineCall.js";
 export * from "./gatedPool.js";
+export * from "./heldBytes.js";
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/relaying.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/relaying.spec.ts
@@ -3,7 +3,7 @@
 import * as net from "node:net";
 import { ManualClock } from "../../../../../../../simulation/manualClock.js";
 import { type DirectoryWatcher, InstanceTable } from "../../../coordination/index.js";
-import type { GatewaySettings } from "../../../protocol/index.js";
+import { answerBoundsSchema, type GatewaySettings } from "../../../protocol/index.js";
 import { createSilentLogger, SeededRandomness, SilentMetrics } from "../../../utils/index.js";
 import { Relaying } from "../relaying.js";
 
@@ -14,7 +14,13 @@
         await once(occupant, "listening");
         const { port: relayPort } = occupant.address() as net.AddressInfo;
         const relaying = Relaying.create({
-            settings: { name: "g", failureDomain: "a", host: "127.0.0.1", relayPort } as GatewaySettings,
+            settings: {
+                name: "g",
+                failureDomain: "a",
+                host: "127.0.0.1",
+                relayPort,
+                answers: answerBoundsSchema.parse({}),
+            } as GatewaySettings,
             instances: InstanceTable.create(),
             watcher: () => ({ reachedLinks: () => [] }) as unknown as DirectoryWatcher,
             clock: new ManualClock(),
--- a/packages/basilpaddle/src/node/daemon/gateway/answerEnd.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/answerEnd.ts
@@ -1,4 +1,5 @@
 import type * as http from "node:http";
+import type { HeldBytes } from "../backends/index.js";
 
 /** Answers whose end is that of their connection. */
 const endedByConnection = new WeakSet<http.ServerResponse>();
@@ -30,3 +31,12 @@
         response.end(body);
     }
 }
+
+/** Counts a body that was handed to a caller's connection until the connection has taken it, or is closed. */
+export function holdUntilTaken(response: http.ServerResponse, held: HeldBytes, attempt: string): void {
+    if (response.writableLength > response.writableHighWaterMark) {
+        const holding = held.take({ request: attempt }, response.writableLength);
+        response.once("finish", () => holding.release());
+        response.once("close", () => holding.release());
+    }
+}
--- a/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
@@ -2,8 +2,8 @@
 import type * as http from "node:http";
 import { type AllowanceGrantor, type CallerIdentity, digestOf, promptPartName } from "../../coordination/index.js";
 import { type CallerLimits, identifierSchema, type TrafficRoute } from "../../protocol/index.js";
-import type { BackendAnswer } from "../backends/index.js";
-import { breakOff, endWhenSent, endWithConnection } from "./answerEnd.js";
+import type { BackendAnswer, HeldBytes } from "../backends/index.js";
+import { breakOff, endWhenSent, endWithConnection, holdUntilTaken } from "./answerEnd.js";
 import type { CallerMetadata } from "./gatewayWire.js";
 import { endToEndHeaders } from "./headers.js";
 import { StreamedAnswer } from "./streamedAnswer.js";
@@ -223,9 +223,14 @@
 
     /**
      * Sends a backend server's complete answer with its status and headers. One that ended with its connection is sent so: it may
-     * have been cut short by its server in a way that nobody can detect, and a length would claim that it is whole.
+     * have been cut short by its server in a way that nobody can detect, and a length would claim that it is whole. `held`: counts what
+     * the caller hasn't taken yet.
      */
-    sendAnswer(answer: Pick<BackendAnswer, "status" | "rawHeaders" | "framed">, body: Buffer): void {
+    sendAnswer(
+        answer: Pick<BackendAnswer, "status" | "rawHeaders" | "framed">,
+        body: Buffer,
+        held?: HeldBytes,
+    ): void {
         if (this.isDisconnected()) {
             return;
         }
@@ -243,6 +248,9 @@
         }
         else {
             endWhenSent(this.response, body);
+            if (held !== undefined) {
+                holdUntilTaken(this.response, held, this.attempt);
+            }
         }
         this.end(status < 400 ? "answered" : "failureGiven", `status ${status}`);
     }
@@ -367,17 +375,19 @@
 
 /**
  * Reads the whole body before anything is forwarded, so that the request can be resent in full, and isn't run at all if its
- * caller disconnects midway. Returns "tooLarge" as soon as the limit is exceeded, undefined if the caller disconnected.
+ * caller disconnects midway. Returns "tooLarge" as soon as the limit is exceeded, "noRoom" at the end of a body that `mayKeep` had no
+ * room for, undefined if the caller disconnected.
  */
 export async function readBody(
     incoming: http.IncomingMessage,
     limits: CallerLimits,
-): Promise<Buffer | "tooLarge" | undefined> {
+    mayKeep: (bytes: number) => boolean = () => true,
+): Promise<Buffer | "tooLarge" | "noRoom" | undefined> {
     const announced = Number(incoming.headers["content-length"] ?? 0);
     if (announced > limits.bodyBytes) {
         return "tooLarge";
     }
-    const chunks: Buffer[] = [];
+    let chunks: Buffer[] | undefined = [];
     let size = 0;
     try {
         for await (const chunk of incoming as AsyncIterable<Buffer>) {
@@ -385,12 +395,17 @@
             if (size > limits.bodyBytes) {
                 return "tooLarge";
             }
-            chunks.push(chunk);
+            // The rest is read too: to stop would close the connection without an answer.
+            chunks = mayKeep(chunk.length) ? chunks : undefined;
+            chunks?.push(chunk);
         }
     }
     catch {
         // The connection broke before the end of the body, so there is no caller to answer.
         return undefined;
     }
+    if (chunks === undefined) {
+        return "noRoom";
+    }
     return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
 }
--- a/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
@@ -103,7 +103,7 @@
         if (body === undefined || guaranteesNotRun(status) || request.hasAnswerBegun()) {
             return { kind: "lost", cause: `the engine answered ${status}` };
         }
-        request.sendAnswer(answer, body);
+        request.sendAnswer(answer, body, answers.held);
         return { kind: "failureGiven" };
     }
 
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -21,13 +21,14 @@
 import { breakOff } from "./answerEnd.js";
 import { AnswerEndCheck } from "./answerEndCheck.js";
 import type { ExchangeOptions } from "./backendSender.js";
-import { CallerRequest, readBody, writeOwnAnswer } from "./callerRequest.js";
+import { CallerRequest, writeOwnAnswer } from "./callerRequest.js";
 import { CallerServer } from "./callerServer.js";
 import { answerRest, closeGradually } from "./closeGradually.js";
 import { CurrentRoutes } from "./currentRoutes.js";
 import type { GatewayWire } from "./gatewayWire.js";
 import { GracePeriod } from "./gracePeriod.js";
 import { headerBytes } from "./headers.js";
+import { noRoomRetryAfterSeconds, readHeldBody } from "./heldBody.js";
 import { logRequest } from "./logRequest.js";
 import { LoopMonitor } from "./loopMonitor.js";
 import { type CutRequest, logCuts, OpenRequests } from "./openRequests.js";
@@ -252,6 +253,7 @@
         this.quarantinedRequests.measure(metrics);
         this.serverAdmission.measure(metrics);
         this.relaying.paths.measure(metrics);
+        this.relaying.answers.held.measure(metrics);
         this.streamVersions.measure(metrics);
         this.loop.measure(metrics);
     }
@@ -340,11 +342,16 @@
             return;
         }
         const metadata = wire.parseCaller(incoming.headers);
-        const body = await readBody(incoming, limits);
+        const body = await readHeldBody(incoming, response, limits, this.relaying.answers.held);
         if (body === "tooLarge") {
             refuseUnrouted(this.options, incoming, response, 413, `the body is larger than ${limits.bodyBytes} bytes`);
             return;
         }
+        if (body === "noRoom") {
+            const retryHeaders = { "Retry-After": String(noRoomRetryAfterSeconds) };
+            refuseUnrouted(this.options, incoming, response, 503, "no room for the body", retryHeaders);
+            return;
+        }
         if (body === undefined) {
             response.destroy();
             return;
--- a/packages/basilpaddle/src/node/daemon/gateway/relaying.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/relaying.ts
@@ -1,7 +1,7 @@
 import { type DirectoryWatcher, type InstanceTable, RelayPeers } from "../../coordination/index.js";
 import type { GatewaySettings } from "../../protocol/index.js";
 import type { Clock, Logger, Metrics, Randomness } from "../../utils/index.js";
-import { AnswerLimits, DirectOpener } from "../backends/index.js";
+import { AnswerLimits, DirectOpener, HeldBytes } from "../backends/index.js";
 import { RelayServer } from "./relayServer.js";
 import { ServerPaths } from "./serverPaths.js";
 
@@ -26,7 +26,15 @@
     private shuttingDown = false;
 
     private constructor(private readonly options: RelayingOptions) {
-        this.answers = AnswerLimits.create({ ...options, bounds: options.settings.answers });
+        this.answers = AnswerLimits.create({
+            ...options,
+            bounds: options.settings.answers,
+            held: HeldBytes.create({
+                ...options,
+                limit: options.settings.heldBytes,
+                largest: options.settings.answers.bodyBytes,
+            }),
+        });
         this.paths = ServerPaths.create({
             ...options,
             answers: this.answers,
--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -299,7 +299,7 @@
             this.request.fail(502, `a backend server that may have run it answered ${status}`);
         }
         else {
-            this.request.sendAnswer(answer, body);
+            this.request.sendAnswer(answer, body, this.options.answers.held);
         }
     }
 }
--- a/packages/basilpaddle/src/node/protocol/gatewaySettings.ts
+++ b/packages/basilpaddle/src/node/protocol/gatewaySettings.ts
@@ -71,11 +71,16 @@
      * operating system chooses a free port. @default it doesn't relay, and no gateway relays for it
      */
     relayPort: z.int().min(0).max(65_535).optional(),
+    /** Bytes of all bodies that are kept at the same time. @default a sixth of the heap's limit, at least twice `answers.bodyBytes` */
+    heldBytes: z.int().positive().optional(),
     repeats: retryBudgetSchema,
     /** The same as in directories' settings; for local placement. */
     shortage: shortageSchema.prefault({}),
     /** Time in seconds for finishing requests in progress after the daemon received a stop signal. */
     shutdownTime: seconds,
+}).refine(({ heldBytes, answers }) => heldBytes === undefined || heldBytes >= 2 * answers.bodyBytes, {
+    path: ["heldBytes"],
+    error: "must be at least twice answers.bodyBytes, so that one answer always has room",
 });
 
 /** Settings of a directory, which stores the configuration, receives heartbeats of backend servers and places runs. */
