--- /dev/null
+++ b/scripts/stops/exchange.ts
@@ -0,0 +1,58 @@
+/** How a request ended, as its caller saw it. */
+export type Ending = "whole" | "refused" | "unknown" | "noStatus" | "cutInAnswer" | "other";
+
+/** One request of a caller; times in milliseconds of the monotonic clock. */
+export type Exchange = {
+    readonly attempt: string;
+    /** Index of the gateway that it was sent to. */
+    readonly gateway: number;
+    /** Whether it is one of the short requests beside those that the row is about. */
+    readonly isBeside: boolean;
+    readonly beganAt: number;
+    /** When its last byte was sent; undefined if it never was. */
+    sentAt: number | undefined;
+    ending: Ending | undefined;
+    endedAt: number;
+};
+
+/** The work of a backend server for a request. */
+export type ServerRun = { readonly beganAt: number; endedAt: number | undefined; };
+
+/** When a gateway got its signal, and how it ended. */
+export type Stop = { readonly gateway: number; readonly at: number; endedAt: number | undefined; wasKilled: boolean; };
+
+/** Grace period of the stopped gateways. */
+export const graceMilliseconds = 8_000;
+/** How long after the signal callers may still count on the gateway. */
+export const noticeMilliseconds = 3_000;
+const lastPartOfGrace = 1 / 6;
+
+/** When a request was sent whole, against the signal to its gateway. */
+export type Moment = "before" | "within 3 s" | "later" | "not stopped";
+
+/** The moment of an exchange; of one that was never sent whole, the moment at which it ended. */
+export function momentOf({ sentAt, endedAt }: Exchange, stop: Stop | undefined): Moment {
+    if (stop === undefined) {
+        return "not stopped";
+    }
+    const after = (sentAt ?? endedAt) - stop.at;
+    return after < 0 ? "before" : after <= noticeMilliseconds ? "within 3 s" : "later";
+}
+
+/**
+ * Whether a request was sent whole, passed on and ended without a whole answer; `allowed` if it was sent early enough to be taken, and its
+ * server still worked on it in the last part of the grace period.
+ */
+export function lossOf(
+    exchange: Exchange,
+    stop: Stop | undefined,
+    run: ServerRun | undefined,
+): "lost" | "allowed" | undefined {
+    const hasAnswer = exchange.ending !== "noStatus" && exchange.ending !== "cutInAnswer";
+    if (hasAnswer || exchange.sentAt === undefined || run === undefined || stop === undefined) {
+        return undefined;
+    }
+    const lastPart = stop.at + graceMilliseconds * (1 - lastPartOfGrace);
+    const wasAtWork = run.endedAt === undefined || run.endedAt >= lastPart;
+    return wasAtWork && exchange.sentAt - stop.at <= noticeMilliseconds ? "allowed" : "lost";
+}
