fix(entry): a second stop signal also refuses requests whose bodies are still arriving

What callers saw: a request whose body was arriving when the second signal came got no answer: it is stopped, but went on being read until its receive timeout (30 s), and the process ends 10 s after the second signal.

Cause: reading a body didn't know the request's scope, which the second signal stops.

That the process ends before is read from daemonLifecycle.ts (10 s), not run with a whole process.

Change: the body's reader ends with the scope, with a refusal as not run (503, shuttingDown).

The same test shows that a connection that was open and unused is refused as not_run late in a drain; that held before.

--- a/packages/basilpaddle/src/node/daemon/entry/__tests__/drain.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/__tests__/drain.spec.ts
@@ -1,5 +1,7 @@
 import { expect } from "chai";
+import { once } from "node:events";
 import * as http from "node:http";
+import * as net from "node:net";
 import { until } from "../../../../../../../simulation/until.js";
 import { chatBody, EntryHarness, type Reply, replyOf, streamedText } from "./entryHarness.js";
 
@@ -77,4 +79,32 @@
         release();
         await until("engine freed", () => harness.engine("d1").attemptsHoldingResources.size === 0);
     });
+
+    // Guards against requests that get no answer since their connections were opened, or their bodies begun, before the shutdown.
+    it("refuses as not_run what comes late on a connection that was open, and a body that a second call finds unfinished", async () => {
+        const port = harness.daemon.callerPort();
+        const unused = net.connect(port, "127.0.0.1");
+        await once(unused, "connect");
+        const [running] = startStreams(1);
+        await until("the stream runs", () => harness.engine("d1").ran.length > 0);
+        const slow = harness.open("/v1/chat/completions", {});
+        const slowReply = replyOf(slow);
+        slow.write("{");
+        await until("the slow body is counted", () => harness.daemon.openRequests() === 2);
+        const drained = harness.daemon.drain();
+        let received = "";
+        unused.on("error", () => undefined).on("data", chunk => {
+            received += String(chunk);
+        });
+        const body = JSON.stringify(chatBody());
+        unused.write(`POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+        await once(unused, "close");
+        expect(received).to.match(/^HTTP\/1.1 503 /).and.to.contain("\"outcome\":\"not_run\"");
+        void harness.daemon.drain();
+        const { status, body: answer } = await slowReply;
+        expect([status, JSON.parse(answer).error.code]).to.deep.equal([503, "shuttingDown"]);
+        release();
+        await running;
+        expect((await drained).abortedRequests).to.have.length(2);
+    });
 });
--- a/packages/basilpaddle/src/node/daemon/entry/modelCalls.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/modelCalls.ts
@@ -64,7 +64,7 @@
     ): Promise<void> {
         const { clock } = this.options.requestDependencies;
         const receivedAt = clock.monotonic();
-        const body = await readBody(request, response, this.options.limits, clock);
+        const body = await readBody(request, response, this.options.limits, clock, scope);
         const resolved = body.chain(bytes => this.resolve(form, path, requestId, request, bytes, receivedAt));
         if (resolved.isLeft()) {
             const refusal = resolved.extract() as Refusal;
--- a/packages/basilpaddle/src/node/daemon/entry/requestBody.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/requestBody.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { type Either, Left, Right } from "purify-ts";
+import type { RequestScope } from "../../coordination/request/index.js";
 import type { Refusal } from "../../protocol/index.js";
 import type { Clock } from "../../utils/index.js";
 import { notRun } from "./reply.js";
@@ -10,17 +11,20 @@
 /** Limits of a request's body, in bytes and milliseconds. */
 export type BodyLimits = { readonly bodyBytes: number; readonly receiveTimeout: number; };
 
+const shutdownRetryAfterMilliseconds = 1_000;
 const decoder = new TextDecoder("utf-8", { fatal: true });
 
 /**
  * Reads the whole body of a request. A body that is too large or too slow is refused before it is received completely,
- * and the connection closes after the answer: the rest of the body would be parsed as the next request.
+ * and the connection closes after the answer: the rest of the body would be parsed as the next request. `scope`: a shutdown that
+ * stops it refuses the request.
  */
 export function readBody(
     request: IncomingMessage,
     response: ServerResponse,
     limits: BodyLimits,
     clock: Clock,
+    scope?: RequestScope,
 ): Promise<Either<Refusal, Buffer>> {
     const tooLarge = notRun("bodyTooLarge", `the body exceeds ${limits.bodyBytes} bytes`);
     return new Promise(resolve => {
@@ -33,12 +37,19 @@
             }
             ended = true;
             cancelTimer();
+            scope?.signal.removeEventListener("abort", onShutdown);
             if (result.isLeft()) {
                 response.setHeader("connection", "close");
                 chunks.length = 0;
             }
             resolve(result);
         };
+        const onShutdown = (): void => {
+            if (scope?.stopped === "shuttingDown") {
+                end(Left(notRun("shuttingDown", "this daemon is shutting down", shutdownRetryAfterMilliseconds)));
+            }
+        };
+        scope?.signal.addEventListener("abort", onShutdown);
         const cancelTimer = clock.after(
             limits.receiveTimeout,
             () =>
--- a/packages/basilpaddle/src/node/daemon/entry/services/serviceCalls.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/services/serviceCalls.ts
@@ -120,7 +120,8 @@
             this.refuse(call, notRun("keyMissing", message));
             return;
         }
-        const bodyResult = await readBody(call.request, call.response, limits, dependencies.clock);
+        const { request, response, scope } = call;
+        const bodyResult = await readBody(request, response, limits, dependencies.clock, scope);
         if (bodyResult.isLeft()) {
             this.refuse(call, bodyResult.extract() as Refusal);
             return;
