feat(soak): callers that keep their connection, with slow bodies and long answers, and what a planned stop may cut of theirs

The soak's callers left a gateway as soon as the balancer did, sent their bodies at once and got their answers within a second, so no planned stop could cut anything of theirs. Eight callers more (`--kept`) have one connection each and send on it until it closes; their answers take 4.3 s, over half of the grace period, and three in ten bodies come in halves 1.8 s apart. What a stop may cut of theirs: an answer that has begun, whose request was whole 3 s after the signal at the latest, in the last sixth of the grace period; and what reached no server within 0.5 s of its sending, when it crosses the closing of its connection. All else is held to the rule that no request is cut off in calm, as are all other callers. The routes' timeout is 9 s for that; other callers keep their own deadline of 5 s, which was the shorter one before as well. The comparison of partitioned gateways counts the same requests as before.

--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -14,7 +14,7 @@
 } from "../platform/src/standins/wire.js";
 import { Relay } from "../playground/harness/relay.js";
 import type { Invariants } from "./invariants.js";
-import { eventCount, eventText, isPoison, isPoisonPart, plainText } from "./texts.js";
+import { eventCount, eventText, isLong, isPoison, isPoisonPart, longAnswerMilliseconds, plainText } from "./texts.js";
 
 /** Simulated processing times: prefill of a prompt, a plain request, and the interval between two streamed events. */
 const prefillMilliseconds = 30;
@@ -312,7 +312,7 @@
             return;
         }
         await this.runRequest(received, response, async () => {
-            await this.delay(plainAnswerMilliseconds * this.slowdownFactor);
+            await this.delay(isLong(attempt) ? longAnswerMilliseconds : plainAnswerMilliseconds * this.slowdownFactor);
             if (this.dropsResponses) {
                 response.socket?.resetAndDestroy();
                 return;
@@ -345,9 +345,12 @@
         await this.runRequest(received, response, async () => {
             const headers = answerHeaders(attempt, this.id, this.id);
             response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
+            const interval = isLong(resumes)
+                ? longAnswerMilliseconds / eventCount(resumes)
+                : eventIntervalMilliseconds * this.slowdownFactor;
             for (let number = resumeAfter + 1; number <= eventCount(resumes) && !response.destroyed; number++) {
                 response.write(eventText(resumes, number, this.version));
-                await this.delay(eventIntervalMilliseconds * this.slowdownFactor);
+                await this.delay(interval);
             }
             if (this.dropsResponses) {
                 response.socket?.resetAndDestroy();
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -4,6 +4,7 @@
 import { pause } from "../playground/harness/index.js";
 import type { SoakDeployment } from "./deployment.js";
 import type { Invariants } from "./invariants.js";
+import { KeptCallers, type KeptRequest } from "./keptCallers.js";
 import type { Member } from "./member.js";
 import { freeKey, keyOfRequest } from "./organisations.js";
 import type { CallerEnd, SoakRequest } from "./soakRequest.js";
@@ -11,8 +12,8 @@
 
 /** Host that all routes match. */
 export const routeHost = "soak.example";
-/** Request timeout of the routes: long enough for a response, and short enough to expire within a run. */
-export const routeTimeoutMilliseconds = 6_000;
+/** Request timeout of the routes: that of callers with slow bodies and long answers; the others have a shorter deadline. */
+export const routeTimeoutMilliseconds = 9_000;
 /** Path prefixes of the routes that every configuration contains. */
 export const routePrefixes: Readonly<Record<RouteKind, string>> = {
     safe: "/safe/",
@@ -45,6 +46,7 @@
     private createdRequests = 0;
     private sendTimer: NodeJS.Timeout | undefined;
     private readinessTimer: NodeJS.Timeout | undefined;
+    private readonly kept: KeptCallers;
 
     private constructor(
         private readonly deployment: SoakDeployment,
@@ -53,7 +55,10 @@
         /** Decides which streams are broken off, so that everything else is drawn as without. */
         private readonly breakRandom: Randomness,
         private readonly resumesStreams: boolean,
-    ) {}
+        keptRandom: Randomness,
+    ) {
+        this.kept = KeptCallers.create(request => this.sendKept(request), () => this.rotation, keptRandom);
+    }
 
     /** `resumesStreams`: whether callers break streams off and resume them at other gateways. */
     static create(
@@ -62,22 +67,24 @@
         random: Randomness,
         breakRandom: Randomness,
         resumesStreams: boolean,
+        keptRandom: Randomness,
     ): Callers {
-        return new Callers(deployment, invariants, random, breakRandom, resumesStreams);
+        return new Callers(deployment, invariants, random, breakRandom, resumesStreams, keptRandom);
     }
 
-    /** Starts to send requests at a fixed rate. */
-    start(perSecond: number): void {
+    /** Starts to send requests at a fixed rate; beside them, as many callers keep their connection as `kept` says. */
+    start(perSecond: number, kept: number): void {
         this.rotation = [...this.deployment.gateways];
         this.readinessTimer = setInterval(() => void this.chooseGateways(), readinessIntervalMilliseconds);
         this.sendTimer = setInterval(() => this.sendRandomRequest(), 1_000 / perSecond);
+        this.kept.start(kept);
     }
 
     /** Stops sending and waits for the open requests. */
     async stop(): Promise<void> {
         clearInterval(this.sendTimer);
         clearInterval(this.readinessTimer);
-        await Promise.all(this.openRequests);
+        await Promise.all([...this.openRequests, this.kept.stop()]);
         this.agents.forEach(agent => agent.destroy());
     }
 
@@ -171,6 +178,7 @@
         body = `body of ${request.resumes?.firstAttempt ?? request.attempt}`,
         breakAfterEvents = Number.POSITIVE_INFINITY,
         parts = promptParts(request.resumes?.firstAttempt ?? request.attempt),
+        kept?: KeptRequest,
     ): Promise<CallerEnd> {
         const { attempt, kind, resumes } = request;
         return new Promise(resolve => {
@@ -183,10 +191,15 @@
                 ...this.deployment.callerAddressOf(gateway),
                 path,
                 method: kind === "safe" ? "GET" : "POST",
-                agent: this.random.fraction() < newConnectionProbability ? false : this.agent(gateway),
+                agent: kept?.connection ?? this.drawAgent(gateway),
                 headers: {
                     Host: routeHost,
-                    ...callerHeaders(attempt, deadlineMilliseconds, request.key.key, parts),
+                    ...callerHeaders(
+                        attempt,
+                        kept === undefined ? deadlineMilliseconds : routeTimeoutMilliseconds,
+                        request.key.key,
+                        parts,
+                    ),
                     ...resumes === undefined ? {} : resumptionHeaders(resumes.firstAttempt, resumes.lastEvent),
                 },
             });
@@ -214,10 +227,30 @@
             };
             clientRequest.on("response", response => void readAnswer(response, request, onEvents).then(settle));
             clientRequest.on("error", error => settle({ kind: "cut", cause: error.message }));
-            clientRequest.end(kind === "safe" ? undefined : body);
+            if (kept === undefined) {
+                clientRequest.end(kind === "safe" ? undefined : body);
+                return;
+            }
+            clientRequest.once("socket", kept.onSocket);
+            void sendSlowly(clientRequest, kind === "safe" ? "" : body, kept.bodyMilliseconds).then(() => {
+                request.wholeAt = performance.now();
+            });
         });
     }
 
+    private async sendKept(kept: KeptRequest): Promise<CallerEnd> {
+        const { gateway, kind, attempt } = kept;
+        const request = this.invariants.requestSent(attempt, kind, gateway.name, performance.now(), freeKey);
+        const path = `${routePrefixes[kind]}x`;
+        const end = await this.exchange(gateway, request, path, undefined, undefined, undefined, undefined, kept);
+        this.invariants.requestEnded(request, end, performance.now());
+        return end;
+    }
+
+    private drawAgent(gateway: Member): http.Agent | false {
+        return this.random.fraction() < newConnectionProbability ? false : this.agent(gateway);
+    }
+
     private agent(gateway: Member): http.Agent {
         let agent = this.agents.get(gateway.name);
         if (agent === undefined) {
@@ -232,6 +265,17 @@
     }
 }
 
+/** Sends a body in two halves, the second after as many milliseconds unless the request has ended. */
+async function sendSlowly(request: http.ClientRequest, body: string, milliseconds: number): Promise<void> {
+    const half = Math.floor(body.length / 2);
+    if (half > 0 && milliseconds > 0) {
+        request.write(body.slice(0, half));
+        await pause(milliseconds);
+        body = body.slice(half);
+    }
+    await new Promise<void>(resolve => request.end(body, resolve));
+}
+
 /** Reads a response to its end and compares its body with the one expected for the request. */
 function readAnswer(
     response: http.IncomingMessage,
@@ -256,7 +300,7 @@
             resolve(
                 complete
                     ? { kind: "answered", status, sealed, right: isRight }
-                    : { kind: "cut", cause: `the response was cut off after ${body.length} bytes` },
+                    : { kind: "cut", cause: `the response was cut off after ${body.length} bytes`, status },
             );
         });
     });
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -161,6 +161,7 @@
         }
         this.recordFault(fault, member.name);
         const { incarnation } = member;
+        this.invariants.stops.signalled(member.name, performance.now());
         if (
             !await member.stop() && member.incarnation === incarnation
             && !this.invariants.isDisturbed(performance.now(), Infinity)
--- a/soak/invariants.ts
+++ b/soak/invariants.ts
@@ -1,8 +1,10 @@
 import type { ReceivedRequest, RouteKind } from "../platform/src/standins/wire.js";
 import { busyAllowance, busyOrganisation, isAlwaysAdmitted, type RequestKey } from "./organisations.js";
+import { PlannedStops } from "./plannedStops.js";
 import { type Arrival, ServerArrivals } from "./serverArrivals.js";
 import type { CallerEnd, Resumption, SoakRequest, Violation } from "./soakRequest.js";
 import { streamViolations } from "./streamViolations.js";
+import { isLong } from "./texts.js";
 
 /** Statuses which guarantee that a request has not run and will not run. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -62,6 +64,7 @@
     private readonly partitions: (Disturbance & { readonly gateway: string; })[] = [];
     /** What arrived at backend servers over all gateways. */
     readonly arrivals = ServerArrivals.create();
+    readonly stops = PlannedStops.create();
     /** Contents sent for each version; there can be two, as two operators may race with the same version. */
     private readonly sentVersions = new Map<number, Set<string>>();
     private readonly drainTimes = new Map<string, number>();
@@ -119,7 +122,14 @@
         resumes?: Resumption,
     ): SoakRequest {
         const common = { attempt, kind, gateway, key, resumes, sentAt: now };
-        const request: SoakRequest = { ...common, runs: [], versions: [], end: undefined, endedAt: 0 };
+        const request: SoakRequest = {
+            ...common,
+            runs: [],
+            versions: [],
+            wholeAt: undefined,
+            end: undefined,
+            endedAt: 0,
+        };
         this.requests.set(attempt, request);
         this.arrivals.requestSent(kind === "safe" || kind === "unsafe" ? "plain" : "pool", now);
         return request;
@@ -276,7 +286,7 @@
     /** Checks that partitioned gateways serve their callers nearly as often as the others do. */
     private checkPartitions(): void {
         const counts = { partitioned: { sent: 0, served: 0 }, others: { sent: 0, served: 0 } };
-        for (const { gateway, sentAt, endedAt, end, key } of this.requests.values()) {
+        for (const { attempt, gateway, sentAt, endedAt, end, key } of this.requests.values()) {
             const span = this.partitions.find(({ from, to }) =>
                 sentAt > from + partitionNoticeMilliseconds && sentAt < to
             );
@@ -284,7 +294,7 @@
                 return what !== "partitionGateways" && from <= endedAt && to + aftereffectMilliseconds >= sentAt;
             });
             if (
-                span === undefined || isOtherwiseDisturbed || end?.kind === "left"
+                span === undefined || isOtherwiseDisturbed || end?.kind === "left" || isLong(attempt)
                 || !isAlwaysAdmitted(key)
             ) {
                 continue;
@@ -343,7 +353,8 @@
         if (end.kind === "left") {
             this.checkAbandoned(request, name);
         }
-        if (end.kind === "cut" && !this.isDisturbed(request.sentAt, request.endedAt)) {
+        const mayBeCut = isLong(attempt) && this.stops.mayCut(request);
+        if (end.kind === "cut" && !mayBeCut && !this.isDisturbed(request.sentAt, request.endedAt)) {
             this.violate("no request is cut off", `${name}: ${end.cause}`);
         }
     }
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -23,6 +23,7 @@
         type: "boolean",
         describe: "whether they have several software versions, and callers resume streams; as departures by default",
     })
+    .option("kept", { type: "number", default: 8, describe: "callers that keep their connection until it closes" })
     .option("logs", { type: "string", default: "target/soak", describe: "folder for the logs of failed runs" })
     .strict()
     .parse();
@@ -34,9 +35,10 @@
 }
 
 const first = options.first ?? Math.floor(Date.now() / 1_000) % 1_000_000;
-const { seconds, gateways, directories, departures, versions } = options;
+const { seconds, gateways, directories, departures, versions, kept } = options;
 const size = {
     departures,
+    keptCallers: kept,
     ...versions === undefined ? {} : { versions },
     ...seconds === undefined ? {} : { seconds },
     ...gateways === undefined ? {} : { gateways },
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -83,6 +83,8 @@
     readonly requestsPerSecond: number;
     /** Number of software versions of backend servers that serve side by side; callers resume streams if there are several. @default 1 */
     readonly versions?: number;
+    /** Number of callers that keep their connection until it closes, with slow bodies and long answers. @default 0 */
+    readonly keptCallers?: number;
     readonly faults: readonly Fault[];
 };
 
@@ -95,6 +97,8 @@
     readonly departures?: boolean;
     /** Whether they have several software versions, and callers resume streams. @default `departures` */
     readonly versions?: boolean;
+    /** Callers that keep their connection until it closes. @default 0 */
+    readonly keptCallers?: number;
 };
 
 const defaultSeconds = 14;
@@ -163,7 +167,8 @@
         faults.push(...createReplacement(seed, length, hasUnplannedFaults));
     }
     faults.sort((one, other) => one.at - other.at);
-    const common = { seed, directories, gateways, plainServers: 3, length, requestsPerSecond: 30, faults };
+    const { keptCallers = 0 } = size;
+    const common = { seed, directories, gateways, plainServers: 3, length, requestsPerSecond: 30, keptCallers, faults };
     return hasVersions ? { ...common, engines: 8, versions: 2 } : { ...common, engines: 6 };
 }
 
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -62,7 +62,8 @@
     ) {
         const { seed, versions = 1 } = plan;
         const breakRandom = SeededRandomness.create(-1 - seed);
-        this.callers = Callers.create(deployment, invariants, random, breakRandom, versions > 1);
+        const keptRandom = SeededRandomness.create(-5_000_000 - seed);
+        this.callers = Callers.create(deployment, invariants, random, breakRandom, versions > 1, keptRandom);
         this.operator = Operator.create(deployment, invariants, random);
     }
 
@@ -72,7 +73,7 @@
         await operator.change();
         await deployment.waitUntilReady();
         await this.waitUntilServing();
-        callers.start(plan.requestsPerSecond);
+        callers.start(plan.requestsPerSecond, plan.keptCallers ?? 0);
         const readTimer = setInterval(() => void operator.read(), checkIntervalMilliseconds);
         const processTimer = setInterval(() => this.checkProcesses(), checkIntervalMilliseconds);
         await FaultRunner.create(deployment, operator, invariants, callers, reportFault).injectAll(plan.faults);
--- a/soak/soakRequest.ts
+++ b/soak/soakRequest.ts
@@ -5,8 +5,8 @@
 export type CallerEnd =
     /** A response with its complete body; `right` if the body is the one expected for the request. */
     | { readonly kind: "answered"; readonly status: number; readonly sealed: boolean; readonly right: boolean; }
-    /** A response that was cut off, or none at all. */
-    | { readonly kind: "cut"; readonly cause: string; }
+    /** A response that was cut off, with its status, or none at all. */
+    | { readonly kind: "cut"; readonly cause: string; readonly status?: number; }
     | { readonly kind: "left"; };
 
 /** One request of a caller and everything that was observed of it; times in milliseconds. */
@@ -22,6 +22,8 @@
     readonly resumes: Resumption | undefined;
     /** Software versions of the engines that made the events which its caller received, in order. */
     versions: readonly string[];
+    /** When its last byte was sent, if its caller keeps its connection. */
+    wholeAt: number | undefined;
     end: CallerEnd | undefined;
     endedAt: number;
 };
--- a/soak/texts.ts
+++ b/soak/texts.ts
@@ -12,6 +12,20 @@
     return `${attempt} `.repeat(Math.ceil(plainBodyLength / (attempt.length + 1))).slice(0, plainBodyLength);
 }
 
+/** Milliseconds that a long answer takes: over half of the daemons' grace period, within the limit of a request. */
+export const longAnswerMilliseconds = 4_300;
+const longPrefix = "long-";
+
+/** An attempt whose answer takes long. */
+export function longAttempt(name: string): string {
+    return `${longPrefix}${name}`;
+}
+
+/** Whether the answer to an attempt takes long. */
+export function isLong(attempt: string): boolean {
+    return attempt.startsWith(longPrefix);
+}
+
 /** Number of events in a stream; derived from the attempt that began it. */
 export function eventCount(firstAttempt: string): number {
     return minEvents + Math.floor(hashToFraction(firstAttempt) * (maxEvents - minEvents));
