--- a/packages/basilpaddle/src/node/daemon/gateway/openRequests.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/openRequests.ts
@@ -1,6 +1,7 @@
 import type * as http from "node:http";
 import type { Logger, Metrics } from "../../utils/index.js";
-import { type CallerRequest, type RequestPhase, writeOwnAnswer } from "./callerRequest.js";
+import type { CallerRequest, RequestPhase } from "./callerRequest.js";
+import { writeOwnAnswer } from "./ownAnswer.js";
 
 /** Answer to a request whose body wasn't whole when its gateway ended. */
 const unreadCause = "the gateway shut down before the request was whole";
--- a/packages/basilpaddle/src/node/daemon/gateway/refuseUnrouted.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/refuseUnrouted.ts
@@ -1,7 +1,7 @@
 import type * as http from "node:http";
 import type { Logger, Metrics } from "../../utils/index.js";
-import { writeOwnAnswer } from "./callerRequest.js";
 import type { GatewayWire } from "./gatewayWire.js";
+import { writeOwnAnswer } from "./ownAnswer.js";
 
 /** Answers a request that can't be routed with an error, and discards the rest of its body. */
 export function refuseUnrouted(
