fix(gateway): bodies share a tenth of the heap's limit in place of a sixth, and room for the largest one

What operators would see: with 100 callers at one server without an end, a gateway process came to 169 to 193 MB; the smaller hosts give it 178 MB. Cause: the default left 33 MB for bodies, and the least value was twice the largest body, though one largest body beside the quarter that is reserved for small ones needs four thirds of it. The setting may now be as small as the default.

--- a/packages/basilpaddle/src/node/daemon/backends/heldBytes.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/heldBytes.ts
@@ -1,4 +1,5 @@
 import { getHeapStatistics } from "node:v8";
+import { minHeldBytes, smallBodiesFraction } from "../../protocol/index.js";
 import {
     type Clock,
     createSilentLogger,
@@ -9,17 +10,15 @@
 } from "../../utils/index.js";
 
 /** Part of the heap's limit that bodies may take if the settings state none: they are outside the heap, beside all else. */
-const defaultHeapFraction = 1 / 6;
+const defaultHeapFraction = 1 / 10;
 /** Time in milliseconds for which a body isn't read on, before one gives way. */
 const pauseMilliseconds = 100;
 /** A body of at most this many bytes may also use the part that is reserved for small ones. */
 const smallBytes = 131_072;
-/** Part of the limit that is reserved for small bodies. */
-const smallFraction = 0.25;
 
 /** Dependencies of `HeldBytes`. */
 export type HeldBytesOptions = {
-    /** Bytes that all bodies together may have. @default a sixth of the heap's limit, and at least twice `largest` */
+    /** Bytes that all bodies together may have. @default a tenth of the heap's limit, and at least room for `largest` */
     readonly limit?: number | undefined;
     /** Bytes of the largest single body. @default 0 */
     readonly largest?: number;
@@ -81,7 +80,7 @@
 
     private constructor(private readonly options: HeldBytesOptions) {
         const share = Math.floor(getHeapStatistics().heap_size_limit * defaultHeapFraction);
-        this.limit = options.limit ?? Math.max(share, 2 * (options.largest ?? 0));
+        this.limit = options.limit ?? Math.max(share, minHeldBytes(options.largest ?? 0));
     }
 
     static create(options: HeldBytesOptions): HeldBytes {
@@ -150,7 +149,7 @@
 
     private fits(holding: Holding, bytes: number): boolean {
         const isSmall = holding.bytes + bytes <= smallBytes;
-        return this.held + bytes <= this.limit * (isSmall ? 1 : 1 - smallFraction);
+        return this.held + bytes <= this.limit * (isSmall ? 1 : 1 - smallBodiesFraction);
     }
 
     private add(holding: Holding, bytes: number): void {
--- a/packages/basilpaddle/src/node/protocol/gatewaySettings.ts
+++ b/packages/basilpaddle/src/node/protocol/gatewaySettings.ts
@@ -9,6 +9,14 @@
 });
 const milliseconds = z.number().positive();
 const millisecondsInSecond = 1_000;
+/** Part of `heldBytes` that is reserved for small bodies. */
+export const smallBodiesFraction = 0.25;
+
+/** The least `heldBytes` at which a body of that many bytes has room beside the part for small ones. */
+export function minHeldBytes(largest: number): number {
+    return Math.ceil(largest / (1 - smallBodiesFraction));
+}
+
 /** Given in seconds for readability and converted to milliseconds. */
 const seconds = z.number().positive().transform(value => value * millisecondsInSecond);
 
@@ -71,16 +79,16 @@
      * operating system chooses a free port. @default it doesn't relay, and no gateway relays for it
      */
     relayPort: z.int().min(0).max(65_535).optional(),
-    /** Bytes of all bodies that are kept at the same time. @default a sixth of the heap's limit, at least twice `answers.bodyBytes` */
+    /** Bytes of all bodies that are kept at the same time. @default a tenth of the heap's limit, and at least room for `answers.bodyBytes` */
     heldBytes: z.int().positive().optional(),
     repeats: retryBudgetSchema,
     /** The same as in directories' settings; for local placement. */
     shortage: shortageSchema.prefault({}),
     /** Time in seconds for finishing requests in progress after the daemon received a stop signal. */
     shutdownTime: seconds,
-}).refine(({ heldBytes, answers }) => heldBytes === undefined || heldBytes >= 2 * answers.bodyBytes, {
+}).refine(({ heldBytes, answers }) => heldBytes === undefined || heldBytes >= minHeldBytes(answers.bodyBytes), {
     path: ["heldBytes"],
-    error: "must be at least twice answers.bodyBytes, so that one answer always has room",
+    error: "must be at least four thirds of answers.bodyBytes, so that one answer always has room",
 });
 
 /** Settings of a directory, which stores the configuration, receives heartbeats of backend servers and places runs. */
