fix(gateway): a request that may run only once is taken by a stopping gateway only if it ends by its own limit

What callers saw: 3 of 9 and 5 of 11 requests of 6 s that may run only once, sent within 3 s of the signal, were told 7 s later that their outcome isn't known. Cause: until the balancer has noticed, they were taken by an estimate of how long their route's answers take, or without one; a wrong estimate leaves the caller with an outcome that nobody knows, while a refusal lets another gateway serve it. Why it works: the request's own limit is certain. Requests whose limit is shorter than what is left are served as before.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/gracePeriod.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/gracePeriod.spec.ts
@@ -99,4 +99,12 @@
             expect(grace.refuse(request)).to.equal(true);
         }
     });
+
+    // Guards against a request that may run only once, is taken soon after the signal, and gets no more than that its outcome isn't known.
+    it("takes a request that may run only once only if it ends by its own limit, from its beginning on", () => {
+        answer(100, 100);
+        grace.begin(graceMilliseconds);
+        expect(isRefused(10_000, "unsafe")).to.equal(true);
+        expect(isRefused(graceMilliseconds, "unsafe")).to.equal(false);
+    });
 });
--- a/packages/basilpaddle/src/node/daemon/gateway/gracePeriod.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gracePeriod.ts
@@ -74,7 +74,10 @@
     /** Milliseconds that a request must be given: its own limit at most. */
     private timeNeeded(request: CallerRequest): number {
         const isLate = request.wholeAt - (this.startedAt ?? 0) > balancerNoticeMilliseconds;
-        return Math.min(request.remainingTime(), isLate ? this.timeNeededLate(request) : this.timeExpected(request));
+        const needed = isLate || request.route.kind === "unsafe"
+            ? this.timeNeededAtMost(request)
+            : this.timeExpected(request);
+        return Math.min(request.remainingTime(), needed);
     }
 
     private timeExpected({ route }: CallerRequest): number {
@@ -83,7 +86,7 @@
     }
 
     /** Where a wrong estimate would leave the outcome unknown, or break an answer off, a refusal costs the caller less. */
-    private timeNeededLate({ route }: CallerRequest): number {
+    private timeNeededAtMost({ route }: CallerRequest): number {
         const longest = route.kind === "safe" ? this.durations.quantile(route.name, 1) : undefined;
         return lateSafetyFactor * (longest ?? Number.POSITIVE_INFINITY);
     }
