fix(gateway): the log of a stop tells how each of its last requests ended, and whether its caller got the answer

Cause: the requests were listed before the last answers were sent. Now the lines are written after the last answers, with end and answered; the counter is basilpaddle_requests_ended_by_shutdown_total{phase,end}, and only requests without a whole answer count as cut, in the line closing and in the exit of the process.

--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -31,7 +31,7 @@
 import { noRoomRetryAfterSeconds, readHeldBody } from "./heldBody.js";
 import { logRequest } from "./logRequest.js";
 import { LoopMonitor } from "./loopMonitor.js";
-import { type CutRequest, logCuts, OpenRequests } from "./openRequests.js";
+import { type LastRequest, logLastRequests, OpenRequests } from "./openRequests.js";
 import { writeOwnAnswer } from "./ownAnswer.js";
 import { PlacementClient } from "./placementClient.js";
 import { serveReadiness } from "./readinessServer.js";
@@ -222,20 +222,20 @@
      * their next response, and ends once no request is open or the shutdown time is up. Returns the requests that were
      * cut off.
      */
-    async close(): Promise<readonly CutRequest[]> {
-        const { clock, settings } = this.options;
+    async close(): Promise<readonly LastRequest[]> {
         const { callerServer, relaying, openRequests: requests, grace } = this;
-        grace.begin(settings.shutdownTime - shutdownMarginMilliseconds);
+        grace.begin(this.options.settings.shutdownTime - shutdownMarginMilliseconds);
         relaying.beginShutdown();
         callerServer.closeAfterResponses();
-        const closing = { callerServer, relaying, requests, grace, clock };
+        const closing = { callerServer, relaying, requests, grace, clock: this.options.clock };
         await closeGradually(closing);
-        const cut = requests.list(clock.monotonic());
-        logCuts(this.options, cut, grace.elapsed());
+        const lastRequests = requests.remember(closing.clock.monotonic());
+        const duration = grace.elapsed();
         await answerRest(closing);
+        logLastRequests(this.options, lastRequests(), duration);
         callerServer.closeAll();
         await this.store.dispose();
-        return cut;
+        return lastRequests().filter(({ answered }) => !answered);
     }
 
     /** Whether the balancer should send new requests here. */
--- a/packages/basilpaddle/src/node/daemon/gateway/openRequests.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/openRequests.ts
@@ -1,23 +1,28 @@
 import type * as http from "node:http";
 import type { Logger, Metrics } from "../../utils/index.js";
-import type { CallerRequest, RequestPhase } from "./callerRequest.js";
+import type { CallerRequest, RequestEnd, RequestPhase } from "./callerRequest.js";
 import { writeOwnAnswer } from "./ownAnswer.js";
 
 /** Answer to a request whose body wasn't whole when its gateway ended. */
 const unreadCause = "the gateway shut down before the request was whole";
 const unreadRetryAfterSeconds = "0.01";
 
-/** A request that was open when its gateway ended. */
-export type CutRequest = {
+/** A request that was open when the grace period of its gateway was over, and how it ended. */
+export type LastRequest = {
     /** Identifier of the attempt. */
     readonly request: string;
     readonly route?: string | undefined;
+    /** How far it was when the grace period was over. */
     readonly phase: RequestPhase;
     /** Milliseconds since its head was read. */
     readonly age: number;
+    readonly end: RequestEnd;
+    /** Whether its caller's connection took the whole answer. */
+    readonly answered: boolean;
 };
 
 type OpenRequest = {
+    readonly response: http.ServerResponse;
     readonly attempt: string;
     readonly readAt: number;
     /** Undefined while its body is being read. */
@@ -34,7 +39,7 @@
 
     /** Adds a request whose head was read; it is removed once its answer has been written or its connection has closed. */
     add(response: http.ServerResponse, attempt: string, readAt: number): void {
-        this.requests.set(response, { attempt, readAt, request: undefined });
+        this.requests.set(response, { response, attempt, readAt, request: undefined });
         response.once("close", () => this.requests.delete(response));
     }
 
@@ -64,28 +69,40 @@
         });
     }
 
-    /** The open requests, as of `now` in milliseconds of the monotonic clock. */
-    list(now: number): readonly CutRequest[] {
-        return [...this.requests.values()].map(({ attempt, readAt, request }) => ({
-            request: attempt,
-            route: request?.route.name,
-            phase: request?.phase() ?? "reading",
-            age: Math.round(now - readAt),
+    /** Remembers the open requests, as of `now` in milliseconds of the monotonic clock; returns what tells how they ended. */
+    remember(now: number): () => readonly LastRequest[] {
+        const remembered = [...this.requests.values()].map(({ response, attempt, readAt, request }) => ({
+            response,
+            request,
+            state: {
+                request: attempt,
+                route: request?.route.name,
+                phase: request?.phase() ?? "reading",
+                age: Math.round(now - readAt),
+            } as const,
         }));
+        return () =>
+            remembered.map(({ response, request, state }) => ({
+                ...state,
+                end: request?.outcome()?.end ?? "refused",
+                answered: response.writableFinished,
+            }));
     }
 }
 
-/** Logs and counts the requests that a shutdown ends before they have a whole answer. `duration`: milliseconds since its start. */
-export function logCuts(
+/** Logs and counts the requests that were open when the grace period was over. `duration`: milliseconds that it took. */
+export function logLastRequests(
     { logger, metrics }: { readonly logger: Logger; readonly metrics: Metrics; },
-    cuts: readonly CutRequest[],
+    requests: readonly LastRequest[],
     duration: number,
 ): void {
     const after = Math.round(duration);
-    logger.info("closing", { cut: cuts.length, after });
-    cuts.forEach(cut => {
-        metrics.count("basilpaddle_requests_cut_by_shutdown_total", { phase: cut.phase });
+    const cut = requests.filter(({ answered }) => !answered).length;
+    logger.info("closing", { open: requests.length, cut, after });
+    requests.forEach(request => {
+        const { phase, end } = request;
+        metrics.count("basilpaddle_requests_ended_by_shutdown_total", { phase, end });
         // Milliseconds from the start of the shutdown until the request was read; less than 0 if it was read before.
-        logger.warn("the shutdown ends a request", { ...cut, readAfter: after - cut.age });
+        logger.warn("the shutdown ended a request", { ...request, readAfter: after - request.age });
     });
 }
