fix(gateway): answers that are held for callers of HTTP/1.0 count towards the bytes of all bodies

What operators would see: streams to callers of HTTP/1.0 are held until they are whole, 16 MiB each and without a bound in sum, so that a hundred endless ones take the gateway's memory. Cause: the account that all bodies share asked for plain answers and callers' bodies only. Evidence: the new test of callerRequest.spec.ts failed without the check. Why it works: what can't be kept any more ends its answer like one beyond 16 MiB: nothing of it has been sent, and its caller gets 502.

--- a/packages/basilpaddle/src/node/daemon/backends/heldBytes.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/heldBytes.ts
@@ -46,6 +46,11 @@
         return !this.isReleased && this.account.reserve(this, bytes);
     }
 
+    /** Whether that many more bytes may be kept at once, beside what is reserved for small bodies. */
+    tryReserve(bytes: number): boolean {
+        return !this.isReleased && this.account.tryReserve(this, bytes, 1 - smallBodiesFraction);
+    }
+
     /** Whether it has been released, or gave way. */
     hasEnded(): boolean {
         return this.isReleased;
@@ -93,6 +98,11 @@
         return new HeldBytes({ clock, logger: createSilentLogger(), metrics: SilentMetrics.create() });
     }
 
+    /** Bytes that are kept now. */
+    get bytes(): number {
+        return this.held;
+    }
+
     /** Begins to keep a body. `abandon`: closes the connection that it is read from, if it gives way. @default it never does */
     hold(holder: Holder, abandon?: () => void): Holding {
         const holding = new Holding(this, holder, abandon);
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/callerRequest.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/callerRequest.spec.ts
@@ -2,6 +2,7 @@
 import * as http from "node:http";
 import * as net from "node:net";
 import type { TrafficRoute } from "../../../protocol/index.js";
+import { HeldBytes } from "../../backends/index.js";
 import { CallerRequest } from "../callerRequest.js";
 
 const route: TrafficRoute = {
@@ -88,6 +89,18 @@
         expect(await answerOf(act(request => request.fail(502, "cut")), "GET / HTTP/1.0")).to.match(/^HTTP\/1.1 502 /);
     });
 
+    // Guards against many streams without an end to callers of HTTP/1.0, which are held until they are whole and take the gateway's memory.
+    it("receives no more of a stream by HTTP/1.0 than all bodies together have room for", async () => {
+        const held = HeldBytes.createDefault();
+        held.take({}, held.limit);
+        const answer = await answerOf(request => {
+            request.beginStream({ status: 200, rawHeaders: [] }, held);
+            expect(() => void request.write(Buffer.from("id: 1\n\n"))).to.throw(/no room/);
+            request.fail(502, "no room");
+        }, "GET / HTTP/1.0");
+        expect(answer).to.match(/^HTTP\/1.1 502 /);
+    });
+
     it("receives a complete answer with its length, without hop-by-hop headers of the backend connection", async () => {
         const rawHeaders = ["Keep-Alive", "timeout=9", "Transfer-Encoding", "chunked", "X-A", "1"];
         const answer = await answerOf(request => {
--- a/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
@@ -2,7 +2,7 @@
 import type * as http from "node:http";
 import { type AllowanceGrantor, type CallerIdentity, digestOf, promptPartName } from "../../coordination/index.js";
 import { identifierSchema, type TrafficRoute } from "../../protocol/index.js";
-import type { BackendAnswer, HeldBytes } from "../backends/index.js";
+import { type BackendAnswer, HeldBytes } from "../backends/index.js";
 import { breakOff, endWhenSent, endWithConnection, holdUntilTaken } from "./answerEnd.js";
 import type { CallerMetadata } from "./gatewayWire.js";
 import { endToEndHeaders } from "./headers.js";
@@ -252,10 +252,18 @@
         this.end(status < 400 ? "answered" : "failureGiven", `status ${status}`);
     }
 
-    /** Sends the head of a streamed answer. */
-    beginStream(answer: Pick<BackendAnswer, "status" | "rawHeaders">): void {
+    /** Sends the head of a streamed answer. `held`: counts what can't be sent before it is whole. */
+    beginStream(
+        answer: Pick<BackendAnswer, "status" | "rawHeaders">,
+        held: HeldBytes = HeldBytes.createDefault(),
+    ): void {
         const headers = endToEndHeaders(answer.rawHeaders, new Set());
-        this.stream = StreamedAnswer.create(this.response, answer.status, headers);
+        this.stream = StreamedAnswer.create(
+            this.response,
+            answer.status,
+            headers,
+            held.hold({ request: this.attempt }),
+        );
     }
 
     /** Forwards bytes of a streamed answer; resolves when the caller's connection accepts more. */
--- a/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamExchange.ts
@@ -61,7 +61,7 @@
         this.binding = StreamBinding.create(versions, request, service.name);
         this.sender = BackendSender.create(options);
         this.retryCharges = RetryCharges.create(options.retryAllowance, service.name);
-        this.relay = StreamRelay.create(request, options.answers.bounds, () => {
+        this.relay = StreamRelay.create(request, options.answers, () => {
             placementClient.prefillCompleted(request.attempt);
             this.steps.push(`first ${Math.round(request.age())}`);
         });
--- a/packages/basilpaddle/src/node/daemon/gateway/streamRelay.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamRelay.ts
@@ -1,7 +1,10 @@
-import { type BackendAnswer, discard } from "../backends/index.js";
+import { type BackendAnswer, discard, type HeldBytes } from "../backends/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 import { type CompleteEvent, EventBoundExceeded, type EventBounds, EventSplitter } from "./eventSplitter.js";
 
+/** Bounds of the answers that are forwarded, and the account of what can't be sent yet. */
+export type RelayedAnswers = { readonly bounds: EventBounds; readonly held: HeldBytes; };
+
 /** How forwarding the events of one run ended. */
 export type RelayEnd =
     | { readonly kind: "whole"; }
@@ -15,13 +18,13 @@
 
     private constructor(
         private readonly request: CallerRequest,
-        private readonly bounds: EventBounds,
+        private readonly answers: RelayedAnswers,
         private readonly onFirstEvent: () => void,
     ) {}
 
-    /** `bounds`: bounds of events and comments. `onFirstEvent`: called on the first event of the answer. */
-    static create(request: CallerRequest, bounds: EventBounds, onFirstEvent: () => void): StreamRelay {
-        return new StreamRelay(request, bounds, onFirstEvent);
+    /** `answers`: bounds of events and comments, and the account of what is held. `onFirstEvent`: called on the first event of the answer. */
+    static create(request: CallerRequest, answers: RelayedAnswers, onFirstEvent: () => void): StreamRelay {
+        return new StreamRelay(request, answers, onFirstEvent);
     }
 
     /** Number of the last numbered event that was forwarded to the caller; undefined before the first. */
@@ -47,10 +50,10 @@
     ): Promise<RelayEnd> {
         const { request } = this;
         if (!request.hasAnswerBegun()) {
-            request.beginStream(answer);
+            request.beginStream(answer, this.answers.held);
         }
         const eventsBefore = this.eventCount;
-        const splitter = EventSplitter.create(this.bounds);
+        const splitter = EventSplitter.create(this.answers.bounds);
         const idleTimeout = IdleTimeout.create(answer, idleTimeoutMilliseconds);
         try {
             for await (const chunk of answer.body as AsyncIterable<Buffer>) {
--- a/packages/basilpaddle/src/node/daemon/gateway/streamedAnswer.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamedAnswer.ts
@@ -1,4 +1,5 @@
 import type * as http from "node:http";
+import type { Holding } from "../backends/index.js";
 import { endWhenSent } from "./answerEnd.js";
 
 /** Bytes of an answer that are held until it is whole. */
@@ -6,11 +7,18 @@
 
 /** Where a streamed answer is written; its caller can tell one that is finished from one that isn't. */
 export abstract class StreamedAnswer {
-    /** Begins an answer in the form that its caller can read. */
-    static create(response: http.ServerResponse, status: number, headers: readonly string[]): StreamedAnswer {
+    /** Begins an answer in the form that its caller can read. `holding`: counts what is held of it. */
+    static create(
+        response: http.ServerResponse,
+        status: number,
+        headers: readonly string[],
+        holding: Holding,
+    ): StreamedAnswer {
         const { httpVersionMajor, httpVersionMinor } = response.req;
         const readsChunks = httpVersionMajor > 1 || httpVersionMinor >= 1;
-        return readsChunks ? new ChunkedAnswer(response, status, headers) : new HeldAnswer(response, status, headers);
+        return readsChunks
+            ? new ChunkedAnswer(response, status, headers)
+            : new HeldAnswer(response, status, headers, holding);
     }
 
     /** Writes bytes of the body; false if the caller's connection accepts no more for now. Throws if too much would be held. */
@@ -62,12 +70,17 @@
         private readonly response: http.ServerResponse,
         private readonly status: number,
         private readonly headers: readonly string[],
+        private readonly holding: Holding,
     ) {
         super();
+        response.once("close", () => holding.release());
     }
 
     override write(bytes: Buffer): boolean {
         this.bytes += bytes.length;
+        if (!this.holding.tryReserve(bytes.length)) {
+            throw new RangeError("no room for an answer to a caller of HTTP/1.0");
+        }
         if (this.bytes > maxHeldBytes) {
             throw new RangeError(`an answer to a caller of HTTP/1.0 exceeds ${maxHeldBytes} bytes`);
         }
