fix(gateway): a server's failure that is kept while another server is tried counts towards the bytes of all bodies

What operators would see: failures with long bodies from a server to many callers, each kept in case that no other server answers, take memory outside the account that all bodies share. Cause: a body was released from the account as soon as it was whole. Evidence: serviceExchange.spec.ts asks for the bytes while the failure is kept, 0 before and 3 now. Why it works: the failure counts until its request has ended, and other bodies wait or give way meanwhile.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/serviceExchange.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/serviceExchange.spec.ts
@@ -19,6 +19,8 @@
         instances.apply(announced({ id: "a", service: "plain" }));
         instances.apply(announced({ id: "b", service: "plain", address: "10.0.0.2:80" }));
         let calls = 0;
+        const answers = AnswerLimits.createDefault();
+        const keptBytes: number[] = [];
         const options = {
             wire: {
                 systemHeaders: new Set(),
@@ -32,9 +34,12 @@
                     const body = Readable.from([Buffer.from("own")]);
                     return Promise.resolve({ status: 500, rawHeaders: [], headers: {}, body, framed: true });
                 },
-                hasNoPath: () => calls > 0,
+                hasNoPath: () => {
+                    keptBytes.push(answers.held.bytes);
+                    return calls > 0;
+                },
             },
-            answers: AnswerLimits.createDefault(),
+            answers,
             instances,
             choice: ServerChoice.create("a"),
             tally: CallTally.create(),
@@ -58,5 +63,6 @@
         await ServiceExchange.create(options, request, service).run();
         expect(request.outcome()).to.deep.equal({ end: "failureGiven", cause: "status 500" });
         expect(calls).to.equal(1);
+        expect([keptBytes.at(-1), answers.held.bytes], "while it is kept, and after").to.deep.equal([3, 0]);
     });
 });
--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -1,7 +1,7 @@
 import type { CallOutcome } from "../../coordination/index.js";
 import type { ServerAnnouncement, ServiceRule } from "../../protocol/index.js";
 import { hashToFraction } from "../../utils/index.js";
-import { type BackendAnswer, discard, readWholeBody } from "../backends/index.js";
+import { type BackendAnswer, discard, type Holding, readWholeBody } from "../backends/index.js";
 import { BackendSender, type ExchangeOptions, type SendResult, viaRelay } from "./backendSender.js";
 import type { CallerRequest } from "./callerRequest.js";
 import { refuseQuarantined } from "./refuseQuarantined.js";
@@ -39,6 +39,8 @@
     private readonly triedServers = new Set<string>();
     private readonly steps: string[] = [];
     private runCount = 0;
+    /** Counts the failure of a server that is kept in case that no other one answers. */
+    private keptFailure: Holding | undefined;
     /** Whether it arrived at a server, or may have. */
     private mayHaveArrived = false;
     /** Milliseconds until a server has room; undefined unless all have reached the limits that they name. */
@@ -63,6 +65,15 @@
 
     /** Processes the request until it is answered, refused or failed. */
     async run(): Promise<void> {
+        try {
+            await this.tryServers();
+        }
+        finally {
+            this.keptFailure?.release();
+        }
+    }
+
+    private async tryServers(): Promise<void> {
         const { options, request, service } = this;
         options.retryAllowance.recordRequest(service.name);
         let lastResult: Extract<ServerResult, { kind: "next"; }> | undefined;
@@ -275,6 +286,8 @@
         }
         const forward = (): void => this.forwardAnswer(answer, body);
         if (status >= minServerErrorStatus) {
+            this.keptFailure?.release();
+            this.keptFailure = this.options.answers.held.take({ request: this.request.attempt }, body.length);
             return [{ kind: "next", mayHaveRun: true, cause: `status ${status}`, forward }, "failed"];
         }
         forward();
