--- a/scripts/stops/table.ts
+++ b/scripts/stops/table.ts
@@ -7,7 +7,7 @@
 
 /** Header of the table. */
 export const tableHead = [
-    "| row | sent | requests | whole | refused (503) | unknown (502, 504) | cut, no status | cut in the answer | other | lost | let off |",
+    "| row | sent | requests | whole | refused (503) | unknown (502, 504) | cut, no status | cut in the answer | other | lost | allowed |",
     `|${" --- |".repeat(11)}`,
 ];
 
