feat(gateway): a stop tells when its signal may have come at the earliest, and how late the event loop was

A stop logged only when its signal was handled. Whether it had come long before, while the event loop stood still, and whether the loop was late again at the end, couldn't be told from a log, so that two hypotheses of the incident looked alike.

The earliest time is that of the tick before the last one: a signal that came before it would have been handled in a turn before. The code that shuts a gateway down and its log lines stand in modules of their own; behaviour is as before.

--- a/packages/basilpaddle/src/node/daemon/gateway/closeGradually.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/closeGradually.ts
@@ -1,8 +1,10 @@
-import type { Clock } from "../../utils/index.js";
+import type { Clock, Logger, Metrics } from "../../utils/index.js";
 import type { CallerServer } from "./callerServer.js";
 import type { GracePeriod } from "./gracePeriod.js";
-import type { OpenRequests } from "./openRequests.js";
+import type { LoopMonitor } from "./loopMonitor.js";
+import type { LastRequest, OpenRequests } from "./openRequests.js";
 import type { Relaying } from "./relaying.js";
+import { logLastRequests, logStop } from "./stopLog.js";
 
 /** Interval of checking for open requests. */
 const pollMilliseconds = 50;
@@ -15,14 +17,36 @@
     readonly relaying: Relaying;
     readonly requests: OpenRequests;
     readonly grace: GracePeriod;
+    readonly loop: LoopMonitor;
     readonly clock: Clock;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
 };
 
+/**
+ * Shuts a gateway down within as many milliseconds; returns the requests that were open at the end of the grace period. Its listeners and
+ * connections for callers are closed then.
+ */
+export async function shutDown(closing: ClosingGateway, duration: number): Promise<readonly LastRequest[]> {
+    const { callerServer, relaying, requests, grace, loop, clock } = closing;
+    logStop(closing, loop.earliestSignal(), loop.takeMaxLateness());
+    grace.begin(duration);
+    relaying.beginShutdown();
+    callerServer.closeAfterResponses();
+    await closeGradually(closing);
+    const lastRequests = requests.remember(clock.monotonic());
+    const elapsed = grace.elapsed();
+    await answerRest(closing);
+    logLastRequests(closing, lastRequests(), { duration: elapsed, lateness: loop.takeMaxLateness() });
+    callerServer.closeAll();
+    return lastRequests();
+}
+
 /**
  * Serves until the balancer has noticed that the gateway shuts down, then until no request and no used tunnel is open, or until
  * the grace period is over. Requests that can't be expected to end in it are refused as soon as that is known.
  */
-export async function closeGradually(
+async function closeGradually(
     { callerServer, relaying, requests, grace, clock }: ClosingGateway,
 ): Promise<void> {
     let listening = true;
@@ -46,7 +70,7 @@
 }
 
 /** Answers what is still open, and waits until the callers' connections have taken the answers. */
-export async function answerRest({ callerServer, requests, grace, clock }: ClosingGateway): Promise<void> {
+async function answerRest({ callerServer, requests, grace, clock }: ClosingGateway): Promise<void> {
     callerServer.stopListening();
     requests.forEachWhole(request => grace.end(request));
     requests.refuseUnread();
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -23,7 +23,7 @@
 import type { ExchangeOptions } from "./backendSender.js";
 import { CallerRequest } from "./callerRequest.js";
 import { CallerServer } from "./callerServer.js";
-import { answerRest, closeGradually } from "./closeGradually.js";
+import { shutDown } from "./closeGradually.js";
 import { CurrentRoutes } from "./currentRoutes.js";
 import type { GatewayWire } from "./gatewayWire.js";
 import { GracePeriod } from "./gracePeriod.js";
@@ -31,7 +31,7 @@
 import { noRoomRetryAfterSeconds, readHeldBody } from "./heldBody.js";
 import { logRequest } from "./logRequest.js";
 import { LoopMonitor } from "./loopMonitor.js";
-import { type LastRequest, logLastRequests, OpenRequests } from "./openRequests.js";
+import { type LastRequest, OpenRequests } from "./openRequests.js";
 import { writeOwnAnswer } from "./ownAnswer.js";
 import { PlacementClient } from "./placementClient.js";
 import { serveReadiness } from "./readinessServer.js";
@@ -223,19 +223,12 @@
      * cut off.
      */
     async close(): Promise<readonly LastRequest[]> {
-        const { callerServer, relaying, openRequests: requests, grace } = this;
-        grace.begin(this.options.settings.shutdownTime - shutdownMarginMilliseconds);
-        relaying.beginShutdown();
-        callerServer.closeAfterResponses();
-        const closing = { callerServer, relaying, requests, grace, clock: this.options.clock };
-        await closeGradually(closing);
-        const lastRequests = requests.remember(closing.clock.monotonic());
-        const duration = grace.elapsed();
-        await answerRest(closing);
-        logLastRequests(this.options, lastRequests(), duration);
-        callerServer.closeAll();
+        const { callerServer, relaying, openRequests: requests, grace, loop, options } = this;
+        const { settings, clock, logger, metrics } = options;
+        const closing = { callerServer, relaying, requests, grace, loop, clock, logger, metrics };
+        const lastRequests = await shutDown(closing, settings.shutdownTime - shutdownMarginMilliseconds);
         await this.store.dispose();
-        return lastRequests().filter(({ answered }) => !answered);
+        return lastRequests.filter(({ answered }) => !answered);
     }
 
     /** Whether the balancer should send new requests here. */
--- a/packages/basilpaddle/src/node/daemon/gateway/loopLag.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/loopLag.ts
@@ -26,6 +26,14 @@
         return previous === undefined ? 0 : Math.max(0, now - previous - tickMilliseconds);
     }
 
+    /**
+     * The earliest time at which a signal may have come that is handled now, undefined until two ticks are known. It may be left to a turn
+     * after the last tick, since a poll that it interrupts can end without reading it.
+     */
+    earliestSignal(): number | undefined {
+        return this.ticks[1];
+    }
+
     /**
      * Whether the event loop has lagged so recently that what the operating system held before `now` may be unprocessed. A connection that is accepted in one turn of
      * the event loop is read in the next one and its end is seen in the one after that.
--- a/packages/basilpaddle/src/node/daemon/gateway/loopMonitor.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/loopMonitor.ts
@@ -28,6 +28,10 @@
         { readonly acceptedAt: number; readonly openedAt: number; }
     >();
 
+    private startedAt: number | undefined;
+    /** The latest tick since the last call of `takeMaxLateness`, in milliseconds. */
+    private maxLateness = 0;
+
     private constructor(private readonly clock: Clock) {}
 
     static create(clock: Clock): LoopMonitor {
@@ -36,6 +40,7 @@
 
     /** Starts to measure; the returned function stops it. Before, the event loop counts as not lagging. */
     start(): () => void {
+        this.startedAt = this.clock.monotonic();
         const timer = setInterval(() => this.tick(), tickMilliseconds);
         timer.unref();
         return () => clearInterval(timer);
@@ -55,6 +60,18 @@
         return this.lag.earliestArrival(readAt, this.lateConnections.get(socket));
     }
 
+    /** The earliest time at which a signal may have come that is handled now, if it came after the start. */
+    earliestSignal(): number {
+        return this.lag.earliestSignal() ?? this.startedAt ?? this.clock.monotonic();
+    }
+
+    /** By how many milliseconds the event loop was late at most since the last call, or since its start. */
+    takeMaxLateness(): number {
+        const { maxLateness } = this;
+        this.maxLateness = 0;
+        return maxLateness;
+    }
+
     isLagging(): boolean {
         return this.lag.isLagging(this.clock.monotonic());
     }
@@ -91,6 +108,7 @@
 
     private tick(): void {
         const lateness = this.lag.recordTick(this.clock.monotonic());
+        this.maxLateness = Math.max(this.maxLateness, lateness);
         this.lateness.record(Math.max(1, Math.round(lateness * microsecondsPerMillisecond)));
     }
 }
--- a/packages/basilpaddle/src/node/daemon/gateway/openRequests.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/openRequests.ts
@@ -1,5 +1,4 @@
 import type * as http from "node:http";
-import type { Logger, Metrics } from "../../utils/index.js";
 import type { CallerRequest, RequestEnd, RequestPhase } from "./callerRequest.js";
 import { writeOwnAnswer } from "./ownAnswer.js";
 
@@ -89,20 +88,3 @@
             }));
     }
 }
-
-/** Logs and counts the requests that were open when the grace period was over. `duration`: milliseconds that it took. */
-export function logLastRequests(
-    { logger, metrics }: { readonly logger: Logger; readonly metrics: Metrics; },
-    requests: readonly LastRequest[],
-    duration: number,
-): void {
-    const after = Math.round(duration);
-    const cut = requests.filter(({ answered }) => !answered).length;
-    logger.info("closing", { open: requests.length, cut, after });
-    requests.forEach(request => {
-        const { phase, end } = request;
-        metrics.count("basilpaddle_requests_ended_by_shutdown_total", { phase, end });
-        // Milliseconds from the start of the shutdown until the request was read; less than 0 if it was read before.
-        logger.warn("the shutdown ended a request", { ...request, readAfter: after - request.age });
-    });
-}
