fix(gateway): the time of a stop counts from the signal, not from its handling

Callers saw streams that they had sent over 3 s after the SIGTERM of their gateway taken, passed on to an engine and cut 4 s later; and where the process had stood still for longer at its signal, requests without any answer, since the platform ended it first.

The cause: the grace period began when the handler ran. The platform and the callers count from the signal. While the event loop lags (a third of a core, other work beside), the handler runs later, and what was late for them counted as early here: 0.2 s was all that lay between the two.

The period now begins at the earliest moment at which the signal may have come, the tick before the last one: a signal that came before would have been handled in a turn before. What the balancer has noticed still counts from the handling, since its probes are answered as not ready only from then on. A send asks the period after it has waited for what the operating system holds, since a signal is handled after all input that came with it.

--- a/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
@@ -104,13 +104,14 @@
         let result: RoutedResult;
         let sends = 0;
         do {
-            if (grace?.refuse(request) === true) {
-                return { kind: "notRun", cause: "the gateway shuts down", unreachable: true, lostOnPath: true };
-            }
             const obstacle = loop.isLagging() ? await this.obstacle(request, signal) : undefined;
             if (obstacle !== undefined) {
                 return { kind: "notRun", cause: obstacle, unreachable: true, lostOnPath: true };
             }
+            // Asked last: a signal is handled after all else that came with it, also if it came long before.
+            if (grace?.refuse(request) === true) {
+                return { kind: "notRun", cause: "the gateway shuts down", unreachable: true, lostOnPath: true };
+            }
             if (!instances.acceptsWork(server.id)) {
                 // It was chosen, or a run was placed there, before it was known to leave.
                 metrics.count("basilpaddle_sends_to_leaving_servers_prevented_total", { service: service.name });
--- a/packages/basilpaddle/src/node/daemon/gateway/closeGradually.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/closeGradually.ts
@@ -24,13 +24,17 @@
 };
 
 /**
- * Shuts a gateway down within as many milliseconds; returns the requests that were open at the end of the grace period. Its listeners and
+ * Shuts a gateway down within `duration` milliseconds of a signal that came at `signalledAt` at the earliest; returns the requests that were open at the end of the grace period. Its listeners and
  * connections for callers are closed then.
  */
-export async function shutDown(closing: ClosingGateway, duration: number): Promise<readonly LastRequest[]> {
+export async function shutDown(
+    closing: ClosingGateway,
+    duration: number,
+    signalledAt: number,
+): Promise<readonly LastRequest[]> {
     const { callerServer, relaying, requests, grace, loop, clock } = closing;
-    logStop(closing, loop.earliestSignal(), loop.takeMaxLateness());
-    grace.begin(duration);
+    logStop(closing, signalledAt, loop.takeMaxLateness());
+    grace.begin(duration, signalledAt);
     relaying.beginShutdown();
     callerServer.closeAfterResponses();
     await closeGradually(closing);
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -220,13 +220,17 @@
     /**
      * Shuts down: reports not ready, continues to serve until the balancer has noticed, closes callers' connections after
      * their next response, and ends once no request is open or the shutdown time is up. Returns the requests that were
-     * cut off.
+     * cut off. `signalledAt`: the earliest time at which the stop was ordered, if that was before the start.
      */
-    async close(): Promise<readonly LastRequest[]> {
+    async close(signalledAt = Number.POSITIVE_INFINITY): Promise<readonly LastRequest[]> {
         const { callerServer, relaying, openRequests: requests, grace, loop, options } = this;
         const { settings, clock, logger, metrics } = options;
         const closing = { callerServer, relaying, requests, grace, loop, clock, logger, metrics };
-        const lastRequests = await shutDown(closing, settings.shutdownTime - shutdownMarginMilliseconds);
+        const lastRequests = await shutDown(
+            closing,
+            settings.shutdownTime - shutdownMarginMilliseconds,
+            Math.min(signalledAt, loop.earliestSignal()),
+        );
         await this.store.dispose();
         return lastRequests.filter(({ answered }) => !answered);
     }
--- a/packages/basilpaddle/src/node/daemon/gateway/gracePeriod.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gracePeriod.ts
@@ -16,7 +16,8 @@
 
 /** The time that a gateway has after a stop signal: a limit of every request, like the caller's own. */
 export class GracePeriod {
-    private startedAt: number | undefined;
+    private handledAt: number | undefined;
+    private signalledAt = Number.POSITIVE_INFINITY;
     private endsAt = Number.POSITIVE_INFINITY;
 
     private constructor(private readonly clock: Clock, private readonly durations: AnswerDurations) {}
@@ -25,14 +26,18 @@
         return new GracePeriod(clock, durations);
     }
 
-    /** Begins a period of that many milliseconds. */
-    begin(duration: number): void {
-        this.startedAt = this.clock.monotonic();
-        this.endsAt = this.startedAt + duration;
+    /**
+     * Begins a period of `duration` milliseconds from `signalledAt` on, the earliest time at which the signal may have come: the platform and the
+     * callers count from the signal, which is handled later if the event loop lags.
+     */
+    begin(duration: number, signalledAt = this.clock.monotonic()): void {
+        this.handledAt = this.clock.monotonic();
+        this.signalledAt = signalledAt;
+        this.endsAt = signalledAt + duration;
     }
 
     hasBegun(): boolean {
-        return this.startedAt !== undefined;
+        return this.handledAt !== undefined;
     }
 
     isOver(): boolean {
@@ -41,12 +46,15 @@
 
     /** Milliseconds since it began; 0 before. */
     elapsed(): number {
-        return this.startedAt === undefined ? 0 : this.clock.monotonic() - this.startedAt;
+        return this.hasBegun() ? this.clock.monotonic() - this.signalledAt : 0;
     }
 
-    /** Whether the balancer has noticed, so that callers come only on connections that they have kept. */
+    /**
+     * Whether the balancer has noticed, so that callers come only on connections that they have kept. Its probes are answered as not ready
+     * only since the signal was handled.
+     */
     isNoticed(): boolean {
-        return this.elapsed() > balancerNoticeMilliseconds;
+        return this.handledAt !== undefined && this.clock.monotonic() - this.handledAt > balancerNoticeMilliseconds;
     }
 
     /**
@@ -73,7 +81,7 @@
 
     /** Milliseconds that a request must be given: its own limit at most. */
     private timeNeeded(request: CallerRequest): number {
-        const isLate = request.wholeAt - (this.startedAt ?? 0) > balancerNoticeMilliseconds;
+        const isLate = request.wholeAt - this.signalledAt > balancerNoticeMilliseconds;
         const needed = isLate || request.route.kind === "unsafe"
             ? this.timeNeededAtMost(request)
             : this.timeExpected(request);
