fix(gateway): what waits to be accepted or read when a gateway stops is answered, not reset

Callers that had sent their request while the balancer still counted on the gateway got a reset, without a status: their connections waited to be accepted when the gateway stopped listening, 2.8 s after its signal. The event loop accepts one connection in a turn, so that a queue forms wherever a turn is long, as with a third of a core.

The gateway now goes on listening until it ends: late requests are answered like those on kept connections, served if they end in time and refused as not run otherwise.

--- a/packages/basilpaddle/src/node/daemon/gateway/closeGradually.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/closeGradually.ts
@@ -8,6 +8,8 @@
 
 /** Interval of checking for open requests. */
 const pollMilliseconds = 50;
+/** How long connections may be accepted and requests be read that the operating system holds when the others are closed. */
+const acceptPendingMilliseconds = 200;
 /** How long the answers at the end of the grace period may take to reach their callers' connections. */
 const lastAnswersMilliseconds = 200;
 
@@ -51,30 +53,28 @@
  * the grace period is over. Requests that can't be expected to end in it are refused as soon as that is known.
  */
 async function closeGradually(
-    { callerServer, relaying, requests, grace, clock }: ClosingGateway,
+    { callerServer, relaying, requests, grace, loop, clock }: ClosingGateway,
 ): Promise<void> {
-    let listening = true;
     while (!grace.isOver()) {
         requests.forEachWhole(request => grace.refuse(request));
-        if (listening && grace.isNoticed()) {
-            listening = false;
-            callerServer.stopListening();
-        }
-        if (!listening) {
+        if (grace.isNoticed()) {
+            // Closing over a request that the operating system holds would reset its connection.
+            await loop.acceptPending(acceptPendingMilliseconds);
             // A caller with an idle connection would send its next request here, and lose it when the gateway exits. Until the
             // balancer has noticed, such requests are answered, and their connections closed with the answer.
             callerServer.closeIdle();
-        }
-        const usedTunnels = listening ? 0 : relaying.closeIdleTunnels();
-        if (!listening && callerServer.openRequests() === 0 && usedTunnels === 0) {
-            break;
+            const usedTunnels = relaying.closeIdleTunnels();
+            if (callerServer.openRequests() === 0 && usedTunnels === 0) {
+                break;
+            }
         }
         await pause(clock);
     }
 }
 
 /** Answers what is still open, and waits until the callers' connections have taken the answers. */
-async function answerRest({ callerServer, requests, grace, clock }: ClosingGateway): Promise<void> {
+async function answerRest({ callerServer, requests, grace, loop, clock }: ClosingGateway): Promise<void> {
+    await loop.acceptPending(acceptPendingMilliseconds);
     callerServer.stopListening();
     requests.forEachWhole(request => grace.end(request));
     requests.refuseUnread();
--- a/packages/basilpaddle/src/node/daemon/gateway/loopMonitor.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/loopMonitor.ts
@@ -15,6 +15,8 @@
  * older than both together.
  */
 const maxUnprocessedMilliseconds = 250;
+/** Limit of the turns in which a whole queue of connections is accepted, one in each. */
+const maxAcceptTurns = 2_000;
 const microsecondsPerMillisecond = 1_000;
 const reportedPercentiles = [50, 99];
 
@@ -32,6 +34,8 @@
     /** The latest tick since the last call of `takeMaxLateness`, in milliseconds. */
     private maxLateness = 0;
 
+    private acceptedConnections = 0;
+
     private constructor(private readonly clock: Clock) {}
 
     static create(clock: Clock): LoopMonitor {
@@ -48,6 +52,7 @@
 
     /** Records that a connection was accepted. */
     recordConnection(socket: Socket): void {
+        this.acceptedConnections += 1;
         const acceptedAt = this.clock.monotonic();
         const openedAt = this.lag.earliestTime(acceptedAt);
         if (openedAt < acceptedAt) {
@@ -96,6 +101,23 @@
         }
     }
 
+    /**
+     * Waits until the connections and requests that the operating system held at the call are accepted and read, within that many
+     * milliseconds. The event loop accepts one connection of a listener in a turn, and reads its request in a later one.
+     */
+    async acceptPending(limit: number): Promise<void> {
+        const deadline = this.clock.monotonic() + limit;
+        let quietTurns = 0;
+        for (let turn = 1; turn <= maxAcceptTurns && quietTurns < minTurns; turn++) {
+            const accepted = this.acceptedConnections;
+            await new Promise<void>(resolve => setImmediate(resolve));
+            if (this.clock.monotonic() >= deadline) {
+                return;
+            }
+            quietTurns = this.acceptedConnections === accepted ? quietTurns + 1 : 0;
+        }
+    }
+
     /** Sets the gauges of the lag since the last call. */
     measure(metrics: Metrics): void {
         reportedPercentiles.forEach(percentile => {
