fix(gateway): a gateway that stops listens until nothing waits, and no longer

The listener now closes as soon as nothing waits any more: two turns of the event loop in a row that have accepted nothing. What is read after the last look is refused as not run, since the period ends with it: before, it could be passed on and be told 502 (by reading). The part at the end takes 250 ms at most. The timeout for heads is as it was. lateStopSignals.spec.ts and plannedStops.spec.ts hold.

--- a/packages/basilpaddle/src/node/daemon/gateway/closeGradually.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/closeGradually.ts
@@ -8,10 +8,12 @@
 
 /** Interval of checking for open requests. */
 const pollMilliseconds = 50;
-/** How long connections may be accepted and requests be read that the operating system holds when the others are closed. */
-const acceptPendingMilliseconds = 200;
+/** Limit of the turns of the event loop after which the gateway looks again at its open requests. */
+const readWaitingMilliseconds = 200;
 /** How long the answers at the end of the grace period may take to reach their callers' connections. */
-const lastAnswersMilliseconds = 200;
+const lastAnswersMilliseconds = 250;
+/** The part of it for requests that wait to be read. */
+const lastReadsMilliseconds = 50;
 
 /** What a gateway closes when it shuts down. */
 export type ClosingGateway = {
@@ -55,11 +57,15 @@
 async function closeGradually(
     { callerServer, relaying, requests, grace, loop, clock }: ClosingGateway,
 ): Promise<void> {
+    let listening = true;
     while (!grace.isOver()) {
         requests.forEachWhole(request => grace.refuse(request));
-        if (grace.isNoticed()) {
-            // Closing over a request that the operating system holds would reset its connection.
-            await loop.acceptPending(acceptPendingMilliseconds);
+        // Closing over a connection or a request that the operating system holds would reset it.
+        if (grace.isNoticed() && await loop.acceptPending(readWaitingMilliseconds)) {
+            if (listening) {
+                listening = false;
+                callerServer.stopListening();
+            }
             // A caller with an idle connection would send its next request here, and lose it when the gateway exits. Until the
             // balancer has noticed, such requests are answered, and their connections closed with the answer.
             callerServer.closeIdle();
@@ -72,13 +78,14 @@
     }
 }
 
-/** Answers what is still open, and waits until the callers' connections have taken the answers. */
+/** Answers what is still open or waits to be read, and waits until the callers' connections have taken the answers. */
 async function answerRest({ callerServer, requests, grace, loop, clock }: ClosingGateway): Promise<void> {
-    await loop.acceptPending(acceptPendingMilliseconds);
+    const deadline = clock.monotonic() + lastAnswersMilliseconds;
+    grace.endNow();
+    await loop.acceptPending(lastReadsMilliseconds);
     callerServer.stopListening();
     requests.forEachWhole(request => grace.end(request));
     requests.refuseUnread();
-    const deadline = clock.monotonic() + lastAnswersMilliseconds;
     while (callerServer.openRequests() > 0 && clock.monotonic() < deadline) {
         await pause(clock);
     }
--- a/packages/basilpaddle/src/node/daemon/gateway/gracePeriod.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gracePeriod.ts
@@ -36,6 +36,11 @@
         this.endsAt = signalledAt + duration;
     }
 
+    /** Ends it: what comes from now on is refused. */
+    endNow(): void {
+        this.endsAt = Math.min(this.endsAt, this.clock.monotonic());
+    }
+
     hasBegun(): boolean {
         return this.handledAt !== undefined;
     }
--- a/packages/basilpaddle/src/node/daemon/gateway/loopMonitor.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/loopMonitor.ts
@@ -103,19 +103,21 @@
 
     /**
      * Waits until the connections and requests that the operating system held at the call are accepted and read, within that many
-     * milliseconds. The event loop accepts one connection of a listener in a turn, and reads its request in a later one.
+     * milliseconds; returns whether they are. The event loop accepts one connection of a listener in a turn, and reads its request in a
+     * later one.
      */
-    async acceptPending(limit: number): Promise<void> {
+    async acceptPending(limit: number): Promise<boolean> {
         const deadline = this.clock.monotonic() + limit;
         let quietTurns = 0;
         for (let turn = 1; turn <= maxAcceptTurns && quietTurns < minTurns; turn++) {
             const accepted = this.acceptedConnections;
             await new Promise<void>(resolve => setImmediate(resolve));
+            quietTurns = this.acceptedConnections === accepted ? quietTurns + 1 : 0;
             if (this.clock.monotonic() >= deadline) {
-                return;
+                break;
             }
-            quietTurns = this.acceptedConnections === accepted ? quietTurns + 1 : 0;
         }
+        return quietTurns >= minTurns;
     }
 
     /** Sets the gauges of the lag since the last call. */
