fix(gateway): a request isn't taken during a stop for a limit that is estimated too early

A request that may have waited unread counts from the earliest moment of its arrival, so that its limit is early by as much: the gateway took it for one that ends in time by its own limit.

Whether it ends by its own limit is now asked of the latest moment at which that may be.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/fakeRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/fakeRequest.ts
@@ -4,11 +4,13 @@
 import type { TrafficOrganisation, TrafficRoute } from "../../../protocol/index.js";
 import { CallerRequest } from "../callerRequest.js";
 
-/** A caller's request on a route, with an answer that goes nowhere; `organisation`: the holder of its key, `age`: milliseconds since its arrival. */
+/** A caller's request on a route, with an answer that goes nowhere; `organisation`: the holder of its key, `age`: milliseconds since its arrival; `unreadFor`: for
+ * how many it may have waited unread. */
 export function createRequest(
     routeFields: Partial<TrafficRoute>,
     organisation?: TrafficOrganisation,
     age = 0,
+    unreadFor = 0,
 ): CallerRequest {
     const incoming = new http.IncomingMessage(new net.Socket());
     return CallerRequest.create({
@@ -26,6 +28,7 @@
         identity: { organisation, keysInForce: organisation !== undefined },
         body: undefined,
         arrivedAt: 0,
+        unreadFor,
         now: () => age,
     });
 }
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/gracePeriod.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/gracePeriod.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { ManualClock } from "../../../../../../../simulation/manualClock.js";
 import { AnswerDurations } from "../answerDurations.js";
+import type { CallerRequest } from "../callerRequest.js";
 import { balancerNoticeMilliseconds, GracePeriod } from "../gracePeriod.js";
 import { createRequest } from "./fakeRequest.js";
 
@@ -39,6 +40,15 @@
         expect(isRefused(5_000)).to.equal(false);
     });
 
+    // Guards against requests that are taken since they seem to end by their own limit, and are cut: a limit that is estimated too early.
+    it("takes a request that may have waited unread only if it ends even if it hasn't", () => {
+        grace.begin(graceMilliseconds);
+        const request = (unreadFor: number): CallerRequest =>
+            createRequest({ name: "r", timeout: graceMilliseconds - 500, kind: "unsafe" }, undefined, 0, unreadFor);
+        expect(grace.refuse(request(400))).to.equal(false);
+        expect(grace.refuse(request(1_000))).to.equal(true);
+    });
+
     // Guards against requests that are taken soon after the signal though most of their route take longer than what is left.
     it("refuses a request whose route's answers mostly take longer, from its beginning on", () => {
         grace.begin(graceMilliseconds);
--- a/packages/basilpaddle/src/node/daemon/gateway/gracePeriod.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gracePeriod.ts
@@ -90,7 +90,8 @@
         const needed = isLate || request.route.kind === "unsafe"
             ? this.timeNeededAtMost(request)
             : this.timeExpected(request);
-        return Math.min(request.remainingTime(), needed);
+        // Its own limit ends it later if it hasn't waited unread for as long as it may have.
+        return Math.min(request.remainingTime() + request.unreadFor, needed);
     }
 
     private timeExpected({ route }: CallerRequest): number {
