fix(gateway): a stop isn't cut short by as much as its signal may have come before

What is late still counts from the earliest moment. The end counts from the handling where both are within 0.4 s, and else is 0.4 s later than from the earliest moment: 0.4 s are left then before the platform ends the process, of which the last answers take 0.25 s. gracePeriod.spec.ts, 'counts late requests from the earliest time of the signal, and its end from the handling if that is close', fails without it; lateStopSignals.spec.ts holds.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/gracePeriod.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/gracePeriod.spec.ts
@@ -49,6 +49,23 @@
         expect(grace.refuse(request(1_000))).to.equal(true);
     });
 
+    // Guards against streams that are cut too soon, since the signal came later than it may have come at the earliest.
+    it("counts late requests from the earliest time of the signal, and its end from the handling if that is close", async () => {
+        await clock.advance(2_000);
+        grace.begin(graceMilliseconds, 0);
+        await clock.advance(balancerNoticeMilliseconds - 2_001);
+        expect(isRefused(10_000)).to.equal(false);
+        await clock.advance(2);
+        expect(isRefused(10_000), "late").to.equal(true);
+        await clock.advance(graceMilliseconds + 300 - clock.monotonic());
+        expect(grace.isOver()).to.equal(false);
+        await clock.advance(200);
+        expect(grace.isOver()).to.equal(true);
+        grace.begin(graceMilliseconds, clock.monotonic() - 100);
+        await clock.advance(graceMilliseconds - 50);
+        expect(grace.isOver()).to.equal(false);
+    });
+
     // Guards against requests that are taken soon after the signal though most of their route take longer than what is left.
     it("refuses a request whose route's answers mostly take longer, from its beginning on", () => {
         grace.begin(graceMilliseconds);
--- a/packages/basilpaddle/src/node/daemon/gateway/gracePeriod.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gracePeriod.ts
@@ -4,6 +4,8 @@
 
 /** Time in which the balancer detects that a gateway shuts down: two probes a second apart, and a margin. */
 export const balancerNoticeMilliseconds = 2_800;
+/** How much longer the period may be where the signal may have come that much later: what is left of the time in which the platform ends the process. */
+const maxUncertaintyMilliseconds = 400;
 /** Share of a route's recent answers that must have ended in the time that is left, while callers still count on the gateway. */
 const expectedShare = 0.5;
 /** How much longer than the longest recent answer of its route a request may take that comes later. */
@@ -27,13 +29,13 @@
     }
 
     /**
-     * Begins a period of `duration` milliseconds from `signalledAt` on, the earliest time at which the signal may have come: the platform and the
+     * Begins a period of `duration` milliseconds. `signalledAt`: the earliest time at which the signal may have come; the platform and the
      * callers count from the signal, which is handled later if the event loop lags.
      */
     begin(duration: number, signalledAt = this.clock.monotonic()): void {
         this.handledAt = this.clock.monotonic();
         this.signalledAt = signalledAt;
-        this.endsAt = signalledAt + duration;
+        this.endsAt = Math.min(this.handledAt, signalledAt + maxUncertaintyMilliseconds) + duration;
     }
 
     /** Ends it: what comes from now on is refused. */
