fix(start): the time of a stop counts from a signal that comes during the start

Callers saw streams that they had sent over 3 s after the SIGTERM of a starting gateway taken and passed on, though the gateway may end before they do.

The cause: signals that come during the start were collected by name only and handed over once the daemon had started. A gateway's own monitor of its event loop starts with the gateway, so that it knows no earlier moment; the grace period counted from the start of the gateway, not from the signal.

What collects the signals now has ticks of the event loop of its own from its creation on, and keeps with each signal the earliest time at which it may have come: the tick before the last one, or its creation, before which a signal would have ended the process. The remembered ticks, which the lag of a gateway's event loop is read from too, are a class of the utils.

Both tests that are new in daemonLifecycle.spec.ts failed before.

--- a/packages/basilpaddle/src/node/daemon/gateway/loopLag.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/loopLag.ts
@@ -1,16 +1,13 @@
-/** Interval of the ticks by which the lag is measured: slow enough to cost nothing on a small share of a processor. */
-export const tickMilliseconds = 20;
+import { LoopTicks, tickMilliseconds } from "../../utils/index.js";
+
 /** Lateness from which the event loop counts as lagging; a process that is held back by its share of a processor is late by up to 90 ms. */
 export const lagThresholdMilliseconds = 100;
 /** Limit of the time that a request is assumed to have waited unread, so that a long pause doesn't end requests that came at its end. */
 export const maxUnreadMilliseconds = 2_000;
-/** Number of ticks that are remembered. */
-const rememberedTicks = 4;
 
 /** How late the event loop is, from the times of a repeating timer. It has no timer of its own: times are passed in. */
 export class LoopLag {
-    /** Times of the last ticks, the latest first. */
-    private readonly ticks: number[] = [];
+    private readonly ticks = LoopTicks.create();
 
     private constructor() {}
 
@@ -20,18 +17,14 @@
 
     /** Records that the timer ran; returns by how many milliseconds it was late. */
     recordTick(now: number): number {
-        const previous = this.ticks[0];
-        this.ticks.unshift(now);
-        this.ticks.length = Math.min(this.ticks.length, rememberedTicks);
+        const [previous] = this.ticks.latest();
+        this.ticks.record(now);
         return previous === undefined ? 0 : Math.max(0, now - previous - tickMilliseconds);
     }
 
-    /**
-     * The earliest time at which a signal may have come that is handled now, undefined until two ticks are known. It may be left to a turn
-     * after the last tick, since a poll that it interrupts can end without reading it.
-     */
+    /** The earliest time at which a signal may have come that is handled now, undefined until two ticks are known. */
     earliestSignal(): number | undefined {
-        return this.ticks[1];
+        return this.ticks.earliestSignal();
     }
 
     /**
@@ -39,7 +32,8 @@
      * the event loop is read in the next one and its end is seen in the one after that.
      */
     isLagging(now: number): boolean {
-        return [now, ...this.ticks].some((end, index) => isLate(this.ticks[index], end));
+        const ticks = this.ticks.latest();
+        return [now, ...ticks].some((end, index) => isLate(ticks[index], end));
     }
 
     /**
@@ -47,7 +41,7 @@
      * unless the loop lags. The events of the turn before the last tick were processed after the tick before that one.
      */
     earliestTime(now: number): number {
-        const [last, previous] = this.ticks;
+        const [last, previous] = this.ticks.latest();
         const isLagging = isLate(last, now) || isLate(previous, last ?? now);
         return isLagging ? Math.max(previous ?? last ?? now, now - maxUnreadMilliseconds) : now;
     }
@@ -58,7 +52,7 @@
      */
     earliestArrival(now: number, connection?: { readonly acceptedAt: number; readonly openedAt: number; }): number {
         const earliest = this.earliestTime(now);
-        const previous = this.ticks[1];
+        const [, previous] = this.ticks.latest();
         if (connection === undefined || previous === undefined) {
             return earliest;
         }
--- a/packages/basilpaddle/src/node/daemon/gateway/loopMonitor.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/loopMonitor.ts
@@ -1,7 +1,7 @@
 import type { Socket } from "node:net";
 import { createHistogram } from "node:perf_hooks";
-import type { Clock, Metrics } from "../../utils/index.js";
-import { LoopLag, tickMilliseconds } from "./loopLag.js";
+import { type Clock, type Metrics, tickMilliseconds } from "../../utils/index.js";
+import { LoopLag } from "./loopLag.js";
 
 /**
  * Turns of the event loop after which the end of a connection is known that the operating system held before them: the first one reads
--- a/packages/basilpaddle/src/node/daemon/start/__tests__/daemonLifecycle.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/start/__tests__/daemonLifecycle.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { EventEmitter } from "node:events";
-import { createSilentLogger } from "../../../utils/index.js";
+import { createSilentLogger, SystemClock, tickMilliseconds } from "../../../utils/index.js";
 import { EarlyStopSignals, serveUntilStopped } from "../daemonLifecycle.js";
 import { RunningDaemon, type ShutdownReport } from "../runningDaemon.js";
 
@@ -10,6 +10,7 @@
     fail!: (cause: string) => void;
     finish!: () => void;
     stopCalls = 0;
+    signalledAt: number | undefined;
     private readonly ended: Promise<ShutdownReport>;
     private end!: (report: ShutdownReport) => void;
 
@@ -24,8 +25,9 @@
         });
     }
 
-    override stop(): Promise<ShutdownReport> {
+    override stop(signalledAt?: number): Promise<ShutdownReport> {
         this.stopCalls += 1;
+        this.signalledAt ??= signalledAt;
         if (this.stopCalls > 1) {
             this.end({ abortedRequests: ["request-1"] });
         }
@@ -96,4 +98,48 @@
         expect(await end).to.deep.equal({ kind: "stopped" });
         expect(starting.eventNames()).to.deep.equal([]);
     });
+
+    // Guards against a grace period that counts from the end of a slow start, while the platform counts from the signal.
+    it("tells the daemon when a signal may have come at the earliest that it handled while it started", async () => {
+        const clock = SystemClock.create();
+        const starting = new EventEmitter();
+        const createdAt = clock.monotonic();
+        const early = EarlyStopSignals.create(starting, clock);
+        await later(100);
+        const readyAt = clock.monotonic();
+        // Each is a turn of the event loop at least, so that ticks are remembered however busy the machine is.
+        for (let turn = 0; turn < 6; turn++) {
+            await later(tickMilliseconds);
+        }
+        const sentAt = clock.monotonic();
+        while (clock.monotonic() - sentAt < 300) {
+            // The event loop stands still.
+        }
+        starting.emit("SIGTERM", "SIGTERM");
+        await later(100);
+        const started = new FakeDaemon();
+        const end = serveUntilStopped(started, createSilentLogger(), starting, early.take());
+        started.finish();
+        expect(await end).to.deep.equal({ kind: "stopped" });
+        expect(started.signalledAt).to.be.within(readyAt, sentAt);
+        expect(createdAt).to.be.lessThan(readyAt);
+    });
+
+    // Guards against a time from before the handler, when a signal would have ended the process.
+    it("takes no signal to have come before it was collected", () => {
+        const clock = SystemClock.create();
+        const starting = new EventEmitter();
+        const createdAt = clock.monotonic();
+        const early = EarlyStopSignals.create(starting, clock);
+        const collectedAt = clock.monotonic();
+        starting.emit("SIGINT", "SIGINT");
+        const [signal, ...others] = early.take();
+        expect(signal?.name).to.equal("SIGINT");
+        expect(signal?.signalledAt).to.be.within(createdAt, collectedAt);
+        expect(others).to.deep.equal([]);
+    });
 });
+
+function later(milliseconds: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
--- a/packages/basilpaddle/src/node/daemon/start/daemonLifecycle.ts
+++ b/packages/basilpaddle/src/node/daemon/start/daemonLifecycle.ts
@@ -1,5 +1,5 @@
 import type { EventEmitter } from "node:events";
-import type { Logger } from "../../utils/index.js";
+import { type Clock, type Logger, LoopTicks, SystemClock, tickMilliseconds } from "../../utils/index.js";
 import type { RunningDaemon } from "./runningDaemon.js";
 
 /** How a daemon's process ended. */
@@ -13,21 +13,37 @@
 /** Time that a shutdown may still take after the second signal. */
 const forcedShutdownTimeoutMilliseconds = 10_000;
 
+/** A stop signal that was handled. */
+export type StopSignal = {
+    readonly name: string;
+    /** The earliest time at which it may have come, by the monotonic clock of the host in milliseconds; undefined if only the daemon knows. */
+    readonly signalledAt?: number;
+};
+
 /** Collects the stop signals that arrive while a daemon starts: without a handler, the first one would terminate the process at once. */
 export class EarlyStopSignals {
-    private readonly received: string[] = [];
-    private readonly onSignal = (signal: string): void => void this.received.push(signal);
+    private readonly received: StopSignal[] = [];
+    private readonly ticks = LoopTicks.create();
+    private readonly createdAt: number;
+    private readonly timer: NodeJS.Timeout;
+    private readonly onSignal = (name: string): void => {
+        this.received.push({ name, signalledAt: this.ticks.earliestSignal() ?? this.createdAt });
+    };
 
-    private constructor(private readonly signals: EventEmitter) {
+    private constructor(private readonly signals: EventEmitter, clock: Clock) {
+        this.createdAt = clock.monotonic();
         stopSignals.forEach(signal => signals.on(signal, this.onSignal));
+        this.timer = setInterval(() => this.ticks.record(clock.monotonic()), tickMilliseconds);
+        this.timer.unref();
     }
 
-    static create(signals: EventEmitter = process): EarlyStopSignals {
-        return new EarlyStopSignals(signals);
+    static create(signals: EventEmitter = process, clock: Clock = SystemClock.create()): EarlyStopSignals {
+        return new EarlyStopSignals(signals, clock);
     }
 
     /** Stops collecting, and returns the signals that have arrived. */
-    take(): readonly string[] {
+    take(): readonly StopSignal[] {
+        clearInterval(this.timer);
         stopSignals.forEach(signal => this.signals.off(signal, this.onSignal));
         return this.received;
     }
@@ -41,15 +57,15 @@
     daemon: RunningDaemon,
     logger: Logger,
     signals: EventEmitter = process,
-    early: readonly string[] = [],
+    early: readonly StopSignal[] = [],
 ): Promise<DaemonExit> {
     const lifecycle = new DaemonLifecycle(daemon, logger);
-    const onSignal = (signal: string): void => lifecycle.signal(signal);
+    const onSignal = (name: string): void => lifecycle.signal({ name });
     const onUncaughtError = (error: unknown): void => lifecycle.fail("an uncaught error", error);
     stopSignals.forEach(signal => signals.on(signal, onSignal));
     signals.on("uncaughtException", onUncaughtError);
     signals.on("unhandledRejection", onUncaughtError);
-    early.forEach(onSignal);
+    early.forEach(signal => lifecycle.signal(signal));
     void daemon.failure.then(cause => lifecycle.fail(cause, undefined));
     try {
         return await lifecycle.ended;
@@ -74,13 +90,13 @@
         });
     }
 
-    signal(name: string): void {
+    signal({ name, signalledAt }: StopSignal): void {
         this.receivedSignals += 1;
         if (this.receivedSignals === 1) {
             this.logger.info("shutting down: accepting no new work, waiting for requests in progress", {
                 signal: name,
             });
-            this.stop();
+            this.stop(signalledAt);
             return;
         }
         this.logger.warn("second stop signal: aborting requests in progress", { signal: name });
@@ -104,8 +120,8 @@
         this.end({ kind: "failed", cause });
     }
 
-    private stop(): void {
-        this.daemon.stop().then(
+    private stop(signalledAt: number | undefined): void {
+        this.daemon.stop(signalledAt).then(
             ({ abortedRequests }) => {
                 if (abortedRequests.length > 0) {
                     this.logger.warn("the shutdown aborted requests in progress", {
--- a/packages/basilpaddle/src/node/daemon/start/routingStart.ts
+++ b/packages/basilpaddle/src/node/daemon/start/routingStart.ts
@@ -65,8 +65,8 @@
         super(logger);
     }
 
-    override stop(): Promise<ShutdownReport> {
-        this.stopping ??= this.shutDown();
+    override stop(signalledAt?: number): Promise<ShutdownReport> {
+        this.stopping ??= this.shutDown(signalledAt);
         return this.stopping;
     }
 
@@ -82,10 +82,10 @@
     protected abstract openDaemon(seeds: () => readonly string[]): Promise<QuarantinedRequests>;
 
     /** Shuts the daemon down gracefully; resolves with the identifiers of the requests that were aborted. */
-    protected abstract closeDaemon(): Promise<readonly string[]>;
+    protected abstract closeDaemon(signalledAt: number | undefined): Promise<readonly string[]>;
 
-    private async shutDown(): Promise<ShutdownReport> {
-        const abortedRequests = await this.closeDaemon();
+    private async shutDown(signalledAt: number | undefined): Promise<ShutdownReport> {
+        const abortedRequests = await this.closeDaemon(signalledAt);
         await this.store.dispose();
         return { abortedRequests };
     }
@@ -111,8 +111,8 @@
         return daemon.quarantinedRequests;
     }
 
-    protected override async closeDaemon(): Promise<readonly string[]> {
-        const cut = await this.daemon?.close() ?? [];
+    protected override async closeDaemon(signalledAt: number | undefined): Promise<readonly string[]> {
+        const cut = await this.daemon?.close(signalledAt) ?? [];
         return cut.map(({ request }) => request);
     }
 }
--- a/packages/basilpaddle/src/node/daemon/start/runningDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/start/runningDaemon.ts
@@ -13,6 +13,8 @@
      * Accepts no new work, waits for requests in progress, releases its leases, transfers its leadership, and stops. A second call
      * aborts the requests in progress of an entry daemon. A gateway's shutdown isn't affected by it, and aborts what is left after
      * the shutdown time. All calls resolve with the requests that were aborted.
+     * `signalledAt`: the earliest time at which the stop may have been ordered, by the monotonic clock of the host in milliseconds, if
+     * that was before the daemon had started.
      */
-    abstract stop(): Promise<ShutdownReport>;
+    abstract stop(signalledAt?: number): Promise<ShutdownReport>;
 }
--- a/packages/basilpaddle/src/node/utils/index.ts
+++ b/packages/basilpaddle/src/node/utils/index.ts
@@ -6,6 +6,7 @@
 export * from "./jsonText.js";
 export * from "./lineLogger.js";
 export * from "./logger.js";
+export * from "./loopTicks.js";
 export * from "./metrics.js";
 export * from "./randomness.js";
 export * from "./recordedMetrics.js";
