fix(gateway): a request's wait for the first configuration counts from its arrival

Callers at a gateway without a configuration whose event loop stood still could get their refusal after their deadline, when they had left.

The cause: the wait takes two fifths of the caller's deadline, but began when the request was read. The caller counts from the sending, and a request may have waited unread for up to 2 s.

currentRoutes.spec.ts, by a manual clock: a request with a deadline of 1 s that had waited unread for 300 ms waited for 400 ms more before, and waits for 100 ms now. The test "counts what the request waited unread" failed before. No whole gateway was run for this.

--- a/packages/basilpaddle/src/node/daemon/gateway/currentRoutes.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/currentRoutes.ts
@@ -37,10 +37,12 @@
 
     /**
      * Waits for the first configuration. After a restart of the whole deployment it is received within about a second; a
-     * caller that was refused at once would spend its only retry before that.
+     * caller that was refused at once would spend its only retry before that. `arrivedAt`: when the request may have arrived at the
+     * earliest, from which its caller counts.
      */
-    waitForFirst(deadlineWithin: number | undefined): Promise<RouteTable | undefined> {
-        const limit = Math.min(maxConfigurationWaitMilliseconds, (deadlineWithin ?? 0) * configurationWaitFraction);
+    waitForFirst(deadlineWithin: number | undefined, arrivedAt: number): Promise<RouteTable | undefined> {
+        const longest = Math.min(maxConfigurationWaitMilliseconds, (deadlineWithin ?? 0) * configurationWaitFraction);
+        const limit = Math.max(0, arrivedAt + longest - this.clock.monotonic());
         return new Promise(resolve => {
             const finish = (): void => {
                 cancel();
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -310,7 +310,7 @@
             refuseUnrouted(this.options, incoming, response, status, cause, headers);
         const arrivedAt = this.loop.earliestArrival(incoming.socket, readAt);
         const { deadlineWithin } = wire.parseCaller(incoming.headers);
-        const table = this.routes.table() ?? await this.routes.waitForFirst(deadlineWithin);
+        const table = this.routes.table() ?? await this.routes.waitForFirst(deadlineWithin, arrivedAt);
         if (table === undefined) {
             refuse(503, "no configuration received yet", { "Retry-After": String(unconfiguredRetryAfterSeconds) });
             return;
