test(stops): gateways that stand still around their signal, or have a third of a core

The played stops reached their gateways at once, so that none showed what callers lose when the signal is handled late or when connections wait to be accepted. Five rows more: a gateway stands still for 0.25 s or 0.5 s from its signal on (late streams, on a route whose answers before took 1, 3 or 6 s), for 0.6 s around 2.8 s and around 7 s after it, or for 67 ms of each 100 ms (128 callers with a connection for each request).

--- a/scripts/stops/__tests__/table.spec.ts
+++ b/scripts/stops/__tests__/table.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { type Exchange, lossOf, momentOf, type Stop } from "../exchange.js";
+import { type Exchange, lossOf, momentOf, type Stop, wasReset } from "../exchange.js";
 
 const stop: Stop = { gateway: 0, at: 10_000, endedAt: 17_500, wasKilled: false };
 const common = { attempt: "a", gateway: 0, isBeside: false, beganAt: 0, endedAt: 17_400 } as const;
@@ -25,4 +25,12 @@
         expect(lossOf(cutExchange(14_000), stop, undefined)).to.equal(undefined);
         expect(lossOf({ ...cutExchange(14_000), ending: "unknown" }, stop, longRun)).to.equal(undefined);
     });
+
+    it("count as reset what was sent within 2.8 s, never passed on, and got no status", () => {
+        expect([9_000, 12_800, 12_801, undefined].map(at => wasReset(cutExchange(at), stop, undefined)))
+            .to.deep.equal([true, true, false, false]);
+        expect(wasReset(cutExchange(12_000), stop, longRun)).to.equal(false);
+        expect(wasReset({ ...cutExchange(12_000), ending: "refused" }, stop, undefined)).to.equal(false);
+        expect(wasReset(cutExchange(12_000), undefined, undefined)).to.equal(false);
+    });
 });
--- a/scripts/stops/caller.ts
+++ b/scripts/stops/caller.ts
@@ -10,7 +10,6 @@
 export const limitMilliseconds = 20_000;
 const retryMilliseconds = 100;
 const bodyChunks = 10;
-const warmUpMilliseconds = 20;
 
 /** What a caller sends. */
 export type CallerPlan = {
@@ -22,6 +21,10 @@
     readonly gateway: number;
     /** When it sends its first request, on the monotonic clock; it opens its connection at once. */
     readonly beginsAt: number;
+    /** Time that the answer of the request takes which it sends before, in milliseconds. */
+    readonly warmUpMilliseconds: number;
+    /** Whether it uses its connection again. */
+    readonly keepsConnection: boolean;
     readonly isBeside: boolean;
 };
 
@@ -55,11 +58,11 @@
 
     /** Sends requests until it is stopped. */
     async run(): Promise<void> {
-        const { path, bodyMilliseconds, beginsAt } = this.plan;
+        const { path, bodyMilliseconds, beginsAt, warmUpMilliseconds, keepsConnection } = this.plan;
         await this.send(path.replace(/\d+$/, String(warmUpMilliseconds)), 0, true);
         await pause(Math.max(0, beginsAt - performance.now()));
         while (!this.isStopped) {
-            if (this.isClosing || this.socket?.destroyed !== false) {
+            if (!keepsConnection || this.isClosing || this.socket?.destroyed !== false) {
                 this.reconnect();
             }
             if (await this.send(path, bodyMilliseconds, false) !== "whole") {
--- a/scripts/stops/deployment.ts
+++ b/scripts/stops/deployment.ts
@@ -3,15 +3,13 @@
 import * as path from "node:path";
 import { configurationDocument, operatorPaths, type RouteKind } from "../../platform/src/standins/wire.js";
 import { Addresses } from "../../playground/harness/addresses.js";
-import { Program, until } from "../../playground/harness/index.js";
+import { pause, Program, until } from "../../playground/harness/index.js";
 import { callerKey, type GatewayList, limitMilliseconds, routeHost } from "./caller.js";
 import { graceMilliseconds, type ServerRun, type Stop } from "./exchange.js";
 import { Server, type ServerKind } from "./server.js";
 
 const programPath = "target/basilpaddle.cjs";
 const startTimeoutMilliseconds = 20_000;
-/** How long after the signal a balancer still sends new connections. */
-const balancerMilliseconds = 300;
 const millisecondsInSecond = 1_000;
 const directoryHosts = [1, 2, 3];
 const firstGatewayHost = 21;
@@ -23,6 +21,12 @@
 const serverKinds = [...Array<ServerKind>(8).fill(plain), prefill, prefill, ...Array<ServerKind>(6).fill(decode)];
 const routeKinds: readonly RouteKind[] = ["safe", "unsafe", "once"];
 
+/** A time in which a process stands still, in milliseconds against its signal. */
+export type Standstill = { readonly from: number; readonly milliseconds: number; };
+
+/** Numbers of processes, and how long after the signal a balancer still sends new connections, in milliseconds. */
+type Shape = { readonly directories: number; readonly gateways: number; readonly balancerMilliseconds: number; };
+
 type Ports = Readonly<Record<"peer" | "calls" | "callers" | "readiness" | "relay", number>>;
 
 /** Directories and gateways as real processes on loopback, and sound backend servers in this one. */
@@ -38,11 +42,11 @@
         private readonly addresses: Addresses,
         private readonly folder: string,
         private readonly ports: Ports,
-        private readonly counts: { readonly directories: number; readonly gateways: number; },
+        private readonly shape: Shape,
     ) {}
 
     /** Starts everything, and waits until each gateway is ready. */
-    static async create(counts: { readonly directories: number; readonly gateways: number; }): Promise<Deployment> {
+    static async create(shape: Shape): Promise<Deployment> {
         const addresses = Addresses.create();
         const ports = new Set<number>();
         while (ports.size < 5) {
@@ -51,7 +55,7 @@
         const [peer, calls, callers, readiness, relay] = [...ports] as [number, number, number, number, number];
         const folder = await mkdtemp(path.join(tmpdir(), "stops-"));
         const named = { peer, calls, callers, readiness, relay };
-        const deployment = new Deployment(addresses, folder, named, counts);
+        const deployment = new Deployment(addresses, folder, named, shape);
         try {
             await deployment.start();
         }
@@ -68,7 +72,7 @@
         return {
             addresses: indexes.map(index => ({ host: this.gatewayHost(index), port: this.ports.callers })),
             rotation: () => {
-                const noticed = this.stops.filter(({ at }) => performance.now() > at + balancerMilliseconds);
+                const noticed = this.stops.filter(({ at }) => performance.now() > at + this.shape.balancerMilliseconds);
                 return indexes.filter(index => noticed.every(({ gateway }) => gateway !== index));
             },
         };
@@ -89,6 +93,16 @@
         stop.endedAt = performance.now();
     }
 
+    /** Lets a gateway stand still for each of the times, which don't overlap; resolves after the last. `signalAt`: monotonic clock. */
+    async standStill(index: number, signalAt: number, times: readonly Standstill[]): Promise<void> {
+        for (const { from, milliseconds } of times) {
+            await pause(signalAt + from - performance.now());
+            this.gateways[index]!.signal("SIGSTOP");
+            await pause(signalAt + from + milliseconds - performance.now());
+            this.gateways[index]!.signal("SIGCONT");
+        }
+    }
+
     /** Names of processes that ended although nobody stopped them. */
     fallen(): readonly string[] {
         const stopped = this.stops.map(({ gateway }) => this.gateways[gateway]!);
@@ -109,7 +123,7 @@
 
     private async start(): Promise<void> {
         const { calls, callers, readiness, relay } = this.ports;
-        const { directories, gateways } = this.counts;
+        const { directories, gateways } = this.shape;
         const common = { tolerated: 1, heartbeat: 500, orderLease: 1_000, firstStart: true };
         for (let index = 0; index < directories; index++) {
             const host = this.addresses.host(directoryHosts[index]!);
@@ -174,7 +188,7 @@
     }
 
     private seeds(): readonly string[] {
-        const hosts = directoryHosts.slice(0, this.counts.directories);
+        const hosts = directoryHosts.slice(0, this.shape.directories);
         return hosts.map(host => `${this.addresses.host(host)}:${this.ports.calls}`);
     }
 }
--- a/scripts/stops/exchange.ts
+++ b/scripts/stops/exchange.ts
@@ -25,6 +25,8 @@
 export const graceMilliseconds = 8_000;
 /** How long after the signal callers may still count on the gateway. */
 export const noticeMilliseconds = 3_000;
+/** How long after the signal a request that was sent must get an answer, whatever it is. */
+const answeredMilliseconds = 2_800;
 const lastPartOfGrace = 1 / 6;
 
 /** When a request was sent whole, against the signal to its gateway. */
@@ -56,3 +58,9 @@
     const wasAtWork = run.endedAt === undefined || run.endedAt >= lastPart;
     return wasAtWork && exchange.sentAt - stop.at <= noticeMilliseconds ? "allowed" : "lost";
 }
+
+/** Whether a request was sent whole before or soon after the signal, never passed on, and its connection closed without a status. */
+export function wasReset({ ending, sentAt }: Exchange, stop: Stop | undefined, run: ServerRun | undefined): boolean {
+    const wasSent = sentAt !== undefined && stop !== undefined && sentAt - stop.at <= answeredMilliseconds;
+    return wasSent && ending === "noStatus" && run === undefined;
+}
--- a/scripts/stops/main.ts
+++ b/scripts/stops/main.ts
@@ -26,9 +26,12 @@
     process.once(signal, () => process.exit(1));
 }
 
-async function writeLogs({ row, outputs }: RowResult): Promise<void> {
+/** Output of the processes, and what became of each request and stop; times on the monotonic clock of this process. */
+async function writeLogs({ row, outputs, exchanges, stops, runs }: RowResult): Promise<void> {
     const folder = path.join(options.logs, `${options.seed}-${row.name.replace(/\W+/g, "-")}`);
     await mkdir(folder, { recursive: true });
+    const requests = exchanges.map(exchange => ({ ...exchange, run: runs.get(exchange.attempt) }));
+    await writeFile(path.join(folder, "requests.json"), JSON.stringify({ stops, requests }));
     await Promise.all([...outputs].map(([name, text]) => writeFile(path.join(folder, `${name}.log`), text)));
 }
 
--- a/scripts/stops/table.ts
+++ b/scripts/stops/table.ts
@@ -1,4 +1,4 @@
-import { type Ending, type Exchange, lossOf, type Moment, momentOf } from "./exchange.js";
+import { type Ending, type Exchange, lossOf, type Moment, momentOf, wasReset } from "./exchange.js";
 import type { RowResult } from "./rows.js";
 
 const moments: readonly Moment[] = ["before", "within 3 s", "later", "not stopped"];
@@ -30,18 +30,22 @@
 }
 
 /** What became of the gateways and of the short requests beside. */
-export function summaryLine({ row, exchanges, stops, fallen }: RowResult): string {
+export function summaryLine({ row, exchanges, stops, runs, fallen }: RowResult): string {
     const beside = exchanges.filter(({ isBeside }) => isBeside);
     const ends = stops.map(({ gateway, at, endedAt = at, wasKilled }) => {
         const after = ((endedAt - at) / millisecondsInSecond).toFixed(1);
         return `gateway-${gateway + 1} ${wasKilled ? "killed" : "ended"} after ${after} s`;
     });
     const notWhole = beside.filter(({ ending }) => ending !== "whole").length;
+    const resets =
+        exchanges.filter(exchange =>
+            wasReset(exchange, stops.find(({ gateway }) => gateway === exchange.gateway), runs.get(exchange.attempt))
+        ).length;
     const others = fallen.length === 0 ? "no other process ended" : `ENDED: ${fallen.join(", ")}`;
     return `${row.name}: ${
         ends.join(", ")
     }; ${others}; short requests beside: ${beside.length}, not whole ${notWhole}, `
-        + `p99 ${percentile99(beside)} ms`;
+        + `p99 ${percentile99(beside)} ms; sent within 2.8 s, never passed on, reset: ${resets}`;
 }
 
 /** Time that 99 in 100 of the whole answers took at most, in milliseconds. */
