--- a/packages/basilpaddle/src/node/daemon/gateway/closeGradually.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/closeGradually.ts
@@ -8,7 +8,7 @@
 
 /** Interval of checking for open requests. */
 const pollMilliseconds = 50;
-/** Limit of the turns of the event loop after which the gateway looks again at its open requests. */
+/** How long the gateway accepts and reads what waits, before it looks again at its open requests. */
 const readWaitingMilliseconds = 200;
 /** How long the answers at the end of the grace period may take to reach their callers' connections. */
 const lastAnswersMilliseconds = 250;
@@ -28,8 +28,8 @@
 };
 
 /**
- * Shuts a gateway down within `duration` milliseconds of a signal that came at `signalledAt` at the earliest; returns the requests that were open at the end of the grace period. Its listeners and
- * connections for callers are closed then.
+ * Shuts a gateway down within `duration` milliseconds of a signal that came at `signalledAt` at the earliest; returns the requests that
+ * were open at the end of the grace period. Its listener and connections for callers are closed then.
  */
 export async function shutDown(
     closing: ClosingGateway,
--- a/packages/basilpaddle/src/node/daemon/gateway/gracePeriod.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gracePeriod.ts
@@ -4,7 +4,10 @@
 
 /** Time in which the balancer detects that a gateway shuts down: two probes a second apart, and a margin. */
 export const balancerNoticeMilliseconds = 2_800;
-/** How much longer the period may be where the signal may have come that much later: what is left of the time in which the platform ends the process. */
+/**
+ * How much later than by the earliest time of the signal the period may end, if the signal may have come as much later. The platform ends the
+ * process soon after.
+ */
 const maxUncertaintyMilliseconds = 400;
 /** Share of a route's recent answers that must have ended in the time that is left, while callers still count on the gateway. */
 const expectedShare = 0.5;
--- a/packages/basilpaddle/src/node/daemon/gateway/loopMonitor.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/loopMonitor.ts
@@ -31,9 +31,8 @@
     >();
 
     private startedAt: number | undefined;
-    /** The latest tick since the last call of `takeMaxLateness`, in milliseconds. */
+    /** By how many milliseconds a tick was late at most since the last call of `takeMaxLateness`. */
     private maxLateness = 0;
-
     private acceptedConnections = 0;
 
     private constructor(private readonly clock: Clock) {}
