fix(gateway): a gateway that stops listens until its end after all

The quiet turns stay, before idle connections are closed and before the end, and the timeout for heads is off during a stop again, since an unused connection would be answered 408. lateStopSignals.spec.ts, plannedStops.spec.ts, shutdown.spec.ts, callerServer.spec.ts and relayNotice.spec.ts hold.

--- a/packages/basilpaddle/src/node/daemon/gateway/callerServer.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerServer.ts
@@ -76,7 +76,7 @@
     /** Applies the limits of a configuration. */
     setLimits(limits: CallerLimits): void {
         this.limits = limits;
-        this.server.headersTimeout = limits.headerTimeout;
+        this.server.headersTimeout = this.closing ? 0 : limits.headerTimeout;
         this.server.keepAliveTimeout = limits.idleTimeout + keepAliveMarginMilliseconds;
     }
 
@@ -91,10 +91,11 @@
 
     /**
      * Closes each connection after the response to the last request that was read on it, which says so in its headers, also if its
-     * request came before.
+     * request came before. A request on a connection that was open for long is answered like the others, and not as slow.
      */
     closeAfterResponses(): void {
         this.closing = true;
+        this.setLimits(this.limits);
         this.openResponses.forEach(response => this.closeAfter(response));
     }
 
--- a/packages/basilpaddle/src/node/daemon/gateway/closeGradually.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/closeGradually.ts
@@ -52,20 +52,16 @@
 
 /**
  * Serves until the balancer has noticed that the gateway shuts down, then until no request and no used tunnel is open, or until
- * the grace period is over. Requests that can't be expected to end in it are refused as soon as that is known.
+ * the grace period is over. It goes on listening: a refusal with a time to come back is better for a caller than a connection that
+ * nobody takes. Requests that can't be expected to end in it are refused as soon as that is known.
  */
 async function closeGradually(
     { callerServer, relaying, requests, grace, loop, clock }: ClosingGateway,
 ): Promise<void> {
-    let listening = true;
     while (!grace.isOver()) {
         requests.forEachWhole(request => grace.refuse(request));
         // Closing over a connection or a request that the operating system holds would reset it.
         if (grace.isNoticed() && await loop.acceptPending(readWaitingMilliseconds)) {
-            if (listening) {
-                listening = false;
-                callerServer.stopListening();
-            }
             // A caller with an idle connection would send its next request here, and lose it when the gateway exits. Until the
             // balancer has noticed, such requests are answered, and their connections closed with the answer.
             callerServer.closeIdle();
