feat(gateway): a run that is given up for silence is logged, with how much of the silence was the gateway's own standstill

An operator saw `the engine stopped sending` in a request's last line alone: whether its engine was silent or the gateway stood still couldn't be told, and a process that was killed before the request ended said nothing. A warning is now written at the moment itself, with the silence by the host's clock and by a clock that counts only the time in which the event loop turned (`ActiveClock`: no tick that is over 100 ms late, nor the 250 ms after one), and `basilpaddle_silent_runs_total` counts them.

--- a/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
@@ -32,6 +32,8 @@
 export class EngineRun {
     private writingSince: number | undefined;
     private hadBegun = false;
+    /** When something last came from the engine, or was first expected: by the host's clock, and by that of this process. */
+    private heardAt = { host: 0, active: 0 };
     private readonly meter = WritingMeter.create();
 
     private constructor(
@@ -63,8 +65,12 @@
             this.options.steps.push(`bound ${binding.version}`);
         }
         const limit = TimeLimit.create(exchange.clock, request.remainingTime(), request.disconnected.signal);
+        this.recordHeard();
         const stopTimer = this.mayResume
-            ? exchange.clock.after(headLimitMilliseconds, () => limit.expire())
+            ? exchange.clock.after(headLimitMilliseconds, () => {
+                this.logGivenUp("head");
+                limit.expire();
+            })
             : undefined;
         try {
             const sent = await sender.send(request, this.engine, service, {
@@ -117,6 +123,7 @@
         let receivedAt = clock.monotonic();
         const onBytes = (events: number): void => {
             receivedAt = clock.monotonic();
+            this.recordHeard();
             links.countEvent(this.engine, stallDetector.recordEvent(receivedAt), receivedAt);
             this.recordWriting(clock.monotonic());
             this.meter.recordEvents(events, clock.monotonic());
@@ -126,6 +133,9 @@
             steps.push(`pause ${Math.round(stallDetector.longest())}`);
         }
         if (end.kind === "broken") {
+            if (end.isSilent === true) {
+                this.logGivenUp("events");
+            }
             if (end.exceeded !== undefined) {
                 answers.exceeded(this.engine, end.exceeded.bound, end.exceeded.bytes);
             }
@@ -142,6 +152,25 @@
         return { kind: "done" };
     }
 
+    private recordHeard(): void {
+        const { clock, loop } = this.options.exchange;
+        this.heardAt = { host: clock.monotonic(), active: loop.activeClock.monotonic() };
+    }
+
+    /** Logs that it is given up for silence, and for how much of that this process could have heard it. */
+    private logGivenUp(awaited: "head" | "events"): void {
+        const { exchange: { clock, loop, logger, metrics }, request, relay } = this.options;
+        metrics.count("basilpaddle_silent_runs_total", { awaited });
+        logger.warn("a run is given up, since nothing comes from its engine", {
+            request: request.attempt,
+            engine: this.engine.id,
+            awaited,
+            silence: Math.round(clock.monotonic() - this.heardAt.host),
+            active: Math.round(loop.activeClock.monotonic() - this.heardAt.active),
+            events: relay.events(),
+        });
+    }
+
     private recordWriting(now: number): void {
         this.writingSince ??= now;
         if (now - this.writingSince >= this.options.exchange.crashes.begunAfter) {
--- a/packages/basilpaddle/src/node/daemon/gateway/loopMonitor.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/loopMonitor.ts
@@ -1,6 +1,6 @@
 import type { Socket } from "node:net";
 import { createHistogram } from "node:perf_hooks";
-import { type Clock, type Metrics, tickMilliseconds } from "../../utils/index.js";
+import { ActiveClock, type Clock, type Metrics, tickMilliseconds } from "../../utils/index.js";
 import { LoopLag } from "./loopLag.js";
 
 /**
@@ -22,6 +22,8 @@
 
 /** Measures the lag of this process's event loop, and waits for what the operating system holds to be processed if it lags. */
 export class LoopMonitor {
+    /** The time in which the event loop turned; it stands still before the start. */
+    readonly activeClock: ActiveClock;
     private readonly lag = LoopLag.create();
     private readonly lateness = createHistogram();
     /** Connections that were accepted late, and the earliest time at which they may have been opened. */
@@ -35,7 +37,9 @@
     private maxLateness = 0;
     private acceptedConnections = 0;
 
-    private constructor(private readonly clock: Clock) {}
+    private constructor(private readonly clock: Clock) {
+        this.activeClock = ActiveClock.create(clock);
+    }
 
     static create(clock: Clock): LoopMonitor {
         return new LoopMonitor(clock);
@@ -130,6 +134,7 @@
     }
 
     private tick(): void {
+        this.activeClock.tick();
         const lateness = this.lag.recordTick(this.clock.monotonic());
         this.maxLateness = Math.max(this.maxLateness, lateness);
         this.lateness.record(Math.max(1, Math.round(lateness * microsecondsPerMillisecond)));
--- a/packages/basilpaddle/src/node/daemon/gateway/streamRelay.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamRelay.ts
@@ -9,7 +9,12 @@
 export type RelayEnd =
     | { readonly kind: "whole"; }
     /** The stream was cut off, or sent events out of order. */
-    | { readonly kind: "broken"; readonly cause: string; readonly exceeded?: EventBoundExceeded | undefined; };
+    | {
+        readonly kind: "broken";
+        readonly cause: string;
+        readonly exceeded?: EventBoundExceeded | undefined;
+        readonly isSilent?: boolean;
+    };
 
 /** Forwards the events of one answer, which may come from several consecutive runs. */
 export class StreamRelay {
@@ -77,7 +82,12 @@
             discard(answer);
             const cause = idleTimeout.timedOut ? "the engine stopped sending" : String((error as Error).message);
             const exceeded = error instanceof EventBoundExceeded ? error : undefined;
-            return { kind: "broken", cause: signal.aborted ? "the request timed out" : cause, exceeded };
+            return {
+                kind: "broken",
+                cause: signal.aborted ? "the request timed out" : cause,
+                exceeded,
+                isSilent: idleTimeout.timedOut,
+            };
         }
         finally {
             idleTimeout.clear();
--- a/packages/basilpaddle/src/node/utils/index.ts
+++ b/packages/basilpaddle/src/node/utils/index.ts
@@ -1,3 +1,4 @@
+export * from "./activeClock.js";
 export * from "./background.js";
 export * from "./clock.js";
 export * from "./codeDescription.js";
