fix(gateway): a gateway's own standstill, or its caller's, isn't taken for its engine's silence

What callers saw: streams that may be resumed were broken off just after their gateway had stood still, though their engines had written all the while; the same when a caller took nothing for a while. Cause: the idle timeout compared clocks in a timer, and timers run before what the sockets hold is read; the time in which the gateway waited for its caller counted as well. Class: the silence of another process measured by a clock that goes on while this one can't hear.

--- a/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
@@ -5,6 +5,7 @@
 import type { CallerRequest } from "./callerRequest.js";
 import type { PrefilledPrompt } from "./prefilledPrompt.js";
 import type { RunEnd } from "./runEnd.js";
+import { SilenceWatch } from "./silenceWatch.js";
 import { guaranteesNotRun } from "./statuses.js";
 import type { StreamBinding } from "./streamBinding.js";
 import type { StreamRelay } from "./streamRelay.js";
@@ -15,6 +16,7 @@
 /** Timeout of the head of a run's answer, if the run may be repeated elsewhere: an engine whose host failed sends nothing. */
 const headLimitMilliseconds = 1_500;
 const minFailureStatus = 400;
+const gaveUpCause = "the engine stopped sending";
 
 /** What all runs of one request have in common. */
 export type EngineRunOptions = {
@@ -34,6 +36,7 @@
     private hadBegun = false;
     /** When something last came from the engine, or was first expected: by the host's clock, and by that of this process. */
     private heardAt = { host: 0, active: 0 };
+    private isGivenUp = false;
     private readonly meter = WritingMeter.create();
 
     private constructor(
@@ -65,25 +68,19 @@
             this.options.steps.push(`bound ${binding.version}`);
         }
         const limit = TimeLimit.create(exchange.clock, request.remainingTime(), request.disconnected.signal);
-        this.recordHeard();
-        const stopTimer = this.mayResume
-            ? exchange.clock.after(headLimitMilliseconds, () => {
-                this.logGivenUp("head");
-                limit.expire();
-            })
-            : undefined;
+        const silence = this.watch("head", headLimitMilliseconds, limit);
         try {
             const sent = await sender.send(request, this.engine, service, {
                 ...prompt === undefined ? {} : { source: { address: prompt.engine.address, handle: prompt.handle } },
                 ...relay.lastEvent() === undefined ? {} : { resumeAfter: String(relay.lastEvent()) },
             }, limit.signal);
-            stopTimer?.();
+            silence?.close();
             if (sent.kind === "notRun") {
                 const { cause, unreachable, lostOnPath } = sent;
                 return { kind: "turnedAway", cause, unreachable, lostOnPath };
             }
             if (sent.kind === "unknown") {
-                return { kind: "lost", cause: sent.cause };
+                return { kind: "lost", cause: this.isGivenUp ? gaveUpCause : sent.cause };
             }
             const { answer, metadata } = sent;
             if (answer.status >= minFailureStatus) {
@@ -93,10 +90,10 @@
                 discard(answer);
                 return { kind: "lost", cause: "the answer has no seal" };
             }
-            return await this.stream(answer, sent.via, limit.signal);
+            return await this.stream(answer, sent.via, limit);
         }
         finally {
-            stopTimer?.();
+            silence?.close();
             limit.clear();
         }
     }
@@ -113,7 +110,7 @@
         return { kind: "failureGiven" };
     }
 
-    private async stream(answer: BackendAnswer, via: string | undefined, signal: AbortSignal): Promise<RunEnd> {
+    private async stream(answer: BackendAnswer, via: string | undefined, limit: TimeLimit): Promise<RunEnd> {
         const { exchange: { links, clock, crashes, ends, answers }, request, relay, binding, steps } = this.options;
         if (!await binding.awaitReport()) {
             discard(answer);
@@ -128,18 +125,17 @@
             this.recordWriting(clock.monotonic());
             this.meter.recordEvents(events, clock.monotonic());
         };
-        const end = await relay.forward(answer, this.mayResume ? idleLimitMilliseconds : undefined, signal, onBytes);
+        const silence = this.watch("events", idleLimitMilliseconds, limit);
+        const end = await relay.forward(answer, silence, limit.signal, onBytes);
+        silence?.close();
         if (stallDetector.longest() > (request.route.gap ?? Number.POSITIVE_INFINITY)) {
             steps.push(`pause ${Math.round(stallDetector.longest())}`);
         }
         if (end.kind === "broken") {
-            if (end.isSilent === true) {
-                this.logGivenUp("events");
-            }
             if (end.exceeded !== undefined) {
                 answers.exceeded(this.engine, end.exceeded.bound, end.exceeded.bytes);
             }
-            return { kind: "lost", cause: end.cause };
+            return { kind: "lost", cause: this.isGivenUp ? gaveUpCause : end.cause };
         }
         const pause = Math.max(stallDetector.longest(), clock.monotonic() - receivedAt);
         const ended = { server: this.engine, service: this.options.service, via, pause };
@@ -152,6 +148,22 @@
         return { kind: "done" };
     }
 
+    /** Gives the run up once its engine is silent for that long, if it may be resumed on another one. */
+    private watch(awaited: "head" | "events", milliseconds: number, limit: TimeLimit): SilenceWatch | undefined {
+        this.recordHeard();
+        if (!this.mayResume) {
+            return undefined;
+        }
+        return SilenceWatch.create(this.options.exchange.loop.activeClock, milliseconds, {
+            onSilent: () => {
+                this.logGivenUp(awaited);
+                this.isGivenUp = true;
+                limit.expire();
+            },
+            onHeard: () => undefined,
+        });
+    }
+
     private recordHeard(): void {
         const { clock, loop } = this.options.exchange;
         this.heardAt = { host: clock.monotonic(), active: loop.activeClock.monotonic() };
--- a/packages/basilpaddle/src/node/daemon/gateway/streamRelay.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamRelay.ts
@@ -1,6 +1,7 @@
 import { type BackendAnswer, discard, type HeldBytes } from "../backends/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 import { type CompleteEvent, EventBoundExceeded, type EventBounds, EventSplitter } from "./eventSplitter.js";
+import type { SilenceWatch } from "./silenceWatch.js";
 
 /** Bounds of the answers that are forwarded, and the account of what can't be sent yet. */
 export type RelayedAnswers = { readonly bounds: EventBounds; readonly held: HeldBytes; };
@@ -13,7 +14,6 @@
         readonly kind: "broken";
         readonly cause: string;
         readonly exceeded?: EventBoundExceeded | undefined;
-        readonly isSilent?: boolean;
     };
 
 /** Forwards the events of one answer, which may come from several consecutive runs. */
@@ -43,13 +43,12 @@
     }
 
     /**
-     * Forwards a run's events as they arrive. `idleTimeoutMilliseconds`: time without a byte after which the run is aborted;
-     * undefined if the run can't be resumed elsewhere. `onBytes`: called for each chunk that is received, with the
-     * number of events that it completes.
+     * Forwards a run's events as they arrive. `silence`: hears each chunk; undefined if nobody asks. `onBytes`: called for each chunk that is
+     * received, with the number of events that it completes.
      */
     async forward(
         answer: BackendAnswer,
-        idleTimeoutMilliseconds: number | undefined,
+        silence: SilenceWatch | undefined,
         signal: AbortSignal,
         onBytes: (events: number) => void,
     ): Promise<RelayEnd> {
@@ -59,15 +58,15 @@
         }
         const eventsBefore = this.eventCount;
         const splitter = EventSplitter.create(this.answers.bounds);
-        const idleTimeout = IdleTimeout.create(answer, idleTimeoutMilliseconds);
         try {
             for await (const chunk of answer.body as AsyncIterable<Buffer>) {
-                idleTimeout.recordBytes();
+                silence?.heard();
                 let events = 0;
                 try {
                     for (const event of splitter.push(chunk)) {
                         events += 1;
-                        await this.forwardEvent(event);
+                        const forwarded = this.forwardEvent(event);
+                        await (silence?.pauseDuring(forwarded) ?? forwarded);
                     }
                 }
                 finally {
@@ -80,17 +79,8 @@
         }
         catch (error) {
             discard(answer);
-            const cause = idleTimeout.timedOut ? "the engine stopped sending" : String((error as Error).message);
-            const exceeded = error instanceof EventBoundExceeded ? error : undefined;
-            return {
-                kind: "broken",
-                cause: signal.aborted ? "the request timed out" : cause,
-                exceeded,
-                isSilent: idleTimeout.timedOut,
-            };
-        }
-        finally {
-            idleTimeout.clear();
+            const cause = signal.aborted ? "the request timed out" : String((error as Error).message);
+            return { kind: "broken", cause, exceeded: error instanceof EventBoundExceeded ? error : undefined };
         }
         if (request.isDisconnected()) {
             discard(answer);
@@ -122,33 +112,3 @@
         await this.request.write(bytes);
     }
 }
-
-/** Aborts an answer whose stream is idle for too long: a host that has failed doesn't close its connections. */
-class IdleTimeout {
-    timedOut = false;
-    private receivedAt = performance.now();
-    private readonly timer: NodeJS.Timeout | undefined;
-
-    private constructor(answer: BackendAnswer, limit: number | undefined) {
-        if (limit !== undefined) {
-            this.timer = setInterval(() => {
-                if (performance.now() - this.receivedAt > limit) {
-                    this.timedOut = true;
-                    discard(answer);
-                }
-            }, limit / 4);
-        }
-    }
-
-    static create(answer: BackendAnswer, limit: number | undefined): IdleTimeout {
-        return new IdleTimeout(answer, limit);
-    }
-
-    recordBytes(): void {
-        this.receivedAt = performance.now();
-    }
-
-    clear(): void {
-        clearInterval(this.timer);
-    }
-}
