fix(gateway): a silent run goes on until another engine answers

Cause: a run was aborted for its engine's silence (1.2 s without a byte, 1.5 s without a head), and only then a placement, an admission, a retry and another engine's yes were asked for. Each no ended the answer. Class: work is given up before what is to replace it is sure. Now a silent run goes on while rounds are played beside it, with a placement of their own (`Takeover`). It ends once another engine has answered with a head; what the rounds are refused for ends nothing. If it is heard first, the other send is ended. A run whose engine is known to have ended is given up as before. Rounds return how they ended, in place of ending the request (`StreamRounds`, which `StreamExchange` plays; `HeldPrompt` has the KV cache), and a request counts the runs that are being sent, since there may be two. Evidence: silentRuns.spec.ts, a real gateway and two engines: a pause of 2.5 s, the other engine turning all down, with and without a stop: events 1 to 5 of 20 before, in 2 of 2 runs; whole now, 2 of 2. A late head: 502 before, whole now. An engine that falls silent for good is continued by the other one as before, the first run ends within 400 ms of the second one's start. One that is heard again before the other has answered goes on: before, its answer was lost. takeover.spec.ts has the orders that a real process can't be made to show. Price: where no engine continues a run and its engine is dark but not known to have ended, the caller learns it by its own limit, not after 1.2 s; a silent engine's place is held beside the new one until that answers.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/gracePeriod.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/gracePeriod.spec.ts
@@ -122,7 +122,7 @@
         for (const isRun of [false, true]) {
             const request = createRequest({ timeout: 10_000 });
             request.recordSend(isRun);
-            request.recordSendEnd();
+            request.recordSendEnd(isRun);
             expect(grace.refuse(request)).to.equal(true);
         }
     });
--- a/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
@@ -84,6 +84,9 @@
 /** What a send states of its run, apart from what follows from the request and the server. */
 type SendMetadata = Omit<RunMetadata, "attempt" | "deadlineWithin" | "instance" | "organisation" | "priority">;
 
+/** Whether the first byte may be prevented because the event loop lags, and what to call before it is written. */
+type FirstByte = { readonly mayBePrevented: boolean; readonly onSend: () => void; };
+
 /** Sends requests to backend servers and classifies the results: which attempt an answer belongs to, and whether the request ran. */
 export class BackendSender {
     private constructor(private readonly options: ExchangeOptions) {}
@@ -101,8 +104,14 @@
         signal: AbortSignal,
     ): Promise<SendResult> {
         const { instances, metrics, loop, grace } = this.options;
+        const isRun = metadata.prefillOnly !== true;
         let result: RoutedResult;
         let sends = 0;
+        let hasBegun = false;
+        const onSend = (): void => {
+            hasBegun = true;
+            request.recordSend(isRun);
+        };
         do {
             const obstacle = loop.isLagging() ? await this.obstacle(request, signal) : undefined;
             if (obstacle !== undefined) {
@@ -118,15 +127,16 @@
                 return { kind: "notRun", cause: "the backend server leaves", unreachable: true, lostOnPath: false };
             }
             sends += 1;
-            result = await this.call(request, server, service, metadata, signal, sends <= maxPreventedSends);
+            const mayBePrevented = sends <= maxPreventedSends;
+            result = await this.call(request, server, service, metadata, signal, { mayBePrevented, onSend });
         } while (wasPrevented(result));
         const sent = isAnswer(result) ? this.classify(request, server, result) : failureResult(result);
-        if (metadata.prefillOnly !== true) {
-            // A call that failed before its first byte can't have run, also if it ended with its request.
-            if (sent.kind === "answer" || sent.kind === "unknown" && request.mayHaveRun()) {
-                request.recordRun();
-            }
-            request.recordSendEnd();
+        // A call that failed before its first byte can't have run, also if it ended with its request.
+        if (isRun && (sent.kind === "answer" || sent.kind === "unknown" && hasBegun)) {
+            request.recordRun();
+        }
+        if (hasBegun) {
+            request.recordSendEnd(isRun);
         }
         return { ...sent, via: result.via };
     }
@@ -155,7 +165,7 @@
         service: ServiceRule,
         metadata: SendMetadata,
         signal: AbortSignal,
-        mayBePrevented: boolean,
+        { mayBePrevented, onSend }: FirstByte,
     ): Promise<RoutedResult> {
         const { wire, paths, gateways, instances, loop, clock } = this.options;
         const readyAt = clock.monotonic();
@@ -188,7 +198,7 @@
                         && !request.isDisconnected()
                         && !(mayBePrevented && loop.hasLaggedSince(readyAt));
                     if (maySend) {
-                        request.recordSend(metadata.prefillOnly !== true);
+                        onSend();
                     }
                     return maySend;
                 },
--- a/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerRequest.ts
@@ -69,7 +69,7 @@
     private cachedDigest: string | undefined;
     private cachedPromptParts: readonly string[] | undefined;
     private hasReachedServer = false;
-    private isBeingRun = false;
+    private runsInProgress = 0;
     private stream: StreamedAnswer | undefined;
 
     private constructor(
@@ -179,17 +179,17 @@
 
     /** Records that it is being sent to a backend server, to be run there or to have its prompt read only. */
     recordSend(isRun: boolean): void {
-        this.isBeingRun ||= isRun;
+        this.runsInProgress += Number(isRun);
     }
 
-    /** Records that the send has ended. */
-    recordSendEnd(): void {
-        this.isBeingRun = false;
+    /** Records that such a send has ended. */
+    recordSendEnd(isRun: boolean): void {
+        this.runsInProgress -= Number(isRun);
     }
 
     /** Whether a backend server may have run it, or may run it now. */
     mayHaveRun(): boolean {
-        return this.hasReachedServer || this.isBeingRun;
+        return this.hasReachedServer || this.runsInProgress > 0;
     }
 
     /** Whether its answer has begun. */
--- a/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
@@ -1,22 +1,22 @@
 import { StallDetector, WritingMeter } from "../../coordination/index.js";
 import type { RunWriting, ServerAnnouncement, ServiceRule } from "../../protocol/index.js";
 import { type BackendAnswer, discard, readWholeBody } from "../backends/index.js";
-import type { BackendSender, ExchangeOptions } from "./backendSender.js";
+import type { BackendSender, ExchangeOptions, SendResult } from "./backendSender.js";
 import type { CallerRequest } from "./callerRequest.js";
 import type { PrefilledPrompt } from "./prefilledPrompt.js";
 import type { RunEnd } from "./runEnd.js";
-import { SilenceWatch } from "./silenceWatch.js";
+import { type SilenceListener, SilenceWatch } from "./silenceWatch.js";
 import { guaranteesNotRun } from "./statuses.js";
 import type { StreamBinding } from "./streamBinding.js";
 import type { StreamRelay } from "./streamRelay.js";
 import { TimeLimit } from "./timeLimit.js";
 
-/** Idle time of a stream after which its run is aborted, if it may be resumed on another engine. */
+/** Idle time of a stream after which its run counts as silent. */
 const idleLimitMilliseconds = 1_200;
-/** Timeout of the head of a run's answer, if the run may be repeated elsewhere: an engine whose host failed sends nothing. */
+/** The same before the head of its answer. */
 const headLimitMilliseconds = 1_500;
 const minFailureStatus = 400;
-const gaveUpCause = "the engine stopped sending";
+const silentCause = "the engine stopped sending";
 
 /** What all runs of one request have in common. */
 export type EngineRunOptions = {
@@ -30,25 +30,37 @@
     readonly steps: string[];
 };
 
+type AnsweredSend = Extract<SendResult, { kind: "answer"; }>;
+
+/** What belongs to one run. */
+export type RunRound = {
+    /** Ends the run. */
+    readonly signal: AbortSignal;
+    /** Hears of the engine's silence; undefined if nobody asks. */
+    readonly listener: SilenceListener | undefined;
+    /** Asked once the engine answers: whether the answer may be used, which it may not if the run that it was to continue goes on. */
+    readonly mayAnswer: () => Promise<boolean>;
+};
+
 /** One run of a request at a decode engine. */
 export class EngineRun {
     private writingSince: number | undefined;
     private hadBegun = false;
     /** When something last came from the engine, or was first expected: by the host's clock, and by that of this process. */
     private heardAt = { host: 0, active: 0 };
-    private isGivenUp = false;
+    private isAbandoned = false;
+    private limit: TimeLimit | undefined;
+    private end: Promise<RunEnd> | undefined;
     private readonly meter = WritingMeter.create();
 
     private constructor(
         private readonly options: EngineRunOptions,
         private readonly engine: ServerAnnouncement,
-        /** Whether the run may be resumed on another engine if this one is lost. */
-        private readonly mayResume: boolean,
+        private readonly round: RunRound,
     ) {}
 
-    /** `mayResume`: whether the run may be resumed on another engine if this one is lost. */
-    static create(options: EngineRunOptions, engine: ServerAnnouncement, mayResume: boolean): EngineRun {
-        return new EngineRun(options, engine, mayResume);
+    static create(options: EngineRunOptions, engine: ServerAnnouncement, round: RunRound): EngineRun {
+        return new EngineRun(options, engine, round);
     }
 
     /** Whether it has written for long enough that its prompt isn't suspected if its engine crashes. */
@@ -62,35 +74,45 @@
     }
 
     /** Sends the run and forwards its events. `prompt`: the KV cache to fetch; undefined if the engine runs the prefill. */
-    async execute(prompt: PrefilledPrompt | undefined): Promise<RunEnd> {
-        const { exchange, sender, request, service, relay, binding } = this.options;
+    execute(prompt: PrefilledPrompt | undefined): Promise<RunEnd> {
+        this.end = this.run(prompt);
+        return this.end;
+    }
+
+    /** Ends the run, since another one continues it; resolves once nothing of it is forwarded any more, to how it ended. */
+    async abandon(): Promise<RunEnd | undefined> {
+        this.isAbandoned = true;
+        this.limit?.expire();
+        return this.end;
+    }
+
+    private async run(prompt: PrefilledPrompt | undefined): Promise<RunEnd> {
+        const { exchange, sender, request, service, relay, binding, steps } = this.options;
         if (binding.bindTo(this.engine)) {
-            this.options.steps.push(`bound ${binding.version}`);
+            steps.push(`bound ${binding.version}`);
         }
-        const limit = TimeLimit.create(exchange.clock, request.remainingTime(), request.disconnected.signal);
-        const silence = this.watch("head", headLimitMilliseconds, limit);
+        const limit = TimeLimit.create(exchange.clock, request.remainingTime(), this.round.signal);
+        this.limit = limit;
+        const silence = this.watch("head", headLimitMilliseconds);
         try {
             const sent = await sender.send(request, this.engine, service, {
                 ...prompt === undefined ? {} : { source: { address: prompt.engine.address, handle: prompt.handle } },
                 ...relay.lastEvent() === undefined ? {} : { resumeAfter: String(relay.lastEvent()) },
             }, limit.signal);
-            silence?.close();
             if (sent.kind === "notRun") {
                 const { cause, unreachable, lostOnPath } = sent;
                 return { kind: "turnedAway", cause, unreachable, lostOnPath };
             }
             if (sent.kind === "unknown") {
-                return { kind: "lost", cause: this.isGivenUp ? gaveUpCause : sent.cause };
-            }
-            const { answer, metadata } = sent;
-            if (answer.status >= minFailureStatus) {
-                return await this.forwardFailure(answer);
+                return this.lost(sent.cause);
             }
-            if (!metadata.sealed) {
-                discard(answer);
-                return { kind: "lost", cause: "the answer has no seal" };
+            silence?.heard();
+            silence?.close();
+            if (!await this.round.mayAnswer()) {
+                discard(sent.answer);
+                return { kind: "lost", cause: "the run that it was to continue goes on" };
             }
-            return await this.stream(answer, sent.via, limit);
+            return await this.forward(sent, limit.signal);
         }
         finally {
             silence?.close();
@@ -98,6 +120,17 @@
         }
     }
 
+    private forward({ answer, metadata, via }: AnsweredSend, signal: AbortSignal): Promise<RunEnd> {
+        if (answer.status >= minFailureStatus) {
+            return this.forwardFailure(answer);
+        }
+        if (!metadata.sealed) {
+            discard(answer);
+            return Promise.resolve({ kind: "lost", cause: "the answer has no seal" });
+        }
+        return this.stream(answer, via, signal);
+    }
+
     /** Forwards the engine's error, unless the answer has begun or the status would guarantee that the request didn't run. */
     private async forwardFailure(answer: BackendAnswer): Promise<RunEnd> {
         const { request, exchange: { answers } } = this.options;
@@ -110,7 +143,7 @@
         return { kind: "failureGiven" };
     }
 
-    private async stream(answer: BackendAnswer, via: string | undefined, limit: TimeLimit): Promise<RunEnd> {
+    private async stream(answer: BackendAnswer, via: string | undefined, signal: AbortSignal): Promise<RunEnd> {
         const { exchange: { links, clock, crashes, ends, answers }, request, relay, binding, steps } = this.options;
         if (!await binding.awaitReport()) {
             discard(answer);
@@ -125,9 +158,8 @@
             this.recordWriting(clock.monotonic());
             this.meter.recordEvents(events, clock.monotonic());
         };
-        const silence = this.watch("events", idleLimitMilliseconds, limit);
-        const end = await relay.forward(answer, silence, limit.signal, onBytes);
-        silence?.close();
+        const silence = this.watch("events", idleLimitMilliseconds);
+        const end = await relay.forward(answer, silence, signal, onBytes).finally(() => silence?.close());
         if (stallDetector.longest() > (request.route.gap ?? Number.POSITIVE_INFINITY)) {
             steps.push(`pause ${Math.round(stallDetector.longest())}`);
         }
@@ -135,7 +167,7 @@
             if (end.exceeded !== undefined) {
                 answers.exceeded(this.engine, end.exceeded.bound, end.exceeded.bytes);
             }
-            return { kind: "lost", cause: this.isGivenUp ? gaveUpCause : end.cause };
+            return this.lost(end.cause);
         }
         const pause = Math.max(stallDetector.longest(), clock.monotonic() - receivedAt);
         const ended = { server: this.engine, service: this.options.service, via, pause };
@@ -148,19 +180,23 @@
         return { kind: "done" };
     }
 
-    /** Gives the run up once its engine is silent for that long, if it may be resumed on another one. */
-    private watch(awaited: "head" | "events", milliseconds: number, limit: TimeLimit): SilenceWatch | undefined {
+    private lost(cause: string): RunEnd {
+        return { kind: "lost", cause: this.isAbandoned ? silentCause : cause };
+    }
+
+    /** Watches for silence of the engine, if anybody hears of it. */
+    private watch(awaited: "head" | "events", milliseconds: number): SilenceWatch | undefined {
+        const { listener } = this.round;
         this.recordHeard();
-        if (!this.mayResume) {
+        if (listener === undefined) {
             return undefined;
         }
         return SilenceWatch.create(this.options.exchange.loop.activeClock, milliseconds, {
             onSilent: () => {
-                this.logGivenUp(awaited);
-                this.isGivenUp = true;
-                limit.expire();
+                this.logSilence(awaited);
+                listener.onSilent();
             },
-            onHeard: () => undefined,
+            onHeard: () => listener.onHeard(),
         });
     }
 
@@ -169,15 +205,17 @@
         this.heardAt = { host: clock.monotonic(), active: loop.activeClock.monotonic() };
     }
 
-    /** Logs that it is given up for silence, and for how much of that this process could have heard it. */
-    private logGivenUp(awaited: "head" | "events"): void {
-        const { exchange: { clock, loop, logger, metrics }, request, relay } = this.options;
-        metrics.count("basilpaddle_silent_runs_total", { awaited });
-        logger.warn("a run is given up, since nothing comes from its engine", {
+    /** Logs that the engine is silent, and for how much of that this process could have heard it. */
+    private logSilence(awaited: "head" | "events"): void {
+        const { exchange: { clock, loop, logger, metrics }, request, relay, steps } = this.options;
+        const silence = Math.round(clock.monotonic() - this.heardAt.host);
+        steps.push(`silent ${this.engine.id} ${silence}`);
+        metrics.count("basilpaddle_silences_of_runs_total", { awaited });
+        logger.warn("a run is silent", {
             request: request.attempt,
             engine: this.engine.id,
             awaited,
-            silence: Math.round(clock.monotonic() - this.heardAt.host),
+            silence,
             active: Math.round(loop.activeClock.monotonic() - this.heardAt.active),
             events: relay.events(),
         });
--- a/packages/basilpaddle/src/node/daemon/gateway/prefilledPrompt.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/prefilledPrompt.ts
@@ -34,19 +34,22 @@
     return Math.min(request.remainingTime(), maxTimeout, forecastTimeout);
 }
 
-/**
- * Sends the prefill of a request to an engine; returns the handle of the KV cache if there is one. `forecast`: expected
- * duration of the prefill in milliseconds, if known.
- */
+/** One prefill. `forecast`: its expected duration in milliseconds, if known. `signal`: ends it. */
+export type Prefill = {
+    readonly request: CallerRequest;
+    readonly service: ServiceRule;
+    readonly engine: ServerAnnouncement;
+    readonly forecast: number | undefined;
+    readonly signal: AbortSignal;
+};
+
+/** Sends the prefill of a request to an engine; returns the handle of the KV cache if there is one. */
 export async function requestPrefill(
     options: ExchangeOptions,
     sender: BackendSender,
-    request: CallerRequest,
-    service: ServiceRule,
-    engine: ServerAnnouncement,
-    forecast: number | undefined,
+    { request, service, engine, forecast, signal }: Prefill,
 ): Promise<{ readonly sent: SendResult; readonly handle: string | undefined; }> {
-    const limit = TimeLimit.create(options.clock, prefillTimeout(request, forecast), request.disconnected.signal);
+    const limit = TimeLimit.create(options.clock, prefillTimeout(request, forecast), signal);
     try {
         const sent = await sender.send(request, engine, service, { prefillOnly: true }, limit.signal);
         const isAnswered = sent.kind === "answer" && sent.answer.status === 200;
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/gateway/round.ts
@@ -0,0 +1,23 @@
+import type { PlacementOutcome } from "../../protocol/index.js";
+import type { SuccessorRound } from "./takeover.js";
+
+/** How a round of a request ended: a placement, a prefill and a run. */
+export type RoundEnd =
+    /** The request has been answered, or its caller is gone. */
+    | { readonly kind: "over"; }
+    /** Nothing was answered; another round may follow. */
+    | { readonly kind: "again"; }
+    /** No further round is possible now. `comeBackIn`: milliseconds. */
+    | { readonly kind: "refused"; readonly comeBackIn: number; readonly cause: string; }
+    /** A run was lost, and none may follow. */
+    | { readonly kind: "failed"; readonly status: 502 | 504; readonly cause: string; };
+
+/** One round. `placement`: identifier of its placement. `successor`: what it continues, if an earlier run is silent. */
+export type Round = {
+    readonly placement: string;
+    readonly signal: AbortSignal;
+    readonly successor: SuccessorRound | undefined;
+};
+
+/** What to report on the placement's release, and how the round ended, which may take as long as a run that continues its own. */
+export type RoundResult = { readonly outcome: PlacementOutcome; readonly end: RoundEnd | Promise<RoundEnd>; };
