feat(gateway): an answer that is broken off has a line of its own

None of the lost requests of three records is named by a line of its gateway. Its line is one of `request`, of which 200 a second are written at most: where many requests end at once, such as at the end of a stop, the ones that matter may be among those that are dropped. A warning beside it has its own part of that bound. Whether the users' lines were dropped, or cut from the record, isn't known. logRequest.spec.ts failed before: the answer had the common line alone.

--- a/packages/basilpaddle/src/node/daemon/gateway/logRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/logRequest.ts
@@ -15,6 +15,16 @@
     const labels = { kind: route.kind, outcome: outcome?.end ?? "open" };
     metrics.count("basilpaddle_requests_total", labels);
     metrics.observe("basilpaddle_request_milliseconds", milliseconds, labels);
+    if (outcome?.end === "brokenOff") {
+        // A message of its own: where many requests end at once, lines of the message below are dropped.
+        logger.warn("an answer was broken off", {
+            request: request.attempt,
+            route: route.name,
+            cause: outcome.cause,
+            milliseconds,
+            path,
+        });
+    }
     logger.info("request", {
         request: request.attempt,
         content: request.digest,
