--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/takeover.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/takeover.spec.ts
@@ -1,9 +1,9 @@
 import { expect } from "chai";
 import { createSilentLogger, RecordedMetrics } from "../../../utils/index.js";
 import type { EngineRun } from "../engineRun.js";
-import type { RoundEnd } from "../round.js";
+import type { RoundEnd, SuccessorRound } from "../round.js";
 import type { RunEnd } from "../runEnd.js";
-import { type SuccessorRound, Takeover } from "../takeover.js";
+import { Takeover } from "../takeover.js";
 
 const lost: RunEnd = { kind: "lost", cause: "reset" };
 const refused: RoundEnd = { kind: "refused", comeBackIn: 300, cause: "no room" };
--- a/packages/basilpaddle/src/node/daemon/gateway/round.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/round.ts
@@ -1,5 +1,4 @@
 import type { PlacementOutcome } from "../../protocol/index.js";
-import type { SuccessorRound } from "./takeover.js";
 
 /** How a round of a request ended: a placement, a prefill and a run. */
 export type RoundEnd =
@@ -12,6 +11,18 @@
     /** A run was lost, and none may follow. */
     | { readonly kind: "failed"; readonly status: 502 | 504; readonly cause: string; };
 
+/** A round that is played while an earlier run is silent. */
+export type SuccessorRound = {
+    /** Ends the round: the earlier run was heard again, or the request has ended. */
+    readonly signal: AbortSignal;
+    /** The engine of the earlier run. */
+    readonly silentEngine: string;
+    /** Whether the earlier run goes on. */
+    readonly isOpen: () => boolean;
+    /** Ends the earlier run once another engine answers; resolves to false if that one is heard again, or has answered whole. */
+    readonly takeOver: () => Promise<boolean>;
+};
+
 /** One round. `placement`: identifier of its placement. `successor`: what it continues, if an earlier run is silent. */
 export type Round = {
     readonly placement: string;
--- a/packages/basilpaddle/src/node/daemon/gateway/streamRounds.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamRounds.ts
@@ -18,11 +18,11 @@
 import { pathRefusal } from "./refuseWithoutPath.js";
 import { noRetryLeft } from "./retryAllowance.js";
 import { type ReportSendOutcome, RetryCharges } from "./retryCharges.js";
-import type { Round, RoundEnd, RoundResult } from "./round.js";
+import type { Round, RoundEnd, RoundResult, SuccessorRound } from "./round.js";
 import type { RunEnd } from "./runEnd.js";
 import type { StreamBinding } from "./streamBinding.js";
 import { StreamRelay } from "./streamRelay.js";
-import { type SuccessorRound, Takeover } from "./takeover.js";
+import { Takeover } from "./takeover.js";
 
 /** Limit of rounds per request; a round is a placement, a prefill and a run. */
 const maxRounds = 4;
--- a/packages/basilpaddle/src/node/daemon/gateway/takeover.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/takeover.ts
@@ -1,21 +1,9 @@
 import type { Logger, Metrics } from "../../utils/index.js";
 import type { EngineRun } from "./engineRun.js";
-import type { RoundEnd } from "./round.js";
+import type { RoundEnd, SuccessorRound } from "./round.js";
 import type { RunEnd } from "./runEnd.js";
 import type { SilenceListener } from "./silenceWatch.js";
 
-/** A round that is played while an earlier run is silent. */
-export type SuccessorRound = {
-    /** Ends the round: the earlier run was heard again, or the request has ended. */
-    readonly signal: AbortSignal;
-    /** The engine of the earlier run. */
-    readonly silentEngine: string;
-    /** Whether the earlier run goes on. */
-    readonly isOpen: () => boolean;
-    /** Ends the earlier run once another engine answers; resolves to false if that one is heard again, or has answered whole. */
-    readonly takeOver: () => Promise<boolean>;
-};
-
 /** Dependencies of a takeover. */
 export type TakeoverOptions = {
     readonly request: string;
