fix(gateway): rounds beside a silent run keep the request's limits, and one of two runs ends within 350 ms

Cause: what a request may have was counted by rounds that had ended, and here one is in progress. Now `RoundLimits` counts runs in progress and lost ones and names the engines to avoid; a round has its own prompt and hands its own signal to the search of its run; an engine's failure, an answer without a seal or report takes nothing over; what was never sent aborts no search. A second run that hasn't answered 350 ms after its first byte ends if the silent engine's host accepts connections; if it doesn't, the silent run ends: both would be at work on one attempt for longer, and one of them is alive. Price: pauses of a healthy run use up its route's attempts, so that a real loss afterwards can't be resumed.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/takeover.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/takeover.spec.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { ManualClock } from "../../../../../../../simulation/manualClock.js";
 import { createSilentLogger, RecordedMetrics } from "../../../utils/index.js";
 import type { EngineRun } from "../engineRun.js";
 import type { RoundEnd, SuccessorRound } from "../round.js";
@@ -17,6 +18,8 @@
         request: "a",
         engine: "decode",
         hasEnded: () => this.hasEnded,
+        listenStatus: () => Promise.resolve("yes"),
+        clock: new ManualClock(),
         mayContinue: () => this.mayContinue,
         play: round => new Promise(end => this.rounds.push({ round, end })),
         signal: new AbortController().signal,
@@ -81,6 +84,23 @@
         expect(run.abandoned).to.equal(0);
     });
 
+    // Guards against a run that is ended just as it takes over, and repeated.
+    it("isn't ended if the run that it replaces turns out never to have begun", async () => {
+        const turnedAway: RunEnd = { kind: "turnedAway", cause: "not sent", unreachable: true, lostOnPath: true };
+        const run = new SilentRun(turnedAway);
+        expect(await run.round.takeOver()).to.equal(true);
+        void run.takeover.end(turnedAway);
+        expect(run.round.signal.aborted).to.equal(false);
+    });
+
+    // The same, for what still comes of the run that is being ended.
+    it("isn't ended if the run that it replaces is heard once more", async () => {
+        const run = new SilentRun();
+        const mayAnswer = run.round.takeOver();
+        run.takeover.onHeard();
+        expect([await mayAnswer, run.round.signal.aborted]).to.deep.equal([true, false]);
+    });
+
     it("isn't begun if no engine may be sent the request any more", () => {
         expect(new SilentRun(lost, false).rounds).to.have.length(0);
     });
--- a/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
@@ -95,13 +95,14 @@
         return new BackendSender(options);
     }
 
-    /** Sends the caller's request with this system's own headers. */
+    /** Sends the caller's request with this system's own headers. `onFirstByte`: called just before the first byte is written. */
     async send(
         request: CallerRequest,
         server: ServerAnnouncement,
         service: ServiceRule,
         metadata: SendMetadata,
         signal: AbortSignal,
+        onFirstByte: () => void = () => undefined,
     ): Promise<SendResult> {
         const { instances, metrics, loop, grace } = this.options;
         const isRun = metadata.prefillOnly !== true;
@@ -111,6 +112,7 @@
         const onSend = (): void => {
             hasBegun = true;
             request.recordSend(isRun);
+            onFirstByte();
         };
         do {
             const obstacle = loop.isLagging() ? await this.obstacle(request, signal) : undefined;
--- a/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
@@ -38,7 +38,11 @@
     readonly signal: AbortSignal;
     /** Hears of the engine's silence; undefined if nobody asks. */
     readonly listener: SilenceListener | undefined;
-    /** Asked once the engine answers: whether the answer may be used, which it may not if the run that it was to continue goes on. */
+    /** Called just before the first byte is sent. */
+    readonly onFirstByte: () => void;
+    /** Whether a failure of the engine may be the answer, which it may not if a run that this one is to continue goes on. */
+    readonly mayFail: () => boolean;
+    /** Asked once the engine answers with success: whether the answer may be used, which it may not if the other run goes on. */
     readonly mayAnswer: () => Promise<boolean>;
 };
 
@@ -95,10 +99,19 @@
         this.limit = limit;
         const silence = this.watch("head", headLimitMilliseconds);
         try {
-            const sent = await sender.send(request, this.engine, service, {
-                ...prompt === undefined ? {} : { source: { address: prompt.engine.address, handle: prompt.handle } },
-                ...relay.lastEvent() === undefined ? {} : { resumeAfter: String(relay.lastEvent()) },
-            }, limit.signal);
+            const sent = await sender.send(
+                request,
+                this.engine,
+                service,
+                {
+                    ...prompt === undefined
+                        ? {}
+                        : { source: { address: prompt.engine.address, handle: prompt.handle } },
+                    ...relay.lastEvent() === undefined ? {} : { resumeAfter: String(relay.lastEvent()) },
+                },
+                limit.signal,
+                this.round.onFirstByte,
+            );
             if (sent.kind === "notRun") {
                 const { cause, unreachable, lostOnPath } = sent;
                 return { kind: "turnedAway", cause, unreachable, lostOnPath };
@@ -108,10 +121,6 @@
             }
             silence?.heard();
             silence?.close();
-            if (!await this.round.mayAnswer()) {
-                discard(sent.answer);
-                return { kind: "lost", cause: "the run that it was to continue goes on" };
-            }
             return await this.forward(sent, limit.signal);
         }
         finally {
@@ -136,7 +145,7 @@
         const { request, exchange: { answers } } = this.options;
         const body = await readWholeBody(answer, { server: this.engine, limits: answers, bound: "shortBodyBytes" });
         const { status } = answer;
-        if (body === undefined || guaranteesNotRun(status) || request.hasAnswerBegun()) {
+        if (body === undefined || guaranteesNotRun(status) || request.hasAnswerBegun() || !this.round.mayFail()) {
             return { kind: "lost", cause: `the engine answered ${status}` };
         }
         request.sendAnswer(answer, body, answers.held);
@@ -149,6 +158,10 @@
             discard(answer);
             return { kind: "lost", cause: "directories may take the stream for one of another version" };
         }
+        if (!await this.round.mayAnswer()) {
+            discard(answer);
+            return { kind: "lost", cause: "the run that it was to continue goes on" };
+        }
         const stallDetector = StallDetector.create();
         let receivedAt = clock.monotonic();
         const onBytes = (events: number): void => {
--- a/packages/basilpaddle/src/node/daemon/gateway/round.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/round.ts
@@ -1,4 +1,5 @@
 import type { PlacementOutcome } from "../../protocol/index.js";
+import type { HeldPrompt } from "./heldPrompt.js";
 
 /** How a round of a request ended: a placement, a prefill and a run. */
 export type RoundEnd =
@@ -15,10 +16,10 @@
 export type SuccessorRound = {
     /** Ends the round: the earlier run was heard again, or the request has ended. */
     readonly signal: AbortSignal;
-    /** The engine of the earlier run. */
-    readonly silentEngine: string;
     /** Whether the earlier run goes on. */
     readonly isOpen: () => boolean;
+    /** Called when another engine is sent the request: one of the two runs ends soon after. */
+    readonly hasBegun: () => void;
     /** Ends the earlier run once another engine answers; resolves to false if that one is heard again, or has answered whole. */
     readonly takeOver: () => Promise<boolean>;
 };
@@ -28,6 +29,8 @@
     readonly placement: string;
     readonly signal: AbortSignal;
     readonly successor: SuccessorRound | undefined;
+    /** What is left of its prompt at a prefill engine, for the next round beside the same run. */
+    readonly prompt: HeldPrompt;
 };
 
 /** What to report on the placement's release, and how the round ended, which may take as long as a run that continues its own. */
--- a/packages/basilpaddle/src/node/daemon/gateway/streamRounds.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/streamRounds.ts
@@ -19,18 +19,16 @@
 import { noRetryLeft } from "./retryAllowance.js";
 import { type ReportSendOutcome, RetryCharges } from "./retryCharges.js";
 import type { Round, RoundEnd, RoundResult, SuccessorRound } from "./round.js";
+import { RoundLimits } from "./roundLimits.js";
 import type { RunEnd } from "./runEnd.js";
 import type { StreamBinding } from "./streamBinding.js";
 import { StreamRelay } from "./streamRelay.js";
 import { Takeover } from "./takeover.js";
 
-/** Limit of rounds per request; a round is a placement, a prefill and a run. */
-const maxRounds = 4;
+/** Limit of rounds beside one silence of a run. */
+const maxSearchRounds = 4;
 /** Retry-After for a request that every engine rejected. */
 const rejectedRetryAfterMilliseconds = 300;
-const minAnswerMilliseconds = 5;
-/** Number of failed connections to engines that aren't counted as rounds. */
-const maxUncountedConnectionFailures = 6;
 /** Leaves room for a number in the identifier of a further placement. */
 const maxAttemptLength = 190;
 
@@ -55,11 +53,8 @@
 /** The rounds of one request; a later one knows what the earlier ones have learnt. */
 export class StreamRounds {
     private readonly sender: BackendSender;
-    private readonly avoid: string[] = [];
-    private runCount = 0;
-    private roundCount = 0;
+    private readonly limits: RoundLimits;
     private searchCount = 0;
-    private connectionFailures = 0;
     /** The placement whose run forwards its events. */
     private currentPlacement: string;
     private readonly relay: StreamRelay;
@@ -70,6 +65,7 @@
     private constructor(private readonly options: StreamRoundsOptions) {
         const { exchange, placementClient, request, service, binding, steps } = options;
         this.sender = BackendSender.create(exchange);
+        this.limits = RoundLimits.create(request);
         this.retryCharges = RetryCharges.create(exchange.retryAllowance, service.name);
         this.prompt = HeldPrompt.create(exchange, service);
         this.currentPlacement = request.attempt;
@@ -86,7 +82,7 @@
 
     /** Whether an engine may have run the request in a round that has ended. */
     haveRun(): boolean {
-        return this.runCount > 0;
+        return this.limits.haveRun();
     }
 
     /** Frees what the rounds have left at engines. */
@@ -97,21 +93,23 @@
     /** Plays a round, and those that continue its run if it falls silent. */
     play(): Promise<RoundEnd> {
         const { attempt: placement, disconnected: { signal } } = this.options.request;
-        return this.playRound({ placement, signal, successor: undefined });
+        return this.playRound({ placement, signal, successor: undefined, prompt: this.prompt });
     }
 
     /** Plays rounds beside a silent run, which keeps its own placement, until an engine continues it or none can. */
     private async playSuccessor(successor: SuccessorRound): Promise<RoundEnd> {
-        const { request } = this.options;
+        const { request, exchange, service } = this.options;
         const { signal } = successor;
         const placement = `${request.attempt.slice(0, maxAttemptLength)}~${++this.searchCount}`;
+        const prompt = HeldPrompt.create(exchange, service);
         let end: RoundEnd = again;
-        for (let round = 0; round < maxRounds && end.kind === "again"; round++) {
-            end = await this.playRound({ placement, signal, successor });
+        for (let round = 0; round < maxSearchRounds && end.kind === "again"; round++) {
+            end = await this.playRound({ placement, signal, successor, prompt });
             if (!successor.isOpen() || signal.aborted) {
-                return end;
+                break;
             }
         }
+        prompt.free();
         return end;
     }
 
@@ -121,7 +119,7 @@
         if (refusal !== undefined) {
             return { kind: "refused", ...refusal };
         }
-        this.roundCount += round.successor === undefined ? 1 : 0;
+        this.limits.countRound(round.successor === undefined);
         const askedAt = this.now();
         const grantOrRefusal = await placementClient.requestPlacement(this.placementDemand(round), round.signal);
         if (grantOrRefusal === undefined) {
@@ -146,14 +144,13 @@
         return result.end;
     }
 
-    private placementDemand({ placement, successor }: Round): PlacementRequest {
+    private placementDemand({ placement }: Round): PlacementRequest {
         const { request, service, gateway, binding, exchange } = this.options;
-        const silent = successor === undefined ? [] : [successor.silentEngine];
         const demand = placementRequest(
             request,
             service.name,
             gateway,
-            [...this.avoid, ...silent, ...binding.enginesToAvoid()],
+            [...this.limits.enginesToAvoid(), ...binding.enginesToAvoid()],
             exchange.links.stalls(this.now()),
             { resumed: binding.resumesStream, version: binding.version },
             exchange.hasSeveralPriorities?.(service.name),
@@ -173,15 +170,15 @@
             const end = this.retryElsewhere(lost, "a placed engine leaves, has ended or is unknown");
             return { outcome: { failed: lost }, end };
         }
-        if (decode.id === round.successor?.silentEngine) {
-            const cause = "only the silent engine has room";
+        if (this.limits.isBusy(decode.id)) {
+            const cause = "only an engine that runs it already has room";
             return { outcome: {}, end: refused(rejectedRetryAfterMilliseconds, cause) };
         }
         const objection = await binding.objectionTo(decode);
         if (objection !== undefined) {
-            const { cause, retryAfter: comeBackIn } = objection;
+            const { cause, retryAfter } = objection;
             steps.push(`declined ${decode.id}`);
-            const end = comeBackIn === undefined ? this.retryElsewhere(decode.id, cause) : refused(comeBackIn, cause);
+            const end = retryAfter === undefined ? this.retryElsewhere(decode.id, cause) : refused(retryAfter, cause);
             return { outcome: {}, end };
         }
         const refusal = this.quarantineRefusal();
@@ -191,7 +188,7 @@
         const version = softwareVersionOf(decode);
         // A decode engine that got the KV cache of another version would write on from what it can't read.
         const fittingPrefill = prefill !== undefined && softwareVersionOf(prefill) === version ? prefill : undefined;
-        const prefillEngine = this.prompt.prefillEngine(version, fittingPrefill);
+        const prefillEngine = round.prompt.prefillEngine(version, fittingPrefill);
         const limitedEngine = await admitEngines(exchange.admission, prefillEngine, decode);
         if (limitedEngine !== undefined) {
             steps.push(`${limitedEngine} limited`);
@@ -207,13 +204,16 @@
         prefillEngine: ServerAnnouncement | undefined,
         decode: ServerAnnouncement,
     ): Promise<RoundResult> {
+        if (!this.limits.mayRun()) {
+            return { outcome: {}, end: refused(rejectedRetryAfterMilliseconds, "the route allows no further engine") };
+        }
         const reports = await this.retryCharges.reserve(prefillEngine !== undefined);
         if (reports === undefined) {
             return { outcome: {}, end: refused(rejectedRetryAfterMilliseconds, noRetryLeft) };
         }
         // One that looks in vain for an engine beside a run that goes on doesn't count.
-        this.roundCount += round.successor === undefined ? 0 : 1;
-        this.prompt.freeUnlessUsable(softwareVersionOf(decode));
+        this.limits.countRound(round.successor !== undefined);
+        round.prompt.freeUnlessUsable(softwareVersionOf(decode));
         const failure = prefillEngine === undefined
             ? undefined
             : await this.prefillAt(round, prefillEngine, grant.readingWithin, reports.reportPrefill);
@@ -244,7 +244,7 @@
         const unreached = sent.kind === "notRun" && sent.unreachable;
         reportPrefill(unreached ? "unreached" : handle === undefined ? "counted" : "read");
         if (handle !== undefined) {
-            this.prompt.hold(prefill, handle);
+            round.prompt.hold(prefill, handle);
             placementClient.prefillCompleted(round.placement);
             return undefined;
         }
@@ -252,7 +252,7 @@
         if (sent.kind === "unknown" && !lostOnPath && !round.signal.aborted) {
             void exchange.crashes.reportLostRun(request, prefill, "early");
         }
-        this.discountFailedConnection(unreached);
+        this.limits.discountConnection(unreached);
         if (round.signal.aborted) {
             return { outcome: {}, end: over };
         }
@@ -265,11 +265,18 @@
         const { request, placementClient, binding, steps, exchange } = this.options;
         const startedAt = this.now();
         const eventsBefore = this.relay.events();
-        const takeover = this.takeoverOf(decode);
+        let hasBegun = false;
+        const takeover = this.takeoverOf(round, decode);
         const run = EngineRun.create(this.runOptions, decode, {
             signal: round.signal,
             listener: request.route.resumable ? takeover : undefined,
+            onFirstByte: () => {
+                hasBegun = true;
+                round.successor?.hasBegun();
+            },
+            mayFail: () => round.successor?.isOpen() !== true,
             mayAnswer: async () => {
+                round.prompt.recordFetched();
                 const mayAnswer = await round.successor?.takeOver() ?? true;
                 this.currentPlacement = mayAnswer ? round.placement : this.currentPlacement;
                 return mayAnswer;
@@ -277,18 +284,21 @@
         });
         takeover.observe(run);
         placementClient.observeWriting(round.placement, () => run.takeReport());
-        const end = await run.execute(this.prompt.get());
+        const recordEnd = this.limits.startRun(decode.id);
+        const end = await run.execute(round.prompt.get());
+        recordEnd(end.kind === "turnedAway");
+        const phase = this.relay.events() === eventsBefore ? "early" : "late";
         const successor = takeover.end(end);
-        if (end.kind !== "turnedAway") {
-            this.prompt.recordFetched();
+        if (end.kind !== "turnedAway" && (hasBegun || !round.signal.aborted)) {
+            round.prompt.recordFetched();
         }
         const unreached = end.kind === "turnedAway" && end.unreachable;
         reportRun(unreached ? "unreached" : "counted");
-        this.discountFailedConnection(unreached);
+        this.limits.discountConnection(unreached);
         const cause = "cause" in end ? ` (${end.cause})` : "";
         steps.push(`run ${decode.id} ${end.kind} ${this.since(startedAt)}${cause}`);
-        this.runCount += end.kind === "lost" ? 1 : 0;
         if (round.signal.aborted) {
+            this.limits.exclude(decode.id);
             return { outcome: {}, end: over };
         }
         switch (end.kind) {
@@ -299,28 +309,30 @@
             case "failureGiven":
                 return { outcome: {}, end: over };
             case "turnedAway": {
-                const rejected = this.afterRejection(decode, end);
-                return { ...rejected, end: successor.then(() => rejected.end) };
+                const rejected = this.afterRejection(round, decode, end);
+                return { ...rejected, end: successor.then(next => isDecided(next) ? next : rejected.end) };
             }
             case "lost":
                 if (!await exchange.paths.isLostOnPath(decode.id)) {
-                    const phase = this.relay.events() === eventsBefore ? "early" : "late";
                     void exchange.crashes.reportLostRun(request, decode, phase, run.hasBegun());
                 }
                 // One broken stream is little evidence against its engine; if it has ended, the next connection will fail.
-                return { outcome: {}, end: successor.then(next => next ?? this.resumeElsewhere(decode.id, end.cause)) };
+                this.limits.exclude(decode.id);
+                return { outcome: {}, end: successor.then(next => isDecided(next) ? next : this.resume(end.cause)) };
         }
     }
 
-    private takeoverOf({ id }: ServerAnnouncement): Takeover {
-        const { request, exchange: { instances, logger, metrics } } = this.options;
+    private takeoverOf({ signal }: Round, { id, address }: ServerAnnouncement): Takeover {
+        const { request, exchange: { instances, paths, clock, logger, metrics } } = this.options;
         return Takeover.create({
             request: request.attempt,
             engine: id,
             hasEnded: () => instances.hasEnded(id),
-            mayContinue: () => this.runCount + 1 < request.route.attempts && this.mayPlay(),
+            listenStatus: () => paths.listenStatusOf(address),
+            mayContinue: () => this.limits.mayRun() && this.limits.mayPlay(),
             play: successor => this.playSuccessor(successor),
-            signal: request.disconnected.signal,
+            signal,
+            clock,
             logger,
             metrics,
         });
@@ -328,6 +340,7 @@
 
     /** Continues after an engine rejected the run. */
     private afterRejection(
+        round: Round,
         decode: ServerAnnouncement,
         rejection: Extract<RunEnd, { kind: "turnedAway"; }>,
     ): RoundResult {
@@ -335,54 +348,36 @@
         if (rejection.unreachable) {
             return { outcome: rejection.lostOnPath ? {} : { failed: decode.id }, end };
         }
-        const readBy = this.prompt.recordRejected()?.id;
+        const readBy = round.prompt.recordRejected()?.id;
         return { outcome: { turnedAwayBy: decode.id, ...readBy === undefined ? {} : { readBy } }, end };
     }
 
     /** Whether the stream may still begin at another version: its caller has received nothing of it. */
     private mayChangeVersion({ successor }: Round): boolean {
         const hasBegun = this.options.binding.resumesStream || this.relay.events() > 0 || successor !== undefined;
-        return !hasBegun && this.roundCount < maxRounds;
-    }
-
-    private mayPlay(): boolean {
-        return this.roundCount < maxRounds && this.options.request.remainingTime() >= minAnswerMilliseconds;
+        return !hasBegun && this.limits.mayPlay();
     }
 
     /** Excludes an engine that has run nothing, if it is to blame, and refuses the request if no further round is possible. */
     private retryElsewhere(engine: string | undefined, cause: string): RoundEnd {
         if (engine !== undefined) {
-            this.avoid.push(engine);
+            this.limits.exclude(engine);
         }
-        return this.mayPlay() ? again : refused(rejectedRetryAfterMilliseconds, cause);
+        return this.limits.mayPlay() ? again : refused(rejectedRetryAfterMilliseconds, cause);
     }
 
-    /** Excludes the engine of a lost run, and fails the request if its route or its time doesn't allow it to be resumed. */
-    private resumeElsewhere(engine: string, cause: string): RoundEnd {
-        const { request } = this.options;
-        const { route } = request;
-        this.avoid.push(engine);
-        if (route.resumable && this.runCount < route.attempts && this.mayPlay()) {
+    /** Continues after a lost run, unless the route or the time doesn't allow it to be resumed. */
+    private resume(cause: string): RoundEnd {
+        if (this.options.request.route.resumable && this.limits.mayRun() && this.limits.mayPlay()) {
             return again;
         }
-        return { kind: "failed", status: request.remainingTime() < minAnswerMilliseconds ? 504 : 502, cause };
+        return { kind: "failed", status: this.limits.isTimeOver() ? 504 : 502, cause };
     }
 
     private quarantineRefusal(): Refusal | undefined {
         return quarantineRefusal(this.options.exchange, this.options.request, this.options.steps);
     }
 
-    /**
-     * A failed connection doesn't count as a round, since the engine has received nothing. When a quarter of the engines crash
-     * at once, a request may be placed on several of them before their end is reported.
-     */
-    private discountFailedConnection(unreached: boolean): void {
-        if (unreached) {
-            this.connectionFailures += 1;
-            this.roundCount -= this.connectionFailures <= maxUncountedConnectionFailures ? 1 : 0;
-        }
-    }
-
     private since(startedAt: number): number {
         return Math.round(this.now() - startedAt);
     }
@@ -392,6 +387,11 @@
     }
 }
 
+/** Whether rounds beside a run that was lost meanwhile leave nothing to be decided. */
+function isDecided(end: RoundEnd | undefined): end is RoundEnd {
+    return end?.kind === "over" || end?.kind === "failed";
+}
+
 function refused(comeBackIn: number, cause: string): RoundEnd {
     return { kind: "refused", comeBackIn, cause };
 }
