fix(gateway): a plain service's attempt goes on until a retry and a server that admits it are sure

What callers see: 502 with "no retry is left in the allowance" for safe requests whose server is slow and would have answered; the same after a standstill of their gateway, if one turn of the event loop doesn't read the answer whole (`afterPoll` reads one). Read from the code and shown with fakes, not with real processes. Cause: an attempt was aborted after 1.5 times its target if another server was known; the retry and that server's admission were asked for only then, and a no ended the request. The 1.5 targets counted on while the gateway stood still. Class: work is given up before what replaces it is sure, and the silence of another process is measured by a clock that goes on while this one can't hear. An attempt is given up now only once a retry is taken and another server has admitted the request, with a path and without a quarantine; else it goes on for the request's remaining time and is asked about again every 250 ms. That retry is the one which the next send spends (`HeldRetry`), and it is returned if none does. The server is judged by the active clock, the request's remaining time by the host's. Price: while no retry is left each slow request asks for one four times a second, from the leader too; a request may wait at a hanging server for its whole time.

--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -4,15 +4,17 @@
 import { type BackendAnswer, discard, type Holding, readWholeBody } from "../backends/index.js";
 import { BackendSender, type ExchangeOptions, type SendResult, viaRelay } from "./backendSender.js";
 import type { CallerRequest } from "./callerRequest.js";
+import { HeldRetry } from "./heldRetry.js";
 import { refuseQuarantined } from "./refuseQuarantined.js";
 import { refuseWithoutPath } from "./refuseWithoutPath.js";
+import { type AttemptPatience, ReplaceableAttempt } from "./replaceableAttempt.js";
 import { noRetryLeft } from "./retryAllowance.js";
 import { guaranteesNotRun } from "./statuses.js";
 import { TimeLimit } from "./timeLimit.js";
 
 /** Limit of backend servers that are tried in turn, including those that reject the request. */
 const maxRounds = 4;
-/** Timeout of one backend server, as a multiple of the target, if the request may be retried at another one. */
+/** Time of one backend server as a multiple of the target, after which another one is looked for if the request may be retried. */
 const serverTimeoutFactor = 1.5;
 /** Fraction of its remaining time that a request waits for a first backend server, and the interval of checking for one. */
 const firstServerWaitFraction = 0.5;
@@ -39,6 +41,9 @@
     private readonly triedServers = new Set<string>();
     private readonly steps: string[] = [];
     private runCount = 0;
+    private readonly retry: HeldRetry;
+    /** The server that replaces an attempt which was given up for it. */
+    private replacement: ServerAnnouncement | undefined;
     /** Counts the failure of a server that is kept in case that no other one answers. */
     private keptFailure: Holding | undefined;
     /** Whether it arrived at a server, or may have. */
@@ -52,6 +57,7 @@
         private readonly service: ServiceRule,
     ) {
         this.sender = BackendSender.create(options);
+        this.retry = HeldRetry.create(options.retryAllowance, service.name);
     }
 
     static create(options: ExchangeOptions, request: CallerRequest, service: ServiceRule): ServiceExchange {
@@ -70,6 +76,7 @@
         }
         finally {
             this.keptFailure?.release();
+            this.retry.release();
         }
     }
 
@@ -88,18 +95,18 @@
             if (request.remainingTime() < minAnswerMilliseconds || options.paths.hasNoPath()) {
                 break;
             }
-            const server = await this.nextServer() ?? (round === 0 ? await this.waitForServer() : undefined);
+            const server = this.takeReplacement() ?? await this.nextServer()
+                ?? (round === 0 ? await this.waitForServer() : undefined);
             if (server === undefined || request.isDisconnected()) {
                 break;
             }
             // What arrived nowhere costs no retry: the callers of a gateway with failing links would use up those of all others.
-            if (
-                lastResult !== undefined && this.mayHaveArrived && !await options.retryAllowance.takeRetry(service.name)
-            ) {
+            if (lastResult !== undefined && this.mayHaveArrived && !await this.retry.spend()) {
                 lastResult = { ...lastResult, cause: `${lastResult.cause}; ${noRetryLeft}` };
                 break;
             }
-            const result = await this.sendTo(server);
+            this.retry.release();
+            const result = await this.sendTo(server, round + 1 < maxRounds);
             if (result.kind === "done") {
                 return;
             }
@@ -112,19 +119,27 @@
         this.endUnanswered(lastResult);
     }
 
-    /** The best server that takes the request now; undefined if none does. */
+    private takeReplacement(): ServerAnnouncement | undefined {
+        const { replacement } = this;
+        this.replacement = undefined;
+        return replacement;
+    }
+
+    /** The best server that takes the request now, or soon has room; undefined if there is none. */
     private async nextServer(): Promise<ServerAnnouncement | undefined> {
+        return await this.serverWithRoom(this.triedServers) ?? this.nextServerWithRoom();
+    }
+
+    /** The best server that takes the request now; undefined if none does. */
+    private async serverWithRoom(avoided: ReadonlySet<string>): Promise<ServerAnnouncement | undefined> {
         const { instances, choice, admission, clock } = this.options;
         const usable = instances.usable(this.service.name);
-        const excluded = new Set(this.triedServers);
+        const excluded = new Set(avoided);
         for (;;) {
             const candidates = usable.filter(({ id }) => admission.timeUntilRoom(id) === 0);
             const server = candidates.find(({ id }) => admission.isOverdue(id) && !excluded.has(id))
                 ?? choice.choose(candidates, excluded, clock.monotonic());
-            if (server === undefined) {
-                return this.nextServerWithRoom(usable);
-            }
-            if (await admission.admit(server.id, 0)) {
+            if (server === undefined || await admission.admit(server.id, 0)) {
                 return server;
             }
             this.steps.push(`${server.id} limited`);
@@ -133,8 +148,9 @@
     }
 
     /** The server that is the first to have room again, after a wait that leaves time to answer by the target. */
-    private async nextServerWithRoom(usable: readonly ServerAnnouncement[]): Promise<ServerAnnouncement | undefined> {
-        const { admission } = this.options;
+    private async nextServerWithRoom(): Promise<ServerAnnouncement | undefined> {
+        const { admission, instances } = this.options;
+        const usable = instances.usable(this.service.name);
         const limited = usable.filter(({ id }) => !this.triedServers.has(id) && admission.limitOf(id) !== undefined);
         const timeUntilRoom = ({ id }: ServerAnnouncement): number => admission.timeUntilRoom(id);
         const first = limited.sort((one, other) => timeUntilRoom(one) - timeUntilRoom(other))[0];
@@ -193,15 +209,16 @@
         }
     }
 
-    private async sendTo(server: ServerAnnouncement): Promise<ServerResult> {
+    private async sendTo(server: ServerAnnouncement, mayContinue: boolean): Promise<ServerResult> {
         const { request, options } = this;
         const { clock, choice, tally } = options;
         const startedAt = clock.monotonic();
         choice.recordStart(server.id);
         const call = tally.recordStart(server, startedAt);
-        const limit = TimeLimit.create(clock, this.serverTimeout(server), request.disconnected.signal);
+        const limit = TimeLimit.create(clock, request.remainingTime(), request.disconnected.signal);
+        const attempt = ReplaceableAttempt.create(limit, mayContinue ? this.patience(server) : undefined);
         try {
-            const sent = await this.sender.send(request, server, this.service, {}, limit.signal);
+            const sent = await this.sender.send(request, server, this.service, {}, attempt.signal);
             const [result, outcome] = await this.classify(server, sent, startedAt);
             const milliseconds = clock.monotonic() - startedAt;
             choice.recordOutcome(
@@ -217,28 +234,48 @@
             return result;
         }
         finally {
-            limit.clear();
             tally.discardCall(call);
+            await attempt.end();
         }
     }
 
     /**
-     * Timeout in milliseconds of one backend server. Without it a hanging server would block a request that another one
-     * could still answer in time. A request that may run only once gets all of its remaining time.
+     * When a backend server is given up for another one. Without it a hanging server would block a request that another one could still
+     * answer in time. Undefined for a request that may not run once more: it gets all of its remaining time.
      */
-    private serverTimeout(server: ServerAnnouncement): number {
-        const { request, options } = this;
-        const { route } = request;
-        const excluded = new Set([...this.triedServers, server.id]);
-        const alternative = options.choice.choose(
-            options.instances.usable(this.service.name),
-            excluded,
-            options.clock.monotonic(),
-        );
-        const mayRetry = route.kind === "safe" && this.runCount + 1 < route.attempts && alternative !== undefined;
-        return mayRetry
-            ? Math.min(request.remainingTime(), serverTimeoutFactor * route.target)
-            : request.remainingTime();
+    private patience(server: ServerAnnouncement): AttemptPatience | undefined {
+        const { request: { route }, options } = this;
+        if (route.kind !== "safe" || this.runCount + 1 >= route.attempts) {
+            return undefined;
+        }
+        return {
+            activeClock: options.loop.activeClock,
+            milliseconds: serverTimeoutFactor * route.target,
+            secureReplacement: () => this.secureReplacement(server),
+        };
+    }
+
+    /** Secures a server and a retry that replace an attempt; returns false, and holds neither, if the request can't be sent on now. */
+    private async secureReplacement({ id }: ServerAnnouncement): Promise<boolean> {
+        const { instances, choice, clock } = this.options;
+        const avoided = new Set([...this.triedServers, id]);
+        const isKnown = choice.choose(instances.usable(this.service.name), avoided, clock.monotonic()) !== undefined;
+        if (!isKnown || !this.mayBeSentOn() || !await this.retry.take()) {
+            return false;
+        }
+        this.replacement = await this.serverWithRoom(avoided);
+        if (this.replacement !== undefined && this.mayBeSentOn()) {
+            return true;
+        }
+        this.replacement = undefined;
+        this.retry.release();
+        return false;
+    }
+
+    private mayBeSentOn(): boolean {
+        const { options: { paths, crashes }, request } = this;
+        return request.remainingTime() >= minAnswerMilliseconds && !paths.hasNoPath()
+            && crashes.quarantineStatus(request) === undefined;
     }
 
     private async classify(
