fix(gateway): a gateway's own standstill doesn't make a prefill fail

What callers see, if one turn of the event loop doesn't read the answer whole (`afterPoll` reads one): streams that are read a second time elsewhere, late, after their gateway stood still; their engine is excluded for the request, gets no work for a while, and its run is reported as lost. Cause: the timeout of a prefill (forecast, maximum) counted on while the gateway couldn't read the answer. Class: the silence of another process measured by a clock that goes on while this one can't hear. The engine is judged by the active clock now; the request's remaining time is a limit of its own, by the host's clock, and ends the prefill in a standstill too. Not run with real processes.

--- a/packages/basilpaddle/src/node/daemon/gateway/prefilledPrompt.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/prefilledPrompt.ts
@@ -43,13 +43,18 @@
     readonly signal: AbortSignal;
 };
 
-/** Sends the prefill of a request to an engine; returns the handle of the KV cache if there is one. */
+/**
+ * Sends the prefill of a request to an engine; returns the handle of the KV cache if there is one. The engine is judged by the time in which
+ * this process can hear it, the request's remaining time by the host's clock.
+ */
 export async function requestPrefill(
     options: ExchangeOptions,
     sender: BackendSender,
     { request, service, engine, forecast, signal }: Prefill,
 ): Promise<{ readonly sent: SendResult; readonly handle: string | undefined; }> {
-    const limit = TimeLimit.create(options.clock, prefillTimeout(request, forecast), signal);
+    const limit = TimeLimit.create(options.clock, request.remainingTime(), signal);
+    const timeout = prefillTimeout(request, forecast);
+    const stopJudging = options.loop.activeClock.after(timeout, () => limit.expire());
     try {
         const sent = await sender.send(request, engine, service, { prefillOnly: true }, limit.signal);
         const isAnswered = sent.kind === "answer" && sent.answer.status === 200;
@@ -59,6 +64,7 @@
         return { sent, handle };
     }
     finally {
+        stopJudging();
         limit.clear();
     }
 }
