fix(transport): a reply that came while its process stood still opens a tunnel

What callers saw: nothing directly; a gateway that needs relays avoided one that had replied, and its call tried the next one, or was refused if none was left. Cause: the timeout of a tunnel's reply was a plain timer, and timers run before what the connection holds is read, unlike those of connections and links (`afterPoll`). Class: the silence of another process measured in a time in which this one can't hear. The timeout waits now for what has come by then. Evidence: tunnel.spec.ts, real sockets, a process that stands still for three timeouts after the reply was written: failed before, 1 of 1, passes now; a tunnel without a reply still fails in time, before and after.

--- a/packages/basilpaddle/src/node/transport/tunnel.ts
+++ b/packages/basilpaddle/src/node/transport/tunnel.ts
@@ -1,4 +1,5 @@
 import type { Socket } from "node:net";
+import { afterPoll } from "../utils/index.js";
 import type { NetworkAddress } from "./address.js";
 import { ConnectionFailure, connectTimeoutCode, openSocket } from "./connecting.js";
 import { encodeFrame, readFrame } from "./frame.js";
@@ -16,13 +17,13 @@
     const startedAt = performance.now();
     const socket = await openSocket(address, timeout, localAddress);
     let isLate = false;
-    const timer = setTimeout(() => {
+    const cancelTimeout = afterPoll(startedAt + timeout - performance.now(), () => {
         isLate = true;
         socket.destroy();
-    }, startedAt + timeout - performance.now());
+    });
     socket.write(encodeFrame(request));
     const reply = await readFrame(socket);
-    clearTimeout(timer);
+    cancelTimeout();
     if (reply === undefined) {
         socket.destroy();
         throw ConnectionFailure.create(
