fix(gateway): a relay serves a tunnel whose request came while it stood still

What callers saw: nothing directly; gateways whose own path had failed had tunnels closed by a relay that had stood still for over 1 s, and avoided it. Cause: the timeout of a tunnel's first frame was a plain timer, which runs before what the connection holds is read. Class: the silence of another process measured in a time in which this one can't hear. The timeout waits now for what has come by then. Evidence: relayServer.spec.ts, real sockets, a standstill of 1.2 s after the request was written: closed before, 1 of 1 (the test ends with ECONNRESET), served now.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/relayServer.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/relayServer.spec.ts
@@ -4,6 +4,7 @@
 import { until } from "../../../../../../../playground/harness/wait.js";
 import { announced } from "../../../coordination/gateway/__tests__/fakes.js";
 import { InstanceTable } from "../../../coordination/index.js";
+import { encodeFrame, readFrame } from "../../../transport/index.js";
 import { createSilentLogger, SilentMetrics } from "../../../utils/index.js";
 import { DirectOpener } from "../../backends/index.js";
 import { RelayServer } from "../relayServer.js";
@@ -97,6 +98,20 @@
         await open();
     });
 
+    // Guards against tunnels that are closed, and relays that are avoided, since nobody read what they asked for.
+    it("serves a tunnel whose request came while its process stood still", async () => {
+        const client = net.connect(relay.port(), "127.0.0.1");
+        await once(client, "connect");
+        await new Promise(resolve => setTimeout(resolve, 50));
+        // The timers run first after this, and then what the connections hold is read.
+        await new Promise(resolve => setImmediate(resolve));
+        client.write(encodeFrame({ server: "unknown" }));
+        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 1_200);
+        const reply = await readFrame(client);
+        client.destroy();
+        expect(reply).to.deep.include({ kind: "failed" });
+    });
+
     it("tells a server that accepts no connection from a reason of its own", async () => {
         expect(await failure("unknown")).to.equal("NO_RELAY");
         server.close();
--- a/packages/basilpaddle/src/node/daemon/gateway/relayServer.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/relayServer.ts
@@ -2,7 +2,7 @@
 import type { InstanceTable } from "../../coordination/index.js";
 import { type TunnelReply, tunnelRequestSchema } from "../../protocol/index.js";
 import { ConnectionFailure, encodeFrame, joinSockets, readFrame } from "../../transport/index.js";
-import { type Logger, type Metrics, runInBackground } from "../../utils/index.js";
+import { afterPoll, type Logger, type Metrics, runInBackground } from "../../utils/index.js";
 import type { ConnectionOpener } from "../backends/index.js";
 import { Tunnel } from "./tunnel.js";
 
@@ -82,9 +82,9 @@
         socket.on("error", error => {
             this.options.logger.debug("a tunnel's connection failed", { cause: error.message });
         });
-        const timer = setTimeout(() => socket.destroy(), requestTimeoutMilliseconds);
+        const cancelTimeout = afterPoll(requestTimeoutMilliseconds, () => socket.destroy());
         const request = tunnelRequestSchema.safeParse(await readFrame(socket));
-        clearTimeout(timer);
+        cancelTimeout();
         if (!request.success) {
             socket.destroy();
             return;
