fix(gateway): a gateway's own standstill isn't counted as stalls of links

What callers saw: streams placed on engines of one failure domain rather than another's, after their gateway had stood still. Cause: each stream's first event after a standstill came after a pause far above its usual one, and counted as a stall of its engine's link. The rates compare domains by stalls of several engines, so that a domain with more of a gateway's streams looks worse by it, for a half-life of 8 s, in this gateway's choices and in its placement requests. Class: the silence of another process measured by a clock that goes on while this one can't hear. A pause in which this process may have heard nothing for over 140 ms is no stall; the pause that the log states and the check of an answer's end still use the host's. Evidence: runPauses.spec.ts, manual clocks, standstills of 0.5, 1.5 and 5 s: 3 of 3 fail without the condition, pass with it; a pause of 260 ms is still a stall. The shift of placements is read from the code, not run. Price: a stall that falls into a standstill isn't counted. Pauses in which a run waits for its caller still count as the link's: open.

--- a/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
@@ -1,10 +1,11 @@
-import { StallDetector, WritingMeter } from "../../coordination/index.js";
+import { WritingMeter } from "../../coordination/index.js";
 import type { RunWriting, ServerAnnouncement, ServiceRule } from "../../protocol/index.js";
 import { type BackendAnswer, discard, readWholeBody } from "../backends/index.js";
 import type { BackendSender, ExchangeOptions, SendResult } from "./backendSender.js";
 import type { CallerRequest } from "./callerRequest.js";
 import type { PrefilledPrompt } from "./prefilledPrompt.js";
 import type { RunEnd } from "./runEnd.js";
+import { RunPauses } from "./runPauses.js";
 import { type SilenceListener, SilenceWatch } from "./silenceWatch.js";
 import { guaranteesNotRun } from "./statuses.js";
 import type { StreamBinding } from "./streamBinding.js";
@@ -144,24 +145,23 @@
     }
 
     private async stream(answer: BackendAnswer, via: string | undefined, signal: AbortSignal): Promise<RunEnd> {
-        const { exchange: { links, clock, crashes, ends, answers }, request, relay, binding, steps } = this.options;
+        const { exchange: { links, clock, crashes, ends, answers, loop }, request, relay, binding, steps } =
+            this.options;
         if (!await binding.awaitReport()) {
             discard(answer);
             return { kind: "lost", cause: "directories may take the stream for one of another version" };
         }
-        const stallDetector = StallDetector.create();
-        let receivedAt = clock.monotonic();
+        const pauses = RunPauses.create(clock, loop.activeClock);
         const onBytes = (events: number): void => {
-            receivedAt = clock.monotonic();
             this.recordHeard();
-            links.countEvent(this.engine, stallDetector.recordEvent(receivedAt), receivedAt);
+            links.countEvent(this.engine, pauses.recordEvents(), clock.monotonic());
             this.recordWriting(clock.monotonic());
             this.meter.recordEvents(events, clock.monotonic());
         };
         const silence = this.watch("events", idleLimitMilliseconds);
         const end = await relay.forward(answer, silence, signal, onBytes).finally(() => silence?.close());
-        if (stallDetector.longest() > (request.route.gap ?? Number.POSITIVE_INFINITY)) {
-            steps.push(`pause ${Math.round(stallDetector.longest())}`);
+        if (pauses.longest() > (request.route.gap ?? Number.POSITIVE_INFINITY)) {
+            steps.push(`pause ${Math.round(pauses.longest())}`);
         }
         if (end.kind === "broken") {
             if (end.exceeded !== undefined) {
@@ -169,7 +169,7 @@
             }
             return this.lost(end.cause);
         }
-        const pause = Math.max(stallDetector.longest(), clock.monotonic() - receivedAt);
+        const pause = Math.max(pauses.longest(), pauses.current());
         const ended = { server: this.engine, service: this.options.service, via, pause };
         if (!answer.framed && await ends.mayBeCut(ended)) {
             return { kind: "lost", cause: "the engine ended" };
