fix(gateway): a run beside one that is in progress is charged to the retry allowance

What services would have got: more retries than their allowance permits. Cause: a send counted when its run had ended, so that a second one beside it looked like the first. Now a round whose run hasn't been reported counts as well, when the next one reserves and when either is reported. Evidence: retryCharges.spec.ts failed before (a retry left where none should be), passes now. Price: if the first run turns out never to have been sent, the second one stays charged.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/retryCharges.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/retryCharges.spec.ts
@@ -39,6 +39,20 @@
         expect(await charges.reserve(false)).to.equal(undefined);
     });
 
+    // Guards against sending a service more than its retry allowance permits: the run beside one that is in progress wasn't charged.
+    it("count a run beside one that is in progress as a retry, and its prefill as well", async () => {
+        const { charges, retriesLeft } = chargesWith(2);
+        const first = (await charges.reserve(true))!;
+        first.reportPrefill("read");
+        const second = (await charges.reserve(true))!;
+        expect(retriesLeft()).to.equal(0);
+        expect(await charges.reserve(false)).to.equal(undefined);
+        second.reportPrefill("read");
+        second.reportRun("counted");
+        first.reportRun("counted");
+        expect(retriesLeft()).to.equal(0);
+    });
+
     it("are zero if no connection was established", async () => {
         const { charges, retriesLeft } = chargesWith(1);
         await runRound(charges, undefined, "counted");
--- a/packages/basilpaddle/src/node/daemon/gateway/retryCharges.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/retryCharges.ts
@@ -22,6 +22,8 @@
  */
 export class RetryCharges {
     private sentCount = 0;
+    /** Rounds whose run hasn't been reported: a second one may be sent while the first is in progress. */
+    private openRounds = 0;
     private isNextPrefillFree = true;
 
     private constructor(
@@ -39,11 +41,12 @@
      */
     async reserve(prefills: boolean): Promise<RoundReports | undefined> {
         const chargesPrefill = prefills && !this.isNextPrefillFree;
-        const isRetry = this.sentCount > 0;
+        const isRetry = this.sentCount > 0 || this.openRounds > 0;
         const needed = Number(chargesPrefill && isRetry) + Number(chargesPrefill || isRetry);
         if (!await this.takeRetries(needed)) {
             return undefined;
         }
+        this.openRounds += 1;
         let unused = needed;
         const report = (outcome: SendOutcome): void => {
             unused -= this.charge(outcome);
@@ -52,6 +55,7 @@
             reportPrefill: report,
             reportRun: outcome => {
                 report(outcome);
+                this.openRounds -= 1;
                 this.returnRetries(unused);
             },
         };
@@ -77,7 +81,7 @@
             return 0;
         }
         this.sentCount += 1;
-        return this.sentCount > 1 ? 1 : 0;
+        return this.sentCount > 1 || this.openRounds > 1 ? 1 : 0;
     }
 
     private returnRetries(retries: number): void {
