test(stops): streams that may be resumed, whose engines are silent or whose gateway stands still

What callers saw: streams that may be resumed were broken off around planned stops though their engines went on. No row of `npm run stops` could show it: none had a route that may be resumed, a silence of engines, engines that turn down to go on with a stream, or an allowance that is used up. Cause of the blindness: the stand-in servers were sound, and their wire's kind "resumable" wasn't played. Rows are given the engines' plan (`EngineFaults`), whether the allowance is none, and whether the gateways get their signal at all; a server goes on at the last event that it is told. A request counts as at work until the last of its runs has ended: two may overlap since a silent run goes on beside its successor, and the table kept the last one begun. The test of it is new; what the rows count is else as before, and for one run at a time the same.

--- a/scripts/stops/__tests__/table.spec.ts
+++ b/scripts/stops/__tests__/table.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { type Exchange, lossOf, momentOf, type Stop, wasReset } from "../exchange.js";
+import { type Exchange, lossOf, momentOf, ServerRuns, type Stop, wasReset } from "../exchange.js";
 
 const stop: Stop = { gateway: 0, at: 10_000, endedAt: 17_500, wasKilled: false };
 const common = { attempt: "a", gateway: 0, isBeside: false, beganAt: 0, endedAt: 17_400 } as const;
@@ -20,6 +20,16 @@
         expect(lossOf(cutExchange(12_000), stop, longRun)).to.equal("allowed");
     });
 
+    // Guards against requests that count as lost since a second run of theirs ended while the first one went on.
+    it("count a request as at work until the last of its runs has ended", () => {
+        const runs = ServerRuns.create(9_000);
+        const [endFirst, endSecond] = [runs.begin(), runs.begin()];
+        endSecond(13_600);
+        expect(lossOf(cutExchange(9_500), stop, runs)).to.equal("allowed");
+        endFirst(14_000);
+        expect(lossOf(cutExchange(9_500), stop, runs)).to.equal("lost");
+    });
+
     it("don't count as lost what never was whole, wasn't passed on, or got an answer", () => {
         expect(lossOf(cutExchange(undefined), stop, longRun)).to.equal(undefined);
         expect(lossOf(cutExchange(14_000), stop, undefined)).to.equal(undefined);
--- a/scripts/stops/deployment.ts
+++ b/scripts/stops/deployment.ts
@@ -5,7 +5,8 @@
 import { Addresses } from "../../playground/harness/addresses.js";
 import { pause, Program, until } from "../../playground/harness/index.js";
 import { callerKey, type GatewayList, limitMilliseconds, routeHost } from "./caller.js";
-import { graceMilliseconds, type ServerRun, type Stop } from "./exchange.js";
+import type { EngineFaults } from "./engineFaults.js";
+import { graceMilliseconds, type ServerRuns, type Stop } from "./exchange.js";
 import { Server, type ServerKind } from "./server.js";
 
 const programPath = "target/basilpaddle.cjs";
@@ -15,24 +16,30 @@
 const firstGatewayHost = 21;
 const serverHost = 250;
 const retryAllowance = { ratio: 0.2, window: 10, slack: 5_000 };
+const noRetries = { ratio: 0, window: 10, slack: 0 };
 const plain: ServerKind = { service: "plain", stage: undefined };
 const prefill: ServerKind = { service: "pool", stage: "prefill" };
 const decode: ServerKind = { service: "pool", stage: "decode" };
 const serverKinds = [...Array<ServerKind>(8).fill(plain), prefill, prefill, ...Array<ServerKind>(6).fill(decode)];
-const routeKinds: readonly RouteKind[] = ["safe", "unsafe", "once"];
+const routeKinds: readonly RouteKind[] = ["safe", "unsafe", "once", "resumable"];
 
 /** A time in which a process stands still, in milliseconds against its signal. */
 export type Standstill = { readonly from: number; readonly milliseconds: number; };
 
-/** Numbers of processes, and how long after the signal a balancer still sends new connections, in milliseconds. */
-type Shape = { readonly directories: number; readonly gateways: number; readonly balancerMilliseconds: number; };
+/** Numbers of processes, whether requests may be sent twice, and how long after the signal a balancer still sends new connections, in milliseconds. */
+type Shape = {
+    readonly directories: number;
+    readonly gateways: number;
+    readonly hasRetries: boolean;
+    readonly balancerMilliseconds: number;
+};
 
 type Ports = Readonly<Record<"peer" | "calls" | "callers" | "readiness" | "relay", number>>;
 
 /** Directories and gateways as real processes on loopback, and sound backend servers in this one. */
 export class Deployment {
     /** What backend servers worked on, by attempt. */
-    readonly runs = new Map<string, ServerRun>();
+    readonly runs = new Map<string, ServerRuns>();
     readonly stops: Stop[] = [];
     private readonly directories: Program[] = [];
     private readonly gateways: Program[] = [];
@@ -43,10 +50,11 @@
         private readonly folder: string,
         private readonly ports: Ports,
         private readonly shape: Shape,
+        private readonly faults: EngineFaults,
     ) {}
 
     /** Starts everything, and waits until each gateway is ready. */
-    static async create(shape: Shape): Promise<Deployment> {
+    static async create(shape: Shape, faults: EngineFaults): Promise<Deployment> {
         const addresses = Addresses.create();
         const ports = new Set<number>();
         while (ports.size < 5) {
@@ -55,7 +63,7 @@
         const [peer, calls, callers, readiness, relay] = [...ports] as [number, number, number, number, number];
         const folder = await mkdtemp(path.join(tmpdir(), "stops-"));
         const named = { peer, calls, callers, readiness, relay };
-        const deployment = new Deployment(addresses, folder, named, shape);
+        const deployment = new Deployment(addresses, folder, named, shape, faults);
         try {
             await deployment.start();
         }
@@ -139,7 +147,8 @@
         await until("the configuration is stored", () => this.configure(), startTimeoutMilliseconds);
         for (const [index, kind] of serverKinds.entries()) {
             const host = this.addresses.host(serverHost);
-            this.servers.push(await Server.create(`server-${index}`, kind, host, this.seeds(), this.runs));
+            const server = await Server.create(`server-${index}`, kind, host, this.seeds(), this.runs, this.faults);
+            this.servers.push(server);
         }
         for (let index = 0; index < gateways; index++) {
             await until("a gateway is ready", () => this.isReady(index), startTimeoutMilliseconds);
@@ -150,7 +159,13 @@
         const file = path.join(this.folder, `${name}.json`);
         const common = { failureDomain: "a", peerPort: this.ports.peer, metricsPort: 0, seeds: this.seeds() };
         const shutdownTime = graceMilliseconds / millisecondsInSecond;
-        const all = { name, ...common, ...settings, repeats: retryAllowance, shutdownTime };
+        const all = {
+            name,
+            ...common,
+            ...settings,
+            repeats: this.shape.hasRetries ? retryAllowance : noRetries,
+            shutdownTime,
+        };
         await writeFile(file, JSON.stringify(all));
         return Program.create(name, [programPath], { BASILPADDLE_SETTINGS: file });
     }
--- a/scripts/stops/exchange.ts
+++ b/scripts/stops/exchange.ts
@@ -15,9 +15,31 @@
     endedAt: number;
 };
 
-/** The work of a backend server for a request. */
+/** The work of backend servers for a request, from the first run to the end of the last one; undefined while any is at work. */
 export type ServerRun = { readonly beganAt: number; endedAt: number | undefined; };
 
+/** What was observed of the runs of a request, which may overlap. */
+export class ServerRuns implements ServerRun {
+    endedAt: number | undefined;
+    private atWork = 0;
+
+    private constructor(readonly beganAt: number) {}
+
+    static create(beganAt: number): ServerRuns {
+        return new ServerRuns(beganAt);
+    }
+
+    /** Records that a server begins to work on it. Returns a function that records the end. */
+    begin(): (now: number) => void {
+        this.atWork += 1;
+        this.endedAt = undefined;
+        return now => {
+            this.atWork -= 1;
+            this.endedAt = this.atWork === 0 ? now : undefined;
+        };
+    }
+}
+
 /** When a gateway got its signal, and how it ended. */
 export type Stop = { readonly gateway: number; readonly at: number; endedAt: number | undefined; wasKilled: boolean; };
 
--- a/scripts/stops/rows.ts
+++ b/scripts/stops/rows.ts
@@ -2,6 +2,7 @@
 import { pause } from "../../playground/harness/index.js";
 import { Caller, type CallerPlan } from "./caller.js";
 import { Deployment, type Standstill } from "./deployment.js";
+import { EngineFaults, type EnginePlan } from "./engineFaults.js";
 import { type Exchange, graceMilliseconds, type ServerRun, type Stop } from "./exchange.js";
 
 /** What callers of a row do; times in milliseconds, those of the beginning against the first signal. */
@@ -14,6 +15,11 @@
     /** Gateways of the deployment, and how many of them are stopped, one `stopInterval` after the other. */
     readonly gateways: number;
     readonly stopped: number;
+    /** Whether these get their signal; if not, the row is played as if they did. */
+    readonly isSignalled: boolean;
+    /** Whether the deployment's allowance for second sendings is larger than none. */
+    readonly hasRetries: boolean;
+    readonly engines: EnginePlan;
     /** Callers of each stopped gateway. */
     readonly callers: number;
     /** Times of the answers that the callers had before, one caller after the other. */
@@ -26,12 +32,16 @@
     readonly standstills: readonly Standstill[];
 };
 
+const soundEngines: EnginePlan = { silentFrom: 0, silentMilliseconds: 0, silentShare: 0, refusedShare: 0 };
 const common = {
     bodyMilliseconds: 0,
     beginsFrom: -2_000,
     beginsOver: 4_000,
     gateways: 2,
     stopped: 1,
+    isSignalled: true,
+    hasRetries: true,
+    engines: soundEngines,
     callers: 16,
     warmUps: [20],
     keepsConnections: true,
@@ -46,6 +56,11 @@
     beginsOver: 1_100,
     warmUps: [1_000, 3_000, 6_000],
 };
+/** Streams that may be resumed, begin before the signal and outlast the grace period or end shortly before. */
+const resumable = { ...common, path: "/resumable/9000", beginsOver: 1_800, callers: 60 };
+const silentEngines: EnginePlan = { ...soundEngines, silentFrom: 1_000, silentMilliseconds: 2_500, silentShare: 1 };
+const fewRefuse: EnginePlan = { ...soundEngines, refusedShare: 0.3 };
+const stillAfterSignal: readonly Standstill[] = [{ from: 1_000, milliseconds: 1_500 }];
 const sliceMilliseconds = 100;
 const stoppedInSlice = 67;
 const thirdOfCoreFrom = -1_000;
@@ -108,6 +123,37 @@
         path: "/once/6000",
         standstills: [{ from: 6_700, milliseconds: 600 }],
     },
+    {
+        ...resumable,
+        name: "resumable: engines silent for 2.5 s, no retries",
+        hasRetries: false,
+        engines: silentEngines,
+    },
+    {
+        ...resumable,
+        name: "resumable: half of the runs silent for 2.5 s, nine in ten turned down",
+        engines: { ...silentEngines, silentShare: 0.5, refusedShare: 0.9 },
+    },
+    {
+        ...resumable,
+        name: "resumable: gateway still for 1.5 s, three in ten turned down",
+        engines: fewRefuse,
+        standstills: stillAfterSignal,
+    },
+    {
+        ...resumable,
+        name: "resumable: gateway still for 1.5 s, no retries",
+        hasRetries: false,
+        engines: fewRefuse,
+        standstills: stillAfterSignal,
+    },
+    {
+        ...resumable,
+        name: "resumable: gateway still for 1.5 s, three in ten turned down, no stop",
+        isSignalled: false,
+        engines: fewRefuse,
+        standstills: stillAfterSignal,
+    },
 ];
 
 /** What was observed of a row. */
@@ -130,10 +176,12 @@
 
 /** Plays a row with a deployment of its own. */
 export async function playRow(row: Row, seed: number, directories: number): Promise<RowResult> {
-    const { gateways, balancerMilliseconds, standstills } = row;
-    const deployment = await Deployment.create({ directories, gateways, balancerMilliseconds });
+    const { gateways, hasRetries, balancerMilliseconds, standstills } = row;
+    const faults = EngineFaults.create(row.engines, SeededRandomness.create(-1 - seed));
+    const deployment = await Deployment.create({ directories, gateways, hasRetries, balancerMilliseconds }, faults);
     try {
         const signalAt = performance.now() + beforeSignal + Math.max(...row.warmUps);
+        faults.setSignal(signalAt);
         const callers = planCallers(row, seed, signalAt).map((plan, index) =>
             Caller.create(`s${seed}-${index}`, plan, deployment.list())
         );
@@ -144,7 +192,9 @@
         }
         for (let index = 0; index < row.stopped; index++) {
             await pause(signalAt + index * stopInterval - performance.now());
-            stops.push(deployment.stop(index));
+            if (row.isSignalled) {
+                stops.push(deployment.stop(index));
+            }
         }
         await pause(signalAt + (row.stopped - 1) * stopInterval + afterSignal - performance.now());
         callers.forEach(caller => caller.stop());
--- a/scripts/stops/server.ts
+++ b/scripts/stops/server.ts
@@ -3,23 +3,26 @@
 import {
     announcementCall,
     answerHeaders,
+    notRunHeaders,
     prefillAnswer,
     receivedOrder,
     receivedRequest,
     releasedHandle,
 } from "../../platform/src/standins/wire.js";
-import type { ServerRun } from "./exchange.js";
+import type { EngineFaults } from "./engineFaults.js";
+import { ServerRuns } from "./exchange.js";
 
 const eventMilliseconds = 100;
 const prefillMilliseconds = 20;
 const heartbeatMilliseconds = 500;
 const heartbeatTimeoutMilliseconds = 1_000;
 const refusedOrderStatus = 409;
+const refusedStatus = 503;
 
 /** Service and stage of a backend server. */
 export type ServerKind = { readonly service: "plain" | "pool"; readonly stage: "prefill" | "decode" | undefined; };
 
-/** A sound backend server, which takes as many milliseconds for an answer as the last part of the path says. */
+/** A backend server, which takes as many milliseconds for an answer as the last part of the path says; sound but for the engine faults. */
 export class Server {
     private sequence = 0;
     private readonly startedAt = Date.now();
@@ -30,7 +33,8 @@
         private readonly kind: ServerKind,
         private readonly directories: readonly string[],
         private readonly server: http.Server,
-        private readonly runs: Map<string, ServerRun>,
+        private readonly runs: Map<string, ServerRuns>,
+        private readonly faults: EngineFaults,
     ) {
         server.on("request", (request, response) => this.receive(request, response));
         void this.announce();
@@ -43,11 +47,12 @@
         kind: ServerKind,
         host: string,
         directories: readonly string[],
-        runs: Map<string, ServerRun>,
+        runs: Map<string, ServerRuns>,
+        faults: EngineFaults,
     ): Promise<Server> {
         const server = http.createServer({ keepAliveTimeout: 60_000 });
         await new Promise<void>(resolve => server.listen(0, host, resolve));
-        return new Server(id, kind, directories, server, runs);
+        return new Server(id, kind, directories, server, runs, faults);
     }
 
     /** Stops listening and closes all connections. */
@@ -107,7 +112,7 @@
     }
 
     private serve(
-        { attempt, prefillOnly }: ReturnType<typeof receivedRequest>,
+        { attempt, prefillOnly, resumeAfter }: ReturnType<typeof receivedRequest>,
         milliseconds: number,
         response: http.ServerResponse,
     ): void {
@@ -115,8 +120,13 @@
             setTimeout(() => response.end(prefillAnswer(`${this.id}-${attempt}`)), prefillMilliseconds);
             return;
         }
-        const run: ServerRun = { beganAt: performance.now(), endedAt: undefined };
-        this.runs.set(attempt, run);
+        if (resumeAfter !== undefined && this.faults.drawRefused()) {
+            response.writeHead(refusedStatus, notRunHeaders(attempt)).end();
+            return;
+        }
+        const runs = this.runs.get(attempt) ?? ServerRuns.create(performance.now());
+        this.runs.set(attempt, runs);
+        const endRun = runs.begin();
         const isStream = this.kind.service === "pool";
         const begin = (): void => {
             response.writeHead(200, {
@@ -124,24 +134,27 @@
                 ...isStream ? { "Content-Type": "text/event-stream" } : {},
             });
         };
-        let sent = 0;
-        const events = isStream
-            ? setInterval(() => response.write(`id: ${++sent}\ndata: x\n\n`), eventMilliseconds)
-            : undefined;
-        if (isStream) {
-            begin();
-        }
+        let sent = resumeAfter ?? 0;
+        const silenceLeft = isStream && this.faults.drawSilent() ? () => this.faults.silenceLeft() : () => 0;
+        const writeEvent = (): void => {
+            if (response.headersSent && silenceLeft() === 0) {
+                response.write(`id: ${++sent}\ndata: x\n\n`);
+            }
+        };
+        const events = isStream ? setInterval(writeEvent, eventMilliseconds) : undefined;
+        const head = isStream ? setTimeout(begin, silenceLeft()) : undefined;
         const end = setTimeout(() => {
             clearInterval(events);
-            if (!isStream) {
+            if (!response.headersSent) {
                 begin();
             }
             response.end(isStream ? undefined : "done");
-        }, milliseconds);
+        }, milliseconds - sent * eventMilliseconds);
         response.once("close", () => {
             clearInterval(events);
             clearTimeout(end);
-            run.endedAt = performance.now();
+            clearTimeout(head);
+            endRun(performance.now());
         });
     }
 }
--- a/scripts/stops/table.ts
+++ b/scripts/stops/table.ts
@@ -43,7 +43,7 @@
         ).length;
     const others = fallen.length === 0 ? "no other process ended" : `ENDED: ${fallen.join(", ")}`;
     return `${row.name}: ${
-        ends.join(", ")
+        ends.length === 0 ? "no gateway was stopped" : ends.join(", ")
     }; ${others}; short requests beside: ${beside.length}, not whole ${notWhole}, `
         + `p99 ${percentile99(beside)} ms; sent within 2.8 s, never passed on, reset: ${resets}`;
 }
