test(soak): gateways that stand still with streams in progress, as they stop or not

What callers saw: streams that may be resumed were broken off after a standstill of their gateway, though their engines went on. The soak paused gateways, but couldn't see it: a pause counts as an unplanned fault, and no cut within it or 4 s after is held against the gateways; and engines always went on with a stream. `--standstills` (by default none, so that plans of seeds stay as they are, planned ones too) lets gateways stand still for 1.3 to 3 s, half of them as they stop, with 16 streams in progress, while engines turn down to go on with one. A narrower check of its own also holds beside the pauses that plans had: no such stream is broken off over 1 s before its limit, unless another fault was active or the stop may have ended it. The rest of soak.spec.ts wasn't run with the check.

--- a/soak/__tests__/soak.spec.ts
+++ b/soak/__tests__/soak.spec.ts
@@ -58,6 +58,16 @@
         expect([...report.logs.values()].filter(holdsPart).length).to.be.above(3);
     });
 
+    // Guards against streams that are broken off since their gateway stood still while their engines went on.
+    it("keeps every invariant while gateways stand still, one of them as it stops", async () => {
+        const faults = [1_501, 1_800].map((lasts, index) => {
+            return { kind: "standStill", at: 300 + 3_000 * index, lasts, pick: index * 0.9 } as const;
+        });
+        const report = await runSoak({ ...createPlan(4, { gateways: 3, directories: 3, versions: false }), faults });
+        await expectNoViolation(report);
+        expect(report.faults).to.have.length(3);
+    });
+
     for (const { plan, cause } of regressions) {
         it(`keeps every invariant in the run of seed ${plan.seed}: ${cause}`, async () => {
             const report = await runSoak(plan);
--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -77,6 +77,8 @@
     slowdownFactor = 1;
     /** Whether KV cache handles expire as soon as they are issued. */
     expiresHandles = false;
+    /** Whether it turns down the requests of gateways to go on with a stream that another engine began. */
+    refusesToGoOn = false;
     /** Whether it resets a connection after it has run the request that arrived on it. */
     dropsResponses = false;
     /** Requests per second that it takes from all gateways together, and names in its answers; undefined for no limit. */
@@ -325,7 +327,8 @@
     private async decode(received: ReceivedRequest, response: http.ServerResponse): Promise<void> {
         const { attempt, handle, resumeAfter = 0, resumes = attempt } = received;
         const cache = this.options.caches.get(handle ?? "");
-        if (this.stage !== "decode" || (handle !== undefined && cache === undefined)) {
+        const isRefused = this.refusesToGoOn && resumeAfter > 0 && received.resumes === undefined;
+        if (isRefused || this.stage !== "decode" || (handle !== undefined && cache === undefined)) {
             response.writeHead(this.stage === "decode" ? 503 : 421, notRunHeaders(attempt)).end();
             return;
         }
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -24,7 +24,8 @@
 const routeKinds: readonly RouteKind[] = ["safe", "unsafe", "resumable", "once"];
 /** Time that a caller waits for the complete response: longer than its deadline, so that late responses are observed. */
 const answerTimeoutMilliseconds = 12_000;
-const deadlineMilliseconds = 5_000;
+/** Limit of all other requests. */
+export const deadlineMilliseconds = 5_000;
 /** Share of the callers that may disconnect before the response, and the longest time after which they do. */
 const abandonProbability = 0.12;
 const maxAbandonMilliseconds = 900;
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -7,6 +7,7 @@
 import type { Member } from "./member.js";
 import type { Operator } from "./operator.js";
 import { type Fault, type FaultKind, plannedKinds } from "./plan.js";
+import { standStill } from "./standstills.js";
 import { poisonBody, poisonPart } from "./texts.js";
 
 /** Longest time for which all directories are down together. */
@@ -89,6 +90,7 @@
         const actions: Readonly<Record<FaultKind, () => Promise<void>>> = {
             killGateway: () => this.killFor(fault, [gateway], lasts),
             pauseGateway: () => this.pauseFor(fault, gateway),
+            standStill: () => this.standStill(fault, gateway),
             stopGateway: () => this.restart(fault, gateway),
             killDirectory: () => this.killFor(fault, [directory], lasts),
             pauseDirectory: () => this.pauseFor(fault, directory),
@@ -149,9 +151,19 @@
             return;
         }
         this.recordFault(fault, member.name);
+        const end = this.invariants.standstills.begun(member.name, performance.now());
         member.pause();
         await pause(fault.lasts);
         member.resume();
+        end(performance.now());
+    }
+
+    /** Half of the gateways, by the duration, are stopped as well. */
+    private async standStill(fault: Fault, gateway: Member): Promise<void> {
+        if (gateway.isAwake()) {
+            const stop = fault.lasts % 2 === 0 ? () => this.restart(fault, gateway) : undefined;
+            await standStill(gateway, this.deployment, this.callers, () => this.pauseFor(fault, gateway), stop);
+        }
     }
 
     /** Stops a process by SIGTERM and starts it again. */
--- a/soak/invariants.ts
+++ b/soak/invariants.ts
@@ -3,6 +3,7 @@
 import { PlannedStops } from "./plannedStops.js";
 import { type Arrival, ServerArrivals } from "./serverArrivals.js";
 import type { CallerEnd, Resumption, SoakRequest, Violation } from "./soakRequest.js";
+import { Standstills } from "./standstills.js";
 import { streamViolations } from "./streamViolations.js";
 import { isLong } from "./texts.js";
 
@@ -65,6 +66,7 @@
     /** What arrived at backend servers over all gateways. */
     readonly arrivals = ServerArrivals.create();
     readonly stops = PlannedStops.create();
+    readonly standstills = Standstills.create();
     /** Contents sent for each version; there can be two, as two operators may race with the same version. */
     private readonly sentVersions = new Map<number, Set<string>>();
     private readonly drainTimes = new Map<string, number>();
@@ -278,6 +280,14 @@
         this.checkPartitions();
         const isDisturbed = (from: number, to: number): boolean => this.isDisturbed(from, to);
         this.violations.push(...streamViolations([...this.requests.values()], isDisturbed));
+        this.violations.push(...this.standstills.violations([...this.requests.values()], request => {
+            const { attempt, sentAt, endedAt } = request;
+            const others = this.disturbances.filter(({ what }) => what !== "pauseGateway" && what !== "standStill");
+            const isDisturbed = others.some(({ from, to }) =>
+                from <= endedAt && to + aftereffectMilliseconds >= sentAt
+            );
+            return isDisturbed || isLong(attempt) && this.stops.mayCut(request);
+        }));
         this.arrivals.limitViolations().forEach(what => this.violate("a server's limit", what));
         this.arrivals.retryViolations().forEach(what => this.violate("the retry allowance", what));
         return this.violations;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -24,6 +24,7 @@
         describe: "whether they have several software versions, and callers resume streams; as departures by default",
     })
     .option("kept", { type: "number", default: 8, describe: "callers that keep their connection until it closes" })
+    .option("standstills", { type: "number", default: 0, describe: "standstills of gateways, beside the other faults" })
     .option("logs", { type: "string", default: "target/soak", describe: "folder for the logs of failed runs" })
     .strict()
     .parse();
@@ -35,10 +36,11 @@
 }
 
 const first = options.first ?? Math.floor(Date.now() / 1_000) % 1_000_000;
-const { seconds, gateways, directories, departures, versions, kept } = options;
+const { seconds, gateways, directories, departures, versions, kept, standstills } = options;
 const size = {
     departures,
     keptCallers: kept,
+    standstills,
     ...versions === undefined ? {} : { versions },
     ...seconds === undefined ? {} : { seconds },
     ...gateways === undefined ? {} : { gateways },
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -44,7 +44,8 @@
     | "poisonPrompts"
     | "partitionGateways"
     | "leaveBackends"
-    | "replaceVersion";
+    | "replaceVersion"
+    | "standStill";
 
 /** Planned operations: they must not cut off any request while no fault is active. */
 export const plannedKinds: ReadonlySet<FaultKind> = new Set<FaultKind>([
@@ -99,6 +100,8 @@
     readonly versions?: boolean;
     /** Callers that keep their connection until it closes. @default 0 */
     readonly keptCallers?: number;
+    /** Number of standstills of gateways, half of which are stopped as well. @default 0 */
+    readonly standstills?: number;
 };
 
 const defaultSeconds = 14;
@@ -118,6 +121,9 @@
 /** Bounds for the time by which a heartbeat is late that a leaving server had sent before. */
 const minLatenessMilliseconds = 100;
 const maxLatenessMilliseconds = 4_000;
+/** Bounds for a gateway's standstill: longer than the silence after which another engine is looked for, well within callers' limits. */
+const minStandstillMilliseconds = 1_300;
+const maxStandstillMilliseconds = 3_000;
 /** Longest time from the start of a version's replacement to a fault beside it: until about when the engines of the first one are back. */
 const maxReplacementFaultDelayMilliseconds = 8_000;
 /** Bounds for the duration of a partition: some are too short to be noticed, others last until callers must be served again. */
@@ -166,6 +172,7 @@
     if (hasVersions) {
         faults.push(...createReplacement(seed, length, hasUnplannedFaults));
     }
+    faults.push(...createStandstills(seed, length, size.standstills ?? 0));
     faults.sort((one, other) => one.at - other.at);
     const { keptCallers = 0 } = size;
     const common = { seed, directories, gateways, plainServers: 3, length, requestsPerSecond: 30, keptCallers, faults };
@@ -244,6 +251,17 @@
     return beside ? [replacement, ...others] : [replacement];
 }
 
+/** Gateways stand still, one after the other, beside the other faults, which are the same as without it. */
+function createStandstills(seed: number, length: number, count: number): Fault[] {
+    const random = SeededRandomness.create(-6_000_000 - seed);
+    return Array.from({ length: count }, (_, index) => ({
+        kind: "standStill",
+        at: Math.floor((index + random.fraction()) * length / count),
+        lasts: random.integer(minStandstillMilliseconds, maxStandstillMilliseconds),
+        pick: random.fraction(),
+    }));
+}
+
 /** One backend server names a limit beside the other faults, which are the same as without it. */
 function createLimit(seed: number, length: number): Fault {
     const random = SeededRandomness.create(-1 - seed);
