fix(directory): a directory's own standstill isn't taken for the silence of its backend servers

What callers saw: requests that are refused, or sent to few servers, just after a directory stood still: it announced servers as silent to all gateways that had sent heartbeats all the while. Cause: the last heartbeat was compared with the host's clock, which goes on while this process reads nothing; heartbeats on new connections are accepted and read some turns later. Class: the silence of another process measured by a clock that goes on while this one can't hear. Silence alone is measured now by the directory's `ActiveClock`. How long ago a server said that it leaves, and the delays of its calls, stay on the host's clock: promises depend on them, and other directories are told of them. Why nothing is promised more than before: a silent server is one that gateways stop using earlier than they find out themselves; no acknowledgement, lease or limit depends on it. Price: a server that dies while its directory stands still is announced as silent by as much later; a directory whose event loop is late at each tick by over 100 ms announces none, and gateways find out by themselves. `ManualProcess` is the class that activeClock.spec.ts had, moved to be shared.

--- a/packages/basilpaddle/src/node/coordination/gateway/announcements.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/announcements.ts
@@ -23,6 +23,8 @@
     changeNumber: number;
     /** When its last heartbeat arrived here; undefined if none has. */
     heartbeatAt: number | undefined;
+    /** The same by the clock by which silence is measured. */
+    activeHeartbeatAt: number | undefined;
     /** When this directory learnt that it leaves, or may; undefined while it doesn't. */
     leavingSince: number | undefined;
     /** Restored after a restart, with no heartbeat received since. */
@@ -33,6 +35,9 @@
  * The announcements that one directory makes: of the backend servers that send it heartbeats, and of those that leave, whoever
  * they told. Changes are numbered, so that a gateway can request those that it lacks. A heartbeat without a change isn't forwarded:
  * it only renews the time until the server counts as silent.
+ *
+ * Silence alone is measured by `activeNow`, the time of a clock that stands still with this process; all else, such as how long ago a
+ * server said that it leaves, by the host's.
  */
 export class Announcements {
     private readonly entries = new Map<string, AnnouncementEntry>();
@@ -47,7 +52,7 @@
     }
 
     /** Applies a heartbeat; returns whether it has to be forwarded to gateways. */
-    apply(announced: ServerAnnouncement, now: number): boolean {
+    apply(announced: ServerAnnouncement, now: number, activeNow = now): boolean {
         if (!this.recordIncarnation(announced, now)) {
             return false;
         }
@@ -69,6 +74,7 @@
             announced: joined,
             changeNumber: mustForward ? this.nextChangeNumber() : known.changeNumber,
             heartbeatAt: isNewer ? now : known?.heartbeatAt,
+            activeHeartbeatAt: isNewer ? activeNow : known?.activeHeartbeatAt,
             leavingSince: isLeaving(joined) ? known?.leavingSince ?? now : undefined,
             restored: false,
         });
@@ -80,17 +86,17 @@
      * backend server is known until its next heartbeat, more than a second later, and the first ones to send one receive
      * all requests; and gateways that start would send work to servers that have said that they leave.
      */
-    restoreServer(announced: ServerAnnouncement, now: number): void {
+    restoreServer(announced: ServerAnnouncement, now: number, activeNow = now): void {
         const isDeparture = announced.state === "left" || isLeaving(announced);
         if (!this.incarnations.isOutdated(announced)) {
             this.incarnations.recordLatest(announced);
         }
+        const missed = (maxMissedHeartbeats - maxMissedHeartbeatsAfterRestore) * this.heartbeat;
         this.entries.set(announced.id, {
             announced: joinAnnouncements(announced, announced),
             changeNumber: this.nextChangeNumber(),
-            heartbeatAt: isDeparture
-                ? undefined
-                : now - (maxMissedHeartbeats - maxMissedHeartbeatsAfterRestore) * this.heartbeat,
+            heartbeatAt: isDeparture ? undefined : now - missed,
+            activeHeartbeatAt: isDeparture ? undefined : activeNow - missed,
             leavingSince: isDeparture ? now - (announced.leavingFor ?? 0) : undefined,
             restored: !isDeparture,
         });
@@ -158,6 +164,7 @@
             announced,
             changeNumber: this.nextChangeNumber(),
             heartbeatAt: known?.heartbeatAt,
+            activeHeartbeatAt: known?.activeHeartbeatAt,
             leavingSince: isDeparture ? Math.min(known?.leavingSince ?? since, since) : undefined,
             restored: false,
         });
@@ -169,12 +176,13 @@
     }
 
     /** Marks backend servers without a recent heartbeat as silent; returns those that were marked. */
-    markSilent(now: number): readonly string[] {
+    markSilent(now: number, activeNow = now): readonly string[] {
         const marked: string[] = [];
         for (const [id, known] of this.entries) {
             this.endDeparture(id, known, now);
-            const { announced, heartbeatAt } = known;
-            const isSilent = heartbeatAt !== undefined && now - heartbeatAt > maxMissedHeartbeats * this.heartbeat;
+            const { announced, activeHeartbeatAt } = known;
+            const isSilent = activeHeartbeatAt !== undefined
+                && activeNow - activeHeartbeatAt > maxMissedHeartbeats * this.heartbeat;
             if (isSilent && (announced.state === "ready" || announced.state === "draining")) {
                 known.announced = { ...announced, state: "silent" };
                 known.changeNumber = this.nextChangeNumber();
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/backendServerRegistry.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/backendServerRegistry.spec.ts
@@ -1,14 +1,19 @@
 import { expect } from "chai";
-import { ManualClock } from "../../../../../../../simulation/manualClock.js";
+import { ManualProcess } from "../../../../../../../simulation/manualProcess.js";
 import { announced } from "../../../coordination/gateway/__tests__/fakes.js";
 import { createSilentLogger } from "../../../utils/index.js";
 import { BackendServerRegistry } from "../backendServerRegistry.js";
 
-function createRegistry(name: string, onAnnouncementsChanged = (): void => undefined): BackendServerRegistry {
+function createRegistry(
+    name: string,
+    onAnnouncementsChanged = (): void => undefined,
+    process = new ManualProcess(),
+): BackendServerRegistry {
     return BackendServerRegistry.create({
         name,
         heartbeat: 1_000,
-        clock: new ManualClock(),
+        clock: process.host,
+        activeClock: process.clock,
         logger: createSilentLogger(),
         onAnnouncementsChanged,
         onInstancesChanged: () => undefined,
@@ -84,3 +89,50 @@
         expect(registry.instances.usable("pool").map(({ id }) => id)).to.deep.equal(["i@2"]);
     });
 });
+
+describe("backend servers whose heartbeats aren't read", () => {
+    const stateAfterReview = (registry: BackendServerRegistry): string | undefined => {
+        registry.markSilentServers();
+        return registry.announcements.get("i")?.state;
+    };
+
+    // Guards against sound servers that get no work since their directory stood still and hasn't read their heartbeats yet.
+    for (const milliseconds of [500, 1_500, 5_000]) {
+        it(`aren't silent for a standstill of ${milliseconds} ms of their directory`, async () => {
+            const process = new ManualProcess();
+            const registry = createRegistry("d-1", undefined, process);
+            registry.announce(announced({ id: "i", sequence: 1 }));
+            await process.run(2_600);
+            await process.standStill(milliseconds);
+            expect(stateAfterReview(registry)).to.equal("ready");
+            await process.run(240);
+            expect(stateAfterReview(registry)).to.equal("ready");
+            registry.announce(announced({ id: "i", sequence: 2 }));
+            await process.run(2_980);
+            expect(stateAfterReview(registry)).to.equal("ready");
+        });
+    }
+
+    it("are silent once their directory has run for three heartbeats, before and after its standstill", async () => {
+        const process = new ManualProcess();
+        const registry = createRegistry("d-1", undefined, process);
+        registry.announce(announced({ id: "i", sequence: 1 }));
+        await process.run(2_000);
+        await process.standStill(5_000);
+        await process.run(1_240);
+        expect(stateAfterReview(registry)).to.equal("ready");
+        await process.run(80);
+        expect(stateAfterReview(registry)).to.equal("silent");
+    });
+
+    it("aren't silent for a standstill of their directory after its restart", async () => {
+        const process = new ManualProcess();
+        const registry = createRegistry("d-1", undefined, process);
+        registry.restore([announced({ id: "i", sequence: 1 })]);
+        await process.run(1_000);
+        await process.standStill(1_500);
+        expect(stateAfterReview(registry)).to.equal("ready");
+        await process.run(1_340);
+        expect(stateAfterReview(registry)).to.equal("silent");
+    });
+});
--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/publishedEntries.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/publishedEntries.spec.ts
@@ -28,10 +28,12 @@
 
 /** A directory's entries after calls of arbitrary programs. */
 function entriesAfter(): { readonly calls: BackendServerCalls; readonly registry: BackendServerRegistry; } {
+    const clock = new ManualClock(0);
     const registry = BackendServerRegistry.create({
         name: "directory",
         heartbeat: 1_000,
-        clock: new ManualClock(0),
+        clock,
+        activeClock: clock,
         logger: createSilentLogger(),
         onAnnouncementsChanged: () => undefined,
         onInstancesChanged: () => undefined,
--- a/packages/basilpaddle/src/node/daemon/directory/backendServerRegistry.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/backendServerRegistry.ts
@@ -31,6 +31,8 @@
     /** Milliseconds between two heartbeats of a backend server. */
     readonly heartbeat: number;
     readonly clock: Clock;
+    /** Stands still with this process; the silence of backend servers is measured by it. */
+    readonly activeClock: Clock;
     readonly logger: Logger;
     /** Called when the announcements that this directory publishes have changed. */
     readonly onAnnouncementsChanged: () => void;
@@ -61,10 +63,10 @@
 
     /** Restores backend servers from before a restart; heartbeats confirm or refute their state later. */
     restore(servers: readonly ServerAnnouncement[]): void {
-        const { clock, logger } = this.options;
+        const { clock, activeClock, logger } = this.options;
         servers.forEach(server => {
             this.noteFirstHeard(server);
-            this.announcements.restoreServer(server, clock.monotonic());
+            this.announcements.restoreServer(server, clock.monotonic(), activeClock.monotonic());
             this.instances.apply(server);
         });
         logger.info("restored backend servers from before the restart", {
@@ -89,14 +91,14 @@
 
     /** Applies a heartbeat of a backend server; returns what is known of the incarnation. */
     announce(heartbeat: ServerAnnouncement): ServerAnnouncement | undefined {
-        const { clock, logger, onAnnouncementsChanged } = this.options;
+        const { clock, activeClock, logger, onAnnouncementsChanged } = this.options;
         const { id, service, address, state, stage, sequence } = heartbeat;
         if (this.instances.hasEnded(id)) {
             logger.info("ignored a heartbeat of a backend server that has left", { id, state, sequence });
             return undefined;
         }
         this.noteFirstHeard(heartbeat);
-        const mustForward = this.announcements.apply(heartbeat, clock.monotonic());
+        const mustForward = this.announcements.apply(heartbeat, clock.monotonic(), activeClock.monotonic());
         const announced = this.announcements.get(id);
         if (mustForward && announced !== undefined) {
             const { departure } = announced;
@@ -171,7 +173,8 @@
 
     /** Marks backend servers as silent whose heartbeats stopped. */
     markSilentServers(): void {
-        const silent = this.announcements.markSilent(this.options.clock.monotonic());
+        const { clock, activeClock } = this.options;
+        const silent = this.announcements.markSilent(clock.monotonic(), activeClock.monotonic());
         if (silent.length > 0) {
             this.options.logger.info("heartbeats of backend servers stopped", {
                 count: silent.length,
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -9,7 +9,7 @@
 } from "../../protocol/index.js";
 import { FolderDisk } from "../../state/index.js";
 import { type Network, TcpNetwork, TcpServer } from "../../transport/index.js";
-import { DisposableStore, type Metrics, type Randomness, SilentMetrics } from "../../utils/index.js";
+import { ActiveClock, DisposableStore, type Metrics, type Randomness, SilentMetrics } from "../../utils/index.js";
 import { AnswerLimits, BackendConnections, DirectOpener } from "../backends/index.js";
 import type { RoutingOptions } from "../routingOptions.js";
 import { noLimits } from "./allowanceService.js";
@@ -87,6 +87,8 @@
             clock,
             logger: options.logger,
         });
+        const activeClock = ActiveClock.create(clock);
+        this.store.add(activeClock.start());
         this.membership = ServerMembership.create({
             name: this.name,
             incarnation: randomness.identifier(),
@@ -107,6 +109,7 @@
             onCrashes: records => this.mergeCrashRecords(records),
             knownCrashes: () => this.quarantinedRequests.changedAfter(0),
             clock,
+            activeClock,
             logger: options.logger,
         });
         this.store.add(() => this.membership.close());
--- a/packages/basilpaddle/src/node/daemon/directory/serverMembership.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/serverMembership.ts
@@ -8,7 +8,7 @@
     type WatchRequest,
 } from "../../protocol/index.js";
 import type { Network } from "../../transport/index.js";
-import type { Logger } from "../../utils/index.js";
+import type { Clock, Logger } from "../../utils/index.js";
 import { BackendServerRegistry } from "./backendServerRegistry.js";
 import type { CallResponse } from "./callServer.js";
 import { DepartureReplication } from "./departureReplication.js";
@@ -28,6 +28,8 @@
     readonly seeds: () => readonly string[];
     readonly network: Network;
     readonly restartCache: RestartCache;
+    /** Stands still with this process; the silence of others is measured by it. */
+    readonly activeClock: Clock;
     /** Called when the known state of any backend server has changed. */
     readonly onInstancesChanged: () => void;
     /** Called with each incarnation of a backend server that becomes known. */
@@ -50,11 +52,12 @@
     private watcher: DirectoryWatcher | undefined;
 
     private constructor(private readonly options: ServerMembershipOptions) {
-        const { name, heartbeat, restartCache, clock, logger } = options;
+        const { name, heartbeat, restartCache, clock, activeClock, logger } = options;
         this.registry = BackendServerRegistry.create({
             name,
             heartbeat,
             clock,
+            activeClock,
             logger,
             onAnnouncementsChanged: () => {
                 this.watches.notifyWatchers();
--- a/packages/basilpaddle/src/node/utils/__tests__/activeClock.spec.ts
+++ b/packages/basilpaddle/src/node/utils/__tests__/activeClock.spec.ts
@@ -1,32 +1,9 @@
 import { expect } from "chai";
-import { ManualClock } from "../../../../../../simulation/manualClock.js";
-import { ActiveClock } from "../activeClock.js";
-
-const tickMilliseconds = 20;
-
-/** An active clock whose process ticks for a time, or stands still. */
-class Process {
-    readonly host = new ManualClock();
-    readonly clock = ActiveClock.create(this.host);
-
-    async run(milliseconds: number): Promise<void> {
-        for (let passed = 0; passed < milliseconds; passed += tickMilliseconds) {
-            await this.host.advance(tickMilliseconds);
-            this.clock.tick();
-        }
-    }
-
-    /** The timers that became due meanwhile run before the first tick. */
-    async standStill(milliseconds: number): Promise<void> {
-        this.host.freeze(milliseconds);
-        await this.host.advance(0);
-        this.clock.tick();
-    }
-}
+import { ManualProcess } from "../../../../../../simulation/manualProcess.js";
 
 describe("a clock of the time in which a process was active", () => {
     it("counts while the event loop turns", async () => {
-        const process = new Process();
+        const process = new ManualProcess();
         await process.run(1_000);
         expect(process.clock.monotonic()).to.equal(1_000);
     });
@@ -34,7 +11,7 @@
     // Guards against others that are taken for silent, since nobody read what they sent.
     for (const milliseconds of [500, 1_500, 5_000]) {
         it(`runs no timer for a standstill of ${milliseconds} ms, or just after it`, async () => {
-            const process = new Process();
+            const process = new ManualProcess();
             let ended = 0;
             process.clock.after(1_200, () => {
                 ended += 1;
@@ -49,7 +26,7 @@
     }
 
     it("counts a process that is held back for most of each tenth of a second", async () => {
-        const process = new Process();
+        const process = new ManualProcess();
         for (let passed = 0; passed < 1_000; passed += 100) {
             await process.standStill(100);
         }
@@ -57,7 +34,7 @@
     });
 
     it("runs no timer that was cancelled", async () => {
-        const process = new Process();
+        const process = new ManualProcess();
         let ended = 0;
         const cancel = process.clock.after(100, () => {
             ended += 1;
--- a/simulation/departures/processes.ts
+++ b/simulation/departures/processes.ts
@@ -113,6 +113,7 @@
             onCrashes: () => undefined,
             knownCrashes: () => [],
             clock,
+            activeClock: clock,
             logger,
         });
         cache.setSource(() => ({
