fix(directory): a leader's own standstill of 3 s isn't taken for the absence of all gateways

What callers saw, by reading: after a leader stood still for 3 s, it dropped every gateway from its list in its next review, before it had read their watches: it removed their queued requests and freed the engines' places of all runs, which were given away again until the gateways reported their runs; and the first gateways that watched again were told that they are one or two, so that each took too large a share of the common budgets. Cause: the time since the last watch was measured by the host's clock, which goes on while this process reads nothing. The list is kept by the directory's `ActiveClock` now. It can't exceed a limit: a gateway stays in the list for at least as long as before, the count of gateways is the same or higher, so each one's share is the same or smaller; places stay occupied for the same time or longer. What lets a server that leaves rely on an answer stays on the host's clock (`hasRecentWatch`): after a standstill of 3 s a call that a server leaves is turned away until a gateway has watched again, as before. `GatewayPresence` is left on the host's clock on purpose: while the leader stands still gateways do spend their own shares, whether or not they are gone, and what it withholds after its return is what keeps it from granting the same units until their reports are read. Price: places of a gateway that ends while its leader stands still are freed as much later; a directory whose event loop is late at each tick by over 100 ms frees none before they expire. Evidence: watchService.spec.ts with standstills of 0.5, 1.5 and 5 s: the three failed with the host's clock in place of the active one, and pass with it; the fourth new test guards what stays. Not run: a whole deployment with a leader that is stopped.

--- a/packages/basilpaddle/src/node/daemon/directory/__tests__/watchService.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/__tests__/watchService.spec.ts
@@ -1,9 +1,10 @@
 import { expect } from "chai";
 import { ManualClock } from "../../../../../../../simulation/manualClock.js";
+import { ManualProcess } from "../../../../../../../simulation/manualProcess.js";
 import { announced } from "../../../coordination/gateway/__tests__/fakes.js";
 import { Announcements, QuarantinedRequests } from "../../../coordination/index.js";
 import { quarantineRulesSchema } from "../../../protocol/index.js";
-import { createSilentLogger } from "../../../utils/index.js";
+import { type Clock, createSilentLogger } from "../../../utils/index.js";
 import { noLimits } from "../allowanceService.js";
 import { noServerLimits } from "../serverLimitService.js";
 import { WatchService } from "../watchService.js";
@@ -26,6 +27,7 @@
     clock: ManualClock,
     announcements: Announcements,
     quarantined = createQuarantinedRequests(clock),
+    activeClock: Clock = clock,
 ): WatchService {
     return WatchService.create({
         incarnation: "one",
@@ -39,6 +41,7 @@
         limits: () => noLimits,
         previousGateways,
         clock,
+        activeClock,
     });
 }
 
@@ -207,3 +210,41 @@
         expect((await later).crashes).to.equal(undefined);
     });
 });
+
+describe("gateways whose watches aren't read", () => {
+    const watch = { kind: "watch", version: 1, incarnation: "", cursor: 0, wantsDocument: false } as const;
+    const createWatched = (process: ManualProcess, names: readonly string[]): WatchService => {
+        const { host, clock } = process;
+        const announcements = Announcements.create(1_000);
+        const service = createService(0, host, announcements, createQuarantinedRequests(host), clock);
+        names.forEach(gateway => void service.watch({ ...watch, gateway, observer: false }));
+        return service;
+    };
+
+    // Guards against a leader that frees the engines' places of all runs, and against gateways that each take a whole budget, just
+    // after their directory stood still.
+    for (const milliseconds of [500, 1_500, 5_000]) {
+        it(`stay connected for a standstill of ${milliseconds} ms of their directory`, async () => {
+            const process = new ManualProcess();
+            const service = createWatched(process, ["a", "b", "c"]);
+            await process.run(2_700);
+            await process.standStill(milliseconds);
+            expect(service.gatewayNames()).to.deep.equal(["a", "b", "c"]);
+            const answer = service.watch({ ...watch, gateway: "a", observer: false });
+            expect((await answer).gateways).to.equal(3);
+            await process.run(1_000);
+            expect(service.gatewayNames()).to.deep.equal(["a"]);
+        });
+    }
+
+    // Guards against a server that stops after a leave call which no gateway could learn of.
+    it("don't count for calls of servers that leave, until they have sent a watch", async () => {
+        const process = new ManualProcess();
+        const service = createWatched(process, ["a"]);
+        expect(service.hasRecentWatch()).to.equal(true);
+        await process.standStill(3_020);
+        expect(service.hasRecentWatch()).to.equal(false);
+        void service.watch({ ...watch, gateway: "a", observer: false });
+        expect(service.hasRecentWatch()).to.equal(true);
+    });
+});
--- a/packages/basilpaddle/src/node/daemon/directory/serverMembership.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/serverMembership.ts
@@ -8,7 +8,7 @@
     type WatchRequest,
 } from "../../protocol/index.js";
 import type { Network } from "../../transport/index.js";
-import type { Clock, Logger } from "../../utils/index.js";
+import type { Logger } from "../../utils/index.js";
 import { BackendServerRegistry } from "./backendServerRegistry.js";
 import type { CallResponse } from "./callServer.js";
 import { DepartureReplication } from "./departureReplication.js";
@@ -28,8 +28,6 @@
     readonly seeds: () => readonly string[];
     readonly network: Network;
     readonly restartCache: RestartCache;
-    /** Stands still with this process; the silence of others is measured by it. */
-    readonly activeClock: Clock;
     /** Called when the known state of any backend server has changed. */
     readonly onInstancesChanged: () => void;
     /** Called with each incarnation of a backend server that becomes known. */
@@ -164,7 +162,7 @@
      * the leaving server assume that it gets no more work.
      */
     private hasGateways(): boolean {
-        return this.watches.gatewayCount() > 0;
+        return this.watches.hasRecentWatch();
     }
 
     /** Number of disks that have to hold a departure: one is left after the loss of as many hosts as the deployment tolerates. */
--- a/packages/basilpaddle/src/node/daemon/directory/watchService.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/watchService.ts
@@ -47,13 +47,15 @@
     /** Number of gateways before the restart of this directory; 0 if unknown. */
     readonly previousGateways: number;
     readonly clock: Clock;
+    /** Stands still with this process; the silence of gateways is measured by it. */
+    readonly activeClock: Clock;
 };
 
 /** Answers watches by long polling: immediately if the watcher is out of date, otherwise on the next change. */
 export class WatchService {
     private readonly pendingWatches = new Set<() => void>();
-    /** When each gateway last sent a watch. */
-    private readonly gateways = new Map<string, number>();
+    /** When each gateway last sent a watch, by the host's clock and by the active one. */
+    private readonly gateways = new Map<string, { readonly host: number; readonly active: number; }>();
     /** When each gateway was last heard of, by watches and by its messages to the leader. */
     readonly presence = GatewayPresence.create();
     private packedDocument: PackedDocument | undefined;
@@ -71,9 +73,9 @@
 
     /** Answers one watch; without a change, after the long poll's time limit. */
     async watch(watch: WatchRequest): Promise<WatchUpdate> {
-        const { clock } = this.options;
+        const { clock, activeClock } = this.options;
         if (!watch.observer) {
-            this.gateways.set(watch.gateway, clock.monotonic());
+            this.gateways.set(watch.gateway, { host: clock.monotonic(), active: activeClock.monotonic() });
             this.presence.record(watch.gateway, clock.monotonic());
         }
         const hasChanged = this.hasUpdates(watch) || await this.waitForChange();
@@ -103,17 +105,23 @@
         return this.gatewayNames().length;
     }
 
-    /** Names of the connected gateways. */
+    /** Names of the connected gateways: those whose watches this process hasn't missed for a while in which it could read them. */
     gatewayNames(): readonly string[] {
-        const oldestWatch = this.options.clock.monotonic() - gatewayTimeoutMilliseconds;
-        this.gateways.forEach((at, name) => {
-            if (at < oldestWatch) {
+        const oldestWatch = this.options.activeClock.monotonic() - gatewayTimeoutMilliseconds;
+        this.gateways.forEach(({ active }, name) => {
+            if (active < oldestWatch) {
                 this.gateways.delete(name);
             }
         });
         return [...this.gateways.keys()];
     }
 
+    /** Whether any gateway has sent a watch lately, however long this process stood still meanwhile. */
+    hasRecentWatch(): boolean {
+        const oldestWatch = this.options.clock.monotonic() - gatewayTimeoutMilliseconds;
+        return [...this.gateways.values()].some(({ host }) => host >= oldestWatch);
+    }
+
     private haveGatewaysSettled(): boolean {
         return this.options.clock.monotonic() - this.startedAt > gatewaySettleMilliseconds;
     }
