--- a/packages/basilpaddle/src/node/daemon/directory/serverMembership.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/serverMembership.ts
@@ -50,11 +50,12 @@
     private watcher: DirectoryWatcher | undefined;
 
     private constructor(private readonly options: ServerMembershipOptions) {
-        const { name, heartbeat, restartCache, clock, logger } = options;
+        const { name, heartbeat, restartCache, clock, activeClock, logger } = options;
         this.registry = BackendServerRegistry.create({
             name,
             heartbeat,
             clock,
+            activeClock,
             logger,
             onAnnouncementsChanged: () => {
                 this.watches.notifyWatchers();
@@ -161,7 +162,7 @@
      * the leaving server assume that it gets no more work.
      */
     private hasGateways(): boolean {
-        return this.watches.gatewayCount() > 0;
+        return this.watches.hasRecentWatch();
     }
 
     /** Number of disks that have to hold a departure: one is left after the loss of as many hosts as the deployment tolerates. */
