refactor(soak): what a standstill does and what it may break stand in two modules

`npm run layers` found four cycles through soak/standstills.ts, which imported the callers that the invariants belong to. Limits of requests are in timeLimits.ts. No behaviour changes.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -9,11 +9,10 @@
 import { freeKey, keyOfRequest } from "./organisations.js";
 import type { CallerEnd, SoakRequest } from "./soakRequest.js";
 import { eventCount, eventVersions, isRestOfStream, plainText, promptParts } from "./texts.js";
+import { deadlineMilliseconds, routeTimeoutMilliseconds } from "./timeLimits.js";
 
 /** Host that all routes match. */
 export const routeHost = "soak.example";
-/** Request timeout of the routes: that of callers with slow bodies and long answers; the others have a shorter deadline. */
-export const routeTimeoutMilliseconds = 9_000;
 /** Path prefixes of the routes that every configuration contains. */
 export const routePrefixes: Readonly<Record<RouteKind, string>> = {
     safe: "/safe/",
@@ -24,8 +23,6 @@
 const routeKinds: readonly RouteKind[] = ["safe", "unsafe", "resumable", "once"];
 /** Time that a caller waits for the complete response: longer than its deadline, so that late responses are observed. */
 const answerTimeoutMilliseconds = 12_000;
-/** Limit of all other requests. */
-export const deadlineMilliseconds = 5_000;
 /** Share of the callers that may disconnect before the response, and the longest time after which they do. */
 const abandonProbability = 0.12;
 const maxAbandonMilliseconds = 900;
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -7,7 +7,7 @@
 import type { Member } from "./member.js";
 import type { Operator } from "./operator.js";
 import { type Fault, type FaultKind, plannedKinds } from "./plan.js";
-import { standStill } from "./standstills.js";
+import { standStill } from "./standstillFault.js";
 import { poisonBody, poisonPart } from "./texts.js";
 
 /** Longest time for which all directories are down together. */
--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -7,10 +7,11 @@
     type StandinRoute,
 } from "../platform/src/standins/wire.js";
 import { handleLifetimeMilliseconds } from "./backend.js";
-import { routeHost, routePrefixes, routeTimeoutMilliseconds } from "./callers.js";
+import { routeHost, routePrefixes } from "./callers.js";
 import type { SoakDeployment } from "./deployment.js";
 import type { Invariants } from "./invariants.js";
 import { organisationsOf } from "./organisations.js";
+import { routeTimeoutMilliseconds } from "./timeLimits.js";
 
 /** Time that an operator waits for a response before the call counts as failed. */
 const answerTimeoutMilliseconds = 1_000;
--- a/soak/standstills.ts
+++ b/soak/standstills.ts
@@ -1,15 +1,7 @@
-import { pause } from "../playground/harness/index.js";
-import { type Callers, deadlineMilliseconds, routeTimeoutMilliseconds } from "./callers.js";
-import type { SoakDeployment } from "./deployment.js";
-import type { Member } from "./member.js";
 import type { SoakRequest, Violation } from "./soakRequest.js";
 import { isLong } from "./texts.js";
+import { deadlineMilliseconds, routeTimeoutMilliseconds } from "./timeLimits.js";
 
-/** Streams that begin before a standstill, and the time until it: some of their events come before, others meanwhile. */
-const streamsBeside = 16;
-const beforeMilliseconds = 150;
-/** Time from the signal of a stop to the standstill. */
-const afterSignalMilliseconds = 100;
 /** Time that a gateway has after a standstill, before the limit of a stream, to deliver what came meanwhile. */
 const marginMilliseconds = 1_000;
 
@@ -56,22 +48,3 @@
         });
     }
 }
-
-/** Lets a gateway stand still with streams in progress, while engines turn down to go on with them. `stop`: stops it before, if given. */
-export async function standStill(
-    gateway: Member,
-    { backends }: SoakDeployment,
-    callers: Callers,
-    letStand: () => Promise<void>,
-    stop: (() => Promise<void>) | undefined,
-): Promise<void> {
-    const streams = Array.from({ length: streamsBeside }, () => callers.sendRequest(gateway, "resumable"));
-    await pause(beforeMilliseconds);
-    const refusing = [...backends];
-    refusing.forEach(backend => (backend.refusesToGoOn = true));
-    const stopped = stop?.();
-    await pause(stopped === undefined ? 0 : afterSignalMilliseconds);
-    await letStand();
-    await Promise.all([...streams, stopped]);
-    refusing.forEach(backend => (backend.refusesToGoOn = false));
-}
