fix(transport): a connection that was idle while its own process stood still isn't taken for dead

What callers saw, by reading: after a standstill of 1.5 to 2 s a daemon closed its idle connections to others, and the requests in flight on them failed as lost, though the other side was sound and was never probed. Cause: the time without data was measured by a clock that goes on while this process neither reads nor probes. It takes two probes now that weren't answered, beside the 2 s; three are sent in that time while the process runs, so that a dead connection is found as soon as before. Price: after a standstill a dead connection is found up to a second later.

--- a/packages/basilpaddle/src/node/transport/__tests__/tcpLink.spec.ts
+++ b/packages/basilpaddle/src/node/transport/__tests__/tcpLink.spec.ts
@@ -171,6 +171,25 @@
         await server.close();
     });
 
+    // Guards against requests that fail, and one more connection, since nobody was asked while this process stood still.
+    it("keeps a connection that was idle while its process stood still", async () => {
+        let answer = (): void => undefined;
+        const handler = (): Promise<string> =>
+            new Promise(resolve => {
+                answer = () => resolve("late");
+            });
+        const server = await TcpServer.create({ host: "127.0.0.1", port: 0, handler, logger });
+        const link = TcpNetwork.create(logger).link({ host: "127.0.0.1", port: server.port() });
+        const answered = link.request("question", 10_000);
+        await new Promise(resolve => setTimeout(resolve, 200));
+        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 2_300);
+        await new Promise(resolve => setTimeout(resolve, 700));
+        answer();
+        expect((await answered).extract()).to.equal("late");
+        link.close();
+        await server.close();
+    });
+
     it("closes the connection of a sender that doesn't send frames", async () => {
         const server = await TcpServer.create({
             host: "127.0.0.1",
--- a/packages/basilpaddle/src/node/transport/tcpLink.ts
+++ b/packages/basilpaddle/src/node/transport/tcpLink.ts
@@ -26,8 +26,9 @@
 };
 /** Time without received data after which a keep-alive probe is sent. */
 const idleProbeMilliseconds = 500;
-/** Time without received data after which a connection is considered lost, since three keep-alive probes weren't answered. */
+/** Time without received data after which a connection is considered lost, if that many keep-alive probes weren't answered in it. */
 const idleTimeoutMilliseconds = 2_000;
+const minUnansweredProbes = 2;
 /** Time without received data after which the accepting side closes a connection; the connecting side has done so long before. */
 const acceptedIdleTimeoutMilliseconds = 15_000;
 
@@ -163,20 +164,24 @@
     /**
      * An open connection can stop delivering data permanently without a reset while new connections work: a stateful device
      * on the path dropped its state, or the other host was replaced. Messages that aren't answered would then be lost, and a
-     * member would never catch up. An idle connection is therefore probed, and replaced if the probes aren't answered.
+     * member would never catch up. An idle connection is therefore probed, and replaced if the probes aren't answered. While this process
+     * stands still it sends none, and an idle connection is sound however long nothing was received.
      */
     private detectDeadConnection(socket: net.Socket): void {
         let lastReceivedAt = performance.now();
+        let unansweredProbes = 0;
         socket.on("data", () => {
             lastReceivedAt = performance.now();
+            unansweredProbes = 0;
         });
         const checkIdle = (): void => {
             const quiet = performance.now() - lastReceivedAt;
-            if (quiet >= idleTimeoutMilliseconds) {
+            if (quiet >= idleTimeoutMilliseconds && unansweredProbes >= minUnansweredProbes) {
                 this.logger.warn("no data received on a connection; closing it", { peer: this.peerAddress(), quiet });
                 socket.destroy();
             }
             else if (quiet >= idleProbeMilliseconds) {
+                unansweredProbes += 1;
                 socket.write(encodeFrame({ life: "ask" }));
             }
         };
