--- a/packages/basilpaddle/src/node/transport/__tests__/tcpLink.spec.ts
+++ b/packages/basilpaddle/src/node/transport/__tests__/tcpLink.spec.ts
@@ -180,14 +180,18 @@
             });
         const server = await TcpServer.create({ host: "127.0.0.1", port: 0, handler, logger });
         const link = TcpNetwork.create(logger).link({ host: "127.0.0.1", port: server.port() });
-        const answered = link.request("question", 10_000);
-        await new Promise(resolve => setTimeout(resolve, 200));
-        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 2_300);
-        await new Promise(resolve => setTimeout(resolve, 700));
-        answer();
-        expect((await answered).extract()).to.equal("late");
-        link.close();
-        await server.close();
+        try {
+            const answered = link.request("question", 10_000);
+            await new Promise(resolve => setTimeout(resolve, 200));
+            Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 2_300);
+            await new Promise(resolve => setTimeout(resolve, 700));
+            answer();
+            expect((await answered).extract()).to.equal("late");
+        }
+        finally {
+            link.close();
+            await server.close();
+        }
     });
 
     it("closes the connection of a sender that doesn't send frames", async () => {
