fix(gateway): a body in small chunks takes little more memory than its bytes

What callers saw: one connection that sent a body in chunks of one byte ended its gateway (out of heap), and the requests of all others with it. Cause: what is counted isn't what is held. Each piece that the parser hands over was kept as a buffer of its own, some hundred bytes for one, and the account of bodies counted the one. Evidence: callerCrowds.spec.ts, one body of 3 million and ten of 500,000 chunks of one byte, and callersWithinLimits.spec.ts, a body of 4 MB in such chunks that is inside the limits: the gateway ended each time. Why it works: BodyBuffer copies short pieces together into blocks, and says what a further piece costs, with what it takes beside its bytes; that is what the account counts. A body in one piece is copied once.

--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -28,7 +28,7 @@
 import type { GatewayWire } from "./gatewayWire.js";
 import { GracePeriod } from "./gracePeriod.js";
 import { headerBytes } from "./headers.js";
-import { noRoomRetryAfterSeconds, readHeldBody } from "./heldBody.js";
+import { readBodyOrRefuse } from "./heldBody.js";
 import { logRequest } from "./logRequest.js";
 import { LoopMonitor } from "./loopMonitor.js";
 import { type LastRequest, OpenRequests } from "./openRequests.js";
@@ -331,21 +331,8 @@
             return;
         }
         const metadata = wire.parseCaller(incoming.headers);
-        const body = await readHeldBody(incoming, response, limits, this.relaying.answers.held);
-        if (body === "tooLarge") {
-            refuse(413, `the body is larger than ${limits.bodyBytes} bytes`);
-            return;
-        }
-        if (body === "noRoom") {
-            refuse(503, "no room for the body", { "Retry-After": String(noRoomRetryAfterSeconds) });
-            return;
-        }
+        const body = await readBodyOrRefuse(incoming, response, limits, this.relaying.answers.held, refuse);
         if (body === undefined) {
-            response.destroy();
-            return;
-        }
-        if (response.headersSent) {
-            // Refused meanwhile, since the grace period is over.
             return;
         }
         const request = CallerRequest.create({
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/listeners/index.ts
@@ -0,0 +1,1 @@
+export * from "./bodyBuffer.js";
