fix(gateway): what connections make a gateway hold has a bound: requests sent ahead, heads, and connections

What callers saw: one connection that sent requests ahead, or some hundred with heads of many lines, ended their gateway (out of heap), and the requests of all others with it. Cause: nothing bounds how many there are, and nothing counts what they take. Node's parser begins every request of a block of 64 KiB at once, some kilobytes of objects for 18 bytes each; a head of 16 KiB becomes thousands of strings. Why it works: ConnectionGuard takes the place of the listener that hands a connection's bytes to the parser, and hands them over in slices: only while few requests of the connection are in progress, and while one account of all connections, heads and requests has room for what the parser will make of them. What has to wait stays as unparsed bytes, unread in the end. The account counts what these things take on the heap. If that doesn't help, the largest one that isn't being served gives way, with 503 if its request isn't whole.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/callerServer.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/callerServer.spec.ts
@@ -4,6 +4,7 @@
 import * as net from "node:net";
 import { createSilentLogger } from "../../../utils/index.js";
 import { sendLate } from "../../__tests__/lateRequest.js";
+import { createSilentGuard } from "../../__tests__/silentGuard.js";
 import { endWhenSent, endWithConnection } from "../answerEnd.js";
 import { CallerServer } from "../callerServer.js";
 
@@ -16,6 +17,7 @@
             handler: () => {
                 handled += 1;
             },
+            guard: createSilentGuard(),
             logger: createSilentLogger(),
         });
         server.setLimits({ headerBytes: 1_000, bodyBytes: 1_000, headerTimeout: 50, idleTimeout: 1_000 });
@@ -33,6 +35,7 @@
                 response.writeHead(200, { "Content-Length": body.length });
                 endWhenSent(response, body);
             },
+            guard: createSilentGuard(),
             logger: createSilentLogger(),
         });
         const socket = net.connect(server.port(), "127.0.0.1");
@@ -57,6 +60,7 @@
                 endWithConnection(response);
                 response.end(Buffer.alloc(16_000_000));
             },
+            guard: createSilentGuard(),
             logger: createSilentLogger(),
         });
         const socket = net.connect(server.port(), "127.0.0.1");
@@ -74,6 +78,7 @@
         const server = await CallerServer.create({
             address: { host: "127.0.0.1", port: 0 },
             handler: (_incoming, response) => responses.push(response),
+            guard: createSilentGuard(),
             logger: createSilentLogger(),
         });
         const socket = net.connect(server.port(), "127.0.0.1");
--- a/packages/basilpaddle/src/node/daemon/gateway/callerServer.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerServer.ts
@@ -2,7 +2,10 @@
 import type { AddressInfo, Socket } from "node:net";
 import type { CallerLimits } from "../../protocol/index.js";
 import type { Logger } from "../../utils/index.js";
+import type { ConnectionGuard } from "../listeners/index.js";
 import { breakOff } from "./answerEnd.js";
+import { noRoomRetryAfterSeconds } from "./heldBody.js";
+import { writeOwnAnswer } from "./ownAnswer.js";
 
 /** Limits until the first configuration is received. */
 const initialLimits: CallerLimits = {
@@ -26,6 +29,7 @@
     readonly handler: (incoming: http.IncomingMessage, response: http.ServerResponse) => void;
     /** Called with each connection that is accepted. */
     readonly onConnection?: (socket: Socket) => void;
+    readonly guard: ConnectionGuard;
     readonly logger: Logger;
 };
 
@@ -36,8 +40,15 @@
     /** Connections whose request was answered as not run; the rest of it may still arrive. */
     private readonly rejectedSockets = new WeakSet<Socket>();
     private readonly openResponses = new Set<http.ServerResponse>();
+    private readonly setHeadBytes: (bytes: number) => void;
 
-    private constructor(private readonly server: http.Server, private readonly options: CallerServerOptions) {}
+    private constructor(private readonly server: http.Server, private readonly options: CallerServerOptions) {
+        this.setHeadBytes = options.guard.watch(server, {
+            listener: "callers",
+            headBytes: initialLimits.headerBytes,
+            refuse: refuseGivenUp,
+        });
+    }
 
     static async create(options: CallerServerOptions): Promise<CallerServer> {
         const server = http.createServer({
@@ -76,6 +87,7 @@
     /** Applies the limits of a configuration. */
     setLimits(limits: CallerLimits): void {
         this.limits = limits;
+        this.setHeadBytes(limits.headerBytes);
         this.server.headersTimeout = this.closing ? 0 : limits.headerTimeout;
         this.server.keepAliveTimeout = limits.idleTimeout + keepAliveMarginMilliseconds;
     }
@@ -159,3 +171,8 @@
         socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     }
 }
+
+function refuseGivenUp(response: http.ServerResponse, status: number, cause: string): void {
+    const headers = { "Connection": "close", "Retry-After": String(noRoomRetryAfterSeconds) };
+    writeOwnAnswer(response, status, cause, headers);
+}
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -15,6 +15,7 @@
 import { type GatewaySettings, seedNames, type ServiceRule, type TrafficRoute } from "../../protocol/index.js";
 import { TcpNetwork } from "../../transport/index.js";
 import { DisposableStore, HostRandomness, type Metrics } from "../../utils/index.js";
+import { ConnectionGuard } from "../listeners/index.js";
 import type { RoutingOptions } from "../routingOptions.js";
 import { AllowanceAdmission } from "./allowanceAdmission.js";
 import { AnswerDurations } from "./answerDurations.js";
@@ -79,11 +80,13 @@
     private readonly openRequests = OpenRequests.create();
     private readonly answerDurations = AnswerDurations.create();
     private readonly grace: GracePeriod;
+    private readonly guard: ConnectionGuard;
     private callerServer!: CallerServer;
 
     private constructor(private readonly options: GatewayDaemonOptions) {
         const { settings, wire, clock, logger, metrics } = options;
         this.loop = LoopMonitor.create(clock);
+        this.guard = ConnectionGuard.create({ bounds: settings.connections, clock, logger, metrics });
         this.grace = GracePeriod.create(clock, this.answerDurations);
         this.store.add(this.loop.start());
         this.retries = RetryAllowance.create({
@@ -247,8 +250,17 @@
 
     /** Sets the gauges of a gateway. */
     measure(metrics: Metrics): void {
-        const { instances, quarantinedRequests, serverAdmission, relaying, streamVersions, loop } = this;
-        [instances, quarantinedRequests, serverAdmission, relaying.paths, relaying.answers.held, streamVersions, loop]
+        const { instances, quarantinedRequests, serverAdmission, relaying, streamVersions, loop, guard } = this;
+        [
+            instances,
+            quarantinedRequests,
+            serverAdmission,
+            relaying.paths,
+            relaying.answers.held,
+            streamVersions,
+            loop,
+            guard,
+        ]
             .forEach(part => part.measure(metrics));
     }
 
@@ -258,6 +270,7 @@
             address: settings.callers,
             handler: (incoming, response) => void this.receive(incoming, response),
             onConnection: socket => this.loop.recordConnection(socket),
+            guard: this.guard,
             logger,
         });
         this.store.add(() => this.callerServer.closeAll());
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/listeners/connectionGuard.ts
@@ -0,0 +1,170 @@
+import type * as http from "node:http";
+import type { Socket } from "node:net";
+import type { ConnectionBounds } from "../../protocol/index.js";
+import type { Clock, Logger, Metrics } from "../../utils/index.js";
+import { BoundedLog } from "./boundedLog.js";
+import { ConnectionMemory } from "./connectionMemory.js";
+import { type GivenUpCause, GuardedConnection } from "./guardedConnection.js";
+
+/** Interval in milliseconds of the check for bodies of which nothing comes. */
+const checkIntervalMilliseconds = 500;
+/** Retry-After of what was refused for want of room. */
+const retryAfterSeconds = "0.3";
+
+/** Status of the answer to a request that is given up; none of them has run. */
+const statuses: Readonly<Record<GivenUpCause, number>> = {
+    noRoom: 503,
+    connections: 503,
+    slowBody: 408,
+    headTooLong: 431,
+};
+const reasons: Readonly<Record<number, string>> = {
+    408: "Request Timeout",
+    431: "Request Header Fields Too Large",
+    503: "Service Unavailable",
+};
+
+/** Dependencies of `ConnectionGuard`. */
+export type ConnectionGuardOptions = {
+    readonly bounds: ConnectionBounds;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+};
+
+/** What a guard has to know of one listener. */
+export type GuardedListener = {
+    /** Its name, for logs. */
+    readonly listener: string;
+    /** Bytes of the largest head that it takes. */
+    readonly headBytes: number;
+    /** Answers a request that is given up, and closes its connection. @default a short JSON text */
+    readonly refuse?: (response: http.ServerResponse, status: number, cause: string) => void;
+};
+
+/**
+ * Bounds what the connections to all HTTP listeners of a process make it hold: how many there are, how many requests of one are in
+ * progress, and what the heads and requests of all take together. What exceeds a bound waits unread, or gives way.
+ */
+export class ConnectionGuard {
+    private readonly memory: ConnectionMemory;
+    private readonly log: BoundedLog;
+
+    private constructor(private readonly options: ConnectionGuardOptions) {
+        this.memory = ConnectionMemory.create(options.bounds.heldBytes, options.clock);
+        this.log = BoundedLog.create(options.logger, options.clock);
+    }
+
+    static create(options: ConnectionGuardOptions): ConnectionGuard {
+        return new ConnectionGuard(options);
+    }
+
+    /** Guards the connections of a server that doesn't listen yet; returns what changes the bytes of its largest head. */
+    watch(server: http.Server, listener: GuardedListener): (headBytes: number) => void {
+        const connections = new Map<Socket, GuardedConnection>();
+        let { headBytes } = listener;
+        const setHeadBytes = (bytes: number): void => {
+            headBytes = bytes;
+        };
+        server.on("connection", (socket: Socket) => {
+            const { clock, bounds } = this.options;
+            connections.set(
+                socket,
+                GuardedConnection.create({
+                    socket,
+                    memory: this.memory,
+                    requestsAhead: bounds.requestsAhead,
+                    headBytes: () => headBytes,
+                    now: () => clock.monotonic(),
+                    giveUp: (connection, cause) => this.giveUp(connection, cause, listener),
+                }),
+            );
+            socket.once("close", () => connections.delete(socket));
+            if (connections.size > bounds.connections) {
+                this.giveUp(leastUsed([...connections.values()]), "connections", listener);
+            }
+        });
+        server.prependListener("request", (request: http.IncomingMessage, response: http.ServerResponse) => {
+            connections.get(request.socket)?.add(request, response);
+        });
+        const timer = setInterval(() => {
+            // What came while this process stood still is read first.
+            setImmediate(() => this.giveUpSlow(connections.values(), listener));
+        }, checkIntervalMilliseconds);
+        timer.unref();
+        server.once("close", () => clearInterval(timer));
+        return setHeadBytes;
+    }
+
+    /** Sets the gauges of what the connections hold. */
+    measure(metrics: Metrics): void {
+        this.memory.measure(metrics);
+    }
+
+    private giveUpSlow(connections: Iterable<GuardedConnection>, listener: GuardedListener): void {
+        const { clock, bounds: { bodyPause } } = this.options;
+        const now = clock.monotonic();
+        for (const connection of connections) {
+            if (now - connection.lastByteAt >= bodyPause && connection.unfinishedResponse() !== undefined) {
+                this.giveUp(connection, "slowBody", listener);
+            }
+        }
+    }
+
+    /** Answers a request that isn't whole, or a connection without one, as not run; closes the connection. */
+    private giveUp(connection: GuardedConnection, cause: GivenUpCause, listener: GuardedListener): void {
+        const { socket } = connection;
+        this.options.metrics.count("basilpaddle_connections_given_up_total", { listener: listener.listener, cause });
+        this.log.warn("a connection was given up", {
+            listener: listener.listener,
+            cause,
+            peer: socket.remoteAddress,
+            held: connection.held,
+            requests: connection.requestsInProgress(),
+        });
+        const unfinished = connection.unfinishedResponse();
+        const mayAnswer = connection.requestsInProgress() === (unfinished === undefined ? 0 : 1);
+        connection.end();
+        if (!mayAnswer || cause === "connections" || !socket.writable) {
+            socket.destroy();
+        }
+        else if (unfinished === undefined) {
+            endWith(socket, statuses[cause]);
+        }
+        else {
+            (listener.refuse ?? refuse)(unfinished, statuses[cause], cause);
+            unfinished.once("finish", () => socket.destroySoon());
+        }
+    }
+}
+
+/** The connection that is idle, or else has no request in progress, for longest. */
+function leastUsed(connections: readonly GuardedConnection[]): GuardedConnection {
+    const older = (one: GuardedConnection, other: GuardedConnection): GuardedConnection =>
+        other.lastByteAt < one.lastByteAt ? other : one;
+    const idle = connections.filter(connection => connection.isIdle());
+    const unserved = connections.filter(connection => connection.mayGiveWay());
+    const candidates = idle.length > 0 ? idle : unserved;
+    return candidates.length > 0 ? candidates.reduce(older) : connections.at(-1)!;
+}
+
+function refuse(response: http.ServerResponse, status: number, cause: string): void {
+    const body = Buffer.from(`${JSON.stringify({ error: cause })}\n`);
+    response.writeHead(status, {
+        ...status === statuses.noRoom ? { "Retry-After": retryAfterSeconds } : {},
+        "Connection": "close",
+        "Content-Type": "application/json",
+        "Content-Length": body.length,
+    });
+    response.end(body);
+}
+
+function endWith(socket: Socket, status: number): void {
+    const retryAfter = status === statuses.noRoom ? `Retry-After: ${retryAfterSeconds}\r\n` : "";
+    socket.end(
+        `HTTP/1.1 ${status} ${reasons[status]}\r\n${retryAfter}Connection: close\r\nContent-Length: 0\r\n\r\n`,
+        () => {
+            socket.destroy();
+        },
+    );
+}
--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/listeners/guardedConnection.ts
@@ -0,0 +1,238 @@
+import type * as http from "node:http";
+import type { Socket } from "node:net";
+import { type ConnectionMemory, MemoryHolder } from "./connectionMemory.js";
+import { endOfSlice } from "./requestSlices.js";
+import { retainedByHead, retainedByRequest, retainedBytes } from "./retainedBytes.js";
+
+/** Slices of one connection's bytes that are parsed before others have their turn: as many as one read of a socket has at most. */
+const slicesInTurn = 4;
+/** Time in milliseconds without an answer taken after which a connection whose answers wait to be taken may give way. */
+const unreadMilliseconds = 1_000;
+/** Bytes beyond the limit of a head at which it is given up while it is read: a slice may have begun before it. */
+const headMarginBytes = 16_384;
+
+/** Why a connection, or the request that it is sending, is given up. */
+export type GivenUpCause =
+    /** The connections together hold too much. */
+    | "noRoom"
+    /** Nothing came of a body for too long. */
+    | "slowBody"
+    | "headTooLong"
+    /** There are too many connections. */
+    | "connections";
+
+/** What a connection needs of its listener. */
+export type GuardedConnectionOptions = {
+    readonly socket: Socket;
+    readonly memory: ConnectionMemory;
+    readonly requestsAhead: number;
+    /** Bytes of the largest head that the listener takes. */
+    readonly headBytes: () => number;
+    readonly now: () => number;
+    /** Answers the request that isn't whole, or the connection if it has none, and closes it. */
+    readonly giveUp: (connection: GuardedConnection, cause: GivenUpCause) => void;
+};
+
+/**
+ * One connection of a listener. Its bytes reach the parser in slices, and only as long as few of its requests are in progress and there
+ * is room for what the parser makes of them. The parser of Node's server would begin every request of a block of 64 KiB at once.
+ */
+export class GuardedConnection extends MemoryHolder {
+    readonly socket: Socket;
+    /** When the last bytes came, in milliseconds of the monotonic clock. */
+    lastByteAt: number;
+    private lastAnswerAt: number;
+    private readonly responses = new Map<http.ServerResponse, number>();
+    private lastRequest: http.IncomingMessage | undefined;
+    private unparsed: Buffer | undefined;
+    /** Bytes that were parsed since the last request was whole. */
+    private headBytes = 0;
+    private requestBytes = 0;
+    private isHeldBack = false;
+    private isWaitingForTurn = false;
+    private isGivenUp = false;
+    private slicesLeft = slicesInTurn;
+
+    private constructor(
+        private readonly options: GuardedConnectionOptions,
+        private readonly parse: (bytes: Buffer) => void,
+    ) {
+        super();
+        this.socket = options.socket;
+        this.lastByteAt = options.now();
+        this.lastAnswerAt = this.lastByteAt;
+    }
+
+    /** Takes the place of the listener of an HTTP server's connection that hands its bytes to the parser. */
+    static create(options: GuardedConnectionOptions): GuardedConnection {
+        const { socket, memory } = options;
+        const [parse] = socket.listeners("data") as ((bytes: Buffer) => void)[];
+        if (parse === undefined) {
+            throw new Error("the HTTP server of a connection has no listener for its bytes");
+        }
+        const connection = new GuardedConnection(options, bytes => parse.call(socket, bytes));
+        socket.removeListener("data", parse);
+        socket.on("data", bytes => connection.receive(bytes));
+        socket.on("resume", () => connection.parseOn());
+        socket.once("close", () => connection.close());
+        memory.update(connection, retainedBytes.connection);
+        return connection;
+    }
+
+    /** Number of its requests that aren't answered yet. */
+    requestsInProgress(): number {
+        return this.responses.size;
+    }
+
+    /** Whether it has no request, and nothing of one has come. */
+    isIdle(): boolean {
+        return this.responses.size === 0 && this.headBytes === 0 && this.unparsed === undefined;
+    }
+
+    /** The response to the request whose body isn't whole; undefined if there is none. */
+    unfinishedResponse(): http.ServerResponse | undefined {
+        const last = [...this.responses.keys()].at(-1);
+        return last !== undefined && !last.req.complete && !last.headersSent ? last : undefined;
+    }
+
+    /** Counts a request that the parser has begun. */
+    add(request: http.IncomingMessage, response: http.ServerResponse): void {
+        const bytes = retainedByRequest(request);
+        this.lastRequest = request;
+        this.headBytes = 0;
+        this.requestBytes += bytes;
+        this.responses.set(response, bytes);
+        response.once("close", () => this.remove(response));
+    }
+
+    override mayGiveWay(): boolean {
+        const unfinished = this.unfinishedResponse() === undefined ? 0 : 1;
+        return !this.isGivenUp && !this.isIdle() && (this.responses.size === unfinished || this.isUnread());
+    }
+
+    override giveWay(): void {
+        this.options.giveUp(this, "noRoom");
+    }
+
+    override onRoom(): void {
+        this.readOn();
+    }
+
+    /** To be called once it is given up: nothing more of it is parsed. */
+    end(): void {
+        this.isGivenUp = true;
+        this.unparsed = undefined;
+        this.updateHeld();
+    }
+
+    private receive(bytes: Buffer): void {
+        this.lastByteAt = this.options.now();
+        if (!this.isGivenUp) {
+            this.slicesLeft = this.unparsed === undefined ? slicesInTurn : this.slicesLeft;
+            this.unparsed = this.unparsed === undefined ? bytes : Buffer.concat([this.unparsed, bytes]);
+            this.parseOn();
+        }
+    }
+
+    private parseOn(): void {
+        const { socket, options: { memory } } = this;
+        if (socket.isPaused()) {
+            return;
+        }
+        // The server may have resumed it too, for the body of a request. Once it has paused it itself, it mustn't be resumed from here.
+        this.isHeldBack = false;
+        if (this.isWaitingForTurn) {
+            this.holdBack();
+            return;
+        }
+        while (this.unparsed !== undefined && !socket.destroyed && !socket.isPaused()) {
+            if (this.isFull()) {
+                this.holdBack();
+                break;
+            }
+            if (this.slicesLeft === 0) {
+                this.waitForTurn();
+                break;
+            }
+            const end = endOfSlice(this.unparsed, this.options.requestsAhead - this.responses.size);
+            if (!this.isReadingBody() && !memory.hasRoom(this, retainedBytes.request + retainedByHead(end))) {
+                this.holdBack();
+                break;
+            }
+            this.parseSlice(this.unparsed, end);
+        }
+        this.updateHeld();
+    }
+
+    private parseSlice(bytes: Buffer, end: number): void {
+        this.unparsed = end < bytes.length ? bytes.subarray(end) : undefined;
+        this.headBytes += end;
+        this.slicesLeft -= 1;
+        this.parse(end < bytes.length ? bytes.subarray(0, end) : bytes);
+        if (this.isReadingBody()) {
+            this.headBytes = 0;
+        }
+        else if (this.headBytes > this.options.headBytes() + headMarginBytes) {
+            this.options.giveUp(this, "headTooLong");
+        }
+    }
+
+    /** Whether all of its requests were answered, and its client has taken nothing of that for a while. */
+    private isUnread(): boolean {
+        return this.options.now() - this.lastAnswerAt >= unreadMilliseconds
+            && [...this.responses.keys()].every(({ writableEnded }) => writableEnded);
+    }
+
+    private isReadingBody(): boolean {
+        return this.lastRequest?.complete === false;
+    }
+
+    private isFull(): boolean {
+        return !this.isReadingBody() && this.responses.size >= this.options.requestsAhead;
+    }
+
+    private holdBack(): void {
+        this.isHeldBack = true;
+        this.socket.pause();
+    }
+
+    private readOn(): void {
+        if (this.isHeldBack && !this.isWaitingForTurn) {
+            this.isHeldBack = false;
+            this.socket.resume();
+        }
+    }
+
+    private waitForTurn(): void {
+        this.isWaitingForTurn = true;
+        this.holdBack();
+        setImmediate(() => {
+            this.isWaitingForTurn = false;
+            this.slicesLeft = slicesInTurn;
+            this.readOn();
+        });
+    }
+
+    private remove(response: http.ServerResponse): void {
+        this.requestBytes -= this.responses.get(response) ?? 0;
+        this.responses.delete(response);
+        this.lastAnswerAt = this.options.now();
+        this.updateHeld();
+        if (!this.isFull()) {
+            this.readOn();
+        }
+    }
+
+    private updateHeld(): void {
+        const { unparsed, headBytes, requestBytes, socket } = this;
+        if (!socket.destroyed) {
+            const bytes = (unparsed?.length ?? 0) + retainedByHead(headBytes) + requestBytes;
+            this.options.memory.update(this, retainedBytes.connection + bytes);
+        }
+    }
+
+    private close(): void {
+        this.unparsed = undefined;
+        this.options.memory.release(this);
+    }
+}
--- a/packages/basilpaddle/src/node/daemon/listeners/index.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/index.ts
@@ -1,1 +1,2 @@
 export * from "./bodyBuffer.js";
+export * from "./connectionGuard.js";
--- a/packages/basilpaddle/src/node/protocol/gatewaySettings.ts
+++ b/packages/basilpaddle/src/node/protocol/gatewaySettings.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import { logLevels } from "../utils/index.js";
 import { answerBoundsSchema } from "./answerBounds.js";
+import { connectionBoundsSchema } from "./connectionBounds.js";
 import { quarantineRulesSchema } from "./crash.js";
 
 const endpoint = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, "an endpoint has the form IP:PORT").transform(text => {
@@ -43,6 +44,8 @@
     holds: quarantineRulesSchema.prefault({}),
     /** Bounds of what backend servers send. */
     answers: answerBoundsSchema.prefault({}),
+    /** Bounds of what the connections to its listeners make it hold. */
+    connections: connectionBoundsSchema.prefault({}),
 };
 
 /** Retry budget over all gateways: `ratio` of the requests plus `slack` retries in each window (seconds). */
--- a/packages/basilpaddle/src/node/protocol/index.ts
+++ b/packages/basilpaddle/src/node/protocol/index.ts
@@ -3,6 +3,7 @@
 export * from "./backend.js";
 export * from "./caller.js";
 export * from "./command.js";
+export * from "./connectionBounds.js";
 export * from "./crash.js";
 export * from "./declaration.js";
 export * from "./engine.js";
