fix(gateway): all lines of a head inside the limits reach the backend server

What callers saw: of a request whose head has some thousand lines, all within its limit in bytes, about 1,020 lines reached its server, without a word; what came after them was dropped, whatever it was. Cause: Node's parser drops header lines beyond 1,000 by default. Once it doesn't, the gateway counted a space in each line that hadn't been sent, and refused such a head with 431. Evidence: "are served with all lines of their head" in callersWithinLimits.spec.ts got 1,026 of 2,890 lines on the code before, each time. Why it works: the parser takes as many lines as fit into the limit of bytes, and the size of a head counts no white space that it may not have.

--- a/packages/basilpaddle/src/node/daemon/gateway/headers.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/headers.ts
@@ -34,11 +34,11 @@
     return forwarded;
 }
 
-/** Size in bytes of a request's head as received. */
+/** Size in bytes of a request's head, without white space that may have been received between names and values. */
 export function headerBytes(rawHeaders: readonly string[], method: string, target: string): number {
-    let bytes = method.length + target.length + " HTTP/1.1\r\n".length + 3;
+    let bytes = method.length + target.length + "  HTTP/1.1\r\n\r\n".length;
     forEachHeader(rawHeaders, (name, value) => {
-        bytes += name.length + value.length + ": \r\n".length;
+        bytes += name.length + value.length + ":\r\n".length;
     });
     return bytes;
 }
--- a/packages/basilpaddle/src/node/daemon/listeners/connectionGuard.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/connectionGuard.ts
@@ -8,6 +8,8 @@
 
 /** Interval in milliseconds of the check for bodies of which nothing comes. */
 const checkIntervalMilliseconds = 500;
+/** Bytes of the shortest header line: a head has no more lines than its bytes over this. */
+const shortestHeaderLineBytes = 4;
 /** Retry-After of what was refused for want of room. */
 const retryAfterSeconds = "0.3";
 
@@ -65,7 +67,9 @@
         let { headBytes } = listener;
         const setHeadBytes = (bytes: number): void => {
             headBytes = bytes;
+            server.maxHeadersCount = Math.ceil(bytes / shortestHeaderLineBytes);
         };
+        setHeadBytes(headBytes);
         server.on("connection", (socket: Socket) => {
             const { clock, bounds } = this.options;
             connections.set(
