fix(gateway): requests sent ahead end with their connection

What callers saw: nothing at first; a gateway kept each request that had been sent ahead of an unanswered one whose connection closed, with its body and its place at a server, and served it though its caller was gone. Cause: Node emits the end of a response only if it is the one being written. Those behind it never learned that their connection had closed, and whatever waits for that end never let go: the list of open requests, the account of bodies, a request's own record of its caller. Why it works: a guarded connection knows its responses, and closes those that are left once Node has closed its own.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/callerServer.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/callerServer.spec.ts
@@ -101,4 +101,35 @@
         expect(text.match(/Connection: close/g)).to.have.length(1);
         server.closeAll();
     });
+
+    // Guards against requests sent ahead that a gateway keeps for ever once their connection has closed.
+    it("lets go of all requests of a connection that closes", async () => {
+        let handled = 0;
+        let closed = 0;
+        const server = await CallerServer.create({
+            address: { host: "127.0.0.1", port: 0 },
+            handler: (_incoming, response) => {
+                handled += 1;
+                response.once("close", () => {
+                    closed += 1;
+                });
+            },
+            guard: createSilentGuard(),
+            logger: createSilentLogger(),
+        });
+        const socket = net.connect(server.port(), "127.0.0.1");
+        socket.write("GET /x HTTP/1.1\r\nHost: h\r\n\r\n".repeat(3));
+        while (handled < 3) {
+            await new Promise(setImmediate);
+        }
+        socket.destroy();
+        await once(socket, "close");
+        const end = performance.now() + 1_000;
+        while (closed < 3 && performance.now() < end) {
+            await new Promise(setImmediate);
+        }
+        const openRequests = server.openRequests();
+        server.closeAll();
+        expect({ closed, openRequests }).to.deep.equal({ closed: 3, openRequests: 0 });
+    });
 });
--- a/packages/basilpaddle/src/node/daemon/listeners/guardedConnection.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/guardedConnection.ts
@@ -234,5 +234,14 @@
     private close(): void {
         this.unparsed = undefined;
         this.options.memory.release(this);
+        process.nextTick(() => this.closeResponses());
+    }
+
+    /** Node closes only the response that is being written, and never those to the requests that were sent ahead of it. */
+    private closeResponses(): void {
+        [...this.responses.keys()].forEach(response => {
+            response.destroy();
+            response.emit("close");
+        });
     }
 }
