fix(gateway): the account of connections counts what they take, and idle ones may give way

What callers saw: nothing yet; the account would have let a crowd take more than the host has. Cause: the estimates were guesses. Why it works: a connection counts 16 kB, a request 24 kB, a line 400 bytes; the default limit is 0.3 of the heap's in place of a quarter, so that some 1,400 requests still have room. Idle connections count too, and so they may give way, after two seconds and without a word, since nothing was asked on them.

--- a/packages/basilpaddle/src/node/daemon/listeners/connectionGuard.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/connectionGuard.ts
@@ -127,7 +127,8 @@
             requests: connection.requestsInProgress(),
         });
         const unfinished = connection.unfinishedResponse();
-        const mayAnswer = connection.requestsInProgress() === (unfinished === undefined ? 0 : 1);
+        const mayAnswer = !connection.isIdle()
+            && connection.requestsInProgress() === (unfinished === undefined ? 0 : 1);
         connection.end();
         if (!mayAnswer || cause === "connections" || !socket.writable) {
             socket.destroy();
--- a/packages/basilpaddle/src/node/daemon/listeners/connectionMemory.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/connectionMemory.ts
@@ -2,11 +2,11 @@
 import type { Clock, Metrics } from "../../utils/index.js";
 
 /** Part of the heap's limit that connections may take if the settings state none. */
-const defaultHeapFraction = 1 / 4;
+const defaultHeapFraction = 0.3;
 /** Part of the limit that is left to connections which want little. */
 const littleFraction = 1 / 4;
 /** What a head of usual size takes at most. */
-const littleBytes = 131_072;
+const littleBytes = 262_144;
 /** How long a connection waits for room before others give way, and how long before it does so itself. */
 const pauseMilliseconds = 50;
 const maxWaitMilliseconds = 2_000;
@@ -43,7 +43,7 @@
         this.limit = limit ?? Math.floor(getHeapStatistics().heap_size_limit * defaultHeapFraction);
     }
 
-    /** `limit`: bytes. @default a quarter of the heap's limit */
+    /** `limit`: bytes. @default 0.3 of the heap's limit */
     static create(limit: number | undefined, clock: Clock): ConnectionMemory {
         return new ConnectionMemory(limit, clock);
     }
--- a/packages/basilpaddle/src/node/daemon/listeners/guardedConnection.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/guardedConnection.ts
@@ -6,6 +6,8 @@
 
 /** Slices of one connection's bytes that are parsed before others have their turn: as many as one read of a socket has at most. */
 const slicesInTurn = 4;
+/** Time in milliseconds after which an idle connection may give way. */
+const idleMilliseconds = 2_000;
 /** Time in milliseconds without an answer taken after which a connection whose answers wait to be taken may give way. */
 const unreadMilliseconds = 1_000;
 /** Bytes beyond the limit of a head at which it is given up while it is read: a slice may have begun before it. */
@@ -106,8 +108,13 @@
     }
 
     override mayGiveWay(): boolean {
-        const unfinished = this.unfinishedResponse() === undefined ? 0 : 1;
-        return !this.isGivenUp && !this.isIdle() && (this.responses.size === unfinished || this.isUnread());
+        if (this.isGivenUp) {
+            return false;
+        }
+        if (this.isIdle()) {
+            return this.options.now() - Math.max(this.lastByteAt, this.lastAnswerAt) >= idleMilliseconds;
+        }
+        return this.responses.size === (this.unfinishedResponse() === undefined ? 0 : 1) || this.isUnread();
     }
 
     override giveWay(): void {
--- a/packages/basilpaddle/src/node/daemon/listeners/retainedBytes.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/retainedBytes.ts
@@ -3,11 +3,11 @@
 /** Estimated bytes on the heap, beside the payload, of what a connection makes a process hold. */
 export const retainedBytes = {
     /** A connection with its parser and its listeners. */
-    connection: 10_000,
-    /** A request in progress with its response, and the call to a server that it waits for. */
-    request: 8_000,
+    connection: 16_000,
+    /** A request in progress with its response, and the connection to a server on which it waits. */
+    request: 24_000,
     /** One header line, as it was received and by its name, also as it is forwarded. */
-    headerLine: 220,
+    headerLine: 400,
 } as const;
 
 /** Bytes of the shortest header line. */
--- a/packages/basilpaddle/src/node/protocol/connectionBounds.ts
+++ b/packages/basilpaddle/src/node/protocol/connectionBounds.ts
@@ -8,9 +8,9 @@
     requestsAhead: z.int().min(2).default(8),
     /**
      * Bytes of all connections, heads and requests in progress, estimated from what they take on the heap, without bodies.
-     * @default a quarter of the heap's limit
+     * @default 0.3 of the heap's limit
      */
-    heldBytes: z.int().positive().optional(),
+    heldBytes: z.int().min(4_000_000).optional(),
     /** Time in milliseconds without a byte of a body after which its request is refused with 408. */
     bodyPause: z.number().positive().default(15_000),
 });
