fix(gateway): trailers of a body count like a head

What callers saw: a crowd that sends bodies followed by trailers without an end ends their gateway. Cause: while a body is read, nothing counted or bounded what comes beside its bytes; the parser keeps trailers as it keeps a head. Why it works: what is parsed since a head was whole or a byte of a body came is a head or trailers; it counts, and beyond the limit of a head it is given up with 431.

--- a/packages/basilpaddle/src/node/daemon/listeners/guardedConnection.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/guardedConnection.ts
@@ -47,7 +47,7 @@
     private readonly responses = new Map<http.ServerResponse, number>();
     private lastRequest: http.IncomingMessage | undefined;
     private unparsed: Buffer | undefined;
-    /** Bytes that were parsed since the last request was whole. */
+    /** Bytes that were parsed since a head was whole, or a byte of a body came: of a head or of trailers, that is. */
     private headBytes = 0;
     private requestBytes = 0;
     private isHeldBack = false;
@@ -102,6 +102,11 @@
         const bytes = retainedByRequest(request);
         this.lastRequest = request;
         this.headBytes = 0;
+        const push = request.push.bind(request);
+        request.push = (chunk, encoding) => {
+            this.headBytes = 0;
+            return push(chunk, encoding);
+        };
         this.requestBytes += bytes;
         this.responses.set(response, bytes);
         response.once("close", () => this.remove(response));
@@ -176,10 +181,7 @@
         this.headBytes += end;
         this.slicesLeft -= 1;
         this.parse(end < bytes.length ? bytes.subarray(0, end) : bytes);
-        if (this.isReadingBody()) {
-            this.headBytes = 0;
-        }
-        else if (this.headBytes > this.options.headBytes() + headMarginBytes) {
+        if (this.headBytes > this.options.headBytes() + headMarginBytes) {
             this.options.giveUp(this, "headTooLong");
         }
     }
