test(listeners): guarded connections, their account and slices of what they send ahead

Random requests sent ahead in random segments are answered in order; few of one connection are in progress; a connection that does nothing gives way, to a new one as well.

--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/listeners/__tests__/connectionGuard.spec.ts
@@ -0,0 +1,137 @@
+import { expect } from "chai";
+import * as http from "node:http";
+import * as net from "node:net";
+import { createSilentGuard } from "../../__tests__/silentGuard.js";
+
+/** Deterministic numbers below a bound, the same for the same seed. */
+function randomOf(seed: number): (bound: number) => number {
+    let state = seed;
+    return bound => {
+        state = (state * 1_103_515_245 + 12_345) % 2_147_483_648;
+        return state % bound;
+    };
+}
+
+describe("guarded connections", () => {
+    let server: http.Server;
+    let port: number;
+    let most = 0;
+    const sockets = new Set<net.Socket>();
+
+    async function listen(bounds: object, handler: http.RequestListener): Promise<void> {
+        let inProgress = 0;
+        most = 0;
+        server = http.createServer((request, response) => {
+            inProgress += 1;
+            most = Math.max(most, inProgress);
+            response.once("close", () => {
+                inProgress -= 1;
+            });
+            handler(request, response);
+        });
+        createSilentGuard(bounds).watch(server, { listener: "test", headBytes: 16_384 });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        ({ port } = server.address() as net.AddressInfo);
+    }
+
+    function connect(): { readonly socket: net.Socket; readonly received: () => string; } {
+        let received = "";
+        const socket = net.connect(port, "127.0.0.1");
+        sockets.add(socket);
+        socket.on("data", bytes => {
+            received += String(bytes);
+        });
+        socket.on("error", () => undefined);
+        return { socket, received: () => received };
+    }
+
+    async function until(condition: () => boolean): Promise<void> {
+        while (!condition()) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+    }
+
+    afterEach(() => {
+        sockets.forEach(socket => socket.destroy());
+        sockets.clear();
+        server.close();
+        server.closeAllConnections();
+    });
+
+    // Guards against connections that are held back and never read on, and against bytes that come out of order.
+    it("are answered in order, however requests are sent ahead, cut into segments and answered", async function() {
+        this.timeout(30_000);
+        const random = randomOf(7);
+        await listen({ requestsAhead: 3 }, (request, response) => {
+            let body = "";
+            request.setEncoding("latin1").on("data", part => {
+                body += part;
+            }).on("end", () => {
+                const answer = `${request.url}=${body.length};`;
+                setTimeout(() => response.end(answer.padEnd(1 + random(30_000))), random(3));
+            });
+        });
+        const bodies = ["", "x", "\r\n\r\n".repeat(300), "y".repeat(40_000)];
+        await Promise.all(Array.from({ length: 20 }, async () => {
+            const requests = Array.from(
+                { length: 40 },
+                (_, index) => ({ path: `/${index}`, body: bodies[random(4)]! }),
+            );
+            const bytes = requests.map(({ path, body }) => {
+                const chunked = random(2) === 0;
+                const framing = chunked ? "Transfer-Encoding: chunked" : `Content-Length: ${body.length}`;
+                const text = chunked
+                    ? `${body === "" ? "" : `${body.length.toString(16)}\r\n${body}\r\n`}0\r\n\r\n`
+                    : body;
+                return `POST ${path} HTTP/1.1\r\nHost: h\r\n${framing}\r\n\r\n${text}`;
+            }).join("");
+            const { socket, received } = connect();
+            for (let at = 0; at < bytes.length;) {
+                const end = at + 1 + random(50_000);
+                socket.write(bytes.slice(at, end));
+                at = end;
+                await new Promise(setImmediate);
+            }
+            const answers = (): readonly string[] => received().match(/\/\d+=\d+;/g) ?? [];
+            await until(() => answers().length === requests.length);
+            expect(answers()).to.deep.equal(requests.map(({ path, body }) => `${path}=${body.length};`));
+        }));
+    });
+
+    // Guards against thousands of requests of one connection that are all in progress.
+    it("have few requests in progress each, whatever is sent ahead", async () => {
+        const responses: http.ServerResponse[] = [];
+        await listen({ requestsAhead: 4 }, (_request, response) => responses.push(response));
+        const { socket, received } = connect();
+        socket.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".repeat(1_000));
+        let answered = 0;
+        await until(() => {
+            responses.splice(0).forEach(response => response.end("ok"));
+            answered = received().match(/200 OK/g)?.length ?? 0;
+            return answered === 1_000;
+        });
+        expect(most).to.be.at.most(7);
+    });
+
+    // Guards against new clients that are kept out by connections which nobody uses.
+    it("close the one that was idle for longest when there are too many", async () => {
+        await listen({ connections: 2 }, (_request, response) => response.end("ok"));
+        const [first, second] = [connect(), connect()];
+        await until(() => !first.socket.connecting && !second.socket.connecting);
+        second.socket.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        await until(() => second.received().includes("ok"));
+        const third = connect();
+        third.socket.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        await until(() => third.received().includes("ok") && first.socket.destroyed);
+        expect(second.socket.destroyed).to.equal(false);
+    });
+
+    // Guards against a body that never ends and keeps its place.
+    it("refuse a request of whose body nothing comes, as not run", async () => {
+        await listen({ bodyPause: 100 }, () => undefined);
+        const { socket, received } = connect();
+        socket.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx");
+        await until(() => socket.destroyed);
+        expect(received()).to.match(/^HTTP\/1\.1 408 /);
+    });
+});
