fix(gateway): a caller's body without room doesn't count what it no longer holds

Callers saw 503 "no room for the body" for longer than there was none: a body that had got no room dropped what it had read, and kept it counted until its answer had ended. A body that never ended kept the count for as long as it stayed open.

Cause: the holding was released with the response alone. Evidence: the new test sends 300,000 bytes and then 400,000 more of a body that doesn't end, where callers' bodies may take 500,000. On the code before, the account stays at what was dropped (the test fails: it waits for zero bytes until its end); now it is zero at once.

Why it works: what is dropped and what is counted end in the same place.

--- /dev/null
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/heldBody.spec.ts
@@ -0,0 +1,64 @@
+import { once } from "node:events";
+import * as http from "node:http";
+import * as net from "node:net";
+import { createSilentLogger, SilentMetrics, SystemClock } from "../../../utils/index.js";
+import { HeldBytes } from "../../backends/index.js";
+import { readBodyOrRefuse } from "../heldBody.js";
+import { writeOwnAnswer } from "../ownAnswer.js";
+
+const limits = { headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeout: 3_000, idleTimeout: 15_000 };
+/** Of which callers' bodies may take half. */
+const heldLimit = 1_000_000;
+
+describe("the body of a caller", () => {
+    const clock = SystemClock.create();
+    let held: HeldBytes;
+    let server: http.Server;
+    let sockets: net.Socket[];
+
+    beforeEach(async () => {
+        const logger = createSilentLogger();
+        held = HeldBytes.create({ limit: heldLimit, clock, logger, metrics: SilentMetrics.create() });
+        server = http.createServer(async (incoming, response) => {
+            const refuse = (status: number, cause: string, headers?: Readonly<Record<string, string>>): void =>
+                writeOwnAnswer(response, status, cause, headers);
+            const body = await readBodyOrRefuse(incoming, response, limits, held, refuse);
+            if (body !== undefined) {
+                response.end(String(body.length));
+            }
+        });
+        server.listen(0, "127.0.0.1");
+        await once(server, "listening");
+        sockets = [];
+    });
+
+    afterEach(() => {
+        sockets.forEach(socket => socket.destroy());
+        server.closeAllConnections();
+        server.close();
+    });
+
+    /** Sends the head of a body of that length, and the first bytes of it. */
+    function send(length: number, sent: number): net.Socket {
+        const socket = net.connect((server.address() as net.AddressInfo).port, "127.0.0.1");
+        socket.on("error", () => undefined);
+        socket.write(`POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ${length}\r\n\r\n`);
+        socket.write(Buffer.alloc(sent));
+        sockets.push(socket);
+        return socket;
+    }
+
+    async function until(condition: () => boolean): Promise<void> {
+        while (!condition()) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+    }
+
+    // Guards against bodies without room that keep counting what was dropped, so that others find no room either.
+    it("doesn't count what it doesn't hold once there is no room for it", async () => {
+        const socket = send(2_000_000, 300_000);
+        await until(() => held.bytes >= 300_000);
+        socket.write(Buffer.alloc(400_000));
+        await until(() => held.bytes === 0);
+    });
+});
--- a/packages/basilpaddle/src/node/daemon/gateway/heldBody.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/heldBody.ts
@@ -42,7 +42,13 @@
 ): ReturnType<typeof readBody> {
     const holding = held.hold({});
     response.once("close", () => holding.release());
-    return readBody(incoming, limits, bytes => held.tryReserve(holding, bytes, callersFraction));
+    return readBody(incoming, limits, bytes => {
+        const fits = held.tryReserve(holding, bytes, callersFraction);
+        if (!fits) {
+            holding.release();
+        }
+        return fits;
+    });
 }
 
 /**
