fix(gateway): callers' bodies that never end give way to those that would be done in a moment

Callers saw every ordinary request with a body refused (503, no room) for as long as a crowd of unfinished bodies stayed, up to 60 s. A body without room was read to its end, and refused only then.

Cause: room went to who came first, and nobody had to give it back.

What changed: when a caller's body wants room and there is none, unfinished ones give way: first those of which nothing came for a second, the longest first, then the largest if it is larger than the one that asks. Whoever gives way, or gets no room, is refused at once with 503, Retry-After and Connection: close, has not run, and counts for nothing any more. No server's answer gives way to a caller's body. Stillness is counted in ticks that come after input was read, so that a process that stood still judges nobody by it. The largest is looked for only when a body ends for it.

--- a/packages/basilpaddle/src/node/daemon/backends/heldBytes.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/heldBytes.ts
@@ -8,6 +8,7 @@
     SilentMetrics,
     SystemClock,
 } from "../../utils/index.js";
+import { ReceivedBodies } from "./receivedBodies.js";
 
 /** Part of the heap's limit that bodies may take if the settings state none: they are outside the heap, beside all else. */
 const defaultHeapFraction = 1 / 10;
@@ -46,9 +47,9 @@
         return !this.isReleased && this.account.reserve(this, bytes);
     }
 
-    /** Whether that many more bytes may be kept at once, beside what is reserved for small bodies. */
-    tryReserve(bytes: number): boolean {
-        return !this.isReleased && this.account.tryReserve(this, bytes, 1 - smallBodiesFraction);
+    /** Whether that many more bytes may be kept at once in that part of the limit. @default what isn't reserved for small bodies */
+    tryReserve(bytes: number, fraction = 1 - smallBodiesFraction): boolean {
+        return !this.isReleased && this.account.tryReserve(this, bytes, fraction);
     }
 
     /** Whether it has been released, or gave way. */
@@ -78,6 +79,8 @@
  */
 export class HeldBytes {
     readonly limit: number;
+    /** The bodies that callers send. */
+    readonly received: ReceivedBodies;
     private readonly holdings = new Set<Holding>();
     private waiters: Waiter[] = [];
     private held = 0;
@@ -86,6 +89,7 @@
     private constructor(private readonly options: HeldBytesOptions) {
         const share = Math.floor(getHeapStatistics().heap_size_limit * defaultHeapFraction);
         this.limit = options.limit ?? Math.max(share, minHeldBytes(options.largest ?? 0));
+        this.received = ReceivedBodies.create(this, options.clock, options.logger, options.metrics);
     }
 
     static create(options: HeldBytesOptions): HeldBytes {
--- a/packages/basilpaddle/src/node/daemon/backends/index.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/index.ts
@@ -5,3 +5,4 @@
 export * from "./engineCall.js";
 export * from "./gatedPool.js";
 export * from "./heldBytes.js";
+export type { ReceivedBody } from "./receivedBodies.js";
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/heldBody.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/heldBody.spec.ts
@@ -1,3 +1,4 @@
+import { expect } from "chai";
 import { once } from "node:events";
 import * as http from "node:http";
 import * as net from "node:net";
@@ -41,7 +42,7 @@
     /** Sends the head of a body of that length, and the first bytes of it. */
     function send(length: number, sent: number): net.Socket {
         const socket = net.connect((server.address() as net.AddressInfo).port, "127.0.0.1");
-        socket.on("error", () => undefined);
+        socket.on("error", () => undefined).resume();
         socket.write(`POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ${length}\r\n\r\n`);
         socket.write(Buffer.alloc(sent));
         sockets.push(socket);
@@ -61,4 +62,29 @@
         socket.write(Buffer.alloc(400_000));
         await until(() => held.bytes === 0);
     });
+
+    // Guards against callers whose body got no room, and who learn it only once all of it was read.
+    it("is refused at once if there is no room for it, as not run, and its connection closes", async () => {
+        const socket = send(2_000_000, 600_000);
+        let answer = "";
+        socket.on("data", (bytes: Buffer) => {
+            answer += bytes.toString("latin1");
+        });
+        await once(socket, "close");
+        expect([/^HTTP\/1.1 (\d+)/.exec(answer)?.[1], /^Retry-After: (.*)$/im.test(answer)]).to.deep.equal([
+            "503",
+            true,
+        ]);
+        expect(answer).to.match(/^Connection: close\r$/im);
+        expect(held.bytes).to.equal(0);
+    });
+
+    // Guards against bodies that never end, and keep out every caller who would be done in a moment.
+    it("that is large and never ends gives way to a small one", async () => {
+        const large = [send(2_000_000, 240_000), send(2_000_000, 240_000)];
+        await until(() => held.bytes >= 480_000);
+        const [answer] = await once(send(40_000, 40_000), "data") as [Buffer];
+        expect(answer.toString("latin1")).to.match(/^HTTP\/1.1 200 [^]*\r\n\r\n40000$/);
+        await until(() => large.some(({ destroyed }) => destroyed));
+    });
 });
--- a/packages/basilpaddle/src/node/daemon/gateway/heldBody.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/heldBody.ts
@@ -1,16 +1,17 @@
 import type * as http from "node:http";
 import type { CallerLimits } from "../../protocol/index.js";
-import type { HeldBytes } from "../backends/index.js";
+import type { HeldBytes, ReceivedBody } from "../backends/index.js";
 import { BodyBuffer } from "../listeners/index.js";
 
-/** Part of the limit of all bodies that callers' may take, so that answers to them can still be read. */
-const callersFraction = 0.5;
 /** Retry-After if there is no room for a body. */
 export const noRoomRetryAfterSeconds = 0.3;
 
 /** Refuses a request with a status, a cause and further headers. */
 export type Refuse = (status: number, cause: string, headers?: Readonly<Record<string, string>>) => void;
 
+/** How a body that wasn't read whole ended; undefined if its caller disconnected. */
+type Unread = "tooLarge" | "noRoom" | undefined;
+
 /** Reads a caller's whole body, and counts it until its answer has ended; undefined if it isn't whole, and its caller was told. */
 export async function readBodyOrRefuse(
     incoming: http.IncomingMessage,
@@ -19,68 +20,72 @@
     held: HeldBytes,
     refuse: Refuse,
 ): Promise<Buffer | undefined> {
-    const body = await readHeldBody(incoming, response, limits, held);
+    const body = await readBody(incoming, response, limits, held);
     if (body === undefined) {
         response.destroy();
     }
+    else if (response.headersSent) {
+        // It was refused meanwhile, since the grace period is over.
+        return undefined;
+    }
     else if (body === "tooLarge") {
         refuse(413, `the body is larger than ${limits.bodyBytes} bytes`);
     }
     else if (body === "noRoom") {
-        refuse(503, "no room for the body", { "Retry-After": String(noRoomRetryAfterSeconds) });
+        refuse(503, "no room for the body", { "Retry-After": String(noRoomRetryAfterSeconds), "Connection": "close" });
     }
-    // The request may have been refused meanwhile, since the grace period is over.
-    return typeof body === "string" || response.headersSent ? undefined : body;
-}
-
-/** Reads a caller's whole body, and counts it until its answer has ended; "noRoom" if all bodies together have too many bytes. */
-function readHeldBody(
-    incoming: http.IncomingMessage,
-    response: http.ServerResponse,
-    limits: CallerLimits,
-    held: HeldBytes,
-): ReturnType<typeof readBody> {
-    const holding = held.hold({});
-    response.once("close", () => holding.release());
-    return readBody(incoming, limits, bytes => {
-        const fits = held.tryReserve(holding, bytes, callersFraction);
-        if (!fits) {
-            holding.release();
-        }
-        return fits;
-    });
+    return typeof body === "string" ? undefined : body;
 }
 
 /**
  * Reads the whole body before anything is forwarded, so that the request can be resent in full, and isn't run at all if its
- * caller disconnects midway. Returns "tooLarge" as soon as the limit is exceeded, "noRoom" at the end of a body that `mayKeep` had no
- * room for, undefined if the caller disconnected.
+ * caller disconnects midway. Resolves early, and leaves the rest unread, once it is known that it won't be read whole.
  */
-export async function readBody(
+function readBody(
     incoming: http.IncomingMessage,
-    limits: CallerLimits,
-    mayKeep: (bytes: number) => boolean = () => true,
-): Promise<Buffer | "tooLarge" | "noRoom" | undefined> {
-    const announced = Number(incoming.headers["content-length"] ?? 0);
-    if (announced > limits.bodyBytes) {
-        return "tooLarge";
+    response: http.ServerResponse,
+    { bodyBytes }: CallerLimits,
+    held: HeldBytes,
+): Promise<Buffer | Unread> {
+    if (Number(incoming.headers["content-length"] ?? 0) > bodyBytes) {
+        return Promise.resolve("tooLarge");
     }
-    let buffer: BodyBuffer | undefined = BodyBuffer.create();
-    let size = 0;
-    try {
-        for await (const chunk of incoming as AsyncIterable<Buffer>) {
-            size += chunk.length;
-            if (size > limits.bodyBytes) {
-                return "tooLarge";
+    return new Promise(resolve => {
+        const buffer = BodyBuffer.create();
+        const end = (body: Buffer | Unread): void => {
+            incoming.off("data", add).off("end", finish).off("close", leave);
+            resolve(body);
+        };
+        const refuseRest = (cause: Unread): void => {
+            received.release();
+            incoming.pause();
+            end(cause);
+        };
+        const received: ReceivedBody = held.received.receive(() => refuseRest("noRoom"));
+        const add = (part: Buffer): void => {
+            if (buffer.length + part.length > bodyBytes) {
+                refuseRest("tooLarge");
             }
-            // The rest is read too: to stop would close the connection without an answer.
-            buffer = buffer !== undefined && mayKeep(buffer.costOf(chunk)) ? buffer : undefined;
-            buffer?.add(chunk);
-        }
-    }
-    catch {
+            else if (received.reserve(buffer.costOf(part))) {
+                buffer.add(part);
+            }
+            else {
+                refuseRest("noRoom");
+            }
+        };
+        const finish = (): void => {
+            received.recordWhole();
+            end(buffer.whole());
+        };
         // The connection broke before the end of the body, so there is no caller to answer.
-        return undefined;
-    }
-    return buffer?.whole() ?? "noRoom";
+        const leave = (): void => {
+            received.release();
+            end(undefined);
+        };
+        response.once("close", () => received.release());
+        incoming.on("data", add).once("end", finish).once("close", leave);
+        if (incoming.destroyed) {
+            leave();
+        }
+    });
 }
