fix(gateway): a body that isn't whole within its request's own time is refused with 408

A caller whose body trickled waited for up to 60 s, the limit of the HTTP server, though its request had 3 s: its room was kept meanwhile, and what it was told then came after its own limit.

Cause: the request's time was looked at only once its body was whole. Evidence: heldBody.spec.ts, "is refused with 408 if it isn't whole within its request's time", fails (time-out) with the limit taken out, and passes with it.

What changed: a body must be whole by its request's deadline, from arrival: the caller's limit or the route's, whichever is shorter. Else it is refused with 408 (not run) and Connection: close, and its room is free at once. The end of that time is judged after input was read; a process that notices it 100 ms late or more reads on for 100 ms before. The test of a process that stood still passes, but passes also without that second read (tried): it guards the order of reading and judging alone.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/heldBody.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/heldBody.spec.ts
@@ -16,6 +16,7 @@
     let held: HeldBytes;
     let server: http.Server;
     let sockets: net.Socket[];
+    let within: number;
 
     beforeEach(async () => {
         const logger = createSilentLogger();
@@ -23,7 +24,8 @@
         server = http.createServer(async (incoming, response) => {
             const refuse = (status: number, cause: string, headers?: Readonly<Record<string, string>>): void =>
                 writeOwnAnswer(response, status, cause, headers);
-            const body = await readBodyOrRefuse(incoming, response, limits, held, refuse);
+            const deadline = { clock, dueAt: clock.monotonic() + within };
+            const body = await readBodyOrRefuse(incoming, response, limits, held, deadline, refuse);
             if (body !== undefined) {
                 response.end(String(body.length));
             }
@@ -31,6 +33,7 @@
         server.listen(0, "127.0.0.1");
         await once(server, "listening");
         sockets = [];
+        within = 60_000;
     });
 
     afterEach(() => {
@@ -87,4 +90,24 @@
         expect(answer.toString("latin1")).to.match(/^HTTP\/1.1 200 [^]*\r\n\r\n40000$/);
         await until(() => large.some(({ destroyed }) => destroyed));
     });
+
+    // Guards against bodies that keep their room, and their callers waiting, beyond the time of their request.
+    it("is refused with 408 if it isn't whole within its request's time, and its connection closes", async () => {
+        within = 100;
+        const socket = send(2, 1);
+        const [answer] = await once(socket, "data") as [Buffer];
+        expect(answer.toString("latin1")).to.match(/^HTTP\/1.1 408 [^]*Connection: close/);
+        await once(socket, "close");
+        expect(held.bytes).to.equal(0);
+    });
+
+    it("is served if it came within its time to a process that stood still until after it", async () => {
+        within = 300;
+        const socket = send(400_000, 0);
+        await new Promise(resolve => server.once("request", resolve));
+        socket.write(Buffer.alloc(400_000));
+        await new Promise(resolve => setTimeout(resolve, 1));
+        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 600);
+        expect(String((await once(socket, "data"))[0])).to.match(/^HTTP\/1.1 200 /);
+    });
 });
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -322,8 +322,8 @@
         const refuse = (status: number, cause: string, headers?: Readonly<Record<string, string>>): void =>
             refuseUnrouted(this.options, incoming, response, status, cause, headers);
         const arrivedAt = this.loop.earliestArrival(incoming.socket, readAt);
-        const { deadlineWithin } = wire.parseCaller(incoming.headers);
-        const table = this.routes.table() ?? await this.routes.waitForFirst(deadlineWithin, arrivedAt);
+        const metadata = wire.parseCaller(incoming.headers);
+        const table = this.routes.table() ?? await this.routes.waitForFirst(metadata.deadlineWithin, arrivedAt);
         if (table === undefined) {
             refuse(503, "no configuration received yet", { "Retry-After": String(unconfiguredRetryAfterSeconds) });
             return;
@@ -343,8 +343,10 @@
             refuse(401, "no valid key", wire.challenge);
             return;
         }
-        const metadata = wire.parseCaller(incoming.headers);
-        const body = await readBodyOrRefuse(incoming, response, limits, this.relaying.answers.held, refuse);
+        const within = Math.min(metadata.deadlineWithin ?? route.timeout, route.timeout);
+        const { held } = this.relaying.answers;
+        const deadline = { clock, dueAt: arrivedAt + within };
+        const body = await readBodyOrRefuse(incoming, response, limits, held, deadline, refuse);
         if (body === undefined) {
             return;
         }
--- a/packages/basilpaddle/src/node/daemon/gateway/heldBody.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/heldBody.ts
@@ -1,16 +1,23 @@
 import type * as http from "node:http";
 import type { CallerLimits } from "../../protocol/index.js";
+import type { Clock } from "../../utils/index.js";
 import type { HeldBytes, ReceivedBody } from "../backends/index.js";
 import { BodyBuffer } from "../listeners/index.js";
 
 /** Retry-After if there is no room for a body. */
 export const noRoomRetryAfterSeconds = 0.3;
 
+/** Milliseconds in which a process that noticed the end of a body's time late reads what has come meanwhile. */
+const lateReadMilliseconds = 100;
+
+/** Until when a body must be whole, in milliseconds of the monotonic clock. */
+export type BodyDeadline = { readonly clock: Clock; readonly dueAt: number; };
+
 /** Refuses a request with a status, a cause and further headers. */
 export type Refuse = (status: number, cause: string, headers?: Readonly<Record<string, string>>) => void;
 
 /** How a body that wasn't read whole ended; undefined if its caller disconnected. */
-type Unread = "tooLarge" | "noRoom" | undefined;
+type Unread = "tooLarge" | "noRoom" | "late" | undefined;
 
 /** Reads a caller's whole body, and counts it until its answer has ended; undefined if it isn't whole, and its caller was told. */
 export async function readBodyOrRefuse(
@@ -18,9 +25,10 @@
     response: http.ServerResponse,
     limits: CallerLimits,
     held: HeldBytes,
+    deadline: BodyDeadline,
     refuse: Refuse,
 ): Promise<Buffer | undefined> {
-    const body = await readBody(incoming, response, limits, held);
+    const body = await readBody(incoming, response, limits, held, deadline);
     if (body === undefined) {
         response.destroy();
     }
@@ -34,6 +42,9 @@
     else if (body === "noRoom") {
         refuse(503, "no room for the body", { "Retry-After": String(noRoomRetryAfterSeconds), "Connection": "close" });
     }
+    else if (body === "late") {
+        refuse(408, "the body wasn't whole within the request's time", { "Connection": "close" });
+    }
     return typeof body === "string" ? undefined : body;
 }
 
@@ -46,6 +57,7 @@
     response: http.ServerResponse,
     { bodyBytes }: CallerLimits,
     held: HeldBytes,
+    deadline: BodyDeadline,
 ): Promise<Buffer | Unread> {
     if (Number(incoming.headers["content-length"] ?? 0) > bodyBytes) {
         return Promise.resolve("tooLarge");
@@ -53,6 +65,7 @@
     return new Promise(resolve => {
         const buffer = BodyBuffer.create();
         const end = (body: Buffer | Unread): void => {
+            cancelLimit();
             incoming.off("data", add).off("end", finish).off("close", leave);
             resolve(body);
         };
@@ -82,6 +95,7 @@
             received.release();
             end(undefined);
         };
+        const cancelLimit = callOnceOverdue(deadline, () => refuseRest("late"));
         response.once("close", () => received.release());
         incoming.on("data", add).once("end", finish).once("close", leave);
         if (incoming.destroyed) {
@@ -89,3 +103,16 @@
         }
     });
 }
+
+/** Calls back once a deadline is over, and what came before it was read; returns what cancels it. */
+function callOnceOverdue({ clock, dueAt }: BodyDeadline, callback: () => void): () => void {
+    let cancel = clock.after(Math.max(1, dueAt - clock.monotonic()), () => {
+        if (clock.monotonic() - dueAt < lateReadMilliseconds) {
+            callback();
+        }
+        else {
+            cancel = clock.after(lateReadMilliseconds, callback);
+        }
+    });
+    return () => cancel();
+}
