fix(gateway): a body's buffer holds no more than twice its bytes and a small constant

A caller's body could be counted, and hold, over three times its bytes: after a part of 4,000 bytes, one of a single byte opened a block of 8,000.

Cause: each block was twice as large as the one before, even if that was as large as the whole body so far. Evidence: the new property (any sizes of parts give the same whole; at least its bytes and at most twice them and 2,048 are held) failed on the code before with parts of 4,000 and 1 byte: 12,512 bytes held for 4,001.

Why it works: a block is no larger than what the body has had, beside the first.

--- a/packages/basilpaddle/src/node/daemon/listeners/bodyBuffer.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/bodyBuffer.ts
@@ -32,7 +32,17 @@
     /** Adds a part. */
     add(part: Buffer): void {
         this.heldBytes += this.costOf(part);
+        this.copyOrKeep(part);
         this.length += part.length;
+    }
+
+    /** The whole body. */
+    whole(): Buffer {
+        this.endBlock();
+        return this.parts.length === 1 ? this.parts[0]! : Buffer.concat(this.parts, this.length);
+    }
+
+    private copyOrKeep(part: Buffer): void {
         if (part.length >= minPartBytes) {
             this.endBlock();
             this.parts.push(part);
@@ -49,15 +59,11 @@
         }
     }
 
-    /** The whole body. */
-    whole(): Buffer {
-        this.endBlock();
-        return this.parts.length === 1 ? this.parts[0]! : Buffer.concat(this.parts, this.length);
-    }
-
     private nextBlockBytes(wanted: number): number {
         const doubled = this.block === undefined ? firstBlockBytes : this.block.length * 2;
-        return Math.max(wanted, Math.min(maxBlockBytes, doubled));
+        // No more than the body has had: what is held stays below twice its bytes.
+        const most = Math.min(maxBlockBytes, Math.max(firstBlockBytes, this.length));
+        return Math.max(wanted, Math.min(most, doubled));
     }
 
     private endBlock(): void {
