fix(gateway): what a connection sends of a head, and what it holds unread, counts exactly

What callers saw: a crowd whose unfinished heads came behind a whole request ended their gateway; one that sent requests ahead on 1,000 connections took it to 301 MB. Cause: a slice of bytes could hold a whole request and 16 KB of the next head, which then counted as nothing; the last slice of a body could count as a head. A paused stream takes another block of 64 KiB, and a short rest keeps the block that it came in. Why it works: a slice ends with a body of known length or with an empty line, if it has one, so that nothing of a head is in a slice with what comes before it. While a connection is held back, nothing is read, and its block counts. Over half of the limit, each connection has one request in progress. Beyond the limit, one that holds much unparsed gives way at once.

--- a/packages/basilpaddle/src/node/daemon/listeners/__tests__/connectionGuard.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/__tests__/connectionGuard.spec.ts
@@ -134,4 +134,25 @@
         await until(() => socket.destroyed);
         expect(received()).to.match(/^HTTP\/1\.1 408 /);
     });
+
+    // Guards against requests that are refused in calm, and idle connections that are answered, since bodies count as heads.
+    it("have room for many bodies in progress, and nothing is written to them when they are idle", async () => {
+        const responses: http.ServerResponse[] = [];
+        await listen({ heldBytes: 6_000_000 }, (request, response) => {
+            request.resume().on("end", () => responses.push(response));
+        });
+        const clients = Array.from({ length: 60 }, () => connect());
+        const body = "x".repeat(30_000);
+        clients.forEach(({ socket }) =>
+            socket.write(`POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 30000\r\n\r\n${body}`)
+        );
+        await until(() => responses.length === clients.length);
+        responses.forEach(response => response.end());
+        await until(() => clients.every(({ received }) => received() !== ""));
+        const late = connect();
+        late.socket.write(`POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 30000\r\n\r\n${body}`);
+        await until(() => responses.length > clients.length);
+        const answers = clients.map(({ received }) => received().match(/HTTP\/1\.1 \d+/g)?.join());
+        expect([...new Set(answers)]).to.deep.equal(["HTTP/1.1 200"]);
+    });
 });
--- a/packages/basilpaddle/src/node/daemon/listeners/connectionMemory.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/connectionMemory.ts
@@ -2,9 +2,10 @@
 import type { Clock, Metrics } from "../../utils/index.js";
 
 /** Part of the heap's limit that connections may take if the settings state none. */
-const defaultHeapFraction = 0.3;
+const defaultHeapFraction = 0.35;
 /** Part of the limit that is left to connections which want little. */
 const littleFraction = 1 / 4;
+const tightFraction = 1 / 2;
 /** What a head of usual size takes at most. */
 const littleBytes = 262_144;
 /** How long a connection waits for room before others give way, and how long before it does so itself. */
@@ -43,7 +44,7 @@
         this.limit = limit ?? Math.floor(getHeapStatistics().heap_size_limit * defaultHeapFraction);
     }
 
-    /** `limit`: bytes. @default 0.3 of the heap's limit */
+    /** `limit`: bytes. @default 0.35 of the heap's limit */
     static create(limit: number | undefined, clock: Clock): ConnectionMemory {
         return new ConnectionMemory(limit, clock);
     }
@@ -81,6 +82,16 @@
         return false;
     }
 
+    /** Whether over half of the limit is used, so that a connection sends one request at a time. */
+    isTight(): boolean {
+        return this.used > this.limit * tightFraction;
+    }
+
+    /** Whether more than the limit is held: bytes that came and can't be parsed count too. */
+    isExceeded(): boolean {
+        return this.used > this.limit;
+    }
+
     /** Sets the gauges of what is held. */
     measure(metrics: Metrics): void {
         metrics.gauge("basilpaddle_connections", this.holders.size);
@@ -98,7 +109,9 @@
             return;
         }
         let room = this.limit - this.used;
-        const waiting = [...this.waits].sort(([, one], [, other]) => one.bytes - other.bytes);
+        const waiting = [...this.waits].sort(([, one], [, other]) =>
+            one.bytes - other.bytes || one.since - other.since
+        );
         for (const [holder, { bytes }] of waiting) {
             if (bytes > room || !this.fits(bytes)) {
                 return;
@@ -121,14 +134,18 @@
             if (largest === undefined) {
                 break;
             }
-            largest.giveWay();
-            this.release(largest);
+            this.endHolder(largest);
         }
         if (this.waits.size > 0) {
             this.cancelTimer ??= this.clock.after(pauseMilliseconds, () => this.endPause());
         }
     }
 
+    private endHolder(holder: MemoryHolder): void {
+        holder.giveWay();
+        this.release(holder);
+    }
+
     /** The holder of most among those that can give way; undefined if there is none. */
     private largest(): MemoryHolder | undefined {
         let largest: MemoryHolder | undefined;
--- a/packages/basilpaddle/src/node/daemon/listeners/guardedConnection.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/guardedConnection.ts
@@ -1,16 +1,19 @@
 import type * as http from "node:http";
 import type { Socket } from "node:net";
 import { type ConnectionMemory, MemoryHolder } from "./connectionMemory.js";
-import { endOfSlice } from "./requestSlices.js";
+import { readOnlyWhileFlowing } from "./readControl.js";
+import { nextSlice, type ParserState, type Slice } from "./requestSlices.js";
 import { retainedByHead, retainedByRequest, retainedBytes } from "./retainedBytes.js";
 
 /** Slices of one connection's bytes that are parsed before others have their turn: as many as one read of a socket has at most. */
 const slicesInTurn = 4;
+/** Bytes that a connection with a request of usual size doesn't hold while it waits. */
+const manyBytes = 65_536;
 /** Time in milliseconds after which an idle connection may give way. */
 const idleMilliseconds = 2_000;
-/** Time in milliseconds without an answer taken after which a connection whose answers wait to be taken may give way. */
+/** Time in milliseconds without a byte taken after which a connection whose answers wait to be taken may give way. */
 const unreadMilliseconds = 1_000;
-/** Bytes beyond the limit of a head at which it is given up while it is read: a slice may have begun before it. */
+/** Bytes beyond the limit of a head at which it is given up while it is read: one more slice. */
 const headMarginBytes = 16_384;
 
 /** Why a connection, or the request that it is sending, is given up. */
@@ -43,17 +46,21 @@
     readonly socket: Socket;
     /** When the last bytes came, in milliseconds of the monotonic clock. */
     lastByteAt: number;
-    private lastAnswerAt: number;
+    /** When the last answer had been taken, or it was opened. */
+    lastAnswerAt: number;
     private readonly responses = new Map<http.ServerResponse, number>();
     private lastRequest: http.IncomingMessage | undefined;
     private unparsed: Buffer | undefined;
-    /** Bytes that were parsed since a head was whole, or a byte of a body came: of a head or of trailers, that is. */
+    /** Bytes of a head, or of trailers and the framing before them, that were parsed and aren't whole. */
     private headBytes = 0;
+    /** Bytes of the body that is being read. */
+    private bodyBytes = 0;
     private requestBytes = 0;
     private isHeldBack = false;
     private isWaitingForTurn = false;
     private isGivenUp = false;
     private slicesLeft = slicesInTurn;
+    private taken = { bytes: 0, at: 0 };
 
     private constructor(
         private readonly options: GuardedConnectionOptions,
@@ -76,6 +83,7 @@
         socket.removeListener("data", parse);
         socket.on("data", bytes => connection.receive(bytes));
         socket.on("resume", () => connection.parseOn());
+        readOnlyWhileFlowing(socket);
         socket.once("close", () => connection.close());
         memory.update(connection, retainedBytes.connection);
         return connection;
@@ -91,6 +99,11 @@
         return this.responses.size === 0 && this.headBytes === 0 && this.unparsed === undefined;
     }
 
+    /** Whether it is given up, so that it ends soon. */
+    hasEnded(): boolean {
+        return this.isGivenUp;
+    }
+
     /** The response to the request whose body isn't whole; undefined if there is none. */
     unfinishedResponse(): http.ServerResponse | undefined {
         const last = [...this.responses.keys()].at(-1);
@@ -101,17 +114,18 @@
     add(request: http.IncomingMessage, response: http.ServerResponse): void {
         const bytes = retainedByRequest(request);
         this.lastRequest = request;
-        this.headBytes = 0;
-        const push = request.push.bind(request);
-        request.push = (chunk, encoding) => {
-            this.headBytes = 0;
-            return push(chunk, encoding);
-        };
+        this.bodyBytes = 0;
         this.requestBytes += bytes;
         this.responses.set(response, bytes);
         response.once("close", () => this.remove(response));
+        const push = request.push.bind(request);
+        request.push = (chunk: Buffer | undefined, encoding) => {
+            this.bodyBytes += chunk?.length ?? 0;
+            return push(chunk, encoding);
+        };
     }
 
+    /** Whether nothing of it is being served: it sends a request, or reads no answers, or is idle for a while. */
     override mayGiveWay(): boolean {
         if (this.isGivenUp) {
             return false;
@@ -119,7 +133,12 @@
         if (this.isIdle()) {
             return this.options.now() - Math.max(this.lastByteAt, this.lastAnswerAt) >= idleMilliseconds;
         }
-        return this.responses.size === (this.unfinishedResponse() === undefined ? 0 : 1) || this.isUnread();
+        return this.isSending() || this.isUnread();
+    }
+
+    /** Whether it has no request beside one that isn't whole. */
+    isSending(): boolean {
+        return this.responses.size === (this.unfinishedResponse() === undefined ? 0 : 1);
     }
 
     override giveWay(): void {
@@ -166,29 +185,61 @@
                 this.waitForTurn();
                 break;
             }
-            const end = endOfSlice(this.unparsed, this.options.requestsAhead - this.responses.size);
-            if (!this.isReadingBody() && !memory.hasRoom(this, retainedBytes.request + retainedByHead(end))) {
+            const slice = nextSlice(this.unparsed, this.parserState(), this.requestsAhead() - this.responses.size);
+            if (!this.isReadingBody() && !memory.hasRoom(this, retainedBytes.request + retainedByHead(slice.end))) {
                 this.holdBack();
+                this.endIfExceeded();
                 break;
             }
-            this.parseSlice(this.unparsed, end);
+            this.parseSlice(this.unparsed, slice);
         }
         this.updateHeld();
     }
 
-    private parseSlice(bytes: Buffer, end: number): void {
+    /** Gives way at once if it holds much that can't be parsed now, so that a crowd's bytes aren't all read before any of it gives way. */
+    private endIfExceeded(): void {
+        this.updateHeld();
+        if (this.options.memory.isExceeded() && this.held > manyBytes && this.mayGiveWay()) {
+            this.giveWay();
+        }
+    }
+
+    private parseSlice(bytes: Buffer, { end, endsWithEmptyLine }: Slice): void {
+        const { lastRequest, bodyBytes } = this;
         this.unparsed = end < bytes.length ? bytes.subarray(end) : undefined;
-        this.headBytes += end;
         this.slicesLeft -= 1;
         this.parse(end < bytes.length ? bytes.subarray(0, end) : bytes);
+        const payload = this.bodyBytes - (this.lastRequest === lastRequest ? bodyBytes : 0);
+        if (endsWithEmptyLine) {
+            this.headBytes = 0;
+        }
+        else if (payload > 0) {
+            this.headBytes = this.isReadingBody() ? end - payload : 0;
+        }
+        else {
+            this.headBytes += end;
+        }
         if (this.headBytes > this.options.headBytes() + headMarginBytes) {
             this.options.giveUp(this, "headTooLong");
         }
     }
 
+    private parserState(): ParserState {
+        if (!this.isReadingBody()) {
+            return "head";
+        }
+        const length = this.lastRequest?.headers["content-length"];
+        return length === undefined ? "chunks" : { bodyLeft: Number(length) - this.bodyBytes };
+    }
+
     /** Whether all of its requests were answered, and its client has taken nothing of that for a while. */
     private isUnread(): boolean {
-        return this.options.now() - this.lastAnswerAt >= unreadMilliseconds
+        const now = this.options.now();
+        const bytes = this.socket.bytesWritten - this.socket.writableLength;
+        if (bytes !== this.taken.bytes || this.taken.at === 0) {
+            this.taken = { bytes, at: now };
+        }
+        return now - this.taken.at >= unreadMilliseconds
             && [...this.responses.keys()].every(({ writableEnded }) => writableEnded);
     }
 
@@ -197,12 +248,21 @@
     }
 
     private isFull(): boolean {
-        return !this.isReadingBody() && this.responses.size >= this.options.requestsAhead;
+        return !this.isReadingBody() && this.responses.size >= this.requestsAhead();
+    }
+
+    private requestsAhead(): number {
+        return this.options.memory.isTight() ? 1 : this.options.requestsAhead;
     }
 
     private holdBack(): void {
         this.isHeldBack = true;
         this.socket.pause();
+        const { unparsed } = this;
+        if (unparsed !== undefined && unparsed.length < unparsed.buffer.byteLength / 2) {
+            // Otherwise a short rest keeps the whole block that it came in.
+            this.unparsed = Buffer.from(unparsed);
+        }
     }
 
     private readOn(): void {
@@ -235,7 +295,7 @@
     private updateHeld(): void {
         const { unparsed, headBytes, requestBytes, socket } = this;
         if (!socket.destroyed) {
-            const bytes = (unparsed?.length ?? 0) + retainedByHead(headBytes) + requestBytes;
+            const bytes = (unparsed?.buffer.byteLength ?? 0) + retainedByHead(headBytes) + requestBytes;
             this.options.memory.update(this, retainedBytes.connection + bytes);
         }
     }
--- a/packages/basilpaddle/src/node/daemon/listeners/requestSlices.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/requestSlices.ts
@@ -2,22 +2,45 @@
 const carriageReturn = 0x0D;
 /** Bytes of the shortest request, `GET / HTTP/1.1` and an empty line. */
 const shortestRequestBytes = 18;
-/** A slice isn't shorter, so that empty lines within a body don't make it many slices. */
-const minSliceBytes = 64;
+/** An empty line within these first bytes doesn't end a slice if another one follows: bodies may have many. */
+const minSliceBytes = { head: 64, chunks: 256 } as const;
 /** A slice isn't longer, so that what a parser makes of it is bounded. */
 const maxSliceBytes = 16_384;
 
+/** What a parser reads: heads, a body in chunks with what follows it, or a body of which that many bytes are left. */
+export type ParserState = "head" | "chunks" | { readonly bodyLeft: number; };
+
+/** The part of some bytes that a parser is given next. */
+export type Slice = {
+    /** Where it ends. */
+    readonly end: number;
+    /** Whether it ends with an empty line, as a head does. */
+    readonly endsWithEmptyLine: boolean;
+};
+
 /**
- * Where to cut bytes that a parser is to be given, so that little more than `requests` requests begin in the first part: after the first
- * empty line beyond the bytes that these take at least.
+ * Cuts bytes that a parser is to be given, so that little more than `requests` requests begin in the slice. It ends with a body of known
+ * length, or with an empty line if it has one, so that nothing of a head is in a slice with what comes before it.
  */
-export function endOfSlice(bytes: Buffer, requests: number): number {
-    const end = Math.min(bytes.length, maxSliceBytes);
-    const start = Math.max(minSliceBytes, (requests - 1) * shortestRequestBytes);
-    for (let at = bytes.indexOf(lineFeed, start); at >= 0 && at < end; at = bytes.indexOf(lineFeed, at + 1)) {
-        if (bytes[at - 1] === lineFeed || bytes[at - 1] === carriageReturn && bytes[at - 2] === lineFeed) {
-            return at + 1;
+export function nextSlice(bytes: Buffer, state: ParserState, requests: number): Slice {
+    const limit = Math.min(bytes.length, maxSliceBytes);
+    if (typeof state === "object") {
+        return { end: Math.min(limit, Math.max(1, state.bodyLeft)), endsWithEmptyLine: false };
+    }
+    const start = Math.max(minSliceBytes[state], (requests - 1) * shortestRequestBytes);
+    let end: number | undefined;
+    for (let at = bytes.indexOf(lineFeed); at >= 0 && at < limit; at = bytes.indexOf(lineFeed, at + 1)) {
+        if (isEmptyLine(bytes, at)) {
+            end = at + 1;
+            if (end >= start) {
+                break;
+            }
         }
     }
-    return end;
+    return { end: end ?? limit, endsWithEmptyLine: end !== undefined };
+}
+
+function isEmptyLine(bytes: Buffer, lineEnd: number): boolean {
+    const before = bytes[lineEnd - 1];
+    return before === lineFeed || before === carriageReturn && bytes[lineEnd - 2] === lineFeed;
 }
