fix(gateway): a connection whose request is being served isn't closed because the next one waits for room

What callers saw: their request ran, and its connection closed without an answer (rule LOST), if they had sent another one ahead and their gateway had no room for it for 2 s. Cause: who had waited for too long gave way, whatever else was being served on the connection. Evidence: "aren't closed while a request is served" in connectionGuard.spec.ts failed on the code before. Why it works: only what may give way does; the others wait, unread, until their own answers have ended. Measured: the test passes.

--- a/packages/basilpaddle/src/node/daemon/listeners/__tests__/connectionGuard.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/__tests__/connectionGuard.spec.ts
@@ -155,4 +155,19 @@
         const answers = clients.map(({ received }) => received().match(/HTTP\/1\.1 \d+/g)?.join());
         expect([...new Set(answers)]).to.deep.equal(["HTTP/1.1 200"]);
     });
+
+    // Guards against a request in progress that loses its answer because another one waits behind it.
+    it("aren't closed while a request is served, however long the next one waits for room", async function() {
+        this.timeout(10_000);
+        const responses: http.ServerResponse[] = [];
+        await listen({ heldBytes: 4_000_000 }, (_request, response) => responses.push(response));
+        const large = `GET / HTTP/1.1\r\nHost: h\r\nX: ${"x".repeat(12_000)}\r\n\r\n`;
+        const clients = Array.from({ length: 100 }, () => connect());
+        const first = `GET / HTTP/1.1\r\nHost: h\r\nX: ${"x".repeat(300)}\r\n\r\n`;
+        clients.forEach(({ socket }) => socket.write(`${first}${large}`));
+        await until(() => responses.length > 20);
+        await new Promise(resolve => setTimeout(resolve, 2_500));
+        const served = responses.map(({ req }) => req.socket.destroyed);
+        expect([...new Set(served)]).to.deep.equal([false]);
+    });
 });
--- a/packages/basilpaddle/src/node/daemon/listeners/connectionMemory.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/connectionMemory.ts
@@ -126,8 +126,10 @@
     private endPause(): void {
         this.cancelTimer = undefined;
         const now = this.clock.monotonic();
-        const overdue = [...this.waits].filter(([, { since }]) => now - since >= maxWaitMilliseconds);
-        overdue.forEach(([holder]) => holder.giveWay());
+        // One that is being served waits until its own answers have ended.
+        const isOverdue = ([holder, { since }]: readonly [MemoryHolder, Wait]): boolean =>
+            now - since >= maxWaitMilliseconds && holder.mayGiveWay();
+        [...this.waits].filter(isOverdue).forEach(([holder]) => this.endHolder(holder));
         const least = Math.min(...[...this.waits.values()].map(({ bytes }) => bytes));
         while (this.waits.size > 0 && !this.fits(least)) {
             const largest = this.largest();
