fix(gateway): requests with an expectation that isn't met count like others, and a new connection isn't the first to be closed

What callers saw: a crowd that sends such requests ahead kept others waiting for 6 s and had them refused; with all connections taken by half a head each, a new one was closed at once. Cause: Node answers such a request itself (417), so that no listener learns of it and no bound held. Of connections beyond the bound the new one counted as the only idle one. Evidence: "count requests with an expectation that isn't met" in connectionGuard.spec.ts failed on the code before. The choice of the connection that is closed has its earlier test alone. Why it works: the guard answers these requests, and counts them until then. The newest connection is no candidate; of those that send, the one whose last answer is longest ago is. Measured: the test passes.

--- a/packages/basilpaddle/src/node/daemon/listeners/__tests__/connectionGuard.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/__tests__/connectionGuard.spec.ts
@@ -170,4 +170,19 @@
         const served = responses.map(({ req }) => req.socket.destroyed);
         expect([...new Set(served)]).to.deep.equal([false]);
     });
+
+    // Guards against requests that the parser answers itself, which nothing counts.
+    it("count requests with an expectation that isn't met", async () => {
+        await listen({ requestsAhead: 2 }, () => undefined);
+        let begun = 0;
+        server.on("checkExpectation", () => {
+            begun += 1;
+        });
+        const { socket, received } = connect();
+        socket.write(
+            `GET / HTTP/1.1\r\nHost: h\r\n\r\n${"GET / HTTP/1.1\r\nHost: h\r\nExpect: x\r\n\r\n".repeat(1_000)}`,
+        );
+        await new Promise(resolve => setTimeout(resolve, 100));
+        expect([received(), begun > 0 && begun < 10]).to.deep.equal(["", true]);
+    });
 });
--- a/packages/basilpaddle/src/node/daemon/listeners/connectionGuard.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/connectionGuard.ts
@@ -13,12 +13,13 @@
 /** Retry-After of what was refused for want of room. */
 const retryAfterSeconds = "0.3";
 
-/** Status of the answer to a request that is given up; none of them has run. */
-const statuses: Readonly<Record<GivenUpCause, number>> = {
+/** Status of the answer to a request that isn't served; none of them has run. */
+const statuses: Readonly<Record<GivenUpCause | "expectation", number>> = {
     noRoom: 503,
     connections: 503,
     slowBody: 408,
     headTooLong: 431,
+    expectation: 417,
 };
 const reasons: Readonly<Record<number, string>> = {
     408: "Request Timeout",
@@ -91,6 +92,10 @@
         server.prependListener("request", (request: http.IncomingMessage, response: http.ServerResponse) => {
             connections.get(request.socket)?.add(request, response);
         });
+        server.on("checkExpectation", (request: http.IncomingMessage, response: http.ServerResponse) => {
+            connections.get(request.socket)?.add(request, response);
+            response.writeHead(statuses.expectation, { "Content-Length": 0 }).end();
+        });
         const timer = setInterval(() => {
             // What came while this process stood still is read first.
             setImmediate(() => this.giveUpSlow(connections.values(), listener));
@@ -118,6 +123,9 @@
     /** Answers a request that isn't whole, or a connection without one, as not run; closes the connection. */
     private giveUp(connection: GuardedConnection, cause: GivenUpCause, listener: GuardedListener): void {
         const { socket } = connection;
+        if (connection.hasEnded()) {
+            return;
+        }
         this.options.metrics.count("basilpaddle_connections_given_up_total", { listener: listener.listener, cause });
         this.log.warn("a connection was given up", {
             listener: listener.listener,
@@ -127,8 +135,7 @@
             requests: connection.requestsInProgress(),
         });
         const unfinished = connection.unfinishedResponse();
-        const mayAnswer = !connection.isIdle()
-            && connection.requestsInProgress() === (unfinished === undefined ? 0 : 1);
+        const mayAnswer = !connection.isIdle() && connection.isSending();
         connection.end();
         if (!mayAnswer || cause === "connections" || !socket.writable) {
             socket.destroy();
@@ -143,14 +150,15 @@
     }
 }
 
-/** The connection that is idle, or else has no request in progress, for longest. */
+/** The connection that had its last answer longest ago, idle ones first; the newest one if all others are being served. */
 function leastUsed(connections: readonly GuardedConnection[]): GuardedConnection {
+    const newest = connections.at(-1)!;
     const older = (one: GuardedConnection, other: GuardedConnection): GuardedConnection =>
-        other.lastByteAt < one.lastByteAt ? other : one;
-    const idle = connections.filter(connection => connection.isIdle());
-    const unserved = connections.filter(connection => connection.mayGiveWay());
-    const candidates = idle.length > 0 ? idle : unserved;
-    return candidates.length > 0 ? candidates.reduce(older) : connections.at(-1)!;
+        other.lastAnswerAt < one.lastAnswerAt ? other : one;
+    const others = connections.filter(connection => connection !== newest && !connection.hasEnded());
+    const idle = others.filter(connection => connection.isIdle());
+    const candidates = idle.length > 0 ? idle : others.filter(connection => connection.mayGiveWay());
+    return candidates.length > 0 ? candidates.reduce(older) : newest;
 }
 
 function refuse(response: http.ServerResponse, status: number, cause: string): void {
