fix(directory): what its callers make it hold has a bound: bodies, calls sent ahead, and connections

What callers saw: a directory process ended, out of heap, as soon as a crowd sent announcements or configurations in chunks of one byte without their end, or asked for the configuration ahead on many connections without reading the answers. With it went what it does for gateways and backend servers (by reading).

Cause: bodies were collected as one buffer for each chunk, with a limit for each body in payload bytes and none for all bodies together. Nothing bounded how many calls of one connection were begun, and each answer with the configuration had a copy of its own.

Why this works: `ConnectionGuard` stands before this listener as before callers'. `BodyRoom` collects bodies with `BodyBuffer` and counts what they hold until their call is answered; at the limit the largest unfinished body of the same kind gives way at once (503, not carried out). Configurations and all other calls have rooms of their own, three quarters and a quarter of `heldBytes`, so that heartbeats go on beside a crowd of configurations. Answers with the same configuration share one buffer.

That answers share a buffer has no test of its own.

--- a/packages/basilpaddle/src/node/daemon/__tests__/silentGuard.ts
+++ b/packages/basilpaddle/src/node/daemon/__tests__/silentGuard.ts
@@ -1,6 +1,6 @@
 import { connectionBoundsSchema } from "../../protocol/index.js";
 import { createSilentLogger, SilentMetrics, SystemClock } from "../../utils/index.js";
-import { ConnectionGuard } from "../listeners/index.js";
+import { BodyRoom, ConnectionGuard } from "../listeners/index.js";
 
 /** A guard with the default bounds, without logs and metrics. */
 export function createSilentGuard(bounds: object = {}): ConnectionGuard {
@@ -11,3 +11,14 @@
         metrics: SilentMetrics.create(),
     });
 }
+
+/** Room for bodies of that many bytes together, without logs and metrics. */
+export function createSilentRoom(limit: number): BodyRoom {
+    return BodyRoom.create({
+        listener: "test",
+        limit,
+        clock: SystemClock.create(),
+        logger: createSilentLogger(),
+        metrics: SilentMetrics.create(),
+    });
+}
--- a/packages/basilpaddle/src/node/daemon/directory/callServer.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/callServer.ts
@@ -1,13 +1,14 @@
 import { isUtf8 } from "node:buffer";
 import * as http from "node:http";
-import type { Finding } from "../../protocol/index.js";
+import { type Finding, maxDocumentBytes } from "../../protocol/index.js";
 import { DisposableStore, type Logger } from "../../utils/index.js";
+import type { BodyRoom, ConnectionGuard } from "../listeners/index.js";
 import type { DirectoryCall, DirectoryWire } from "./directoryWire.js";
 
-/** Large enough for a configuration of some thousands of routes. */
-const maxDocumentBytes = 8 * 1024 * 1024;
 /** Large enough for any call of a backend server, which names its models in its heartbeats. */
 const maxCallBytes = 64 * 1024;
+/** Bytes of the largest head that the parser takes. */
+const maxHeaderBytes = 16 * 1024;
 /** Time limit for receiving a whole request. */
 const receiveTimeoutMilliseconds = 10_000;
 /** How long an idle connection stays open: several heartbeat intervals. */
@@ -34,6 +35,9 @@
     abstract handle(call: DirectoryCall, body: string): Promise<CallResponse>;
 }
 
+/** Room for the bodies of configurations, and for those of all other calls, which go on beside them. */
+export type BodyRooms = { readonly documents: BodyRoom; readonly calls: BodyRoom; };
+
 /** HTTP server for the calls of backend servers and operators. */
 export class CallServer {
     private readonly store = DisposableStore.create();
@@ -42,9 +46,13 @@
     private closing = false;
     private onCallsEnded = (): void => undefined;
 
+    /** The document that was written last: answers that aren't read share its bytes. */
+    private lastDocument = { content: "", bytes: Buffer.alloc(0) };
+
     private constructor(
         private readonly handler: CallHandler,
         private readonly wire: DirectoryWire,
+        private readonly rooms: BodyRooms,
         private readonly logger: Logger,
     ) {}
 
@@ -52,14 +60,18 @@
         readonly address: { readonly host: string; readonly port: number; };
         readonly handler: CallHandler;
         readonly wire: DirectoryWire;
+        readonly guard: ConnectionGuard;
+        readonly rooms: BodyRooms;
         readonly logger: Logger;
     }): Promise<CallServer> {
-        const callServer = new CallServer(options.handler, options.wire, options.logger);
+        const callServer = new CallServer(options.handler, options.wire, options.rooms, options.logger);
         const server = http.createServer({
+            maxHeaderSize: maxHeaderBytes,
             requestTimeout: receiveTimeoutMilliseconds,
             keepAliveTimeout: keepAliveTimeoutMilliseconds,
             noDelay: true,
         });
+        options.guard.watch(server, { listener: "calls", headBytes: maxHeaderBytes });
         server.on("request", (request, response) => void callServer.receive(request, response));
         await new Promise<void>((resolve, reject) => {
             server.once("error", reject);
@@ -121,7 +133,7 @@
         const path = (request.url ?? "").split("?", 1)[0]!;
         try {
             const call = this.wire.parseCall(request.method ?? "", path);
-            const body = await readBody(request, call.kind === "storeConfiguration" ? maxDocumentBytes : maxCallBytes);
+            const body = await this.readBody(call, request, response);
             if (this.closing) {
                 this.reply(response, { kind: "unavailable", reason: notCarriedOut });
                 return;
@@ -131,15 +143,17 @@
                 this.reply(response, await this.handler.handle(call, body));
                 return;
             }
-            this.logger.warn("rejected the body of a call", { path, cause: body.cause });
+            if (body.kind === "invalid") {
+                this.logger.warn("rejected the body of a call", { path, cause: body.findings[0]?.cause });
+            }
             // The rest of the body isn't read.
             response.shouldKeepAlive = false;
             response.once("finish", () => request.destroy());
-            this.reply(response, { kind: "invalid", findings: [body] });
+            this.reply(response, body);
         }
         catch (error) {
-            if (this.closing && response.headersSent) {
-                this.logger.debug("the rest of a refused call isn't read", { path });
+            if (response.headersSent || request.destroyed) {
+                this.logger.debug("the rest of a call isn't read", { path, error });
                 return;
             }
             this.logger.error("handling a request failed", { method: request.method, path, error });
@@ -153,11 +167,40 @@
         }
         response.shouldKeepAlive &&= !this.closing;
         const [status, body] = this.statusAndBody(outcome);
-        const bytes = Buffer.from(body);
+        const bytes = outcome.kind === "document" ? this.documentBytes(body) : Buffer.from(body);
         response.writeHead(status, { "Content-Type": "application/json", "Content-Length": bytes.length });
         response.end(bytes);
     }
 
+    private documentBytes(content: string): Buffer {
+        if (content !== this.lastDocument.content) {
+            this.lastDocument = { content, bytes: Buffer.from(content) };
+        }
+        return this.lastDocument.bytes;
+    }
+
+    /**
+     * Reads the whole body; the answer if there is no room, it exceeds the limit in bytes, or isn't UTF-8: with replaced characters it
+     * could name another server. Rejects if the connection breaks before its end.
+     */
+    private async readBody(
+        call: DirectoryCall,
+        request: http.IncomingMessage,
+        response: http.ServerResponse,
+    ): Promise<string | Extract<CallResponse, { kind: "invalid" | "unavailable"; }>> {
+        const isDocument = call.kind === "storeConfiguration";
+        const room = isDocument ? this.rooms.documents : this.rooms.calls;
+        const limit = isDocument ? maxDocumentBytes : maxCallBytes;
+        const body = await room.read(request, response, limit);
+        if (body === "noRoom") {
+            return { kind: "unavailable", reason: "no room for the body; the call wasn't carried out" };
+        }
+        if (body === "tooLarge") {
+            return invalidBody(`the body is larger than ${limit} bytes`);
+        }
+        return isUtf8(body) ? body.toString("utf8") : invalidBody("the body isn't UTF-8");
+    }
+
     private statusAndBody(outcome: CallResponse): [number, string] {
         switch (outcome.kind) {
             case "done":
@@ -174,25 +217,6 @@
     }
 }
 
-function bodyFinding(cause: string): Finding {
-    return { file: "body", place: "", cause };
-}
-
-/**
- * Reads the whole body; a finding if it exceeds the limit in bytes, or isn't UTF-8: with replaced characters it could name
- * another server. Rejects if the connection breaks before its end.
- */
-async function readBody(request: http.IncomingMessage, limit: number): Promise<string | Finding> {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    // The response is still to be sent when the limit is exceeded.
-    for await (const chunk of request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
-        size += chunk.length;
-        if (size > limit) {
-            return bodyFinding(`the body is larger than ${limit} bytes`);
-        }
-        chunks.push(chunk);
-    }
-    const bytes = Buffer.concat(chunks);
-    return isUtf8(bytes) ? bytes.toString("utf8") : bodyFinding("the body isn't UTF-8");
+function invalidBody(cause: string): { readonly kind: "invalid"; readonly findings: readonly Finding[]; } {
+    return { kind: "invalid", findings: [{ file: "body", place: "", cause }] };
 }
--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -14,6 +14,7 @@
 import type { RoutingOptions } from "../routingOptions.js";
 import { noLimits } from "./allowanceService.js";
 import { BackendServerCalls } from "./backendServerCalls.js";
+import { CallBounds } from "./callBounds.js";
 import { CallHandler, type CallResponse, CallServer } from "./callServer.js";
 import { ConfigurationCalls } from "./configurationCalls.js";
 import type { DirectoryCall, DirectoryWire } from "./directoryWire.js";
@@ -56,6 +57,7 @@
     private readonly streams: StreamRegistry;
     /** Defined while this directory leads. */
     private leading: LeaderServices | undefined;
+    private readonly bounds: CallBounds;
     private calls: CallServer | undefined;
 
     private constructor(
@@ -75,8 +77,9 @@
             clock,
             logger: options.logger,
         });
-        const { answers: bounds } = settings;
-        const answers = AnswerLimits.create({ bounds, logger, metrics: options.metrics ?? SilentMetrics.create() });
+        const metrics = options.metrics ?? SilentMetrics.create();
+        this.bounds = CallBounds.create(settings, { clock, logger, metrics });
+        const answers = AnswerLimits.create({ bounds: settings.answers, logger, metrics });
         this.connections = BackendConnections.create(logger, DirectOpener.create(settings.bindHost), answers);
         this.store.add(() => this.connections.close());
         this.streams = StreamRegistry.create({
@@ -188,6 +191,7 @@
         this.quarantinedRequests.measure(metrics);
         this.streams.measure(metrics);
         this.leading?.measure(metrics);
+        this.bounds.measure(metrics);
     }
 
     override async handle(call: DirectoryCall, body: string): Promise<CallResponse> {
@@ -221,7 +225,8 @@
         if (this.group.replicaStatus()?.leading === true) {
             this.startLeading();
         }
-        this.calls = await CallServer.create({ address: settings.calls, handler: this, wire, logger });
+        const { guard, rooms } = this.bounds;
+        this.calls = await CallServer.create({ address: settings.calls, handler: this, wire, guard, rooms, logger });
         this.store.add(() => this.calls?.close());
         this.schedulePeriodicChecks();
         logger.info("serving", { calls: settings.calls, peers: this.name });
--- a/packages/basilpaddle/src/node/daemon/listeners/index.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/index.ts
@@ -1,2 +1,3 @@
 export * from "./bodyBuffer.js";
+export * from "./bodyRoom.js";
 export * from "./connectionGuard.js";
--- a/packages/basilpaddle/src/node/protocol/gatewaySettings.ts
+++ b/packages/basilpaddle/src/node/protocol/gatewaySettings.ts
@@ -18,6 +18,13 @@
     return Math.ceil(largest / (1 - smallBodiesFraction));
 }
 
+/** Bytes of the largest configuration. */
+export const maxDocumentBytes = 8 * 1024 * 1024;
+/** What is held for a body in blocks, over its bytes. */
+const blocksOverhead = 1.25;
+/** The least `heldBytes` of a directory. */
+export const minDirectoryHeldBytes = minHeldBytes(maxDocumentBytes * blocksOverhead);
+
 /** Given in seconds for readability and converted to milliseconds. */
 const seconds = z.number().positive().transform(value => value * millisecondsInSecond);
 
@@ -100,6 +107,11 @@
     ...commonFields,
     /** HTTP address for operators and backend servers. */
     calls: endpoint,
+    /**
+     * Bytes of all bodies of calls together; a quarter is for calls other than configurations.
+     * @default a tenth of the heap's limit, and at least room for the largest configuration
+     */
+    heldBytes: z.int().min(minDirectoryHeldBytes).optional(),
     /** Folder for all durable state. */
     dataFolder: z.string().min(1),
     /** Whether the whole deployment starts for the first time, with empty disks. Only then do the seeds form a new group. */
