fix(operators): the listeners for operators and metrics bound bodies, requests ahead and connections

What callers saw: nothing yet; found by looking for the cause of the directories' fault elsewhere. Whoever reaches the operators' port of a control or entry daemon, or the metrics port of a gateway or directory, could send bodies of up to 4 MiB in chunks of one byte on any number of connections. The metrics port of a gateway takes them too, for releases of quarantined requests.

Cause: as in the directory: a buffer for each chunk, a limit for one body in payload bytes, none for all, none for requests ahead and connections.

A refused body is answered 413 or 503 with a connection that closes, and nothing is done. Settings of control and entry daemons get the field `connections`, with the defaults of gateways and directories.

Evidence and measured result: a small crowd of unfinished bodies, one in parts of one byte, at each of the two servers in the test's process. With the four changed modules as they were before, both tests fail (no account ever knows the bodies, nobody is refused); now what is held stays below its limit, the account of connections knows the caller, and an ordinary read is answered. Not tested: unread answers of these listeners, and crowds beyond their connections.

--- a/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/directoryDaemon.ts
@@ -11,6 +11,7 @@
 import { type Network, TcpNetwork, TcpServer } from "../../transport/index.js";
 import { ActiveClock, DisposableStore, type Metrics, type Randomness, SilentMetrics } from "../../utils/index.js";
 import { AnswerLimits, BackendConnections, DirectOpener } from "../backends/index.js";
+import type { ConnectionGuard } from "../listeners/index.js";
 import type { RoutingOptions } from "../routingOptions.js";
 import { noLimits } from "./allowanceService.js";
 import { BackendServerCalls } from "./backendServerCalls.js";
@@ -58,6 +59,8 @@
     /** Defined while this directory leads. */
     private leading: LeaderServices | undefined;
     private readonly bounds: CallBounds;
+    /** Bounds what connections to its listeners make it hold. */
+    readonly guard: ConnectionGuard;
     private calls: CallServer | undefined;
 
     private constructor(
@@ -79,6 +82,7 @@
         });
         const metrics = options.metrics ?? SilentMetrics.create();
         this.bounds = CallBounds.create(settings, { clock, logger, metrics });
+        this.guard = this.bounds.guard;
         const answers = AnswerLimits.create({ bounds: settings.answers, logger, metrics });
         this.connections = BackendConnections.create(logger, DirectOpener.create(settings.bindHost), answers);
         this.store.add(() => this.connections.close());
--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -80,7 +80,8 @@
     private readonly openRequests = OpenRequests.create();
     private readonly answerDurations = AnswerDurations.create();
     private readonly grace: GracePeriod;
-    private readonly guard: ConnectionGuard;
+    /** Bounds what connections to its listeners make it hold. */
+    readonly guard: ConnectionGuard;
     private callerServer!: CallerServer;
 
     private constructor(private readonly options: GatewayDaemonOptions) {
--- a/packages/basilpaddle/src/node/daemon/listeners/bodyRoom.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/bodyRoom.ts
@@ -1,8 +1,22 @@
 import type * as http from "node:http";
+import { getHeapStatistics } from "node:v8";
 import type { Clock, Logger, Metrics } from "../../utils/index.js";
 import { BodyBuffer } from "./bodyBuffer.js";
 import { BoundedLog } from "./boundedLog.js";
 
+/** Part of the heap's limit that bodies may take if no setting states another limit. */
+const defaultHeapFraction = 1 / 10;
+/** What is held for a body in blocks, over its bytes. */
+const blocksOverhead = 1.25;
+
+/** The limit in bytes if no setting states one: a part of the heap's, and at least room for one body of that many bytes. */
+export function defaultRoomBytes(largestBody: number): number {
+    return Math.max(
+        Math.floor(getHeapStatistics().heap_size_limit * defaultHeapFraction),
+        largestBody * blocksOverhead,
+    );
+}
+
 /** Dependencies of `BodyRoom`. */
 export type BodyRoomOptions = {
     /** Name of its listener or kind of bodies, for logs. */
--- a/packages/basilpaddle/src/node/daemon/listeners/connectionGuard.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/connectionGuard.ts
@@ -41,6 +41,8 @@
     readonly listener: string;
     /** Bytes of the largest head that it takes. */
     readonly headBytes: number;
+    /** Most connections to it, if it needs fewer than the bounds allow. @default the bound */
+    readonly connections?: number;
     /** Answers a request that is given up, and closes its connection. @default a short JSON text */
     readonly refuse?: (response: http.ServerResponse, status: number, cause: string) => void;
 };
@@ -85,7 +87,7 @@
                 }),
             );
             socket.once("close", () => connections.delete(socket));
-            if (connections.size > bounds.connections) {
+            if (connections.size > Math.min(bounds.connections, listener.connections ?? Infinity)) {
                 this.giveUp(leastUsed([...connections.values()]), "connections", listener);
             }
         });
--- a/packages/basilpaddle/src/node/daemon/operators/__tests__/operatorServer.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/operators/__tests__/operatorServer.spec.ts
@@ -2,6 +2,7 @@
 import { Left, Right } from "purify-ts";
 import type { LinkFailure } from "../../../transport/index.js";
 import { createSilentLogger, RecordedMetrics, SystemClock } from "../../../utils/index.js";
+import { type Bounds, createLowBounds, expectBounded } from "../../__tests__/smallCrowd.js";
 import { type ControlChannel, LeaderOperations } from "../leaderOperations.js";
 import { OperatorServer } from "../operatorServer.js";
 import type { ControlAnswer, DaemonStatus, OperatorAnswer, OperatorRequest } from "../operatorWire.js";
@@ -39,7 +40,9 @@
 describe("operators' HTTP", () => {
     let server: OperatorServer | undefined;
     let daemon: DaemonStatus;
+    let bounds: Bounds;
     beforeEach(() => {
+        bounds = createLowBounds();
         daemon = { name: "entry-1", role: "entry", failureDomain: "pocitos", ready: true, revision: 3 };
     });
     afterEach(() => server?.close());
@@ -50,11 +53,18 @@
             logger: createSilentLogger(),
             metrics: RecordedMetrics.create(),
             operations: LeaderOperations.create(channels, SystemClock.create()),
+            ...bounds,
             daemon: () => daemon,
         });
         return `http://127.0.0.1:${server.port()}`;
     }
 
+    // Guards against callers of the operators' listener that end a control or entry daemon by what they make it hold.
+    it("bounds what unfinished bodies make it hold", async () => {
+        const url = await serve(fakeChannel("c1", () => accepted));
+        await expectBounded(Number(new URL(url).port), bounds, { path: "/operator/v1/config", read: "/healthz" });
+    });
+
     // Guards against a change that is applied while its operator's connection is closed without an answer.
     it("answers a change that is being applied while it closes", async () => {
         let release!: () => void;
--- a/packages/basilpaddle/src/node/daemon/operators/index.ts
+++ b/packages/basilpaddle/src/node/daemon/operators/index.ts
@@ -1,3 +1,4 @@
+export { bodyLimitBytes } from "./body.js";
 export * from "./controlOperations.js";
 export * from "./leaderOperations.js";
 export * from "./operations.js";
--- a/packages/basilpaddle/src/node/daemon/operators/operatorServer.ts
+++ b/packages/basilpaddle/src/node/daemon/operators/operatorServer.ts
@@ -4,6 +4,7 @@
 import type { Address, Finding } from "../../protocol/index.js";
 import { mergeFiles } from "../../state/index.js";
 import type { Logger, RecordedMetrics } from "../../utils/index.js";
+import type { BodyRoom, ConnectionGuard } from "../listeners/index.js";
 import { readBody } from "./body.js";
 import type { Operations } from "./operations.js";
 import { type DaemonStatus, type OperatorAnswer, operatorRequestSchema, postedChangeSchema } from "./operatorWire.js";
@@ -17,6 +18,10 @@
 const requestTimeoutMilliseconds = 30_000;
 /** Time for the requests in progress when the server closes. */
 const closeTimeoutMilliseconds = 1_000;
+/** Bytes of the largest head that the parser takes. */
+const maxHeaderBytes = 16 * 1024;
+/** Enough for operators, scrapes and the balancer's probes, whose answers may be large. */
+const maxConnections = 256;
 const pathPrefix = "/operator/v1/";
 
 /** Options of an operators' server. */
@@ -25,6 +30,9 @@
     readonly logger: Logger;
     readonly metrics: RecordedMetrics;
     readonly operations: Operations;
+    readonly guard: ConnectionGuard;
+    /** Room for the bodies of all requests. */
+    readonly room: BodyRoom;
     /** This daemon's copy of the quarantined requests. @default none, and calls about them aren't served */
     readonly quarantine?: QuarantinedRequests | undefined;
     /** Returns the current status of this daemon. */
@@ -60,7 +68,9 @@
         const server = http.createServer({
             requestTimeout: requestTimeoutMilliseconds,
             headersTimeout: requestTimeoutMilliseconds,
+            maxHeaderSize: maxHeaderBytes,
         });
+        options.guard.watch(server, { listener: "operators", headBytes: maxHeaderBytes, connections: maxConnections });
         const created = new OperatorServer(server, options);
         await new Promise<void>((resolve, reject) => {
             server.once("error", reject);
@@ -112,7 +122,7 @@
         });
         let reply: Reply;
         try {
-            reply = await this.answer(request);
+            reply = await this.answer(request, response);
         }
         catch (error) {
             this.options.logger.error("failed to handle an operator's request", { error, url: request.url });
@@ -135,9 +145,9 @@
         response.end(request.method === "HEAD" ? undefined : body);
     }
 
-    private async answer(request: http.IncomingMessage): Promise<Reply> {
+    private async answer(request: http.IncomingMessage, response: http.ServerResponse): Promise<Reply> {
         const quarantineReply = this.options.quarantine
-            && await answerQuarantineCall(this.options.quarantine, request);
+            && await answerQuarantineCall(this.options.quarantine, request, response, this.options.room);
         if (quarantineReply !== undefined) {
             return { ...quarantineReply, type: "json" };
         }
@@ -159,7 +169,7 @@
             return this.handleRead(name === "config" ? "configuration" : name, query, timeout);
         }
         if (request.method === "POST") {
-            return this.handlePost(name, request, timeout);
+            return this.handlePost(name, request, response, timeout);
         }
         return failure(405, "badRequest", `the method ${request.method} isn't supported`);
     }
@@ -195,8 +205,13 @@
         return name === "status" ? { ...reply, body: { ...answer, daemon: this.options.daemon() } } : reply;
     }
 
-    private async handlePost(name: string, request: http.IncomingMessage, timeout: number): Promise<Reply> {
-        const body = await readBody(request);
+    private async handlePost(
+        name: string,
+        request: http.IncomingMessage,
+        response: http.ServerResponse,
+        timeout: number,
+    ): Promise<Reply> {
+        const body = await readBody(request, response, this.options.room);
         if (body.kind !== "read") {
             return failure(body.status, "badRequest", body.message);
         }
--- a/packages/basilpaddle/src/node/daemon/operators/quarantineCalls.ts
+++ b/packages/basilpaddle/src/node/daemon/operators/quarantineCalls.ts
@@ -1,5 +1,6 @@
-import type { IncomingMessage } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { QuarantinedRequests } from "../../coordination/index.js";
+import type { BodyRoom } from "../listeners/index.js";
 import { readBody } from "./body.js";
 import { releaseSchema } from "./quarantineWire.js";
 
@@ -16,6 +17,8 @@
 export async function answerQuarantineCall(
     quarantine: QuarantinedRequests,
     request: IncomingMessage,
+    response: ServerResponse,
+    room: BodyRoom,
 ): Promise<QuarantineReply | undefined> {
     const path = (request.url ?? "").split("?", 1)[0];
     if (request.method === "GET" && path === quarantinedRequestsPath) {
@@ -24,7 +27,7 @@
     if (request.method !== "POST" || path !== releasePath) {
         return undefined;
     }
-    const body = await readBody(request);
+    const body = await readBody(request, response, room);
     if (body.kind !== "read") {
         return { status: body.status, body: { kind: "failure", code: "badRequest", message: body.message } };
     }
--- a/packages/basilpaddle/src/node/daemon/start/__tests__/metricsServer.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/start/__tests__/metricsServer.spec.ts
@@ -2,12 +2,14 @@
 import { QuarantinedRequests } from "../../../coordination/index.js";
 import { quarantineRulesSchema } from "../../../protocol/index.js";
 import { createSilentLogger, RecordedMetrics, SystemClock } from "../../../utils/index.js";
+import { type Bounds, createLowBounds, expectBounded } from "../../__tests__/smallCrowd.js";
 import { MetricsServer } from "../metricsServer.js";
 
 describe("the server of metrics and quarantined requests", () => {
     let quarantine: QuarantinedRequests;
     let server: MetricsServer;
     let base: string;
+    let bounds: Bounds;
 
     beforeEach(async () => {
         const clock = SystemClock.create();
@@ -21,7 +23,8 @@
         ["s1", "s2"].forEach(id => quarantine.addCrash("d", { server: id, phase: "early", age: 0 }));
         const metrics = RecordedMetrics.create();
         quarantine.measure(metrics);
-        server = await MetricsServer.create({ host: "127.0.0.1", port: 0 }, metrics, quarantine);
+        bounds = createLowBounds();
+        server = await MetricsServer.create({ host: "127.0.0.1", port: 0 }, metrics, quarantine, bounds);
         base = `http://127.0.0.1:${server.port()}`;
     });
 
@@ -32,6 +35,11 @@
         return [answer.status, await answer.json()];
     }
 
+    // Guards against callers of the metrics port that end a gateway or a directory by what they make it hold.
+    it("bounds what unfinished bodies make it hold", async () => {
+        await expectBounded(server.port(), bounds, { path: "/operator/v1/release", read: "/metrics" });
+    });
+
     it("serves metrics, and answers 404 for unknown paths", async () => {
         expect(await (await fetch(`${base}/metrics`)).text()).to.contain("basilpaddle_requests_held_back 1");
         expect((await fetch(`${base}/elsewhere`)).status).to.equal(404);
--- a/packages/basilpaddle/src/node/daemon/start/controlStart.ts
+++ b/packages/basilpaddle/src/node/daemon/start/controlStart.ts
@@ -59,6 +59,8 @@
             metrics: this.metrics,
             operations: LeaderOperations.create(this.channels(operations), clock),
             quarantine: daemon.quarantinedRequests,
+            guard: this.guardConnections(settings.connections),
+            room: this.roomForOperators(),
             daemon: () => this.status(),
         });
         // The operators' server is closed last, so that operators can observe the transfer of leadership.
--- a/packages/basilpaddle/src/node/daemon/start/entryStart.ts
+++ b/packages/basilpaddle/src/node/daemon/start/entryStart.ts
@@ -10,6 +10,7 @@
 import { type LinkContext, TcpNetwork, TcpServer } from "../../transport/index.js";
 import type { Logger } from "../../utils/index.js";
 import { EntryDaemon } from "../entry/index.js";
+import type { ConnectionGuard } from "../listeners/index.js";
 import { createLinkChannel, type DaemonStatus, LeaderOperations, OperatorServer } from "../operators/index.js";
 import { AssembledDaemon } from "./assembledDaemon.js";
 import { collectEntryMetrics } from "./entryMetrics.js";
@@ -64,7 +65,8 @@
 
     protected override async openComponents(): Promise<void> {
         const { settings, logger, clock, randomness, metrics } = this;
-        const operators = await this.openOperators();
+        const guard = this.guardConnections(settings.connections);
+        const operators = await this.openOperators(guard);
         this.store.add(() => operators.close());
         const peers = await this.openPeers();
         this.store.add(() => peers.close());
@@ -113,7 +115,7 @@
         this.store.add(() => orders.close());
     }
 
-    private openOperators(): Promise<OperatorServer> {
+    private openOperators(guard: ConnectionGuard): Promise<OperatorServer> {
         const { settings, logger, metrics, clock } = this;
         const channels = settings.controls.map(control => {
             const link = this.network.link(control);
@@ -129,6 +131,8 @@
             operations,
             daemon,
             quarantine: this.quarantine,
+            guard,
+            room: this.roomForOperators(),
         });
     }
 
--- a/packages/basilpaddle/src/node/daemon/start/routingStart.ts
+++ b/packages/basilpaddle/src/node/daemon/start/routingStart.ts
@@ -3,6 +3,7 @@
 import { type DisposableStore, HostRandomness, type Logger, type RecordedMetrics } from "../../utils/index.js";
 import { DirectoryDaemon, type DirectoryWire } from "../directory/index.js";
 import { GatewayDaemon, type GatewayWire } from "../gateway/index.js";
+import type { BodyRoom, ConnectionGuard } from "../listeners/index.js";
 import { AssembledDaemon } from "./assembledDaemon.js";
 import { MetricsServer } from "./metricsServer.js";
 import type { RunningDaemon, ShutdownReport } from "./runningDaemon.js";
@@ -38,6 +39,7 @@
     settings: RoutingSettings,
     metrics: RecordedMetrics,
     quarantine: QuarantinedRequests,
+    connections: { readonly guard: ConnectionGuard; readonly room: BodyRoom; },
     logger: Logger,
 ): Promise<void> {
     try {
@@ -48,6 +50,7 @@
             },
             metrics,
             quarantine,
+            connections,
         );
         store.add(() => server.close());
         logger.info("serving metrics", { port: server.port() });
@@ -57,6 +60,8 @@
     }
 }
 
+type OpenDaemon = { readonly quarantinedRequests: QuarantinedRequests; readonly guard: ConnectionGuard; };
+
 /** Base class of running gateways and directories: reloads the seeds from the settings file, and serves metrics. */
 abstract class RunningRouting extends AssembledDaemon {
     private stopping: Promise<ShutdownReport> | undefined;
@@ -74,12 +79,13 @@
         const { routingSettings, logger, metrics, store } = this;
         const reload = SeedReload.create(routingSettings, this.file, logger);
         store.add(() => reload.close());
-        const quarantine = await this.openDaemon(() => reload.seeds());
-        await serveMetrics(store, routingSettings, metrics, quarantine, logger);
+        const { quarantinedRequests, guard } = await this.openDaemon(() => reload.seeds());
+        const connections = { guard, room: this.roomForOperators() };
+        await serveMetrics(store, routingSettings, metrics, quarantinedRequests, connections, logger);
     }
 
-    /** Opens the daemon itself; resolves with its copy of the quarantined requests. */
-    protected abstract openDaemon(seeds: () => readonly string[]): Promise<QuarantinedRequests>;
+    /** Opens the daemon itself; resolves with its copy of the quarantined requests and the guard of its connections. */
+    protected abstract openDaemon(seeds: () => readonly string[]): Promise<OpenDaemon>;
 
     /** Shuts the daemon down gracefully; resolves with the identifiers of the requests that were aborted. */
     protected abstract closeDaemon(signalledAt: number | undefined): Promise<readonly string[]>;
@@ -103,12 +109,12 @@
         super(settings, file, logger);
     }
 
-    protected override async openDaemon(seeds: () => readonly string[]): Promise<QuarantinedRequests> {
+    protected override async openDaemon(seeds: () => readonly string[]): Promise<OpenDaemon> {
         const { settings, wire, clock, logger, metrics } = this;
         const daemon = await GatewayDaemon.create({ settings, seeds, wire, clock, logger, metrics });
         this.daemon = daemon;
         this.store.add(metrics.onCollect(() => daemon.measure(metrics)));
-        return daemon.quarantinedRequests;
+        return daemon;
     }
 
     protected override async closeDaemon(signalledAt: number | undefined): Promise<readonly string[]> {
@@ -129,13 +135,13 @@
         super(settings, file, logger);
     }
 
-    protected override async openDaemon(seeds: () => readonly string[]): Promise<QuarantinedRequests> {
+    protected override async openDaemon(seeds: () => readonly string[]): Promise<OpenDaemon> {
         const { settings, wire, clock, logger, metrics } = this;
         const randomness = HostRandomness.create(settings.name);
         const daemon = await DirectoryDaemon.create({ settings, seeds, wire, clock, randomness, logger, metrics });
         this.daemon = daemon;
         this.store.add(metrics.onCollect(() => daemon.measure(metrics)));
-        return daemon.quarantinedRequests;
+        return daemon;
     }
 
     protected override async closeDaemon(): Promise<readonly string[]> {
--- a/packages/basilpaddle/src/node/protocol/settings.ts
+++ b/packages/basilpaddle/src/node/protocol/settings.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import { logLevels } from "../utils/index.js";
+import { connectionBoundsSchema } from "./connectionBounds.js";
 import { quarantineRulesSchema } from "./crash.js";
 
 const name = z.string().regex(
@@ -52,6 +53,8 @@
     timing: timingSchema.prefault({}),
     /** When a request is quarantined because backend servers crashed while running it. */
     holds: quarantineRulesSchema.prefault({}),
+    /** Bounds of what the connections to its listeners make it hold. */
+    connections: connectionBoundsSchema.prefault({}),
     log,
 };
 
