fix(gateway): an attempt isn't sent twice on one connection, so that the copy of its refusal isn't taken for its answer

What callers saw: a request that may run only once was refused with 503 as not run, and ran (rule REFUSED); with another server at hand it would have run twice.

Cause: a server may send an answer too many, late, where the next one is due, and it may be the copy of a refusal. The sender recognises it by the attempt's identifier. If the caller comes again with the same identifier and its request takes the same connection, the identifier says nothing, and the copy was believed.

Evidence: 'doesn't have the same request refused that it runs when its caller comes again' in repeatedRefusals.spec.ts: on the code before, 503 and 503, and one run (1 of 1). Its second test, with another identifier, passes before and after.

Why this works: what can't be told apart isn't brought about. Each connection of a pool remembers the last 32 attempts that it carried. One that is there already closes the connection before its first byte and goes on a new one. A copy that is later than that many answers has met another request before, whose identifier tells. No new connection is opened where attempts have identifiers of their own.

Measured: 3 of 3 runs of the spec pass; the specs of backends, backendSender and serverPaths pass (26).

--- a/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
@@ -138,6 +138,7 @@
                 headersTimeout: 0,
                 bodyTimeout: 0,
                 maySend: () => wait.maySend(),
+                attempt: call.attempt,
             };
             const answer = await pool.request(request);
             answer.body.once("close", () => wait.close());
--- a/packages/basilpaddle/src/node/daemon/backends/gatedPool.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/gatedPool.ts
@@ -1,6 +1,9 @@
-import { type Dispatcher, Pool } from "undici";
+import { Client, type Dispatcher, Pool } from "undici";
 import { ConnectionFailure } from "../../transport/index.js";
 
+/** Number of the attempts sent last on a connection that are remembered. */
+const rememberedAttempts = 32;
+
 /** Code of a call of which nothing was sent since its sender prevented it at the last moment. */
 export const sendPreventedCode = "SEND_PREVENTED";
 
@@ -10,6 +13,8 @@
     readonly maySend?: (() => boolean) | undefined;
     /** Ends the wait for a connection; has no effect from the first byte on. @default the wait goes on */
     readonly waitEnd?: AbortSignal | undefined;
+    /** Identifier of the caller's attempt, which isn't sent twice on one connection. @default not checked */
+    readonly attempt?: string | undefined;
 };
 
 /**
@@ -17,6 +22,13 @@
  * the reason to send it may be gone by then. A request that is prevented fails with a `ConnectionFailure`; its connection stays open.
  */
 export class GatedPool extends Pool {
+    constructor(url: string, options: Pool.Options) {
+        super(url, {
+            ...options,
+            factory: (origin, clientOptions: Client.Options) => new GatedClient(origin, clientOptions),
+        });
+    }
+
     override dispatch(options: Dispatcher.DispatchOptions & SendGate, handler: Dispatcher.DispatchHandler): boolean {
         const { maySend } = options;
         if (maySend !== undefined) {
@@ -34,3 +46,40 @@
         return super.dispatch(options, handler);
     }
 }
+
+/**
+ * One connection of a pool. A server may send an answer twice, the second time when the answer to a later request is due. Its attempt tells
+ * which request it belongs to, unless the same attempt is sent again: then the connection is closed, and the request prevented.
+ */
+class GatedClient extends Client {
+    private readonly attempts = new Set<string>();
+
+    constructor(url: string | URL, options: Client.Options) {
+        super(url, options);
+        this.on("disconnect", () => this.attempts.clear());
+    }
+
+    override dispatch(options: Dispatcher.DispatchOptions & SendGate, handler: Dispatcher.DispatchHandler): boolean {
+        const { attempt } = options;
+        if (attempt !== undefined) {
+            const connected = handler.onConnect?.bind(handler);
+            handler.onConnect = abort => {
+                if (this.attempts.has(attempt)) {
+                    abort(ConnectionFailure.create(sendPreventedCode, "the connection has had the same attempt"));
+                    return;
+                }
+                connected?.(abort);
+                this.remember(attempt);
+            };
+        }
+        return super.dispatch(options, handler);
+    }
+
+    private remember(attempt: string): void {
+        this.attempts.add(attempt);
+        const [oldest] = this.attempts;
+        if (this.attempts.size > rememberedAttempts && oldest !== undefined) {
+            this.attempts.delete(oldest);
+        }
+    }
+}
--- a/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/backendSender.ts
@@ -194,6 +194,7 @@
                 headers: [...request.headers(replacedNames), ...Object.entries(runHeaders).flat()],
                 body: request.body,
                 signal,
+                attempt: request.metadata.attempt,
                 maySend: () => {
                     stopListening();
                     const maySend = instances.acceptsWork(server.id)
