fix(listeners): a connection whose next request waits unparsed isn't closed as idle

Cause: the guard holds bytes back from Node's parser, and Node's server knows nothing of them. closeIdleConnections, which a stop calls every 50 ms and which closing a server calls too, closes what the parser takes for idle. Known by reading only until now.

Why this works: a guarded server's closeIdleConnections asks the guard, which knows what waits. A connection that was just opened stays open, as Node keeps it.

--- a/packages/basilpaddle/src/node/daemon/__tests__/silentGuard.ts
+++ b/packages/basilpaddle/src/node/daemon/__tests__/silentGuard.ts
@@ -1,12 +1,12 @@
 import { connectionBoundsSchema } from "../../protocol/index.js";
-import { createSilentLogger, SilentMetrics, SystemClock } from "../../utils/index.js";
+import { type Clock, createSilentLogger, SilentMetrics, SystemClock } from "../../utils/index.js";
 import { BodyRoom, ConnectionGuard } from "../listeners/index.js";
 
 /** A guard with the default bounds, without logs and metrics. */
-export function createSilentGuard(bounds: object = {}): ConnectionGuard {
+export function createSilentGuard(bounds: object = {}, clock: Clock = SystemClock.create()): ConnectionGuard {
     return ConnectionGuard.create({
         bounds: connectionBoundsSchema.parse(bounds),
-        clock: SystemClock.create(),
+        clock,
         logger: createSilentLogger(),
         metrics: SilentMetrics.create(),
     });
--- a/packages/basilpaddle/src/node/daemon/listeners/__tests__/connectionGuard.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/__tests__/connectionGuard.spec.ts
@@ -1,8 +1,24 @@
 import { expect } from "chai";
 import * as http from "node:http";
 import * as net from "node:net";
+import { type Clock, SystemClock } from "../../../utils/index.js";
 import { createSilentGuard } from "../../__tests__/silentGuard.js";
 
+/** A clock that stands still, so that no connection gives way. */
+class StillClock extends SystemClock {
+    static override create(): StillClock {
+        return new StillClock();
+    }
+
+    override monotonic(): number {
+        return 0;
+    }
+
+    override after(): () => void {
+        return () => undefined;
+    }
+}
+
 /** Deterministic numbers below a bound, the same for the same seed. */
 function randomOf(seed: number): (bound: number) => number {
     let state = seed;
@@ -18,7 +34,7 @@
     let most = 0;
     const sockets = new Set<net.Socket>();
 
-    async function listen(bounds: object, handler: http.RequestListener): Promise<void> {
+    async function listen(bounds: object, handler: http.RequestListener, clock?: Clock): Promise<void> {
         let inProgress = 0;
         most = 0;
         server = http.createServer((request, response) => {
@@ -29,7 +45,7 @@
             });
             handler(request, response);
         });
-        createSilentGuard(bounds).watch(server, { listener: "test", headBytes: 16_384 });
+        createSilentGuard(bounds, clock).watch(server, { listener: "test", headBytes: 16_384 });
         await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
         ({ port } = server.address() as net.AddressInfo);
     }
@@ -126,6 +142,31 @@
         expect(second.socket.destroyed).to.equal(false);
     });
 
+    // Guards against a request that is lost at a stop: it waits unparsed, so that the server takes its connection for idle.
+    it("aren't closed as idle while their request waits for room", async () => {
+        const responses: http.ServerResponse[] = [];
+        await listen({ heldBytes: 4_000_000 }, (_request, response) => responses.push(response), StillClock.create());
+        let read = 0;
+        server.on("connection", socket => socket.on("data", () => read += 1));
+        const callers = Array.from({ length: 110 }, () => connect());
+        const sendAll = (): void => callers.forEach(({ socket }) => socket.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n"));
+        const answersOf = ({ received }: typeof callers[number]): number => received().match(/200 OK/g)?.length ?? 0;
+        const areAnswered = (times: number): Promise<void> =>
+            until(() => {
+                responses.splice(0).forEach(response => response.end("ok"));
+                return callers.every(caller => caller.socket.destroyed || answersOf(caller) === times);
+            });
+        sendAll();
+        await areAnswered(1);
+        sendAll();
+        await until(() => read === 2 * callers.length);
+        const waiting = callers.length - responses.length;
+        server.closeIdleConnections();
+        await areAnswered(2);
+        expect(waiting).to.be.above(0);
+        expect(callers.filter(caller => answersOf(caller) !== 2)).to.have.length(0);
+    });
+
     // Guards against a body that never ends and keeps its place.
     it("refuse a request of whose body nothing comes, as not run", async () => {
         await listen({ bodyPause: 100 }, () => undefined);
--- a/packages/basilpaddle/src/node/daemon/listeners/connectionGuard.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/connectionGuard.ts
@@ -91,6 +91,8 @@
                 this.giveUp(leastUsed([...connections.values()]), "connections", listener);
             }
         });
+        // Node's own takes a connection for idle whose next request waits unparsed; closing the server calls it too.
+        server.closeIdleConnections = () => closeIdle(connections.values());
         server.prependListener("request", (request: http.IncomingMessage, response: http.ServerResponse) => {
             connections.get(request.socket)?.add(request, response);
         });
@@ -152,6 +154,15 @@
     }
 }
 
+/** Closes the connections whose requests were all answered, and of which nothing more has come. */
+function closeIdle(connections: Iterable<GuardedConnection>): void {
+    for (const connection of connections) {
+        if (connection.isIdle() && connection.hadRequest()) {
+            connection.socket.destroy();
+        }
+    }
+}
+
 /** The connection that had its last answer longest ago, idle ones first; the newest one if all others are being served. */
 function leastUsed(connections: readonly GuardedConnection[]): GuardedConnection {
     const newest = connections.at(-1)!;
--- a/packages/basilpaddle/src/node/daemon/listeners/guardedConnection.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/guardedConnection.ts
@@ -99,6 +99,11 @@
         return this.responses.size === 0 && this.headBytes === 0 && this.unparsed === undefined;
     }
 
+    /** Whether it has had a request: one that was just opened waits for its first. */
+    hadRequest(): boolean {
+        return this.lastRequest !== undefined;
+    }
+
     /** Whether it is given up, so that it ends soon. */
     hasEnded(): boolean {
         return this.isGivenUp;
