fix(gateway): the balancer's listener bounds its connections and their heads

What callers saw: a gateway ended, out of heap, with all requests in progress, as soon as 3,000 connections to its readiness port sent heads of 16 KB of short lines without their end. Nothing bounded how many connections it takes; of 4,096 that sent one byte, 3,754 were open.

Cause: the listener for the balancer's probes had Node's defaults and no guard.

Its heads count in the same account as those of callers.

--- a/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/gatewayDaemon.ts
@@ -277,7 +277,7 @@
         this.store.add(() => this.callerServer.closeAll());
         await this.relaying.open();
         const { readinessPath } = this.options.wire;
-        this.store.add(await serveReadiness(settings.readiness, readinessPath, () => this.isReady()));
+        this.store.add(await serveReadiness(settings.readiness, readinessPath, () => this.isReady(), this.guard));
         logger.info("serving", { callers: settings.callers, readiness: settings.readiness });
     }
 
