fix(entry): the listeners for callers and backend servers bound requests ahead, heads, connections and bodies

What callers saw: nothing yet; found by looking for the cause of the gateways' fault elsewhere. Whoever reaches an entry daemon could have it begin every request that one connection sends ahead, and hold bodies in parts of one byte on any number of connections, up to the limit of a body each.

Cause: the listeners had Node's defaults. Bodies were lists of the parts that came, with a limit for one body in payload bytes and none for all.

Why this works: both listeners are watched by the one ConnectionGuard of the process. The default of connections is 8,192 at entry daemons, twice openRequests, so that no request is cut for it. A body whose reading is given up is released at once.

--- a/packages/basilpaddle/src/node/daemon/entry/__tests__/entryHarness.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/__tests__/entryHarness.ts
@@ -4,6 +4,7 @@
 import { QuarantinedRequests } from "../../../coordination/index.js";
 import { entrySettingsSchema, quarantineRulesSchema } from "../../../protocol/index.js";
 import { createSilentLogger, SilentMetrics, SystemClock, SystemRandomness } from "../../../utils/index.js";
+import { createSilentGuard } from "../../__tests__/silentGuard.js";
 import { EntryDaemon } from "../entryDaemon.js";
 
 /** An answer as received by a caller. */
@@ -57,6 +58,7 @@
             randomness: SystemRandomness.create(),
             logger: createSilentLogger(),
             metrics: SilentMetrics.create(),
+            guard: createSilentGuard(),
         });
         return new EntryHarness(daemon, control, placement, engines);
     }
--- a/packages/basilpaddle/src/node/daemon/entry/backendMessages.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/backendMessages.ts
@@ -14,6 +14,7 @@
     type Refusal,
 } from "../../protocol/index.js";
 import type { Clock, Logger } from "../../utils/index.js";
+import type { BodyRoom } from "../listeners/index.js";
 import { notRun, sendJson, sendRefusal } from "./reply.js";
 import { parseJson, readBody } from "./requestBody.js";
 
@@ -30,6 +31,7 @@
     readonly leavingBackends: LeavingBackends;
     readonly attempts: AttemptIds;
     readonly cancellations: Cancellations;
+    readonly room: BodyRoom;
     readonly clock: Clock;
     readonly logger: Logger;
 };
@@ -55,7 +57,8 @@
             sendRefusal(response, notRun("methodNotAllowed", "POST is expected"), requestId);
             return;
         }
-        const body = await readBody(request, response, this.options.settings.limits, this.options.clock);
+        const { settings: { limits }, clock, room } = this.options;
+        const body = await readBody(request, response, { limits, clock, room });
         const parsed = body.chain(parseJson);
         if (parsed.isLeft()) {
             sendRefusal(response, parsed.extract() as Refusal, requestId);
--- a/packages/basilpaddle/src/node/daemon/entry/entryDaemon.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/entryDaemon.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { getHeapStatistics } from "node:v8";
 import {
     type ControlClient,
     CrashDetector,
@@ -19,6 +20,7 @@
 import { callerHeaders, type EntrySettings, PrefixHash, type View } from "../../protocol/index.js";
 import { probeListening } from "../../transport/index.js";
 import { type Clock, DisposableStore, type Logger, type Metrics, type Randomness } from "../../utils/index.js";
+import { BodyRoom, type ConnectionGuard, defaultRoomBytes } from "../listeners/index.js";
 import { BackendMessages } from "./backendMessages.js";
 import { CallerRoutes } from "./callerRoutes.js";
 import { HttpServer } from "./httpServer.js";
@@ -30,6 +32,8 @@
 
 /** How long a drain waits for engines to confirm cancels, and for a quorum to commit run records. */
 const settleTimeoutMilliseconds = 5_000;
+/** Part of the heap's limit that the bodies of callers may take: they are held until their answers have ended. */
+const callersHeapFraction = 1 / 4;
 
 /** Settings and dependencies of an entry daemon. */
 export type EntryDaemonOptions = {
@@ -43,6 +47,8 @@
     readonly metrics: Metrics;
     /** This daemon's copy of the quarantined requests. */
     readonly quarantinedRequests: QuarantinedRequests;
+    /** Bounds what the connections to its listeners hold. */
+    readonly guard: ConnectionGuard;
 };
 
 /** Result of a drain. */
@@ -118,11 +124,13 @@
     }
 
     private async start(prefixHash: PrefixHash): Promise<void> {
-        const { settings, control, logger } = this.options;
+        const { settings, control, logger, guard } = this.options;
+        const room = this.roomFor("callers", settings.limits.heldBodyBytes ?? callersRoomBytes());
         const calls = ModelCalls.create({
             requestDependencies: this.requestDependencies,
             prefixHash,
             limits: settings.limits,
+            room,
         });
         const connections = ServiceConnections.create(this.options.randomness);
         const routes = CallerRoutes.create({
@@ -130,6 +138,7 @@
             services: ServiceCalls.create({
                 requestDependencies: this.requestDependencies,
                 limits: settings.limits,
+                room,
                 connections,
             }),
             control,
@@ -139,7 +148,11 @@
             isReady: () => this.isReady(),
             isDraining: () => this.draining !== undefined,
         });
-        const messages = BackendMessages.create({ ...this.requestDependencies, settings });
+        const messages = BackendMessages.create({
+            ...this.requestDependencies,
+            settings,
+            room: this.roomFor("backends", defaultRoomBytes(settings.limits.bodyBytes)),
+        });
         this.store.add(() => connections.close());
         this.store.add(() => this.requestDependencies.engines.close());
         this.store.add(() => this.requestDependencies.cancellations.close());
@@ -149,6 +162,8 @@
         const receiveTimeout = settings.limits.receiveTimeout;
         this.callerListener = await HttpServer.create({
             address: settings.callers,
+            listener: "callers",
+            guard,
             receiveTimeout,
             logger,
             handler: (request, response) => this.handle(request, response, id => routes.serve(id, request, response)),
@@ -156,6 +171,8 @@
         this.store.add(() => this.callerListener.close());
         this.backendListener = await HttpServer.create({
             address: settings.backends,
+            listener: "backends",
+            guard,
             receiveTimeout,
             logger,
             handler: (request, response) => this.handle(request, response, id => messages.serve(id, request, response)),
@@ -184,6 +201,12 @@
         });
     }
 
+    /** Room for the bodies of one listener. */
+    private roomFor(listener: string, limit: number): BodyRoom {
+        const { clock, logger, metrics } = this.options;
+        return BodyRoom.create({ listener, limit, clock, logger, metrics });
+    }
+
     private async waitUntilDrained(): Promise<DrainReport> {
         await this.requestsInProgress.untilEmpty();
         const [unconfirmedCancels, undecidedRuns] = await Promise.all([
@@ -202,6 +225,11 @@
     }
 }
 
+/** Bytes that the bodies of all callers may take by default. */
+function callersRoomBytes(): number {
+    return Math.floor(getHeapStatistics().heap_size_limit * callersHeapFraction);
+}
+
 function createRequestDependencies(options: EntryDaemonOptions): RequestDependencies {
     const { settings, control, clock, randomness, logger, metrics } = options;
     const engines = EngineClients.create(options.engines);
--- a/packages/basilpaddle/src/node/daemon/entry/httpServer.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/httpServer.ts
@@ -2,8 +2,9 @@
 import type { AddressInfo, Socket } from "node:net";
 import { type Address, errorBody, refusalStatus } from "../../protocol/index.js";
 import type { Logger } from "../../utils/index.js";
+import type { ConnectionGuard } from "../listeners/index.js";
 import { notRun, refusalHeaders } from "./reply.js";
-import { malformedEvent } from "./requestBody.js";
+import { malformedEvent, noRoomRetryAfterMilliseconds } from "./requestBody.js";
 
 const maxHeaderBytes = 16_384;
 const headersTimeoutMilliseconds = 10_000;
@@ -18,6 +19,10 @@
     /** Milliseconds for a caller to send a whole request. */
     readonly receiveTimeout: number;
     readonly logger: Logger;
+    /** Bounds what its connections hold. */
+    readonly guard: ConnectionGuard;
+    /** Its name, for logs. */
+    readonly listener: string;
     readonly handler: (request: http.IncomingMessage, response: http.ServerResponse) => void;
 };
 
@@ -42,6 +47,11 @@
         // An idle timeout of the socket would break a stream whose engine sends nothing for a long time.
         server.timeout = 0;
         const created = new HttpServer(server, options);
+        options.guard.watch(server, {
+            listener: options.listener,
+            headBytes: maxHeaderBytes,
+            refuse: (response, status) => created.refuseGivenUp(response, status),
+        });
         server.on("request", (request, response) => created.handleRequest(request, response));
         server.on(
             "clientError",
@@ -80,6 +90,24 @@
         this.server.closeAllConnections();
     }
 
+    /** Answers a request whose body isn't whole, and of which nothing more is read. */
+    private refuseGivenUp(response: http.ServerResponse, status: number): void {
+        this.refusedSockets.add(response.req.socket);
+        const refusal = status === refusalStatus.requestTimeout
+            ? notRun("requestTimeout", "nothing came of the request's body for too long")
+            : status === refusalStatus.headersTooLarge
+            ? notRun("headersTooLarge", `the trailers exceed ${maxHeaderBytes} bytes`)
+            : notRun("noRoom", "no room beside other connections", noRoomRetryAfterMilliseconds);
+        const body = JSON.stringify(errorBody(refusal, undefined));
+        response.writeHead(refusalStatus[refusal.code], {
+            ...refusalHeaders(refusal, undefined),
+            "content-type": "application/json",
+            "content-length": Buffer.byteLength(body),
+            "connection": "close",
+        });
+        response.end(body);
+    }
+
     private handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
         const socket = request.socket;
         if (this.refusedSockets.has(socket)) {
--- a/packages/basilpaddle/src/node/daemon/entry/modelCalls.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/modelCalls.ts
@@ -18,6 +18,7 @@
     type PrefixHash,
     type Refusal,
 } from "../../protocol/index.js";
+import type { BodyRoom } from "../listeners/index.js";
 import { type CallerOptions, readCallerOptions } from "./callerHeaders.js";
 import { ExpectedTokens } from "./expectedTokens.js";
 import { ModelAnswer } from "./modelAnswer.js";
@@ -39,6 +40,7 @@
     readonly requestDependencies: RequestDependencies;
     readonly prefixHash: PrefixHash;
     readonly limits: EntrySettings["limits"];
+    readonly room: BodyRoom;
 };
 
 type ResolvedRequest = { readonly request: ModelRequest; readonly generationRequest: GenerationRequest; };
@@ -64,7 +66,8 @@
     ): Promise<void> {
         const { clock } = this.options.requestDependencies;
         const receivedAt = clock.monotonic();
-        const body = await readBody(request, response, this.options.limits, clock, scope);
+        const { limits, room } = this.options;
+        const body = await readBody(request, response, { limits, clock, room }, scope);
         const resolved = body.chain(bytes => this.resolve(form, path, requestId, request, bytes, receivedAt));
         if (resolved.isLeft()) {
             const refusal = resolved.extract() as Refusal;
--- a/packages/basilpaddle/src/node/daemon/entry/requestBody.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/requestBody.ts
@@ -3,6 +3,7 @@
 import type { RequestScope } from "../../coordination/request/index.js";
 import type { Refusal } from "../../protocol/index.js";
 import type { Clock } from "../../utils/index.js";
+import type { BodyRoom } from "../listeners/index.js";
 import { notRun } from "./reply.js";
 
 /** Event emitted on a request whose body turns out to be malformed HTTP while it is received. */
@@ -11,25 +12,31 @@
 /** Limits of a request's body, in bytes and milliseconds. */
 export type BodyLimits = { readonly bodyBytes: number; readonly receiveTimeout: number; };
 
+/** What reading a body needs: its limits, and the room that all bodies share. */
+export type BodyReading = { readonly limits: BodyLimits; readonly clock: Clock; readonly room: BodyRoom; };
+
 const shutdownRetryAfterMilliseconds = 1_000;
+/** Retry-After of what was refused for want of room. */
+export const noRoomRetryAfterMilliseconds = 300;
 const decoder = new TextDecoder("utf-8", { fatal: true });
 
 /**
- * Reads the whole body of a request. A body that is too large or too slow is refused before it is received completely,
- * and the connection closes after the answer: the rest of the body would be parsed as the next request. `scope`: a shutdown that
- * stops it refuses the request.
+ * Reads the whole body of a request. A body that is too large or too slow, or for which there is no room beside others, is refused
+ * before it is received completely, and the connection closes after the answer: the rest of the body would be parsed as the next
+ * request. `scope`: a shutdown that stops it refuses the request.
  */
 export function readBody(
     request: IncomingMessage,
     response: ServerResponse,
-    limits: BodyLimits,
-    clock: Clock,
+    { limits, clock, room }: BodyReading,
     scope?: RequestScope,
 ): Promise<Either<Refusal, Buffer>> {
-    const tooLarge = notRun("bodyTooLarge", `the body exceeds ${limits.bodyBytes} bytes`);
+    const { bodyBytes, receiveTimeout } = limits;
+    const tooLarge = notRun("bodyTooLarge", `the body exceeds ${bodyBytes} bytes`);
+    const noRoom = notRun("noRoom", "no room for the body beside others", noRoomRetryAfterMilliseconds);
+    const broken = notRun("malformedBody", "the request ended before its body was complete");
     return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let length = 0;
+        const unread = new AbortController();
         let ended = false;
         const end = (result: Either<Refusal, Buffer>) => {
             if (ended) {
@@ -40,7 +47,7 @@
             scope?.signal.removeEventListener("abort", onShutdown);
             if (result.isLeft()) {
                 response.setHeader("connection", "close");
-                chunks.length = 0;
+                unread.abort();
             }
             resolve(result);
         };
@@ -51,34 +58,27 @@
         };
         scope?.signal.addEventListener("abort", onShutdown);
         const cancelTimer = clock.after(
-            limits.receiveTimeout,
+            receiveTimeout,
             () =>
                 end(Left(
-                    notRun(
-                        "requestTimeout",
-                        `the request was not received completely within ${limits.receiveTimeout} ms`,
-                    ),
+                    notRun("requestTimeout", `the request was not received completely within ${receiveTimeout} ms`),
                 )),
         );
-        request.on("error", () => end(Left(notRun("malformedBody", "the request ended before its body was complete"))));
+        request.on("error", () => end(Left(broken)));
         request.on(malformedEvent, () => end(Left(notRun("malformedBody", "the body's HTTP encoding is invalid"))));
-        request.on("close", () => end(Left(notRun("callerGone", "the caller disconnected"))));
-        if (Number(request.headers["content-length"] ?? 0) > limits.bodyBytes) {
+        request.on("close", () => {
+            if (!request.complete) {
+                end(Left(notRun("callerGone", "the caller disconnected")));
+            }
+        });
+        if (Number(request.headers["content-length"] ?? 0) > bodyBytes) {
             end(Left(tooLarge));
             return;
         }
-        request.on("data", (chunk: Buffer) => {
-            if (ended) {
-                return;
-            }
-            length += chunk.length;
-            if (length > limits.bodyBytes) {
-                end(Left(tooLarge));
-                return;
-            }
-            chunks.push(chunk);
-        });
-        request.on("end", () => end(Right(chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks))));
+        room.read(request, response, bodyBytes, unread.signal).then(
+            body => end(Buffer.isBuffer(body) ? Right(body) : Left(body === "tooLarge" ? tooLarge : noRoom)),
+            () => end(Left(broken)),
+        );
     });
 }
 
--- a/packages/basilpaddle/src/node/daemon/entry/services/serviceCalls.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/services/serviceCalls.ts
@@ -14,6 +14,7 @@
 } from "../../../coordination/request/index.js";
 import { type Announcement, callerHeaders, type EntrySettings, type Refusal } from "../../../protocol/index.js";
 import { DisposableStore } from "../../../utils/index.js";
+import type { BodyRoom } from "../../listeners/index.js";
 import { type CallerOptions, readCallerOptions } from "../callerHeaders.js";
 import { notRun, sendRecordedAnswer, sendRefusal } from "../reply.js";
 import { readBody } from "../requestBody.js";
@@ -27,6 +28,7 @@
 export type ServiceCallsOptions = {
     readonly requestDependencies: RequestDependencies;
     readonly limits: EntrySettings["limits"];
+    readonly room: BodyRoom;
     readonly connections: ServiceConnections;
 };
 
@@ -114,14 +116,14 @@
 
     /** Handles a call that runs at most once: it is recorded before its first byte is sent, and sent on a dedicated connection. */
     private async serveAtMostOnce(call: ServiceCall, callerOptions: CallerOptions, limit: number): Promise<void> {
-        const { requestDependencies: dependencies, limits } = this.options;
+        const { requestDependencies: dependencies, limits, room } = this.options;
         if (callerOptions.key === undefined) {
             const message = `this call runs at most once and needs the header ${callerHeaders.key}`;
             this.refuse(call, notRun("keyMissing", message));
             return;
         }
         const { request, response, scope } = call;
-        const bodyResult = await readBody(request, response, limits, dependencies.clock, scope);
+        const bodyResult = await readBody(request, response, { limits, clock: dependencies.clock, room }, scope);
         if (bodyResult.isLeft()) {
             this.refuse(call, bodyResult.extract() as Refusal);
             return;
--- a/packages/basilpaddle/src/node/daemon/listeners/bodyRoom.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/bodyRoom.ts
@@ -51,12 +51,13 @@
 
     /**
      * Reads a whole body of at most `maxBytes`, and counts it until its response has ended. "tooLarge" or "noRoom" at once if it isn't
-     * kept; then the rest isn't read. Rejects if the connection breaks before its end.
+     * kept; then the rest isn't read. Rejects if the connection breaks before its end, or `unread` says that nobody waits for it any more.
      */
     read(
         request: http.IncomingMessage,
         response: http.ServerResponse,
         maxBytes: number,
+        unread?: AbortSignal,
     ): Promise<Buffer | "tooLarge" | "noRoom"> {
         return new Promise((resolve, reject) => {
             const end = (result: "tooLarge" | "noRoom"): void => {
@@ -73,8 +74,13 @@
             };
             const stop = (): void => {
                 request.off("data", onData).off("end", onEnd).off("error", onBroken).off("close", onBroken);
+                unread?.removeEventListener("abort", onUnread);
                 request.pause();
             };
+            const onUnread = (): void => {
+                release();
+                onBroken(new Error("nobody waits for the body any more"));
+            };
             const onData = (part: Buffer): void => {
                 if (body.buffer.length + part.length > maxBytes) {
                     end("tooLarge");
@@ -96,6 +102,7 @@
             };
             this.unfinished.add(body);
             response.once("close", release);
+            unread?.addEventListener("abort", onUnread);
             request.on("data", onData).on("end", onEnd).on("error", onBroken).on("close", onBroken);
         });
     }
--- a/packages/basilpaddle/src/node/daemon/start/entryStart.ts
+++ b/packages/basilpaddle/src/node/daemon/start/entryStart.ts
@@ -91,6 +91,7 @@
             logger,
             metrics,
             quarantinedRequests: this.quarantine,
+            guard,
         });
         this.store.add(() => this.daemon.close());
         // Closed before the placement, so that while other daemons switch to the next scheduler, this one can still answer them
--- a/packages/basilpaddle/src/node/protocol/refusal.ts
+++ b/packages/basilpaddle/src/node/protocol/refusal.ts
@@ -26,6 +26,7 @@
     targetsOutOfReach: 503,
     noBackend: 503,
     heldBack: 503,
+    noRoom: 503,
     shuttingDown: 503,
     viewExpired: 503,
     noQuorum: 503,
--- a/packages/basilpaddle/src/node/protocol/settings.ts
+++ b/packages/basilpaddle/src/node/protocol/settings.ts
@@ -70,6 +70,12 @@
 export const entrySettingsSchema = z.strictObject({
     role: z.literal("entry"),
     ...commonFields,
+    connections: connectionBoundsSchema
+        .extend({
+            /** More than `limits.openRequests`, each on a connection of its own. @default 8192 */
+            connections: z.int().positive().default(8_192),
+        })
+        .prefault({}),
     /** HTTP address for callers. */
     callers: address,
     /** HTTP address for announcements and heartbeats of backend servers. */
@@ -77,6 +83,8 @@
     limits: z.strictObject({
         /** Maximum size of a request body in bytes. @default 4194304 */
         bodyBytes: z.int().min(1).default(4_194_304),
+        /** Bytes that the bodies of all callers together may take until they are answered. @default a quarter of the heap's limit */
+        heldBodyBytes: z.int().min(1_000_000).optional(),
         /** Maximum number of concurrent requests. @default 4096 */
         openRequests: z.int().min(1).default(4_096),
         /** Bytes of one answer that may be buffered for a slow caller. @default 262144 */
--- a/scripts/entryCost/daemon.ts
+++ b/scripts/entryCost/daemon.ts
@@ -1,6 +1,7 @@
 import { type Either, Right } from "purify-ts";
 import { QuarantinedRequests } from "../../packages/basilpaddle/src/node/coordination/index.js";
 import { EntryDaemon } from "../../packages/basilpaddle/src/node/daemon/entry/index.js";
+import { ConnectionGuard } from "../../packages/basilpaddle/src/node/daemon/listeners/index.js";
 import {
     announcementSchema,
     type CommandResult,
@@ -17,7 +18,7 @@
     type View,
     viewSchema,
 } from "../../packages/basilpaddle/src/node/index.js";
-import { quarantineRulesSchema } from "../../packages/basilpaddle/src/node/protocol/index.js";
+import { connectionBoundsSchema, quarantineRulesSchema } from "../../packages/basilpaddle/src/node/protocol/index.js";
 
 // Runs one entry daemon with a fixed view and two engines that are always free, so that only the request path is measured.
 // The first argument is the base URL of the prefill engine, the second that of the decode engine.
@@ -123,6 +124,12 @@
     randomness: SystemRandomness.create(),
     logger: createSilentLogger(),
     metrics: SilentMetrics.create(),
+    guard: ConnectionGuard.create({
+        bounds: connectionBoundsSchema.parse({}),
+        clock: SystemClock.create(),
+        logger: createSilentLogger(),
+        metrics: SilentMetrics.create(),
+    }),
 });
 process.on("message", () => {
     const { user, system } = process.cpuUsage();
