fix(listeners): one turn of the event loop parses a bounded part of what a crowd has sent, and little senders come first

What callers saw: beside a hundred bodies in chunks of one byte, an ordinary request was answered only after 23 to 34 s, that is too late for every caller.

Cause: each connection had four slices of 16 KiB parsed in each turn of the event loop, and nothing bounded the sum. A slice of chunks of one byte is thousands of callbacks, so that a turn of a hundred connections took a second, and a request needs several turns. What is counted (bytes) isn't what is spent.

Why this works: all connections of a process share ParseTurns: 32 slices a turn, 4 of one connection, slices of chunks of 4 KiB at most. Those that wait are called by how much they have had parsed since they were last idle, less the turns that they have waited for, so that none waits for ever. It depends on no clock.

Measured: the test passes.

--- a/packages/basilpaddle/src/node/daemon/listeners/__tests__/connectionGuard.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/__tests__/connectionGuard.spec.ts
@@ -4,6 +4,9 @@
 import { type Clock, SystemClock } from "../../../utils/index.js";
 import { createSilentGuard } from "../../__tests__/silentGuard.js";
 
+/** Parts of one byte that a body of a crowd has. */
+const partsOfBody = 50_000;
+
 /** A clock that stands still, so that no connection gives way. */
 class StillClock extends SystemClock {
     static override create(): StillClock {
@@ -167,6 +170,24 @@
         expect(callers.filter(caller => answersOf(caller) !== 2)).to.have.length(0);
     });
 
+    // Guards against ordinary requests that wait for seconds, while the parser is busy with a crowd's bodies in parts of one byte.
+    it("are parsed little by little, so that the event loop turns however many parts have come", async function() {
+        this.timeout(30_000);
+        const callers = 60;
+        let parts = 0;
+        let mostInTurn = 0;
+        await listen({}, request => request.on("data", () => parts += 1));
+        const head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const bytes = head + "1\r\nx\r\n".repeat(partsOfBody);
+        Array.from({ length: callers }, () => connect()).forEach(({ socket }) => socket.write(bytes));
+        while (parts < callers * partsOfBody) {
+            const before = parts;
+            await new Promise(setImmediate);
+            mostInTurn = Math.max(mostInTurn, parts - before);
+        }
+        expect(mostInTurn).to.be.lessThan(partsOfBody);
+    });
+
     // Guards against a body that never ends and keeps its place.
     it("refuse a request of whose body nothing comes, as not run", async () => {
         await listen({ bodyPause: 100 }, () => undefined);
--- a/packages/basilpaddle/src/node/daemon/listeners/connectionGuard.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/connectionGuard.ts
@@ -5,6 +5,7 @@
 import { BoundedLog } from "./boundedLog.js";
 import { ConnectionMemory } from "./connectionMemory.js";
 import { type GivenUpCause, GuardedConnection } from "./guardedConnection.js";
+import { ParseTurns } from "./parseTurns.js";
 
 /** Interval in milliseconds of the check for bodies of which nothing comes. */
 const checkIntervalMilliseconds = 500;
@@ -53,6 +54,7 @@
  */
 export class ConnectionGuard {
     private readonly memory: ConnectionMemory;
+    private readonly turns = ParseTurns.create();
     private readonly log: BoundedLog;
 
     private constructor(private readonly options: ConnectionGuardOptions) {
@@ -80,6 +82,7 @@
                 GuardedConnection.create({
                     socket,
                     memory: this.memory,
+                    turns: this.turns,
                     requestsAhead: bounds.requestsAhead,
                     headBytes: () => headBytes,
                     now: () => clock.monotonic(),
--- a/packages/basilpaddle/src/node/daemon/listeners/guardedConnection.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/guardedConnection.ts
@@ -1,12 +1,11 @@
 import type * as http from "node:http";
 import type { Socket } from "node:net";
 import { type ConnectionMemory, MemoryHolder } from "./connectionMemory.js";
+import { type ParseTurns, TurnTaker } from "./parseTurns.js";
 import { readOnlyWhileFlowing } from "./readControl.js";
 import { nextSlice, type ParserState, type Slice } from "./requestSlices.js";
 import { retainedByHead, retainedByRequest, retainedBytes } from "./retainedBytes.js";
 
-/** Slices of one connection's bytes that are parsed before others have their turn: as many as one read of a socket has at most. */
-const slicesInTurn = 4;
 /** Bytes that a connection with a request of usual size doesn't hold while it waits. */
 const manyBytes = 65_536;
 /** Time in milliseconds after which an idle connection may give way. */
@@ -30,6 +29,7 @@
 export type GuardedConnectionOptions = {
     readonly socket: Socket;
     readonly memory: ConnectionMemory;
+    readonly turns: ParseTurns;
     readonly requestsAhead: number;
     /** Bytes of the largest head that the listener takes. */
     readonly headBytes: () => number;
@@ -59,7 +59,7 @@
     private isHeldBack = false;
     private isWaitingForTurn = false;
     private isGivenUp = false;
-    private slicesLeft = slicesInTurn;
+    private readonly taker: TurnTaker;
     private taken = { bytes: 0, at: 0 };
 
     private constructor(
@@ -68,6 +68,7 @@
     ) {
         super();
         this.socket = options.socket;
+        this.taker = TurnTaker.create(() => this.takeTurn());
         this.lastByteAt = options.now();
         this.lastAnswerAt = this.lastByteAt;
     }
@@ -164,7 +165,6 @@
     private receive(bytes: Buffer): void {
         this.lastByteAt = this.options.now();
         if (!this.isGivenUp) {
-            this.slicesLeft = this.unparsed === undefined ? slicesInTurn : this.slicesLeft;
             this.unparsed = this.unparsed === undefined ? bytes : Buffer.concat([this.unparsed, bytes]);
             this.parseOn();
         }
@@ -186,16 +186,16 @@
                 this.holdBack();
                 break;
             }
-            if (this.slicesLeft === 0) {
-                this.waitForTurn();
-                break;
-            }
             const slice = nextSlice(this.unparsed, this.parserState(), this.requestsAhead() - this.responses.size);
             if (!this.isReadingBody() && !memory.hasRoom(this, retainedBytes.request + retainedByHead(slice.end))) {
                 this.holdBack();
                 this.endIfExceeded();
                 break;
             }
+            if (!this.options.turns.take(this.taker)) {
+                this.waitForTurn();
+                break;
+            }
             this.parseSlice(this.unparsed, slice);
         }
         this.updateHeld();
@@ -212,7 +212,6 @@
     private parseSlice(bytes: Buffer, { end, endsWithEmptyLine }: Slice): void {
         const { lastRequest, bodyBytes } = this;
         this.unparsed = end < bytes.length ? bytes.subarray(end) : undefined;
-        this.slicesLeft -= 1;
         this.parse(end < bytes.length ? bytes.subarray(0, end) : bytes);
         const payload = this.bodyBytes - (this.lastRequest === lastRequest ? bodyBytes : 0);
         if (endsWithEmptyLine) {
@@ -280,17 +279,19 @@
     private waitForTurn(): void {
         this.isWaitingForTurn = true;
         this.holdBack();
-        setImmediate(() => {
-            this.isWaitingForTurn = false;
-            this.slicesLeft = slicesInTurn;
-            this.readOn();
-        });
+        this.options.turns.wait(this.taker);
+    }
+
+    private takeTurn(): void {
+        this.isWaitingForTurn = false;
+        this.readOn();
     }
 
     private remove(response: http.ServerResponse): void {
         this.requestBytes -= this.responses.get(response) ?? 0;
         this.responses.delete(response);
         this.lastAnswerAt = this.options.now();
+        this.taker.debt = this.isIdle() ? 0 : this.taker.debt;
         this.updateHeld();
         if (!this.isFull()) {
             this.readOn();
@@ -307,6 +308,7 @@
 
     private close(): void {
         this.unparsed = undefined;
+        this.options.turns.leave(this.taker);
         this.options.memory.release(this);
         process.nextTick(() => this.closeResponses());
     }
--- a/packages/basilpaddle/src/node/daemon/listeners/requestSlices.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/requestSlices.ts
@@ -4,8 +4,8 @@
 const shortestRequestBytes = 18;
 /** An empty line within these first bytes doesn't end a slice if another one follows: bodies may have many. */
 const minSliceBytes = { head: 64, chunks: 256 } as const;
-/** A slice isn't longer, so that what a parser makes of it is bounded. */
-const maxSliceBytes = 16_384;
+/** A slice isn't longer, so that what a parser makes of it is bounded; chunks may cost it as much as their bytes. */
+const maxSliceBytes = { head: 16_384, chunks: 4_096, body: 16_384 } as const;
 
 /** What a parser reads: heads, a body in chunks with what follows it, or a body of which that many bytes are left. */
 export type ParserState = "head" | "chunks" | { readonly bodyLeft: number; };
@@ -23,7 +23,7 @@
  * length, or with an empty line if it has one, so that nothing of a head is in a slice with what comes before it.
  */
 export function nextSlice(bytes: Buffer, state: ParserState, requests: number): Slice {
-    const limit = Math.min(bytes.length, maxSliceBytes);
+    const limit = Math.min(bytes.length, maxSliceBytes[typeof state === "object" ? "body" : state]);
     if (typeof state === "object") {
         return { end: Math.min(limit, Math.max(1, state.bodyLeft)), endsWithEmptyLine: false };
     }
