fix(transport): what other daemons' connections make a process hold has a bound

What callers saw: nothing yet; found by looking for the cause of the gateways' fault elsewhere. Whoever reaches a port for other daemons could have it keep frames of 16 MiB without their end on any number of connections, in parts of one byte at a hundred times their bytes, begin every request sent ahead, and keep answers that nobody takes.

Cause: one frame had a limit in payload, and nothing had one in sum. A frame was kept as the list of the parts that came.

Evidence, on the code before: of six frames of 16 MiB in progress none was ever closed ('closes those with the largest unfinished frames'); 50,000 of 50,000 requests of one connection were begun ('begins few more requests'); what a reader holds wasn't known ('hold little more than their bytes').

Why this works: FrameReader collects with BodyBuffer, which moves to utils, and states what it holds. TcpServer, now a file of its own, closes the largest unfinished frames beyond 64 MiB, four of the largest; beyond 1,024 requests in progress or 8 MiB of answers not taken it reads nothing more of a connection; beyond 2,048 connections the oldest one that never sent a whole frame closes.

Not tested: unread answers, and connections beyond their bound.

--- a/packages/basilpaddle/src/node/daemon/gateway/heldBody.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/heldBody.ts
@@ -1,8 +1,7 @@
 import type * as http from "node:http";
 import type { CallerLimits } from "../../protocol/index.js";
-import type { Clock } from "../../utils/index.js";
+import { BodyBuffer, type Clock } from "../../utils/index.js";
 import type { HeldBytes, ReceivedBody } from "../backends/index.js";
-import { BodyBuffer } from "../listeners/index.js";
 
 /** Retry-After if there is no room for a body. */
 export const noRoomRetryAfterSeconds = 0.3;
--- a/packages/basilpaddle/src/node/daemon/listeners/bodyRoom.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/bodyRoom.ts
@@ -1,7 +1,6 @@
 import type * as http from "node:http";
 import { getHeapStatistics } from "node:v8";
-import type { Clock, Logger, Metrics } from "../../utils/index.js";
-import { BodyBuffer } from "./bodyBuffer.js";
+import { BodyBuffer, type Clock, type Logger, type Metrics } from "../../utils/index.js";
 import { BoundedLog } from "./boundedLog.js";
 
 /** Part of the heap's limit that bodies may take if no setting states another limit. */
--- a/packages/basilpaddle/src/node/daemon/listeners/index.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/index.ts
@@ -1,3 +1,2 @@
-export * from "./bodyBuffer.js";
 export * from "./bodyRoom.js";
 export * from "./connectionGuard.js";
--- a/packages/basilpaddle/src/node/transport/__tests__/tcpLink.spec.ts
+++ b/packages/basilpaddle/src/node/transport/__tests__/tcpLink.spec.ts
@@ -4,9 +4,10 @@
 import * as net from "node:net";
 import { Worker } from "node:worker_threads";
 import { createSilentLogger } from "../../utils/index.js";
-import { encodeFrame, FrameReader } from "../frame.js";
+import { encodeFrame, FrameReader, readFrame } from "../frame.js";
 import type { LinkFailure } from "../link.js";
-import { connectTimeoutMilliseconds, TcpNetwork, TcpServer } from "../tcpLink.js";
+import { connectTimeoutMilliseconds, TcpNetwork } from "../tcpLink.js";
+import { TcpServer } from "../tcpServer.js";
 
 const logger = createSilentLogger();
 
@@ -23,6 +24,29 @@
         }
     });
 
+    // Guards against a frame in parts of one byte that takes a hundred times its bytes.
+    it("hold little more than their bytes while they aren't whole, however small the parts are", () => {
+        const reader = FrameReader.create();
+        reader.push(Buffer.from([0x00, 0x10, 0x00, 0x00]));
+        for (let part = 0; part < 100_000; part++) {
+            reader.push(Buffer.from([part % 256]));
+        }
+        expect(reader.heldBytes).to.be.within(100_000, 250_000);
+    });
+
+    // Guards against a listener for short requests that waits for, and keeps, frames of any length.
+    it("over the limit that their reader states aren't waited for", async () => {
+        const server = net.createServer();
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const socket = net.connect((server.address() as net.AddressInfo).port, "127.0.0.1");
+        const [accepted] = await once(server, "connection") as [net.Socket];
+        socket.write(Buffer.from([0, 0, 0x10, 0x01]));
+        expect(await readFrame(accepted, 4_096)).to.equal(undefined);
+        expect(accepted.destroyed).to.equal(false);
+        socket.destroy();
+        server.close();
+    });
+
     it("over the limit are refused before their body arrives", () => {
         expect(() => FrameReader.create().push(Buffer.from([0xff, 0xff, 0xff, 0xff]))).to.throw(RangeError);
     });
@@ -75,6 +99,76 @@
     }
 }
 
+describe("a listener for other daemons", () => {
+    let server: TcpServer;
+    let sockets: net.Socket[];
+
+    function connect(): net.Socket {
+        const socket = net.connect(server.port(), "127.0.0.1");
+        socket.on("error", () => undefined);
+        sockets.push(socket);
+        return socket;
+    }
+
+    async function isAnswered(): Promise<boolean> {
+        const link = TcpNetwork.create(logger).link({ host: "127.0.0.1", port: server.port() });
+        const answer = await link.request("x", 5_000);
+        link.close();
+        return answer.isRight();
+    }
+
+    beforeEach(() => {
+        sockets = [];
+    });
+
+    afterEach(async () => {
+        sockets.forEach(socket => socket.destroy());
+        await server.close();
+    });
+
+    // Guards against whoever sends large frames without their end on many connections, until the process has no memory.
+    it("closes those with the largest unfinished frames once all hold too much, and answers others", async function() {
+        this.timeout(30_000);
+        server = await TcpServer.create({ host: "127.0.0.1", port: 0, logger, handler: body => Promise.resolve(body) });
+        const part = Buffer.alloc(15_000_000);
+        let closed = 0;
+        for (let caller = 0; caller < 6; caller++) {
+            const socket = connect();
+            socket.on("close", () => closed += 1);
+            socket.write(Buffer.from([0x00, 0xff, 0xff, 0xff]));
+            socket.write(part);
+        }
+        while (closed === 0) {
+            await new Promise(resolve => setTimeout(resolve, 100));
+            // None of them is closed for doing nothing.
+            sockets.forEach(socket => socket.write("x"));
+        }
+        expect(await isAnswered()).to.equal(true);
+    });
+
+    // Guards against requests sent ahead without a bound, each of which holds what its handler holds.
+    it("begins few more requests of one connection than may be in progress", async () => {
+        let begun = 0;
+        const handler = (): Promise<unknown> => {
+            begun += 1;
+            return new Promise(() => undefined);
+        };
+        server = await TcpServer.create({ host: "127.0.0.1", port: 0, logger, handler });
+        const socket = connect();
+        const requests = Buffer.concat(
+            Array.from({ length: 1_000 }, (_, id) => encodeFrame({ id, body: "x".repeat(100) })),
+        );
+        for (let block = 0; block < 50; block++) {
+            socket.write(requests);
+        }
+        while (begun < 1_024) {
+            await new Promise(resolve => setTimeout(resolve, 10));
+        }
+        await new Promise(resolve => setTimeout(resolve, 100));
+        expect(begun).to.be.lessThan(3_000);
+    });
+});
+
 describe("a TCP link", () => {
     // After a power failure of the whole deployment, some gateways received a configuration half a second later than others:
     // they were up before the directories' hosts, so the first packet of their connection was lost, and the link waited for
--- a/packages/basilpaddle/src/node/transport/frame.ts
+++ b/packages/basilpaddle/src/node/transport/frame.ts
@@ -1,5 +1,6 @@
 import { Encoder } from "cbor-x";
 import type { Socket } from "node:net";
+import { BodyBuffer } from "../utils/index.js";
 
 /** Maximum length of a frame's body; a larger length in the header means that the sender is faulty or uses another protocol. */
 export const maxFrameBytes = 16 * 1024 * 1024;
@@ -24,9 +25,9 @@
 
 /**
  * Reads one frame of a connection and leaves the bytes after it to be read by others; resolves to undefined if the connection
- * ends before, the frame is over the limit or it can't be decoded.
+ * ends before, the frame is over the limit or it can't be decoded. `limit`: bytes of its body.
  */
-export function readFrame(socket: Socket): Promise<unknown> {
+export function readFrame(socket: Socket, limit = maxFrameBytes): Promise<unknown> {
     return new Promise(resolve => {
         let bodyBytes: number | undefined;
         const settle = (value: unknown): void => {
@@ -43,7 +44,7 @@
                 }
                 bodyBytes = header.readUInt32BE(0);
             }
-            if (bodyBytes === 0 || bodyBytes > maxFrameBytes) {
+            if (bodyBytes === 0 || bodyBytes > limit) {
                 settle(undefined);
                 return;
             }
@@ -68,53 +69,61 @@
     }
 }
 
-/** Decodes the frames of a byte stream. */
+/** Decodes the frames of a byte stream. What it holds follows the bytes that have come, however small their parts are. */
 export class FrameReader {
-    private chunks: Buffer[] = [];
-    private bufferedBytes = 0;
+    private header: Buffer = Buffer.alloc(0);
+    /** The body that is being received, and its bytes; undefined until its header is whole. */
+    private body: { readonly buffer: BodyBuffer; readonly bytes: number; } | undefined;
 
     static create(): FrameReader {
         return new FrameReader();
     }
 
+    /** Bytes that it holds of a frame that isn't whole. */
+    get heldBytes(): number {
+        return this.header.length + (this.body?.buffer.heldBytes ?? 0);
+    }
+
     /** Appends a chunk and returns the values of all frames it completes. Throws on a frame over the limit or an invalid body. */
     push(chunk: Buffer): unknown[] {
-        this.chunks.push(chunk);
-        this.bufferedBytes += chunk.length;
         const values: unknown[] = [];
-        for (let body = this.nextBody(); body !== undefined; body = this.nextBody()) {
-            values.push(encoder.decode(body));
+        let rest = chunk;
+        while (rest.length > 0) {
+            rest = this.body === undefined ? this.readHeader(rest) : rest;
+            if (this.body !== undefined) {
+                const { buffer, bytes } = this.body;
+                const part = rest.subarray(0, bytes - buffer.length);
+                rest = rest.subarray(part.length);
+                if (buffer.length + part.length < bytes) {
+                    buffer.add(part);
+                    break;
+                }
+                this.body = undefined;
+                values.push(encoder.decode(buffer.length === 0 ? part : join(buffer, part)));
+            }
         }
         return values;
     }
 
-    private nextBody(): Buffer | undefined {
-        if (this.bufferedBytes < frameHeaderBytes) {
-            return undefined;
-        }
-        // Chunks are joined only when a whole frame has arrived; joining at each chunk would take quadratic time.
-        const first = this.chunks[0]!;
-        const header = first.length >= frameHeaderBytes ? first : this.joinChunks();
-        const length = header.readUInt32BE(0);
-        if (length > maxFrameBytes) {
-            throw new RangeError(
-                `A frame header gives a body length of ${length} bytes; the limit is ${maxFrameBytes} bytes.`,
-            );
-        }
-        if (this.bufferedBytes < frameHeaderBytes + length) {
-            return undefined;
+    /** Reads what a chunk has of a header; returns the rest. */
+    private readHeader(chunk: Buffer): Buffer {
+        const missing = frameHeaderBytes - this.header.length;
+        this.header = Buffer.concat([this.header, chunk.subarray(0, missing)]);
+        if (this.header.length === frameHeaderBytes) {
+            const bytes = this.header.readUInt32BE(0);
+            this.header = Buffer.alloc(0);
+            if (bytes > maxFrameBytes) {
+                throw new RangeError(
+                    `A frame header gives a body length of ${bytes} bytes; the limit is ${maxFrameBytes} bytes.`,
+                );
+            }
+            this.body = { buffer: BodyBuffer.create(), bytes };
         }
-        const bytes = this.joinChunks();
-        const remaining = bytes.subarray(frameHeaderBytes + length);
-        this.chunks = remaining.length > 0 ? [remaining] : [];
-        this.bufferedBytes = remaining.length;
-        return bytes.subarray(frameHeaderBytes, frameHeaderBytes + length);
+        return chunk.subarray(missing);
     }
+}
 
-    private joinChunks(): Buffer {
-        if (this.chunks.length > 1) {
-            this.chunks = [Buffer.concat(this.chunks)];
-        }
-        return this.chunks[0]!;
-    }
+function join(buffer: BodyBuffer, last: Buffer): Buffer {
+    buffer.add(last);
+    return buffer.whole();
 }
--- a/packages/basilpaddle/src/node/transport/index.ts
+++ b/packages/basilpaddle/src/node/transport/index.ts
@@ -6,4 +6,5 @@
 export * from "./link.js";
 export * from "./listening.js";
 export * from "./tcpLink.js";
+export * from "./tcpServer.js";
 export * from "./tunnel.js";
--- a/packages/basilpaddle/src/node/transport/tcpLink.ts
+++ b/packages/basilpaddle/src/node/transport/tcpLink.ts
@@ -2,7 +2,8 @@
 import { Either, Left, Right } from "purify-ts";
 import { afterPoll, type Logger } from "../utils/index.js";
 import { encodeFrame, FrameReader } from "./frame.js";
-import { Link, type LinkContext, type LinkFailure, type LinkHandler, Network } from "./link.js";
+import { Link, type LinkFailure, Network } from "./link.js";
+import { maxSendBufferBytes, readFrames } from "./linkFrame.js";
 
 /**
  * Timeout for establishing a connection. The other host's operating system accepts the connection within one round trip, even
@@ -11,26 +12,15 @@
  * half a second late. With a short timeout, a new attempt sends a new packet earlier.
  */
 export const connectTimeoutMilliseconds = 300;
-/** Bytes in a connection's send buffer above which messages that aren't answered are dropped. */
-const maxSendBufferBytes = 8 * 1024 * 1024;
 
 type PendingRequest = {
     readonly settle: (answer: Either<LinkFailure, unknown>) => void;
 };
-type Frame = {
-    readonly id?: number;
-    readonly answerTo?: number;
-    readonly body?: unknown;
-    /** Keep-alive message: a probe (`ask`) or the reply to one (`sign`). */
-    readonly life?: "ask" | "sign";
-};
 /** Time without received data after which a keep-alive probe is sent. */
 const idleProbeMilliseconds = 500;
 /** Time without received data after which a connection is considered lost, if that many keep-alive probes weren't answered in it. */
 const idleTimeoutMilliseconds = 2_000;
 const minUnansweredProbes = 2;
-/** Time without received data after which the accepting side closes a connection; the connecting side has done so long before. */
-const acceptedIdleTimeoutMilliseconds = 15_000;
 
 /** Creates links over TCP. */
 export class TcpNetwork extends Network {
@@ -219,105 +209,3 @@
         return `${this.address.host}:${this.address.port}`;
     }
 }
-
-/** Accepts links from other daemons and answers their requests. */
-export class TcpServer {
-    private readonly sockets = new Set<net.Socket>();
-
-    private constructor(
-        private readonly server: net.Server,
-        private readonly handler: LinkHandler,
-        private readonly logger: Logger,
-    ) {
-        server.on("connection", socket => this.handleConnection(socket));
-    }
-
-    /** Starts listening; with port 0 the operating system chooses a free port, which `port()` returns. */
-    static async create(options: {
-        readonly host: string;
-        readonly port: number;
-        readonly handler: LinkHandler;
-        readonly logger: Logger;
-    }): Promise<TcpServer> {
-        const server = net.createServer({ noDelay: true });
-        const created = new TcpServer(server, options.handler, options.logger);
-        await new Promise<void>((resolve, reject) => {
-            server.once("error", reject);
-            server.listen({ host: options.host, port: options.port }, resolve);
-        });
-        return created;
-    }
-
-    /** The port that the server listens on. */
-    port(): number {
-        return (this.server.address() as net.AddressInfo).port;
-    }
-
-    /** Stops listening and closes all connections. */
-    async close(): Promise<void> {
-        const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
-        for (const socket of this.sockets) {
-            socket.destroy();
-        }
-        await closed;
-    }
-
-    private handleConnection(socket: net.Socket): void {
-        this.sockets.add(socket);
-        const reader = FrameReader.create();
-        const connectionClosed = new AbortController();
-        const context: LinkContext = { disconnected: connectionClosed.signal };
-        socket.on(
-            "error",
-            error => this.logger.debug("a connection from another daemon failed", { message: error.message }),
-        );
-        socket.on("close", () => {
-            this.sockets.delete(socket);
-            connectionClosed.abort();
-        });
-        socket.setTimeout(acceptedIdleTimeoutMilliseconds, () => socket.destroy());
-        socket.on("data", chunk => {
-            for (const frame of readFrames(reader, chunk, socket, this.logger)) {
-                if (frame.life === undefined) {
-                    void this.handleRequest(socket, frame, context);
-                }
-                else if (frame.life === "ask") {
-                    socket.write(encodeFrame({ life: "sign" }));
-                }
-            }
-        });
-    }
-
-    private async handleRequest(socket: net.Socket, frame: Frame, context: LinkContext): Promise<void> {
-        try {
-            const body = await this.handler(frame.body, context);
-            if (frame.id !== undefined && !socket.destroyed) {
-                socket.write(encodeFrame({ answerTo: frame.id, body }));
-            }
-        }
-        catch (error) {
-            // Without an answer the other side would wait for its whole timeout; closing the connection fails it at once as `lost`.
-            this.logger.error("a link handler failed", { error });
-            socket.destroy();
-        }
-    }
-}
-
-function readFrames(reader: FrameReader, chunk: Buffer, socket: net.Socket, logger: Logger): Frame[] {
-    try {
-        const frames = reader.push(chunk);
-        if (frames.every(isFrame)) {
-            return frames;
-        }
-        logger.warn("received a frame that is no message; closing the connection");
-    }
-    catch (error) {
-        logger.warn("received an invalid frame; closing the connection", { error });
-    }
-    socket.destroy();
-    return [];
-}
-
-function isFrame(value: unknown): value is Frame {
-    return typeof value === "object" && Boolean(value);
-}
--- a/packages/basilpaddle/src/node/utils/index.ts
+++ b/packages/basilpaddle/src/node/utils/index.ts
@@ -1,5 +1,6 @@
 export * from "./activeClock.js";
 export * from "./background.js";
+export * from "./bodyBuffer.js";
 export * from "./clock.js";
 export * from "./codeDescription.js";
 export * from "./disposables.js";
