fix(gateway): a relay takes short requests for tunnels, and a bounded number of connections

Each connection to a relay could send a first frame of up to 16 MiB within its second, and nothing bounded how many connections there are before their request was read.

Cause: the limit of the frames between daemons held for a request that names a server.

Why this works: a request for a tunnel has 4 KiB at most, and its reader doesn't wait for a longer one; beyond 1,024 connections, as many as tunnels and notices may have and 24, new ones are closed.

The bound of connections has no test.

--- a/packages/basilpaddle/src/node/daemon/gateway/relayServer.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/relayServer.ts
@@ -12,6 +12,10 @@
 const maxTunnels = 500;
 /** Limit of gateways that get a notice: one connection each. */
 const maxNotices = 500;
+/** Limit of connections: those of tunnels and notices, and some that are refused. */
+const maxConnections = maxTunnels + maxNotices + 24;
+/** Bytes of the largest request for a tunnel. */
+const maxRequestBytes = 4_096;
 /** Time for a new connection to send its request. */
 const requestTimeoutMilliseconds = 1_000;
 
@@ -77,13 +81,17 @@
     }
 
     private async accept(socket: net.Socket): Promise<void> {
+        if (this.sockets.size >= maxConnections) {
+            socket.destroy();
+            return;
+        }
         this.sockets.add(socket);
         socket.once("close", () => this.sockets.delete(socket));
         socket.on("error", error => {
             this.options.logger.debug("a tunnel's connection failed", { cause: error.message });
         });
         const cancelTimeout = afterPoll(requestTimeoutMilliseconds, () => socket.destroy());
-        const request = tunnelRequestSchema.safeParse(await readFrame(socket));
+        const request = tunnelRequestSchema.safeParse(await readFrame(socket, maxRequestBytes));
         cancelTimeout();
         if (!request.success) {
             socket.destroy();
