fix(gateway): a probe of readiness has the runtime's time limits again

The bound of connections needs no such limit: beyond it, the one whose last answer is longest ago closes.

--- a/packages/basilpaddle/src/node/daemon/gateway/readinessServer.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/readinessServer.ts
@@ -2,8 +2,6 @@
 import type { ConnectionGuard } from "../listeners/index.js";
 
 const keepAliveTimeoutMilliseconds = 10_000;
-/** Time for a whole probe. */
-const requestTimeoutMilliseconds = 5_000;
 /** Bytes of the largest head of a probe. */
 const maxHeaderBytes = 16_384;
 /** Enough for the balancers of a deployment. */
@@ -18,8 +16,6 @@
 ): Promise<() => void> {
     const server = http.createServer({
         keepAliveTimeout: keepAliveTimeoutMilliseconds,
-        headersTimeout: requestTimeoutMilliseconds,
-        requestTimeout: requestTimeoutMilliseconds,
         maxHeaderSize: maxHeaderBytes,
     });
     guard.watch(server, { listener: "readiness", headBytes: maxHeaderBytes, connections: maxConnections });
