fix(gateway): requests that wait unparsed when a stop begins are answered before their connection closes

Cause: the stop closes each connection after the last request that was read, and what the guard holds back hasn't been read as far as Node's server knows.

Why this works: the server asks the guard whether more has come on the connection. If so the answer keeps it open, and the last one closes it.

Directories' and operators' listeners close after each answer at a stop, whatever was sent ahead, as they did before there was a guard; not changed.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/callerServer.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/callerServer.spec.ts
@@ -72,6 +72,32 @@
         expect(error.code).to.equal("ECONNRESET");
     });
 
+    // Guards against requests that were received before a stop and wait unparsed: the answer before them closes their connection.
+    it("answers what a connection had sent ahead when it begins to close", async () => {
+        const responses: ServerResponse[] = [];
+        const server = await CallerServer.create({
+            address: { host: "127.0.0.1", port: 0 },
+            handler: (_incoming, response) => responses.push(response),
+            guard: createSilentGuard({ requestsAhead: 2 }),
+            logger: createSilentLogger(),
+        });
+        const socket = net.connect(server.port(), "127.0.0.1");
+        let received = "";
+        socket.on("data", bytes => received += String(bytes));
+        socket.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".repeat(20));
+        while (responses.length === 0) {
+            await new Promise(setImmediate);
+        }
+        server.closeAfterResponses();
+        while (!socket.destroyed && received.split("200 OK").length <= 20) {
+            responses.splice(0).forEach(response => response.end("ok"));
+            await new Promise(setImmediate);
+        }
+        expect(received.match(/200 OK/g)).to.have.length(20);
+        expect(received.match(/Connection: close/g)).to.have.length(1);
+        server.closeAll();
+    });
+
     // Guards against a request that was taken, and whose connection the answer to the one before it closes.
     it("answers each request that was read on a connection before it closes that", async () => {
         const responses: ServerResponse[] = [];
--- a/packages/basilpaddle/src/node/daemon/gateway/callerServer.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerServer.ts
@@ -128,11 +128,13 @@
         this.server.closeAllConnections();
     }
 
-    /** Closes a connection after this response, and not after those to requests that were read before on it. */
+    /** Closes a connection after this response, unless more has come on it, and not after those to requests that were read before. */
     private closeAfter(last: http.ServerResponse): void {
+        const { socket } = last.req;
+        const isLast = !this.options.guard.hasUnparsed(socket);
         this.openResponses.forEach(response => {
-            if (response.req.socket === last.req.socket && !response.headersSent) {
-                response.shouldKeepAlive = response !== last;
+            if (response.req.socket === socket && !response.headersSent) {
+                response.shouldKeepAlive = response !== last || !isLast;
             }
         });
     }
--- a/packages/basilpaddle/src/node/daemon/listeners/connectionGuard.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/connectionGuard.ts
@@ -55,6 +55,7 @@
 export class ConnectionGuard {
     private readonly memory: ConnectionMemory;
     private readonly turns = ParseTurns.create();
+    private readonly connections = new WeakMap<Socket, GuardedConnection>();
     private readonly log: BoundedLog;
 
     private constructor(private readonly options: ConnectionGuardOptions) {
@@ -77,18 +78,17 @@
         setHeadBytes(headBytes);
         server.on("connection", (socket: Socket) => {
             const { clock, bounds } = this.options;
-            connections.set(
+            const connection = GuardedConnection.create({
                 socket,
-                GuardedConnection.create({
-                    socket,
-                    memory: this.memory,
-                    turns: this.turns,
-                    requestsAhead: bounds.requestsAhead,
-                    headBytes: () => headBytes,
-                    now: () => clock.monotonic(),
-                    giveUp: (connection, cause) => this.giveUp(connection, cause, listener),
-                }),
-            );
+                memory: this.memory,
+                turns: this.turns,
+                requestsAhead: bounds.requestsAhead,
+                headBytes: () => headBytes,
+                now: () => clock.monotonic(),
+                giveUp: (connection, cause) => this.giveUp(connection, cause, listener),
+            });
+            connections.set(socket, connection);
+            this.connections.set(socket, connection);
             socket.once("close", () => connections.delete(socket));
             if (connections.size > Math.min(bounds.connections, listener.connections ?? Infinity)) {
                 this.giveUp(leastUsed([...connections.values()]), "connections", listener);
@@ -112,6 +112,11 @@
         return setHeadBytes;
     }
 
+    /** Whether bytes have come on a connection of one of its listeners that its parser hasn't got yet. */
+    hasUnparsed(socket: Socket): boolean {
+        return this.connections.get(socket)?.hasUnparsed() ?? false;
+    }
+
     /** Sets the gauges of what the connections hold. */
     measure(metrics: Metrics): void {
         this.memory.measure(metrics);
--- a/packages/basilpaddle/src/node/daemon/listeners/guardedConnection.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/guardedConnection.ts
@@ -100,6 +100,11 @@
         return this.responses.size === 0 && this.headBytes === 0 && this.unparsed === undefined;
     }
 
+    /** Whether bytes have come that the parser hasn't got yet. */
+    hasUnparsed(): boolean {
+        return this.unparsed !== undefined;
+    }
+
     /** Whether it has had a request: one that was just opened waits for its first. */
     hadRequest(): boolean {
         return this.lastRequest !== undefined;
