refactor: one Retry-After for want of room, one writer of a refusal's head, a signal named for what it means

Read again as a newcomer would. The time to come back for want of room stood three times, in two units; an entry daemon wrote the head of a refusal in two places; BodyRoom.read took a signal 'unread' that is aborted when nobody waits for the body, now 'abandoned'; a test had a clock of its own beside ManualClock; a return without a visible reason in TcpServer has one. Behaviour stays.

--- a/packages/basilpaddle/src/node/daemon/entry/httpServer.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/httpServer.ts
@@ -3,8 +3,8 @@
 import { type Address, errorBody, refusalStatus } from "../../protocol/index.js";
 import type { Logger } from "../../utils/index.js";
 import type { ConnectionGuard } from "../listeners/index.js";
-import { notRun, refusalHeaders } from "./reply.js";
-import { malformedEvent, noRoomRetryAfterMilliseconds } from "./requestBody.js";
+import { notRun, refusalHeaders, writeRefusalHead } from "./reply.js";
+import { malformedEvent, refusalForRoom } from "./requestBody.js";
 
 const maxHeaderBytes = 16_384;
 const headersTimeoutMilliseconds = 10_000;
@@ -97,15 +97,9 @@
             ? notRun("requestTimeout", "nothing came of the request's body for too long")
             : status === refusalStatus.headersTooLarge
             ? notRun("headersTooLarge", `the trailers exceed ${maxHeaderBytes} bytes`)
-            : notRun("noRoom", "no room beside other connections", noRoomRetryAfterMilliseconds);
-        const body = JSON.stringify(errorBody(refusal, undefined));
-        response.writeHead(refusalStatus[refusal.code], {
-            ...refusalHeaders(refusal, undefined),
-            "content-type": "application/json",
-            "content-length": Buffer.byteLength(body),
-            "connection": "close",
-        });
-        response.end(body);
+            : refusalForRoom("no room beside other connections");
+        response.setHeader("connection", "close");
+        response.end(writeRefusalHead(response, refusal, undefined));
     }
 
     private handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
--- a/packages/basilpaddle/src/node/daemon/entry/reply.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/reply.ts
@@ -36,13 +36,18 @@
         response.destroy();
         return;
     }
+    endAfterRequest(response, writeRefusalHead(response, refusal, requestId));
+}
+
+/** Writes the head of a refusal; returns its body. */
+export function writeRefusalHead(response: ServerResponse, refusal: Refusal, requestId: string | undefined): string {
     const body = JSON.stringify(errorBody(refusal, requestId));
     response.writeHead(refusalStatus[refusal.code], {
         ...refusalHeaders(refusal, requestId),
         "content-type": "application/json",
         "content-length": Buffer.byteLength(body),
     });
-    endAfterRequest(response, body);
+    return body;
 }
 
 /**
--- a/packages/basilpaddle/src/node/daemon/entry/requestBody.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/requestBody.ts
@@ -3,7 +3,7 @@
 import type { RequestScope } from "../../coordination/request/index.js";
 import type { Refusal } from "../../protocol/index.js";
 import type { Clock } from "../../utils/index.js";
-import type { BodyRoom } from "../listeners/index.js";
+import { type BodyRoom, noRoomRetryAfterSeconds } from "../listeners/index.js";
 import { notRun } from "./reply.js";
 
 /** Event emitted on a request whose body turns out to be malformed HTTP while it is received. */
@@ -16,8 +16,6 @@
 export type BodyReading = { readonly limits: BodyLimits; readonly clock: Clock; readonly room: BodyRoom; };
 
 const shutdownRetryAfterMilliseconds = 1_000;
-/** Retry-After of what was refused for want of room. */
-export const noRoomRetryAfterMilliseconds = 300;
 const decoder = new TextDecoder("utf-8", { fatal: true });
 
 /**
@@ -33,10 +31,10 @@
 ): Promise<Either<Refusal, Buffer>> {
     const { bodyBytes, receiveTimeout } = limits;
     const tooLarge = notRun("bodyTooLarge", `the body exceeds ${bodyBytes} bytes`);
-    const noRoom = notRun("noRoom", "no room for the body beside others", noRoomRetryAfterMilliseconds);
+    const noRoom = refusalForRoom("no room for the body beside others");
     const broken = notRun("malformedBody", "the request ended before its body was complete");
     return new Promise(resolve => {
-        const unread = new AbortController();
+        const abandoned = new AbortController();
         let ended = false;
         const end = (result: Either<Refusal, Buffer>) => {
             if (ended) {
@@ -47,7 +45,7 @@
             scope?.signal.removeEventListener("abort", onShutdown);
             if (result.isLeft()) {
                 response.setHeader("connection", "close");
-                unread.abort();
+                abandoned.abort();
             }
             resolve(result);
         };
@@ -75,13 +73,18 @@
             end(Left(tooLarge));
             return;
         }
-        room.read(request, response, bodyBytes, unread.signal).then(
+        room.read(request, response, bodyBytes, abandoned.signal).then(
             body => end(Buffer.isBuffer(body) ? Right(body) : Left(body === "tooLarge" ? tooLarge : noRoom)),
             () => end(Left(broken)),
         );
     });
 }
 
+/** The refusal of a request for which there is no room beside others. */
+export function refusalForRoom(message: string): Refusal {
+    return notRun("noRoom", message, noRoomRetryAfterSeconds * 1_000);
+}
+
 /** Parses a body as UTF-8 encoded JSON. */
 export function parseJson(body: Uint8Array): Either<Refusal, unknown> {
     try {
--- a/packages/basilpaddle/src/node/daemon/gateway/callerServer.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/callerServer.ts
@@ -2,9 +2,8 @@
 import type { AddressInfo, Socket } from "node:net";
 import type { CallerLimits } from "../../protocol/index.js";
 import type { Logger } from "../../utils/index.js";
-import type { ConnectionGuard } from "../listeners/index.js";
+import { type ConnectionGuard, noRoomRetryAfterSeconds } from "../listeners/index.js";
 import { breakOff } from "./answerEnd.js";
-import { noRoomRetryAfterSeconds } from "./heldBody.js";
 import { writeOwnAnswer } from "./ownAnswer.js";
 
 /** Limits until the first configuration is received. */
--- a/packages/basilpaddle/src/node/daemon/gateway/heldBody.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/heldBody.ts
@@ -2,9 +2,7 @@
 import type { CallerLimits } from "../../protocol/index.js";
 import { BodyBuffer, type Clock } from "../../utils/index.js";
 import type { HeldBytes, ReceivedBody } from "../backends/index.js";
-
-/** Retry-After if there is no room for a body. */
-export const noRoomRetryAfterSeconds = 0.3;
+import { noRoomRetryAfterSeconds } from "../listeners/index.js";
 
 /** Milliseconds in which a process that noticed the end of a body's time late reads what has come meanwhile. */
 const lateReadMilliseconds = 100;
--- a/packages/basilpaddle/src/node/daemon/listeners/__tests__/connectionGuard.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/__tests__/connectionGuard.spec.ts
@@ -1,27 +1,13 @@
 import { expect } from "chai";
 import * as http from "node:http";
 import * as net from "node:net";
-import { type Clock, SystemClock } from "../../../utils/index.js";
+import { ManualClock } from "../../../../../../../simulation/manualClock.js";
+import type { Clock } from "../../../utils/index.js";
 import { createSilentGuard } from "../../__tests__/silentGuard.js";
 
 /** Parts of one byte that a body of a crowd has. */
 const partsOfBody = 50_000;
 
-/** A clock that stands still, so that no connection gives way. */
-class StillClock extends SystemClock {
-    static override create(): StillClock {
-        return new StillClock();
-    }
-
-    override monotonic(): number {
-        return 0;
-    }
-
-    override after(): () => void {
-        return () => undefined;
-    }
-}
-
 /** Deterministic numbers below a bound, the same for the same seed. */
 function randomOf(seed: number): (bound: number) => number {
     let state = seed;
@@ -148,7 +134,8 @@
     // Guards against a request that is lost at a stop: it waits unparsed, so that the server takes its connection for idle.
     it("aren't closed as idle while their request waits for room", async () => {
         const responses: http.ServerResponse[] = [];
-        await listen({ heldBytes: 4_000_000 }, (_request, response) => responses.push(response), StillClock.create());
+        // The clock stands still, so that no connection gives way.
+        await listen({ heldBytes: 4_000_000 }, (_request, response) => responses.push(response), new ManualClock());
         let read = 0;
         server.on("connection", socket => socket.on("data", () => read += 1));
         const callers = Array.from({ length: 110 }, () => connect());
--- a/packages/basilpaddle/src/node/daemon/listeners/bodyRoom.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/bodyRoom.ts
@@ -50,13 +50,13 @@
 
     /**
      * Reads a whole body of at most `maxBytes`, and counts it until its response has ended. "tooLarge" or "noRoom" at once if it isn't
-     * kept; then the rest isn't read. Rejects if the connection breaks before its end, or `unread` says that nobody waits for it any more.
+     * kept; then the rest isn't read. Rejects if the connection breaks before its end, or it is `abandoned`, since nobody waits for it any more.
      */
     read(
         request: http.IncomingMessage,
         response: http.ServerResponse,
         maxBytes: number,
-        unread?: AbortSignal,
+        abandoned?: AbortSignal,
     ): Promise<Buffer | "tooLarge" | "noRoom"> {
         return new Promise((resolve, reject) => {
             const end = (result: "tooLarge" | "noRoom"): void => {
@@ -73,10 +73,10 @@
             };
             const stop = (): void => {
                 request.off("data", onData).off("end", onEnd).off("error", onBroken).off("close", onBroken);
-                unread?.removeEventListener("abort", onUnread);
+                abandoned?.removeEventListener("abort", onAbandoned);
                 request.pause();
             };
-            const onUnread = (): void => {
+            const onAbandoned = (): void => {
                 release();
                 onBroken(new Error("nobody waits for the body any more"));
             };
@@ -101,7 +101,7 @@
             };
             this.unfinished.add(body);
             response.once("close", release);
-            unread?.addEventListener("abort", onUnread);
+            abandoned?.addEventListener("abort", onAbandoned);
             request.on("data", onData).on("end", onEnd).on("error", onBroken).on("close", onBroken);
         });
     }
--- a/packages/basilpaddle/src/node/daemon/listeners/connectionGuard.ts
+++ b/packages/basilpaddle/src/node/daemon/listeners/connectionGuard.ts
@@ -11,8 +11,8 @@
 const checkIntervalMilliseconds = 500;
 /** Bytes of the shortest header line: a head has no more lines than its bytes over this. */
 const shortestHeaderLineBytes = 4;
-/** Retry-After of what was refused for want of room. */
-const retryAfterSeconds = "0.3";
+/** Retry-After, in seconds, of what was refused for want of room. */
+export const noRoomRetryAfterSeconds = 0.3;
 
 /** Status of the answer to a request that isn't served; none of them has run. */
 const statuses: Readonly<Record<GivenUpCause | "expectation", number>> = {
@@ -185,7 +185,7 @@
 function refuse(response: http.ServerResponse, status: number, cause: string): void {
     const body = Buffer.from(`${JSON.stringify({ error: cause })}\n`);
     response.writeHead(status, {
-        ...status === statuses.noRoom ? { "Retry-After": retryAfterSeconds } : {},
+        ...status === statuses.noRoom ? { "Retry-After": String(noRoomRetryAfterSeconds) } : {},
         "Connection": "close",
         "Content-Type": "application/json",
         "Content-Length": body.length,
@@ -194,7 +194,7 @@
 }
 
 function endWith(socket: Socket, status: number): void {
-    const retryAfter = status === statuses.noRoom ? `Retry-After: ${retryAfterSeconds}\r\n` : "";
+    const retryAfter = status === statuses.noRoom ? `Retry-After: ${noRoomRetryAfterSeconds}\r\n` : "";
     socket.end(
         `HTTP/1.1 ${status} ${reasons[status]}\r\n${retryAfter}Connection: close\r\nContent-Length: 0\r\n\r\n`,
         () => {
--- a/packages/basilpaddle/src/node/transport/tcpServer.ts
+++ b/packages/basilpaddle/src/node/transport/tcpServer.ts
@@ -103,6 +103,7 @@
     private async handleRequest(socket: net.Socket, frame: Frame, context: LinkContext): Promise<void> {
         const connection = this.connections.get(socket);
         if (connection === undefined) {
+            // It was closed while the frames that came with this one were handled.
             return;
         }
         connection.requests += 1;
