feat(gateway): how answers without a length end is counted, and logged where they are cut

What callers saw: streams that ended as complete before their last event. In the logs a connection that ended in the regular way and one that was reset left the same line, so that the hypotheses (a reset that is taken for an end, a crash that is noticed too late, two runs that are joined) couldn't be told apart without a trial.

basilpaddle_answers_without_length_total{ending,way} counts each such answer by how its connection ended, directly or through another gateway; one that was cut leaves a line with its attempt and server. No answer ends otherwise than before.

Not measured: its cost; one listener for each answer without a length.

--- a/packages/basilpaddle/src/node/daemon/backends/answerLimits.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/answerLimits.ts
@@ -5,11 +5,15 @@
     type ServerAnnouncement,
 } from "../../protocol/index.js";
 import { createSilentLogger, type Logger, type Metrics, SilentMetrics } from "../../utils/index.js";
+import type { ConnectionWay } from "./connectionOpener.js";
 import { HeldBytes } from "./heldBytes.js";
 
 /** Number of received bytes that are logged when a bound is exceeded. */
 const loggedBytes = 64;
 
+/** How the connection of an answer without a length ended: by its regular end, by a reset, or by a fault that was found on this side. */
+export type AnswerEnding = "end" | "reset" | "fault";
+
 /** The failure of an answer that exceeds a bound. */
 export class BoundExceeded extends Error {
     private constructor(readonly bound: AnswerBound, readonly code: string, message: string) {
@@ -31,7 +35,7 @@
     readonly held?: HeldBytes;
 };
 
-/** The bounds of backend servers' answers, and what is logged and counted when one is exceeded. */
+/** The bounds of backend servers' answers, and what is logged and counted when one is exceeded, or ends with its connection. */
 export class AnswerLimits {
     /** Account of the bodies that are kept. */
     readonly held: HeldBytes;
@@ -71,6 +75,26 @@
         });
         return BoundExceeded.create(bound, limit);
     }
+
+    /** Counts an answer that its connection alone ends; logs one that wasn't ended in the regular way. `way`: of its connection. */
+    endedByConnection(
+        server: Pick<ServerAnnouncement, "id" | "address">,
+        attempt: string | undefined,
+        way: ConnectionWay,
+        ending: AnswerEnding,
+    ): void {
+        const { logger, metrics } = this.options;
+        metrics.count("basilpaddle_answers_without_length_total", { ending, way });
+        if (ending !== "end") {
+            logger.info("an answer without a length was cut", {
+                request: attempt,
+                server: server.id,
+                address: server.address,
+                ending,
+                way,
+            });
+        }
+    }
 }
 
 /** The first bytes as text in which all but printable ASCII is escaped. */
--- a/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
@@ -4,7 +4,7 @@
 import type { ServerAnnouncement } from "../../protocol/index.js";
 import { AnswerGuard, ConnectionFailure } from "../../transport/index.js";
 import type { Logger } from "../../utils/index.js";
-import { AnswerLimits } from "./answerLimits.js";
+import { type AnswerEnding, AnswerLimits } from "./answerLimits.js";
 import { type ConnectionOpener, DirectOpener } from "./connectionOpener.js";
 import { ConnectionWait } from "./connectionWait.js";
 import { GatedPool, type SendGate, sendPreventedCode } from "./gatedPool.js";
@@ -146,6 +146,9 @@
             const headers = headersByName(rawHeaders);
             const framed = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined
                 || bodilessStatuses.has(answer.statusCode) || call.method === "HEAD";
+            if (!framed) {
+                this.observeEnd(call, answer.body);
+            }
             return { status: answer.statusCode, rawHeaders, headers, body: answer.body, framed };
         }
         catch (error) {
@@ -189,6 +192,14 @@
         await Promise.all(pools.map(({ pool }) => pool.destroy()));
     }
 
+    /** Records how the connection ends that alone marks the end of an answer. */
+    private observeEnd({ server, attempt }: BackendCall, body: Readable): void {
+        const record = (ending: AnswerEnding): void =>
+            this.answers.endedByConnection(server, attempt, this.opener.way, ending);
+        body.once("end", () => record("end"));
+        body.once("error", ({ code }: NodeJS.ErrnoException) => record(code === resetCode ? "reset" : "fault"));
+    }
+
     private pool(server: ServerAnnouncement, connections: number): Pool {
         const entry = this.pools.get(server.id);
         if (entry !== undefined) {
--- a/packages/basilpaddle/src/node/daemon/backends/connectionOpener.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/connectionOpener.ts
@@ -8,8 +8,13 @@
  */
 export const connectTimeoutMilliseconds = 250;
 
+/** Whether a connection leads to its backend server itself, or through another gateway. */
+export type ConnectionWay = "direct" | "relayed";
+
 /** Opens connections to backend servers. */
 export abstract class ConnectionOpener {
+    readonly way: ConnectionWay = "direct";
+
     /** Rejects with a `ConnectionFailure` if none can be established. */
     abstract open(server: ServerAnnouncement): Promise<Socket>;
 }
--- a/packages/basilpaddle/src/node/daemon/gateway/tunnelOpener.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/tunnelOpener.ts
@@ -12,6 +12,8 @@
 
 /** Opens connections to backend servers through another gateway. */
 export class TunnelOpener extends ConnectionOpener {
+    override readonly way = "relayed";
+
     private constructor(private readonly relay: Relay, private readonly localAddress: string | undefined) {
         super();
     }
