fix(gateway): a reset that the runtime reports as an end isn't the end of an answer without a length

What callers saw: a stream that ended as complete before its last event (ORDER), or a part of a plain answer with status 200 and the server's seal. It hit answers whose connection alone marks their end, of servers that reset it and go on.

Cause: a reset that the event loop finds together with the last bytes is reported as those bytes and a regular end, with no error. The busier the gateway, the oftener. The renamed code of a reset, by which the HTTP client doesn't forgive it, was never reached, and the check of an end finds its server alive. Class: an end that carries meaning was judged by the event of the runtime, and not by the state of the connection.

With plain sockets an empty write after such an end fails with ECONNRESET, after a regular end followed by a reset with EPIPE, and succeeds after a regular end.

Why it works: the end is passed on to the HTTP client only after an empty write, which sends nothing and fails with the error that the operating system holds. A regular end that a reset follows stays a regular end: the server said that it has written all.

--- a/packages/basilpaddle/src/node/daemon/backends/answerLimits.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/answerLimits.ts
@@ -11,8 +11,8 @@
 /** Number of received bytes that are logged when a bound is exceeded. */
 const loggedBytes = 64;
 
-/** How the connection of an answer without a length ended: by its regular end, by a reset, or by a fault that was found on this side. */
-export type AnswerEnding = "end" | "reset" | "fault";
+/** How the connection of an answer without a length ended: by its regular end, by a reset, by one that was reported as an end, or by a fault on this side. */
+export type AnswerEnding = "end" | "reset" | "resetAtEnd" | "fault";
 
 /** The failure of an answer that exceeds a bound. */
 export class BoundExceeded extends Error {
--- a/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
@@ -2,7 +2,13 @@
 import type { Readable } from "node:stream";
 import type { buildConnector, Pool } from "undici";
 import type { ServerAnnouncement } from "../../protocol/index.js";
-import { AnswerGuard, ConnectionFailure } from "../../transport/index.js";
+import {
+    AnswerGuard,
+    ConnectionFailure,
+    connectionResetCode,
+    reportResets,
+    resetAtEndCode,
+} from "../../transport/index.js";
 import type { Logger } from "../../utils/index.js";
 import { type AnswerEnding, AnswerLimits } from "./answerLimits.js";
 import { type ConnectionOpener, DirectOpener } from "./connectionOpener.js";
@@ -17,31 +23,27 @@
 const idleTimeoutMilliseconds = 60_000;
 /** Fraction of a backend server's connection limit that the gateways share; the rest allows for uneven shares. */
 const sharedConnectionFraction = 0.9;
-/** Code of a connection that its backend server or its path reset after it was established. */
-const resetCode = "RESET_BY_SERVER";
 /** undici's callback expects null, which this project doesn't use; any falsy value works. */
 const noSocket = [undefined] as unknown as [never];
 const noError = [undefined] as unknown as [never];
 
-/**
- * Opens connections for undici. Its own connector may exceed its timeout by up to a second, and undici treats a connection reset
- * as the regular end of an answer whose connection would be closed anyway: half of such an answer would be taken for a
- * complete one if the backend server crashes in the middle. With another error code undici handles a reset as an error.
- */
+/** Opens connections for undici, whose own connector may exceed its timeout by up to a second. */
 function connectorFor(
     open: (server: ServerAnnouncement) => Promise<Socket>,
     server: ServerAnnouncement,
 ): buildConnector.connector {
     return (_options, callback) => {
         open(server).then(socket => {
-            socket.prependListener("error", (failure: NodeJS.ErrnoException) => {
-                failure.code = failure.code === "ECONNRESET" ? resetCode : failure.code;
-            });
+            reportResets(socket);
             callback(...noError, socket);
         }, (error: unknown) => callback(error as Error, ...noSocket));
     };
 }
 
+const endingByCode: ReadonlyMap<string | undefined, AnswerEnding> = new Map([
+    [connectionResetCode, "reset"],
+    [resetAtEndCode, "resetAtEnd"],
+]);
 /** Status codes of answers that never have a body. */
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
@@ -197,7 +199,7 @@
         const record = (ending: AnswerEnding): void =>
             this.answers.endedByConnection(server, attempt, this.opener.way, ending);
         body.once("end", () => record("end"));
-        body.once("error", ({ code }: NodeJS.ErrnoException) => record(code === resetCode ? "reset" : "fault"));
+        body.once("error", ({ code }: NodeJS.ErrnoException) => record(endingByCode.get(code) ?? "fault"));
     }
 
     private pool(server: ServerAnnouncement, connections: number): Pool {
--- /dev/null
+++ b/packages/basilpaddle/src/node/transport/connectionEnd.ts
@@ -0,0 +1,48 @@
+import type { Socket } from "node:net";
+
+/** Code of the error of a connection that its other side, or the path to it, reset. */
+export const connectionResetCode = "RESET_BY_SERVER";
+/** The same, of a reset that the runtime reported as an end. */
+export const resetAtEndCode = "RESET_REPORTED_AS_END";
+
+/** Codes of the operating system: a connection was reset, before or after a regular end. */
+const resetCode = "ECONNRESET";
+const resetAfterEndCode = "EPIPE";
+
+/**
+ * Reports each reset of a connection as an error with a code of its own, also a reset that the runtime reports as an end because it found it
+ * together with the last bytes. undici takes the usual code of a reset for the end of an answer that has no length.
+ */
+export function reportResets(socket: Socket): void {
+    confirmEnd(socket);
+    socket.prependListener("error", (failure: NodeJS.ErrnoException) => {
+        failure.code = failure.code === resetCode ? connectionResetCode : failure.code;
+    });
+}
+
+/**
+ * Emits the "end" of a connection only once the operating system confirms it: an empty write fails with the connection's error, if it has one.
+ * After a reset without a regular end before it, there is an "error" in its place.
+ */
+export function confirmEnd(socket: Socket): void {
+    const emit = socket.emit.bind(socket) as (event: string | symbol, ...values: unknown[]) => boolean;
+    const confirm = (): void => {
+        socket.write("", failure => {
+            const { code } = (failure ?? {}) as NodeJS.ErrnoException;
+            if (code === resetCode) {
+                (failure as NodeJS.ErrnoException).code = resetAtEndCode;
+            }
+            else if (code === undefined || code === resetAfterEndCode) {
+                emit("end");
+            }
+        });
+    };
+    socket.emit = (event: string | symbol, ...values: unknown[]): boolean => {
+        // What is still being written fails with the error itself.
+        if (event !== "end" || !socket.writable || socket.writableLength > 0) {
+            return emit(event, ...values);
+        }
+        confirm();
+        return true;
+    };
+}
--- a/packages/basilpaddle/src/node/transport/index.ts
+++ b/packages/basilpaddle/src/node/transport/index.ts
@@ -1,6 +1,7 @@
 export * from "./address.js";
 export * from "./answerGuard.js";
 export * from "./connecting.js";
+export * from "./connectionEnd.js";
 export * from "./frame.js";
 export * from "./guardedConnector.js";
 export * from "./link.js";
