fix(gateway): a relay passes on a reset as a reset, also one that it finds together with the last bytes

What callers saw: at a gateway that is cut off from the servers, a part of an answer without a length that looks whole. The relay read the server's reset as an end, ended its own connection in the regular way, and the gateway's connection was sound: nothing there could tell.

Cause: the same as of direct connections, in joinSockets. Why it works: both joined connections have their ends confirmed before they are passed on.

--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/relayServer.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/relayServer.spec.ts
@@ -10,6 +10,28 @@
 import { RelayServer } from "../relayServer.js";
 import { TunnelOpener } from "../tunnelOpener.js";
 
+/** How a server ends its connection, and the error that the operating system holds for the connection of the gateway. */
+const endings = [
+    ["resets its connection", "ECONNRESET", (socket: net.Socket) => socket.resetAndDestroy()],
+    ["ends its connection", undefined, (socket: net.Socket) => socket.end()],
+] as const;
+
+/** Keeps the event loop busy until all has arrived that a connection of this host has sent. */
+function stayBusy(): void {
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 20);
+}
+
+/** The code of the error of a connection that ends, whether the runtime reports it or only the operating system holds it. */
+function endOf(socket: net.Socket): Promise<string | undefined> {
+    return new Promise(resolve => {
+        socket.on("error", ({ code }: NodeJS.ErrnoException) => resolve(code));
+        socket.on("end", () => {
+            socket.write("", error => resolve((error as NodeJS.ErrnoException | undefined)?.code));
+        });
+        socket.resume();
+    });
+}
+
 describe("a relay", () => {
     let upstreams: net.Socket[];
     let server: net.Server;
@@ -81,6 +103,17 @@
         expect(error.code).to.equal("ECONNRESET");
     });
 
+    // Guards against half an answer that looks complete, because its relay found a server's reset together with its last bytes.
+    for (const [title, code, end] of endings) {
+        it(`passes on that its server ${title}, if it finds this together with the last bytes`, async () => {
+            const { socket, upstream } = await open();
+            upstream.write("half");
+            end(upstream);
+            stayBusy();
+            expect(await endOf(socket)).to.equal(code);
+        });
+    }
+
     // Guards against servers that work on for a caller who has left.
     it("closes the server's connection with that of the gateway", async () => {
         const { socket, upstream } = await open();
--- a/packages/basilpaddle/src/node/transport/tunnel.ts
+++ b/packages/basilpaddle/src/node/transport/tunnel.ts
@@ -2,6 +2,7 @@
 import { afterPoll } from "../utils/index.js";
 import type { NetworkAddress } from "./address.js";
 import { ConnectionFailure, connectTimeoutCode, openSocket } from "./connecting.js";
+import { confirmEnd } from "./connectionEnd.js";
 import { encodeFrame, readFrame } from "./frame.js";
 
 /**
@@ -40,6 +41,7 @@
  */
 export function joinSockets(client: Socket, server: Socket): void {
     for (const [from, to] of [[client, server], [server, client]] as const) {
+        confirmEnd(from);
         from.on("error", () => to.resetAndDestroy());
         from.pipe(to);
     }
