--- a/packages/basilpaddle/src/node/daemon/entry/__tests__/services.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/__tests__/services.spec.ts
@@ -198,4 +198,27 @@
         expect(errorOf(nonIdempotentReply)).to.include({ code: "backendFailed", outcome: "failed_after_starting" });
         expect(errorOf(await post("k"))).to.include({ outcome: "failed_after_starting" });
     });
+
+    // Guards against half an answer without a length that looks complete, because its service reset the connection.
+    for (const [title, isBusy] of [["in a later turn", false], ["together with its last bytes", true]] as const) {
+        it(`don't let an answer without a length look complete if its reset is found ${title}`, async () => {
+            service.handler = ({ socket }, response) => {
+                response.useChunkedEncodingByDefault = false;
+                response.shouldKeepAlive = false;
+                response.writeHead(200);
+                response.write("half", () => {
+                    if (!isBusy) {
+                        setTimeout(() => socket.resetAndDestroy(), 20);
+                        return;
+                    }
+                    socket.resetAndDestroy();
+                    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 20);
+                });
+            };
+            expect((await harness.get("/policies/7")).broken).to.equal(true);
+            const reply = await post("k");
+            expect(reply.status).to.equal(502);
+            expect(errorOf(reply)).to.include({ code: "backendFailed", outcome: "failed_after_starting" });
+        });
+    }
 });
