fix(gateway): an answer without a length that is reset while its upload is written isn't whole

Cause: what is still being written takes the connection's error first, and the end is reported before that failure; an empty write would wait behind the upload.

A server that ends in good order without reading the upload, also one that is reset then, stays whole.

Why it works: an end beside pending bytes is passed on at once only while the operating system still knows the connection's peer, which it doesn't after a reset; else the empty write fails with the pending ones.

--- a/packages/basilpaddle/src/node/transport/connectionEnd.ts
+++ b/packages/basilpaddle/src/node/transport/connectionEnd.ts
@@ -38,11 +38,19 @@
         });
     };
     socket.emit = (event: string | symbol, ...values: unknown[]): boolean => {
-        // What is still being written fails with the error itself.
-        if (event !== "end" || !socket.writable || socket.writableLength > 0) {
+        if (event !== "end" || !socket.writable || isOnlyEnded(socket)) {
             return emit(event, ...values);
         }
         confirm();
         return true;
     };
 }
+
+/**
+ * Whether bytes are still being written to a connection that is established in this direction: an empty write would wait behind them for as long as
+ * the other side doesn't read.
+ */
+function isOnlyEnded(socket: Socket): boolean {
+    // The operating system knows no peer of a connection that was reset.
+    return socket.writableLength > 0 && socket.remoteAddress !== undefined;
+}
