fix(entry): a caller of HTTP/1.0 can tell that its plain answer was truncated

What callers saw: for a caller of HTTP/1.0 the end of its connection is that of the answer, and a truncated answer of a plain service ended with a regular end: half of it looked whole.

Cause: the pipeline closed the caller's connection in the regular way as soon as the service's part failed. Found by asking where else the end of a connection means something.

Why it works: the pipeline leaves the end of the answer to its user, which resets a connection whose answer has neither a length nor chunks.

--- a/packages/basilpaddle/src/node/daemon/entry/__tests__/services.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/__tests__/services.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import * as http from "node:http";
-import type { AddressInfo } from "node:net";
+import * as net from "node:net";
 import { announcement, viewOf } from "../../../../../../../simulation/requests/fakes.js";
 import { until } from "../../../../../../../simulation/until.js";
 import { EntryHarness, replyOf } from "./entryHarness.js";
@@ -34,7 +34,7 @@
     }
 
     get url(): string {
-        return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+        return `http://127.0.0.1:${(this.server.address() as net.AddressInfo).port}`;
     }
 
     close(): Promise<void> {
@@ -199,6 +199,22 @@
         expect(errorOf(await post("k"))).to.include({ outcome: "failed_after_starting" });
     });
 
+    // Guards against half an answer that looks complete to a caller of HTTP/1.0, for whom the end of its connection is that of the answer.
+    it("reset the connection of a caller of HTTP/1.0 whose answer is truncated", async () => {
+        service.handler = (_request, response) => {
+            response.write("half");
+            setTimeout(() => response.destroy(), 20);
+        };
+        const caller = net.connect(harness.daemon.callerPort(), "127.0.0.1");
+        caller.write("GET /policies/7 HTTP/1.0\r\nHost: h\r\n\r\n");
+        const end = new Promise<string>(resolve => {
+            caller.on("error", () => resolve("reset"));
+            caller.on("end", () => caller.write("", error => resolve(error ? "reset" : "end")));
+        });
+        caller.resume();
+        expect(await end).to.equal("reset");
+    });
+
     // Guards against half an answer without a length that looks complete, because its service reset the connection.
     for (const [title, isBusy] of [["in a later turn", false], ["together with its last bytes", true]] as const) {
         it(`don't let an answer without a length look complete if its reset is found ${title}`, async () => {
--- a/packages/basilpaddle/src/node/daemon/entry/reply.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/reply.ts
@@ -30,15 +30,24 @@
     return headers;
 }
 
-/** Answers with a refusal. If headers were already sent, the connection is destroyed instead. */
+/** Answers with a refusal. If headers were already sent, the answer is broken off instead. */
 export function sendRefusal(response: ServerResponse, refusal: Refusal, requestId: string): void {
     if (response.headersSent || response.destroyed) {
-        response.destroy();
+        breakOff(response);
         return;
     }
     endAfterRequest(response, writeRefusalHead(response, refusal, requestId));
 }
 
+/** Closes the connection of an answer that isn't whole. One without a length and chunks would look whole to its caller after a regular end. */
+function breakOff(response: ServerResponse): void {
+    const hasOwnEnd = response.chunkedEncoding || response.hasHeader("content-length");
+    if (!hasOwnEnd) {
+        response.socket?.resetAndDestroy();
+    }
+    response.destroy();
+}
+
 /** Writes the head of a refusal; returns its body. */
 export function writeRefusalHead(response: ServerResponse, refusal: Refusal, requestId: string | undefined): string {
     const body = JSON.stringify(errorBody(refusal, requestId));
--- a/packages/basilpaddle/src/node/daemon/entry/services/serviceCalls.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/services/serviceCalls.ts
@@ -100,8 +100,12 @@
             );
             if (sent.kind === "answer") {
                 writeHead(call, sent.answer, undefined);
-                await pipeline(sent.answer.body, call.response).then(
-                    () => this.reportAnswer(call, sent),
+                // Its end is left to this, since a truncated answer has one of its own.
+                await pipeline(sent.answer.body, call.response, { end: false }).then(
+                    () => {
+                        call.response.end();
+                        this.reportAnswer(call, sent);
+                    },
                     (failure: unknown) => this.endBrokenAnswer(call, sent.instance, failure),
                 );
                 return;
