test(soak): servers that lose answers send them without a length, and reset them in the middle right after whole events

The soak's servers always answered in chunks or with a length, and reset only after all of an answer, so that no run could show a reset that is taken for an end. The harness's relay between gateways and servers passed on a reset that it found together with bytes as an end; it confirms ends now, as the product does.

The kinds of departures moved to a module of their own.

--- a/playground/harness/relay.ts
+++ b/playground/harness/relay.ts
@@ -1,4 +1,5 @@
 import * as net from "node:net";
+import { confirmEnd, resetAtEndCode } from "../../packages/basilpaddle/src/node/transport/index.js";
 
 type Address = { readonly host: string; readonly port: number; };
 /** Direction of bytes through a relay: `there` is from the connecting client to the target, `back` the reverse. */
@@ -66,6 +67,7 @@
     }
 
     private forward(direction: Direction, source: net.Socket, sink: net.Socket): void {
+        confirmEnd(source);
         source.on("data", chunk => {
             this.afterDelay(direction, () => {
                 if (!sink.destroyed && !sink.write(chunk)) {
@@ -79,7 +81,7 @@
             }
         });
         source.on("error", (error: NodeJS.ErrnoException) => {
-            if (error.code === "ECONNRESET") {
+            if (error.code === "ECONNRESET" || error.code === resetAtEndCode) {
                 this.reset();
             }
         });
--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -13,6 +13,8 @@
     setLimit,
 } from "../platform/src/standins/wire.js";
 import { Relay } from "../playground/harness/relay.js";
+import { beginAnswer, cutAnswer } from "./cutAnswer.js";
+import type { Departure } from "./departure.js";
 import type { Invariants } from "./invariants.js";
 import { eventCount, eventText, isLong, isPoison, isPoisonPart, longAnswerMilliseconds, plainText } from "./texts.js";
 
@@ -33,21 +35,6 @@
 const stageSwitchMilliseconds = 1_000;
 const plainSlots = 12;
 
-/**
- * How a backend server says that it leaves. `draining`: by a heartbeat, and its heartbeats go on; the others: by a leave call, with and
- * without its start time, and it sends no more heartbeats.
- */
-export const departureKinds = ["leaveCall", "leaveCallWithStart", "draining"] as const;
-
-/** A backend server's departure. */
-export type Departure = {
-    readonly kind: typeof departureKinds[number];
-    /** Number of the directory that is called first; heartbeats go to the first one. */
-    readonly directory: number;
-    /** Milliseconds after the call at which a heartbeat arrives that was sent before it; undefined for none. */
-    readonly lateHeartbeat: number | undefined;
-};
-
 /** Options of a simulated backend server. */
 export type BackendOptions = {
     readonly id: string;
@@ -79,7 +66,7 @@
     expiresHandles = false;
     /** Whether it turns down the requests of gateways to go on with a stream that another engine began. */
     refusesToGoOn = false;
-    /** Whether it resets a connection after it has run the request that arrived on it. */
+    /** Whether it answers without a length and resets the connection in the middle of the answer, right after its last bytes. */
     dropsResponses = false;
     /** Requests per second that it takes from all gateways together, and names in its answers; undefined for no limit. */
     limit: number | undefined;
@@ -315,12 +302,13 @@
         }
         await this.runRequest(received, response, async () => {
             await this.delay(isLong(attempt) ? longAnswerMilliseconds : plainAnswerMilliseconds * this.slowdownFactor);
+            const text = plainText(attempt);
+            beginAnswer(response, answerHeaders(attempt, this.id, this.id), this.dropsResponses);
             if (this.dropsResponses) {
-                response.socket?.resetAndDestroy();
+                cutAnswer(response, text.slice(0, text.length / 2));
                 return;
             }
-            response.writeHead(200, answerHeaders(attempt, this.id, this.id));
-            response.end(plainText(attempt));
+            response.end(text);
         });
     }
 
@@ -346,13 +334,19 @@
         }
         this.options.caches.delete(handle ?? "");
         await this.runRequest(received, response, async () => {
-            const headers = answerHeaders(attempt, this.id, this.id);
-            response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
+            const headers = { ...answerHeaders(attempt, this.id, this.id), "Content-Type": "text/event-stream" };
+            const isDropped = this.dropsResponses;
+            beginAnswer(response, headers, isDropped);
             const interval = isLong(resumes)
                 ? longAnswerMilliseconds / eventCount(resumes)
                 : eventIntervalMilliseconds * this.slowdownFactor;
             for (let number = resumeAfter + 1; number <= eventCount(resumes) && !response.destroyed; number++) {
-                response.write(eventText(resumes, number, this.version));
+                const event = eventText(resumes, number, this.version);
+                if (isDropped && number >= eventCount(resumes) / 2) {
+                    cutAnswer(response, event);
+                    return;
+                }
+                response.write(event);
                 await this.delay(interval);
             }
             if (this.dropsResponses) {
--- a/soak/backendDepartures.ts
+++ b/soak/backendDepartures.ts
@@ -1,5 +1,6 @@
 import { pause } from "../playground/harness/index.js";
-import { type Backend, type Departure, departureKinds } from "./backend.js";
+import type { Backend } from "./backend.js";
+import { type Departure, departureKinds } from "./departure.js";
 import type { SoakDeployment } from "./deployment.js";
 import type { Fault } from "./plan.js";
 
