perf(gateway): an end is confirmed by asking for the peer, and an empty write is kept for connections without one

The operating system names the peer of a connection that has ended in the regular way and none of one that was reset: 0 of 129 resets and 240 of 240 regular ends had one, on plain sockets of the runtime, idle and busy. So the write is only needed to tell a reset from a regular end that a reset follows (ECONNRESET 129 of 129, EPIPE 122 of 122). One rule now covers pending uploads as well.

--- a/packages/basilpaddle/src/node/transport/connectionEnd.ts
+++ b/packages/basilpaddle/src/node/transport/connectionEnd.ts
@@ -21,12 +21,15 @@
 }
 
 /**
- * Emits the "end" of a connection only once the operating system confirms it: an empty write fails with the connection's error, if it has one.
- * After a reset without a regular end before it, there is an "error" in its place.
+ * Emits the "end" of a connection only if the operating system still knows its peer, which it doesn't after a reset. Else an empty write fails with
+ * the connection's error: after a reset without a regular end before it, there is an "error" in place of the "end".
  */
 export function confirmEnd(socket: Socket): void {
     const emit = socket.emit.bind(socket) as (event: string | symbol, ...values: unknown[]) => boolean;
-    const confirm = (): void => {
+    socket.emit = (event: string | symbol, ...values: unknown[]): boolean => {
+        if (event !== "end" || !socket.writable || socket.remoteAddress !== undefined) {
+            return emit(event, ...values);
+        }
         socket.write("", failure => {
             const { code } = (failure ?? {}) as NodeJS.ErrnoException;
             if (code === resetCode) {
@@ -36,21 +39,6 @@
                 emit("end");
             }
         });
-    };
-    socket.emit = (event: string | symbol, ...values: unknown[]): boolean => {
-        if (event !== "end" || !socket.writable || isOnlyEnded(socket)) {
-            return emit(event, ...values);
-        }
-        confirm();
         return true;
     };
 }
-
-/**
- * Whether bytes are still being written to a connection that is established in this direction: an empty write would wait behind them for as long as
- * the other side doesn't read.
- */
-function isOnlyEnded(socket: Socket): boolean {
-    // The operating system knows no peer of a connection that was reset.
-    return socket.writableLength > 0 && socket.remoteAddress !== undefined;
-}
