--- a/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
+++ b/packages/basilpaddle/src/node/daemon/backends/backendConnections.ts
@@ -40,6 +40,7 @@
     };
 }
 
+/** How an answer without a length ended, by the code of its connection's error. */
 const endingByCode: ReadonlyMap<string | undefined, AnswerEnding> = new Map([
     [connectionResetCode, "reset"],
     [resetAtEndCode, "resetAtEnd"],
--- a/packages/basilpaddle/src/node/daemon/entry/reply.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/reply.ts
@@ -39,10 +39,9 @@
     endAfterRequest(response, writeRefusalHead(response, refusal, requestId));
 }
 
-/** Closes the connection of an answer that isn't whole. One without a length and chunks would look whole to its caller after a regular end. */
+/** Closes the connection of an answer that isn't whole. A caller of HTTP/1.0 takes a regular end for that of its answer. */
 function breakOff(response: ServerResponse): void {
-    const hasOwnEnd = response.chunkedEncoding || response.hasHeader("content-length");
-    if (!hasOwnEnd) {
+    if (response.req.httpVersion === "1.0") {
         response.socket?.resetAndDestroy();
     }
     response.destroy();
--- a/packages/basilpaddle/src/node/transport/connectionEnd.ts
+++ b/packages/basilpaddle/src/node/transport/connectionEnd.ts
@@ -22,7 +22,8 @@
 
 /**
  * Emits the "end" of a connection only if the operating system still knows its peer, which it doesn't after a reset. Else an empty write fails with
- * the connection's error: after a reset without a regular end before it, there is an "error" in place of the "end".
+ * the connection's error: after a reset without a regular end before it, there is an "error" in place of the "end". Nobody else may read the peer's
+ * address before, since the socket keeps it.
  */
 export function confirmEnd(socket: Socket): void {
     const emit = socket.emit.bind(socket) as (event: string | symbol, ...values: unknown[]) => boolean;
