--- a/packages/basilpaddle/src/node/daemon/entry/__tests__/services.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/entry/__tests__/services.spec.ts
@@ -1,6 +1,8 @@
 import { expect } from "chai";
 import * as http from "node:http";
 import * as net from "node:net";
+import { omitLength } from "../../../../../../../playground/harness/unframed.js";
+import { blockEventLoop } from "../../../../../../../playground/harness/wait.js";
 import { announcement, viewOf } from "../../../../../../../simulation/requests/fakes.js";
 import { until } from "../../../../../../../simulation/until.js";
 import { EntryHarness, replyOf } from "./entryHarness.js";
@@ -219,8 +221,7 @@
     for (const [title, isBusy] of [["in a later turn", false], ["together with its last bytes", true]] as const) {
         it(`don't let an answer without a length look complete if its reset is found ${title}`, async () => {
             service.handler = ({ socket }, response) => {
-                response.useChunkedEncodingByDefault = false;
-                response.shouldKeepAlive = false;
+                omitLength(response);
                 response.writeHead(200);
                 response.write("half", () => {
                     if (!isBusy) {
@@ -228,7 +229,7 @@
                         return;
                     }
                     socket.resetAndDestroy();
-                    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 20);
+                    blockEventLoop(20);
                 });
             };
             expect((await harness.get("/policies/7")).broken).to.equal(true);
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/backendSender.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/backendSender.spec.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import * as net from "node:net";
+import { blockEventLoop } from "../../../../../../../playground/harness/wait.js";
 import { until } from "../../../../../../../playground/harness/wait.js";
 import { announced } from "../../../coordination/gateway/__tests__/fakes.js";
 import { InstanceTable } from "../../../coordination/index.js";
@@ -13,10 +14,6 @@
 
 const service = { name: "pool", healthPath: "/health", connectionLimit: 10 };
 
-function blockEventLoop(milliseconds: number): void {
-    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
-}
-
 describe("sending a request to a backend server", () => {
     let server: net.Server;
     let connections: BackendConnections;
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/heldBody.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/heldBody.spec.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import * as http from "node:http";
 import * as net from "node:net";
+import { blockEventLoop } from "../../../../../../../playground/harness/wait.js";
 import { createSilentLogger, SilentMetrics, SystemClock } from "../../../utils/index.js";
 import { HeldBytes } from "../../backends/index.js";
 import { readBodyOrRefuse } from "../heldBody.js";
@@ -108,7 +109,7 @@
         await new Promise(resolve => server.once("request", resolve));
         socket.write(Buffer.alloc(400_000));
         await new Promise(resolve => setTimeout(resolve, 1));
-        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 600);
+        blockEventLoop(600);
         expect(String((await answer)[0])).to.match(/^HTTP\/1.1 200 /);
     });
 });
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/loopLag.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/loopLag.spec.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { blockEventLoop } from "../../../../../../../playground/harness/wait.js";
 import { SilentMetrics, SystemClock } from "../../../utils/index.js";
 import type { CallerRequest } from "../callerRequest.js";
 import { LoopLag } from "../loopLag.js";
@@ -68,7 +69,7 @@
         expect([...gauges]).to.deep.equal([["0.5", 0], ["0.99", 0]]);
         const stop = loop.start();
         await new Promise(resolve => setTimeout(resolve, 30));
-        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 300);
+        blockEventLoop(300);
         await new Promise(resolve => setTimeout(resolve, 1));
         expect(loop.isLagging()).to.equal(true);
         stop();
--- a/packages/basilpaddle/src/node/daemon/gateway/__tests__/relayServer.spec.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/__tests__/relayServer.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { once } from "node:events";
 import * as net from "node:net";
-import { until } from "../../../../../../../playground/harness/wait.js";
+import { blockEventLoop, until } from "../../../../../../../playground/harness/wait.js";
 import { announced } from "../../../coordination/gateway/__tests__/fakes.js";
 import { InstanceTable } from "../../../coordination/index.js";
 import { encodeFrame, readFrame } from "../../../transport/index.js";
@@ -10,17 +10,14 @@
 import { RelayServer } from "../relayServer.js";
 import { TunnelOpener } from "../tunnelOpener.js";
 
+/** Long enough for all that a connection of this host has sent to have arrived. */
+const busyMilliseconds = 20;
 /** How a server ends its connection, and the error that the operating system holds for the connection of the gateway. */
 const endings = [
     ["resets its connection", "ECONNRESET", (socket: net.Socket) => socket.resetAndDestroy()],
     ["ends its connection", undefined, (socket: net.Socket) => socket.end()],
 ] as const;
 
-/** Keeps the event loop busy until all has arrived that a connection of this host has sent. */
-function stayBusy(): void {
-    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 20);
-}
-
 /** The code of the error of a connection that ends, whether the runtime reports it or only the operating system holds it. */
 function endOf(socket: net.Socket): Promise<string | undefined> {
     return new Promise(resolve => {
@@ -109,7 +106,7 @@
             const { socket, upstream } = await open();
             upstream.write("half");
             end(upstream);
-            stayBusy();
+            blockEventLoop(busyMilliseconds);
             expect(await endOf(socket)).to.equal(code);
         });
     }
@@ -139,7 +136,7 @@
         // The timers run first after this, and then what the connections hold is read.
         await new Promise(resolve => setImmediate(resolve));
         client.write(encodeFrame({ server: "unknown" }));
-        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 1_200);
+        blockEventLoop(1_200);
         const reply = await readFrame(client);
         client.destroy();
         expect(reply).to.deep.include({ kind: "failed" });
--- a/packages/basilpaddle/src/node/transport/__tests__/tcpLink.spec.ts
+++ b/packages/basilpaddle/src/node/transport/__tests__/tcpLink.spec.ts
@@ -3,6 +3,7 @@
 import { once } from "node:events";
 import * as net from "node:net";
 import { Worker } from "node:worker_threads";
+import { blockEventLoop } from "../../../../../../playground/harness/wait.js";
 import { createSilentLogger } from "../../utils/index.js";
 import { encodeFrame, FrameReader, readFrame } from "../frame.js";
 import type { LinkFailure } from "../link.js";
@@ -277,7 +278,7 @@
         try {
             const answered = link.request("question", 10_000);
             await new Promise(resolve => setTimeout(resolve, 200));
-            Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 2_300);
+            blockEventLoop(2_300);
             await new Promise(resolve => setTimeout(resolve, 700));
             answer();
             expect((await answered).extract()).to.equal("late");
--- a/packages/basilpaddle/src/node/transport/__tests__/tunnel.spec.ts
+++ b/packages/basilpaddle/src/node/transport/__tests__/tunnel.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { once } from "node:events";
 import * as net from "node:net";
+import { blockEventLoop } from "../../../../../../playground/harness/wait.js";
 import { connectTimeoutCode } from "../connecting.js";
 import { encodeFrame } from "../frame.js";
 import { openTunnel } from "../tunnel.js";
@@ -31,7 +32,7 @@
     it("is opened though its process stood still while the reply came", async () => {
         onRequest = socket => {
             socket.write(encodeFrame({ kind: "opened" }));
-            Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 3 * timeoutMilliseconds);
+            blockEventLoop(3 * timeoutMilliseconds);
         };
         const { socket, reply } = await open();
         socket.destroy();
--- a/playground/harness/index.ts
+++ b/playground/harness/index.ts
@@ -5,4 +5,5 @@
 export * from "./partition.js";
 export * from "./program.js";
 export * from "./relay.js";
+export * from "./unframed.js";
 export * from "./wait.js";
--- a/playground/harness/wait.ts
+++ b/playground/harness/wait.ts
@@ -9,6 +9,11 @@
     return new Promise(resolve => setTimeout(resolve, milliseconds));
 }
 
+/** Blocks the event loop of this thread; what arrives meanwhile is found together. */
+export function blockEventLoop(milliseconds: number): void {
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
+}
+
 /**
  * Polls until the result is neither `undefined` nor `false`, also after errors of a poll. Fails after `limit` milliseconds
  * with the name of the condition and the last error as its cause.
--- a/soak/backend.ts
+++ b/soak/backend.ts
@@ -13,7 +13,7 @@
     setLimit,
 } from "../platform/src/standins/wire.js";
 import { Relay } from "../playground/harness/relay.js";
-import { beginAnswer, cutAnswer } from "./cutAnswer.js";
+import { omitLength, writeAndReset } from "../playground/harness/unframed.js";
 import type { Departure } from "./departure.js";
 import type { Invariants } from "./invariants.js";
 import { eventCount, eventText, isLong, isPoison, isPoisonPart, longAnswerMilliseconds, plainText } from "./texts.js";
@@ -303,9 +303,9 @@
         await this.runRequest(received, response, async () => {
             await this.delay(isLong(attempt) ? longAnswerMilliseconds : plainAnswerMilliseconds * this.slowdownFactor);
             const text = plainText(attempt);
-            beginAnswer(response, answerHeaders(attempt, this.id, this.id), this.dropsResponses);
+            this.beginAnswer(response, answerHeaders(attempt, this.id, this.id));
             if (this.dropsResponses) {
-                cutAnswer(response, text.slice(0, text.length / 2));
+                writeAndReset(response, text.slice(0, text.length / 2));
                 return;
             }
             response.end(text);
@@ -336,14 +336,14 @@
         await this.runRequest(received, response, async () => {
             const headers = { ...answerHeaders(attempt, this.id, this.id), "Content-Type": "text/event-stream" };
             const isDropped = this.dropsResponses;
-            beginAnswer(response, headers, isDropped);
+            this.beginAnswer(response, headers);
             const interval = isLong(resumes)
                 ? longAnswerMilliseconds / eventCount(resumes)
                 : eventIntervalMilliseconds * this.slowdownFactor;
             for (let number = resumeAfter + 1; number <= eventCount(resumes) && !response.destroyed; number++) {
                 const event = eventText(resumes, number, this.version);
                 if (isDropped && number >= eventCount(resumes) / 2) {
-                    cutAnswer(response, event);
+                    writeAndReset(response, event);
                     return;
                 }
                 response.write(event);
@@ -357,6 +357,14 @@
         });
     }
 
+    /** Begins a successful answer; one whose connection will be reset has no length. */
+    private beginAnswer(response: http.ServerResponse, headers: http.OutgoingHttpHeaders): void {
+        if (this.dropsResponses) {
+            omitLength(response);
+        }
+        response.writeHead(200, headers);
+    }
+
     /** Runs a request and records the run, which ends when the response or its connection is closed. */
     private async runRequest(
         received: ReceivedRequest,
