fix(gateway): an answer without a length isn't whole because its server's system still accepts connections

What callers saw: streams and plain answers of a server process that was killed, cut after whole events, with the regular end of a whole answer.

Cause: the end was checked by a connection to the server's address, and the system accepts connections for a process that is ending; the question which incarnation answers was asked only after a pause of 250 ms. Class: as before, an end was judged by something else than what the server says.

Why it works: each such end is followed by a status check; only an answer, or a connection that is kept, shows that the process lives.

--- a/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/engineRun.ts
@@ -182,8 +182,7 @@
             }
             return this.lost(end.cause);
         }
-        const pause = Math.max(pauses.longest(), pauses.current());
-        const ended = { server: this.engine, service: this.options.service, via, pause };
+        const ended = { server: this.engine, service: this.options.service, via };
         if (!answer.framed && await ends.mayBeCut(ended)) {
             return { kind: "lost", cause: "the engine ended" };
         }
--- a/packages/basilpaddle/src/node/daemon/gateway/runPauses.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/runPauses.ts
@@ -30,11 +30,6 @@
         return this.detector.recordEvent(now) && unheard <= maxUnheardMilliseconds;
     }
 
-    /** Milliseconds since events last came, or since the start. */
-    current(): number {
-        return this.clock.monotonic() - this.lastAt;
-    }
-
     /** The longest pause in milliseconds between events, standstills of this process included: its caller waited for it. */
     longest(): number {
         return this.detector.longest();
--- a/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/serviceExchange.ts
@@ -219,7 +219,7 @@
         const attempt = ReplaceableAttempt.create(limit, mayContinue ? this.patience(server) : undefined);
         try {
             const sent = await this.sender.send(request, server, this.service, {}, attempt.signal);
-            const [result, outcome] = await this.classify(server, sent, startedAt);
+            const [result, outcome] = await this.classify(server, sent);
             const milliseconds = clock.monotonic() - startedAt;
             choice.recordOutcome(
                 server,
@@ -281,7 +281,6 @@
     private async classify(
         server: ServerAnnouncement,
         sent: SendResult,
-        startedAt: number,
     ): Promise<[ServerResult, CallOutcome]> {
         this.mayHaveArrived ||= sent.kind !== "notRun" || !sent.unreachable;
         if (sent.kind === "notRun") {
@@ -307,12 +306,7 @@
             return [{ kind: "next", mayHaveRun: true, cause: "the answer has no seal" }, "failed"];
         }
         const body = await readWholeBody(answer, { server, limits: this.options.answers, bound: "bodyBytes" });
-        const ended = {
-            server,
-            service: this.service,
-            via: sent.via,
-            pause: this.options.clock.monotonic() - startedAt,
-        };
+        const ended = { server, service: this.service, via: sent.via };
         if (body === undefined || !answer.framed && await this.options.ends.mayBeCut(ended)) {
             const lostOnPath = await this.options.paths.isLostOnPath(server.id);
             this.reportPossibleCrash(server, lostOnPath);
