--- a/packages/basilpaddle/src/node/cli/__tests__/lossSummary.spec.ts
+++ b/packages/basilpaddle/src/node/cli/__tests__/lossSummary.spec.ts
@@ -1,15 +1,19 @@
 import { expect } from "chai";
 import { readLogLines } from "../explanation.js";
-import { type LossSummary, summariseLosses } from "../lossSummary.js";
+import { type LossSummary, summariseLosses, summariseRouteLosses } from "../lossSummary.js";
 
 const options = { streamTarget: 900, plainTarget: 200, slice: 2_000 };
 
-function summarise(...requests: readonly object[]): LossSummary {
+function linesOf(requests: readonly object[]): ReturnType<typeof readLogLines>["lines"] {
     const texts = requests.map((facts, index) => {
         const at = new Date(1_700_000_000_000 + index).toISOString();
         return JSON.stringify({ at, level: "INFO", daemon: "g", message: "request", request: `${index}`, ...facts });
     });
-    return summariseLosses(readLogLines(texts).lines, options);
+    return readLogLines(texts).lines;
+}
+
+function summarise(...requests: readonly object[]): LossSummary {
+    return summariseLosses(linesOf(requests), options);
 }
 
 const stream = (milliseconds: number, ...path: string[]): object => ({ end: "answered", milliseconds, path });
@@ -112,6 +116,25 @@
         expect([promptsRead, readInVain]).to.deep.equal([3, 2]);
     });
 
+    // Guards against losses of one route that can't be told from those of the others.
+    it("tells the routes apart, and how callers fared that came back after a refusal", () => {
+        const refused = { end: "refused", cause: "no room", milliseconds: 5, path: ["refused 5"] };
+        const routes = summariseRouteLosses(
+            linesOf([
+                { ...refused, route: "a", content: "1" },
+                { ...refused, route: "a", content: "2" },
+                { ...refused, route: "b", content: "3" },
+                { ...stream(3_000, "placed leader 5", "first 150"), route: "a", content: "1" },
+                { ...refused, route: "a", content: "2" },
+            ]),
+            options,
+        );
+        expect(routes.map(({ route, requests, whole, returns }) => [route, requests, whole, returns])).to.deep.equal([
+            ["a", 4, 1, { count: 2, answered: 1, refusedAgain: 1 }],
+            ["b", 1, 0, { count: 0, answered: 0, refusedAgain: 0 }],
+        ]);
+    });
+
     it("skips malformed lines", () => {
         expect(summarise({ end: "answered", milliseconds: "soon" }).requests).to.equal(0);
     });
--- a/packages/basilpaddle/src/node/cli/commands/losses.ts
+++ b/packages/basilpaddle/src/node/cli/commands/losses.ts
@@ -1,11 +1,11 @@
 import { type ExitCode, exitCodes } from "../exitCode.js";
 import { readLogFiles } from "../logFiles.js";
-import { type LossOptions, type LossSummary, summariseLosses } from "../lossSummary.js";
+import { type LossOptions, type LossSummary, summariseLosses, summariseRouteLosses } from "../lossSummary.js";
 import { Output, table } from "../output.js";
 
 /** Summarises from log files, by cause, which requests were late or failed. */
 export async function run(
-    args: LossOptions & { readonly files: readonly string[]; readonly json: boolean; },
+    args: LossOptions & { readonly files: readonly string[]; readonly byRoute: boolean; readonly json: boolean; },
 ): Promise<ExitCode> {
     const output = Output.create(args.json);
     const read = await readLogFiles(args.files, output);
@@ -14,12 +14,16 @@
     }
     const { lines, unread } = read;
     const summary = summariseLosses(lines, args);
-    output.result({ kind: "losses", ...summary, unread }, () => formatSummary(summary));
+    const routes = args.byRoute ? summariseRouteLosses(lines, args) : undefined;
+    output.result({ kind: "losses", ...summary, routes, unread }, () => [
+        ...formatSummary(summary),
+        ...(routes ?? []).flatMap(route => ["", `route ${route.route}`, ...formatSummary(route)]),
+    ]);
     return exitCodes.done;
 }
 
 function formatSummary(summary: LossSummary): string[] {
-    const { requests, whole, losses, promptsRead, readInVain } = summary;
+    const { requests, whole, losses, promptsRead, readInVain, returns } = summary;
     const rows = losses.map(({ kind, cause, count, servers, moments }) => [
         count,
         kind,
@@ -29,6 +33,7 @@
     ]);
     return [
         `${requests} requests ended, ${whole} of them answered in time; ${readInVain} of ${promptsRead} prefills were wasted`,
+        `${returns.count} came back after a refusal: ${returns.answered} answered, ${returns.refusedAgain} refused again`,
         ...table(["count", "kind", "cause", "last backend servers", "most frequent time slices from"], rows),
     ];
 }
--- a/packages/basilpaddle/src/node/cli/logCommands.ts
+++ b/packages/basilpaddle/src/node/cli/logCommands.ts
@@ -44,6 +44,11 @@
                     default: 2_000,
                     describe: "length of one time slice in milliseconds",
                 })
+                .option("by-route", {
+                    type: "boolean",
+                    default: false,
+                    describe: "show the losses of each route as well",
+                })
                 .check(({ slice }) => {
                     if (!(slice > 0)) {
                         throw new Error("--slice must be a number of milliseconds above 0");
--- a/packages/basilpaddle/src/node/cli/lossSummary.ts
+++ b/packages/basilpaddle/src/node/cli/lossSummary.ts
@@ -11,6 +11,8 @@
     cause: z.string().default(""),
     milliseconds: z.number(),
     path: z.array(z.string()).default([]),
+    route: z.string().default(""),
+    content: z.string().default(""),
 });
 type RequestLine = z.infer<typeof requestSchema>;
 
@@ -45,8 +47,15 @@
     /** Completed prefills, and how many of them were wasted because no answer was completed with their result. */
     readonly promptsRead: number;
     readonly readInVain: number;
+    readonly returns: ReturnedRequests;
 };
 
+/** Requests whose caller sent the same content again after a refusal, and how the last attempt ended. */
+export type ReturnedRequests = { readonly count: number; readonly answered: number; readonly refusedAgain: number; };
+
+/** Losses of the requests of one route. */
+export type RouteLosses = LossSummary & { readonly route: string; };
+
 /** Thresholds for late requests, and the length of time slices. */
 export type LossOptions = {
     /** Milliseconds to the first event of a stream, or to a plain answer, after which a request is late. */
@@ -59,6 +68,20 @@
 /** Maximum number of backend servers and time slices listed for each cause. */
 const maxListed = 4;
 
+/** Summarises the ends of requests route by route, the route with the most requests first. */
+export function summariseRouteLosses(lines: readonly LogLine[], options: LossOptions): RouteLosses[] {
+    const linesByRoute = new Map<string, LogLine[]>();
+    for (const line of lines.filter(({ message }) => message === requestMessage)) {
+        const route = requestSchema.safeParse(line).data?.route ?? "";
+        const routeLines = linesByRoute.get(route) ?? [];
+        linesByRoute.set(route, routeLines);
+        routeLines.push(line);
+    }
+    return [...linesByRoute]
+        .map(([route, routeLines]) => ({ route, ...summariseLosses(routeLines, options) }))
+        .sort((one, other) => other.requests - one.requests);
+}
+
 /** Summarises the ends of requests in the log lines. */
 export function summariseLosses(lines: readonly LogLine[], options: LossOptions): LossSummary {
     const entriesByCause = new Map<
@@ -110,7 +133,36 @@
         moments: countValues(moments).slice(0, maxListed).map(([from, count]) => ({ from, count })),
     }));
     losses.sort((one, other) => other.count - one.count);
-    return { requests, whole: answeredInTime, losses, promptsRead: totalPrefills, readInVain: wastedPrefills };
+    return {
+        requests,
+        whole: answeredInTime,
+        losses,
+        promptsRead: totalPrefills,
+        readInVain: wastedPrefills,
+        returns: countReturns(lines),
+    };
+}
+
+function countReturns(lines: readonly LogLine[]): ReturnedRequests {
+    const endsByContent = new Map<string, string[]>();
+    const sorted = lines.filter(({ message }) => message === requestMessage)
+        .sort((one, other) => Date.parse(one.at) - Date.parse(other.at));
+    for (const line of sorted) {
+        const { content = "", end = "" } = requestSchema.safeParse(line).data ?? {};
+        const ends = endsByContent.get(content);
+        if (ends?.at(-1) === "refused") {
+            ends.push(end);
+        }
+        else if (content !== "") {
+            endsByContent.set(content, [end]);
+        }
+    }
+    const lastEnds = [...endsByContent.values()].filter(({ length }) => length > 1).map(ends => ends.at(-1));
+    return {
+        count: lastEnds.length,
+        answered: lastEnds.filter(end => end === "answered").length,
+        refusedAgain: lastEnds.filter(end => end === "refused").length,
+    };
 }
 
 function classifyLoss(
