fix(placement): refused callers are told to return when there will be room, in pools of one priority too

Cause: with one priority the retry-after was how much too late the forecast was, plus up to 0.7 s. Pools of several priorities account for what they promise; and where the time until a caller's third ended shortly after the backlog, all promises fell into the rest of it. Fix: one account of promised retries for both admissions; if nothing is left between the end of the backlog and the latest time, the least promised interval in the later half, away from others.

--- a/packages/basilpaddle/src/node/coordination/gateway/placementRefusals.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementRefusals.ts
@@ -1,8 +1,5 @@
 import type { PlacementDecision, PlacementRequest } from "../../protocol/index.js";
-import { hashToFraction } from "../../utils/index.js";
 
-/** Spread of the retry-after times of refused requests, so that their retries don't cause a second burst. */
-const retryAfterSpreadMilliseconds = 700;
 /** Retry-after time of requests that are refused because no engine is ready. */
 const noEngineRetryAfterMilliseconds = 1_000;
 /** Retry-after time of a request whose software version no engine has any more: it won't come back within a caller's patience. */
@@ -13,14 +10,13 @@
     return { kind: "refused", attempt, reason: "no engine is ready", comeBackIn: noEngineRetryAfterMilliseconds };
 }
 
-/** Refuses a request whose first event would come after its caller's timeout, by so many milliseconds. */
+/** Refuses a request because its first event would come after its caller's timeout. */
 export function tooLateRefusal(
     { attempt }: PlacementRequest,
     firstEventIn: number,
-    tooLateBy: number,
+    comeBackIn: number,
 ): PlacementDecision {
     const reason = `the first event would come in ${Math.round(firstEventIn)} ms, after its caller's timeout`;
-    const comeBackIn = tooLateBy + hashToFraction(attempt) * retryAfterSpreadMilliseconds;
     return { kind: "refused", attempt, reason, comeBackIn };
 }
 
--- a/packages/basilpaddle/src/node/coordination/gateway/priorityAdmission.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/priorityAdmission.ts
@@ -1,8 +1,6 @@
 import type { PlacementRequest } from "../../protocol/index.js";
-import { hashToFraction } from "../../utils/index.js";
 import { displacedRefusal, noRoomRefusal } from "./placementRefusals.js";
 import { QueueAdmission, type QueueAdmissionOptions, type Refusal, type RefusedWait } from "./queueAdmission.js";
-import { RetryPromises } from "./retryPromises.js";
 import { TokensAhead } from "./tokensAhead.js";
 import type { WaitingRequest } from "./waitingRequest.js";
 
@@ -13,14 +11,11 @@
 const readmissionFraction = 0.8;
 /** How long an eviction counts: a burst's end that lasts longer has had time to show in the forecast. */
 const evictionMilliseconds = 2_000;
-/** Fraction of its time left that a caller waits at most before it retries. */
-const maxRetryFraction = 1 / 3;
 
 /** Admission where requests of several priorities compete. */
 export class PriorityAdmission extends QueueAdmission {
     /** Time of each priority's last eviction. */
     private readonly evictedAt = new Map<number, number>();
-    private readonly promises = RetryPromises.create();
     /** Tokens placed so far, by priority. */
     private readonly placed = TokensAhead.create();
     /** The same at the arrival of each waiting request. */
@@ -82,23 +77,4 @@
         const firstEventIn = poolForecast.firstEventIn(request, ahead.total - displaced);
         return this.mayWait(waiting, firstEventIn, poolForecast.capacity, now) ? displacing?.priority : undefined;
     }
-
-    /** Milliseconds after which a refused request shall retry. */
-    private retryIn({ waiting, ahead, poolForecast, now }: RefusedWait): number {
-        const { request, arrivedAt } = waiting;
-        const { forecast, pool } = this.options;
-        const timeLeft = arrivedAt + (request.deadlineWithin ?? request.patienceWithin) - now;
-        const tokens = ahead.total + request.cacheTokens - pool.freeTokens(now);
-        const retryAt = this.promises.promise(
-            {
-                tokens: request.cacheTokens,
-                earliest: now + forecast.expectedWait(tokens, poolForecast.capacity),
-                latest: now + Math.max(0, timeLeft) * maxRetryFraction,
-                spread: hashToFraction(request.attempt),
-            },
-            forecast.tokensFreedPerMillisecond(poolForecast.capacity),
-            now,
-        );
-        return retryAt - now;
-    }
 }
--- a/packages/basilpaddle/src/node/coordination/gateway/queueAdmission.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/queueAdmission.ts
@@ -1,9 +1,11 @@
 import type { PlacementDecision, PlacementRequest } from "../../protocol/index.js";
+import { hashToFraction } from "../../utils/index.js";
 import type { EnginePool } from "./enginePool.js";
 import type { PlacementForecast } from "./placementForecast.js";
 import { noEngineRefusal, tooLateRefusal, versionGoneRefusal } from "./placementRefusals.js";
 import type { QueueObserver, RefusalCause } from "./queueObserver.js";
 import type { QueueOrder } from "./queueOrder.js";
+import { RetryPromises } from "./retryPromises.js";
 import { TokensAhead } from "./tokensAhead.js";
 import type { WaitingRequest } from "./waitingRequest.js";
 
@@ -21,6 +23,8 @@
  * again within about a second, and a caller that is refused at once would use its only retry before that.
  */
 const unknownPoolTimeoutMilliseconds = 1_800;
+/** Fraction of its time left that a caller waits at most before it retries. */
+const maxRetryFraction = 1 / 3;
 
 /** Forecast for a pool at one point in time. */
 export type PoolForecast = {
@@ -49,6 +53,8 @@
 
 /** Decides which requests may wait in a placement queue, and refuses those that can't be served before their caller leaves. */
 export abstract class QueueAdmission {
+    private readonly promises = RetryPromises.create();
+
     protected constructor(protected readonly options: QueueAdmissionOptions) {}
 
     /** Refuses a new request that can't be served before its caller's timeout. */
@@ -135,6 +141,25 @@
         return timeoutAt - now - timeoutMarginMilliseconds;
     }
 
+    /** Milliseconds after which a refused request shall retry: once the requests ahead of it have been served. */
+    protected retryIn({ waiting, ahead, poolForecast, now }: RefusedWait): number {
+        const { request, arrivedAt } = waiting;
+        const { forecast, pool } = this.options;
+        const timeLeft = arrivedAt + (request.deadlineWithin ?? request.finishWithin ?? request.patienceWithin) - now;
+        const tokens = ahead.total + request.cacheTokens - pool.freeTokens(now);
+        const retryAt = this.promises.promise(
+            {
+                tokens: request.cacheTokens,
+                earliest: now + forecast.expectedWait(tokens, poolForecast.capacity),
+                latest: now + Math.max(0, timeLeft) * maxRetryFraction,
+                spread: hashToFraction(request.attempt),
+            },
+            forecast.tokensFreedPerMillisecond(poolForecast.capacity),
+            now,
+        );
+        return retryAt - now;
+    }
+
     private refuse(wait: RefusedWait, isVersionGone: boolean): PlacementDecision {
         const { request } = wait.waiting;
         const refusal: Refusal = isVersionGone
@@ -183,9 +208,9 @@
         return this.mayWait(waiting, firstEventIn, poolForecast.capacity, now);
     }
 
-    protected override refuseLate({ waiting, firstEventIn, now }: RefusedWait): Refusal {
-        const tooLateBy = Math.max(0, now + firstEventIn + timeoutMarginMilliseconds - waiting.timeoutAt);
-        return { decision: tooLateRefusal(waiting.request, firstEventIn, tooLateBy), cause: "noRoom" };
+    protected override refuseLate(wait: RefusedWait): Refusal {
+        const decision = tooLateRefusal(wait.waiting.request, wait.firstEventIn, this.retryIn(wait));
+        return { decision, cause: "noRoom" };
     }
 
     protected override recordEviction(): void {}
--- a/packages/basilpaddle/src/node/coordination/gateway/retryPromises.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/retryPromises.ts
@@ -1,6 +1,8 @@
 const intervalMilliseconds = 100;
 /** Number of intervals that are looked through for capacity; it bounds the memory and the time for one request. */
 const maxIntervals = 100;
+/** Intervals that count as neighbours of one. */
+const neighbourOffsets = [-2, -1, 1, 2] as const;
 
 /** A refused request that is told when to retry. */
 export type RefusedRetry = {
@@ -30,27 +32,37 @@
         this.dropBefore(Math.floor(now / intervalMilliseconds));
         const capacity = tokensPerMillisecond * intervalMilliseconds;
         const last = Math.max(now, latest);
-        // If the backlog takes longer than the caller may be told to wait, the later half of that time is the best there is.
-        const first = earliest <= last ? Math.max(now, earliest) : (now + last) / 2;
-        const firstInterval = Math.floor(first / intervalMilliseconds);
-        const lastInterval = Math.min(Math.floor(last / intervalMilliseconds), firstInterval + maxIntervals - 1);
-        let chosen = firstInterval;
-        for (let interval = firstInterval; interval <= lastInterval; interval++) {
-            const used = this.promised.get(interval) ?? 0;
-            if (used === 0 || used + tokens <= capacity) {
-                chosen = interval;
-                break;
-            }
-            if (used < this.promised.get(chosen)!) {
-                chosen = interval;
-            }
-        }
+        // If nothing is left until the latest time, the later half of that time is the best there is.
+        const halfway = (now + last) / 2;
+        const served = Math.max(now, earliest);
+        const withRoom = this.firstWithRoom(served, last, capacity - tokens);
+        const from = withRoom === undefined ? halfway : served;
+        const chosen = withRoom ?? this.leastPromised(halfway, last);
         this.promised.set(chosen, (this.promised.get(chosen) ?? 0) + tokens);
-        const start = Math.max(first, chosen * intervalMilliseconds);
+        const start = Math.max(from, chosen * intervalMilliseconds);
         const end = Math.min(last, (chosen + 1) * intervalMilliseconds);
         return start + spread * Math.max(0, end - start);
     }
 
+    /** The first interval in which no more than `maxPromised` tokens are promised, or none at all. */
+    private firstWithRoom(from: number, to: number, maxPromised: number): number | undefined {
+        return intervalsOf(from, to).find(interval => {
+            const used = this.promised.get(interval) ?? 0;
+            return used === 0 || used <= maxPromised;
+        });
+    }
+
+    /** The interval with the least promised; of several the one whose neighbours have the least. */
+    private leastPromised(from: number, to: number): number {
+        const promisedIn = (interval: number): number => this.promised.get(interval) ?? 0;
+        const nearby = (interval: number): number =>
+            neighbourOffsets.reduce((sum, offset) => sum + promisedIn(interval + offset), 0);
+        return intervalsOf(from, to).reduce((least, interval) => {
+            const difference = promisedIn(interval) - promisedIn(least);
+            return difference < 0 || difference === 0 && nearby(interval) < nearby(least) ? interval : least;
+        });
+    }
+
     private dropBefore(interval: number): void {
         for (const known of this.promised.keys()) {
             if (known < interval) {
@@ -59,3 +71,10 @@
         }
     }
 }
+
+/** Numbers of the intervals from one time to another, `maxIntervals` at most; none if the span is negative. */
+function intervalsOf(from: number, to: number): readonly number[] {
+    const first = Math.floor(from / intervalMilliseconds);
+    const count = from > to ? 0 : Math.min(Math.floor(to / intervalMilliseconds) - first + 1, maxIntervals);
+    return Array.from({ length: count }, (_, number) => first + number);
+}
