fix(placement): a caller that comes back after a refusal doesn't take the room of one that can still be in time

Cause: the leader takes an attempt for a new request with a target of its own. Class: an order by what one attempt knows of itself, not by what the decider knows of the request. Fix: the queue remembers what it refused by the digest of the content, which is the same at any gateway, until the caller's deadline; the next attempt keeps the first target. Each refusal counts once, so that another caller with the same content is a new one.

--- a/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
@@ -14,6 +14,7 @@
 import { type QueueAdmission, TargetAdmission } from "./queueAdmission.js";
 import { maxRank, type QueueObserver, SilentQueueObserver } from "./queueObserver.js";
 import { type QueueOrder, TargetOrder } from "./queueOrder.js";
+import { RefusedRequests } from "./refusedRequests.js";
 import { RunRejections } from "./runRejections.js";
 import type { TypicalRequest } from "./stagePlan.js";
 import { arrivingRequest, requestAt, type WaitingRequest } from "./waitingRequest.js";
@@ -40,6 +41,7 @@
     private readonly placements = new Map<string, Placement>();
     private readonly forecast = PlacementForecast.create();
     private readonly rejections = RunRejections.create();
+    private readonly refused = RefusedRequests.create();
     private admission: QueueAdmission;
     private reservations: EngineReservations;
     private hadSeveralPriorities = false;
@@ -47,8 +49,8 @@
     private reviewedAt = 0;
 
     private constructor(private readonly pool: EnginePool, private readonly observer: QueueObserver) {
-        const { forecast } = this;
-        this.admission = TargetAdmission.create({ pool, forecast, observer });
+        const { forecast, refused } = this;
+        this.admission = TargetAdmission.create({ pool, forecast, observer, refused });
         this.reservations = TargetReservations.create({ pool, forecast });
     }
 
@@ -83,8 +85,9 @@
             const order = isPrioritised ? PriorityOrder.create(floor) : TargetOrder.create();
             this.order.requests().forEach(waiting => order.add(waiting));
             this.order = order;
-            const { pool, forecast, observer } = this;
-            this.admission = (isPrioritised ? PriorityAdmission : TargetAdmission).create({ pool, forecast, observer });
+            const { pool, forecast, observer, refused } = this;
+            const options = { pool, forecast, observer, refused };
+            this.admission = (isPrioritised ? PriorityAdmission : TargetAdmission).create(options);
             this.reservations = (isPrioritised ? PriorityReservations : TargetReservations).create({ pool, forecast });
         }
     }
@@ -108,7 +111,7 @@
         if (this.order.requests().some(waiting => waiting.request.attempt === request.attempt)) {
             return [];
         }
-        const waiting = arrivingRequest(request, now);
+        const waiting = this.refused.withFirstTarget(arrivingRequest(request, now));
         this.order.add(waiting);
         return [...this.dispatch(now), ...this.admission.refuseOnArrival(waiting, this.order, now)];
     }
--- a/packages/basilpaddle/src/node/coordination/gateway/queueAdmission.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/queueAdmission.ts
@@ -5,6 +5,7 @@
 import { noEngineRefusal, tooLateRefusal, versionGoneRefusal } from "./placementRefusals.js";
 import type { QueueObserver, RefusalCause } from "./queueObserver.js";
 import type { QueueOrder } from "./queueOrder.js";
+import { RefusedRequests } from "./refusedRequests.js";
 import { RetryPromises } from "./retryPromises.js";
 import { TokensAhead } from "./tokensAhead.js";
 import type { WaitingRequest } from "./waitingRequest.js";
@@ -14,6 +15,8 @@
     readonly pool: EnginePool;
     readonly forecast: PlacementForecast;
     readonly observer: QueueObserver;
+    /** Shared with the queue, which outlives its admission. */
+    readonly refused: RefusedRequests;
 };
 
 /** Margin by which the forecast must be earlier than the caller's timeout for a request to stay in the queue. */
@@ -162,6 +165,7 @@
 
     private refuse(wait: RefusedWait, isVersionGone: boolean): PlacementDecision {
         const { request } = wait.waiting;
+        this.options.refused.record(wait.waiting);
         const refusal: Refusal = isVersionGone
             ? { decision: versionGoneRefusal(request), cause: "versionGone" }
             : wait.poolForecast.capacity === 0
--- a/packages/basilpaddle/src/node/daemon/gateway/placementRequest.ts
+++ b/packages/basilpaddle/src/node/daemon/gateway/placementRequest.ts
@@ -60,5 +60,6 @@
         ...linkStalls.length === 0 ? {} : { linkStalls },
         ...route.gap === undefined ? {} : { gap: route.gap },
         finishWithin: request.remainingTime(),
+        content: request.digest,
     };
 }
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -159,6 +159,8 @@
     gap: z.number().min(0).optional().catch(undefined),
     /** Milliseconds left until the answer must be complete. @default no limit */
     finishWithin: z.number().optional().catch(undefined),
+    /** Digest of the request's content, which is the same when its caller comes back after a refusal. @default unknown */
+    content: z.string().max(200).optional().catch(undefined),
 });
 
 /** The engines granted to a run, or the reason for a refusal. */
--- a/simulation/places/daySimulation.ts
+++ b/simulation/places/daySimulation.ts
@@ -201,7 +201,7 @@
             promptTokens: request.promptTokens,
             cacheTokens: request.promptTokens + request.estimatedAnswerTokens,
             priority: 1,
-            // A gateway knows nothing of earlier attempts of the request, so the target counts from this attempt.
+            // A gateway knows nothing of earlier attempts of the request; the queue knows those that it refused.
             targetWithin: target - roundTripMilliseconds,
             patienceWithin: Math.min(request.at + deadlineMilliseconds - now, firstEventTimeoutFactor * target),
             avoid: [...avoid],
@@ -214,6 +214,7 @@
                     deadlineWithin: request.at + deadlineMilliseconds - now,
                 },
             finishWithin: request.at + deadlineMilliseconds - now,
+            content: request.name,
             ...gap === undefined ? {} : { gap },
         };
     }
