feat(placement): the forecast of a wait is recorded beside the wait that came

A request is refused by a forecast, and nothing held that forecast against its outcome: whether requests are refused that could be served no log or metric showed. Of requests that waited for a place the leader now records both times to the first event. The test failed before for want of the metrics.

--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/priorityAdmission.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/priorityAdmission.spec.ts
@@ -35,6 +35,19 @@
 const reasons = (decisions: readonly PlacementDecision[]): string[] =>
     decisions.flatMap(decision => decision.kind === "refused" ? decision.reason : []);
 
+describe("the forecast of a wait", () => {
+    // Guards against a wrong forecast, which refuses requests that could be served, that no metric shows.
+    it("is recorded beside the wait that came, of requests that weren't placed at once", () => {
+        const metrics = RecordedMetrics.create();
+        const queue = fullQueue(metrics);
+        send(queue, "waits", 1, 100, {});
+        expect(placed(queue.release("held-0", {}, 700))).to.deep.equal(["waits-0"]);
+        const text = metrics.text();
+        expect(text).to.include("basilpaddle_placement_forecast_milliseconds_count{service=\"pool\"} 1");
+        expect(text).to.include("basilpaddle_placement_outcome_milliseconds_count{service=\"pool\"} 1");
+    });
+});
+
 describe("refusals in a pool with several priorities", () => {
     it("evict a waiting request at once that a higher priority displaces, and name that priority", () => {
         const metrics = RecordedMetrics.create();
--- a/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/placementQueue.ts
@@ -259,7 +259,7 @@
                 continue;
             }
             this.order.recordPlaced(waiting);
-            this.admission.recordPlaced(waiting.request);
+            this.admission.recordPlaced(waiting, this.forecast.firstEventDelay(pair.prefillTime), now);
             const readingWithin = Math.round(this.forecast.expectedPrefillTime(pair.prefillTime));
             const placement = { ...pair, request: waiting.request, placedAt: now, readingWithin, isPrefilled: false };
             this.allocate(placement, now);
--- a/packages/basilpaddle/src/node/coordination/gateway/priorityAdmission.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/priorityAdmission.ts
@@ -1,4 +1,3 @@
-import type { PlacementRequest } from "../../protocol/index.js";
 import { displacedRefusal, noRoomRefusal } from "./placementRefusals.js";
 import { QueueAdmission, type QueueAdmissionOptions, type Refusal, type RefusedWait } from "./queueAdmission.js";
 import { TokensAhead } from "./tokensAhead.js";
@@ -25,9 +24,9 @@
         return new PriorityAdmission(options);
     }
 
-    override recordPlaced(request: PlacementRequest): void {
-        super.recordPlaced(request);
-        this.placed.add(request);
+    override recordPlaced(waiting: WaitingRequest, firstEventIn: number, now: number): void {
+        super.recordPlaced(waiting, firstEventIn, now);
+        this.placed.add(waiting.request);
     }
 
     protected override mayEnter({ waiting, firstEventIn, poolForecast, now }: RefusedWait): boolean {
--- a/packages/basilpaddle/src/node/coordination/gateway/queueAdmission.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/queueAdmission.ts
@@ -76,6 +76,7 @@
         const wait = { waiting: arrived, ahead, firstEventIn, poolForecast, now };
         const isVersionGone = this.isVersionGone(arrived, now);
         if (!isVersionGone && this.mayEnter(wait)) {
+            arrived.expectedWithin = firstEventIn;
             return [];
         }
         order.remove(arrived);
@@ -117,9 +118,9 @@
         return decisions;
     }
 
-    /** Records a placement. */
-    recordPlaced(request: PlacementRequest): void {
-        this.options.observer.placed(request);
+    /** Records a placement; `firstEventIn`: the milliseconds until its first event that are expected now. */
+    recordPlaced({ request, arrivedAt, expectedWithin }: WaitingRequest, firstEventIn: number, now: number): void {
+        this.options.observer.placed({ request, expectedWithin, firstEventAfter: now - arrivedAt + firstEventIn });
     }
 
     /** Whether a new request may enter the queue. */
--- a/packages/basilpaddle/src/node/coordination/gateway/queueObserver.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/queueObserver.ts
@@ -19,9 +19,18 @@
     readonly firstEventIn: number;
 };
 
+/** A placement, with the forecast at its arrival and what came of it. */
+export type QueuePlacement = {
+    readonly request: PlacementRequest;
+    /** Forecast milliseconds from its arrival to its first event; undefined if it was placed at once. */
+    readonly expectedWithin?: number | undefined;
+    /** The same by the time at which it was placed. */
+    readonly firstEventAfter: number;
+};
+
 /** Receives what a placement queue decided, for logs and metrics. */
 export abstract class QueueObserver {
-    abstract placed(request: PlacementRequest): void;
+    abstract placed(placement: QueuePlacement): void;
     abstract refused(refusal: QueueRefusal): void;
 }
 
@@ -46,8 +55,13 @@
         return new QueueRecorder(logger, metrics);
     }
 
-    override placed({ service, priority }: PlacementRequest): void {
+    override placed({ request, expectedWithin, firstEventAfter }: QueuePlacement): void {
+        const { service, priority } = request;
         this.metrics.count("basilpaddle_placements_total", { service, rank: rankLabel(priority) });
+        if (expectedWithin !== undefined && Number.isFinite(expectedWithin)) {
+            this.metrics.observe("basilpaddle_placement_forecast_milliseconds", expectedWithin, { service });
+            this.metrics.observe("basilpaddle_placement_outcome_milliseconds", firstEventAfter, { service });
+        }
     }
 
     override refused({ request, cause, gaveWayTo, tokensAhead, firstEventIn }: QueueRefusal): void {
