fix(directory): a directory that is cut off from the majority doesn't acknowledge heartbeats

Cause: servers whose heartbeats failed once went on at the directory that was cut off, which acknowledged them. The majority, the leader among it, counted them as silent after three heartbeats and placed nothing there, until the cut healed. Class: room is counted by what one part believes, while another part knows better and says that all is well. Fix: once it has reached a majority and doesn't any more, a directory keeps the heartbeat, for gateways that reach only it, and answers 503: the server calls the next one at once. Leave calls and draining already needed other directories.

--- a/packages/basilpaddle/src/node/daemon/directory/serverMembership.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/serverMembership.ts
@@ -48,6 +48,7 @@
     private readonly registry: BackendServerRegistry;
     private readonly replication: DepartureReplication;
     private watcher: DirectoryWatcher | undefined;
+    private hasReachedMajority = false;
 
     private constructor(private readonly options: ServerMembershipOptions) {
         const { name, heartbeat, restartCache, clock, activeClock, logger } = options;
@@ -116,7 +117,10 @@
         }
         const known = this.registry.announce(announced);
         const isDeparture = announced.state === "draining" && known !== undefined;
-        return !isDeparture || await this.replication.store(serverName(announced), known) ? done : notStored;
+        if (isDeparture) {
+            return await this.replication.store(serverName(announced), known) ? done : notStored;
+        }
+        return this.isCutOff() ? cutOff : done;
     }
 
     /** Applies a backend server's call that it leaves. */
@@ -144,6 +148,7 @@
 
     /** Marks backend servers as silent whose heartbeats stopped; to be called a few times per heartbeat interval. */
     review(): void {
+        this.isCutOff();
         this.registry.markSilentServers();
     }
 
@@ -165,6 +170,19 @@
         return this.watches.hasRecentWatch();
     }
 
+    /**
+     * Whether this directory has lost its connections to a majority of the members. A server whose heartbeats it acknowledged
+     * would go on sending them here, and be silent at the others, the leader among them.
+     */
+    private isCutOff(): boolean {
+        const { members } = this.options.members();
+        const reached = this.watcher?.knownDirectories().filter(({ reached }) => reached).map(({ name }) => name) ?? [];
+        const present = members.filter(member => member === this.options.name || reached.includes(member));
+        const reachesMajority = members.length === 0 || present.length * 2 > members.length;
+        this.hasReachedMajority ||= reachesMajority;
+        return this.hasReachedMajority && !reachesMajority;
+    }
+
     /** Number of disks that have to hold a departure: one is left after the loss of as many hosts as the deployment tolerates. */
     private requiredCopies(): number {
         const reached = this.watcher?.reachedLinks().length ?? 0;
@@ -176,4 +194,5 @@
 
 const done: CallResponse = { kind: "done" };
 const noGateway: CallResponse = { kind: "unavailable", reason: "no gateway watches this directory" };
+const cutOff: CallResponse = { kind: "unavailable", reason: "too few directories are reached" };
 const notStored: CallResponse = { kind: "unavailable", reason: "too few directories have stored the departure" };
