feat(directory): a line when it is cut off from the majority and when it reaches it again

An operator saw heartbeats that aren't acknowledged without a reason. The check is parted from what it records, so that reading it changes nothing; behaviour is the same.

--- a/packages/basilpaddle/src/node/coordination/gateway/queueAdmission.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/queueAdmission.ts
@@ -5,7 +5,7 @@
 import { noEngineRefusal, tooLateRefusal, versionGoneRefusal } from "./placementRefusals.js";
 import type { QueueObserver, RefusalCause } from "./queueObserver.js";
 import type { QueueOrder } from "./queueOrder.js";
-import { RefusedRequests } from "./refusedRequests.js";
+import type { RefusedRequests } from "./refusedRequests.js";
 import { RetryPromises } from "./retryPromises.js";
 import { TokensAhead } from "./tokensAhead.js";
 import type { WaitingRequest } from "./waitingRequest.js";
--- a/packages/basilpaddle/src/node/daemon/directory/serverMembership.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/serverMembership.ts
@@ -49,6 +49,7 @@
     private readonly replication: DepartureReplication;
     private watcher: DirectoryWatcher | undefined;
     private hasReachedMajority = false;
+    private wasCutOff = false;
 
     private constructor(private readonly options: ServerMembershipOptions) {
         const { name, heartbeat, restartCache, clock, activeClock, logger } = options;
@@ -148,7 +149,8 @@
 
     /** Marks backend servers as silent whose heartbeats stopped; to be called a few times per heartbeat interval. */
     review(): void {
-        this.isCutOff();
+        this.hasReachedMajority ||= this.reachesMajority();
+        this.logReachability();
         this.registry.markSilentServers();
     }
 
@@ -175,12 +177,26 @@
      * would go on sending them here, and be silent at the others, the leader among them.
      */
     private isCutOff(): boolean {
+        return this.hasReachedMajority && !this.reachesMajority();
+    }
+
+    private reachesMajority(): boolean {
         const { members } = this.options.members();
         const reached = this.watcher?.knownDirectories().filter(({ reached }) => reached).map(({ name }) => name) ?? [];
         const present = members.filter(member => member === this.options.name || reached.includes(member));
-        const reachesMajority = members.length === 0 || present.length * 2 > members.length;
-        this.hasReachedMajority ||= reachesMajority;
-        return this.hasReachedMajority && !reachesMajority;
+        return members.length === 0 || present.length * 2 > members.length;
+    }
+
+    private logReachability(): void {
+        const isCutOff = this.isCutOff();
+        if (isCutOff !== this.wasCutOff) {
+            this.wasCutOff = isCutOff;
+            this.options.logger.info(
+                isCutOff
+                    ? "cut off from a majority of the directories; no heartbeat is acknowledged"
+                    : "a majority of the directories is reached again",
+            );
+        }
     }
 
     /** Number of disks that have to hold a departure: one is left after the loss of as many hosts as the deployment tolerates. */
