fix(directory): directories that are cut in two halves go on acknowledging heartbeats

Now a directory is cut off once it reaches fewer than half of the members, itself included. The new test of two halves failed before (neither acknowledged); the one with one against two passes as before.

--- a/packages/basilpaddle/src/node/daemon/directory/serverMembership.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/serverMembership.ts
@@ -48,7 +48,7 @@
     private readonly registry: BackendServerRegistry;
     private readonly replication: DepartureReplication;
     private watcher: DirectoryWatcher | undefined;
-    private hasReachedMajority = false;
+    private hasReachedHalf = false;
     private wasCutOff = false;
 
     private constructor(private readonly options: ServerMembershipOptions) {
@@ -149,7 +149,7 @@
 
     /** Marks backend servers as silent whose heartbeats stopped; to be called a few times per heartbeat interval. */
     review(): void {
-        this.hasReachedMajority ||= this.reachesMajority();
+        this.hasReachedHalf ||= this.reachesHalf();
         this.logReachability();
         this.registry.markSilentServers();
     }
@@ -173,18 +173,19 @@
     }
 
     /**
-     * Whether this directory has lost its connections to a majority of the members. A server whose heartbeats it acknowledged
+     * Whether this directory has lost its connections to most of the members. A server whose heartbeats it acknowledged
      * would go on sending them here, and be silent at the others, the leader among them.
      */
     private isCutOff(): boolean {
-        return this.hasReachedMajority && !this.reachesMajority();
+        return this.hasReachedHalf && !this.reachesHalf();
     }
 
-    private reachesMajority(): boolean {
+    /** Half is enough: where the members are cut in two halves, neither knows better, and servers would call all of them in turn. */
+    private reachesHalf(): boolean {
         const { members } = this.options.members();
         const reached = this.watcher?.knownDirectories().filter(({ reached }) => reached).map(({ name }) => name) ?? [];
         const present = members.filter(member => member === this.options.name || reached.includes(member));
-        return members.length === 0 || present.length * 2 > members.length;
+        return present.length * 2 >= members.length;
     }
 
     private logReachability(): void {
@@ -193,8 +194,8 @@
             this.wasCutOff = isCutOff;
             this.options.logger.info(
                 isCutOff
-                    ? "cut off from a majority of the directories; no heartbeat is acknowledged"
-                    : "a majority of the directories is reached again",
+                    ? "cut off from most of the directories; no heartbeat is acknowledged"
+                    : "half of the directories are reached again",
             );
         }
     }
--- a/simulation/departures/__tests__/cutOffDirectories.spec.ts
+++ b/simulation/departures/__tests__/cutOffDirectories.spec.ts
@@ -10,11 +10,11 @@
 
 type Deployment = { readonly world: World; readonly directories: readonly EmulatedDirectory[]; };
 
-async function startDeployment(): Promise<Deployment> {
+async function startDeployment(directoryAddresses: readonly string[] = addresses): Promise<Deployment> {
     const clock = new ManualClock();
     const network = MemoryNetwork.create(clock, SeededRandomness.create(1));
-    const world = { clock, network, directories: addresses };
-    const directories = addresses.map((address, number) => EmulatedDirectory.create(world, address, number));
+    const world = { clock, network, directories: directoryAddresses };
+    const directories = directoryAddresses.map((address, number) => EmulatedDirectory.create(world, address, number));
     const gateway = EmulatedGateway.create(world, "10.0.1.1:7000", 0, () => undefined);
     await Promise.all([...directories, gateway].map(process => process.start()));
     await clock.advance(2_000);
@@ -60,6 +60,21 @@
         expect([...await statesOverHeartbeats(deployment, server, 2, 10)]).to.deep.equal(["ready"]);
     });
 
+    // Guards against servers that call all directories in turn while none of them is in the majority.
+    it("are acknowledged in both of two halves", async () => {
+        const deployment = await startDeployment([...addresses, "10.0.0.4:7000"]);
+        const { clock, network, directories } = deployment.world;
+        const isInFirstHalf = (address: string): boolean => directories.indexOf(address) < 2;
+        network.separate((from, to) => {
+            return [from, to].every(one => directories.includes(one)) && isInFirstHalf(from) !== isInFirstHalf(to);
+        });
+        await clock.advance(5_000);
+        const server = EmulatedServer.create(deployment.world, 0, Number.MAX_SAFE_INTEGER);
+        const acknowledged = [0, 3].map(directory => server.call(directory, server.heartbeat()));
+        await clock.advance(heartbeatMilliseconds);
+        expect(await Promise.all(acknowledged)).to.deep.equal([true, true]);
+    });
+
     // Guards against servers that nobody knows after all directories but one have ended.
     it("are still known there", async () => {
         const deployment = await startDeployment();
