refactor: a retry has one name, a forecast another, and what the tests of cut directories need stands once

Read as a newcomer. *Retry* in place of returning, coming back and returned requests, as in RetryPromises; forecast and outcome as in the metrics' names, in place of expectedWithin and firstEventAfter; the doc comment of deadlineWithin named an earlier default; the doc comments of the retry time, the check of the directories and their review say what the code does. The emulated servers call the next directory at once after a heartbeat that isn't acknowledged, as the protocol has it; the directories and gateways of an emulated deployment are made in one place; the full engine of the queue's tests too.

--- a/packages/basilpaddle/src/node/cli/__tests__/lossSummary.spec.ts
+++ b/packages/basilpaddle/src/node/cli/__tests__/lossSummary.spec.ts
@@ -117,7 +117,7 @@
     });
 
     // Guards against losses of one route that can't be told from those of the others.
-    it("tells the routes apart, and how callers fared that came back after a refusal", () => {
+    it("tells the routes apart, and how retries of refused requests ended", () => {
         const refused = { end: "refused", cause: "no room", milliseconds: 5, path: ["refused 5"] };
         const routes = summariseRouteLosses(
             linesOf([
@@ -129,7 +129,7 @@
             ]),
             options,
         );
-        expect(routes.map(({ route, requests, whole, returns }) => [route, requests, whole, returns])).to.deep.equal([
+        expect(routes.map(({ route, requests, whole, retries }) => [route, requests, whole, retries])).to.deep.equal([
             ["a", 4, 1, { count: 2, answered: 1, refusedAgain: 1 }],
             ["b", 1, 0, { count: 0, answered: 0, refusedAgain: 0 }],
         ]);
--- a/packages/basilpaddle/src/node/cli/commands/losses.ts
+++ b/packages/basilpaddle/src/node/cli/commands/losses.ts
@@ -23,7 +23,7 @@
 }
 
 function formatSummary(summary: LossSummary): string[] {
-    const { requests, whole, losses, promptsRead, readInVain, returns } = summary;
+    const { requests, whole, losses, promptsRead, readInVain, retries } = summary;
     const rows = losses.map(({ kind, cause, count, servers, moments }) => [
         count,
         kind,
@@ -33,7 +33,7 @@
     ]);
     return [
         `${requests} requests ended, ${whole} of them answered in time; ${readInVain} of ${promptsRead} prefills were wasted`,
-        `${returns.count} came back after a refusal: ${returns.answered} answered, ${returns.refusedAgain} refused again`,
+        `${retries.count} were retried after a refusal: ${retries.answered} answered, ${retries.refusedAgain} refused again`,
         ...table(["count", "kind", "cause", "last backend servers", "most frequent time slices from"], rows),
     ];
 }
--- a/packages/basilpaddle/src/node/cli/lossSummary.ts
+++ b/packages/basilpaddle/src/node/cli/lossSummary.ts
@@ -47,11 +47,11 @@
     /** Completed prefills, and how many of them were wasted because no answer was completed with their result. */
     readonly promptsRead: number;
     readonly readInVain: number;
-    readonly returns: ReturnedRequests;
+    readonly retries: RetriedRequests;
 };
 
-/** Requests whose caller sent the same content again after a refusal, and how the last attempt ended. */
-export type ReturnedRequests = { readonly count: number; readonly answered: number; readonly refusedAgain: number; };
+/** Requests whose content was sent again after a refusal, and how the last attempt ended. */
+export type RetriedRequests = { readonly count: number; readonly answered: number; readonly refusedAgain: number; };
 
 /** Losses of the requests of one route. */
 export type RouteLosses = LossSummary & { readonly route: string; };
@@ -139,11 +139,11 @@
         losses,
         promptsRead: totalPrefills,
         readInVain: wastedPrefills,
-        returns: countReturns(lines),
+        retries: countRetries(lines),
     };
 }
 
-function countReturns(lines: readonly LogLine[]): ReturnedRequests {
+function countRetries(lines: readonly LogLine[]): RetriedRequests {
     const endsByContent = new Map<string, string[]>();
     const sorted = lines.filter(({ message }) => message === requestMessage)
         .sort((one, other) => Date.parse(one.at) - Date.parse(other.at));
--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/fakes.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/fakes.ts
@@ -6,6 +6,7 @@
     Traffic,
     TrafficRoute,
 } from "../../../protocol/index.js";
+import type { PlacementQueue } from "../placementQueue.js";
 
 /** A backend server's announcement, with defaults for the fields that a test doesn't set. */
 export function announced(overrides: Partial<ServerAnnouncement> & { readonly id: string; }): ServerAnnouncement {
@@ -97,3 +98,13 @@
         ...overrides,
     };
 }
+
+/** Gives a queue one decode engine with room for eight typical requests, all of which it runs. */
+export function fillOnlyEngine(queue: PlacementQueue): PlacementQueue {
+    queue.setEngines(engines(1, 1), rule);
+    for (let number = 0; number < 8; number++) {
+        queue.enqueueRequest(typicalPlacementRequest(`held-${number}`), 0);
+        queue.prefillCompleted(`held-${number}`, 0);
+    }
+    return queue;
+}
--- a/packages/basilpaddle/src/node/coordination/gateway/__tests__/priorityAdmission.spec.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/__tests__/priorityAdmission.spec.ts
@@ -4,19 +4,14 @@
 import { PlacementQueue } from "../placementQueue.js";
 import { QueueRecorder } from "../queueObserver.js";
 import { RetryPromises } from "../retryPromises.js";
-import { engines, placed, refused, rule, typicalPlacementRequest } from "./fakes.js";
+import { fillOnlyEngine, placed, refused, typicalPlacementRequest } from "./fakes.js";
 
 /** A queue in front of one decode engine with room for eight typical requests, all of which it runs. */
 function fullQueue(metrics = RecordedMetrics.create()): PlacementQueue {
     const recorder = QueueRecorder.create(createSilentLogger(), metrics);
     const queue = PlacementQueue.create({ fill: 1, share: 1 }, undefined, recorder);
     queue.setPrioritised(true, 0);
-    queue.setEngines(engines(1, 1), rule);
-    for (let number = 0; number < 8; number++) {
-        queue.enqueueRequest(typicalPlacementRequest(`held-${number}`), 0);
-        queue.prefillCompleted(`held-${number}`, 0);
-    }
-    return queue;
+    return fillOnlyEngine(queue);
 }
 
 /** Sends typical requests of a priority, and returns the decisions. */
--- a/packages/basilpaddle/src/node/coordination/gateway/queueAdmission.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/queueAdmission.ts
@@ -15,7 +15,7 @@
     readonly pool: EnginePool;
     readonly forecast: PlacementForecast;
     readonly observer: QueueObserver;
-    /** Shared with the queue, which outlives its admission. */
+    /** Kept by the queue, so that a changed admission knows what the previous one refused. */
     readonly refused: RefusedRequests;
 };
 
@@ -76,7 +76,7 @@
         const wait = { waiting: arrived, ahead, firstEventIn, poolForecast, now };
         const isVersionGone = this.isVersionGone(arrived, now);
         if (!isVersionGone && this.mayEnter(wait)) {
-            arrived.expectedWithin = firstEventIn;
+            arrived.forecast = firstEventIn;
             return [];
         }
         order.remove(arrived);
@@ -119,8 +119,8 @@
     }
 
     /** Records a placement; `firstEventIn`: the milliseconds until its first event that are expected now. */
-    recordPlaced({ request, arrivedAt, expectedWithin }: WaitingRequest, firstEventIn: number, now: number): void {
-        this.options.observer.placed({ request, expectedWithin, firstEventAfter: now - arrivedAt + firstEventIn });
+    recordPlaced({ request, arrivedAt, forecast }: WaitingRequest, firstEventIn: number, now: number): void {
+        this.options.observer.placed({ request, forecast, outcome: now - arrivedAt + firstEventIn });
     }
 
     /** Whether a new request may enter the queue. */
@@ -145,7 +145,7 @@
         return timeoutAt - now - timeoutMarginMilliseconds;
     }
 
-    /** Milliseconds after which a refused request shall retry: once the requests ahead of it have been served. */
+    /** Milliseconds after which a refused request shall be retried: once the requests ahead of it have been served. */
     protected retryIn({ waiting, ahead, poolForecast, now }: RefusedWait): number {
         const { request, arrivedAt } = waiting;
         const { forecast, pool } = this.options;
--- a/packages/basilpaddle/src/node/coordination/gateway/queueObserver.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/queueObserver.ts
@@ -22,10 +22,10 @@
 /** A placement, with the forecast at its arrival and what came of it. */
 export type QueuePlacement = {
     readonly request: PlacementRequest;
-    /** Forecast milliseconds from its arrival to its first event; undefined if it was placed at once. */
-    readonly expectedWithin?: number | undefined;
-    /** The same by the time at which it was placed. */
-    readonly firstEventAfter: number;
+    /** Milliseconds from its arrival to its first event, as forecast then; undefined if it was placed at once. */
+    readonly forecast?: number | undefined;
+    /** The same with the time that it waited, and the forecast of its prefill when it was placed. */
+    readonly outcome: number;
 };
 
 /** Receives what a placement queue decided, for logs and metrics. */
@@ -55,12 +55,12 @@
         return new QueueRecorder(logger, metrics);
     }
 
-    override placed({ request, expectedWithin, firstEventAfter }: QueuePlacement): void {
+    override placed({ request, forecast, outcome }: QueuePlacement): void {
         const { service, priority } = request;
         this.metrics.count("basilpaddle_placements_total", { service, rank: rankLabel(priority) });
-        if (expectedWithin !== undefined && Number.isFinite(expectedWithin)) {
-            this.metrics.observe("basilpaddle_placement_forecast_milliseconds", expectedWithin, { service });
-            this.metrics.observe("basilpaddle_placement_outcome_milliseconds", firstEventAfter, { service });
+        if (forecast !== undefined && Number.isFinite(forecast)) {
+            this.metrics.observe("basilpaddle_placement_forecast_milliseconds", forecast, { service });
+            this.metrics.observe("basilpaddle_placement_outcome_milliseconds", outcome, { service });
         }
     }
 
--- a/packages/basilpaddle/src/node/coordination/gateway/refusedRequests.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/refusedRequests.ts
@@ -9,8 +9,8 @@
 type RefusedRequest = { readonly targetAt: number; readonly deadlineAt: number; };
 
 /**
- * Remembers which requests were refused, by their content, so that a caller that comes back keeps the target of its first
- * attempt: it is late from that time on, whenever it is served, and others that can still meet their target go first.
+ * Remembers which requests were refused, by their content, so that a retry keeps the target of the first attempt: past it,
+ * the answer is late whenever it comes, and requests that can still meet their target go first.
  */
 export class RefusedRequests {
     private readonly byContent = new LRUCache<string, RefusedRequest>({ max: maxRefusedRequests });
@@ -27,7 +27,7 @@
         }
     }
 
-    /** The request with the target of the attempt that was refused before it, if there is one. Each refusal counts once. */
+    /** The request, with the first attempt's target if it is a retry. A refusal counts for one retry. */
     withFirstTarget(waiting: WaitingRequest): WaitingRequest {
         const { content = "", resumed } = waiting.request;
         const refused = this.byContent.get(content);
--- a/packages/basilpaddle/src/node/coordination/gateway/retryPromises.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/retryPromises.ts
@@ -26,13 +26,12 @@
 
     /**
      * The time at which a refused request shall retry: in the first interval with enough capacity, else in the one with the
-     * least promised. `tokensPerMillisecond`: tokens that become free in the pool.
+     * least promised, in the later half of the time until the latest. `tokensPerMillisecond`: tokens that become free in the pool.
      */
     promise({ tokens, earliest, latest, spread }: RefusedRetry, tokensPerMillisecond: number, now: number): number {
         this.dropBefore(Math.floor(now / intervalMilliseconds));
         const capacity = tokensPerMillisecond * intervalMilliseconds;
         const last = Math.max(now, latest);
-        // If nothing is left until the latest time, the later half of that time is the best there is.
         const halfway = (now + last) / 2;
         const served = Math.max(now, earliest);
         const withRoom = this.firstWithRoom(served, last, capacity - tokens);
--- a/packages/basilpaddle/src/node/coordination/gateway/waitingRequest.ts
+++ b/packages/basilpaddle/src/node/coordination/gateway/waitingRequest.ts
@@ -8,8 +8,8 @@
     readonly timeoutAt: number;
     /** Whether it can't meet its target any more. */
     late: boolean;
-    /** Forecast at its arrival of the milliseconds until its first event; undefined if it was placed at once. */
-    expectedWithin?: number;
+    /** Milliseconds to its first event as forecast at its arrival; undefined if it was placed at once. */
+    forecast?: number;
     /** Position among the requests that it is sorted with; set by the order of the queue. */
     sortKey: number;
 };
--- a/packages/basilpaddle/src/node/daemon/directory/serverMembership.ts
+++ b/packages/basilpaddle/src/node/daemon/directory/serverMembership.ts
@@ -147,7 +147,10 @@
         return { kind: "noted", stored: await this.options.restartCache.flush() } satisfies DepartureReply;
     }
 
-    /** Marks backend servers as silent whose heartbeats stopped; to be called a few times per heartbeat interval. */
+    /**
+     * Marks backend servers as silent whose heartbeats stopped, and logs whether other directories are reached; to be called a few
+     * times per heartbeat interval.
+     */
     review(): void {
         this.hasReachedHalf ||= this.reachesHalf();
         this.logReachability();
@@ -173,8 +176,8 @@
     }
 
     /**
-     * Whether this directory has lost its connections to most of the members. A server whose heartbeats it acknowledged
-     * would go on sending them here, and be silent at the others, the leader among them.
+     * Whether this directory reached half of the members, itself included, and doesn't any more. A server whose heartbeats it
+     * acknowledged would go on sending them here, and be silent at the others, the leader among them.
      */
     private isCutOff(): boolean {
         return this.hasReachedHalf && !this.reachesHalf();
--- a/packages/basilpaddle/src/node/protocol/gateway.ts
+++ b/packages/basilpaddle/src/node/protocol/gateway.ts
@@ -151,7 +151,7 @@
     version: z.string().max(200).optional(),
     /** Organisation that sent it, in pools with several priorities. @default unknown */
     organisation: identifierSchema.optional(),
-    /** Milliseconds left until the caller's deadline, in pools with several priorities. @default `patienceWithin` */
+    /** Milliseconds left until the caller's deadline, in pools with several priorities. @default `finishWithin`, or else `patienceWithin` */
     deadlineWithin: z.number().optional(),
     /** Stall rates of the gateway's links. @default no stalls */
     linkStalls: linkStallsSchema.optional(),
@@ -159,7 +159,7 @@
     gap: z.number().min(0).optional().catch(undefined),
     /** Milliseconds left until the answer must be complete. @default no limit */
     finishWithin: z.number().optional().catch(undefined),
-    /** Digest of the request's content, which is the same when its caller comes back after a refusal. @default unknown */
+    /** Digest of the request's content, which is the same when its caller retries it. @default unknown */
     content: z.string().max(200).optional().catch(undefined),
 });
 
--- a/simulation/departures/departureSimulation.ts
+++ b/simulation/departures/departureSimulation.ts
@@ -1,8 +1,8 @@
 import { SeededRandomness } from "../../packages/basilpaddle/src/node/utils/index.js";
 import { flushPromises, ManualClock } from "../manualClock.js";
 import type { Departure, DepartureDay, Isolation, Kill, Restart } from "./day.js";
+import { Deployment } from "./deployment.js";
 import { EmulatedServer, service } from "./emulatedServer.js";
-import { MemoryNetwork } from "./memoryNetwork.js";
 import { EmulatedDirectory, EmulatedGateway, heartbeatMilliseconds, type World } from "./processes.js";
 
 /** Time from the acknowledgement after which a leaving server gets no more work. */
@@ -35,11 +35,12 @@
 }
 
 class DepartureSimulation {
-    private readonly clock = new ManualClock();
+    private readonly deployment: Deployment;
+    private readonly clock: ManualClock;
     private readonly random: SeededRandomness;
     private readonly world: World;
-    private readonly directories: EmulatedDirectory[];
-    private readonly gateways: EmulatedGateway[];
+    private readonly directories: readonly EmulatedDirectory[];
+    private readonly gateways: readonly EmulatedGateway[];
     private readonly gatewayStarts = new Map<EmulatedGateway, number>();
     private readonly servers = new Map<number, EmulatedServer>();
     private readonly late = new Map<string, string>();
@@ -49,18 +50,16 @@
 
     constructor(private readonly day: DepartureDay, seed: number) {
         this.random = SeededRandomness.create(seed);
-        const addresses = Array.from({ length: day.directories }, (_, number) => `10.0.0.${number + 1}:7000`);
-        const network = MemoryNetwork.create(this.clock, this.random);
-        this.world = { clock: this.clock, network, directories: addresses };
-        this.directories = addresses.map((address, number) => EmulatedDirectory.create(this.world, address, number));
-        this.gateways = Array.from({ length: day.gateways }, (_, number) => {
-            return EmulatedGateway.create(this.world, `10.0.1.${number + 1}:7000`, number, () => this.check());
-        });
+        this.deployment = Deployment.create(day, this.random, () => this.check());
+        this.clock = this.deployment.clock;
+        this.world = this.deployment.world;
+        this.directories = this.deployment.directories;
+        this.gateways = this.deployment.gateways;
     }
 
     async run(): Promise<DepartureOutcome> {
         const { day, clock } = this;
-        await Promise.all([...this.directories, ...this.gateways].map(process => process.start()));
+        await this.deployment.start();
         for (let number = 0; number < day.servers; number++) {
             this.servers.set(
                 number,
--- a/simulation/departures/emulatedServer.ts
+++ b/simulation/departures/emulatedServer.ts
@@ -112,11 +112,24 @@
         return (answer.toMaybe().extract() as CallResponse | undefined)?.kind === "done";
     }
 
+    /** Sends its next heartbeats to another directory, as after one failed. */
+    moveHeartbeats(directory: number): void {
+        this.directory = directory;
+    }
+
+    /** Calls the next directory at once if one doesn't acknowledge. */
+    private async sendHeartbeat(): Promise<void> {
+        for (let tried = 0; tried < this.world.directories.length; tried++) {
+            if (await this.call(this.directory, this.heartbeat())) {
+                return;
+            }
+            this.directory += 1;
+        }
+    }
+
     private async sendHeartbeats(): Promise<void> {
         while (this.sendsHeartbeats) {
-            if (!await this.call(this.directory, this.heartbeat())) {
-                this.directory += 1;
-            }
+            await this.sendHeartbeat();
             await this.pause(heartbeatMilliseconds);
         }
     }
